Agree on events, effects, messages and the reducer's modules

Cause: the reducer, the shells and the bench can only be written side by side over the same typed interfaces. Change: events, effects, reasons and problems as X-macro lists; the wire records kept once with encoder, decoder, copy and free made from the list; stable tables with handles; maps on Concurrency Kit; entry.c routes; build, formatter, linter and test runner. Conclusion: the headers stand; modules follow.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,86 @@
+# boragemoor: make [all|deps|format|lint|check|demo|bench|matrix|slopes]
+MAKEFLAGS += -j$(shell nproc) --no-print-directory
+
+PACKAGES := libmsgpack-dev libck-dev libmicrohttpd-dev libcurl4-openssl-dev \
+	libpopt-dev libcunit1-dev libinih-dev libjansson-dev libxxhash-dev \
+	libgsl-dev libsodium-dev gnuplot-nox clang-format clang-tidy \
+	gcc make
+
+SANITIZE ?=
+ifeq ($(SANITIZE),)
+BUILD := build
+SANFLAGS :=
+else ifeq ($(SANITIZE),thread)
+BUILD := build-thread
+SANFLAGS := -fsanitize=thread -fno-omit-frame-pointer
+else
+BUILD := build-address
+SANFLAGS := -fsanitize=address,undefined -fno-sanitize-recover=all \
+	-fno-omit-frame-pointer
+endif
+
+CFLAGS ?= -O2 -g
+CPPFLAGS += -D_GNU_SOURCE -Isrc
+ALL_CFLAGS := -std=gnu11 -Wall -Wextra -Werror -pthread $(CFLAGS) $(SANFLAGS)
+LDLIBS := -lmicrohttpd -lcurl -lmsgpackc -lck -linih -ljansson -lxxhash \
+	-lpopt -lsodium -lgsl -lgslcblas -lm
+
+MAINS := $(wildcard src/bm_*.c)
+LIB_SRC := $(filter-out $(MAINS),$(wildcard src/*.c))
+LIB_OBJ := $(LIB_SRC:src/%.c=$(BUILD)/%.o)
+PROGRAMS := $(patsubst src/bm_%.c,$(BUILD)/bm-%,$(MAINS))
+PROGRAMS := $(subst _,-,$(PROGRAMS))
+TEST_SRC := $(wildcard tests/*.c)
+TEST_OBJ := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%.o)
+HEADERS := $(wildcard src/*.h tests/*.h)
+FORMATTED := $(wildcard src/*.[ch] tests/*.[ch])
+LINTED := $(LIB_SRC) $(MAINS) $(TEST_SRC)
+
+.PHONY: all deps format format-check lint check demo clean
+.SECONDARY:
+
+all: $(BUILD)/libboragemoor.a $(PROGRAMS)
+
+deps:
+	@sh .ci/deps $(PACKAGES)
+
+$(BUILD)/%.o: src/%.c $(HEADERS)
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(ALL_CFLAGS) -c $< -o $@
+
+$(BUILD)/tests/%.o: tests/%.c $(HEADERS)
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) -Itests $(ALL_CFLAGS) -c $< -o $@
+
+$(BUILD)/libboragemoor.a: $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+.SECONDEXPANSION:
+$(BUILD)/bm-%: $(BUILD)/bm_$$(subst -,_,$$*).o $(BUILD)/libboragemoor.a
+	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
+
+$(BUILD)/check: $(TEST_OBJ) $(BUILD)/libboragemoor.a
+	$(CC) $(ALL_CFLAGS) $^ -lcunit $(LDLIBS) -o $@
+
+format:
+	clang-format -i $(FORMATTED)
+
+format-check:
+	@clang-format --dry-run -Werror $(FORMATTED)
+
+$(BUILD)/lint/%.ok: % $(HEADERS) .clang-tidy
+	@mkdir -p $(dir $@)
+	@clang-tidy --quiet $< -- $(CPPFLAGS) -Itests -std=gnu11 2>$@.err || \
+		{ cat $@.err; exit 1; }
+	@touch $@
+
+lint: $(LINTED:%=$(BUILD)/lint/%.ok)
+
+check: deps
+	@$(MAKE) format-check lint
+	@$(MAKE) all $(BUILD)/check
+	@$(BUILD)/check tests
+
+clean:
+	rm -rf build build-address build-thread
--- /dev/null
+++ b/src/effect.h
@@ -0,0 +1,156 @@
+/**
+ * DOC: effect - what an entry instance decides to do, as data
+ *
+ * A step appends effects in order; the shell carries them out in that order.
+ * An effect owns what it points to until effects_clear().
+ */
+#ifndef BM_EFFECT_H
+#define BM_EFFECT_H
+
+#include "base.h"
+#include "job.h"
+#include "kind.h"
+#include "wire.h"
+
+/* EFFECT(NAME, member of the union, what to do) */
+/* clang-format off */
+#define EFFECT_LIST(EFFECT)                                                   \
+    EFFECT(ANSWER, answer, "give a caller the whole answer")                  \
+    EFFECT(ACCEPTED, accepted, "tell a caller the job is running")            \
+    EFFECT(PROBLEM, problem, "refuse a request")                              \
+    EFFECT(KEYS, keys, "give a caller a block of keys")                       \
+    EFFECT(ANNOUNCED, announced, "answer an upstream's announcement")         \
+    EFFECT(TEXT, text, "answer an operator with JSON text")                   \
+    EFFECT(START, start, "start a task on an upstream")                       \
+    EFFECT(REVOKE, revoke, "ask an upstream for a task")                      \
+    EFFECT(FENCE, fence, "take over an upstream under a new epoch")           \
+    EFFECT(SEND, send, "send a message to an instance")                       \
+    EFFECT(LOG, log, "log a decision")                                        \
+    EFFECT(STOPPED, none, "nothing is in progress any more")
+/* clang-format on */
+
+enum effect_kind {
+#define EFFECT(NAME, member, text) EF_##NAME,
+    EFFECT_LIST(EFFECT)
+#undef EFFECT
+        EFFECT_KINDS,
+};
+
+struct ef_answer {
+    uint64_t request;
+    struct job_answer *answer; /* owned */
+};
+
+struct ef_accepted {
+    uint64_t request;
+};
+
+struct ef_problem {
+    uint64_t request;
+    enum problem problem;
+    char detail[DETAIL_SIZE];
+    int64_t retry_after_us; /* 0: no Retry-After */
+    bool not_run;           /* a fact: nothing of the key ever started */
+    bool not_by_this;       /* this request started nothing */
+};
+
+struct ef_keys {
+    uint64_t request;
+    char (*keys)[KEY_TEXT_SIZE]; /* owned array */
+    size_t n_keys;
+};
+
+struct ef_announced {
+    uint64_t request;
+    int64_t renew_us;   /* announce again within this */
+    struct name holder; /* empty while there is none */
+};
+
+struct ef_text {
+    uint64_t request;
+    char *json; /* owned */
+};
+
+struct ef_start {
+    uint64_t call; /* comes back in EV_TASK_ENDED */
+    struct name upstream;
+    struct address address;
+    uint64_t incarnation;
+    uint64_t epoch;
+    struct key_id key;
+    uint32_t index;       /* of the task in its job */
+    struct blob *payload; /* owned reference */
+    int64_t silent_us;    /* report START_LOST after this long without end */
+};
+
+struct ef_revoke {
+    uint64_t call; /* comes back in EV_TASK_REVOKED */
+    struct name upstream;
+    struct address address;
+    uint64_t incarnation;
+    struct key_id key;
+    uint32_t index;
+};
+
+struct ef_fence {
+    uint64_t call; /* comes back in EV_FENCED */
+    struct name upstream;
+    struct address address;
+    uint64_t incarnation;
+    uint64_t epoch;
+};
+
+struct ef_send {
+    struct name to;
+    struct msg msg; /* owned */
+};
+
+struct ef_log {
+    int severity; /* of syslog */
+    enum reason reason;
+    struct key_id key;   /* zero where the line is not about a job */
+    int32_t index;       /* task; -1 where the line is not about one */
+    struct name subject; /* upstream or instance; may be empty */
+    char detail[DETAIL_SIZE];
+};
+
+struct effect {
+    enum effect_kind kind;
+    union {
+        char none;
+        struct ef_answer answer;
+        struct ef_accepted accepted;
+        struct ef_problem problem;
+        struct ef_keys keys;
+        struct ef_announced announced;
+        struct ef_text text;
+        struct ef_start start;
+        struct ef_revoke revoke;
+        struct ef_fence fence;
+        struct ef_send send;
+        struct ef_log log;
+    } u;
+};
+
+/** struct effects - a growing list, reused from step to step */
+struct effects {
+    struct effect *items;
+    size_t n;
+    size_t room;
+};
+
+/** effects_add() - appends a zeroed effect of that kind and returns it; the
+ * pointer holds until the next call.  Ends the process when memory is out:
+ * a lost effect could be a lost answer. */
+struct effect *effects_add(struct effects *fx, enum effect_kind kind);
+
+/** effects_clear() - releases what the effects own and empties the list */
+void effects_clear(struct effects *fx);
+
+/** effects_free() - effects_clear() and the list itself */
+void effects_free(struct effects *fx);
+
+/** effect_name() - the kind in lower case, for traces */
+const char *effect_name(enum effect_kind kind);
+
+#endif
--- /dev/null
+++ b/src/entry_state.h
@@ -0,0 +1,72 @@
+/**
+ * DOC: entry_state - what the modules of the entry reducer share
+ *
+ * Internal to the reducer.  Each module keeps its own state behind a pointer
+ * here and is called by entry.c with the event, or by another module through
+ * its header.  e->now and e->fx are valid during a step.
+ *
+ * Who calls whom: entry.c routes events.  member.c tells the others who came
+ * and went.  jobs.c owns jobs from submission to answer and asks claim.c for
+ * the key, then hands tasks to dispatch.c; dispatch.c queues and places them
+ * with what upstream.c knows and slot.c borrows, and reports each end with
+ * jobs_task_ended().
+ */
+#ifndef BM_ENTRY_STATE_H
+#define BM_ENTRY_STATE_H
+
+#include "entry.h"
+#include "table.h"
+
+struct members;
+struct claims;
+struct jobs;
+struct upstreams;
+struct slots;
+struct dispatch;
+struct follow;
+
+struct entry {
+    struct entry_options opts; /* opts.peers is the entry's own copy */
+    struct name zone;          /* of this instance */
+    struct moment now;
+    struct effects *fx;
+    struct config *config; /* NULL until the first arrives */
+    bool stopping;
+    bool stopped_told;
+    uint64_t random;    /* state of entry_random() */
+    uint64_t last_call; /* see entry_new_call() */
+    int64_t last_step_us;
+    struct entry_counters counters;
+    struct members *members;
+    struct claims *claims;
+    struct jobs *jobs;
+    struct upstreams *upstreams;
+    struct slots *slots;
+    struct dispatch *dispatch;
+    struct follow *follow;
+};
+
+/** entry_random() - next number of the seeded generator (splitmix64) */
+uint64_t entry_random(struct entry *e);
+
+/** entry_jitter() - a time between half and one and a half times @us */
+int64_t entry_jitter(struct entry *e, int64_t us);
+
+/** entry_new_call() - a number no earlier call of this instance had */
+uint64_t entry_new_call(struct entry *e);
+
+/** entry_send() - sends a message; takes over what it owns */
+void entry_send(struct entry *e, struct name to, struct msg *m);
+
+/** entry_log() - logs a decision; @key may be NULL, @index -1, @subject
+ * empty; the detail is printf-formatted */
+void entry_log(struct entry *e, int severity, enum reason reason,
+               const struct key_id *key, int32_t index, struct name subject,
+               const char *format, ...) __attribute__((format(printf, 7, 8)));
+
+/** entry_refuse() - answers a request with a problem; see struct ef_problem.
+ * Does nothing for REQUEST_NONE. */
+void entry_refuse(struct entry *e, uint64_t request, enum problem problem,
+                  int64_t retry_after_us, const char *detail);
+
+#endif
--- /dev/null
+++ b/src/follow.h
@@ -0,0 +1,21 @@
+/**
+ * DOC: follow - keeps up with the configuration in force
+ *
+ * One instance per zone long-polls a control process across zones, the others
+ * poll it.  A restarted instance asks control first, then its zone's peers.
+ * Only a version above the one in force is applied.
+ */
+#ifndef BM_FOLLOW_H
+#define BM_FOLLOW_H
+
+#include "entry_state.h"
+
+struct follow *follow_new(const struct entry *e);
+void follow_free(struct follow *f);
+
+/** follow_on_message() - CONFIG_REQUEST and CONFIG_REPLY */
+void follow_on_message(struct entry *e, struct name from, const struct msg *m);
+void follow_tick(struct entry *e);
+int64_t follow_next_us(const struct entry *e);
+
+#endif
--- /dev/null
+++ b/src/member.h
@@ -0,0 +1,65 @@
+/**
+ * DOC: member - which entry instances are up (soft state, heartbeats)
+ *
+ * The settings name every instance; heartbeats with incarnations say which are
+ * up and carry their load.  A member is up from its first heartbeat until
+ * member_timeout_us of silence, a newer incarnation, or its own word that it
+ * is stopping (it then stays reachable but takes no new duties).
+ */
+#ifndef BM_MEMBER_H
+#define BM_MEMBER_H
+
+#include "entry_state.h"
+
+struct member {
+    struct name name; /* first: looked up by it */
+    struct name zone;
+    bool self;
+    bool up;
+    bool stopping;
+    uint64_t incarnation; /* newest met, 0 is none */
+    int64_t heard_us;     /* monotonic */
+    uint64_t config_version;
+    struct rec_load *loads; /* from its last heartbeat */
+    size_t n_loads;
+};
+
+struct members *members_new(const struct entry *e);
+void members_free(struct members *m);
+
+/** members_of() - the member of that name, or NULL; self is one */
+struct member *members_of(const struct entry *e, struct name name);
+
+/** members_next() - iterates in the order of names: start with *@at = 0 */
+struct member *members_next(const struct entry *e, size_t *at);
+
+/** members_zones() - the region's zones sorted by name; @n their number */
+const struct name *members_zones(const struct entry *e, size_t *n);
+
+/** members_voters() - the claim voters of a zone: its instances in the order
+ * of names, filled up from the other zones; the same on every instance.
+ * Returns how many there are, at most VOTERS_PER_ZONE. */
+size_t members_voters(const struct entry *e, struct name zone,
+                      struct name voters[VOTERS_PER_ZONE]);
+
+/** members_send_zone() - copies of a message to the up members of our zone
+ * other than self; frees @m */
+void members_send_zone(struct entry *e, struct msg *m);
+
+/** members_renewed() - notes an upstream's renewal for the next heartbeat */
+void members_renewed(struct entry *e, struct name upstream,
+                     uint64_t incarnation, uint32_t busy);
+
+void members_on_heartbeat(struct entry *e, struct name from,
+                          const struct rec_heartbeat *hb);
+void members_on_peer(struct entry *e, struct name peer, bool up);
+void members_tick(struct entry *e);
+int64_t members_next_us(const struct entry *e);
+
+/** members_stopping() - says at once that this instance is stopping */
+void members_stopping(struct entry *e);
+
+/** members_paused() - this process slept: nobody is known to be up */
+void members_paused(struct entry *e);
+
+#endif
--- /dev/null
+++ b/src/wire.c
@@ -0,0 +1,384 @@
+#include "wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Each pass over wire_list.h makes one function per record. */
+
+/* Number of fields. */
+#define RECORD(name) enum { FIELDS_##name = 0
+#define U64(f) +1
+#define NAME(f) +1
+#define ADDR(f) +1
+#define KEY(f) +1
+#define BLOB(f) +1
+#define ARRAY(rec, f) +1
+#define END(name)                                                             \
+    }                                                                         \
+    ;
+#include "wire_list.h"
+#undef RECORD
+#undef U64
+#undef NAME
+#undef ADDR
+#undef KEY
+#undef BLOB
+#undef ARRAY
+#undef END
+
+static void
+put_text(msgpack_packer *p, const char *text)
+{
+    size_t n = strlen(text);
+
+    msgpack_pack_str(p, n);
+    msgpack_pack_str_body(p, text, n);
+}
+
+static void
+put_key(msgpack_packer *p, struct key_id key)
+{
+    msgpack_pack_bin(p, sizeof(key));
+    msgpack_pack_bin_body(p, &key, sizeof(key));
+}
+
+static void
+put_blob(msgpack_packer *p, const struct blob *b)
+{
+    if (b == NULL) {
+        msgpack_pack_nil(p);
+        return;
+    }
+    msgpack_pack_bin(p, b->size);
+    msgpack_pack_bin_body(p, b->data, b->size);
+}
+
+#define RECORD(name)                                                          \
+    static void pack_##name(const struct rec_##name *r, msgpack_packer *p)    \
+    {                                                                         \
+        msgpack_pack_array(p, FIELDS_##name);
+#define U64(f) msgpack_pack_uint64(p, r->f);
+#define NAME(f) put_text(p, r->f.s);
+#define ADDR(f) put_text(p, r->f.s);
+#define KEY(f) put_key(p, r->f);
+#define BLOB(f) put_blob(p, r->f);
+#define ARRAY(rec, f)                                                         \
+    msgpack_pack_array(p, r->n_##f);                                          \
+    for (size_t i = 0; i < r->n_##f; i++) {                                   \
+        pack_##rec(&r->f[i], p);                                              \
+    }
+#define END(name) }
+#include "wire_list.h"
+#undef RECORD
+#undef U64
+#undef NAME
+#undef ADDR
+#undef KEY
+#undef BLOB
+#undef ARRAY
+#undef END
+
+static enum wire_error
+get_u64(const msgpack_object *o, uint64_t *out)
+{
+    if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return WIRE_MALFORMED;
+    }
+    *out = o->via.u64;
+    return WIRE_OK;
+}
+
+static enum wire_error
+get_text(const msgpack_object *o, char *out, size_t size)
+{
+    if (o->type != MSGPACK_OBJECT_STR) {
+        return WIRE_MALFORMED;
+    }
+    if (o->via.str.size >= size) {
+        return WIRE_TOO_LARGE;
+    }
+    if (o->via.str.size == 0) {
+        out[0] = '\0';
+        return WIRE_OK;
+    }
+    if (o->via.str.ptr == NULL ||
+        memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL) {
+        return WIRE_MALFORMED;
+    }
+    memcpy(out, o->via.str.ptr, o->via.str.size);
+    out[o->via.str.size] = '\0';
+    return WIRE_OK;
+}
+
+static enum wire_error
+get_key(const msgpack_object *o, struct key_id *out)
+{
+    if (o->type != MSGPACK_OBJECT_BIN || o->via.bin.size != sizeof(*out)) {
+        return WIRE_MALFORMED;
+    }
+    memcpy(out, o->via.bin.ptr, sizeof(*out));
+    return WIRE_OK;
+}
+
+static enum wire_error
+get_blob(const msgpack_object *o, struct blob **out)
+{
+    if (o->type == MSGPACK_OBJECT_NIL) {
+        *out = NULL;
+        return WIRE_OK;
+    }
+    if (o->type != MSGPACK_OBJECT_BIN) {
+        return WIRE_MALFORMED;
+    }
+    *out = blob_new(o->via.bin.ptr, o->via.bin.size);
+    return *out != NULL ? WIRE_OK : WIRE_NO_MEMORY;
+}
+
+static enum wire_error
+open_record(const msgpack_object *o, size_t fields, const msgpack_object **at)
+{
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != fields) {
+        return WIRE_MALFORMED;
+    }
+    *at = o->via.array.ptr;
+    return WIRE_OK;
+}
+
+static enum wire_error
+open_array(const msgpack_object *o, size_t size, void **out, size_t *n)
+{
+    if (o->type != MSGPACK_OBJECT_ARRAY) {
+        return WIRE_MALFORMED;
+    }
+    if (o->via.array.size > WIRE_ARRAY_MAX) {
+        return WIRE_TOO_LARGE;
+    }
+    if (o->via.array.size == 0) {
+        return WIRE_OK;
+    }
+    *out = calloc(o->via.array.size, size);
+    if (*out == NULL) {
+        return WIRE_NO_MEMORY;
+    }
+    *n = o->via.array.size;
+    return WIRE_OK;
+}
+
+#define RECORD(name)                                                          \
+    static enum wire_error unpack_##name(const msgpack_object *o,             \
+                                         struct rec_##name *r)                \
+    {                                                                         \
+        const msgpack_object *at = NULL;                                      \
+        enum wire_error err = open_record(o, FIELDS_##name, &at);
+#define FIELD(call)                                                           \
+    if (err == WIRE_OK) {                                                     \
+        err = (call);                                                         \
+        at++;                                                                 \
+    }
+#define U64(f) FIELD(get_u64(at, &r->f))
+#define NAME(f) FIELD(get_text(at, r->f.s, sizeof(r->f.s)))
+#define ADDR(f) FIELD(get_text(at, r->f.s, sizeof(r->f.s)))
+#define KEY(f) FIELD(get_key(at, &r->f))
+#define BLOB(f) FIELD(get_blob(at, &r->f))
+#define ARRAY(rec, f)                                                         \
+    if (err == WIRE_OK) {                                                     \
+        void *array = NULL;                                                   \
+        err = open_array(at, sizeof(*r->f), &array, &r->n_##f);               \
+        r->f = array;                                                         \
+        for (size_t i = 0; r->f != NULL && err == WIRE_OK && i < r->n_##f;    \
+             i++) {                                                           \
+            err = unpack_##rec(&at->via.array.ptr[i], &r->f[i]);              \
+        }                                                                     \
+        at++;                                                                 \
+    }
+#define END(name)                                                             \
+    return err;                                                               \
+    }
+#include "wire_list.h"
+#undef RECORD
+#undef FIELD
+#undef U64
+#undef NAME
+#undef ADDR
+#undef KEY
+#undef BLOB
+#undef ARRAY
+#undef END
+
+#define RECORD(name)                                                          \
+    static void free_##name(struct rec_##name *r)                             \
+    {                                                                         \
+        (void)r;
+#define U64(f)
+#define NAME(f)
+#define ADDR(f)
+#define KEY(f)
+#define BLOB(f) blob_unref(r->f);
+#define ARRAY(rec, f)                                                         \
+    for (size_t i = 0; i < r->n_##f; i++) {                                   \
+        free_##rec(&r->f[i]);                                                 \
+    }                                                                         \
+    free(r->f);
+#define END(name) }
+#include "wire_list.h"
+#undef RECORD
+#undef BLOB
+#undef ARRAY
+#undef END
+
+/* Copies: the struct is copied whole first, then what it points to. */
+static void *
+copy_array(const void *from, size_t n, size_t size)
+{
+    void *to;
+
+    if (n == 0) {
+        return NULL;
+    }
+    to = calloc(n, size);
+    if (to == NULL) {
+        abort();
+    }
+    memcpy(to, from, n * size);
+    return to;
+}
+
+#define RECORD(name)                                                          \
+    static void copy_##name(struct rec_##name *r)                             \
+    {                                                                         \
+        (void)r;
+#define BLOB(f) (void)blob_ref(r->f);
+#define ARRAY(rec, f)                                                         \
+    r->f = copy_array(r->f, r->n_##f, sizeof(*r->f));                         \
+    for (size_t i = 0; i < r->n_##f; i++) {                                   \
+        copy_##rec(&r->f[i]);                                                 \
+    }
+#define END(name) }
+#include "wire_list.h"
+#undef RECORD
+#undef U64
+#undef NAME
+#undef ADDR
+#undef KEY
+#undef BLOB
+#undef ARRAY
+#undef END
+
+const char *
+msg_name(enum msg_kind kind)
+{
+    static const char *const names[] = {
+#define MSG(KIND, record) #record,
+#include "msg_list.h"
+#undef MSG
+    };
+
+    return kind < MSG_KINDS ? names[kind] : "unknown";
+}
+
+struct msg
+msg_copy(const struct msg *m)
+{
+    struct msg copy = *m;
+
+    switch (copy.kind) {
+#define MSG(KIND, record)                                                     \
+    case MSG_##KIND:                                                          \
+        copy_##record(&copy.u.record);                                        \
+        break;
+#include "msg_list.h"
+#undef MSG
+    default:
+        break;
+    }
+    return copy;
+}
+
+void
+msg_free(struct msg *m)
+{
+    switch (m->kind) {
+#define MSG(KIND, record)                                                     \
+    case MSG_##KIND:                                                          \
+        free_##record(&m->u.record);                                          \
+        break;
+#include "msg_list.h"
+#undef MSG
+    default:
+        break;
+    }
+    memset(m, 0, sizeof(*m));
+}
+
+enum wire_error
+wire_encode(const struct msg *m, msgpack_sbuffer *out)
+{
+    msgpack_packer p;
+
+    msgpack_packer_init(&p, out, msgpack_sbuffer_write);
+    msgpack_pack_array(&p, 2);
+    msgpack_pack_uint64(&p, m->kind);
+    switch (m->kind) {
+#define MSG(KIND, record)                                                     \
+    case MSG_##KIND:                                                          \
+        pack_##record(&m->u.record, &p);                                      \
+        break;
+#include "msg_list.h"
+#undef MSG
+    default:
+        return WIRE_UNKNOWN;
+    }
+    return out->size <= WIRE_FRAME_MAX ? WIRE_OK : WIRE_TOO_LARGE;
+}
+
+static enum wire_error
+decode_object(const msgpack_object *o, struct msg *m)
+{
+    const msgpack_object *at = NULL;
+    uint64_t kind = 0;
+    enum wire_error err = open_record(o, 2, &at);
+
+    if (err == WIRE_OK) {
+        err = get_u64(at, &kind);
+    }
+    if (err != WIRE_OK) {
+        return err;
+    }
+    if (kind >= MSG_KINDS) {
+        return WIRE_UNKNOWN;
+    }
+    m->kind = (enum msg_kind)kind;
+    switch (m->kind) {
+#define MSG(KIND, record)                                                     \
+    case MSG_##KIND:                                                          \
+        return unpack_##record(&at[1], &m->u.record);
+#include "msg_list.h"
+#undef MSG
+    default:
+        return WIRE_UNKNOWN;
+    }
+}
+
+enum wire_error
+wire_decode(const void *data, size_t size, struct msg *m)
+{
+    msgpack_unpacked unpacked;
+    size_t used = 0;
+    enum wire_error err = WIRE_MALFORMED;
+
+    memset(m, 0, sizeof(*m));
+    if (size > WIRE_FRAME_MAX) {
+        return WIRE_TOO_LARGE;
+    }
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, data, size, &used) ==
+            MSGPACK_UNPACK_SUCCESS &&
+        used == size) {
+        err = decode_object(&unpacked.data, m);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    if (err != WIRE_OK) {
+        msg_free(m);
+    }
+    return err;
+}
--- /dev/null
+++ b/tests/suite_list.h
@@ -0,0 +1,4 @@
+/* The suites of `make check`, kept once: SUITE(name) calls suite_<name>(). */
+/* clang-format off */
+SUITE(base)
+/* clang-format on */
