--- a/src/jobs.h
+++ b/src/jobs.h
@@ -61,6 +61,11 @@
     struct waiter *waiters; /* of jobs.c: callers and instances */
     struct name claimer;    /* JOB_JOINED */
     uint64_t claimer_incarnation;
+    int64_t due_us;  /* monotonic: its next timer */
+    int64_t lost_us; /* JOB_JOINED: when a claimer never met is lost */
+    bool query;      /* asks for a key without submitting; not in the map */
+    bool peek;       /* the query wants to know, not to wait */
+    bool cancel;     /* cancelled while the claim is not decided */
 };
 
 struct jobs *jobs_new(const struct entry *e);
@@ -102,6 +107,10 @@
 void jobs_tick(struct entry *e);
 int64_t jobs_next_us(const struct entry *e);
 
+/** jobs_claimed() - whether this incarnation has the key or is asking for it,
+ * so that a late grant belongs to it */
+bool jobs_claimed(const struct entry *e, struct key_id id);
+
 /** jobs_active() - jobs that still owe somebody an answer */
 size_t jobs_active(const struct entry *e);
 size_t jobs_answer_bytes(const struct entry *e);
--- a/src/kind.h
+++ b/src/kind.h
@@ -33,6 +33,7 @@
     WAIT_CONFLICT,  /* the key was claimed with another body */
     WAIT_RELEASED,  /* the claimer gave up before any start */
     WAIT_FORGOTTEN, /* it ended; its answer is no longer kept */
+    WAIT_LOST,      /* claimed by an earlier incarnation, which is gone */
 };
 
 /** enum start_outcome - what became of a start sent to an upstream */
--- a/src/member.h
+++ b/src/member.h
@@ -30,6 +30,12 @@
 /** members_of() - the member of that name, or NULL; self is one */
 struct member *members_of(const struct entry *e, struct name name);
 
+/** members_index() - a small number for a member, the same until the end */
+uint16_t members_index(const struct entry *e, const struct member *m);
+
+/** members_at() - the member of that number */
+struct member *members_at(const struct entry *e, uint16_t index);
+
 /** members_next() - iterates in the order of names: start with *@at = 0 */
 struct member *members_next(const struct entry *e, size_t *at);
 
@@ -50,6 +56,10 @@
 void members_renewed(struct entry *e, struct name upstream,
                      uint64_t incarnation, uint32_t busy);
 
+/** members_met() - somebody spoke in that incarnation; false when a newer one
+ * is known and the words are to be ignored */
+bool members_met(struct entry *e, struct member *m, uint64_t incarnation);
+
 void members_on_heartbeat(struct entry *e, struct name from,
                           const struct rec_heartbeat *hb);
 void members_on_peer(struct entry *e, struct name peer, bool up);
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -126,6 +126,7 @@
     U64(wait)           /* number chosen by the asker */
     U64(cancel)         /* ask for a cancel as well */
     U64(peek)           /* answer at once, running or not */
+    U64(incarnation)    /* of the claimer, as the voters know it */
 END(job_wait)
 
 RECORD(job_answer)
