--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -6,6 +6,7 @@
 
 #include "entry_state.h"
 #include "jobs.h"
+#include "upstream.h"
 
 /** struct admission - whether a job may enter the queue, and if not, why */
 struct admission {
@@ -38,6 +39,10 @@
 void dispatch_on_message(struct entry *e, struct name from,
                          const struct msg *m);
 
+/** dispatch_upstream_changed() - its slots, its holder or whether it may be
+ * used at all may differ from before */
+void dispatch_upstream_changed(struct entry *e, struct upstream *u);
+
 /** dispatch_upstream_gone() - no further starts there; sent ones are asked
  * for or, where its incarnation is over, unknown */
 void dispatch_upstream_gone(struct entry *e, struct handle upstream);
--- /dev/null
+++ b/src/upstream.c
@@ -0,0 +1,778 @@
+#include "upstream.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+#include <xxhash.h>
+
+#include "dispatch.h"
+#include "map.h"
+#include "member.h"
+
+enum {
+    SLOTS_MAX = 1024,       /* of one upstream */
+    EPOCH_HOLDER_BITS = 8,  /* low bits of an epoch name its holder */
+    FENCE_BACKOFF_MAX = 16, /* times the first backoff */
+};
+
+#define FENCE_BACKOFF_US (250 * USEC_PER_MSEC)
+
+/** struct fence_call - a fence on its way */
+struct fence_call {
+    uint64_t call; /* first: looked up by it */
+    struct handle self;
+    struct handle upstream;
+    uint64_t epoch;
+};
+
+/** struct told - which life of a member got all we know of upstreams */
+struct told {
+    struct name member;
+    uint64_t incarnation;
+};
+
+struct upstreams {
+    struct table table;
+    struct map by_name;
+    struct table fences;
+    struct map fence_by_call;
+    struct told told[INSTANCES_MAX];
+    size_t n_told;
+    int64_t next_us; /* of the earliest timer */
+};
+
+struct upstreams *
+upstreams_new(const struct entry *e)
+{
+    struct upstreams *u = calloc(1, sizeof(*u));
+
+    (void)e;
+    if (u == NULL) {
+        abort();
+    }
+    table_init(&u->table, sizeof(struct upstream));
+    map_init(&u->by_name, MAP_NAME);
+    table_init(&u->fences, sizeof(struct fence_call));
+    map_init(&u->fence_by_call, MAP_U64);
+    u->next_us = INT64_MAX;
+    return u;
+}
+
+void
+upstreams_free(struct upstreams *u)
+{
+    if (u == NULL) {
+        return;
+    }
+    map_clear(&u->by_name);
+    table_clear(&u->table);
+    map_clear(&u->fence_by_call);
+    table_clear(&u->fences);
+    free(u);
+}
+
+struct upstream *
+upstreams_of(const struct entry *e, struct handle h)
+{
+    return table_get(&e->upstreams->table, h);
+}
+
+struct upstream *
+upstreams_by_name(const struct entry *e, struct name name)
+{
+    return map_get(&e->upstreams->by_name, &name);
+}
+
+struct upstream *
+upstreams_next(const struct entry *e, uint32_t *at)
+{
+    struct handle h;
+
+    return table_next(&e->upstreams->table, at, &h);
+}
+
+/* Timers */
+
+static void
+wake_by(struct entry *e, int64_t us)
+{
+    if (us < e->upstreams->next_us) {
+        e->upstreams->next_us = us;
+    }
+}
+
+int64_t
+upstreams_next_us(const struct entry *e)
+{
+    return e->upstreams->next_us;
+}
+
+/* News to the zone */
+
+static void
+send_news(struct entry *e, const struct upstream *u)
+{
+    struct msg m = {.kind = MSG_UPSTREAM_NEWS};
+    struct rec_upstream_news *news = &m.u.upstream_news;
+
+    news->upstreams = malloc(sizeof(*news->upstreams));
+    if (news->upstreams == NULL) {
+        abort();
+    }
+    news->upstreams[0] = u->info;
+    news->n_upstreams = 1;
+    members_send_zone(e, &m);
+}
+
+/* Holders */
+
+static bool
+may_hold(const struct entry *e, const struct member *m)
+{
+    if (m->self) {
+        return !e->stopping;
+    }
+    return m->up && !m->stopping && name_equal(m->zone, e->zone);
+}
+
+static uint64_t
+rendezvous_weight(struct name upstream, struct name member)
+{
+    uint64_t seed = XXH3_64bits(member.s, strlen(member.s));
+
+    return XXH3_64bits_withSeed(upstream.s, strlen(upstream.s), seed);
+}
+
+/** pick_holder() - the member of the zone that should hold an upstream: the
+ * one with the highest weight among those that may; NULL if none may */
+static const struct member *
+pick_holder(const struct entry *e, struct name upstream)
+{
+    const struct member *best = NULL;
+    const struct member *m;
+    uint64_t best_weight = 0;
+    size_t at = 0;
+
+    while ((m = members_next(e, &at)) != NULL) {
+        uint64_t weight;
+
+        if (!may_hold(e, m)) {
+            continue;
+        }
+        weight = rendezvous_weight(upstream, m->name);
+        if (best == NULL || weight > best_weight) {
+            best = m;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+static uint64_t
+self_number(const struct entry *e)
+{
+    uint64_t number = 0;
+
+    for (size_t i = 0; i < e->opts.n_peers; i++) {
+        if (strcmp(e->opts.peers[i].name.s, e->opts.self.s) < 0) {
+            number++;
+        }
+    }
+    return number;
+}
+
+/** next_epoch() - above every epoch known; its low bits are the number of
+ * this instance, so two instances that fence at once never use the same one
+ * and the upstream can tell which is the later */
+static uint64_t
+next_epoch(const struct entry *e, uint64_t known)
+{
+    uint64_t count = (known >> EPOCH_HOLDER_BITS) + 1;
+
+    return (count << EPOCH_HOLDER_BITS) | self_number(e);
+}
+
+static void
+send_fence(struct entry *e, struct upstream *u)
+{
+    struct upstreams *us = e->upstreams;
+    struct handle h;
+    struct fence_call *c = table_add(&us->fences, &h);
+    struct ef_fence *f = &effects_add(e->fx, EF_FENCE)->u.fence;
+
+    c->self = h;
+    c->call = entry_new_call(e);
+    c->upstream = u->self;
+    c->epoch = next_epoch(e, u->info.epoch);
+    map_put(&us->fence_by_call, c);
+    u->fencing = true;
+    f->call = c->call;
+    f->upstream = u->name;
+    f->address = u->info.address;
+    f->incarnation = u->info.incarnation;
+    f->epoch = c->epoch;
+    e->counters.fences_sent++;
+}
+
+/** take_if_picked() - fences an upstream that this instance should hold */
+static void
+take_if_picked(struct entry *e, struct upstream *u)
+{
+    const struct member *picked;
+
+    if (u->held || u->fencing || u->info.leaving) {
+        return;
+    }
+    picked = pick_holder(e, u->name);
+    if (picked == NULL || !picked->self) {
+        return;
+    }
+    if (u->fence_retry_us > e->now.mono_us) {
+        wake_by(e, u->fence_retry_us);
+        return;
+    }
+    send_fence(e, u);
+}
+
+static void
+drop_hold(struct entry *e, struct upstream *u)
+{
+    if (!u->held) {
+        return;
+    }
+    u->held = false;
+    entry_log(e, LOG_INFO, REASON_HOLDER_LOST, NULL, -1, u->name,
+              "epoch %llu, now %s", (unsigned long long)u->info.epoch,
+              name_empty(u->info.holder) ? "nobody" : u->info.holder.s);
+}
+
+/** back_off() - two instances that each believe the other is down would take
+ * an upstream from one another without end, each time with starts refused
+ * that had been sent under the older epoch.  Growing, jittered pauses leave
+ * the later one in peace for longer each time. */
+static void
+back_off(struct entry *e, struct upstream *u)
+{
+    int64_t us;
+
+    if (u->fence_failures < FENCE_BACKOFF_MAX) {
+        u->fence_failures++;
+    }
+    us = FENCE_BACKOFF_US * u->fence_failures;
+    u->fence_retry_us = e->now.mono_us + entry_jitter(e, us);
+    wake_by(e, u->fence_retry_us);
+}
+
+static void
+on_held(struct entry *e, struct upstream *u, const struct ev_fenced *ev,
+        uint64_t epoch)
+{
+    uint32_t known = u->running;
+
+    u->held = true;
+    u->fence_failures = 0;
+    u->info.epoch = epoch;
+    u->info.holder = e->opts.self;
+    u->foreign = ev->running > known ? ev->running - known : 0;
+    entry_log(e, LOG_INFO, REASON_HOLDER_TAKEN, NULL, -1, u->name,
+              "epoch %llu, %u running there", (unsigned long long)epoch,
+              ev->running);
+    send_news(e, u);
+    dispatch_upstream_changed(e, u);
+}
+
+void
+upstreams_on_fenced(struct entry *e, const struct ev_fenced *ev)
+{
+    struct upstreams *us = e->upstreams;
+    struct fence_call *c = map_remove(&us->fence_by_call, &ev->call);
+    struct upstream *u;
+    uint64_t epoch;
+
+    if (c == NULL) {
+        return;
+    }
+    u = upstreams_of(e, c->upstream);
+    epoch = c->epoch;
+    table_remove(&us->fences, c->self);
+    if (u == NULL) {
+        return;
+    }
+    u->fencing = false;
+    if (ev->outcome == FENCE_OK && epoch > u->info.epoch) {
+        on_held(e, u, ev, epoch);
+        return;
+    }
+    if (ev->outcome == FENCE_STALE && ev->epoch > u->info.epoch) {
+        u->info.epoch = ev->epoch;
+        u->info.holder = name_of("");
+    }
+    back_off(e, u);
+}
+
+void
+upstreams_stale(struct entry *e, struct upstream *u)
+{
+    if (!u->held) {
+        return;
+    }
+    drop_hold(e, u);
+    u->info.holder = name_of("");
+    dispatch_upstream_changed(e, u);
+    back_off(e, u);
+}
+
+void
+upstreams_let_go(struct entry *e)
+{
+    struct upstream *u;
+    uint32_t at = 0;
+
+    while ((u = upstreams_next(e, &at)) != NULL) {
+        if (!u->held) {
+            continue;
+        }
+        u->info.holder = name_of("");
+        drop_hold(e, u);
+        dispatch_upstream_changed(e, u);
+        send_news(e, u);
+        u->fence_retry_us = e->now.mono_us + FENCE_BACKOFF_US;
+        wake_by(e, u->fence_retry_us);
+    }
+}
+
+/* Coming and going */
+
+static struct upstream *
+add_upstream(struct entry *e, const struct rec_upstream_info *info)
+{
+    struct upstreams *us = e->upstreams;
+    struct handle h;
+    struct upstream *u = table_add(&us->table, &h);
+
+    u->name = info->upstream;
+    u->self = h;
+    u->info = *info;
+    u->heard_us = e->now.mono_us;
+    map_put(&us->by_name, u);
+    entry_log(e, LOG_INFO, REASON_ANNOUNCED, NULL, -1, u->name,
+              "service %s, %llu slots, incarnation %llu", info->service.s,
+              (unsigned long long)info->slots,
+              (unsigned long long)info->incarnation);
+    return u;
+}
+
+static void
+remove_upstream(struct entry *e, struct upstream *u, enum reason reason)
+{
+    struct upstreams *us = e->upstreams;
+    struct handle h = u->self;
+    struct name name = u->name;
+
+    drop_hold(e, u);
+    entry_log(e, LOG_NOTICE, reason, NULL, -1, u->name, "incarnation %llu",
+              (unsigned long long)u->info.incarnation);
+    dispatch_upstream_gone(e, h);
+    (void)map_remove(&us->by_name, &name);
+    table_remove(&us->table, h);
+}
+
+/** announce_error() - what is wrong with an announcement; NULL if nothing */
+static const char *
+announce_error(const struct entry *e, const struct rec_upstream_info *info)
+{
+    if (name_empty(info->upstream) || name_empty(info->service)) {
+        return "name and service are required";
+    }
+    if (!name_equal(info->zone, e->zone)) {
+        return "announce at an entry instance of the upstream's own zone";
+    }
+    if (info->address.s[0] == '\0') {
+        return "address is required";
+    }
+    if (info->slots < 1 || info->slots > SLOTS_MAX) {
+        return "slots must be 1 to 1024";
+    }
+    if (info->connections < 1 || info->connections > UINT32_MAX) {
+        return "connections must be at least 1";
+    }
+    if (info->cpu_milli > UINT32_MAX || info->memory_mb > UINT32_MAX ||
+        info->accelerators > UINT32_MAX) {
+        return "a size is too large";
+    }
+    if (info->incarnation == 0) {
+        return "incarnation must be above 0";
+    }
+    return NULL;
+}
+
+static bool
+same_shape(const struct rec_upstream_info *a,
+           const struct rec_upstream_info *b)
+{
+    return name_equal(a->rack, b->rack) &&
+           name_equal(a->service, b->service) &&
+           strcmp(a->address.s, b->address.s) == 0 && a->slots == b->slots &&
+           a->connections == b->connections && a->cpu_milli == b->cpu_milli &&
+           a->memory_mb == b->memory_mb &&
+           a->accelerators == b->accelerators && a->leaving == b->leaving;
+}
+
+/** heard() - foreign starts only end, none is added under our epoch, so a
+ * report can lower their number but never raise it: it is older than what
+ * this instance itself counts */
+static void
+heard(struct entry *e, struct upstream *u, uint64_t busy)
+{
+    uint32_t own = u->running + u->lent;
+    uint32_t foreign = busy > own ? (uint32_t)(busy - own) : 0;
+
+    u->heard_us = e->now.mono_us;
+    u->info.busy = busy;
+    if (foreign < u->foreign) {
+        u->foreign = foreign;
+        dispatch_upstream_changed(e, u);
+    }
+}
+
+/** merge() - takes over what another source says of an incarnation; returns
+ * whether anything but the time changed */
+static bool
+merge(struct entry *e, struct upstream *u, const struct rec_upstream_info *new)
+{
+    struct rec_upstream_info old = u->info;
+
+    heard(e, u, new->busy);
+    if (same_shape(&old, new)) {
+        return false;
+    }
+    u->info = *new;
+    u->info.leaving |= old.leaving;
+    u->info.epoch = old.epoch;
+    u->info.holder = old.holder;
+    dispatch_upstream_changed(e, u);
+    return true;
+}
+
+/** meet() - the record for an incarnation, replacing an earlier one; NULL if
+ * a later one is known; *@changed tells whether others must hear of it */
+static struct upstream *
+meet(struct entry *e, const struct rec_upstream_info *info, bool *changed)
+{
+    struct upstream *u = upstreams_by_name(e, info->upstream);
+    uint64_t epoch = info->epoch;
+
+    if (u != NULL && info->incarnation < u->info.incarnation) {
+        return NULL;
+    }
+    if (u != NULL && info->incarnation > u->info.incarnation) {
+        epoch = u->info.epoch > epoch ? u->info.epoch : epoch;
+        remove_upstream(e, u, REASON_REPLACED);
+        u = NULL;
+    }
+    if (u != NULL) {
+        *changed = merge(e, u, info);
+        return u;
+    }
+    *changed = true;
+    u = add_upstream(e, info);
+    u->info.epoch = epoch;
+    wake_by(e, u->heard_us + e->opts.upstream_ttl_us);
+    dispatch_upstream_changed(e, u);
+    return u;
+}
+
+static void
+tell_announced(struct entry *e, uint64_t request, const struct upstream *u)
+{
+    struct ef_announced *a;
+
+    if (request == REQUEST_NONE) {
+        return;
+    }
+    a = &effects_add(e->fx, EF_ANNOUNCED)->u.announced;
+    a->request = request;
+    a->renew_us = e->opts.renew_us;
+    if (u != NULL) {
+        a->holder = u->info.holder;
+    }
+}
+
+void
+upstreams_on_announce(struct entry *e, const struct ev_announce *ev)
+{
+    struct rec_upstream_info info = ev->info;
+    const char *error = announce_error(e, &info);
+    struct upstream *u;
+    bool changed;
+
+    if (error != NULL) {
+        entry_refuse(e, ev->request, PROBLEM_BAD_ANNOUNCE, 0, error);
+        return;
+    }
+    info.epoch = 0;
+    info.holder = name_of("");
+    u = meet(e, &info, &changed);
+    if (u == NULL) {
+        entry_refuse(e, ev->request, PROBLEM_STALE_LIFE, 0,
+                     "a newer incarnation has announced itself");
+        return;
+    }
+    if (changed) {
+        send_news(e, u);
+    }
+    else {
+        members_renewed(e, u->name, u->info.incarnation,
+                        (uint32_t)u->info.busy);
+    }
+    take_if_picked(e, u);
+    tell_announced(e, ev->request, u);
+}
+
+static void
+set_leaving(struct entry *e, struct upstream *u)
+{
+    if (u->info.leaving) {
+        return;
+    }
+    u->info.leaving = 1;
+    entry_log(e, LOG_INFO, REASON_LEAVING, NULL, -1, u->name,
+              "no new work; %u running from here", u->running);
+    dispatch_upstream_changed(e, u);
+    send_news(e, u);
+}
+
+void
+upstreams_on_leave(struct entry *e, const struct ev_announce *ev)
+{
+    struct upstream *u = upstreams_by_name(e, ev->info.upstream);
+
+    if (u != NULL && ev->info.incarnation < u->info.incarnation) {
+        entry_refuse(e, ev->request, PROBLEM_STALE_LIFE, 0,
+                     "a newer incarnation has announced itself");
+        return;
+    }
+    if (u != NULL && ev->info.incarnation == u->info.incarnation) {
+        set_leaving(e, u);
+    }
+    tell_announced(e, ev->request, u);
+}
+
+void
+upstreams_on_drain(struct entry *e, const struct ev_drain *ev)
+{
+    struct upstream *u = upstreams_by_name(e, ev->upstream);
+
+    if (u == NULL) {
+        entry_refuse(e, ev->request, PROBLEM_NOT_FOUND, 0,
+                     "no upstream of that name is known here");
+        return;
+    }
+    set_leaving(e, u);
+    tell_announced(e, ev->request, u);
+}
+
+/* What other members say */
+
+static void
+learn_holder(struct entry *e, struct upstream *u,
+             const struct rec_upstream_info *info)
+{
+    if (info->epoch > u->info.epoch) {
+        u->info.epoch = info->epoch;
+        u->info.holder = info->holder;
+        if (u->held) {
+            drop_hold(e, u);
+            dispatch_upstream_changed(e, u);
+            back_off(e, u);
+        }
+    }
+    else if (info->epoch == u->info.epoch && !u->held) {
+        u->info.holder = info->holder;
+    }
+}
+
+void
+upstreams_on_news(struct entry *e, struct name from,
+                  const struct rec_upstream_news *news)
+{
+    for (size_t i = 0; i < news->n_upstreams; i++) {
+        const struct rec_upstream_info *info = &news->upstreams[i];
+        struct upstream *u;
+        bool changed;
+
+        if (announce_error(e, info) != NULL) {
+            e->counters.messages_bad++;
+            entry_log(e, LOG_WARNING, REASON_BAD_MESSAGE, NULL, -1, from, "%s",
+                      announce_error(e, info));
+            continue;
+        }
+        u = meet(e, info, &changed);
+        if (u != NULL) {
+            learn_holder(e, u, info);
+            take_if_picked(e, u);
+        }
+    }
+}
+
+void
+upstreams_on_renewed(struct entry *e, const struct rec_upstream_ref *refs,
+                     size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        struct upstream *u = upstreams_by_name(e, refs[i].upstream);
+
+        if (u != NULL && u->info.incarnation == refs[i].incarnation) {
+            heard(e, u, refs[i].busy);
+        }
+    }
+}
+
+/* Members */
+
+static struct told *
+told_of(struct upstreams *us, struct name member)
+{
+    for (size_t i = 0; i < us->n_told; i++) {
+        if (name_equal(us->told[i].member, member)) {
+            return &us->told[i];
+        }
+    }
+    us->told[us->n_told].member = member;
+    return &us->told[us->n_told++];
+}
+
+/** ours_to_tell() - each upstream is told of by its holder; where nobody
+ * holds it, by everyone */
+static bool
+ours_to_tell(const struct entry *e, const struct upstream *u)
+{
+    const struct member *holder = members_of(e, u->info.holder);
+
+    return u->held || holder == NULL || !holder->up;
+}
+
+static void
+send_all(struct entry *e, struct name to)
+{
+    struct msg m = {.kind = MSG_UPSTREAM_NEWS};
+    struct rec_upstream_news *news = &m.u.upstream_news;
+    struct upstream *u;
+    uint32_t at = 0;
+
+    news->upstreams =
+        calloc(e->upstreams->table.n + 1, sizeof(*news->upstreams));
+    if (news->upstreams == NULL) {
+        abort();
+    }
+    while ((u = upstreams_next(e, &at)) != NULL) {
+        if (ours_to_tell(e, u)) {
+            news->upstreams[news->n_upstreams++] = u->info;
+        }
+    }
+    if (news->n_upstreams == 0) {
+        msg_free(&m);
+        return;
+    }
+    entry_send(e, to, &m);
+}
+
+/** tell_new_members() - an instance that restarted knows no upstream and
+ * would refuse every job until each has announced itself to it again */
+static void
+tell_new_members(struct entry *e)
+{
+    struct member *m;
+    size_t at = 0;
+
+    while ((m = members_next(e, &at)) != NULL) {
+        struct told *t;
+
+        if (m->self || !name_equal(m->zone, e->zone)) {
+            continue;
+        }
+        t = told_of(e->upstreams, m->name);
+        if (!m->up) {
+            t->incarnation = 0;
+            continue;
+        }
+        if (t->incarnation != m->incarnation) {
+            t->incarnation = m->incarnation;
+            send_all(e, m->name);
+        }
+    }
+}
+
+void
+upstreams_members_changed(struct entry *e)
+{
+    struct upstream *u;
+    uint32_t at = 0;
+
+    tell_new_members(e);
+    while ((u = upstreams_next(e, &at)) != NULL) {
+        take_if_picked(e, u);
+    }
+}
+
+/* Time */
+
+void
+upstreams_tick(struct entry *e)
+{
+    struct upstream *u;
+    uint32_t at = 0;
+
+    if (e->now.mono_us < e->upstreams->next_us) {
+        return;
+    }
+    e->upstreams->next_us = INT64_MAX;
+    while ((u = upstreams_next(e, &at)) != NULL) {
+        int64_t ends_us = u->heard_us + e->opts.upstream_ttl_us;
+
+        if (ends_us <= e->now.mono_us) {
+            remove_upstream(e, u, REASON_EXPIRED);
+            continue;
+        }
+        wake_by(e, ends_us);
+        take_if_picked(e, u);
+    }
+}
+
+uint32_t
+upstreams_usable(const struct upstream *u)
+{
+    uint64_t connections = u->info.connections;
+
+    /* One connection stays free for fences and revokes. */
+    if (connections > 1) {
+        connections--;
+    }
+    return (uint32_t)(u->info.slots < connections ? u->info.slots
+                                                  : connections);
+}
+
+uint32_t
+upstreams_free_on(const struct upstream *u)
+{
+    uint32_t usable = upstreams_usable(u);
+    uint32_t taken = u->foreign + u->running + u->lent;
+
+    return taken < usable ? usable - taken : 0;
+}
+
+uint32_t
+upstreams_free_slots(const struct entry *e, struct name service)
+{
+    const struct upstream *u;
+    uint32_t free_slots = 0;
+    uint32_t at = 0;
+
+    while ((u = upstreams_next(e, &at)) != NULL) {
+        if (u->held && !u->info.leaving &&
+            name_equal(u->info.service, service)) {
+            free_slots += upstreams_free_on(u);
+        }
+    }
+    return free_slots;
+}
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -16,15 +16,16 @@
     struct name name; /* first: looked up by it */
     struct handle self;
     struct rec_upstream_info info;
-    int64_t heard_us;       /* monotonic time of the last announcement */
-    bool held;              /* by this instance, under info.epoch */
-    bool fencing;           /* a fence is on its way */
-    int64_t fence_retry_us; /* not before */
-    uint32_t foreign;       /* busy slots that are not of our counting */
-    uint32_t running;       /* started by this instance */
-    uint32_t lent;          /* slots lent to others */
-    struct resources used;  /* by running and lent */
-    struct health *health;  /* of health.c */
+    int64_t heard_us;        /* monotonic time of the last announcement */
+    bool held;               /* by this instance, under info.epoch */
+    bool fencing;            /* a fence is on its way */
+    int64_t fence_retry_us;  /* not before */
+    uint32_t fence_failures; /* since it was last held */
+    uint32_t foreign;        /* busy slots that are not of our counting */
+    uint32_t running;        /* started by this instance */
+    uint32_t lent;           /* slots lent to others */
+    struct resources used;   /* by running and lent */
+    struct health *health;   /* of health.c */
 };
 
 struct upstreams *upstreams_new(const struct entry *e);
@@ -56,6 +57,13 @@
 /** upstreams_free_slots() - free slots for the service on held upstreams */
 uint32_t upstreams_free_slots(const struct entry *e, struct name service);
 
+/** upstreams_usable() - tasks it may run at a time: its slots, as far as its
+ * connections carry them */
+uint32_t upstreams_usable(const struct upstream *u);
+
+/** upstreams_free_on() - usable slots that nobody uses, as far as known */
+uint32_t upstreams_free_on(const struct upstream *u);
+
 void upstreams_tick(struct entry *e);
 int64_t upstreams_next_us(const struct entry *e);
 
