--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -2,4 +2,5 @@
 /* clang-format off */
 SUITE(base)
 SUITE(servicefile)
+SUITE(settings)
 /* clang-format on */
