Take true and false in service files

Cause: settings files write true and false; service files wrote yes and no, and the same operator edits both. Change: flags of service files are true or false. Conclusion: one word for one thing in every INI file of the project.

--- a/src/servicefile.c
+++ b/src/servicefile.c
@@ -123,7 +123,7 @@
         (void)snprintf(out, size, "up to %lld names", (long long)key->most);
         return;
     case SERVICEFILE_FLAG:
-        (void)snprintf(out, size, "yes or no");
+        (void)snprintf(out, size, "true or false");
         return;
     case SERVICEFILE_ORDER:
         (void)snprintf(out, size, "least-work, arrival or fair");
@@ -235,8 +235,8 @@
 static bool
 parse_flag(const char *text, bool *out)
 {
-    *out = strcmp(text, "yes") == 0;
-    return *out || strcmp(text, "no") == 0;
+    *out = strcmp(text, "true") == 0;
+    return *out || strcmp(text, "false") == 0;
 }
 
 static bool
@@ -854,7 +854,7 @@
                       (long long)(*(const int64_t *)member / USEC_PER_MSEC));
         break;
     case SERVICEFILE_FLAG:
-        (void)fputs(*(const bool *)member ? "yes" : "no", f);
+        (void)fputs(*(const bool *)member ? "true" : "false", f);
         break;
     case SERVICEFILE_ORDER:
         (void)fputs(order_names[*(const enum queue_order *)member], f);
--- a/src/servicefile.h
+++ b/src/servicefile.h
@@ -43,7 +43,7 @@
         "deadline of a job that asks for none, from its submission")          \
     KEY("deadline_max_ms", MSEC, deadline_max_us, 10, 3600000, "60000", "ms", \
         "the longest deadline that a job may ask for")                        \
-    KEY("idempotent", FLAG, idempotent, 0, 0, "no", "flag",                   \
+    KEY("idempotent", FLAG, idempotent, 0, 0, "false", "flag",                \
         "whether tasks may be placed again when it is unknown whether they "  \
         "ran, for jobs that say nothing")                                     \
     KEY("max_tasks", COUNT, max_tasks, 1, JOB_TASKS_MAX, "250", "tasks",      \
@@ -52,7 +52,7 @@
         "tasks that may wait at one instance")                                \
     KEY("max_running", COUNT, max_running, 0, 10000000, "0", "tasks",         \
         "tasks running in the region at a time; 0 is no limit")               \
-    KEY("spill", FLAG, spill, 0, 0, "yes", "flag",                            \
+    KEY("spill", FLAG, spill, 0, 0, "true", "flag",                           \
         "whether upstreams of other zones may be used when those of its own " \
         "zone are full")                                                      \
     KEY("order", ORDER, order, 0, 0, "least-work", "word",                    \
