--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -3,4 +3,5 @@
 SUITE(base)
 SUITE(servicefile)
 SUITE(settings)
+SUITE(fake)
 /* clang-format on */
