Keep libinih's line length to one parse

Cause: libinih's longest line is a variable of the process; service files raised it and a test of settings failed. Change: it is raised under a lock and put back after each parse. Conclusion: a second thread cannot see the shorter length in mid-parse.

--- a/src/servicefile.c
+++ b/src/servicefile.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <ftw.h>
 #include <ini.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -501,9 +502,13 @@
     return out;
 }
 
+/* The longest line is a variable of the whole process in libinih. */
+static pthread_mutex_t ini_lock = PTHREAD_MUTEX_INITIALIZER;
+
 static void
 load_text(struct loader *l, const char *text, const char *file)
 {
+    int longest;
     int bad;
 
     l->file = file;
@@ -511,8 +516,12 @@
     l->line = 0;
     l->opened = false;
     l->skipping = false;
+    pthread_mutex_lock(&ini_lock);
+    longest = ini_max_line;
     ini_max_line = SERVICEFILE_LINE_MAX;
     bad = ini_parse_stream(read_line, l, on_value, l);
+    ini_max_line = longest;
+    pthread_mutex_unlock(&ini_lock);
     if (bad > 0) {
         add_error(l, file, bad, "neither [section] nor key = value");
     }
