--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -1,5 +1,7 @@
 /* The suites of `make check`, kept once: SUITE(name) calls suite_<name>(). */
 /* clang-format off */
 SUITE(base)
+SUITE(servicefile)
 SUITE(settings)
+SUITE(fake)
 /* clang-format on */
