Agree on the operators' interface of control and its messages

Cause: publishing and status tools, and the configuration follower, are written side by side with bm-control. Conclusion: the interface can be written against; nothing serves it yet.

--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -186,15 +186,160 @@
     U64(slots)
 END(slot_recall)
 
+RECORD(follower)        /* an instance and the configuration in force there */
+    NAME(instance)
+    NAME(zone)
+    U64(incarnation)
+    U64(version)
+    U64(age_us)         /* since the sender heard of it */
+END(follower)
+
 RECORD(config_request)  /* long poll for a newer configuration */
     U64(have_version)
     U64(incarnation)
     NAME(zone)
+    U64(takes_delta)    /* the sender has the text of have_version */
+    ARRAY(follower, members) /* others of the zone, for the status */
 END(config_request)
 
 RECORD(config_reply)
     U64(version)
-    BLOB(config)        /* canonical text of all service files */
+    BLOB(config)        /* canonical text of all service files; none: nothing
+                         * newer, ask again */
     U64(term)           /* of the log entry, for checks */
+    U64(from_version)   /* 0: config is the whole text; else see delta.h */
+    U64(prefix)         /* bytes kept from the text of from_version */
+    U64(suffix)
+    U64(digest)         /* XXH3 of the whole new text */
 END(config_reply)
+
+/* Between control members. */
+RECORD(log_entry)
+    U64(index)
+    U64(term)
+    U64(kind)           /* enum log_kind */
+    BLOB(data)
+END(log_entry)
+
+RECORD(vote)            /* asks for a vote, or (pre) whether there would be one */
+    U64(term)
+    U64(pre)
+    U64(last_index)
+    U64(last_term)
+    U64(forced)         /* the leader itself handed over */
+END(vote)
+
+RECORD(vote_reply)
+    U64(term)           /* of the sender */
+    U64(for_term)       /* the term asked about */
+    U64(pre)
+    U64(granted)
+    U64(disk)           /* identity of the sender's data folder */
+END(vote_reply)
+
+RECORD(append)
+    U64(term)
+    U64(prev_index)
+    U64(prev_term)
+    U64(commit)
+    U64(round)          /* of heartbeats, for reads */
+    ARRAY(log_entry, entries)
+END(append)
+
+RECORD(append_reply)
+    U64(term)
+    U64(ok)
+    U64(match)          /* ok: the log agrees and is durable up to here */
+    U64(hint)           /* not ok: try from here */
+    U64(round)
+    U64(disk)
+END(append_reply)
+
+RECORD(snapshot)        /* one chunk */
+    U64(term)
+    U64(index)
+    U64(index_term)
+    U64(size)
+    U64(offset)
+    U64(round)
+    BLOB(data)
+END(snapshot)
+
+RECORD(snapshot_reply)
+    U64(term)
+    U64(index)
+    U64(offset)         /* the next one wanted; size: it is durable */
+    U64(round)
+    U64(disk)
+END(snapshot_reply)
+
+RECORD(read_index)      /* how far must I be, to answer a read? */
+    U64(nonce)
+END(read_index)
+
+RECORD(read_reply)
+    U64(nonce)
+    U64(index)
+END(read_reply)
+
+RECORD(hand_over)       /* start an election at once */
+    U64(term)
+END(hand_over)
+
+RECORD(followers)       /* a member tells the leader who polls it */
+    ARRAY(follower, followers)
+END(followers)
+
+/* In log entries and snapshots of control members. */
+RECORD(control_member)
+    NAME(name)
+    ADDR(address)
+    ADDR(http)
+    U64(voter)
+    U64(disk)           /* 0: a learner whose disk is not known yet */
+END(control_member)
+
+RECORD(membership)
+    ARRAY(control_member, members)
+END(membership)
+
+RECORD(publish)
+    U64(base_version)
+    KEY(request_id)     /* hash of operator and request id */
+    BLOB(request_text)
+    NAME(publisher)
+    U64(time_us)
+    BLOB(summary)
+    U64(prefix)         /* kept from the text of base_version */
+    U64(suffix)
+    BLOB(middle)
+    U64(digest)         /* XXH3 of the whole text */
+END(publish)
+
+RECORD(publication)     /* one accepted change in the history */
+    U64(version)
+    U64(index)
+    U64(term)
+    KEY(request_id)
+    BLOB(request_text)
+    NAME(publisher)
+    U64(time_us)
+    BLOB(summary)
+    U64(digest)
+    U64(bytes)
+END(publication)
+
+RECORD(config_text)
+    U64(version)
+    BLOB(text)
+END(config_text)
+
+RECORD(control_state)   /* a snapshot */
+    U64(index)
+    U64(term)
+    ARRAY(control_member, members)
+    U64(version)
+    ARRAY(publication, history)
+    ARRAY(config_text, texts)
+END(control_state)
 /* clang-format on */
