--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -4,4 +4,5 @@
 SUITE(servicefile)
 SUITE(settings)
 SUITE(fake)
+SUITE(storage)
 /* clang-format on */
