--- /dev/null
+++ b/src/borrow.c
@@ -0,0 +1,431 @@
+#include "borrow.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobs.h"
+#include "member.h"
+#include "slot.h"
+
+#define QUIET_US                                                              \
+    (100 * USEC_PER_MSEC)              /* after a reply that gave too little  \
+                                        */
+#define WAIT_US (1 * USEC_PER_SEC)     /* a request is remembered */
+#define REPLY_US (300 * USEC_PER_MSEC) /* after which a reply is lost */
+#define SPARE_TIMES 3                  /* longer pauses to spare messages */
+
+/** struct lender - what is known of another instance's free slots */
+struct lender {
+    struct member *member;
+    bool near;        /* in our zone */
+    uint32_t free;    /* slots, as last told, less what was asked for */
+    int64_t heard_us; /* heartbeat the number is from */
+    int64_t quiet_us; /* nothing is asked before that */
+    uint64_t request; /* on its way; 0: none */
+    uint32_t asked;
+    int64_t asked_us;
+};
+
+/** struct slot_wait - another instance that asked for more than was free */
+struct slot_wait {
+    struct name from;
+    uint64_t request;
+    struct resources need;
+    uint32_t count;
+    int64_t ends_us;
+};
+
+struct borrowing {
+    struct lender *lenders;
+    size_t n_lenders;
+    struct slot_wait *waits; /* room for one of each instance */
+    size_t n_waits;
+    size_t turn;
+    int64_t next_us; /* when to ask again */
+};
+
+static struct borrowing *
+borrowing_new(const struct entry *e)
+{
+    struct borrowing *b = calloc(1, sizeof(*b));
+    struct member *m;
+    size_t at = 0;
+
+    if (b == NULL) {
+        abort();
+    }
+    b->lenders = calloc(e->opts.n_peers, sizeof(*b->lenders));
+    b->waits = calloc(e->opts.n_peers, sizeof(*b->waits));
+    if (b->lenders == NULL || b->waits == NULL) {
+        abort();
+    }
+    while ((m = members_next(e, &at)) != NULL) {
+        if (!m->self) {
+            struct lender *l = &b->lenders[b->n_lenders++];
+
+            l->member = m;
+            l->near = name_equal(m->zone, e->zone);
+            l->heard_us = -1;
+        }
+    }
+    b->next_us = INT64_MAX;
+    return b;
+}
+
+void
+borrow_free(struct borrowing *b)
+{
+    if (b != NULL) {
+        free(b->lenders);
+        free(b->waits);
+        free(b);
+    }
+}
+
+static struct borrowing *
+borrowing_of(struct entry *e, struct service_state *s)
+{
+    if (s->borrowing == NULL) {
+        s->borrowing = borrowing_new(e);
+    }
+    return s->borrowing;
+}
+
+/* Asking */
+
+static void
+read_heartbeat(const struct service_state *s, struct lender *l)
+{
+    const struct member *m = l->member;
+
+    if (l->heard_us == m->heard_us) {
+        return;
+    }
+    l->heard_us = m->heard_us;
+    l->free = 0;
+    for (size_t i = 0; i < m->n_loads; i++) {
+        if (name_equal(m->loads[i].service, s->name)) {
+            l->free = (uint32_t)m->loads[i].free_slots;
+        }
+    }
+}
+
+/** freshen() - takes in heartbeats and gives lost requests up; how many slots
+ * are on order */
+static uint32_t
+freshen(struct entry *e, struct service_state *s)
+{
+    struct borrowing *b = s->borrowing;
+    uint32_t on_order = 0;
+
+    for (size_t i = 0; i < b->n_lenders; i++) {
+        struct lender *l = &b->lenders[i];
+
+        read_heartbeat(s, l);
+        if (l->request != 0 && l->asked_us + REPLY_US <= e->now.mono_us) {
+            l->request = 0;
+            l->quiet_us = e->now.mono_us + entry_jitter(e, QUIET_US);
+        }
+        if (l->request != 0) {
+            on_order += l->asked;
+        }
+    }
+    return on_order;
+}
+
+static bool
+may_ask(const struct entry *e, const struct lender *l)
+{
+    return l->member->up && l->request == 0 && l->quiet_us <= e->now.mono_us;
+}
+
+static void
+ask(struct entry *e, struct service_state *s, struct lender *l,
+    struct resources need, uint32_t count)
+{
+    struct msg m = {.kind = MSG_SLOT_REQUEST};
+    struct rec_slot_request *r = &m.u.slot_request;
+
+    l->request = entry_new_call(e);
+    l->asked = count;
+    l->asked_us = e->now.mono_us;
+    l->free = l->free > count ? l->free - count : 0;
+    r->request = l->request;
+    r->service = s->name;
+    r->count = count;
+    r->cpu_milli = need.cpu_milli;
+    r->memory_mb = need.memory_mb;
+    r->accelerators = need.accelerators;
+    entry_send(e, l->member->name, &m);
+}
+
+/** better() - one that can give all is as good as another, and a random one
+ * of these keeps askers from all choosing the same */
+static bool
+better(struct entry *e, const struct lender *a, const struct lender *b,
+       uint32_t count)
+{
+    uint32_t x = a->free < count ? a->free : count;
+    uint32_t y = b->free < count ? b->free : count;
+
+    if (x == y) {
+        return entry_random(e) % 2 == 0;
+    }
+    return x > y;
+}
+
+static struct lender *
+best_lender(struct entry *e, struct borrowing *b, bool near, uint32_t count)
+{
+    struct lender *best = NULL;
+
+    for (size_t i = 0; i < b->n_lenders; i++) {
+        struct lender *l = &b->lenders[i];
+
+        if (l->near != near || l->free == 0 || !may_ask(e, l)) {
+            continue;
+        }
+        if (best == NULL || better(e, l, best, count)) {
+            best = l;
+        }
+    }
+    return best;
+}
+
+/** ask_free() - asks those known to have free slots; what is still wanted */
+static uint32_t
+ask_free(struct entry *e, struct service_state *s, struct resources need,
+         bool near, uint32_t count)
+{
+    while (count > 0) {
+        struct lender *l = best_lender(e, s->borrowing, near, count);
+        uint32_t part;
+
+        if (l == NULL) {
+            break;
+        }
+        part = l->free < count ? l->free : count;
+        ask(e, s, l, need, part);
+        count -= part;
+    }
+    return count;
+}
+
+/** ask_to_wait() - leaves the request with holders of the zone that have
+ * nothing free now */
+static void
+ask_to_wait(struct entry *e, struct service_state *s, struct resources need,
+            uint32_t count)
+{
+    struct borrowing *b = s->borrowing;
+
+    for (size_t i = 0; i < b->n_lenders; i++) {
+        struct lender *l = &b->lenders[i];
+
+        if (l->near && may_ask(e, l)) {
+            ask(e, s, l, need, count);
+        }
+    }
+}
+
+static int64_t
+pause_us(const struct entry *e, int64_t us)
+{
+    return e->opts.spare_messages ? us * SPARE_TIMES : us;
+}
+
+static bool
+may_spill(const struct service_state *s)
+{
+    return s->conf != NULL && s->conf->spill;
+}
+
+static uint32_t
+at_most(uint32_t n, uint32_t most)
+{
+    return n < most ? n : most;
+}
+
+/** first_need() - of the task that goes next */
+static struct resources
+first_need(struct entry *e, const struct service_state *s)
+{
+    const struct queued *q = queue_first(&s->queue);
+    const struct job *job = jobs_of(e, q->job);
+
+    return job->tasks[q->tasks[q->n - 1]].need;
+}
+
+void
+borrow_ask(struct entry *e, struct service_state *s)
+{
+    struct borrowing *b = borrowing_of(e, s);
+    uint32_t on_order = freshen(e, s);
+    uint32_t wanted = at_most(s->queued, SLOT_REQUEST_MAX);
+    struct resources need;
+
+    b->next_us = e->now.mono_us + pause_us(e, QUIET_US);
+    if (wanted <= on_order) {
+        return;
+    }
+    wanted -= on_order;
+    need = first_need(e, s);
+    wanted = ask_free(e, s, need, true, wanted);
+    if (wanted > 0 && may_spill(s)) {
+        wanted = ask_free(e, s, need, false, wanted);
+    }
+    if (wanted > 0) {
+        ask_to_wait(e, s, need, wanted);
+    }
+}
+
+void
+borrow_answered(struct entry *e, struct service_state *s, struct name from,
+                const struct rec_slot_grant *m)
+{
+    struct borrowing *b = borrowing_of(e, s);
+    uint32_t given = 0;
+
+    for (size_t i = 0; i < m->n_grants; i++) {
+        given += (uint32_t)m->grants[i].slots;
+    }
+    for (size_t i = 0; i < b->n_lenders; i++) {
+        struct lender *l = &b->lenders[i];
+
+        if (!name_equal(l->member->name, from)) {
+            continue;
+        }
+        l->free = (uint32_t)m->free_slots;
+        if (l->request != m->request) {
+            continue;
+        }
+        l->request = 0;
+        if (given < l->asked) {
+            int64_t us = l->near ? WAIT_US : QUIET_US;
+
+            l->quiet_us = e->now.mono_us + entry_jitter(e, pause_us(e, us));
+        }
+    }
+}
+
+uint32_t
+borrow_reachable(const struct entry *e, const struct service_state *s)
+{
+    const struct borrowing *b = s->borrowing;
+    uint32_t free_slots = 0;
+
+    (void)e;
+    for (size_t i = 0; b != NULL && i < b->n_lenders; i++) {
+        const struct lender *l = &b->lenders[i];
+
+        if (l->member->up && (l->near || may_spill(s))) {
+            free_slots += l->free;
+        }
+    }
+    return free_slots;
+}
+
+int64_t
+borrow_next_us(const struct service_state *s)
+{
+    if (s->borrowing == NULL || s->queued == 0) {
+        return INT64_MAX;
+    }
+    return s->borrowing->next_us;
+}
+
+/* Being asked */
+
+static struct slot_wait *
+wait_of(struct borrowing *b, struct name from)
+{
+    for (size_t i = 0; i < b->n_waits; i++) {
+        if (name_equal(b->waits[i].from, from)) {
+            return &b->waits[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+remove_wait(struct borrowing *b, struct slot_wait *w)
+{
+    *w = b->waits[--b->n_waits];
+}
+
+void
+borrow_wait(struct entry *e, struct service_state *s, struct name from,
+            uint64_t request, struct resources need, uint32_t count)
+{
+    struct borrowing *b = borrowing_of(e, s);
+    struct slot_wait *w = wait_of(b, from);
+    const struct member *m = members_of(e, from);
+
+    if (m == NULL || !name_equal(m->zone, e->zone) || count == 0) {
+        if (w != NULL) {
+            remove_wait(b, w);
+        }
+        return;
+    }
+    if (w == NULL) {
+        w = &b->waits[b->n_waits++];
+    }
+    *w = (struct slot_wait){.from = from,
+                            .request = request,
+                            .need = need,
+                            .count = count,
+                            .ends_us = e->now.mono_us + WAIT_US};
+}
+
+void
+borrow_unwanted(struct entry *e, struct service_state *s, struct name from)
+{
+    struct slot_wait *w;
+
+    (void)e;
+    if (s == NULL || s->borrowing == NULL) {
+        return;
+    }
+    w = wait_of(s->borrowing, from);
+    if (w != NULL) {
+        remove_wait(s->borrowing, w);
+    }
+}
+
+void
+borrow_serve(struct entry *e, struct service_state *s)
+{
+    struct borrowing *b = s->borrowing;
+    size_t n = b != NULL ? b->n_waits : 0;
+
+    while (n-- > 0 && s->pool.own_free > 0 && b->n_waits > 0) {
+        struct slot_wait *w = &b->waits[b->turn++ % b->n_waits];
+        uint32_t given;
+
+        if (w->ends_us <= e->now.mono_us) {
+            remove_wait(b, w);
+            continue;
+        }
+        given = slots_grant(e, s, w->from, w->request, w->need,
+                            at_most(w->count, s->pool.own_free), false);
+        w->count -= given;
+        if (w->count == 0) {
+            remove_wait(b, w);
+        }
+    }
+}
+
+void
+borrow_member_down(struct entry *e, struct service_state *s,
+                   struct name member)
+{
+    struct borrowing *b = s->borrowing;
+
+    borrow_unwanted(e, s, member);
+    for (size_t i = 0; b != NULL && i < b->n_lenders; i++) {
+        if (name_equal(b->lenders[i].member->name, member)) {
+            b->lenders[i].request = 0;
+            b->lenders[i].free = 0;
+        }
+    }
+}
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -4,45 +4,20 @@
 #include <string.h>
 #include <syslog.h>
 
-#include "map.h"
-#include "upstream.h"
+#include "admit.h"
+#include "borrow.h"
+#include "dispatch_state.h"
+#include "member.h"
+#include "quota.h"
+#include "slot.h"
+#include "start.h"
 
 enum {
-    SILENT_TIMES = 4,  /* run times after which a start counts as silent */
-    REVOKE_TRIES = 6,  /* questions that found nobody, before giving up */
+    SERVICES_START = 16,
     ATTEMPTS_MAX = 20, /* starts of one task */
-};
-
-#define SILENT_MIN_US (1 * USEC_PER_SEC)
-#define REVOKE_BACKOFF_US (200 * USEC_PER_MSEC)
-#define REVOKE_BACKOFF_MAX_US (2 * USEC_PER_SEC)
-
-/** struct start - a start that was sent and whose end is not known yet */
-struct start {
-    uint64_t call; /* first: looked up by it; of the start or last revoke */
-    struct handle self;
-    struct handle job; /* may be over already */
-    struct key_id key;
-    uint32_t index;
-    struct handle upstream;
-    struct name upstream_name;
-    struct address address;
-    uint64_t incarnation;
-    struct resources need;
-    int64_t deadline_us;
-    int64_t ask_us; /* when to ask for it again; INT64_MAX: not waiting */
-    uint32_t tries; /* questions that found nobody */
-};
-
-struct dispatch {
-    struct table starts;
-    struct map by_call;
-    struct handle *queue; /* jobs in order of arrival */
-    size_t n_queue;
-    size_t queue_room;
-    uint32_t queued;
-    bool dirty;
-    int64_t next_us;
+    ASIDE_MAX = 8,     /* jobs that do not fit now and are passed over */
+    TOKENS_MAX = 1000, /* re-placements saved up */
+    TOKENS_START = 100,
 };
 
 struct dispatch *
@@ -54,541 +29,562 @@
     if (d == NULL) {
         abort();
     }
-    table_init(&d->starts, sizeof(struct start));
-    map_init(&d->by_call, MAP_U64);
-    d->next_us = INT64_MAX;
+    map_init(&d->by_name, MAP_NAME);
+    d->starts = starts_new();
+    d->quotas = quotas_new();
+    d->unblock_us = INT64_MAX;
+    d->retry_tokens = TOKENS_START;
     return d;
 }
 
+static void
+free_service(struct service_state *s)
+{
+    queue_clear(&s->queue);
+    pool_clear(&s->pool);
+    borrow_free(s->borrowing);
+    free(s);
+}
+
 void
 dispatch_free(struct dispatch *d)
 {
     if (d == NULL) {
         return;
     }
-    map_clear(&d->by_call);
-    table_clear(&d->starts);
-    free(d->queue);
+    for (size_t i = 0; i < d->n_services; i++) {
+        free_service(d->services[i]);
+    }
+    free((void *)d->services);
+    map_clear(&d->by_name);
+    starts_free(d->starts);
+    quotas_free(d->quotas);
     free(d);
 }
 
-/* Admission */
+/* Services */
 
-static bool
-fits_somewhere(const struct entry *e, const struct job *job,
-               struct resources need, bool *any)
+struct service_state *
+dispatch_find(const struct entry *e, struct name name)
 {
-    const struct upstream *u;
-    uint32_t at = 0;
-
-    while ((u = upstreams_next(e, &at)) != NULL) {
-        struct resources have = {(uint32_t)u->info.cpu_milli,
-                                 (uint32_t)u->info.memory_mb,
-                                 (uint32_t)u->info.accelerators};
+    return map_get(&e->dispatch->by_name, &name);
+}
 
-        if (!name_equal(u->info.service, job->service_name)) {
-            continue;
-        }
-        *any = true;
-        if (resources_fit(need, have)) {
-            return true;
-        }
-    }
-    return false;
+static void
+read_conf(struct entry *e, struct service_state *s)
+{
+    s->conf = config_service(e->config, s->name);
+    s->order = s->conf != NULL ? s->conf->order : ORDER_LEAST_WORK;
 }
 
-struct admission
-dispatch_admit(struct entry *e, const struct job *job)
+struct service_state *
+dispatch_service(struct entry *e, struct name name)
 {
-    struct admission a = {.admitted = false};
-    bool any = false;
+    struct dispatch *d = e->dispatch;
+    struct service_state *s = dispatch_find(e, name);
 
-    for (uint32_t i = 0; i < job->n_tasks; i++) {
-        if (fits_somewhere(e, job, job->tasks[i].need, &any)) {
-            continue;
-        }
-        a.problem = any ? PROBLEM_NEVER_FITS : PROBLEM_NO_UPSTREAMS;
-        a.reason = any ? REASON_NEVER_FITS : REASON_NO_UPSTREAMS;
-        a.retry_after_us = any ? 0 : entry_jitter(e, e->opts.renew_us);
-        return a;
+    if (s != NULL) {
+        return s;
     }
-    if (e->dispatch->queued + job->n_tasks > e->opts.queue_max) {
-        a.problem = PROBLEM_OVERLOADED;
-        a.reason = REASON_QUEUE_FULL;
-        a.retry_after_us = entry_jitter(e, USEC_PER_SEC);
-        return a;
+    s = calloc(1, sizeof(*s));
+    if (d->n_services == d->room) {
+        d->room = d->room == 0 ? SERVICES_START : 2 * d->room;
+        d->services = realloc((void *)d->services,
+                              d->room * sizeof(struct service_state *));
     }
-    a.admitted = true;
-    return a;
+    if (s == NULL || d->services == NULL) {
+        abort();
+    }
+    s->name = name;
+    read_conf(e, s);
+    d->services[d->n_services++] = s;
+    map_put(&d->by_name, s);
+    quotas_attach(e, s);
+    return s;
 }
 
-/* The queue */
-
 void
-dispatch_enqueue(struct entry *e, struct job *job)
+dispatch_wake(struct entry *e, struct service_state *s)
 {
-    struct dispatch *d = e->dispatch;
+    s->dirty = true;
+    e->dispatch->dirty = true;
+}
 
-    for (uint32_t i = 0; i < job->n_tasks; i++) {
-        if (job->tasks[i].phase != TASK_WAITING) {
-            continue;
-        }
-        job->tasks[i].phase = TASK_QUEUED;
-        job->n_queued++;
-        d->queued++;
-    }
-    if (d->n_queue == d->queue_room) {
-        d->queue_room = d->queue_room == 0 ? 64 : d->queue_room * 2;
-        d->queue = realloc(d->queue, d->queue_room * sizeof(*d->queue));
-        if (d->queue == NULL) {
-            abort();
-        }
+void
+dispatch_wake_at(struct entry *e, int64_t us)
+{
+    if (us < e->dispatch->unblock_us) {
+        e->dispatch->unblock_us = us;
     }
-    d->queue[d->n_queue++] = job->self;
-    d->dirty = true;
 }
 
 void
-dispatch_forget(struct entry *e, struct job *job)
+dispatch_config_changed(struct entry *e)
 {
     struct dispatch *d = e->dispatch;
 
-    for (uint32_t i = 0; i < job->n_tasks; i++) {
-        struct task *t = &job->tasks[i];
-        struct start *s = table_get(&d->starts, t->start);
-
-        if (t->phase == TASK_QUEUED) {
-            t->phase = TASK_WAITING;
-        }
-        if (s != NULL) {
-            s->job = (struct handle){0};
-        }
-        t->start = (struct handle){0};
+    for (size_t i = 0; i < d->n_services; i++) {
+        read_conf(e, d->services[i]);
+        dispatch_wake(e, d->services[i]);
     }
-    d->queued -= job->n_queued;
-    job->n_queued = 0;
-    job->n_sent = 0;
+    quotas_config(e);
 }
 
+/* The queue's books */
+
 static void
-requeue(struct entry *e, struct job *job, struct task *t)
+rank(struct entry *e, struct service_state *s, struct queued *q)
 {
-    t->phase = TASK_QUEUED;
-    t->start = (struct handle){0};
-    job->n_queued++;
-    e->dispatch->queued++;
-    e->dispatch->dirty = true;
-    e->counters.tasks_requeued++;
-}
+    int64_t work_us = learn_sum_us(&s->learned, q->n, q->declared_us);
 
-/* Starts */
+    q->rank_us = queue_rank_us(s->order, q, work_us / admit_capacity(e, s));
+}
 
-static struct upstream *
-pick_upstream(struct entry *e, const struct job *job, struct resources need)
+static void
+count_queued(struct entry *e, struct job *job, struct queued *q, int n,
+             int64_t declared_us)
 {
-    struct upstream *best = NULL;
-    struct upstream *u;
-    uint32_t at = 0;
+    struct service_state *s = q->service;
+    struct class_work *c = &s->classes[q->class];
 
-    while ((u = upstreams_next(e, &at)) != NULL) {
-        struct resources left = {
-            (uint32_t)u->info.cpu_milli - u->used.cpu_milli,
-            (uint32_t)u->info.memory_mb - u->used.memory_mb,
-            (uint32_t)u->info.accelerators - u->used.accelerators};
-
-        if (!u->held || u->info.leaving || upstreams_free_on(u) == 0 ||
-            !name_equal(u->info.service, job->service_name) ||
-            !resources_fit(need, left)) {
-            continue;
-        }
-        if (best == NULL || upstreams_free_on(u) > upstreams_free_on(best)) {
-            best = u;
-        }
-    }
-    return best;
+    q->n += (uint32_t)n;
+    q->declared_us += declared_us;
+    c->n += (uint32_t)n;
+    c->declared_us += declared_us;
+    s->queued += (uint32_t)n;
+    job->n_queued += (uint32_t)n;
+    e->dispatch->queued += (uint32_t)n;
 }
 
 static void
-take_resources(struct upstream *u, struct resources need)
+put_task(struct entry *e, struct job *job, uint32_t index)
 {
-    u->running++;
-    u->used.cpu_milli += need.cpu_milli;
-    u->used.memory_mb += need.memory_mb;
-    u->used.accelerators += need.accelerators;
+    struct queued *q = job->queue_place;
+
+    job->tasks[index].phase = TASK_QUEUED;
+    q->tasks[q->n] = (uint8_t)index;
+    count_queued(e, job, q, 1, job->tasks[index].run_us);
 }
 
-static void
-give_resources(struct upstream *u, struct resources need)
+/** take_task() - takes the job's next task out of the queue */
+static uint32_t
+take_task(struct entry *e, struct job *job)
 {
-    u->running--;
-    u->used.cpu_milli -= need.cpu_milli;
-    u->used.memory_mb -= need.memory_mb;
-    u->used.accelerators -= need.accelerators;
+    struct queued *q = job->queue_place;
+    uint32_t index = q->tasks[q->n - 1];
+
+    count_queued(e, job, q, -1, -job->tasks[index].run_us);
+    return index;
 }
 
-static int64_t
-silent_after(const struct task *t)
+static struct queued *
+new_queued(struct entry *e, struct job *job, struct service_state *s)
 {
-    int64_t us = SILENT_TIMES * t->run_us;
+    struct queued *q = calloc(1, sizeof(*q) + job->n_tasks);
+    int64_t declared_us = 0;
 
-    return us > SILENT_MIN_US ? us : SILENT_MIN_US;
+    if (q == NULL) {
+        abort();
+    }
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        declared_us += job->tasks[i].run_us;
+    }
+    q->job = job->self;
+    q->service = s;
+    q->submitted_us = job->submitted_us;
+    q->limit_us = job->deadline_us - job->submitted_us;
+    q->class =
+        admit_class(learn_sum_us(&s->learned, job->n_tasks, declared_us));
+    job->queue_place = q;
+    (void)e;
+    return q;
 }
 
 static void
-send_start(struct entry *e, struct job *job, uint32_t index,
-           struct upstream *u)
+release_queued(struct job *job)
 {
-    struct dispatch *d = e->dispatch;
-    struct task *t = &job->tasks[index];
-    struct handle h;
-    struct start *s = table_add(&d->starts, &h);
-    struct ef_start *f = &effects_add(e->fx, EF_START)->u.start;
-
-    s->self = h;
-    s->call = entry_new_call(e);
-    s->job = job->self;
-    s->key = job->id;
-    s->index = index;
-    s->upstream = u->self;
-    s->upstream_name = u->name;
-    s->address = u->info.address;
-    s->incarnation = u->info.incarnation;
-    s->need = t->need;
-    s->deadline_us = job->deadline_us;
-    s->ask_us = INT64_MAX;
-    map_put(&d->by_call, s);
-    take_resources(u, t->need);
-    t->phase = TASK_SENT;
-    t->attempts++;
-    t->start = h;
-    job->n_queued--;
-    job->n_sent++;
-    d->queued--;
-    e->counters.tasks_started++;
-    f->call = s->call;
-    f->upstream = u->name;
-    f->address = u->info.address;
-    f->incarnation = u->info.incarnation;
-    f->epoch = u->info.epoch;
-    f->key = job->id;
-    f->index = index;
-    f->payload = blob_ref(t->payload);
-    f->silent_us = silent_after(t);
+    struct queued *q = job->queue_place;
+
+    if (q != NULL) {
+        queue_remove(&q->service->queue, q);
+        free(q);
+        job->queue_place = NULL;
+    }
 }
 
+/** sort_longest_last() - the last goes first: a job ends with its last task,
+ * so long ones should not be the ones that wait (insertion sort: usually they
+ * are all declared alike) */
 static void
-place_job(struct entry *e, struct job *job)
+sort_longest_last(const struct job *job, struct queued *q)
 {
-    for (uint32_t i = 0; i < job->n_tasks && job->n_queued > 0; i++) {
-        struct upstream *u;
+    for (uint32_t i = 1; i < q->n; i++) {
+        uint8_t index = q->tasks[i];
+        uint32_t at = i;
 
-        if (job->tasks[i].phase != TASK_QUEUED) {
-            continue;
-        }
-        u = pick_upstream(e, job, job->tasks[i].need);
-        if (u != NULL) {
-            send_start(e, job, i, u);
+        while (at > 0 && job->tasks[q->tasks[at - 1]].run_us >
+                             job->tasks[index].run_us) {
+            q->tasks[at] = q->tasks[at - 1];
+            at--;
         }
+        q->tasks[at] = index;
     }
 }
 
 void
-dispatch_run(struct entry *e)
+dispatch_enqueue(struct entry *e, struct job *job)
 {
-    struct dispatch *d = e->dispatch;
-    size_t kept = 0;
+    struct service_state *s = dispatch_service(e, job->service_name);
+    struct queued *q = new_queued(e, job, s);
 
-    if (!d->dirty) {
-        return;
+    for (uint32_t i = job->n_tasks; i > 0; i--) {
+        if (job->tasks[i - 1].phase == TASK_WAITING) {
+            put_task(e, job, i - 1);
+        }
     }
-    d->dirty = false;
-    for (size_t i = 0; i < d->n_queue; i++) {
-        struct job *job = jobs_of(e, d->queue[i]);
+    sort_longest_last(job, q);
+    rank(e, s, q);
+    queue_put(&s->queue, q);
+    dispatch_wake(e, s);
+}
 
-        if (job == NULL || job->n_queued + job->n_sent == 0) {
-            continue;
+void
+dispatch_forget(struct entry *e, struct job *job)
+{
+    struct queued *q = job->queue_place;
+
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        struct task *t = &job->tasks[i];
+
+        if (!handle_none(t->start)) {
+            starts_forget(e, t->start);
+            t->start = (struct handle){0};
         }
-        place_job(e, job);
-        d->queue[kept++] = d->queue[i];
     }
-    d->n_queue = kept;
+    if (q != NULL) {
+        count_queued(e, job, q, -(int)q->n, -q->declared_us);
+    }
+    job->n_sent = 0;
+    release_queued(job);
 }
 
-/* Ends of starts */
-
-static void
-ask_for(struct entry *e, struct start *s)
+void
+dispatch_task_done(struct entry *e, struct job *job)
 {
-    struct dispatch *d = e->dispatch;
-    struct ef_revoke *f = &effects_add(e->fx, EF_REVOKE)->u.revoke;
-
-    (void)map_remove(&d->by_call, &s->call);
-    s->call = entry_new_call(e);
-    s->ask_us = INT64_MAX;
-    map_put(&d->by_call, s);
-    f->call = s->call;
-    f->upstream = s->upstream_name;
-    f->address = s->address;
-    f->incarnation = s->incarnation;
-    f->key = s->key;
-    f->index = s->index;
-    e->counters.revokes_sent++;
+    (void)e;
+    if (job->n_queued == 0 && job->n_sent == 0) {
+        release_queued(job);
+    }
 }
 
-static void
-ask_later(struct entry *e, struct start *s)
+/* When an upstream or a whole zone goes bad, every task placed there comes
+ * back, and placing each again and again would be load on top of the trouble.
+ * Starts earn a budget that re-placements spend; past it, jobs fail. */
+void
+dispatch_requeue(struct entry *e, struct job *job, uint32_t index)
 {
     struct dispatch *d = e->dispatch;
-    int64_t us = REVOKE_BACKOFF_US << (s->tries < 4 ? s->tries : 4);
+    struct queued *q = job->queue_place;
 
-    if (us > REVOKE_BACKOFF_MAX_US) {
-        us = REVOKE_BACKOFF_MAX_US;
-    }
-    s->ask_us = e->now.mono_us + entry_jitter(e, us);
-    if (s->ask_us < d->next_us) {
-        d->next_us = s->ask_us;
+    put_task(e, job, index);
+    if (d->retry_tokens < 1 || job->tasks[index].attempts >= ATTEMPTS_MAX) {
+        entry_log(e, LOG_WARNING, REASON_RETRIES_SPENT, &job->id,
+                  (int32_t)index, name_of(""), "%u starts of this task",
+                  job->tasks[index].attempts);
+        jobs_fail(e, job, REASON_RETRIES_SPENT);
+        return;
     }
+    d->retry_tokens -= 1;
+    e->counters.tasks_requeued++;
+    rank(e, q->service, q);
+    queue_put(&q->service->queue, q);
+    dispatch_wake(e, q->service);
 }
 
-/** end_start() - forgets a start and frees its slot; returns its job if that
- * still waits for it, with the task no longer sent */
-static struct job *
-end_start(struct entry *e, struct start *s)
+static void
+earn_token(struct entry *e)
 {
     struct dispatch *d = e->dispatch;
-    struct upstream *u = upstreams_of(e, s->upstream);
-    struct job *job = jobs_of(e, s->job);
 
-    if (u != NULL) {
-        give_resources(u, s->need);
-        d->dirty = true;
-    }
-    if (job != NULL) {
-        job->tasks[s->index].start = (struct handle){0};
-        job->n_sent--;
+    d->retry_tokens += (double)e->opts.retry_percent / 100;
+    if (d->retry_tokens > TOKENS_MAX) {
+        d->retry_tokens = TOKENS_MAX;
     }
-    (void)map_remove(&d->by_call, &s->call);
-    table_remove(&d->starts, s->self);
-    return job;
 }
 
+/* Placing */
+
+enum served { SERVED, NO_PLACE, NO_QUOTA };
+
 static void
-end_done(struct entry *e, struct start *s, bool ok, struct blob *result)
+start_next(struct entry *e, struct job *job, struct queued *q, struct place *p)
 {
-    uint32_t index = s->index;
-    struct job *job = end_start(e, s);
+    uint32_t index = take_task(e, job);
 
-    if (job == NULL) {
-        e->counters.outcomes_dropped++;
-        return;
-    }
-    e->counters.tasks_done++;
-    jobs_task_ended(e, job, index, ok, result);
+    q->racks = (q->racks & p->rack) != 0 ? p->rack : q->racks | p->rack;
+    quotas_started(e, q->service);
+    starts_send(e, job, index, p);
+    earn_token(e);
 }
 
-static void
-end_not_started(struct entry *e, struct start *s)
+/** serve_job() - starts as many of its tasks as there are places for */
+static enum served
+serve_job(struct entry *e, struct service_state *s, struct queued *q)
 {
-    uint32_t index = s->index;
-    struct job *job = end_start(e, s);
+    struct job *job = jobs_of(e, q->job);
 
-    if (job == NULL) {
-        return;
+    while (q->n > 0) {
+        struct task *t = &job->tasks[q->tasks[q->n - 1]];
+        struct pick pick = {
+            .need = t->need, .racks = q->racks, .idempotent = job->idempotent};
+        struct place *p;
+
+        if (!quotas_allow(e, s)) {
+            return NO_QUOTA;
+        }
+        p = pool_pick(e, &s->pool, &pick);
+        if (p == NULL) {
+            return NO_PLACE;
+        }
+        start_next(e, job, q, p);
     }
-    requeue(e, job, &job->tasks[index]);
-    if (job->tasks[index].attempts >= ATTEMPTS_MAX) {
-        jobs_fail(e, job, REASON_RETRIES_SPENT);
+    return SERVED;
+}
+
+/** serve() - places what can be placed, in order; a few jobs whose next task
+ * fits nowhere now are passed over, so that one with unusual needs does not
+ * stop the rest */
+static enum served
+serve(struct entry *e, struct service_state *s)
+{
+    struct queued *aside[ASIDE_MAX];
+    size_t n_aside = 0;
+    enum served end = SERVED;
+    struct queued *q;
+
+    while (n_aside < ASIDE_MAX && (q = queue_first(&s->queue)) != NULL) {
+        end = s->pool.n_listed > 0 ? serve_job(e, s, q) : NO_PLACE;
+        if (end == NO_QUOTA || s->pool.n_listed == 0) {
+            if (q->n > 0) {
+                break;
+            }
+        }
+        queue_remove(&s->queue, q);
+        if (q->n > 0) {
+            aside[n_aside++] = q;
+        }
+    }
+    for (size_t i = 0; i < n_aside; i++) {
+        rank(e, s, aside[i]);
+        queue_put(&s->queue, aside[i]);
     }
+    return end;
 }
 
-/** end_unknown() - whether the task ran will never be known, so the job can
- * never be complete; it is told so now rather than at its deadline */
 static void
-end_unknown(struct entry *e, struct start *s)
+serve_service(struct entry *e, struct service_state *s)
 {
-    struct job *job = jobs_of(e, s->job);
+    enum served end = serve(e, s);
 
-    if (job != NULL) {
-        jobs_fail(e, job, REASON_OUTCOME_LOST);
+    if (s->queued == 0) {
+        borrow_serve(e, s);
+    }
+    else if (end != NO_QUOTA && e->opts.placement == PLACE_HOLDER) {
+        borrow_ask(e, s);
+        dispatch_wake_at(e, borrow_next_us(s));
     }
-    (void)end_start(e, s);
 }
 
 void
-dispatch_on_ended(struct entry *e, const struct ev_ended *ev)
+dispatch_run(struct entry *e)
 {
-    struct start *s = map_get(&e->dispatch->by_call, &ev->call);
-    struct upstream *u;
+    struct dispatch *d = e->dispatch;
 
-    if (s == NULL) {
-        e->counters.outcomes_dropped++;
+    if (!d->dirty) {
         return;
     }
-    u = upstreams_of(e, s->upstream);
-    switch (ev->outcome) {
-    case START_DONE:
-        end_done(e, s, ev->ok, ev->result);
-        break;
-    case START_STALE:
-        if (u != NULL) {
-            upstreams_stale(e, u);
+    d->dirty = false;
+    for (size_t i = 0; i < d->n_services; i++) {
+        if (d->services[i]->dirty) {
+            d->services[i]->dirty = false;
+            serve_service(e, d->services[i]);
         }
-        e->counters.starts_refused++;
-        end_not_started(e, s);
-        break;
-    case START_REFUSED:
-    case START_NO_CONNECT:
-        e->counters.starts_refused++;
-        end_not_started(e, s);
-        break;
-    case START_LOST:
-    default:
-        e->counters.starts_lost++;
-        ask_for(e, s);
-        break;
     }
 }
 
-void
-dispatch_on_revoked(struct entry *e, const struct ev_revoked *ev)
+/* Events */
+
+struct admission
+dispatch_admit(struct entry *e, const struct job *job)
 {
-    struct start *s = map_get(&e->dispatch->by_call, &ev->call);
+    return admit_job(e, job);
+}
 
-    if (s == NULL) {
-        e->counters.outcomes_dropped++;
-        return;
-    }
-    switch (ev->outcome) {
-    case REVOKE_NEVER:
-        end_not_started(e, s);
-        break;
-    case REVOKE_DONE:
-        end_done(e, s, ev->ok, ev->result);
-        break;
-    case REVOKE_RUNNING:
-        s->tries = 0;
-        ask_later(e, s);
-        break;
-    case REVOKE_UNREACHABLE:
-        if (++s->tries < REVOKE_TRIES || e->now.mono_us < s->deadline_us) {
-            ask_later(e, s);
-            break;
-        }
-        end_unknown(e, s);
-        break;
-    case REVOKE_OTHER_LIFE:
-    default:
-        end_unknown(e, s);
-        break;
-    }
+void
+dispatch_on_ended(struct entry *e, const struct ev_ended *ev)
+{
+    starts_on_ended(e, ev);
 }
 
-/* What others report */
+void
+dispatch_on_revoked(struct entry *e, const struct ev_revoked *ev)
+{
+    starts_on_revoked(e, ev);
+}
 
 void
 dispatch_on_message(struct entry *e, struct name from, const struct msg *m)
 {
-    (void)e;
-    (void)from;
-    (void)m;
+    slots_on_message(e, from, m);
 }
 
-void
-dispatch_upstream_changed(struct entry *e, struct upstream *u)
+/** ours() - whether this instance may start tasks there by its own right */
+static bool
+ours(const struct entry *e, const struct upstream *u)
 {
-    (void)u;
-    e->dispatch->dirty = true;
+    return u->held || e->opts.placement != PLACE_HOLDER;
 }
 
 void
-dispatch_upstream_gone(struct entry *e, struct handle upstream)
+dispatch_upstream_changed(struct entry *e, struct upstream *u)
 {
-    struct dispatch *d = e->dispatch;
-    struct handle h;
-    struct start *s;
-    uint32_t at = 0;
+    struct service_state *s = u->service;
 
-    while ((s = table_next(&d->starts, &at, &h)) != NULL) {
-        if (handle_equal(s->upstream, upstream)) {
-            s->upstream = (struct handle){0};
+    if (s == NULL || !name_equal(s->name, u->info.service)) {
+        s = dispatch_service(e, u->info.service);
+        if (u->place != NULL) {
+            slots_close(e, u->place);
         }
+        u->service = s;
+    }
+    if (!ours(e, u) && u->place != NULL) {
+        slots_close(e, u->place);
+    }
+    if (ours(e, u) && u->place == NULL) {
+        slots_own(e, s, u);
     }
+    slots_epoch(e, u);
+    slots_update(e, u);
+    s->capacity = 0;
+    dispatch_wake(e, s);
 }
 
 void
-dispatch_member_down(struct entry *e, struct name member)
+dispatch_upstream_gone(struct entry *e, struct handle upstream)
 {
-    (void)e;
-    (void)member;
+    struct upstream *u = upstreams_of(e, upstream);
+
+    if (u == NULL) {
+        return;
+    }
+    starts_upstream_gone(e, u);
+    slots_upstream_gone(e, u);
+    if (u->service != NULL) {
+        u->service->capacity = 0;
+    }
 }
 
 void
-dispatch_config_changed(struct entry *e)
+dispatch_member_down(struct entry *e, struct name member)
 {
-    e->dispatch->dirty = true;
+    slots_member_down(e, member);
 }
 
-static size_t
-queued_of(const struct entry *e, struct name service)
+size_t
+dispatch_loads(const struct entry *e, struct rec_load **loads)
 {
     const struct dispatch *d = e->dispatch;
     size_t n = 0;
 
-    for (size_t i = 0; i < d->n_queue; i++) {
-        const struct job *job = jobs_of(e, d->queue[i]);
-
-        if (job != NULL && name_equal(job->service_name, service)) {
-            n += job->n_queued;
+    *loads = calloc(d->n_services + 1, sizeof(**loads));
+    if (*loads == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < d->n_services; i++) {
+        const struct service_state *s = d->services[i];
+        struct rec_load load = {.service = s->name,
+                                .free_slots = s->pool.own_free,
+                                .backlog = s->queued,
+                                .running = s->running};
+
+        if (load.free_slots + load.backlog + load.running > 0) {
+            (*loads)[n++] = load;
         }
     }
     return n;
 }
 
-size_t
-dispatch_loads(const struct entry *e, struct rec_load **loads)
+/* Time */
+
+static void
+unblock(struct entry *e, struct service_state *s)
 {
-    size_t n = e->config != NULL ? e->config->n_services : 0;
+    for (size_t i = 0; i < s->pool.n; i++) {
+        struct place *p = s->pool.all[i];
 
-    *loads = calloc(n + 1, sizeof(**loads));
-    if (*loads == NULL) {
-        abort();
+        if (p->closed || p->listed) {
+            continue;
+        }
+        place_update(e, p);
+        if (p->listed) {
+            dispatch_wake(e, s);
+        }
+    }
+    if (borrow_next_us(s) <= e->now.mono_us) {
+        dispatch_wake(e, s);
     }
-    for (size_t i = 0; i < n; i++) {
-        struct name service = e->config->services[i].name;
+}
 
-        (*loads)[i].service = service;
-        (*loads)[i].free_slots = upstreams_free_slots(e, service);
-        (*loads)[i].backlog = queued_of(e, service);
+/** next_unblock() - the earliest time that something held back is free */
+static int64_t
+next_unblock(const struct entry *e)
+{
+    const struct dispatch *d = e->dispatch;
+    int64_t next = INT64_MAX;
+
+    for (size_t i = 0; i < d->n_services; i++) {
+        const struct service_state *s = d->services[i];
+        int64_t at = borrow_next_us(s);
+
+        next = at < next ? at : next;
+        for (size_t k = 0; k < s->pool.n; k++) {
+            at = place_next_us(e, s->pool.all[k]);
+            next = at < next ? at : next;
+        }
     }
-    return n;
+    return next;
 }
 
 void
 dispatch_tick(struct entry *e)
 {
     struct dispatch *d = e->dispatch;
-    struct handle h;
-    struct start *s;
-    uint32_t at = 0;
 
-    if (e->now.mono_us < d->next_us) {
+    starts_tick(e);
+    slots_tick(e);
+    quotas_tick(e);
+    if (d->unblock_us > e->now.mono_us) {
         return;
     }
-    d->next_us = INT64_MAX;
-    while ((s = table_next(&d->starts, &at, &h)) != NULL) {
-        if (s->ask_us <= e->now.mono_us) {
-            ask_for(e, s);
-        }
-        else if (s->ask_us < d->next_us) {
-            d->next_us = s->ask_us;
-        }
+    for (size_t i = 0; i < d->n_services; i++) {
+        unblock(e, d->services[i]);
     }
+    d->unblock_us = next_unblock(e);
+}
+
+static int64_t
+earlier(int64_t a, int64_t b)
+{
+    return a < b ? a : b;
 }
 
 int64_t
 dispatch_next_us(const struct entry *e)
 {
-    return e->dispatch->next_us;
+    int64_t next = earlier(starts_next_us(e), slots_next_us(e));
+
+    next = earlier(next, quotas_next_us(e));
+    return earlier(next, e->dispatch->unblock_us);
 }
 
 uint32_t
@@ -600,5 +596,5 @@
 uint32_t
 dispatch_running(const struct entry *e)
 {
-    return (uint32_t)e->dispatch->starts.n;
+    return starts_count(e);
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -12,6 +12,7 @@
 #include "follow.h"
 #include "jobs.h"
 #include "member.h"
+#include "slot.h"
 #include "upstream.h"
 
 struct entry_options
@@ -164,6 +165,7 @@
     e->claims = claims_new(e);
     e->jobs = jobs_new(e);
     e->upstreams = upstreams_new(e);
+    e->slots = slots_new(e);
     e->dispatch = dispatch_new(e);
     e->follow = follow_new(e);
     return e;
@@ -177,6 +179,7 @@
     }
     follow_free(e->follow);
     dispatch_free(e->dispatch);
+    slots_free(e->slots);
     upstreams_free(e->upstreams);
     jobs_free(e->jobs);
     claims_free(e->claims);
--- /dev/null
+++ b/src/health.c
@@ -0,0 +1,246 @@
+#include "health.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+
+#include "dispatch.h"
+#include "dispatch_state.h"
+#include "upstream.h"
+
+#define PROBE_FIRST_US (1 * USEC_PER_SEC)
+#define PROBE_LONGEST_US (30 * USEC_PER_SEC)
+
+static const double SLOWNESS_WEIGHT = 0.1; /* of one task */
+static const double SLOW = 1.5;            /* over expected */
+static const double VERY_SLOW = 3.0;
+
+enum {
+    PENALTY_FAILED = 2,
+    PENALTY_SLOW = 3,
+    PENALTY_VERY_SLOW = 8,
+};
+
+/** struct census - the upstreams of a service that this zone knows */
+struct census {
+    uint32_t all;
+    uint32_t quarantined;
+    struct upstream *last; /* quarantined one with the greatest name */
+};
+
+struct health *
+health_new(void)
+{
+    struct health *h = calloc(1, sizeof(*h));
+
+    if (h == NULL) {
+        abort();
+    }
+    h->slowness = 1.0;
+    return h;
+}
+
+void
+health_free(struct health *h)
+{
+    free(h);
+}
+
+static struct census
+count(const struct entry *e, struct name service)
+{
+    struct census c = {0};
+    struct upstream *u;
+    uint32_t at = 0;
+
+    while ((u = upstreams_next(e, &at)) != NULL) {
+        if (u->info.leaving || !name_equal(u->info.service, service)) {
+            continue;
+        }
+        c.all++;
+        if (!u->info.quarantined) {
+            continue;
+        }
+        c.quarantined++;
+        if (c.last == NULL || strcmp(u->name.s, c.last->name.s) > 0) {
+            c.last = u;
+        }
+    }
+    return c;
+}
+
+/** most() - how many of them may be quarantined; one where the share gives
+ * less, but never the last */
+static uint32_t
+most(const struct entry *e, const struct census *c)
+{
+    uint32_t n = c->all * e->opts.quarantine_percent / 100;
+
+    n = n > 0 ? n : 1;
+    return n < c->all ? n : c->all - 1;
+}
+
+static void
+begin_backoff(struct entry *e, struct upstream *u)
+{
+    u->health->backoff_us = PROBE_FIRST_US;
+    u->health->probe_us = e->now.mono_us + entry_jitter(e, PROBE_FIRST_US);
+    dispatch_wake_at(e, u->health->probe_us);
+}
+
+/* When every upstream of a service fails everything, the fault is not theirs:
+ * a bad release of the service, say.  With all of them in quarantine nothing
+ * would run, and nothing would find out that the fault is mended. */
+static void
+quarantine(struct entry *e, struct upstream *u)
+{
+    struct census c = count(e, u->info.service);
+
+    if (c.quarantined >= most(e, &c)) {
+        if (!u->health->capped) {
+            entry_log(e, LOG_WARNING, REASON_QUARANTINE_CAP, NULL, -1, u->name,
+                      "%u failures in a row; %u of %u are quarantined",
+                      u->health->failures, c.quarantined, c.all);
+        }
+        u->health->capped = true;
+        return;
+    }
+    u->info.quarantined = 1;
+    begin_backoff(e, u);
+    e->counters.quarantines++;
+    entry_log(e, LOG_WARNING, REASON_QUARANTINED, NULL, -1, u->name,
+              "%u failures in a row", u->health->failures);
+    upstreams_tell(e, u);
+    dispatch_upstream_changed(e, u);
+}
+
+static void
+restore(struct entry *e, struct upstream *u, const char *why)
+{
+    u->info.quarantined = 0;
+    u->health->failures = 0;
+    entry_log(e, LOG_NOTICE, REASON_RESTORED, NULL, -1, u->name, "%s", why);
+    upstreams_tell(e, u);
+    dispatch_upstream_changed(e, u);
+}
+
+/** decides() - the holder does; without holders everyone for itself */
+static bool
+decides(const struct entry *e, const struct upstream *u)
+{
+    return u->held || e->opts.placement != PLACE_HOLDER;
+}
+
+void
+health_ok(struct entry *e, struct upstream *u, double over_expected)
+{
+    struct health *h = u->health;
+
+    h->failures = 0;
+    h->capped = false;
+    if (over_expected > 0) {
+        h->slowness += SLOWNESS_WEIGHT * (over_expected - h->slowness);
+    }
+    if (u->info.quarantined && decides(e, u)) {
+        restore(e, u, "a task succeeded");
+    }
+}
+
+static void
+probe_failed(struct entry *e, struct upstream *u)
+{
+    struct health *h = u->health;
+
+    h->backoff_us *= 2;
+    if (h->backoff_us > PROBE_LONGEST_US) {
+        h->backoff_us = PROBE_LONGEST_US;
+    }
+    h->probe_us = e->now.mono_us + entry_jitter(e, h->backoff_us);
+    dispatch_wake_at(e, h->probe_us);
+    entry_log(e, LOG_INFO, REASON_PROBED, NULL, -1, u->name,
+              "failed again; next in %lld ms",
+              (long long)((h->probe_us - e->now.mono_us) / USEC_PER_MSEC));
+    dispatch_upstream_changed(e, u);
+}
+
+void
+health_failed(struct entry *e, struct upstream *u, uint32_t times)
+{
+    struct health *h = u->health;
+
+    h->failures += times;
+    if (!decides(e, u)) {
+        return;
+    }
+    if (u->info.quarantined) {
+        /* Tasks sent before the quarantine still fail; they are no probes. */
+        if (h->probe_us <= e->now.mono_us) {
+            probe_failed(e, u);
+        }
+        return;
+    }
+    if (h->failures >= e->opts.quarantine_after) {
+        quarantine(e, u);
+    }
+}
+
+bool
+health_may_probe(const struct entry *e, const struct upstream *u)
+{
+    return u->running + u->lent == 0 && u->health->probe_us <= e->now.mono_us;
+}
+
+bool
+health_probe_suits(const struct entry *e, const struct upstream *u,
+                   bool idempotent)
+{
+    int64_t patience = u->health->probe_us + u->health->backoff_us;
+
+    return idempotent || patience <= e->now.mono_us;
+}
+
+uint32_t
+health_penalty(const struct upstream *u)
+{
+    const struct health *h = u->health;
+    uint32_t penalty = h->failures > 0 ? PENALTY_FAILED : 0;
+
+    if (h->slowness > VERY_SLOW) {
+        return penalty + PENALTY_VERY_SLOW;
+    }
+    return h->slowness > SLOW ? penalty + PENALTY_SLOW : penalty;
+}
+
+void
+health_taken(struct entry *e, struct upstream *u)
+{
+    if (u->info.quarantined) {
+        begin_backoff(e, u);
+    }
+}
+
+void
+health_heard(struct entry *e, struct upstream *u, bool quarantined)
+{
+    struct census c;
+
+    if (u->held) {
+        return;
+    }
+    u->info.quarantined = quarantined ? 1 : 0;
+    if (!quarantined) {
+        return;
+    }
+    c = count(e, u->info.service);
+    if (c.quarantined > most(e, &c) && c.last != NULL && c.last->held) {
+        restore(e, c.last, "more were quarantined at once than may be");
+    }
+}
+
+int64_t
+health_next_us(const struct upstream *u)
+{
+    const struct health *h = u->health;
+
+    return u->info.quarantined ? h->probe_us : INT64_MAX;
+}
--- /dev/null
+++ b/src/learn.c
@@ -0,0 +1,93 @@
+#include "learn.h"
+
+#include <math.h>
+#include <stdbool.h>
+
+enum { SAMPLES_ENOUGH = 10 }; /* before that the declared time counts */
+
+static const double SLOWEST = 0.01;   /* weight of a sample in the long run */
+static const double TAIL_STEP = 0.05; /* of the quantile estimate */
+static const double TAIL_SHARE = 0.95;
+static const double TAIL_START = 3.0; /* run time over expected */
+static const double TAIL_LEAST = 1.0;
+
+static void
+blend(double *mean, double sample, double weight)
+{
+    *mean += weight * (sample - *mean);
+}
+
+static double
+positive(int64_t us)
+{
+    return us > 0 ? (double)us : 1.0;
+}
+
+static bool
+declared_helps(const struct learned *l)
+{
+    return l->ratio_error < l->mean_error;
+}
+
+/* Robbins-Monro: the estimate rests where one sample in twenty lies above. */
+static void
+learn_tail(struct learned *l, double over_expected)
+{
+    if (over_expected > l->tail) {
+        l->tail *= 1.0 + TAIL_STEP * TAIL_SHARE;
+    }
+    else {
+        l->tail *= 1.0 - TAIL_STEP * (1.0 - TAIL_SHARE);
+    }
+    if (l->tail < TAIL_LEAST) {
+        l->tail = TAIL_LEAST;
+    }
+}
+
+void
+learn_sample(struct learned *l, int64_t declared_us, int64_t ran_us)
+{
+    double ran = positive(ran_us);
+    double declared = positive(declared_us);
+    double weight;
+
+    if (l->samples == 0) {
+        l->mean_us = ran;
+        l->ratio = ran / declared;
+        l->tail = TAIL_START;
+    }
+    l->samples++;
+    weight = 1.0 / (double)l->samples;
+    weight = weight > SLOWEST ? weight : SLOWEST;
+    learn_tail(l, ran / positive(learn_expected_us(l, declared_us)));
+    blend(&l->mean_error, fabs(log(ran / l->mean_us)), weight);
+    blend(&l->ratio_error, fabs(log(ran / (l->ratio * declared))), weight);
+    blend(&l->mean_us, ran, weight);
+    blend(&l->ratio, ran / declared, weight);
+}
+
+int64_t
+learn_sum_us(const struct learned *l, uint32_t n, int64_t declared_us)
+{
+    if (l->samples < SAMPLES_ENOUGH) {
+        return declared_us;
+    }
+    if (declared_helps(l)) {
+        return (int64_t)(l->ratio * (double)declared_us);
+    }
+    return (int64_t)(l->mean_us * n);
+}
+
+int64_t
+learn_expected_us(const struct learned *l, int64_t declared_us)
+{
+    return learn_sum_us(l, 1, declared_us);
+}
+
+int64_t
+learn_tail_us(const struct learned *l, int64_t declared_us)
+{
+    double tail = l->samples < SAMPLES_ENOUGH ? TAIL_START : l->tail;
+
+    return (int64_t)(tail * (double)learn_expected_us(l, declared_us));
+}
--- /dev/null
+++ b/src/learn.h
@@ -0,0 +1,43 @@
+/**
+ * DOC: learn - run times learned from what ran
+ *
+ * Declared run times are often far off, though sometimes by a steady factor.
+ * So two predictions are kept per service, the mean run time and the declared
+ * one times the mean ratio, and the one that has erred less is used.
+ */
+#ifndef BM_LEARN_H
+#define BM_LEARN_H
+
+#include <stdint.h>
+
+/**
+ * struct learned - what is known of a service's run times
+ * @samples: tasks seen
+ * @mean_us: of their run times, moving
+ * @ratio: run time over declared, moving mean
+ * @mean_error: moving mean of |log(run / mean_us)|
+ * @ratio_error: the same for @ratio times declared
+ * @tail: 95th percentile of the run time over the expected one
+ */
+struct learned {
+    uint32_t samples;
+    double mean_us;
+    double ratio;
+    double mean_error;
+    double ratio_error;
+    double tail;
+};
+
+/** learn_sample() - a task declared to take @declared_us ran for @ran_us */
+void learn_sample(struct learned *l, int64_t declared_us, int64_t ran_us);
+
+/** learn_expected_us() - how long such a task will run, in the mean */
+int64_t learn_expected_us(const struct learned *l, int64_t declared_us);
+
+/** learn_sum_us() - of @n tasks declared to take @declared_us together */
+int64_t learn_sum_us(const struct learned *l, uint32_t n, int64_t declared_us);
+
+/** learn_tail_us() - 19 of 20 such tasks end within this */
+int64_t learn_tail_us(const struct learned *l, int64_t declared_us);
+
+#endif
--- /dev/null
+++ b/src/place.c
@@ -0,0 +1,360 @@
+#include "place.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "health.h"
+#include "upstream.h"
+
+enum {
+    POOL_START_ROOM = 16,
+    LOOK_AT = 8,        /* places of a level compared with one another */
+    LOAD_LEVELS = 8,    /* levels that tell how loaded an upstream is */
+    FAR_LEVEL = 8,      /* of slots in another zone */
+    RANDOM_TRIES = 8,   /* before all places are looked through */
+    REFUSALS_COUNT = 7, /* refusals in a row that lengthen a block */
+};
+
+#define BLOCK_US (10 * USEC_PER_MSEC)
+
+bool
+place_own(const struct place *p)
+{
+    return p->grant == 0;
+}
+
+static uint32_t
+free_of_own(const struct entry *e, const struct upstream *u)
+{
+    if (u->info.leaving) {
+        return 0;
+    }
+    if (u->info.quarantined) {
+        return health_may_probe(e, u) ? 1 : 0;
+    }
+    return upstreams_free_on(u);
+}
+
+uint32_t
+place_free(const struct entry *e, const struct place *p)
+{
+    if (p->closed || p->blocked_us > e->now.mono_us) {
+        return 0;
+    }
+    if (place_own(p)) {
+        return free_of_own(e, p->upstream);
+    }
+    if (p->expires_us <= e->now.mono_us || p->used >= p->slots) {
+        return 0;
+    }
+    if (p->upstream != NULL && p->upstream->info.leaving) {
+        return 0;
+    }
+    return p->slots - p->used;
+}
+
+static uint64_t
+times(uint64_t have, uint64_t used, uint64_t need)
+{
+    if (need == 0) {
+        return UINT32_MAX;
+    }
+    return used < have ? (have - used) / need : 0;
+}
+
+static uint64_t
+least(uint64_t a, uint64_t b)
+{
+    return a < b ? a : b;
+}
+
+/** resources_times() - how often a need fits into what an upstream has left */
+static uint64_t
+resources_times(const struct upstream *u, struct resources need)
+{
+    uint64_t n = times(u->info.cpu_milli, u->used.cpu_milli, need.cpu_milli);
+
+    n = least(n, times(u->info.memory_mb, u->used.memory_mb, need.memory_mb));
+    return least(n, times(u->info.accelerators, u->used.accelerators,
+                          need.accelerators));
+}
+
+uint32_t
+place_fits(const struct entry *e, const struct place *p, struct resources need)
+{
+    uint32_t n = place_free(e, p);
+
+    if (n == 0) {
+        return 0;
+    }
+    if (place_own(p)) {
+        return (uint32_t)least(n, resources_times(p->upstream, need));
+    }
+    return resources_fit(need, p->each) ? n : 0;
+}
+
+/* Lists by level */
+
+static uint8_t
+level_of(const struct entry *e, const struct place *p)
+{
+    const struct upstream *u = p->upstream;
+    uint32_t level = 0;
+
+    if (place_own(p)) {
+        uint32_t usable = upstreams_usable(u);
+
+        if (u->info.quarantined) {
+            return 0; /* a probe is due: the next task that may goes there */
+        }
+        level = (usable - place_free(e, p)) * LOAD_LEVELS / usable;
+    }
+    else if (!name_equal(p->zone, e->zone)) {
+        level = FAR_LEVEL;
+    }
+    if (u != NULL) {
+        level += health_penalty(u);
+    }
+    return (uint8_t)least(level, PLACE_LEVELS - 1);
+}
+
+static void
+unlist(struct place *p)
+{
+    struct pool *pool = p->pool;
+
+    if (!p->listed) {
+        return;
+    }
+    if (p->next == p) {
+        pool->first[p->level] = NULL;
+    }
+    else {
+        p->next->previous = p->previous;
+        p->previous->next = p->next;
+        if (pool->first[p->level] == p) {
+            pool->first[p->level] = p->next;
+        }
+    }
+    p->listed = false;
+    pool->n_listed--;
+}
+
+/** list_last() - the last of its level, so that equals take turns */
+static void
+list_last(struct place *p, uint8_t level)
+{
+    struct pool *pool = p->pool;
+    struct place *first = pool->first[level];
+
+    p->level = level;
+    p->listed = true;
+    pool->n_listed++;
+    if (first == NULL) {
+        p->next = p;
+        p->previous = p;
+        pool->first[level] = p;
+        return;
+    }
+    p->next = first;
+    p->previous = first->previous;
+    first->previous->next = p;
+    first->previous = p;
+}
+
+void
+place_update(struct entry *e, struct place *p)
+{
+    uint32_t n = place_free(e, p);
+
+    unlist(p);
+    if (n > 0) {
+        list_last(p, level_of(e, p));
+    }
+    if (place_own(p)) {
+        p->pool->own_free += n - p->counted;
+        p->counted = n;
+    }
+}
+
+int64_t
+place_next_us(const struct entry *e, const struct place *p)
+{
+    int64_t probe_us;
+
+    if (p->closed || p->listed) {
+        return INT64_MAX;
+    }
+    if (p->blocked_us > e->now.mono_us) {
+        return p->blocked_us;
+    }
+    if (!place_own(p)) {
+        return INT64_MAX;
+    }
+    probe_us = health_next_us(p->upstream);
+    return probe_us > e->now.mono_us ? probe_us : INT64_MAX;
+}
+
+void
+place_block(struct entry *e, struct place *p)
+{
+    int64_t us = BLOCK_US << p->refusals;
+
+    p->blocked_us = e->now.mono_us + entry_jitter(e, us);
+    if (p->refusals < REFUSALS_COUNT) {
+        p->refusals++;
+    }
+    place_update(e, p);
+}
+
+void
+pool_add(struct entry *e, struct pool *pool, struct place *p)
+{
+    if (pool->n == pool->room) {
+        pool->room = pool->room == 0 ? POOL_START_ROOM : 2 * pool->room;
+        pool->all = realloc(pool->all, pool->room * sizeof(struct place *));
+        if (pool->all == NULL) {
+            abort();
+        }
+    }
+    p->pool = pool;
+    p->at = pool->n;
+    pool->all[pool->n++] = p;
+    place_update(e, p);
+}
+
+void
+pool_remove(struct pool *pool, struct place *p)
+{
+    unlist(p);
+    pool->own_free -= p->counted;
+    p->counted = 0;
+    pool->all[p->at] = pool->all[--pool->n];
+    pool->all[p->at]->at = p->at;
+    p->pool = NULL;
+}
+
+void
+pool_clear(struct pool *pool)
+{
+    free(pool->all);
+    memset(pool, 0, sizeof(*pool));
+}
+
+/* Picking */
+
+static bool
+acceptable(const struct entry *e, const struct place *p,
+           const struct pick *pick)
+{
+    if (place_fits(e, p, pick->need) == 0) {
+        return false;
+    }
+    if (place_own(p) && p->upstream->info.quarantined) {
+        return health_probe_suits(e, p->upstream, pick->idempotent);
+    }
+    return true;
+}
+
+/** pick_level() - in a level of equals, one on a rack that the job is not on
+ * yet where one is near the front, else the first that fits */
+static struct place *
+pick_level(const struct entry *e, struct place *first, const struct pick *pick)
+{
+    struct place *fits = NULL;
+    struct place *p = first;
+    int looked = 0;
+
+    do {
+        if (acceptable(e, p, pick)) {
+            if ((p->rack & pick->racks) == 0) {
+                return p;
+            }
+            fits = fits != NULL ? fits : p;
+        }
+        looked++;
+        p = p->next;
+    } while (p != first && (looked < LOOK_AT || fits == NULL));
+    return fits;
+}
+
+static struct place *
+pick_least_loaded(struct entry *e, struct pool *pool, const struct pick *pick)
+{
+    for (int level = 0; level < PLACE_LEVELS; level++) {
+        struct place *p;
+
+        if (pool->first[level] == NULL) {
+            continue;
+        }
+        p = pick_level(e, pool->first[level], pick);
+        if (p != NULL) {
+            return p;
+        }
+    }
+    return NULL;
+}
+
+static struct place *
+any_of(struct entry *e, struct pool *pool)
+{
+    return pool->all[entry_random(e) % pool->n];
+}
+
+/** pick_in_turn() - the first that fits, from a random one on */
+static struct place *
+pick_in_turn(struct entry *e, struct pool *pool, const struct pick *pick)
+{
+    size_t from = entry_random(e) % pool->n;
+
+    for (size_t i = 0; i < pool->n; i++) {
+        struct place *p = pool->all[(from + i) % pool->n];
+
+        if (acceptable(e, p, pick)) {
+            return p;
+        }
+    }
+    return NULL;
+}
+
+static struct place *
+pick_two_choices(struct entry *e, struct pool *pool, const struct pick *pick)
+{
+    struct place *a = any_of(e, pool);
+    struct place *b = any_of(e, pool);
+    struct place *better = place_free(e, a) >= place_free(e, b) ? a : b;
+
+    if (acceptable(e, better, pick)) {
+        return better;
+    }
+    return pick_in_turn(e, pool, pick);
+}
+
+static struct place *
+pick_random(struct entry *e, struct pool *pool, const struct pick *pick)
+{
+    for (int i = 0; i < RANDOM_TRIES; i++) {
+        struct place *p = any_of(e, pool);
+
+        if (acceptable(e, p, pick)) {
+            return p;
+        }
+    }
+    return pick_in_turn(e, pool, pick);
+}
+
+static struct place *(*const pickers[])(struct entry *e, struct pool *pool,
+                                        const struct pick *pick) = {
+    [PLACE_HOLDER] = pick_least_loaded,
+    [PLACE_DIRECT] = pick_two_choices,
+    [PLACE_RANDOM] = pick_random,
+};
+
+struct place *
+pool_pick(struct entry *e, struct pool *pool, const struct pick *pick)
+{
+    if (pool->n_listed == 0) {
+        return NULL;
+    }
+    return pickers[e->opts.placement](e, pool, pick);
+}
--- /dev/null
+++ b/src/queue.c
@@ -0,0 +1,145 @@
+#include "queue.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    QUEUE_START_ROOM = 32,
+    HANDICAP_TIMES = 4,      /* weight of work against waiting */
+    HANDICAP_LIMIT_PART = 2, /* of the time limit, at most */
+};
+
+/* With least work first alone, a steady stream of small jobs would keep a
+ * large one waiting until its deadline.  The handicap is bounded by half of
+ * the job's time limit, so nothing that comes later than that overtakes. */
+int64_t
+queue_rank_us(enum queue_order order, const struct queued *q, int64_t work_us)
+{
+    int64_t handicap = HANDICAP_TIMES * work_us;
+    int64_t most = q->limit_us / HANDICAP_LIMIT_PART;
+
+    if (order == ORDER_ARRIVAL) {
+        return q->submitted_us;
+    }
+    return q->submitted_us + (handicap < most ? handicap : most);
+}
+
+static bool
+before(const struct queued *a, const struct queued *b)
+{
+    if (a->rank_us != b->rank_us) {
+        return a->rank_us < b->rank_us;
+    }
+    return a->sequence < b->sequence;
+}
+
+static void
+set_at(struct queue *qu, size_t i, struct queued *q)
+{
+    qu->heap[i] = q;
+    q->at = i + 1;
+}
+
+static void
+sift_up(struct queue *qu, size_t i)
+{
+    struct queued *q = qu->heap[i];
+
+    while (i > 0) {
+        size_t parent = (i - 1) / 2;
+
+        if (!before(q, qu->heap[parent])) {
+            break;
+        }
+        set_at(qu, i, qu->heap[parent]);
+        i = parent;
+    }
+    set_at(qu, i, q);
+}
+
+static void
+sift_down(struct queue *qu, size_t i)
+{
+    struct queued *q = qu->heap[i];
+
+    for (;;) {
+        size_t child = 2 * i + 1;
+
+        if (child >= qu->n) {
+            break;
+        }
+        if (child + 1 < qu->n &&
+            before(qu->heap[child + 1], qu->heap[child])) {
+            child++;
+        }
+        if (!before(qu->heap[child], q)) {
+            break;
+        }
+        set_at(qu, i, qu->heap[child]);
+        i = child;
+    }
+    set_at(qu, i, q);
+}
+
+static void
+grow(struct queue *qu)
+{
+    if (qu->n < qu->room) {
+        return;
+    }
+    qu->room = qu->room == 0 ? QUEUE_START_ROOM : 2 * qu->room;
+    qu->heap = realloc(qu->heap, qu->room * sizeof(struct queued *));
+    if (qu->heap == NULL) {
+        abort();
+    }
+}
+
+void
+queue_put(struct queue *qu, struct queued *q)
+{
+    size_t i;
+
+    if (q->at == 0) {
+        grow(qu);
+        if (q->sequence == 0) {
+            q->sequence = ++qu->last_sequence;
+        }
+        set_at(qu, qu->n++, q);
+    }
+    i = q->at - 1;
+    sift_up(qu, i);
+    sift_down(qu, q->at - 1);
+}
+
+void
+queue_remove(struct queue *qu, struct queued *q)
+{
+    size_t i = q->at;
+    struct queued *last;
+
+    if (i == 0) {
+        return;
+    }
+    i--;
+    q->at = 0;
+    last = qu->heap[--qu->n];
+    if (last == q) {
+        return;
+    }
+    set_at(qu, i, last);
+    sift_up(qu, i);
+    sift_down(qu, last->at - 1);
+}
+
+struct queued *
+queue_first(const struct queue *qu)
+{
+    return qu->n > 0 ? qu->heap[0] : NULL;
+}
+
+void
+queue_clear(struct queue *qu)
+{
+    free(qu->heap);
+    memset(qu, 0, sizeof(*qu));
+}
--- /dev/null
+++ b/src/start.c
@@ -0,0 +1,545 @@
+#include "start.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+
+#include "health.h"
+#include "quota.h"
+#include "slot.h"
+#include "timers.h"
+#include "upstream.h"
+
+enum {
+    SILENT_TIMES = 4, /* 95th percentiles after which a start is silent */
+    ASK_TRIES = 6,    /* questions that reached nobody, before giving up */
+    ASK_DOUBLINGS = 4,
+};
+
+#define SILENT_MIN_US (1 * USEC_PER_SEC)
+#define ASK_FIRST_US (200 * USEC_PER_MSEC)
+
+/** struct start - one start in flight */
+struct start {
+    uint64_t call; /* first: looked up by it */
+    struct handle self;
+    struct handle job; /* none once the job is over */
+    struct handle place;
+    struct handle upstream;
+    struct service_state *service;
+    struct key_id key;
+    uint32_t index;
+    uint32_t tries; /* questions that reached nobody */
+    struct name name;
+    struct address address;
+    uint64_t incarnation;
+    uint64_t epoch;
+    struct resources need;
+    bool own; /* counted in what the upstream's own record has used */
+    int64_t declared_us;
+    int64_t expected_us;
+    int64_t sent_us;
+    int64_t deadline_us;
+    uint64_t question; /* call of the revoke on its way; 0: none */
+    int64_t ask_us;    /* when to ask; 0: not planned */
+};
+
+/** struct question - a revoke on its way */
+struct question {
+    uint64_t call; /* first: looked up by it */
+    struct handle self;
+    struct handle start;
+};
+
+struct starts {
+    struct table table;
+    struct map by_call;
+    struct table questions;
+    struct map question_by_call;
+    struct timers timers;
+};
+
+struct starts *
+starts_new(void)
+{
+    struct starts *ss = calloc(1, sizeof(*ss));
+
+    if (ss == NULL) {
+        abort();
+    }
+    table_init(&ss->table, sizeof(struct start));
+    map_init(&ss->by_call, MAP_U64);
+    table_init(&ss->questions, sizeof(struct question));
+    map_init(&ss->question_by_call, MAP_U64);
+    return ss;
+}
+
+void
+starts_free(struct starts *ss)
+{
+    map_clear(&ss->by_call);
+    table_clear(&ss->table);
+    map_clear(&ss->question_by_call);
+    table_clear(&ss->questions);
+    timers_clear(&ss->timers);
+    free(ss);
+}
+
+static struct starts *
+starts_of(const struct entry *e)
+{
+    return e->dispatch->starts;
+}
+
+/* Sending */
+
+static void
+add_resources(struct resources *used, struct resources need)
+{
+    used->cpu_milli += need.cpu_milli;
+    used->memory_mb += need.memory_mb;
+    used->accelerators += need.accelerators;
+}
+
+static void
+subtract_resources(struct resources *used, struct resources need)
+{
+    used->cpu_milli -= need.cpu_milli;
+    used->memory_mb -= need.memory_mb;
+    used->accelerators -= need.accelerators;
+}
+
+/** take_slot() - counts a start at its place and its upstream */
+static void
+take_slot(struct entry *e, struct start *s, struct place *p)
+{
+    struct upstream *u = p->upstream;
+
+    s->place = p->self;
+    s->own = place_own(p);
+    p->used++;
+    p->touched_us = e->now.mono_us;
+    if (u != NULL) {
+        s->upstream = u->self;
+        u->running++;
+        if (s->own) {
+            add_resources(&u->used, s->need);
+        }
+    }
+    s->service->running++;
+    place_update(e, p);
+}
+
+static void
+give_slot(struct entry *e, struct start *s)
+{
+    struct upstream *u = upstreams_of(e, s->upstream);
+    struct place *p = slots_place(e, s->place);
+
+    s->service->running--;
+    quotas_ended(e, s->service);
+    if (u != NULL) {
+        u->running--;
+        if (s->own) {
+            subtract_resources(&u->used, s->need);
+        }
+        if (u->place != NULL && u->place != p) {
+            place_update(e, u->place);
+        }
+    }
+    if (p != NULL) {
+        p->used--;
+        p->touched_us = e->now.mono_us;
+        place_update(e, p);
+        slots_ended(e, p);
+    }
+    dispatch_wake(e, s->service);
+}
+
+static int64_t
+silent_after(const struct start *s)
+{
+    int64_t us =
+        SILENT_TIMES * learn_tail_us(&s->service->learned, s->declared_us);
+
+    us = us > s->declared_us ? us : s->declared_us;
+    return us > SILENT_MIN_US ? us : SILENT_MIN_US;
+}
+
+static void
+emit_start(struct entry *e, const struct start *s, struct blob *payload)
+{
+    struct ef_start *f = &effects_add(e->fx, EF_START)->u.start;
+
+    f->call = s->call;
+    f->upstream = s->name;
+    f->address = s->address;
+    f->incarnation = s->incarnation;
+    f->epoch = s->epoch;
+    f->key = s->key;
+    f->index = s->index;
+    f->payload = blob_ref(payload);
+    f->silent_us = silent_after(s);
+    e->counters.tasks_started++;
+}
+
+void
+starts_send(struct entry *e, struct job *job, uint32_t index, struct place *p)
+{
+    struct starts *ss = starts_of(e);
+    struct queued *q = job->queue_place;
+    struct task *t = &job->tasks[index];
+    struct handle h;
+    struct start *s = table_add(&ss->table, &h);
+
+    s->call = entry_new_call(e);
+    s->self = h;
+    s->job = job->self;
+    s->service = q->service;
+    s->key = job->id;
+    s->index = index;
+    s->name = p->name;
+    s->address = p->address;
+    s->incarnation = p->incarnation;
+    s->epoch = place_own(p) ? p->upstream->info.epoch : p->epoch;
+    s->need = t->need;
+    s->declared_us = t->run_us;
+    s->expected_us = learn_expected_us(&s->service->learned, t->run_us);
+    s->sent_us = e->now.mono_us;
+    s->deadline_us = job->deadline_us;
+    map_put(&ss->by_call, s);
+    take_slot(e, s, p);
+    t->phase = TASK_SENT;
+    t->attempts++;
+    t->start = h;
+    job->n_sent++;
+    emit_start(e, s, t->payload);
+}
+
+void
+starts_forget(struct entry *e, struct handle start)
+{
+    struct start *s = table_get(&starts_of(e)->table, start);
+
+    if (s != NULL) {
+        s->job = (struct handle){0};
+    }
+}
+
+/* Questions */
+
+static void
+drop_question(struct starts *ss, struct start *s)
+{
+    struct question *q;
+
+    if (s->question == 0) {
+        return;
+    }
+    q = map_remove(&ss->question_by_call, &s->question);
+    s->question = 0;
+    if (q != NULL) {
+        table_remove(&ss->questions, q->self);
+    }
+}
+
+static void
+ask(struct entry *e, struct start *s)
+{
+    struct starts *ss = starts_of(e);
+    struct ef_revoke *f;
+    struct question *q;
+    struct handle h;
+
+    if (s->question != 0) {
+        return;
+    }
+    q = table_add(&ss->questions, &h);
+    q->call = entry_new_call(e);
+    q->self = h;
+    q->start = s->self;
+    map_put(&ss->question_by_call, q);
+    s->question = q->call;
+    s->ask_us = 0;
+    f = &effects_add(e->fx, EF_REVOKE)->u.revoke;
+    f->call = q->call;
+    f->upstream = s->name;
+    f->address = s->address;
+    f->incarnation = s->incarnation;
+    f->key = s->key;
+    f->index = s->index;
+    e->counters.revokes_sent++;
+}
+
+static void
+ask_later(struct entry *e, struct start *s)
+{
+    uint32_t doublings = s->tries < ASK_DOUBLINGS ? s->tries : ASK_DOUBLINGS;
+
+    s->ask_us = e->now.mono_us + entry_jitter(e, ASK_FIRST_US << doublings);
+    timers_add(&starts_of(e)->timers, s->ask_us, s->self);
+}
+
+/* Ends */
+
+/** end_start() - forgets a start and frees its slot; its job, if that still
+ * waits for it */
+static struct job *
+end_start(struct entry *e, struct start *s)
+{
+    struct starts *ss = starts_of(e);
+    struct job *job = jobs_of(e, s->job);
+
+    drop_question(ss, s);
+    give_slot(e, s);
+    if (job != NULL) {
+        job->tasks[s->index].start = (struct handle){0};
+        job->n_sent--;
+    }
+    (void)map_remove(&ss->by_call, &s->call);
+    table_remove(&ss->table, s->self);
+    return job;
+}
+
+static void
+note_ok(struct entry *e, struct start *s, int64_t ran_us)
+{
+    struct upstream *u = upstreams_of(e, s->upstream);
+    struct place *p = slots_place(e, s->place);
+    double expected = (double)(s->expected_us > 0 ? s->expected_us : 1);
+
+    if (ran_us <= 0) {
+        ran_us = e->now.mono_us - s->sent_us;
+    }
+    if (p != NULL) {
+        p->failures = 0;
+        p->refusals = 0;
+        p->done++;
+    }
+    if (u != NULL) {
+        health_ok(e, u, (double)ran_us / expected);
+    }
+    learn_sample(&s->service->learned, s->declared_us, ran_us);
+}
+
+static void
+note_failed(struct entry *e, struct start *s)
+{
+    struct upstream *u = upstreams_of(e, s->upstream);
+    struct place *p = slots_place(e, s->place);
+
+    if (p != NULL) {
+        p->failures++;
+    }
+    if (u != NULL) {
+        health_failed(e, u, 1);
+    }
+}
+
+/* One refusal of a full upstream usually comes with others that were sent at
+ * the same moment: together they count once, or a burst would look like an
+ * upstream that fails everything. */
+static void
+note_refused(struct entry *e, struct start *s)
+{
+    struct place *p = slots_place(e, s->place);
+
+    if (p == NULL || p->blocked_us > e->now.mono_us) {
+        return;
+    }
+    place_block(e, p);
+    dispatch_wake_at(e, p->blocked_us);
+    note_failed(e, s);
+}
+
+static void
+note_stale(struct entry *e, struct start *s)
+{
+    struct upstream *u = upstreams_of(e, s->upstream);
+    struct place *p = slots_place(e, s->place);
+
+    if (p != NULL && !place_own(p)) {
+        slots_close(e, p);
+    }
+    else if (u != NULL && u->held && u->info.epoch == s->epoch) {
+        upstreams_stale(e, u);
+    }
+}
+
+static void
+end_done(struct entry *e, struct start *s, bool ok, struct blob *result,
+         int64_t ran_us)
+{
+    uint32_t index = s->index;
+    struct job *job;
+
+    if (ok) {
+        note_ok(e, s, ran_us);
+    }
+    else {
+        note_failed(e, s);
+    }
+    job = end_start(e, s);
+    if (job == NULL) {
+        e->counters.outcomes_dropped++;
+        return;
+    }
+    e->counters.tasks_done++;
+    dispatch_task_done(e, job);
+    jobs_task_ended(e, job, index, ok, result);
+}
+
+static void
+end_not_started(struct entry *e, struct start *s)
+{
+    uint32_t index = s->index;
+    struct job *job = end_start(e, s);
+
+    if (job != NULL) {
+        dispatch_requeue(e, job, index);
+    }
+}
+
+/* Whether the task ran will never be known, so the job can never be complete:
+ * its caller is told now rather than at the deadline. */
+static void
+end_unknown(struct entry *e, struct start *s)
+{
+    struct handle h = s->self;
+    struct job *job = jobs_of(e, s->job);
+
+    entry_log(e, LOG_WARNING, REASON_OUTCOME_LOST, &s->key, (int32_t)s->index,
+              s->name, "incarnation %llu, not reached %u times",
+              (unsigned long long)s->incarnation, s->tries);
+    if (job != NULL) {
+        jobs_fail(e, job, REASON_OUTCOME_LOST);
+    }
+    s = table_get(&starts_of(e)->table, h);
+    if (s != NULL) {
+        (void)end_start(e, s);
+    }
+}
+
+void
+starts_on_ended(struct entry *e, const struct ev_ended *ev)
+{
+    struct start *s = map_get(&starts_of(e)->by_call, &ev->call);
+
+    if (s == NULL) {
+        e->counters.outcomes_dropped++;
+        return;
+    }
+    switch (ev->outcome) {
+    case START_DONE:
+        end_done(e, s, ev->ok, ev->result, ev->ran_us);
+        break;
+    case START_REFUSED:
+    case START_NO_CONNECT:
+        e->counters.starts_refused++;
+        note_refused(e, s);
+        end_not_started(e, s);
+        break;
+    case START_STALE:
+        e->counters.starts_refused++;
+        note_stale(e, s);
+        end_not_started(e, s);
+        break;
+    case START_LOST:
+    default:
+        e->counters.starts_lost++;
+        note_failed(e, s);
+        ask(e, s);
+        break;
+    }
+}
+
+static void
+on_unreachable(struct entry *e, struct start *s)
+{
+    s->tries++;
+    if (s->tries < ASK_TRIES || e->now.mono_us < s->deadline_us) {
+        ask_later(e, s);
+        return;
+    }
+    end_unknown(e, s);
+}
+
+void
+starts_on_revoked(struct entry *e, const struct ev_revoked *ev)
+{
+    struct starts *ss = starts_of(e);
+    struct question *q = map_get(&ss->question_by_call, &ev->call);
+    struct start *s = q != NULL ? table_get(&ss->table, q->start) : NULL;
+
+    if (s == NULL) {
+        e->counters.outcomes_dropped++;
+        return;
+    }
+    drop_question(ss, s);
+    switch (ev->outcome) {
+    case REVOKE_NEVER:
+        end_not_started(e, s);
+        break;
+    case REVOKE_DONE:
+        end_done(e, s, ev->ok, ev->result, 0);
+        break;
+    case REVOKE_RUNNING:
+        s->tries = 0;
+        ask_later(e, s);
+        break;
+    case REVOKE_UNREACHABLE:
+        on_unreachable(e, s);
+        break;
+    case REVOKE_OTHER_LIFE:
+    default:
+        end_unknown(e, s);
+        break;
+    }
+}
+
+void
+starts_upstream_gone(struct entry *e, struct upstream *u)
+{
+    struct starts *ss = starts_of(e);
+    struct handle h;
+    struct start *s;
+    uint32_t at = 0;
+
+    if (u->running == 0) {
+        return;
+    }
+    while ((s = table_next(&ss->table, &at, &h)) != NULL) {
+        if (handle_equal(s->upstream, u->self)) {
+            s->upstream = (struct handle){0};
+            ask(e, s);
+        }
+    }
+    u->running = 0;
+}
+
+void
+starts_tick(struct entry *e)
+{
+    struct starts *ss = starts_of(e);
+    struct handle h;
+
+    while (timers_pop(&ss->timers, e->now.mono_us, &h)) {
+        struct start *s = table_get(&ss->table, h);
+
+        if (s != NULL && s->ask_us != 0 && s->ask_us <= e->now.mono_us) {
+            ask(e, s);
+        }
+    }
+}
+
+int64_t
+starts_next_us(const struct entry *e)
+{
+    return timers_next_us(&starts_of(e)->timers);
+}
+
+uint32_t
+starts_count(const struct entry *e)
+{
+    return (uint32_t)starts_of(e)->table.n;
+}
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -6,6 +6,8 @@
 #include <xxhash.h>
 
 #include "dispatch.h"
+#include "health.h"
+#include "slot.h"
 #include "map.h"
 #include "member.h"
 
@@ -61,9 +63,16 @@
 void
 upstreams_free(struct upstreams *u)
 {
+    struct upstream *one;
+    struct handle h;
+    uint32_t at = 0;
+
     if (u == NULL) {
         return;
     }
+    while ((one = table_next(&u->table, &at, &h)) != NULL) {
+        health_free(one->health);
+    }
     map_clear(&u->by_name);
     table_clear(&u->table);
     map_clear(&u->fence_by_call);
@@ -109,8 +118,8 @@
 
 /* News to the zone */
 
-static void
-send_news(struct entry *e, const struct upstream *u)
+void
+upstreams_tell(struct entry *e, const struct upstream *u)
 {
     struct msg m = {.kind = MSG_UPSTREAM_NEWS};
     struct rec_upstream_news *news = &m.u.upstream_news;
@@ -220,7 +229,8 @@
 {
     const struct member *picked;
 
-    if (u->held || u->fencing || u->info.leaving) {
+    if (u->held || u->fencing || u->info.leaving ||
+        e->opts.placement != PLACE_HOLDER) {
         return;
     }
     picked = pick_holder(e, u->name);
@@ -274,10 +284,11 @@
     u->info.epoch = epoch;
     u->info.holder = e->opts.self;
     u->foreign = ev->running > known ? ev->running - known : 0;
+    health_taken(e, u);
     entry_log(e, LOG_INFO, REASON_HOLDER_TAKEN, NULL, -1, u->name,
               "epoch %llu, %u running there", (unsigned long long)epoch,
               ev->running);
-    send_news(e, u);
+    upstreams_tell(e, u);
     dispatch_upstream_changed(e, u);
 }
 
@@ -335,7 +346,7 @@
         u->info.holder = name_of("");
         drop_hold(e, u);
         dispatch_upstream_changed(e, u);
-        send_news(e, u);
+        upstreams_tell(e, u);
         u->fence_retry_us = e->now.mono_us + FENCE_BACKOFF_US;
         wake_by(e, u->fence_retry_us);
     }
@@ -354,6 +365,7 @@
     u->self = h;
     u->info = *info;
     u->heard_us = e->now.mono_us;
+    u->health = health_new();
     map_put(&us->by_name, u);
     entry_log(e, LOG_INFO, REASON_ANNOUNCED, NULL, -1, u->name,
               "service %s, %llu slots, incarnation %llu", info->service.s,
@@ -373,6 +385,7 @@
     entry_log(e, LOG_NOTICE, reason, NULL, -1, u->name, "incarnation %llu",
               (unsigned long long)u->info.incarnation);
     dispatch_upstream_gone(e, h);
+    health_free(u->health);
     (void)map_remove(&us->by_name, &name);
     table_remove(&us->table, h);
 }
@@ -450,6 +463,7 @@
     u->info.leaving |= old.leaving;
     u->info.epoch = old.epoch;
     u->info.holder = old.holder;
+    u->info.quarantined = old.quarantined;
     dispatch_upstream_changed(e, u);
     return true;
 }
@@ -512,6 +526,7 @@
     }
     info.epoch = 0;
     info.holder = name_of("");
+    info.quarantined = 0;
     u = meet(e, &info, &changed);
     if (u == NULL) {
         entry_refuse(e, ev->request, PROBLEM_STALE_LIFE, 0,
@@ -519,7 +534,7 @@
         return;
     }
     if (changed) {
-        send_news(e, u);
+        upstreams_tell(e, u);
     }
     else {
         members_renewed(e, u->name, u->info.incarnation,
@@ -539,7 +554,7 @@
     entry_log(e, LOG_INFO, REASON_LEAVING, NULL, -1, u->name,
               "no new work; %u running from here", u->running);
     dispatch_upstream_changed(e, u);
-    send_news(e, u);
+    upstreams_tell(e, u);
 }
 
 void
@@ -583,9 +598,9 @@
         u->info.holder = info->holder;
         if (u->held) {
             drop_hold(e, u);
-            dispatch_upstream_changed(e, u);
             back_off(e, u);
         }
+        dispatch_upstream_changed(e, u);
     }
     else if (info->epoch == u->info.epoch && !u->held) {
         u->info.holder = info->holder;
@@ -610,6 +625,7 @@
         u = meet(e, info, &changed);
         if (u != NULL) {
             learn_holder(e, u, info);
+            health_heard(e, u, info->quarantined != 0);
             take_if_picked(e, u);
         }
     }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -26,6 +26,8 @@
     uint32_t lent;           /* slots lent to others */
     struct resources used;   /* by running and lent */
     struct health *health;   /* of health.c */
+    struct place *place;     /* of dispatch.c: where it may be used */
+    struct service_state *service; /* of dispatch.c */
 };
 
 struct upstreams *upstreams_new(const struct entry *e);
@@ -64,6 +66,9 @@
 /** upstreams_free_on() - usable slots that nobody uses, as far as known */
 uint32_t upstreams_free_on(const struct upstream *u);
 
+/** upstreams_tell() - passes what is known of it to the zone */
+void upstreams_tell(struct entry *e, const struct upstream *u);
+
 void upstreams_tick(struct entry *e);
 int64_t upstreams_next_us(const struct entry *e);
 
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -37,6 +37,7 @@
     U64(busy)
     U64(epoch)          /* highest epoch the sender knows of */
     NAME(holder)        /* who has that epoch; empty while nobody */
+    U64(quarantined)    /* says its holder */
 END(upstream_info)
 
 RECORD(heartbeat)
@@ -176,6 +177,7 @@
     U64(grant)
     U64(slots)
     U64(failed)         /* tasks that failed there in a row */
+    U64(done)           /* tasks that succeeded there */
 END(slot_back)
 
 RECORD(slot_return)
