Let holders remember requests, recall idle slots, batch returns

Change: a request that was not met waits at the holder, which sends slots as they come free, in batches of 30 ms; who waits ranks by least work.

--- a/src/borrow.c
+++ b/src/borrow.c
@@ -12,7 +12,10 @@
                                         */
 #define WAIT_US (1 * USEC_PER_SEC)     /* a request is remembered */
 #define REPLY_US (300 * USEC_PER_MSEC) /* after which a reply is lost */
-#define SPARE_TIMES 3                  /* longer pauses to spare messages */
+#define BATCH_US (30 * USEC_PER_MSEC)  /* grants to those who wait */
+#define WORTH_US (20 * USEC_PER_MSEC)  /* of waiting, to ask for it */
+#define RANK_MARGIN_US (100 * USEC_PER_MSEC) /* to go before our own */
+#define SPARE_TIMES 3 /* longer pauses to spare messages */
 
 /** struct lender - what is known of another instance's free slots */
 struct lender {
@@ -24,14 +27,18 @@
     uint64_t request; /* on its way; 0: none */
     uint32_t asked;
     int64_t asked_us;
+    int64_t waits_us; /* it remembers our request until then */
 };
 
 /** struct slot_wait - another instance that asked for more than was free */
 struct slot_wait {
     struct name from;
+    bool near;
     uint64_t request;
     struct resources need;
     uint32_t count;
+    uint32_t first;  /* of them for the job with the rank below */
+    int64_t rank_us; /* see queue.h, by our clock */
     int64_t ends_us;
 };
 
@@ -40,8 +47,8 @@
     size_t n_lenders;
     struct slot_wait *waits; /* room for one of each instance */
     size_t n_waits;
-    size_t turn;
-    int64_t next_us; /* when to ask again */
+    int64_t next_us;  /* when to ask again */
+    int64_t serve_us; /* those who wait get nothing before that */
 };
 
 static struct borrowing *
@@ -143,19 +150,30 @@
 ask(struct entry *e, struct service_state *s, struct lender *l,
     struct resources need, uint32_t count)
 {
+    const struct queued *q = queue_first(&s->queue);
     struct msg m = {.kind = MSG_SLOT_REQUEST};
     struct rec_slot_request *r = &m.u.slot_request;
 
-    l->request = entry_new_call(e);
-    l->asked = count;
-    l->asked_us = e->now.mono_us;
-    l->free = l->free > count ? l->free - count : 0;
-    r->request = l->request;
+    r->request = entry_new_call(e);
+    r->wait = l->free == 0 ? 1 : 0;
+    if (r->wait != 0) {
+        l->waits_us = e->now.mono_us + WAIT_US;
+        l->quiet_us = e->now.mono_us + entry_jitter(e, WAIT_US / 2);
+    }
+    else {
+        l->request = r->request;
+        l->asked = count;
+        l->asked_us = e->now.mono_us;
+        l->free = l->free > count ? l->free - count : 0;
+    }
     r->service = s->name;
     r->count = count;
     r->cpu_milli = need.cpu_milli;
     r->memory_mb = need.memory_mb;
     r->accelerators = need.accelerators;
+    r->waited_us = (uint64_t)(e->now.mono_us - q->submitted_us);
+    r->handicap_us = (uint64_t)(q->rank_us - q->submitted_us);
+    r->first = q->n;
     entry_send(e, l->member->name, &m);
 }
 
@@ -211,18 +229,25 @@
     return count;
 }
 
-/** ask_to_wait() - leaves the request with holders of the zone that have
- * nothing free now */
+static bool
+may_spill(const struct service_state *s)
+{
+    return s->conf != NULL && s->conf->spill;
+}
+
+/** ask_to_wait() - leaves the request with holders that have nothing free
+ * now */
 static void
 ask_to_wait(struct entry *e, struct service_state *s, struct resources need,
             uint32_t count)
 {
     struct borrowing *b = s->borrowing;
+    bool far = may_spill(s) && !e->opts.spare_messages;
 
     for (size_t i = 0; i < b->n_lenders; i++) {
         struct lender *l = &b->lenders[i];
 
-        if (l->near && may_ask(e, l)) {
+        if ((l->near || far) && may_ask(e, l)) {
             ask(e, s, l, need, count);
         }
     }
@@ -234,10 +259,25 @@
     return e->opts.spare_messages ? us * SPARE_TIMES : us;
 }
 
-static bool
-may_spill(const struct service_state *s)
+/** borrow_stop() - withdraws what holders still remember: otherwise each would
+ * send slots that nobody needs any more, and have them sent back */
+void
+borrow_stop(struct entry *e, struct service_state *s)
 {
-    return s->conf != NULL && s->conf->spill;
+    struct borrowing *b = s->borrowing;
+
+    for (size_t i = 0; b != NULL && i < b->n_lenders; i++) {
+        struct lender *l = &b->lenders[i];
+        struct msg m = {.kind = MSG_SLOT_REQUEST};
+
+        if (l->waits_us <= e->now.mono_us) {
+            continue;
+        }
+        l->waits_us = 0;
+        l->quiet_us = e->now.mono_us;
+        m.u.slot_request.service = s->name;
+        entry_send(e, l->member->name, &m);
+    }
 }
 
 static uint32_t
@@ -256,6 +296,17 @@
     return job->tasks[q->tasks[q->n - 1]].need;
 }
 
+/** clear_us() - how long our own slots take to work @wanted tasks off */
+static int64_t
+clear_us(const struct service_state *s, uint32_t wanted)
+{
+    int64_t each = s->learned.samples > 0 ? (int64_t)s->learned.mean_us
+                                          : 100 * USEC_PER_MSEC;
+    uint32_t slots = s->running > 0 ? s->running : 1;
+
+    return each * wanted / slots;
+}
+
 void
 borrow_ask(struct entry *e, struct service_state *s)
 {
@@ -265,7 +316,8 @@
     struct resources need;
 
     b->next_us = e->now.mono_us + pause_us(e, QUIET_US);
-    if (wanted <= on_order) {
+    if (wanted <= on_order ||
+        (e->opts.spare_messages && clear_us(s, wanted) < WORTH_US)) {
         return;
     }
     wanted -= on_order;
@@ -274,7 +326,7 @@
     if (wanted > 0 && may_spill(s)) {
         wanted = ask_free(e, s, need, false, wanted);
     }
-    if (wanted > 0) {
+    if (wanted > 0 && clear_us(s, wanted) > pause_us(e, WORTH_US)) {
         ask_to_wait(e, s, need, wanted);
     }
 }
@@ -300,10 +352,11 @@
             continue;
         }
         l->request = 0;
+        l->waits_us = 0;
         if (given < l->asked) {
-            int64_t us = l->near ? WAIT_US : QUIET_US;
-
-            l->quiet_us = e->now.mono_us + entry_jitter(e, pause_us(e, us));
+            l->waits_us = l->asked_us + WAIT_US;
+            l->quiet_us =
+                e->now.mono_us + entry_jitter(e, pause_us(e, WAIT_US / 2));
         }
     }
 }
@@ -355,13 +408,14 @@
 
 void
 borrow_wait(struct entry *e, struct service_state *s, struct name from,
-            uint64_t request, struct resources need, uint32_t count)
+            const struct rec_slot_request *r, uint32_t count)
 {
     struct borrowing *b = borrowing_of(e, s);
     struct slot_wait *w = wait_of(b, from);
     const struct member *m = members_of(e, from);
+    int64_t rank_us = e->now.mono_us - (int64_t)r->waited_us;
 
-    if (m == NULL || !name_equal(m->zone, e->zone) || count == 0) {
+    if (m == NULL || count == 0) {
         if (w != NULL) {
             remove_wait(b, w);
         }
@@ -371,10 +425,16 @@
         w = &b->waits[b->n_waits++];
     }
     *w = (struct slot_wait){.from = from,
-                            .request = request,
-                            .need = need,
+                            .near = name_equal(m->zone, e->zone),
+                            .request = r->request,
+                            .need = {(uint32_t)r->cpu_milli,
+                                     (uint32_t)r->memory_mb,
+                                     (uint32_t)r->accelerators},
                             .count = count,
+                            .first = (uint32_t)r->first,
+                            .rank_us = rank_us + (int64_t)r->handicap_us,
                             .ends_us = e->now.mono_us + WAIT_US};
+    dispatch_wake(e, s);
 }
 
 void
@@ -392,29 +452,103 @@
     }
 }
 
+static void
+expire_waits(const struct entry *e, struct borrowing *b)
+{
+    for (size_t i = b->n_waits; i > 0; i--) {
+        if (b->waits[i - 1].ends_us <= e->now.mono_us) {
+            remove_wait(b, &b->waits[i - 1]);
+        }
+    }
+}
+
+static bool
+goes_before(const struct slot_wait *a, const struct slot_wait *b)
+{
+    if (a->near != b->near) {
+        return a->near;
+    }
+    return a->rank_us < b->rank_us;
+}
+
+static struct slot_wait *
+first_wait(struct borrowing *b)
+{
+    struct slot_wait *first = NULL;
+
+    for (size_t i = 0; i < b->n_waits; i++) {
+        if (first == NULL || goes_before(&b->waits[i], first)) {
+            first = &b->waits[i];
+        }
+    }
+    return first;
+}
+
+/** lend_to() - whether any slot went */
+static bool
+lend_to(struct entry *e, struct service_state *s, struct slot_wait *w,
+        uint32_t most)
+{
+    uint32_t given = slots_grant(e, s, w->from, w->request, w->need,
+                                 at_most(w->count, most), false);
+
+    w->count -= given;
+    w->first -= at_most(given, w->first);
+    if (w->count == 0) {
+        remove_wait(s->borrowing, w);
+    }
+    return given > 0;
+}
+
 void
 borrow_serve(struct entry *e, struct service_state *s)
 {
     struct borrowing *b = s->borrowing;
     size_t n = b != NULL ? b->n_waits : 0;
 
-    while (n-- > 0 && s->pool.own_free > 0 && b->n_waits > 0) {
-        struct slot_wait *w = &b->waits[b->turn++ % b->n_waits];
-        uint32_t given;
+    if (n == 0 || s->pool.own_free == 0) {
+        return;
+    }
+    if (b->serve_us > e->now.mono_us) {
+        dispatch_wake_at(e, b->serve_us);
+        return;
+    }
+    b->serve_us = e->now.mono_us + pause_us(e, BATCH_US);
+    expire_waits(e, b);
+    while (n-- > 0 && s->pool.own_free > 0) {
+        struct slot_wait *w = first_wait(b);
 
-        if (w->ends_us <= e->now.mono_us) {
-            remove_wait(b, w);
-            continue;
-        }
-        given = slots_grant(e, s, w->from, w->request, w->need,
-                            at_most(w->count, s->pool.own_free), false);
-        w->count -= given;
-        if (w->count == 0) {
-            remove_wait(b, w);
+        if (w == NULL || !lend_to(e, s, w, s->pool.own_free)) {
+            break;
         }
     }
 }
 
+bool
+borrow_before(struct entry *e, struct service_state *s, int64_t rank_us)
+{
+    struct borrowing *b = s->borrowing;
+    struct slot_wait *w;
+
+    if (b == NULL || b->n_waits == 0 || s->pool.own_free == 0) {
+        return false;
+    }
+    expire_waits(e, b);
+    w = first_wait(b);
+    if (w == NULL || w->first == 0 || !w->near ||
+        w->rank_us + RANK_MARGIN_US > rank_us) {
+        return false;
+    }
+    return lend_to(e, s, w, at_most(w->first, s->pool.own_free));
+}
+
+bool
+borrow_wanted(const struct service_state *s)
+{
+    return s->queued > 0 ||
+           (s->borrowing != NULL && s->borrowing->n_waits > 0);
+}
+
 void
 borrow_member_down(struct entry *e, struct service_state *s,
                    struct name member)
--- a/src/borrow.h
+++ b/src/borrow.h
@@ -3,9 +3,9 @@
  *
  * Heartbeats and replies tell how many free slots each holder has.  One
  * request covers the whole queue of a service, and goes to the fewest holders
- * that can meet it, those of this zone first.  A holder of the zone that has
- * nothing free remembers the request for a while and sends slots as they come
- * free, so that nobody has to ask again and again.
+ * that can meet it, those of this zone first.  A holder that has nothing
+ * free remembers the request for a while and sends slots as they come free, so
+ * that nobody has to ask again and again.
  */
 #ifndef BM_BORROW_H
 #define BM_BORROW_H
@@ -19,13 +19,16 @@
 /** borrow_ask() - asks for slots for what is queued */
 void borrow_ask(struct entry *e, struct service_state *s);
 
+/** borrow_stop() - nothing is queued any more */
+void borrow_stop(struct entry *e, struct service_state *s);
+
 /** borrow_answered() - a holder granted slots, or none */
 void borrow_answered(struct entry *e, struct service_state *s,
                      struct name from, const struct rec_slot_grant *m);
 
 /** borrow_wait() - remembers that @from wants @count more slots */
 void borrow_wait(struct entry *e, struct service_state *s, struct name from,
-                 uint64_t request, struct resources need, uint32_t count);
+                 const struct rec_slot_request *r, uint32_t count);
 
 /** borrow_unwanted() - @from returned slots unused: it wants no more */
 void borrow_unwanted(struct entry *e, struct service_state *s,
@@ -34,6 +37,13 @@
 /** borrow_serve() - lends free slots to those who wait for some */
 void borrow_serve(struct entry *e, struct service_state *s);
 
+/** borrow_before() - lends slots to one that waits with a job that goes well
+ * before the first of our own, whose rank is given; whether any went */
+bool borrow_before(struct entry *e, struct service_state *s, int64_t rank_us);
+
+/** borrow_wanted() - whether anybody here or elsewhere waits for slots */
+bool borrow_wanted(const struct service_state *s);
+
 void borrow_member_down(struct entry *e, struct service_state *s,
                         struct name member);
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -14,7 +14,7 @@
 
 enum {
     SERVICES_START = 16,
-    ATTEMPTS_MAX = 20, /* starts of one task */
+    ATTEMPTS_MAX = 50, /* starts of one task */
     ASIDE_MAX = 8,     /* jobs that do not fit now and are passed over */
     TOKENS_MAX = 1000, /* re-placements saved up */
     TOKENS_START = 100,
@@ -363,6 +363,8 @@
     struct queued *q;
 
     while (n_aside < ASIDE_MAX && (q = queue_first(&s->queue)) != NULL) {
+        while (borrow_before(e, s, q->rank_us)) {
+        }
         end = s->pool.n_listed > 0 ? serve_job(e, s, q) : NO_PLACE;
         if (end == NO_QUOTA || s->pool.n_listed == 0) {
             if (q->n > 0) {
@@ -386,13 +388,20 @@
 {
     enum served end = serve(e, s);
 
+    if (e->opts.placement != PLACE_HOLDER) {
+        return;
+    }
     if (s->queued == 0) {
+        borrow_stop(e, s);
         borrow_serve(e, s);
     }
-    else if (end != NO_QUOTA && e->opts.placement == PLACE_HOLDER) {
+    else if (end != NO_QUOTA) {
         borrow_ask(e, s);
         dispatch_wake_at(e, borrow_next_us(s));
     }
+    if (end != NO_QUOTA && borrow_wanted(s) && s->pool.own_free == 0) {
+        slots_recall(e, s);
+    }
 }
 
 void
@@ -530,7 +539,7 @@
             dispatch_wake(e, s);
         }
     }
-    if (borrow_next_us(s) <= e->now.mono_us) {
+    if (borrow_next_us(s) <= e->now.mono_us || borrow_wanted(s)) {
         dispatch_wake(e, s);
     }
 }
--- a/src/slot.c
+++ b/src/slot.c
@@ -11,9 +11,13 @@
 #include "timers.h"
 #include "upstream.h"
 
-#define LENT_MARGIN_US (10 * USEC_PER_SEC) /* after the lease of a grant */
-#define IDLE_US (10 * USEC_PER_MSEC)       /* before a slot goes back */
-#define IDLE_SPARE_US (50 * USEC_PER_MSEC)
+#define LENT_MARGIN_US (10 * USEC_PER_SEC)    /* after the lease of a grant */
+#define RECALL_US (30 * USEC_PER_MSEC)        /* between recalls */
+#define RECALL_AGAIN_US (100 * USEC_PER_MSEC) /* of the same borrower */
+#define SPARE_TIMES 3                 /* longer pauses to spare messages */
+#define DEBT_US (300 * USEC_PER_MSEC) /* run time until one is learned */
+#define IDLE_US (2 * USEC_PER_SEC)    /* before a slot goes back unasked */
+#define LOOK_US (500 * USEC_PER_MSEC) /* between looks at idle slots */
 
 /** struct lent - slots on one upstream that another instance may use */
 struct lent {
@@ -23,6 +27,7 @@
     struct name borrower;
     uint32_t slots;
     struct resources each;
+    int64_t since_us;
     int64_t ends_us;
 };
 
@@ -34,6 +39,13 @@
     size_t room;
 };
 
+/** struct debtor - a borrower, for recalls */
+struct debtor {
+    struct name borrower;
+    uint32_t slots;   /* see count_debts() */
+    int64_t quiet_us; /* it is not asked before */
+};
+
 struct slots {
     struct table places;
     struct table lents;
@@ -41,7 +53,10 @@
     struct timers lent_timers;
     struct backs backs[INSTANCES_MAX];
     size_t n_backs;
-    int64_t idle_us; /* when borrowed slots may have been idle for long */
+    struct debtor debtors[INSTANCES_MAX];
+    size_t n_debtors;
+    int64_t recall_us; /* nobody is asked before */
+    int64_t idle_us;   /* when borrowed slots may have been idle for long */
 };
 
 struct slots *
@@ -155,9 +170,15 @@
     p->done = 0;
 }
 
+/** wake_by() - looks are taken at fixed times, so that what falls due between
+ * two of them goes back in one message to each lender */
 static void
 wake_by(struct entry *e, int64_t us)
 {
+    if (us == INT64_MAX) {
+        return;
+    }
+    us = (us / LOOK_US + 1) * LOOK_US;
     if (us < e->slots->idle_us) {
         e->slots->idle_us = us;
     }
@@ -191,12 +212,6 @@
     place_update(e, p);
 }
 
-static int64_t
-idle_time(const struct entry *e)
-{
-    return e->opts.spare_messages ? IDLE_SPARE_US : IDLE_US;
-}
-
 void
 slots_ended(struct entry *e, struct place *p)
 {
@@ -209,7 +224,7 @@
         return;
     }
     if (!place_own(p)) {
-        wake_by(e, e->now.mono_us + idle_time(e));
+        wake_by(e, e->now.mono_us + IDLE_US);
     }
 }
 
@@ -289,9 +304,6 @@
         }
     }
     flush_backs(e);
-    if (sl->idle_us <= e->now.mono_us) {
-        sl->idle_us = e->now.mono_us + 1;
-    }
 }
 
 void
@@ -325,7 +337,7 @@
     p->expires_us = e->now.mono_us + (int64_t)g->duration_us;
     p->closed = u != NULL && u->info.epoch > g->epoch;
     pool_add(e, &s->pool, p);
-    wake_by(e, e->now.mono_us + idle_time(e));
+    wake_by(e, e->now.mono_us + IDLE_US);
     e->counters.slots_borrowed += g->slots;
 }
 
@@ -345,25 +357,99 @@
     dispatch_wake(e, s);
 }
 
-/* A recalled grant takes no further starts; it goes back as its tasks end. */
 static void
 on_recall(struct entry *e, struct name from, const struct rec_slot_recall *m)
 {
+    const struct service_state *s = dispatch_find(e, m->service);
     struct handle h;
     struct place *p;
     uint32_t at = 0;
 
+    if (s == NULL) {
+        return;
+    }
     while ((p = table_next(&e->slots->places, &at, &h)) != NULL) {
-        if (p->grant == m->grant && name_equal(p->lender, from) &&
-            !place_own(p)) {
-            slots_close(e, p);
-            return;
+        if (!place_own(p) && p->pool == &s->pool &&
+            name_equal(p->lender, from)) {
+            (void)look_at_borrowed(e, p, 0);
         }
     }
+    flush_backs(e);
 }
 
 /* Lending */
 
+static int64_t
+spared(const struct entry *e, int64_t us)
+{
+    return e->opts.spare_messages ? us * SPARE_TIMES : us;
+}
+
+/** debtor_of() - what a borrower has of a service's slots */
+static struct debtor *
+debtor_of(struct slots *sl, struct name borrower)
+{
+    for (size_t i = 0; i < sl->n_debtors; i++) {
+        if (name_equal(sl->debtors[i].borrower, borrower)) {
+            return &sl->debtors[i];
+        }
+    }
+    sl->debtors[sl->n_debtors].borrower = borrower;
+    return &sl->debtors[sl->n_debtors++];
+}
+
+/** count_debts() - slots lent so long ago that their first task should be
+ * over: those may be idle */
+static void
+count_debts(struct entry *e, const struct service_state *s)
+{
+    struct slots *sl = e->slots;
+    int64_t before = e->now.mono_us - learn_expected_us(&s->learned, DEBT_US);
+    struct handle h;
+    struct lent *l;
+    uint32_t at = 0;
+
+    for (size_t i = 0; i < sl->n_debtors; i++) {
+        sl->debtors[i].slots = 0;
+    }
+    while ((l = table_next(&sl->lents, &at, &h)) != NULL) {
+        const struct upstream *u = upstreams_of(e, l->upstream);
+
+        if (u != NULL && u->service == s && l->since_us < before) {
+            debtor_of(sl, l->borrower)->slots += l->slots;
+        }
+    }
+}
+
+void
+slots_recall(struct entry *e, struct service_state *s)
+{
+    struct slots *sl = e->slots;
+    struct debtor *most = NULL;
+    struct msg m = {.kind = MSG_SLOT_RECALL};
+
+    if (sl->recall_us > e->now.mono_us || sl->lents.n == 0) {
+        return;
+    }
+    sl->recall_us = e->now.mono_us + spared(e, RECALL_US);
+    count_debts(e, s);
+    for (size_t i = 0; i < sl->n_debtors; i++) {
+        struct debtor *d = &sl->debtors[i];
+
+        if (d->quiet_us <= e->now.mono_us && d->slots > 0 &&
+            (most == NULL || d->slots > most->slots)) {
+            most = d;
+        }
+    }
+    if (most == NULL) {
+        return;
+    }
+    most->quiet_us =
+        e->now.mono_us + entry_jitter(e, spared(e, RECALL_AGAIN_US));
+    m.u.slot_recall.service = s->name;
+    entry_send(e, most->borrower, &m);
+}
+
 static void
 count_lent(struct upstream *u, const struct lent *l)
 {
@@ -397,6 +483,7 @@
     l->borrower = borrower;
     l->slots = slots;
     l->each = need;
+    l->since_us = e->now.mono_us;
     l->ends_us = e->now.mono_us + e->opts.grant_us + LENT_MARGIN_US;
     map_put(&sl->lent_by_grant, l);
     timers_add(&sl->lent_timers, l->ends_us, h);
@@ -546,9 +633,12 @@
                              (uint32_t)r->accelerators};
     uint32_t count =
         r->count < SLOT_REQUEST_MAX ? (uint32_t)r->count : SLOT_REQUEST_MAX;
-    uint32_t given = slots_grant(e, s, from, r->request, need, count, true);
+    uint32_t given = 0;
 
-    borrow_wait(e, s, from, r->request, need, count - given);
+    if (count > 0) {
+        given = slots_grant(e, s, from, r->request, need, count, r->wait == 0);
+    }
+    borrow_wait(e, s, from, r, count - given);
 }
 
 void
@@ -669,7 +759,7 @@
         }
     }
     if (sl->idle_us <= e->now.mono_us) {
-        look_at_all(e, idle_time(e));
+        look_at_all(e, IDLE_US);
     }
 }
 
--- a/src/slot.h
+++ b/src/slot.h
@@ -38,6 +38,10 @@
                      uint64_t request, struct resources need, uint32_t count,
                      bool answer);
 
+/** slots_recall() - asks those who borrowed slots of the service to return at
+ * once what is idle */
+void slots_recall(struct entry *e, struct service_state *s);
+
 /** slots_epoch() - the upstream's epoch rose: grants under lower ones and
  * what was lent under them are void */
 void slots_epoch(struct entry *e, struct upstream *u);
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -150,6 +150,10 @@
     U64(cpu_milli)      /* needed in each slot */
     U64(memory_mb)
     U64(accelerators)
+    U64(waited_us)      /* by the job that goes first at the asker */
+    U64(handicap_us)    /* of that job, see queue.h */
+    U64(first)          /* its queued tasks */
+    U64(wait)           /* answer only with slots, now or as they come free */
 END(slot_request)
 
 RECORD(grant)           /* slots on one upstream, lent to the asker */
@@ -184,9 +188,8 @@
     ARRAY(slot_back, backs)
 END(slot_return)
 
-RECORD(slot_recall)     /* the holder wants idle slots back */
-    U64(grant)
-    U64(slots)
+RECORD(slot_recall)     /* the holder wants all idle slots back, at once */
+    NAME(service)
 END(slot_recall)
 
 RECORD(follower)        /* an instance and the configuration in force there */
