Add the HELLO message that opens a connection between processes

Cause: a connection says nothing about who speaks on it, and a name in every message would cost bytes and could change half-way.

Change: record hello (sender, incarnation, heartbeat) appended to the wire lists as the last kind.

--- a/src/msg_list.h
+++ b/src/msg_list.h
@@ -19,4 +19,5 @@
 MSG(SLOT_RECALL, slot_recall)
 MSG(CONFIG_REQUEST, config_request)
 MSG(CONFIG_REPLY, config_reply)
+MSG(HELLO, hello)
 /* clang-format on */
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -197,4 +197,10 @@
     BLOB(config)        /* canonical text of all service files */
     U64(term)           /* of the log entry, for checks */
 END(config_reply)
+
+RECORD(hello)           /* first on a connection, in both directions */
+    NAME(sender)
+    U64(incarnation)
+    U64(heartbeat_us)   /* at least a frame in each such time */
+END(hello)
 /* clang-format on */
