--- a/src/log.c
+++ b/src/log.c
@@ -1,7 +1,6 @@
 #include "log.h"
 
 #include <errno.h>
-#include <jansson.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -10,6 +9,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "jsontext.h"
+
 enum { TEXT_SIZE = 512, TIME_SIZE = 40 };
 
 static struct {
@@ -72,31 +73,11 @@
                    (int)(wall_us % USEC_PER_SEC));
 }
 
-/* jansson refuses text that is not UTF-8, and a line without its text would
- * hide just the hostile input it is about: such bytes become '?'. */
-static json_t *
-text_of(const char *text)
-{
-    json_t *s = json_string(text);
-    char plain[TEXT_SIZE];
-
-    if (s != NULL) {
-        return s;
-    }
-    (void)snprintf(plain, sizeof(plain), "%s", text);
-    for (char *p = plain; *p != '\0'; p++) {
-        if ((unsigned char)*p >= 0x80) {
-            *p = '?';
-        }
-    }
-    return json_string(plain);
-}
-
 static void
 put_text(json_t *line, const char *name, const char *text)
 {
     if (text != NULL && text[0] != '\0') {
-        (void)json_object_set_new(line, name, text_of(text));
+        (void)json_object_set_new(line, name, jsontext_lenient(text));
     }
 }
 
@@ -120,7 +101,7 @@
 static void
 write_line(const json_t *line)
 {
-    char *text = json_dumps(line, JSON_COMPACT);
+    char *text = line != NULL ? json_dumps(line, JSON_COMPACT) : NULL;
     size_t size;
 
     if (text == NULL) {
@@ -134,18 +115,14 @@
     free(text);
 }
 
-void
-log_write(const struct log_record *r)
+static json_t *
+line_of(const struct log_record *r)
 {
     char time[TIME_SIZE];
-    json_t *line;
+    json_t *line = json_object();
 
-    if (!log_enabled(r->severity)) {
-        return;
-    }
-    line = json_object();
     if (line == NULL) {
-        return;
+        return NULL;
     }
     format_time(time);
     put_text(line, "time", time);
@@ -158,6 +135,37 @@
     }
     put_text(line, "subject", r->subject);
     put_text(line, "detail", r->detail);
+    return line;
+}
+
+void
+log_write(const struct log_record *r)
+{
+    json_t *line;
+
+    if (!log_enabled(r->severity)) {
+        return;
+    }
+    line = line_of(r);
+    write_line(line);
+    json_decref(line);
+}
+
+void
+log_json(int severity, const char *reason, const char *name, const char *json)
+{
+    struct log_record r = {.severity = severity, .reason = reason, .task = -1};
+    json_t *value;
+    json_t *line;
+
+    if (!log_enabled(severity)) {
+        return;
+    }
+    line = line_of(&r);
+    value = json_loads(json, 0, NULL);
+    if (value != NULL) {
+        (void)json_object_set_new(line, name, value);
+    }
     write_line(line);
     json_decref(line);
 }
--- a/src/log.h
+++ b/src/log.h
@@ -46,6 +46,10 @@
 void log_event(int severity, const char *reason, const char *subject,
                const char *format, ...) __attribute__((format(printf, 4, 5)));
 
+/** log_json() - a record with JSON text as the value of member @name */
+void log_json(int severity, const char *reason, const char *name,
+              const char *json);
+
 /** log_severity_name() - syslog's word for a severity */
 const char *log_severity_name(int severity);
 
--- /dev/null
+++ b/src/stats.h
@@ -0,0 +1,60 @@
+/**
+ * DOC: stats - counters of the shells, beside those of the reducer
+ *
+ * Atomic and process-wide; they only rise.
+ */
+#ifndef BM_STATS_H
+#define BM_STATS_H
+
+#include <stdatomic.h>
+#include <stdint.h>
+#include <stdio.h>
+
+/* STAT(name, help) */
+/* clang-format off */
+#define STAT_LIST(STAT)                                                       \
+    STAT(http_requests, "requests whose headers arrived")                     \
+    STAT(http_refused, "requests refused by the shell")                       \
+    STAT(http_slow_bodies, "requests whose body came too slowly")             \
+    STAT(http_inbox_full, "requests refused because the inbox was full")      \
+    STAT(calls_begun, "requests sent to upstreams")                           \
+    STAT(calls_not_resent, "starts that libcurl was kept from sending again") \
+    STAT(peer_connects, "connections to other instances opened")              \
+    STAT(peer_accepts, "connections of other instances accepted")             \
+    STAT(peer_refused, "connections refused: not a configured name")          \
+    STAT(peer_silent, "connections closed because nothing came")              \
+    STAT(peer_cut_off, "connections closed because nobody read")              \
+    STAT(peer_bad_frames, "frames that made no sense")                        \
+    STAT(peer_dropped, "messages dropped for want of a connection")           \
+    STAT(peer_frames_in, "frames received")                                   \
+    STAT(peer_frames_out, "frames sent")                                      \
+    STAT(peer_bytes_in, "bytes received from other instances")                \
+    STAT(peer_bytes_out, "bytes sent to other instances")                     \
+    STAT(steps, "events the reducer took")                                    \
+    STAT(step_ns, "time in the reducer, nanoseconds")                         \
+    STAT(effect_ns, "time carrying out effects, nanoseconds")
+/* clang-format on */
+
+struct stats {
+#define STAT(name, help) atomic_ullong name;
+    STAT_LIST(STAT)
+#undef STAT
+};
+
+extern struct stats stats;
+
+/** stats_add() - adds to a counter */
+static inline void
+stats_add(atomic_ullong *counter, uint64_t n)
+{
+    (void)atomic_fetch_add_explicit(counter, n, memory_order_relaxed);
+}
+
+/** stats_print() - all counters in the Prometheus text format */
+void stats_print(FILE *out);
+
+/** stats_print_one() - a counter or gauge in the Prometheus text format */
+void stats_print_one(FILE *out, const char *name, const char *type,
+                     const char *help, uint64_t value);
+
+#endif
