Add the connections between processes

Cause: instances and control need typed messages over TCP that survive half-open connections, peers that do not read, and hostile bytes.

Only configured names may speak; a remote without an address is not dialed and is answered on the connection it opened.

Conclusion: a frame of an unknown kind is counted and passed over, since a newer version may send it; every other bad frame closes the connection.

--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,740 @@
+#include "peer.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "conn.h"
+#include "log.h"
+#include "mailbox.h"
+#include "map.h"
+#include "stats.h"
+
+enum {
+    RING_ROOM = 4, /* unused: messages are posted */
+    EVENTS_MAX = 64,
+    HELLO_MAX = 1024,   /* bytes of a frame from somebody unknown */
+    STRANGERS_MAX = 64, /* accepted connections beyond two a remote */
+    SILENT_HEARTBEATS = 3,
+    READS_MAX = 16,       /* of one connection in a row */
+    TIMER_US = 20 * 1000, /* between looks at the timers */
+    BACKOFF_MIN_US = 50 * 1000,
+    BACKOFF_MAX_US = 2 * 1000 * 1000,
+    SILENCE_MAX_US = 60 * 1000 * 1000,
+};
+
+/* A process that may speak. */
+struct remote {
+    struct name name; /* first: looked up by it */
+    struct netaddr address;
+    bool has_address;
+    struct conn *dialed;
+    struct conn *accepted;
+    int64_t dial_due_us;
+    int64_t backoff_us;
+    bool up;
+};
+
+/* A message on its way to the thread. */
+struct outgoing {
+    struct mail mail;
+    struct name to;
+    struct msg msg;
+};
+
+struct peer {
+    struct peer_options opts;
+    struct mailbox mailbox;
+    pthread_t thread;
+    atomic_bool stop;
+    int epoll;
+    int listener; /* -1 for none */
+    bool listening;
+    struct remote *remotes;
+    size_t n_remotes;
+    struct map by_name;
+    TAILQ_HEAD(conn_list, conn) conns;
+    size_t n_conns;
+    struct conn_list closed;
+    int64_t now_us;
+    int64_t timers_due_us;
+    uint64_t random;
+};
+
+struct peer_options
+peer_options_default(void)
+{
+    return (struct peer_options){
+        .heartbeat_us = 500 * USEC_PER_MSEC,
+        .send_max = (size_t)32 << 20,
+        .frame_max = WIRE_FRAME_MAX,
+    };
+}
+
+/* xorshift64: jitter needs no better one. */
+static uint64_t
+next_random(struct peer *p)
+{
+    p->random ^= p->random << 13;
+    p->random ^= p->random >> 7;
+    p->random ^= p->random << 17;
+    return p->random;
+}
+
+static const char *
+conn_name(const struct conn *c)
+{
+    return c->remote != NULL ? c->remote->name.s : "unknown";
+}
+
+static struct conn *
+remote_conn(const struct remote *r)
+{
+    if (r->dialed != NULL && r->dialed->state == CONN_OPEN) {
+        return r->dialed;
+    }
+    if (r->accepted != NULL && r->accepted->state == CONN_OPEN) {
+        return r->accepted;
+    }
+    return NULL;
+}
+
+static void
+remote_changed(struct peer *p, struct remote *r)
+{
+    bool up = remote_conn(r) != NULL;
+
+    if (up != r->up) {
+        r->up = up;
+        p->opts.on_peer(p->opts.ctx, r->name, up);
+    }
+}
+
+/* Half to one and a half times the backoff: without jitter, all instances
+ * would dial a restarted one in step. */
+static void
+dial_later(struct peer *p, struct remote *r)
+{
+    r->dial_due_us = p->now_us + r->backoff_us / 2 +
+                     (int64_t)(next_random(p) % (uint64_t)(r->backoff_us + 1));
+    r->backoff_us = 2 * r->backoff_us;
+    if (r->backoff_us > BACKOFF_MAX_US) {
+        r->backoff_us = BACKOFF_MAX_US;
+    }
+}
+
+static void
+watch(struct peer *p, struct conn *c, bool out)
+{
+    struct epoll_event e = {.events = EPOLLIN | (out ? EPOLLOUT : 0),
+                            .data.ptr = c};
+
+    c->want_out = out;
+    (void)epoll_ctl(p->epoll, EPOLL_CTL_MOD, c->fd, &e);
+}
+
+static bool
+conn_add(struct peer *p, struct conn *c, enum conn_state state)
+{
+    struct epoll_event e = {.events = EPOLLIN, .data.ptr = c};
+
+    if (state == CONN_DIALING) {
+        e.events |= EPOLLOUT;
+        c->want_out = true;
+    }
+    if (epoll_ctl(p->epoll, EPOLL_CTL_ADD, c->fd, &e) != 0) {
+        conn_free(c);
+        return false;
+    }
+    c->state = state;
+    c->last_in_us = p->now_us;
+    c->last_out_us = p->now_us;
+    c->silence_us = SILENT_HEARTBEATS * p->opts.heartbeat_us;
+    TAILQ_INSERT_TAIL(&p->conns, c, link);
+    p->n_conns++;
+    return true;
+}
+
+/* Events of this round may still point to it: freed at the round's end. */
+static void
+conn_close(struct peer *p, struct conn *c, int severity, const char *why)
+{
+    struct remote *r = c->remote;
+
+    if (c->state == CONN_CLOSED) {
+        return;
+    }
+    log_event(severity, "peer-closed", conn_name(c), "%s connection: %s",
+              c->dialed ? "dialed" : "accepted", why);
+    c->state = CONN_CLOSED;
+    (void)epoll_ctl(p->epoll, EPOLL_CTL_DEL, c->fd, NULL);
+    (void)shutdown(c->fd, SHUT_RDWR);
+    TAILQ_REMOVE(&p->conns, c, link);
+    p->n_conns--;
+    TAILQ_INSERT_TAIL(&p->closed, c, link);
+    if (r == NULL) {
+        return;
+    }
+    if (r->dialed == c) {
+        r->dialed = NULL;
+        dial_later(p, r);
+    }
+    if (r->accepted == c) {
+        r->accepted = NULL;
+    }
+    remote_changed(p, r);
+}
+
+static void
+conn_flush(struct peer *p, struct conn *c)
+{
+    ssize_t n;
+    bool left;
+
+    c->unsent = false;
+    if (c->state == CONN_CLOSED || c->state == CONN_DIALING) {
+        return;
+    }
+    n = conn_write(c);
+    if (n < 0) {
+        conn_close(p, c, LOG_INFO, strerror(errno));
+        return;
+    }
+    stats_add(&stats.peer_bytes_out, (uint64_t)n);
+    left = bytes_size(&c->out) > 0;
+    if (left != c->want_out) {
+        watch(p, c, left);
+    }
+}
+
+static void
+conn_hello(struct peer *p, struct conn *c)
+{
+    struct msg hello = {.kind = MSG_HELLO};
+
+    hello.u.hello.sender = p->opts.self;
+    hello.u.hello.incarnation = p->opts.incarnation;
+    hello.u.hello.heartbeat_us = (uint64_t)p->opts.heartbeat_us;
+    (void)frame_put(&c->out, &hello);
+    c->last_out_us = p->now_us;
+    conn_flush(p, c);
+}
+
+static void
+dial(struct peer *p, struct remote *r)
+{
+    struct conn *c = conn_dial(&r->address);
+
+    if (c == NULL) {
+        dial_later(p, r);
+        return;
+    }
+    c->dialed = true;
+    c->remote = r;
+    if (!conn_add(p, c, CONN_DIALING)) {
+        dial_later(p, r);
+        return;
+    }
+    r->dialed = c;
+}
+
+static void
+on_dialed(struct peer *p, struct conn *c)
+{
+    int err = conn_dialed_error(c);
+
+    if (err != 0) {
+        conn_close(p, c, LOG_INFO, strerror(err));
+        return;
+    }
+    c->state = CONN_GREETING;
+    c->last_in_us = p->now_us;
+    stats_add(&stats.peer_connects, 1);
+    watch(p, c, false);
+    conn_hello(p, c);
+}
+
+static void
+set_listening(struct peer *p, bool on)
+{
+    struct epoll_event e = {.events = EPOLLIN, .data.ptr = NULL};
+
+    if (p->listener < 0 || p->listening == on) {
+        return;
+    }
+    p->listening = on;
+    (void)epoll_ctl(p->epoll, on ? EPOLL_CTL_ADD : EPOLL_CTL_DEL, p->listener,
+                    &e);
+}
+
+static void
+on_listener(struct peer *p)
+{
+    struct conn *c = conn_accept(p->listener);
+
+    if (c == NULL) {
+        /* Out of descriptors, the listener would stay readable and this
+         * thread would spin; the timer tries again. */
+        set_listening(p, errno == EAGAIN || errno == ECONNABORTED ||
+                             errno == EINTR);
+        return;
+    }
+    stats_add(&stats.peer_accepts, 1);
+    if (p->n_conns >= 2 * p->n_remotes + STRANGERS_MAX) {
+        stats_add(&stats.peer_refused, 1);
+        conn_free(c);
+        return;
+    }
+    (void)conn_add(p, c, CONN_GREETING);
+}
+
+static void
+set_silence(struct peer *p, struct conn *c, uint64_t their_us)
+{
+    int64_t us = p->opts.heartbeat_us;
+
+    if (their_us <= SILENCE_MAX_US && (int64_t)their_us > us) {
+        us = (int64_t)their_us;
+    }
+    c->silence_us = SILENT_HEARTBEATS * us;
+}
+
+/* A remote that restarted behind a cut dials again while its old connection
+ * looks open here: the newest one is the one that works. */
+static void
+accepted_open(struct peer *p, struct conn *c, struct remote *r)
+{
+    struct conn *old = r->accepted;
+
+    c->remote = r;
+    r->accepted = c;
+    if (old != NULL) {
+        old->remote = NULL;
+        conn_close(p, old, LOG_INFO, "replaced by a newer one");
+    }
+    conn_hello(p, c);
+}
+
+static void
+on_hello(struct peer *p, struct conn *c, const struct rec_hello *hello)
+{
+    struct remote *r = map_get(&p->by_name, &hello->sender);
+
+    if (r == NULL || (c->dialed && c->remote != r)) {
+        stats_add(&stats.peer_refused, 1);
+        log_event(LOG_WARNING, "peer-refused", hello->sender.s,
+                  "says HELLO on %s connection with %s",
+                  c->dialed ? "the dialed" : "an accepted", conn_name(c));
+        conn_close(p, c, LOG_DEBUG, "not the one expected");
+        return;
+    }
+    c->state = CONN_OPEN;
+    set_silence(p, c, hello->heartbeat_us);
+    if (c->dialed) {
+        r->backoff_us = BACKOFF_MIN_US;
+    }
+    else {
+        accepted_open(p, c, r);
+    }
+    log_event(LOG_INFO, "peer-open", r->name.s,
+              "%s connection, incarnation %" PRIu64,
+              c->dialed ? "dialed" : "accepted", hello->incarnation);
+    remote_changed(p, r);
+}
+
+static void
+bad_frame(struct peer *p, struct conn *c, const char *why)
+{
+    stats_add(&stats.peer_bad_frames, 1);
+    conn_close(p, c, LOG_WARNING, why);
+}
+
+static void
+on_frame(struct peer *p, struct conn *c, const char *body, size_t size)
+{
+    struct msg m;
+    enum wire_error err;
+
+    stats_add(&stats.peer_frames_in, 1);
+    if (size == 0) {
+        return;
+    }
+    err = wire_decode(body, size, &m);
+    if (err == WIRE_UNKNOWN && c->state == CONN_OPEN) {
+        stats_add(&stats.peer_bad_frames, 1); /* of a newer version */
+        return;
+    }
+    if (err != WIRE_OK) {
+        bad_frame(p, c, "malformed frame");
+        return;
+    }
+    if ((m.kind == MSG_HELLO) != (c->state == CONN_GREETING)) {
+        bad_frame(p, c, "HELLO missing or repeated");
+        msg_free(&m);
+    }
+    else if (m.kind == MSG_HELLO) {
+        on_hello(p, c, &m.u.hello);
+    }
+    else {
+        p->opts.on_message(p->opts.ctx, c->remote->name, &m);
+    }
+}
+
+static void
+take_frames(struct peer *p, struct conn *c)
+{
+    const char *body;
+    size_t size;
+
+    while (c->state != CONN_CLOSED) {
+        size_t max =
+            c->state == CONN_OPEN ? p->opts.frame_max : (size_t)HELLO_MAX;
+        enum frame_status status = frame_next(&c->in, max, &body, &size);
+
+        if (status == FRAME_NONE) {
+            return;
+        }
+        if (status == FRAME_TOO_LARGE) {
+            bad_frame(p, c, "oversized frame");
+            return;
+        }
+        on_frame(p, c, body, size);
+        bytes_drop(&c->in, FRAME_HEAD + size);
+    }
+}
+
+static void
+on_readable(struct peer *p, struct conn *c)
+{
+    for (int i = 0; i < READS_MAX && c->state != CONN_CLOSED; i++) {
+        ssize_t n = conn_read(c);
+
+        if (n == 0) {
+            return;
+        }
+        if (n < 0) {
+            conn_close(p, c, LOG_INFO, "closed by the other end");
+            return;
+        }
+        c->last_in_us = p->now_us;
+        stats_add(&stats.peer_bytes_in, (uint64_t)n);
+        take_frames(p, c);
+    }
+}
+
+static void
+on_conn(struct peer *p, struct conn *c, uint32_t events)
+{
+    if (c->state == CONN_DIALING) {
+        on_dialed(p, c);
+        return;
+    }
+    if ((events & EPOLLOUT) != 0) {
+        conn_flush(p, c);
+    }
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
+        on_readable(p, c);
+    }
+}
+
+static void
+send_one(struct peer *p, struct outgoing *o)
+{
+    struct remote *r = map_get(&p->by_name, &o->to);
+    struct conn *c = r != NULL ? remote_conn(r) : NULL;
+
+    if (c == NULL) {
+        stats_add(&stats.peer_dropped, 1);
+        return;
+    }
+    if (frame_put(&c->out, &o->msg) != WIRE_OK) {
+        stats_add(&stats.peer_dropped, 1);
+        log_event(LOG_ERR, "peer-unsendable", o->to.s, "%s does not fit",
+                  msg_name(o->msg.kind));
+        return;
+    }
+    stats_add(&stats.peer_frames_out, 1);
+    c->last_out_us = p->now_us;
+    c->unsent = true;
+    if (bytes_size(&c->out) > p->opts.send_max) {
+        stats_add(&stats.peer_cut_off, 1);
+        conn_close(p, c, LOG_WARNING, "does not read");
+    }
+}
+
+/* All that was posted is queued first and then written with one call a
+ * connection. */
+static void
+send_posted(struct peer *p)
+{
+    struct mail *mail;
+    struct conn *c;
+    struct conn *next;
+
+    while ((mail = mailbox_take(&p->mailbox)) != NULL) {
+        struct outgoing *o = (struct outgoing *)mail;
+
+        send_one(p, o);
+        msg_free(&o->msg);
+        free(o);
+    }
+    for (c = TAILQ_FIRST(&p->conns); c != NULL; c = next) {
+        next = TAILQ_NEXT(c, link);
+        if (c->unsent) {
+            conn_flush(p, c);
+        }
+    }
+}
+
+static void
+check_conn(struct peer *p, struct conn *c)
+{
+    if (p->now_us - c->last_in_us >= c->silence_us) {
+        stats_add(&stats.peer_silent, 1);
+        conn_close(p, c, LOG_WARNING, "nothing came for three heartbeats");
+        return;
+    }
+    if (c->state == CONN_OPEN &&
+        p->now_us - c->last_out_us >= p->opts.heartbeat_us / 2) {
+        frame_put_empty(&c->out);
+        c->last_out_us = p->now_us;
+        conn_flush(p, c);
+    }
+}
+
+static void
+run_timers(struct peer *p)
+{
+    struct conn *c;
+    struct conn *next;
+
+    if (p->now_us < p->timers_due_us) {
+        return;
+    }
+    p->timers_due_us = p->now_us + TIMER_US;
+    for (c = TAILQ_FIRST(&p->conns); c != NULL; c = next) {
+        next = TAILQ_NEXT(c, link);
+        check_conn(p, c);
+    }
+    for (size_t i = 0; i < p->n_remotes; i++) {
+        struct remote *r = &p->remotes[i];
+
+        if (r->has_address && r->dialed == NULL &&
+            p->now_us >= r->dial_due_us) {
+            dial(p, r);
+        }
+    }
+    set_listening(p, true);
+}
+
+static void
+free_closed(struct peer *p)
+{
+    struct conn *c;
+
+    while ((c = TAILQ_FIRST(&p->closed)) != NULL) {
+        TAILQ_REMOVE(&p->closed, c, link);
+        conn_free(c);
+    }
+}
+
+static int
+wait_for_events(struct peer *p, struct epoll_event *events)
+{
+    int timeout_ms = 0;
+    int n;
+
+    if (mailbox_doze(&p->mailbox)) {
+        timeout_ms = TIMER_US / 1000;
+    }
+    n = epoll_wait(p->epoll, events, EVENTS_MAX, timeout_ms);
+    mailbox_rouse(&p->mailbox);
+    return n;
+}
+
+static void
+run_round(struct peer *p)
+{
+    struct epoll_event events[EVENTS_MAX];
+    int n = wait_for_events(p, events);
+
+    p->now_us = clock_now(p->opts.clock).mono_us;
+    for (int i = 0; i < n; i++) {
+        struct conn *c = events[i].data.ptr;
+
+        if (c == NULL) {
+            on_listener(p);
+        }
+        else if ((void *)c != (void *)p && c->state != CONN_CLOSED) {
+            on_conn(p, c, events[i].events);
+        }
+    }
+    send_posted(p);
+    run_timers(p);
+    free_closed(p);
+}
+
+static void *
+peer_run(void *arg)
+{
+    struct peer *p = arg;
+
+    p->now_us = clock_now(p->opts.clock).mono_us;
+    while (!atomic_load(&p->stop)) {
+        run_round(p);
+    }
+    send_posted(p);
+    return NULL;
+}
+
+static bool
+add_remotes(struct peer *p, const struct peer_options *o)
+{
+    p->remotes = calloc(o->n_remotes + 1, sizeof(*p->remotes));
+    if (p->remotes == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < o->n_remotes; i++) {
+        const struct peer_remote *from = &o->remotes[i];
+        struct remote *r = &p->remotes[p->n_remotes];
+
+        if (name_equal(from->name, o->self)) {
+            continue;
+        }
+        r->name = from->name;
+        r->backoff_us = BACKOFF_MIN_US;
+        r->has_address = from->address.s[0] != '\0';
+        if (r->has_address && !netaddr_parse(from->address.s, &r->address)) {
+            errno = EINVAL;
+            return false;
+        }
+        map_put(&p->by_name, r);
+        p->n_remotes++;
+    }
+    return true;
+}
+
+static bool
+open_sockets(struct peer *p)
+{
+    struct epoll_event e = {.events = EPOLLIN, .data.ptr = p};
+    struct netaddr at;
+
+    p->epoll = epoll_create1(EPOLL_CLOEXEC);
+    if (p->epoll < 0 ||
+        epoll_ctl(p->epoll, EPOLL_CTL_ADD, p->mailbox.fd, &e) != 0) {
+        return false;
+    }
+    if (p->opts.listen.s[0] == '\0') {
+        return true;
+    }
+    if (!netaddr_parse(p->opts.listen.s, &at)) {
+        errno = EINVAL;
+        return false;
+    }
+    p->listener = conn_listen(&at);
+    set_listening(p, true);
+    return p->listener >= 0;
+}
+
+static void
+release(struct peer *p)
+{
+    int err = errno;
+
+    if (p->listener >= 0) {
+        (void)close(p->listener);
+    }
+    if (p->epoll >= 0) {
+        (void)close(p->epoll);
+    }
+    mailbox_destroy(&p->mailbox);
+    map_clear(&p->by_name);
+    free(p->remotes);
+    free(p);
+    errno = err;
+}
+
+struct peer *
+peer_new(const struct peer_options *o)
+{
+    struct peer *p = calloc(1, sizeof(*p));
+
+    if (p == NULL || mailbox_init(&p->mailbox, RING_ROOM) != 0) {
+        free(p);
+        return NULL;
+    }
+    p->opts = *o;
+    p->opts.remotes = NULL;
+    p->epoll = -1;
+    p->listener = -1;
+    p->random = o->incarnation | 1;
+    TAILQ_INIT(&p->conns);
+    TAILQ_INIT(&p->closed);
+    map_init(&p->by_name, MAP_NAME);
+    if (!add_remotes(p, o) || !open_sockets(p)) {
+        release(p);
+        return NULL;
+    }
+    errno = pthread_create(&p->thread, NULL, peer_run, p);
+    if (errno != 0) {
+        release(p);
+        return NULL;
+    }
+    return p;
+}
+
+uint16_t
+peer_port(const struct peer *p)
+{
+    struct netaddr a = {.size = sizeof(a.sa)};
+
+    if (getsockname(p->listener, (struct sockaddr *)&a.sa, &a.size) != 0) {
+        return 0;
+    }
+    return netaddr_port(&a);
+}
+
+void
+peer_send(struct peer *p, struct name to, struct msg *m)
+{
+    struct outgoing *o = malloc(sizeof(*o));
+
+    if (o == NULL) {
+        abort();
+    }
+    o->to = to;
+    o->msg = *m;
+    memset(m, 0, sizeof(*m));
+    mailbox_post(&p->mailbox, &o->mail);
+}
+
+void
+peer_poke(struct peer *p)
+{
+    mailbox_wake(&p->mailbox);
+}
+
+void
+peer_free(struct peer *p)
+{
+    struct conn *c;
+
+    if (p == NULL) {
+        return;
+    }
+    atomic_store(&p->stop, true);
+    mailbox_wake(&p->mailbox);
+    (void)pthread_join(p->thread, NULL);
+    while ((c = TAILQ_FIRST(&p->conns)) != NULL) {
+        TAILQ_REMOVE(&p->conns, c, link);
+        conn_free(c);
+    }
+    free_closed(p);
+    release(p);
+}
--- /dev/null
+++ b/src/peer.h
@@ -0,0 +1,86 @@
+/**
+ * DOC: peer - connections between the system's own processes
+ *
+ * Frames of msgpack messages over TCP, by one thread with epoll.  A process
+ * dials each remote that has an address and accepts connections from the
+ * others; both ends say HELLO first, and only configured names may speak.
+ * Messages go out on the dialed connection, or else on the accepted one.
+ *
+ * Nothing is promised beyond the order on one connection: without a
+ * connection a message is dropped and counted, and the reducers, which must
+ * live with lost messages anyway, send again.
+ *
+ * Half-open connections: something between two processes may forget a
+ * connection, and then neither end sees it close; messages vanish while a new
+ * connection would work.  So each end sends at least an empty frame in each
+ * heartbeat, and a connection that brought nothing for three is closed and
+ * dialed anew.
+ */
+#ifndef BM_PEER_H
+#define BM_PEER_H
+
+#include "clock.h"
+#include "wire.h"
+
+/** struct peer_remote - a process that may speak; without @address it is not
+ * dialed */
+struct peer_remote {
+    struct name name;
+    struct address address; /* IP:PORT */
+};
+
+/**
+ * struct peer_options - how to construct the connections
+ * @self: name of this process
+ * @incarnation: rises with each start
+ * @listen: IP:PORT, port 0 takes any; empty: nobody is accepted
+ * @remotes: copied; the one named @self is left out
+ * @n_remotes: of @remotes
+ * @heartbeat_us: time within which each connection carries a frame
+ * @send_max: bytes that may wait on a connection; a remote that does not read
+ *            is cut off there
+ * @frame_max: bytes of a frame
+ * @clock: for all its timers
+ * @on_message: takes over what the message owns; may block, which holds the
+ *              senders back
+ * @on_peer: a remote has its first connection, or has lost its last
+ * @ctx: for both; they are called by the thread
+ */
+struct peer_options {
+    struct name self;
+    uint64_t incarnation;
+    struct address listen;
+    const struct peer_remote *remotes;
+    size_t n_remotes;
+    int64_t heartbeat_us;
+    size_t send_max;
+    size_t frame_max;
+    const struct clock *clock;
+    void (*on_message)(void *ctx, struct name from, struct msg *m);
+    void (*on_peer)(void *ctx, struct name remote, bool up);
+    void *ctx;
+};
+
+struct peer;
+
+/** peer_options_default() - heartbeat and bounds */
+struct peer_options peer_options_default(void);
+
+/** peer_new() - starts the thread; NULL with errno when it can't */
+struct peer *peer_new(const struct peer_options *o);
+
+/** peer_port() - the port it listens on */
+uint16_t peer_port(const struct peer *p);
+
+/** peer_send() - sends a message and takes over what it owns; never blocks;
+ * from any thread */
+void peer_send(struct peer *p, struct name to, struct msg *m);
+
+/** peer_poke() - makes the thread look at its clock, for tests */
+void peer_poke(struct peer *p);
+
+/** peer_free() - what was sent before goes out as far as the sockets take it;
+ * NULL is allowed */
+void peer_free(struct peer *p);
+
+#endif
