Add the HTTP server: checked requests in, replies of the reducer out

Cause: callers wait for a whole answer in one request; a bad request must get its own clear 4xx and nothing of it may start.

Conclusion: a caller that goes away while its connection is suspended is not noticed until the reply is written; its job runs on, as a retry with the same key expects.

--- /dev/null
+++ b/src/httpd.c
@@ -0,0 +1,488 @@
+#include "httpd.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "httpreply.h"
+#include "httprequest.h"
+#include "log.h"
+#include "netaddr.h"
+#include "stats.h"
+
+enum {
+    LOOK_US = 50 * 1000, /* between looks at slow bodies */
+    RAW_SIZE = 1024,
+};
+
+struct httpd {
+    struct httpd_options opts;
+    struct MHD_Daemon *daemon;
+    struct netaddr address;
+    pthread_t watcher;
+    atomic_bool stopping;
+    atomic_bool ended;
+    atomic_uint in_progress; /* requests whose headers arrived */
+    pthread_mutex_t lock;    /* for what follows */
+    struct table waiting;    /* struct httprequest *, by request number */
+    TAILQ_HEAD(, httprequest) reading; /* bodies on their way, oldest first */
+};
+
+struct httpd_options
+httpd_options_default(void)
+{
+    return (struct httpd_options){
+        .threads = 4,
+        .connections = 16384,
+        .body_max = (size_t)4 << 20,
+        .body_timeout_ms = 5000,
+        .idle_timeout_s = 75,
+    };
+}
+
+static uint64_t
+id_of(struct handle h)
+{
+    return (uint64_t)h.generation << 32 | h.index;
+}
+
+static struct handle
+handle_of(uint64_t id)
+{
+    return (struct handle){.index = (uint32_t)id,
+                           .generation = (uint32_t)(id >> 32)};
+}
+
+static enum MHD_Result
+queue_reply(struct httpd *h, struct httprequest *r, struct httpreply *reply)
+{
+    struct MHD_Response *response;
+    enum MHD_Result queued;
+    char seconds[24];
+
+    if (reply->body == NULL) {
+        return MHD_NO; /* out of memory: the connection is closed */
+    }
+    response = MHD_create_response_from_buffer(reply->size, reply->body,
+                                               MHD_RESPMEM_MUST_FREE);
+    if (response == NULL) {
+        free(reply->body);
+        return MHD_NO;
+    }
+    (void)MHD_add_response_header(response, "Content-Type", reply->type);
+    if (reply->retry_after_s > 0) {
+        (void)snprintf(seconds, sizeof(seconds), "%lld",
+                       (long long)reply->retry_after_s);
+        (void)MHD_add_response_header(response, "Retry-After", seconds);
+    }
+    if (reply->location[0] != '\0') {
+        (void)MHD_add_response_header(response, "Location", reply->location);
+    }
+    if (r->route.kind == ROUTE_METHOD) {
+        (void)MHD_add_response_header(response, "Allow", r->route.allow);
+    }
+    if (atomic_load(&h->stopping)) {
+        (void)MHD_add_response_header(response, "Connection", "close");
+    }
+    queued = MHD_queue_response(r->connection, (unsigned int)reply->status,
+                                response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+static enum MHD_Result
+queue_refusal(struct httpd *h, struct httprequest *r,
+              const struct httprefusal *why)
+{
+    struct httpreply reply = httpreply_problem(why->problem, why->detail);
+
+    stats_add(&stats.http_refused, 1);
+    return queue_reply(h, r, &reply);
+}
+
+/* libmicrohttpd takes no response while a body is on its way, so the refusal
+ * is written past it; it then finds the connection closed.  A client would
+ * otherwise wait for its own timeout and not learn why. */
+static void
+refuse_unread(struct httprequest *r, enum problem problem, const char *detail)
+{
+    struct httpreply reply = httpreply_problem(problem, detail);
+    char text[RAW_SIZE];
+    int n;
+
+    stats_add(&stats.http_refused, 1);
+    if (reply.body == NULL) {
+        return;
+    }
+    n = snprintf(text, sizeof(text),
+                 "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
+                 "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+                 reply.status, problem_title(problem), reply.type, reply.size,
+                 reply.body);
+    if (n > 0 && (size_t)n < sizeof(text)) {
+        (void)!send(r->fd, text, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    (void)shutdown(r->fd, SHUT_RDWR);
+    free(reply.body);
+}
+
+static void
+reading_begin(struct httpd *h, struct httprequest *r)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+    r->fd = info != NULL ? info->connect_fd : -1;
+    r->body_due_us = clock_now(h->opts.clock).mono_us +
+                     h->opts.body_timeout_ms * USEC_PER_MSEC;
+    (void)pthread_mutex_lock(&h->lock);
+    r->reading = true;
+    TAILQ_INSERT_TAIL(&h->reading, r, reading_link);
+    (void)pthread_mutex_unlock(&h->lock);
+}
+
+/* Whether the request still stands: it may have been refused as slow just
+ * when the rest of its body arrived, and must not run then. */
+static bool
+reading_end(struct httpd *h, struct httprequest *r)
+{
+    bool stands;
+
+    (void)pthread_mutex_lock(&h->lock);
+    if (r->reading) {
+        TAILQ_REMOVE(&h->reading, r, reading_link);
+        r->reading = false;
+    }
+    stands = !r->cut_off;
+    (void)pthread_mutex_unlock(&h->lock);
+    return stands;
+}
+
+/* A request stays in the list only while its connection is open, and leaves
+ * it under the lock: the descriptor is still that of the request. */
+static void
+refuse_slow_bodies(struct httpd *h)
+{
+    int64_t now_us = clock_now(h->opts.clock).mono_us;
+    struct httprequest *r;
+
+    (void)pthread_mutex_lock(&h->lock);
+    while ((r = TAILQ_FIRST(&h->reading)) != NULL &&
+           r->body_due_us <= now_us) {
+        TAILQ_REMOVE(&h->reading, r, reading_link);
+        r->reading = false;
+        r->cut_off = true;
+        stats_add(&stats.http_slow_bodies, 1);
+        refuse_unread(r, PROBLEM_SLOW_BODY,
+                      "the whole body must come within the time allowed");
+    }
+    (void)pthread_mutex_unlock(&h->lock);
+}
+
+static void *
+watcher_run(void *arg)
+{
+    struct httpd *h = arg;
+
+    while (!atomic_load(&h->ended)) {
+        refuse_slow_bodies(h);
+        (void)usleep(LOOK_US);
+    }
+    return NULL;
+}
+
+static enum MHD_Result
+begin_request(struct httpd *h, struct MHD_Connection *connection,
+              const char *url, const char *method, void **ctx)
+{
+    struct httprequest *r = calloc(1, sizeof(*r));
+    struct httprefusal why;
+
+    if (r == NULL) {
+        return MHD_NO;
+    }
+    *ctx = r;
+    (void)atomic_fetch_add(&h->in_progress, 1);
+    stats_add(&stats.http_requests, 1);
+    r->connection = connection;
+    r->route = route_find(method, url);
+    if (!httprequest_check(r, h->opts.body_max, &why)) {
+        return queue_refusal(h, r, &why);
+    }
+    reading_begin(h, r);
+    return MHD_YES;
+}
+
+static enum MHD_Result
+take_body(struct httpd *h, struct httprequest *r, const char *data, size_t *n)
+{
+    if (r->body_size + *n > h->opts.body_max) {
+        if (reading_end(h, r)) {
+            refuse_unread(r, PROBLEM_TOO_LARGE, "the body is too long");
+        }
+        return MHD_NO;
+    }
+    if (!httprequest_append(r, data, *n)) {
+        return MHD_NO;
+    }
+    *n = 0;
+    return MHD_YES;
+}
+
+static enum MHD_Result
+reply_health(struct httpd *h, struct httprequest *r)
+{
+    bool healthy = h->opts.healthy(h->opts.ctx);
+    struct httpreply reply = {.status = healthy ? 200 : 503,
+                              .type = "application/json"};
+
+    reply.body = strdup(healthy ? "{\"status\":\"ok\"}\n"
+                                : "{\"status\":\"unavailable\"}\n");
+    reply.size = reply.body != NULL ? strlen(reply.body) : 0;
+    return queue_reply(h, r, &reply);
+}
+
+static uint64_t
+waiting_add(struct httpd *h, struct httprequest *r)
+{
+    struct httprequest **place;
+
+    (void)pthread_mutex_lock(&h->lock);
+    place = table_add(&h->waiting, &r->self);
+    *place = r;
+    (void)pthread_mutex_unlock(&h->lock);
+    return id_of(r->self);
+}
+
+static struct httprequest *
+waiting_take(struct httpd *h, uint64_t id)
+{
+    struct httprequest **place;
+    struct httprequest *r = NULL;
+
+    (void)pthread_mutex_lock(&h->lock);
+    place = table_get(&h->waiting, handle_of(id));
+    if (place != NULL) {
+        r = *place;
+        table_remove(&h->waiting, handle_of(id));
+    }
+    (void)pthread_mutex_unlock(&h->lock);
+    return r;
+}
+
+/* The connection is suspended before the event is offered: the reply may come
+ * before this returns. */
+static enum MHD_Result
+offer_request(struct httpd *h, struct httprequest *r)
+{
+    struct httprefusal why;
+    uint64_t id = waiting_add(h, r);
+    struct envelope *e = httprequest_event(r, id, &why);
+
+    if (e == NULL) {
+        (void)waiting_take(h, id);
+        return queue_refusal(h, r, &why);
+    }
+    free(r->body);
+    r->body = NULL;
+    MHD_suspend_connection(r->connection);
+    if (!h->opts.offer(h->opts.ctx, e)) {
+        struct effect full = {.kind = EF_PROBLEM};
+
+        envelope_free(e);
+        stats_add(&stats.http_inbox_full, 1);
+        full.u.problem.problem = PROBLEM_OVERLOADED;
+        full.u.problem.not_by_this = true;
+        (void)snprintf(full.u.problem.detail, sizeof(full.u.problem.detail),
+                       "too many requests wait at this instance");
+        httpd_reply(h, id, &full);
+    }
+    return MHD_YES;
+}
+
+static enum MHD_Result
+on_request(void *cls, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *upload_data,
+           size_t *upload_data_size, void **ctx)
+{
+    struct httpd *h = cls;
+    struct httprequest *r = *ctx;
+
+    (void)version;
+    if (r == NULL) {
+        return begin_request(h, connection, url, method, ctx);
+    }
+    if (r->replied) {
+        struct httpreply reply =
+            httpreply_of(&r->reply, r->route.kind, r->key);
+
+        return queue_reply(h, r, &reply);
+    }
+    if (*upload_data_size > 0) {
+        return take_body(h, r, upload_data, upload_data_size);
+    }
+    if (!reading_end(h, r)) {
+        return MHD_NO;
+    }
+    if (r->route.kind == ROUTE_HEALTH) {
+        return reply_health(h, r);
+    }
+    return offer_request(h, r);
+}
+
+void
+httpd_reply(struct httpd *h, uint64_t request, struct effect *reply)
+{
+    struct httprequest *r = waiting_take(h, request);
+
+    if (r == NULL) {
+        return;
+    }
+    r->reply = *reply;
+    memset(reply, 0, sizeof(*reply));
+    r->replied = true;
+    MHD_resume_connection(r->connection);
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *connection, void **ctx,
+             enum MHD_RequestTerminationCode how)
+{
+    struct httpd *h = cls;
+    struct httprequest *r = *ctx;
+
+    (void)connection;
+    (void)how;
+    if (r == NULL) {
+        return;
+    }
+    *ctx = NULL;
+    (void)reading_end(h, r);
+    httprequest_free(r);
+    (void)atomic_fetch_sub(&h->in_progress, 1);
+}
+
+static bool
+start_daemon(struct httpd *h)
+{
+    const struct httpd_options *o = &h->opts;
+    unsigned int flags =
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+
+    if (h->address.sa.ss_family == AF_INET6) {
+        flags |= MHD_USE_IPv6;
+    }
+    errno = 0;
+    h->daemon = MHD_start_daemon(
+        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR,
+        (struct sockaddr *)&h->address.sa, MHD_OPTION_THREAD_POOL_SIZE,
+        o->threads, MHD_OPTION_CONNECTION_LIMIT, o->connections,
+        MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
+        MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    return h->daemon != NULL;
+}
+
+struct httpd *
+httpd_new(const struct httpd_options *o)
+{
+    struct httpd *h = calloc(1, sizeof(*h));
+
+    if (h == NULL) {
+        return NULL;
+    }
+    h->opts = *o;
+    (void)pthread_mutex_init(&h->lock, NULL);
+    table_init(&h->waiting, sizeof(struct httprequest *));
+    TAILQ_INIT(&h->reading);
+    if (!netaddr_parse(o->listen.s, &h->address)) {
+        errno = EINVAL;
+        goto fail;
+    }
+    if (!start_daemon(h)) {
+        goto fail;
+    }
+    if (pthread_create(&h->watcher, NULL, watcher_run, h) != 0) {
+        MHD_stop_daemon(h->daemon);
+        goto fail;
+    }
+    return h;
+
+fail:
+    table_clear(&h->waiting);
+    free(h);
+    return NULL;
+}
+
+uint16_t
+httpd_port(const struct httpd *h)
+{
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_BIND_PORT);
+
+    return info != NULL ? info->port : 0;
+}
+
+void
+httpd_stopping(struct httpd *h)
+{
+    atomic_store(&h->stopping, true);
+}
+
+bool
+httpd_drain(struct httpd *h, int64_t timeout_ms)
+{
+    MHD_socket listener = MHD_quiesce_daemon(h->daemon);
+
+    for (int64_t waited = 0; waited < timeout_ms; waited++) {
+        if (atomic_load(&h->in_progress) == 0) {
+            break;
+        }
+        (void)usleep(USEC_PER_MSEC);
+    }
+    if (listener != MHD_INVALID_SOCKET) {
+        (void)close(listener);
+    }
+    return atomic_load(&h->in_progress) == 0;
+}
+
+static void
+refuse_waiting(struct httpd *h)
+{
+    struct handle self;
+    struct effect stop;
+
+    for (;;) {
+        uint32_t at = 0;
+
+        (void)pthread_mutex_lock(&h->lock);
+        if (table_next(&h->waiting, &at, &self) == NULL) {
+            break;
+        }
+        (void)pthread_mutex_unlock(&h->lock);
+        memset(&stop, 0, sizeof(stop));
+        stop.kind = EF_PROBLEM;
+        stop.u.problem.problem = PROBLEM_STOPPING;
+        stop.u.problem.not_by_this = true;
+        httpd_reply(h, id_of(self), &stop);
+    }
+    (void)pthread_mutex_unlock(&h->lock);
+}
+
+void
+httpd_free(struct httpd *h)
+{
+    if (h == NULL) {
+        return;
+    }
+    refuse_waiting(h);
+    atomic_store(&h->ended, true);
+    (void)pthread_join(h->watcher, NULL);
+    MHD_stop_daemon(h->daemon);
+    table_clear(&h->waiting);
+    (void)pthread_mutex_destroy(&h->lock);
+    free(h);
+}
