Take an answer to a start only where it is that start's own

One requester would get another's result; a repeated refusal would place a task a second time that had started.

Change: an answer to a start names its task in Boragemoor-Task. One that names another is dropped (START_LOST, so the upstream is asked); one that names none counts only on a new connection, which is not kept then. bm-fake-upstream names tasks. The suite upclient drives libcurl against stand-ins that refuse, reset, go silent, repeat, cut and name wrongly.

Conclusion: ruled out: relying on libcurl's check for readable bytes before it reuses a connection (a later repetition slips through, as seen), and no kept connections at all (a connect for each task).

--- a/src/fake_server.c
+++ b/src/fake_server.c
@@ -106,7 +106,8 @@
 
 /* A refusal of a start, with the proof that it did not start. */
 static enum MHD_Result
-refuse_start(struct MHD_Connection *c, unsigned int status, json_t *json)
+refuse_start(struct MHD_Connection *c, const char *task, unsigned int status,
+             json_t *json)
 {
     char *text = json_dumps(json, JSON_COMPACT);
     struct MHD_Response *response;
@@ -118,6 +119,9 @@
     response = MHD_create_response_from_buffer(strlen(text), text,
                                                MHD_RESPMEM_MUST_FREE);
     (void)MHD_add_response_header(response, "Boragemoor-Started", "no");
+    if (task != NULL) {
+        (void)MHD_add_response_header(response, "Boragemoor-Task", task);
+    }
     return reply_with(c, status, response);
 }
 
@@ -264,7 +268,8 @@
 
 static enum MHD_Result
 reply_result(struct fake_server *s, struct MHD_Connection *c, bool ok,
-             int64_t ran_us, enum fake_silence silence, char *text)
+             const char *task, int64_t ran_us, enum fake_silence silence,
+             char *text)
 {
     struct MHD_Response *response =
         silence == FAKE_SILENT_DURING
@@ -278,6 +283,7 @@
     }
     (void)snprintf(number, sizeof(number), "%lld", (long long)ran_us);
     (void)MHD_add_response_header(response, "Boragemoor-Run-Us", number);
+    (void)MHD_add_response_header(response, "Boragemoor-Task", task);
     return reply_with(c, ok ? 200 : 422, response);
 }
 
@@ -299,7 +305,7 @@
 }
 
 static enum MHD_Result
-refuse_by(struct fake_server *s, struct MHD_Connection *c,
+refuse_by(struct fake_server *s, struct MHD_Connection *c, const char *task,
           enum fake_verdict verdict)
 {
     json_t *json;
@@ -311,11 +317,11 @@
                               json_string(fake_verdict_text(verdict)));
     switch (verdict) {
     case FAKE_STALE:
-        return refuse_start(c, 409, json);
+        return refuse_start(c, task, 409, json);
     case FAKE_REVOKED:
-        return refuse_start(c, 410, json);
+        return refuse_start(c, task, 410, json);
     default:
-        return refuse_start(c, 503, json);
+        return refuse_start(c, task, 503, json);
     }
 }
 
@@ -335,7 +341,7 @@
         !read_number(c, MHD_HEADER_KIND, "Boragemoor-Incarnation",
                      &incarnation)) {
         return refuse_start(
-            c, 400, problem(400, "a task, an epoch and an incarnation"));
+            c, task, 400, problem(400, "a task, an epoch and an incarnation"));
     }
     pthread_mutex_lock(&s->lock);
     start = fake_start_task(s->o.fake, task, epoch, incarnation);
@@ -356,7 +362,7 @@
     }
     if (start.verdict != FAKE_STARTED) {
         json_decref(work.echo);
-        return refuse_by(s, c, start.verdict);
+        return refuse_by(s, c, task, start.verdict);
     }
     text = run_task(s, task, epoch, &work, &name);
     if (start.silence == FAKE_SILENT_AFTER) {
@@ -364,7 +370,8 @@
         free(text);
         return MHD_NO;
     }
-    return reply_result(s, c, !work.fail, work.run_us, start.silence, text);
+    return reply_result(s, c, !work.fail, task, work.run_us, start.silence,
+                        text);
 }
 
 static enum MHD_Result
@@ -475,7 +482,8 @@
       const char *path, const struct incoming *in)
 {
     if (in->too_large) {
-        return refuse_start(c, 413, problem(413, "the body is too large"));
+        return refuse_start(c, NULL, 413,
+                            problem(413, "the body is too large"));
     }
     for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
         const struct route *r = &routes[i];
@@ -487,7 +495,7 @@
             return r->serve(s, c, path + n, in);
         }
     }
-    return refuse_start(c, 404, problem(404, "no such resource"));
+    return refuse_start(c, NULL, 404, problem(404, "no such resource"));
 }
 
 /* libmicrohttpd's side. */
--- a/src/upcall.c
+++ b/src/upcall.c
@@ -6,9 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "stats.h"
 
+/* The parameters are libcurl's. */
+/* NOLINTBEGIN(readability-non-const-parameter) */
 static int
 before_request(void *user, char *remote, char *local, int remote_port,
                int local_port)
@@ -26,6 +29,7 @@
     }
     return CURL_PREREQFUNC_OK;
 }
+/* NOLINTEND(readability-non-const-parameter) */
 
 static size_t
 give_body(char *out, size_t size, size_t n, void *user)
@@ -98,6 +102,13 @@
     if (value != NULL) {
         u->not_started = length == 2 && strncasecmp(value, "no", 2) == 0;
     }
+    value = header_value(line, size * n, "Boragemoor-Task", &length);
+    if (value != NULL) {
+        u->naming = length == strlen(u->task) &&
+                            strncasecmp(value, u->task, length) == 0
+                        ? NAMING_OURS
+                        : NAMING_OTHER;
+    }
     value = header_value(line, size * n, "Boragemoor-Run-Us", &length);
     if (value != NULL && length < 19) {
         u->ran_us = strtoll(value, NULL, 10);
@@ -115,14 +126,14 @@
 }
 
 static void
-task_url(char url[URL_SIZE], struct address address, struct key_id key,
-         uint32_t index)
+task_url(struct upcall *u, char url[URL_SIZE], struct address address,
+         struct key_id key, uint32_t index)
 {
     char hex[33];
 
     key_id_format(key, hex);
-    (void)snprintf(url, URL_SIZE, "%s/v1/tasks/%s-%" PRIu32, address.s, hex,
-                   index);
+    (void)snprintf(u->task, sizeof(u->task), "%s-%" PRIu32, hex, index);
+    (void)snprintf(url, URL_SIZE, "%s/v1/tasks/%s", address.s, u->task);
 }
 
 /* A body of no bytes would be sent again without asking for any: an empty
@@ -149,7 +160,7 @@
     struct ef_start *s = &u->effect.u.start;
     char url[URL_SIZE];
 
-    task_url(url, s->address, s->key, s->index);
+    task_url(u, url, s->address, s->key, s->index);
     add_header(u, "Boragemoor-Epoch", s->epoch);
     add_header(u, "Boragemoor-Incarnation", s->incarnation);
     set_body(u, s->payload);
@@ -179,7 +190,7 @@
     char url[URL_SIZE];
     size_t n;
 
-    task_url(url, r->address, r->key, r->index);
+    task_url(u, url, r->address, r->key, r->index);
     n = strlen(url);
     (void)snprintf(url + n, URL_SIZE - n, "?incarnation=%" PRIu64,
                    r->incarnation);
@@ -247,6 +258,33 @@
     return blob_new(u->answer_size > 0 ? u->answer : "", u->answer_size);
 }
 
+/* Something on the way may repeat an answer, or deliver one late.  On a kept
+ * connection it would be read as the answer to the next start: one requester
+ * would get another's result, or a refusal that is not theirs, and the task
+ * would be placed a second time.  So an answer must name its task, except on a
+ * new connection, which carried nothing else. */
+static bool
+answer_is_ours(const struct upcall *u)
+{
+    long connects = 0;
+
+    curl_easy_getinfo(u->easy, CURLINFO_NUM_CONNECTS, &connects);
+    return u->naming == NAMING_OURS ||
+           (u->naming == NAMING_NONE && connects > 0);
+}
+
+/* libcurl finds such a connection closed and opens another. */
+static void
+spoil_connection(const struct upcall *u)
+{
+    curl_socket_t fd = CURL_SOCKET_BAD;
+
+    curl_easy_getinfo(u->easy, CURLINFO_ACTIVESOCKET, &fd);
+    if (fd != CURL_SOCKET_BAD) {
+        (void)shutdown(fd, SHUT_RDWR);
+    }
+}
+
 static struct envelope *
 finish_start(const struct upcall *u, CURLcode result, long status)
 {
@@ -256,6 +294,12 @@
     if (u->attempts == 0) {
         return envelope_ended(call, START_NO_CONNECT, false, NULL, 0);
     }
+    if (u->naming != NAMING_OURS) {
+        spoil_connection(u);
+    }
+    if (!answer_is_ours(u)) {
+        return envelope_ended(call, START_LOST, false, NULL, 0);
+    }
     if (u->too_long && (status == 200 || status == 422)) {
         return envelope_ended(call, START_DONE, false,
                               blob_new(too_long, sizeof(too_long) - 1),
--- a/src/upcall.h
+++ b/src/upcall.h
@@ -11,7 +11,10 @@
 
 #include "upclient.h"
 
-enum { URL_SIZE = 256, HEADER_SIZE = 96 };
+enum { URL_SIZE = 256, HEADER_SIZE = 96, TASK_SIZE = 48 };
+
+/** enum naming - which task the answer to a start is for, by its own word */
+enum naming { NAMING_NONE, NAMING_OURS, NAMING_OTHER };
 
 /**
  * struct upcall - a request on its way
@@ -20,6 +23,8 @@
  * @body: to be sent
  * @sent: bytes of @body given to libcurl
  * @answer: the body that came back
+ * @task: name of the task, as in the URL
+ * @naming: whether the answer names it
  * @not_started: the answer has Boragemoor-Started: no
  * @too_long: the answer was cut at @answer_max
  */
@@ -37,6 +42,8 @@
     size_t answer_room;
     size_t answer_max;
     int64_t ran_us;
+    char task[TASK_SIZE];
+    enum naming naming;
     bool not_started;
     bool too_long;
 };
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -3,6 +3,7 @@
 SUITE(base)
 SUITE(servicefile)
 SUITE(settings)
+SUITE(upclient)
 SUITE(fake)
 SUITE(storage)
 /* clang-format on */
