Settle split votes beside a silent voter; test claims on a fake network

Cause: with one voter dead and two claimers that each hold one of the other two votes, both waited for the dead voter until they gave up, and both callers were refused. Nothing tested the claims so far.

Change: after a claim timeout a silent voter counts as one that does not grant, so that the higher name yields at once. tests/entry_net.c drives several whole entry reducers in virtual time over a network that loses, doubles, delays and reorders; tests/claim_test.c has the hard cases of claims and 150 seeded random schedules with voters that restart empty.

Releasing a record whatever its attempt number is not caught by a test yet.

--- a/src/claim.c
+++ b/src/claim.c
@@ -799,10 +799,10 @@
     end_plain(e, a, CLAIM_END_UNAVAILABLE);
 }
 
-/* All voters replied and nobody has a majority.  Of two claimers the one with
- * the higher name gives its votes back and waits at the other; the one with
- * the lower name asks again a little later.  Names order them the same way
- * for both, so they do not both yield, nor both insist. */
+/* Nobody has a majority among the voters that replied.  Of two claimers the
+ * one with the higher name gives its votes back and waits at the other; the
+ * one with the lower name asks again a little later.  Names order them the
+ * same way for both, so they do not both yield, nor both insist. */
 static void
 settle_split(struct entry *e, struct attempt *a, const struct tally *t)
 {
@@ -941,29 +941,37 @@
     release_everywhere(e, key, e->last_call);
 }
 
-/* A claim timeout passed: asks one voter more, or those again that did not
- * reply or refused. */
 static void
-attempt_timeout(struct entry *e, struct attempt *a)
+ask_again(struct entry *e, struct attempt *a)
 {
-    struct tally t = tally_of(e, a);
-
     a->resting = false;
-    if (t.unasked > 0) {
-        ask_next(e, a);
+    for (size_t i = 0; i < a->n_asks; i++) {
+        struct ask *k = &a->asks[i];
+
+        if (!k->replied || k->verdict != CLAIM_GRANTED) {
+            ask_voter(e, a, k);
+        }
     }
-    else if (++a->rounds >= ROUNDS_MAX) {
-        end_tried(e, a, &t);
-        return;
+}
+
+/* After a rest all are asked again that did not grant; after a claim timeout
+ * one voter more is asked, and when there is none, whoever is silent counts
+ * as a voter that will not grant. */
+static void
+attempt_timeout(struct entry *e, struct attempt *a)
+{
+    struct tally t;
+
+    if (a->resting) {
+        ask_again(e, a);
     }
     else {
-        for (size_t i = 0; i < a->n_asks; i++) {
-            struct ask *k = &a->asks[i];
-
-            if (!k->replied || k->verdict != CLAIM_GRANTED) {
-                ask_voter(e, a, k);
-            }
+        t = tally_of(e, a);
+        if (t.unasked == 0) {
+            settle_split(e, a, &t);
+            return;
         }
+        ask_next(e, a);
     }
     attempt_due(e, a, e->opts.claim_timeout_us);
     attempt_step(e, a);
--- /dev/null
+++ b/tests/claim_test.c
@@ -0,0 +1,391 @@
+/* Claims: at most one claimer for a key, whatever happens to its voters. */
+#include <stdio.h>
+#include <string.h>
+
+#include "check.h"
+#include "claim.h"
+#include "entry_net.h"
+#include "key.h"
+
+enum {
+    SCHEDULES = 150, /* random ones; each a seed */
+    KEYS = 12,       /* in one of them */
+    VOTERS = 3,      /* nodes 0 to 2, in zone z0 */
+    NODE_C = 3,
+    NODE_D = 4,
+};
+
+#define MSEC USEC_PER_MSEC
+#define SEC USEC_PER_SEC
+
+/* Which claim messages the network swallows now. */
+static bool cut[NET_NODES_MAX][NET_NODES_MAX];
+
+static enum net_fate
+claims_cut(struct net *n, int from, int to, const struct msg *m)
+{
+    (void)n;
+    return m->kind == MSG_CLAIM && cut[from][to] ? NET_DROP : NET_PASS;
+}
+
+static enum net_fate
+all_cut(struct net *n, int from, int to, const struct msg *m)
+{
+    (void)n;
+    (void)m;
+    return cut[from][to] ? NET_DROP : NET_PASS;
+}
+
+static void
+cut_none(void)
+{
+    memset(cut, 0, sizeof(cut));
+}
+
+static void
+cut_all_but(int from, int to)
+{
+    for (int i = 0; i < NET_NODES_MAX; i++) {
+        cut[from][i] = i != to;
+    }
+}
+
+/* A key of zone z0, issued @ago_us before now. */
+static const char *
+key_of(const struct net *n, int number, int64_t ago_us)
+{
+    static char text[KEY_TEXT_SIZE];
+
+    key_mint(name_of("z0"), name_of("caller"), 1,
+             INT64_C(1764720000000000) + n->now_us - ago_us, (uint64_t)number,
+             text);
+    return text;
+}
+
+static struct net *
+two_zones(void)
+{
+    struct net_options o = {.zones = 2,
+                            .per_zone = VOTERS,
+                            .seed = 7,
+                            .new_region = true,
+                            .run_us = 100 * MSEC,
+                            .fate = claims_cut};
+
+    cut_none();
+    return net_new(&o);
+}
+
+/* A submission reaches one voter, which grants it and then restarts empty and
+ * takes over the claims of the other two.  The same submission reaches
+ * another instance, which gets the restarted voter and a second one.  Now the
+ * first instance reaches the third voter and has two grants as well.  Were
+ * both counted, one camp plot would be given to two groups. */
+static void
+grant_of_restarted_voter_does_not_count(void)
+{
+    struct net *n = two_zones();
+    char key[KEY_TEXT_SIZE];
+    uint64_t c;
+    uint64_t d;
+
+    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    cut_all_but(NODE_C, 0);
+    c = net_submit(n, NODE_C, key, 3, 11);
+    net_run(n, 70 * MSEC);
+    CU_ASSERT_EQUAL(claims_count(n->nodes[0].e), 1);
+    net_restart(n, 0);
+    net_run(n, 10 * MSEC);
+    CU_ASSERT_TRUE(claims_voting(n->nodes[0].e, name_of("z0")));
+    CU_ASSERT_EQUAL(claims_count(n->nodes[0].e), 0);
+    cut[NODE_D][1] = true;
+    d = net_submit(n, NODE_D, key, 3, 11);
+    net_run(n, 60 * MSEC);
+    CU_ASSERT_EQUAL(net_starts(n, key, NET_WHOLE), 3);
+    cut[NODE_C][1] = false;
+    net_run(n, SEC);
+    CU_ASSERT_EQUAL(net_starts(n, key, NET_WHOLE), 3);
+    CU_ASSERT_TRUE(net_ended(n, c, JOB_COMPLETE, REASON_COMPLETED));
+    CU_ASSERT_TRUE(net_ended(n, d, JOB_COMPLETE, REASON_COMPLETED));
+    net_free(n);
+}
+
+/* A voter restarts empty.  A caller whose answer was lost submits again, at
+ * the very instance that restarted.  Had it not taken over the claims, it
+ * would grant the key a second time together with the third voter. */
+static void
+restarted_voter_knows_live_claims(void)
+{
+    struct net *n = two_zones();
+    char key[KEY_TEXT_SIZE];
+    uint64_t again;
+
+    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    (void)net_submit(n, NODE_C, key, 2, 11);
+    net_run(n, 50 * MSEC);
+    net_restart(n, 0);
+    net_run(n, 20 * MSEC);
+    CU_ASSERT_EQUAL(claims_count(n->nodes[0].e), 1);
+    again = net_submit(n, 0, key, 2, 11);
+    net_run(n, SEC);
+    CU_ASSERT_TRUE(net_ended(n, again, JOB_COMPLETE, REASON_COMPLETED));
+    CU_ASSERT_EQUAL(net_starts(n, key, NET_WHOLE), 2);
+    net_free(n);
+}
+
+/* Two of three voters restart, one right after the other: each lacks what the
+ * other forgot, so between them the claim of a running job may be lost.  A
+ * resubmission is refused until the window has passed; new keys go on. */
+static void
+two_voters_restart_at_once(void)
+{
+    struct net *n = two_zones();
+    char key[KEY_TEXT_SIZE];
+    uint64_t again;
+    uint64_t bare;
+    uint64_t fresh;
+
+    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    (void)net_submit(n, NODE_C, key, 2, 11);
+    net_run(n, 50 * MSEC);
+    net_restart(n, 0);
+    net_restart(n, 1);
+    net_run(n, 11 * SEC);
+    CU_ASSERT_FALSE(claims_voting(n->nodes[0].e, name_of("z0")));
+    again = net_submit(n, NODE_D, key, 2, 11);
+    bare = net_submit(n, NODE_D, "bare-of-z0-2", 1, 12);
+    fresh = net_submit(n, NODE_D, key_of(n, 2, 0), 1, 13);
+    net_run(n, SEC);
+    CU_ASSERT_EQUAL(net_starts(n, key, NET_WHOLE), 2);
+    CU_ASSERT_TRUE(net_ended(n, again, JOB_COMPLETE, REASON_COMPLETED) ||
+                   net_problem(n, again, PROBLEM_NO_CLAIM));
+    CU_ASSERT_TRUE(net_ended(n, bare, JOB_COMPLETE, REASON_COMPLETED) ||
+                   net_problem(n, bare, PROBLEM_NO_CLAIM));
+    CU_ASSERT_TRUE(net_ended(n, fresh, JOB_COMPLETE, REASON_COMPLETED));
+    net_run(n, 615 * SEC);
+    CU_ASSERT_TRUE(claims_voting(n->nodes[0].e, name_of("z0")));
+    net_free(n);
+}
+
+/* The same submission arrives at three instances in the same instant, so each
+ * of three voters may grant it to another one.  If nobody yielded, all three
+ * callers would be refused; if two won, the job would run twice. */
+static void
+split_votes_are_settled(void)
+{
+    struct net *n = two_zones();
+
+    for (int i = 0; i < 20; i++) {
+        char key[KEY_TEXT_SIZE];
+        uint64_t requests[VOTERS];
+
+        (void)snprintf(key, sizeof(key), "%s", key_of(n, i, 0));
+        for (int j = 0; j < VOTERS; j++) {
+            requests[j] = net_submit(n, j, key, 2, 11);
+        }
+        net_run(n, SEC);
+        CU_ASSERT_EQUAL(net_starts(n, key, NET_WHOLE), 2);
+        for (int j = 0; j < VOTERS; j++) {
+            CU_ASSERT_TRUE(
+                net_ended(n, requests[j], JOB_COMPLETE, REASON_COMPLETED));
+        }
+    }
+    net_free(n);
+}
+
+/* One voter is dead, and two instances each hold the vote of one of the
+ * others.  Neither can get a majority until one gives its vote back. */
+static void
+split_votes_with_a_dead_voter(void)
+{
+    struct net *n = two_zones();
+
+    net_kill(n, 2);
+    net_run(n, 3 * SEC);
+    for (int i = 0; i < 10; i++) {
+        char key[KEY_TEXT_SIZE];
+        uint64_t a;
+        uint64_t b;
+
+        (void)snprintf(key, sizeof(key), "%s", key_of(n, i, 0));
+        a = net_submit(n, 0, key, 2, 11);
+        b = net_submit(n, 1, key, 2, 11);
+        net_run(n, SEC);
+        CU_ASSERT_EQUAL(net_starts(n, key, NET_WHOLE), 2);
+        CU_ASSERT_TRUE(net_ended(n, a, JOB_COMPLETE, REASON_COMPLETED));
+        CU_ASSERT_TRUE(net_ended(n, b, JOB_COMPLETE, REASON_COMPLETED));
+    }
+    net_free(n);
+}
+
+/* A zone is cut off and one of its instances dies: two voters are left and
+ * go on.  With one left no key of the zone can be claimed, and callers hear
+ * so at once instead of at their deadline. */
+static void
+cut_off_zone_goes_on(void)
+{
+    struct net *n = two_zones();
+    uint64_t with_two;
+    uint64_t with_one;
+
+    n->opts.fate = all_cut;
+    for (int i = 0; i < n->n_nodes; i++) {
+        for (int j = 0; j < n->n_nodes; j++) {
+            cut[i][j] = i / VOTERS != j / VOTERS;
+        }
+    }
+    net_kill(n, 2);
+    net_run(n, 3 * SEC);
+    with_two = net_submit(n, 0, key_of(n, 1, 0), 2, 11);
+    net_run(n, SEC);
+    CU_ASSERT_TRUE(net_ended(n, with_two, JOB_COMPLETE, REASON_COMPLETED));
+    net_kill(n, 1);
+    net_run(n, 3 * SEC);
+    with_one = net_submit(n, 0, key_of(n, 2, 0), 2, 11);
+    net_run(n, SEC);
+    CU_ASSERT_TRUE(net_problem(n, with_one, PROBLEM_NO_CLAIM));
+    CU_ASSERT_TRUE(net_answer(n, with_one)->problem.not_by_this);
+    CU_ASSERT_TRUE(net_answer(n, with_one)->problem.retry_after_us > 0);
+    net_free(n);
+}
+
+/* A claim and the release that follows it overtake one another, or arrive
+ * twice.  A record left behind would block the key for the whole window. */
+static void
+released_keys_can_be_claimed_again(void)
+{
+    struct net *n = two_zones();
+    char key[KEY_TEXT_SIZE];
+    uint64_t first;
+    uint64_t second;
+
+    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    cut_all_but(NODE_C, 0);
+    first = net_submit(n, NODE_C, key, 2, 11);
+    net_run(n, SEC);
+    CU_ASSERT_TRUE(net_problem(n, first, PROBLEM_NO_CLAIM));
+    CU_ASSERT_EQUAL(claims_count(n->nodes[0].e), 0);
+    cut_none();
+    second = net_submit(n, NODE_D, key, 2, 11);
+    net_run(n, SEC);
+    CU_ASSERT_TRUE(net_ended(n, second, JOB_COMPLETE, REASON_COMPLETED));
+    net_free(n);
+}
+
+/* The network brings a grant twice, the second time after the claim was won.
+ * Were it taken for a grant of an attempt that is over, its release would
+ * take away a vote that the running job stands on. */
+static void
+doubled_grants_keep_the_claim(void)
+{
+    struct net *n = two_zones();
+    char key[KEY_TEXT_SIZE];
+    size_t votes = 0;
+
+    n->opts.doubled = 100;
+    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    (void)net_submit(n, NODE_C, key, 2, 11);
+    net_run(n, SEC);
+    for (int i = 0; i < VOTERS; i++) {
+        votes += claims_count(n->nodes[i].e);
+    }
+    CU_ASSERT_TRUE(votes >= 2);
+    CU_ASSERT_EQUAL(net_starts(n, key, NET_WHOLE), 2);
+    net_free(n);
+}
+
+/* ---- random schedules ---- */
+
+static int
+random_claimer(struct net *n)
+{
+    for (;;) {
+        int i = (int)net_random(n, (uint64_t)n->n_nodes);
+
+        if (n->nodes[i].e != NULL) {
+            return i;
+        }
+    }
+}
+
+static void
+random_event(struct net *n, char keys[KEYS][KEY_TEXT_SIZE])
+{
+    uint64_t roll = net_random(n, 100);
+    int number = (int)net_random(n, KEYS);
+
+    if (roll < 60) {
+        (void)net_submit(n, random_claimer(n), keys[number], 1, 11);
+    }
+    else if (roll < 70) {
+        (void)net_cancel(n, random_claimer(n), keys[number]);
+    }
+    else if (roll < 85) {
+        net_restart(n, (int)net_random(n, VOTERS));
+    }
+    else {
+        net_run(n, (int64_t)net_random(n, 200) * MSEC);
+    }
+}
+
+/* Voters restart empty one after the other, messages are lost, doubled and
+ * overtaken, callers submit the same keys again and again everywhere.  Each
+ * task may be started once and each request answered once. */
+static void
+random_schedule(uint64_t seed)
+{
+    struct net_options o = {.zones = 2,
+                            .per_zone = VOTERS,
+                            .seed = seed,
+                            .new_region = true,
+                            .run_us = 20 * MSEC,
+                            .lost = 5,
+                            .doubled = 5,
+                            .late = 10};
+    struct net *n = net_new(&o);
+    char keys[KEYS][KEY_TEXT_SIZE];
+
+    for (int i = 0; i < KEYS; i++) {
+        (void)snprintf(keys[i], KEY_TEXT_SIZE, "%s",
+                       key_of(n, i, i % 2 == 0 ? 0 : 60 * SEC));
+    }
+    for (int i = 0; i < 60; i++) {
+        random_event(n, keys);
+        net_run(n, (int64_t)net_random(n, 20) * MSEC);
+    }
+    net_run(n, 8 * SEC);
+    if (net_started_twice(n) != 0 || net_doubled_answers(n) != 0) {
+        printf("seed %llu\n", (unsigned long long)seed);
+    }
+    CU_ASSERT_EQUAL(net_started_twice(n), 0);
+    CU_ASSERT_EQUAL(net_doubled_answers(n), 0);
+    net_free(n);
+}
+
+static void
+random_schedules(void)
+{
+    for (uint64_t seed = 1; seed <= SCHEDULES; seed++) {
+        random_schedule(seed);
+    }
+}
+
+void
+suite_claim(void)
+{
+    check_add("claim", "grant_of_restarted_voter_does_not_count",
+              grant_of_restarted_voter_does_not_count);
+    check_add("claim", "restarted_voter_knows_live_claims",
+              restarted_voter_knows_live_claims);
+    check_add("claim", "two_voters_restart_at_once",
+              two_voters_restart_at_once);
+    check_add("claim", "split_votes_are_settled", split_votes_are_settled);
+    check_add("claim", "split_votes_with_a_dead_voter",
+              split_votes_with_a_dead_voter);
+    check_add("claim", "cut_off_zone_goes_on", cut_off_zone_goes_on);
+    check_add("claim", "released_keys_can_be_claimed_again",
+              released_keys_can_be_claimed_again);
+    check_add("claim", "doubled_grants_keep_the_claim",
+              doubled_grants_keep_the_claim);
+    check_add("claim", "random_schedules", random_schedules);
+}
--- /dev/null
+++ b/tests/entry_net.c
@@ -0,0 +1,777 @@
+#include "entry_net.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { LATE_MAX_MSEC = 40, ANNOUNCE_SEC = 1, SLOTS = 64 };
+
+#define WALL_OFFSET INT64_C(1764720000000000)
+
+static void *
+must(void *p)
+{
+    if (p == NULL) {
+        abort();
+    }
+    return p;
+}
+
+uint64_t
+net_random(struct net *n, uint64_t below)
+{
+    uint64_t z = (n->random += UINT64_C(0x9e3779b97f4a7c15));
+
+    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return (z ^ (z >> 31)) % below;
+}
+
+static struct moment
+moment_of(const struct net *n)
+{
+    return (struct moment){.mono_us = n->now_us,
+                           .wall_us = n->now_us + WALL_OFFSET};
+}
+
+static int
+node_of(const struct net *n, struct name name)
+{
+    for (int i = 0; i < n->n_nodes; i++) {
+        if (name_equal(n->nodes[i].name, name)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static int
+upstream_of(const struct net *n, struct name name)
+{
+    for (int i = 0; i < n->n_upstreams; i++) {
+        if (name_equal(n->upstreams[i].name, name)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* ---- packets ---- */
+
+static void
+packet_clear(struct net_packet *p)
+{
+    if (p->event.kind == EV_MESSAGE) {
+        msg_free(&p->msg);
+    }
+    else if (p->event.kind == EV_TASK_ENDED) {
+        blob_unref(p->event.u.ended.result);
+    }
+    else if (p->event.kind == EV_TASK_REVOKED) {
+        blob_unref(p->event.u.revoked.result);
+    }
+}
+
+static struct net_packet *
+packet_add(struct net *n, int to, int64_t after_us)
+{
+    struct net_packet *p;
+
+    if (n->n_packets == n->room) {
+        n->room = n->room > 0 ? n->room * 2 : 64;
+        n->packets = must(realloc(n->packets, n->room * sizeof(*n->packets)));
+    }
+    p = &n->packets[n->n_packets++];
+    memset(p, 0, sizeof(*p));
+    p->at_us = n->now_us + after_us;
+    p->order = n->orders++;
+    p->to = to;
+    p->life = n->nodes[to].incarnation;
+    return p;
+}
+
+static size_t
+packet_first(const struct net *n)
+{
+    size_t first = 0;
+
+    for (size_t i = 1; i < n->n_packets; i++) {
+        const struct net_packet *a = &n->packets[i];
+        const struct net_packet *b = &n->packets[first];
+
+        if (a->at_us < b->at_us ||
+            (a->at_us == b->at_us && a->order < b->order)) {
+            first = i;
+        }
+    }
+    return first;
+}
+
+static void
+send_packet(struct net *n, int from, int to, const struct msg *m,
+            int64_t after_us)
+{
+    struct net_packet *p = packet_add(n, to, after_us);
+
+    p->msg = msg_copy(m);
+    p->event.kind = EV_MESSAGE;
+    p->event.u.message.from = n->nodes[from].name;
+}
+
+static enum net_fate
+fate_of(struct net *n, int from, int to, const struct msg *m)
+{
+    int roll = (int)net_random(n, 100);
+
+    if (n->opts.fate != NULL) {
+        enum net_fate fate = n->opts.fate(n, from, to, m);
+
+        if (fate != NET_PASS) {
+            return fate;
+        }
+    }
+    if (roll < n->opts.lost) {
+        return NET_DROP;
+    }
+    if (roll < n->opts.lost + n->opts.doubled) {
+        return NET_DOUBLE;
+    }
+    return roll < n->opts.lost + n->opts.doubled + n->opts.late ? NET_LATE
+                                                                : NET_PASS;
+}
+
+static void
+on_send(struct net *n, int from, const struct ef_send *f)
+{
+    int to = node_of(n, f->to);
+    enum net_fate fate;
+
+    if (to < 0) {
+        return;
+    }
+    n->messages++;
+    n->by_kind[f->msg.kind]++;
+    fate = fate_of(n, from, to, &f->msg);
+    if (fate == NET_DROP) {
+        return;
+    }
+    if (fate == NET_LATE || fate == NET_DOUBLE) {
+        int64_t late = (int64_t)net_random(n, LATE_MAX_MSEC) * USEC_PER_MSEC;
+
+        send_packet(n, from, to, &f->msg, NET_DELAY_US + late);
+    }
+    if (fate != NET_LATE) {
+        send_packet(n, from, to, &f->msg, NET_DELAY_US);
+    }
+}
+
+/* ---- upstreams ---- */
+
+static void
+on_fence(struct net *n, int node, const struct ef_fence *f)
+{
+    int i = upstream_of(n, f->upstream);
+    struct net_packet *p = packet_add(n, node, NET_DELAY_US);
+    struct net_upstream *u = &n->upstreams[i];
+
+    p->event.kind = EV_FENCED;
+    p->event.u.fenced.call = f->call;
+    p->event.u.fenced.outcome = FENCE_STALE;
+    if (f->epoch >= u->epoch) {
+        u->epoch = f->epoch;
+        p->event.u.fenced.outcome = FENCE_OK;
+    }
+    p->event.u.fenced.epoch = u->epoch;
+}
+
+static void
+record_start(struct net *n, int node, int upstream, const struct ef_start *f)
+{
+    struct net_start *s;
+
+    n->starts =
+        must(realloc(n->starts, (n->n_starts + 1) * sizeof(*n->starts)));
+    s = &n->starts[n->n_starts++];
+    s->key = f->key;
+    s->index = f->index;
+    s->node = node;
+    s->upstream = upstream;
+    s->at_us = n->now_us;
+    s->end_us = n->now_us + n->opts.run_us;
+}
+
+static void
+on_start(struct net *n, int node, const struct ef_start *f)
+{
+    int i = upstream_of(n, f->upstream);
+    struct net_packet *p;
+
+    if (n->upstreams[i].silent) {
+        record_start(n, node, i, f);
+        return;
+    }
+    p = packet_add(n, node, 2 * NET_DELAY_US);
+    p->event.kind = EV_TASK_ENDED;
+    p->event.u.ended.call = f->call;
+    p->event.u.ended.outcome = START_STALE;
+    if (f->epoch < n->upstreams[i].epoch) {
+        return;
+    }
+    record_start(n, node, i, f);
+    p->at_us += n->opts.run_us;
+    p->event.u.ended.outcome = START_DONE;
+    p->event.u.ended.ok = true;
+    p->event.u.ended.result = blob_new("\"done\"", 6);
+    p->event.u.ended.ran_us = n->opts.run_us;
+}
+
+static void
+on_revoke(struct net *n, int node, const struct ef_revoke *f)
+{
+    struct net_packet *p = packet_add(n, node, 2 * NET_DELAY_US);
+
+    p->event.kind = EV_TASK_REVOKED;
+    p->event.u.revoked.call = f->call;
+    p->event.u.revoked.outcome = REVOKE_NEVER;
+    for (size_t i = 0; i < n->n_starts; i++) {
+        const struct net_start *s = &n->starts[i];
+
+        if (key_id_equal(s->key, f->key) && s->index == f->index) {
+            bool over = s->end_us <= n->now_us;
+
+            p->event.u.revoked.outcome = over ? REVOKE_DONE : REVOKE_RUNNING;
+            p->event.u.revoked.ok = over;
+        }
+    }
+}
+
+static void
+announce(struct net *n, struct net_upstream *u)
+{
+    struct event ev = {.kind = EV_ANNOUNCE};
+    struct rec_upstream_info *info = &ev.u.announce.info;
+
+    u->announce_us = n->now_us + ANNOUNCE_SEC * USEC_PER_SEC;
+    info->upstream = u->name;
+    info->incarnation = u->incarnation;
+    info->zone = u->zone;
+    info->rack = name_of("rack");
+    info->service = name_of("camp");
+    info->address = address_of("http://127.0.0.1:1");
+    info->slots = SLOTS;
+    info->connections = SLOTS;
+    info->cpu_milli = 64000;
+    info->memory_mb = 65536;
+    for (int i = 0; i < n->n_nodes; i++) {
+        struct net_node *node = &n->nodes[i];
+
+        if (node->e != NULL && !node->frozen &&
+            name_equal(node->zone, u->zone)) {
+            ev.u.announce.request = ++n->requests;
+            net_step(n, i, &ev);
+            return;
+        }
+    }
+}
+
+/* ---- callers ---- */
+
+static void
+on_reply(struct net *n, uint64_t request, const struct effect *f)
+{
+    for (size_t i = 0; i < n->n_answers; i++) {
+        struct net_answer *a = &n->answers[i];
+
+        if (a->request != request) {
+            continue;
+        }
+        a->times++;
+        a->kind = f->kind;
+        if (f->kind == EF_PROBLEM) {
+            a->problem = f->u.problem;
+        }
+        else if (f->kind == EF_ANSWER) {
+            job_answer_free(a->answer);
+            a->answer = job_answer_copy(f->u.answer.answer);
+        }
+        return;
+    }
+}
+
+static void
+carry_out(struct net *n, int node, const struct effect *f)
+{
+    switch (f->kind) {
+    case EF_SEND:
+        on_send(n, node, &f->u.send);
+        break;
+    case EF_ANSWER:
+        on_reply(n, f->u.answer.request, f);
+        break;
+    case EF_ACCEPTED:
+        on_reply(n, f->u.accepted.request, f);
+        break;
+    case EF_PROBLEM:
+        on_reply(n, f->u.problem.request, f);
+        break;
+    case EF_START:
+        on_start(n, node, &f->u.start);
+        break;
+    case EF_REVOKE:
+        on_revoke(n, node, &f->u.revoke);
+        break;
+    case EF_FENCE:
+        on_fence(n, node, &f->u.fence);
+        break;
+    case EF_STOPPED:
+        n->nodes[node].stopped = true;
+        break;
+    default:
+        break;
+    }
+}
+
+/* A step's effects are taken aside first: carrying one out may cause another
+ * step. */
+void
+net_step(struct net *n, int node, const struct event *ev)
+{
+    struct effects fx = {0};
+    struct event now = *ev;
+
+    now.now = moment_of(n);
+    entry_step(n->nodes[node].e, &now, &fx);
+    for (size_t i = 0; i < fx.n; i++) {
+        if (getenv("NET_TRACE") != NULL && fx.items[i].kind == EF_LOG) {
+            const struct ef_log *l = &fx.items[i].u.log;
+
+            (void)fprintf(stderr, "%9lld %s %s %s %s\n", (long long)n->now_us,
+                          n->nodes[node].name.s, reason_text(l->reason),
+                          l->subject.s, l->detail);
+        }
+        carry_out(n, node, &fx.items[i]);
+    }
+    effects_free(&fx);
+}
+
+static uint64_t
+new_request(struct net *n, int node)
+{
+    struct net_answer *a;
+
+    n->answers = must(realloc(n->answers, (n->n_answers + 1) * sizeof(*a)));
+    a = &n->answers[n->n_answers++];
+    memset(a, 0, sizeof(*a));
+    a->request = ++n->requests;
+    a->node = node;
+    a->kind = EFFECT_KINDS;
+    return a->request;
+}
+
+uint64_t
+net_submit(struct net *n, int node, const char *key, int n_tasks,
+           uint64_t body)
+{
+    struct job_spec *spec = must(job_spec_new((size_t)n_tasks));
+    struct event ev = {.kind = EV_SUBMIT};
+
+    spec->service = name_of("camp");
+    spec->digest = body;
+    for (int i = 0; i < n_tasks; i++) {
+        spec->tasks[i].payload = blob_new("{}", 2);
+    }
+    ev.u.submit.request = new_request(n, node);
+    ev.u.submit.key = key;
+    ev.u.submit.spec = spec;
+    net_step(n, node, &ev);
+    job_spec_free(spec);
+    return ev.u.submit.request;
+}
+
+static uint64_t
+query(struct net *n, int node, const char *key, enum event_kind kind,
+      bool wait)
+{
+    struct event ev = {.kind = kind};
+
+    ev.u.query.request = new_request(n, node);
+    ev.u.query.key = key;
+    ev.u.query.wait = wait;
+    net_step(n, node, &ev);
+    return ev.u.query.request;
+}
+
+uint64_t
+net_get(struct net *n, int node, const char *key, bool wait)
+{
+    return query(n, node, key, EV_JOB_GET, wait);
+}
+
+uint64_t
+net_cancel(struct net *n, int node, const char *key)
+{
+    return query(n, node, key, EV_JOB_CANCEL, true);
+}
+
+void
+net_stop(struct net *n, int node)
+{
+    struct event ev = {.kind = EV_STOP};
+
+    net_step(n, node, &ev);
+}
+
+/* ---- life and death ---- */
+
+static void
+tell_peers(struct net *n, int node, enum event_kind kind)
+{
+    for (int i = 0; i < n->n_nodes; i++) {
+        struct event ev = {.kind = kind};
+
+        if (i == node || n->nodes[i].e == NULL || n->nodes[i].frozen) {
+            continue;
+        }
+        ev.u.peer.peer = n->nodes[node].name;
+        net_step(n, i, &ev);
+        if (kind == EV_PEER_UP) {
+            ev.u.peer.peer = n->nodes[i].name;
+            net_step(n, node, &ev);
+        }
+    }
+}
+
+static void
+start_node(struct net *n, int node, bool new_region)
+{
+    struct entry_options o = entry_options_default();
+    struct event ev = {.kind = EV_CONFIG};
+
+    o.self = n->nodes[node].name;
+    o.incarnation = n->nodes[node].incarnation;
+    o.peers = n->peers;
+    o.n_peers = (size_t)n->n_nodes;
+    o.new_region = new_region;
+    o.seed = n->opts.seed * 1000 + o.incarnation * 10 + (uint64_t)node;
+    if (n->opts.tune != NULL) {
+        n->opts.tune(&o);
+    }
+    n->nodes[node].e = must(entry_new(&o));
+    n->nodes[node].stopped = false;
+    ev.u.config = n->config;
+    net_step(n, node, &ev);
+}
+
+static void
+break_packets(struct net *n, int node)
+{
+    size_t kept = 0;
+
+    for (size_t i = 0; i < n->n_packets; i++) {
+        struct net_packet *p = &n->packets[i];
+
+        if (p->to == node && p->event.kind != EV_MESSAGE) {
+            packet_clear(p);
+        }
+        else {
+            n->packets[kept++] = *p;
+        }
+    }
+    n->n_packets = kept;
+}
+
+void
+net_kill(struct net *n, int node)
+{
+    entry_free(n->nodes[node].e);
+    n->nodes[node].e = NULL;
+    break_packets(n, node);
+    tell_peers(n, node, EV_PEER_DOWN);
+}
+
+void
+net_restart(struct net *n, int node)
+{
+    if (n->nodes[node].e != NULL) {
+        net_kill(n, node);
+    }
+    n->nodes[node].incarnation++;
+    start_node(n, node, false);
+    tell_peers(n, node, EV_PEER_UP);
+}
+
+static struct config *
+make_config(void)
+{
+    struct config *c = must(calloc(1, sizeof(*c)));
+
+    c->version = 1;
+    c->n_services = 1;
+    c->services = must(calloc(1, sizeof(*c->services)));
+    c->n_teams = 1;
+    c->teams = must(calloc(1, sizeof(*c->teams)));
+    c->teams[0].name = name_of("pilgrims");
+    c->teams[0].weight = 1;
+    c->services[0] = (struct service_conf){
+        .name = name_of("camp"),
+        .team = name_of("pilgrims"),
+        .need = {.cpu_milli = 100, .memory_mb = 64},
+        .run_us = 100 * USEC_PER_MSEC,
+        .deadline_us = 5 * USEC_PER_SEC,
+        .deadline_max_us = 60 * USEC_PER_SEC,
+        .max_tasks = JOB_TASKS_MAX,
+        .max_queued = 10000,
+    };
+    return c;
+}
+
+struct net *
+net_new(const struct net_options *o)
+{
+    struct net *n = must(calloc(1, sizeof(*n)));
+
+    n->opts = *o;
+    n->random = o->seed;
+    n->now_us = USEC_PER_SEC;
+    n->config = make_config();
+    for (int i = 0; i < o->zones * o->per_zone; i++) {
+        struct net_node *node = &n->nodes[n->n_nodes++];
+        char text[NAME_SIZE];
+
+        (void)snprintf(text, sizeof(text), "z%d", i / o->per_zone);
+        node->zone = name_of(text);
+        (void)snprintf(text, sizeof(text), "z%d-e%d", i / o->per_zone,
+                       i % o->per_zone);
+        node->name = name_of(text);
+        node->incarnation = 1;
+        n->peers[i] =
+            (struct entry_peer){.name = node->name, .zone = node->zone};
+    }
+    for (int i = 0; i < o->zones * NET_PER_ZONE; i++) {
+        struct net_upstream *u = &n->upstreams[n->n_upstreams++];
+        int first = i / NET_PER_ZONE * o->per_zone;
+        char text[NAME_SIZE];
+
+        u->zone = n->nodes[first].zone;
+        (void)snprintf(text, sizeof(text), "u%d", i);
+        u->name = name_of(text);
+        u->incarnation = 1;
+    }
+    for (int i = 0; i < n->n_nodes; i++) {
+        start_node(n, i, o->new_region);
+    }
+    for (int i = 0; i < n->n_nodes; i++) {
+        tell_peers(n, i, EV_PEER_UP);
+    }
+    for (int i = 0; i < n->n_upstreams; i++) {
+        announce(n, &n->upstreams[i]);
+    }
+    net_run(n, USEC_PER_SEC);
+    return n;
+}
+
+void
+net_free(struct net *n)
+{
+    for (int i = 0; i < n->n_nodes; i++) {
+        entry_free(n->nodes[i].e);
+    }
+    for (size_t i = 0; i < n->n_packets; i++) {
+        packet_clear(&n->packets[i]);
+    }
+    for (size_t i = 0; i < n->n_answers; i++) {
+        job_answer_free(n->answers[i].answer);
+    }
+    free(n->packets);
+    free(n->answers);
+    free(n->starts);
+    config_free(n->config);
+    free(n);
+}
+
+/* ---- time ---- */
+
+static void
+deliver(struct net *n, size_t i)
+{
+    struct net_packet p = n->packets[i];
+    const struct net_node *to = &n->nodes[p.to];
+
+    n->packets[i] = n->packets[--n->n_packets];
+    if (to->e != NULL &&
+        (p.event.kind == EV_MESSAGE || p.life == to->incarnation)) {
+        if (p.event.kind == EV_MESSAGE) {
+            p.event.u.message.msg = &p.msg;
+        }
+        net_step(n, p.to, &p.event);
+    }
+    packet_clear(&p);
+}
+
+static int64_t
+tick_due(const struct net *n, int64_t until_us, int *node)
+{
+    int64_t first = until_us;
+
+    *node = -1;
+    for (int i = 0; i < n->n_nodes; i++) {
+        if (n->nodes[i].e != NULL && !n->nodes[i].frozen) {
+            int64_t at = entry_next_us(n->nodes[i].e);
+
+            at = at > n->now_us ? at : n->now_us;
+            if (at < first) {
+                first = at;
+                *node = i;
+            }
+        }
+    }
+    return first;
+}
+
+static bool
+announce_due(struct net *n, int64_t before_us)
+{
+    for (int i = 0; i < n->n_upstreams; i++) {
+        struct net_upstream *u = &n->upstreams[i];
+
+        if (u->announce_us <= before_us) {
+            n->now_us =
+                u->announce_us > n->now_us ? u->announce_us : n->now_us;
+            announce(n, u);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A frozen node's packets wait for it to wake. */
+static void
+hold_frozen(struct net *n)
+{
+    for (size_t i = 0; i < n->n_packets; i++) {
+        struct net_packet *p = &n->packets[i];
+
+        if (n->nodes[p->to].frozen && p->at_us <= n->now_us) {
+            p->at_us = n->now_us + USEC_PER_MSEC;
+        }
+    }
+}
+
+void
+net_run(struct net *n, int64_t for_us)
+{
+    int64_t until = n->now_us + for_us;
+    struct event tick = {.kind = EV_TICK};
+
+    while (n->now_us < until) {
+        int node;
+        int64_t at = tick_due(n, until, &node);
+        size_t first;
+
+        hold_frozen(n);
+        first = packet_first(n);
+        if (n->n_packets > 0 && n->packets[first].at_us <= at) {
+            at = n->packets[first].at_us;
+            node = -2;
+        }
+        if (announce_due(n, at)) {
+            continue;
+        }
+        n->now_us = at > n->now_us ? at : n->now_us;
+        if (node == -2 && !n->nodes[n->packets[first].to].frozen) {
+            deliver(n, first);
+        }
+        else if (node >= 0) {
+            net_step(n, node, &tick);
+        }
+    }
+}
+
+/* ---- what came of it ---- */
+
+const struct net_answer *
+net_answer(const struct net *n, uint64_t request)
+{
+    for (size_t i = 0; i < n->n_answers; i++) {
+        if (n->answers[i].request == request) {
+            return &n->answers[i];
+        }
+    }
+    return NULL;
+}
+
+bool
+net_problem(const struct net *n, uint64_t request, enum problem problem)
+{
+    const struct net_answer *a = net_answer(n, request);
+
+    return a->kind == EF_PROBLEM && a->problem.problem == problem &&
+           a->times == 1;
+}
+
+bool
+net_ended(const struct net *n, uint64_t request, enum job_status status,
+          enum reason reason)
+{
+    const struct net_answer *a = net_answer(n, request);
+
+    return a->kind == EF_ANSWER && a->answer->status == status &&
+           a->answer->reason == reason && a->times == 1;
+}
+
+int
+net_starts(const struct net *n, const char *key, int index)
+{
+    struct key_id id = key_id_of(key);
+    int count = 0;
+
+    for (size_t i = 0; i < n->n_starts; i++) {
+        if (key_id_equal(n->starts[i].key, id) &&
+            (index == NET_WHOLE || n->starts[i].index == (uint32_t)index)) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static int
+compare_starts(const void *a, const void *b)
+{
+    const struct net_start *x = a;
+    const struct net_start *y = b;
+
+    if (!key_id_equal(x->key, y->key)) {
+        return memcmp(&x->key, &y->key, sizeof(x->key));
+    }
+    return x->index < y->index ? -1 : x->index > y->index;
+}
+
+int
+net_started_twice(const struct net *n)
+{
+    struct net_start *sorted;
+    int twice = 0;
+
+    if (n->n_starts == 0) {
+        return 0;
+    }
+    sorted = must(calloc(n->n_starts, sizeof(*sorted)));
+    memcpy(sorted, n->starts, n->n_starts * sizeof(*sorted));
+    qsort(sorted, n->n_starts, sizeof(*sorted), compare_starts);
+    for (size_t i = 1; i < n->n_starts; i++) {
+        twice += compare_starts(&sorted[i - 1], &sorted[i]) == 0 ? 1 : 0;
+    }
+    free(sorted);
+    return twice;
+}
+
+int
+net_doubled_answers(const struct net *n)
+{
+    int doubled = 0;
+
+    for (size_t i = 0; i < n->n_answers; i++) {
+        doubled += n->answers[i].times > 1 ? 1 : 0;
+    }
+    return doubled;
+}
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -1,4 +1,5 @@
 /* The suites of `make check`, kept once: SUITE(name) calls suite_<name>(). */
 /* clang-format off */
 SUITE(base)
+SUITE(claim)
 /* clang-format on */
