--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -2,4 +2,8 @@
 /* clang-format off */
 SUITE(base)
 SUITE(claim)
+SUITE(fake)
+SUITE(servicefile)
+SUITE(settings)
+SUITE(storage)
 /* clang-format on */
