--- a/src/submit.c
+++ b/src/submit.c
@@ -75,6 +75,12 @@
     return false;
 }
 
+static int64_t
+told_us(const struct fetch_reply *reply)
+{
+    return reply->retry_after_s > 0 ? reply->retry_after_s * USEC_PER_SEC : 0;
+}
+
 /* Doubling pauses, each shortened by a random half: callers that lost the same
  * instance at the same moment would otherwise all arrive at the next one
  * together, again and again. */
@@ -83,8 +89,7 @@
            const struct fetch_reply *reply, double random)
 {
     int64_t pause = o->backoff_us;
-    int64_t told =
-        reply->retry_after_s > 0 ? reply->retry_after_s * USEC_PER_SEC : 0;
+    int64_t told = told_us(reply);
 
     for (uint32_t i = 1; i < state->attempts && pause < o->backoff_max_us;
          i++) {
@@ -137,7 +142,8 @@
     struct submit_step step = {0};
 
     note_attempt(state, reply, word);
-    if (temporary(reply) && state->attempts < o->attempts_max) {
+    if (temporary(reply) && state->attempts < o->attempts_max &&
+        told_us(reply) <= o->backoff_max_us) {
         step.again = true;
         step.wait_us = backoff_us(o, state, reply, random);
         return step;
--- a/src/submit.h
+++ b/src/submit.h
@@ -32,8 +32,9 @@
 /** struct submit_options - bounds on one job's attempts */
 struct submit_options {
     uint32_t attempts_max;
-    int64_t backoff_us;     /* before the second attempt */
-    int64_t backoff_max_us; /* the longest pause, Retry-After included */
+    int64_t backoff_us; /* before the second attempt */
+    int64_t
+        backoff_max_us; /* the longest pause; a longer Retry-After ends it */
 };
 
 /** struct submit_state - zeroed before the first attempt */
--- a/tests/submit_test.c
+++ b/tests/submit_test.c
@@ -110,8 +110,7 @@
     CU_ASSERT_EQUAL(submit_next(&o, &state, &reply, 0).wait_us,
                     2 * USEC_PER_SEC);
     reply.retry_after_s = 3600;
-    CU_ASSERT_EQUAL(submit_next(&o, &state, &reply, 0).wait_us,
-                    o.backoff_max_us);
+    CU_ASSERT_FALSE(submit_next(&o, &state, &reply, 0).again);
 }
 
 void
