--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -5,4 +5,5 @@
 SUITE(settings)
 SUITE(fake)
 SUITE(submit)
+SUITE(storage)
 /* clang-format on */
