--- a/src/caller.c
+++ b/src/caller.c
@@ -96,6 +96,9 @@
         (void)snprintf(request->url, sizeof(request->url), "%s%s",
                        c->o.entries[c->at], path);
         fetch_run(c->fetch, request, &result->reply);
+        if (c->o.on_attempt != NULL) {
+            c->o.on_attempt(c->o.user, c->at, &result->reply);
+        }
         step =
             submit_next(&c->o.submit, &state, &result->reply, next_random(c));
         if (!step.again || aborted(c)) {
--- a/src/caller.h
+++ b/src/caller.h
@@ -19,6 +19,8 @@
  * @seed: for pauses
  * @abort: ends waiting early; may be NULL
  * @wait: sleeps for that long; NULL sleeps by the machine's clock
+ * @on_attempt: told of every attempt before the next one; may be NULL
+ * @user: handed to @on_attempt
  */
 struct caller_options {
     char entries[CALLER_ENTRIES_MAX][ADDRESS_SIZE];
@@ -28,6 +30,9 @@
     uint64_t seed;
     const atomic_bool *abort;
     void (*wait)(int64_t us);
+    void (*on_attempt)(void *user, size_t entry,
+                       const struct fetch_reply *reply);
+    void *user;
 };
 
 /** struct caller_result - how a request ended, and the last reply */
