--- a/src/bm_demo.c
+++ b/src/bm_demo.c
@@ -20,6 +20,7 @@
 #include "clock.h"
 #include "demo_plan.h"
 #include "demo_record.h"
+#include "demo_watch.h"
 
 enum {
     CODE_USAGE = 2,
@@ -27,6 +28,7 @@
     CALLERS_MAX = 256,
     SERVICES_MAX = 4,
     MEANWHILE_MS = 40,     /* before the second request while one runs */
+    READY_MS = 15000,      /* until the region is ready */
     STEP_MS = 50,          /* between looks at a file */
     COMPLETE_PERCENT = 90, /* of all jobs, at least */
     ATTEMPT_MS = 20000,    /* one attempt, well above every deadline */
@@ -51,6 +53,7 @@
     size_t n_services;
     const char *sync;
     const char *killed;
+    uint32_t upstreams;
     struct outcome *outcomes;
     uint32_t n_jobs;
     uint64_t seed;
@@ -457,12 +460,36 @@
     return good ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+/* Callers begin when every instance serves and every upstream is held. */
+static bool
+wait_until_ready(struct demo *d)
+{
+    struct demo_watch *w = demo_watch_start(&d->callers);
+    bool ready = false;
+
+    for (int ms = 0; w != NULL && !ready && ms < READY_MS; ms += STEP_MS) {
+        sleep_ms(STEP_MS);
+        ready = demo_watch_ready(w, d->upstreams);
+    }
+    if (w != NULL) {
+        demo_watch_stop(w);
+    }
+    if (!ready) {
+        (void)fprintf(stderr, "demo: not ready after %d ms\n", READY_MS);
+    }
+    return ready;
+}
+
 static int
 run(struct demo *d, int callers, const char *records)
 {
     struct demo_records r;
     int code;
 
+    if (!wait_until_ready(d)) {
+        return EXIT_FAILURE;
+    }
+
     d->outcomes = calloc(d->n_jobs, sizeof(*d->outcomes));
     if (d->outcomes == NULL) {
         return EXIT_FAILURE;
@@ -504,6 +531,7 @@
     char *records;
     char *sync;
     char *killed;
+    int upstreams;
     int jobs;
     int callers;
     int seed;
@@ -539,6 +567,7 @@
     d.callers.user = &d;
     d.sync = o->sync;
     d.killed = o->killed;
+    d.upstreams = (uint32_t)o->upstreams;
     d.n_jobs = (uint32_t)o->jobs;
     d.seconds = o->seconds;
     d.seed = (uint64_t)o->seed;
@@ -562,6 +591,8 @@
          "folder for the files half, done and stopped", "DIR"},
         {"killed", 0, POPT_ARG_STRING, &o.killed, 0,
          "entry instance that will be killed", "ADDRESS"},
+        {"upstreams", 0, POPT_ARG_INT, &o.upstreams, 0,
+         "begin when that many are held", "N"},
         {"jobs", 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &o.jobs, 0,
          "distinct jobs", "N"},
         {"callers", 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &o.callers, 0,
