--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -361,4 +361,10 @@
     ARRAY(publication, history)
     ARRAY(config_text, texts)
 END(control_state)
+
+RECORD(hello)           /* first on a connection, in both directions */
+    NAME(sender)
+    U64(incarnation)
+    U64(heartbeat_us)   /* at least a frame in each such time */
+END(hello)
 /* clang-format on */
