Run the demo by make demo

Cause: the whole path runs: bm-entry, the reducer and the stand-ins. Change: the target installs what is missing, builds and runs demo/run.

--- a/Makefile
+++ b/Makefile
@@ -82,5 +82,9 @@
 	@$(MAKE) all $(BUILD)/check
 	@$(BUILD)/check tests
 
+demo: deps
+	@$(MAKE) all
+	@sh demo/run $(BUILD)
+
 clean:
 	rm -rf build build-address build-thread
