Test that the demo's checks can fail

Cause: a check that cannot fail proves nothing. Change: tests give bm-demo's readers partial, swapped and doubled material. Conclusion: each count of the summary line has an input that raises it.

--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -5,5 +5,6 @@
 SUITE(settings)
 SUITE(fake)
 SUITE(submit)
+SUITE(demo)
 SUITE(storage)
 /* clang-format on */
