Tell a refusal of one request from the fact that nothing ran

Cause: a resubmission that is refused alone (none_by_this_request) was told as not run, though another request under the key may have started tasks; and a stand-in without a rack was refused without a word in its log. Change: SUBMIT_NOT_RUN is the fact, SUBMIT_REFUSED the request's own; the announcement leaves an empty rack out and logs why it was not taken.

--- a/src/bm_demo.c
+++ b/src/bm_demo.c
@@ -253,7 +253,7 @@
 
     caller_use(c, entry);
     if (!get_key(o, c)) {
-        o->end = SUBMIT_REFUSED;
+        o->end = SUBMIT_NOT_RUN;
         return;
     }
     if (o->job.kind == DEMO_CANCEL_BEFORE) {
@@ -369,7 +369,7 @@
     const struct demo_task *t = demo_records_task(r, o->key, i);
     bool started = t != NULL && t->starts > 0;
 
-    if (o->end == SUBMIT_REFUSED || o->job.kind == DEMO_CANCEL_BEFORE) {
+    if (o->end == SUBMIT_NOT_RUN || o->job.kind == DEMO_CANCEL_BEFORE) {
         if (started) {
             mark_wrong(o, "told not run, and it was started");
         }
@@ -406,6 +406,7 @@
     case SUBMIT_COMPLETE:
         s->complete++;
         break;
+    case SUBMIT_NOT_RUN:
     case SUBMIT_REFUSED:
         s->refused++;
         break;
--- a/src/bm_submit.c
+++ b/src/bm_submit.c
@@ -17,7 +17,8 @@
     CODE_COMPLETE = 0,
     CODE_FAILED = 1,  /* answered: failed */
     CODE_USAGE = 2,   /* a mistake on the command line or in the input */
-    CODE_NOT_RUN = 3, /* refused; nothing was started */
+    CODE_REFUSED = 3, /* these requests started nothing; "started" in the
+                         printed problem says whether anything ever did */
     CODE_UNKNOWN = 4, /* given up; some of it may have been started */
 };
 
@@ -40,8 +41,8 @@
 
 static const int codes[] = {
     [SUBMIT_COMPLETE] = CODE_COMPLETE, [SUBMIT_FAILED] = CODE_FAILED,
-    [SUBMIT_REFUSED] = CODE_NOT_RUN,   [SUBMIT_UNKNOWN] = CODE_UNKNOWN,
-    [SUBMIT_RUNNING] = CODE_UNKNOWN,
+    [SUBMIT_NOT_RUN] = CODE_REFUSED,   [SUBMIT_REFUSED] = CODE_REFUSED,
+    [SUBMIT_UNKNOWN] = CODE_UNKNOWN,   [SUBMIT_RUNNING] = CODE_UNKNOWN,
 };
 
 static int
@@ -164,7 +165,7 @@
                       result.reply.status);
         fetch_reply_clear(&result.reply);
         free(body);
-        return CODE_NOT_RUN;
+        return CODE_REFUSED;
     }
     else {
         fetch_reply_clear(&result.reply);
@@ -285,8 +286,8 @@
 
     poptSetOtherOptionHelp(
         ctx, "[OPTION...]\n"
-             "Exit codes: 0 complete, 1 failed, 2 usage, 3 refused and not "
-             "run, 4 unknown or still running");
+             "Exit codes: 0 complete, 1 failed, 2 usage, 3 refused, "
+             "started nothing, 4 unknown or still running");
     rc = poptGetNextOpt(ctx);
     if (rc < -1) {
         code = usage(poptStrerror(rc));
--- a/src/fake_announce.c
+++ b/src/fake_announce.c
@@ -24,7 +24,7 @@
     pthread_cond_t wake;
     bool leaving; /* under the lock */
     size_t at;    /* entry instance that took the last one */
-    bool known;   /* the last announcement was taken */
+    int taken;    /* the last announcement; -1 before the first */
 };
 
 static char *
@@ -32,16 +32,19 @@
 {
     const struct fake_announce_options *o = &a->o;
     json_t *json = json_pack(
-        "{s:I, s:s, s:s, s:s, s:s, s:I, s:I, s:f, s:I, s:I, s:I}",
-        "incarnation", (json_int_t)o->incarnation, "address", o->address.s,
-        "zone", o->zone.s, "rack", o->rack.s, "service", o->service.s, "slots",
-        (json_int_t)o->slots, "connections", (json_int_t)o->connections,
-        "cpus", (double)o->have.cpu_milli / 1000, "memory_mb",
-        (json_int_t)o->have.memory_mb, "accelerators",
+        "{s:I, s:s, s:s, s:s, s:I, s:I, s:f, s:I, s:I, s:I}", "incarnation",
+        (json_int_t)o->incarnation, "address", o->address.s, "zone", o->zone.s,
+        "service", o->service.s, "slots", (json_int_t)o->slots, "connections",
+        (json_int_t)o->connections, "cpus", (double)o->have.cpu_milli / 1000,
+        "memory_mb", (json_int_t)o->have.memory_mb, "accelerators",
         (json_int_t)o->have.accelerators, "busy",
         (json_int_t)fake_server_running(o->server));
-    char *text = json_dumps(json, JSON_COMPACT);
+    char *text;
 
+    if (!name_empty(o->rack)) {
+        (void)json_object_set_new(json, "rack", json_string(o->rack.s));
+    }
+    text = json_dumps(json, JSON_COMPACT);
     json_decref(json);
     return text;
 }
@@ -76,9 +79,10 @@
         if (ask(a, method, query, body, reply)) {
             return true;
         }
-        log_event(a->known ? LOG_NOTICE : LOG_DEBUG, "announcement-not-taken",
-                  a->o.entries[a->at], "%s, status %ld",
-                  fetch_error_text(reply->error), reply->status);
+        log_event(a->taken != 0 ? LOG_NOTICE : LOG_DEBUG,
+                  "announcement-not-taken", a->o.entries[a->at],
+                  "%s, status %ld %.100s", fetch_error_text(reply->error),
+                  reply->status, reply->body != NULL ? reply->body : "");
         fetch_reply_clear(reply);
         a->at = (a->at + 1) % a->o.n_entries;
     }
@@ -110,11 +114,11 @@
         wait_ms = renew_ms(&reply) / 2;
         fetch_reply_clear(&reply);
     }
-    if (taken != a->known) {
+    if ((int)taken != a->taken) {
         log_event(LOG_NOTICE, taken ? "announced" : "not-announced",
                   a->o.entries[a->at], "as %s", a->o.name.s);
     }
-    a->known = taken;
+    a->taken = taken;
     return wait_ms;
 }
 
@@ -170,6 +174,7 @@
         return NULL;
     }
     a->o = *o;
+    a->taken = -1;
     a->fetch = fetch_new();
     pthread_mutex_init(&a->lock, NULL);
     pthread_condattr_init(&attr);
--- a/src/submit.c
+++ b/src/submit.c
@@ -113,7 +113,7 @@
     case SUBMIT_SAYS_RUNNING:
         return SUBMIT_RUNNING;
     case SUBMIT_SAYS_NOT_RUN:
-        return SUBMIT_REFUSED;
+        return SUBMIT_NOT_RUN;
     case SUBMIT_SAYS_NOT_BY_THIS:
     case SUBMIT_SAYS_NOTHING:
         break;
@@ -157,8 +157,8 @@
 {
     static const char *const texts[] = {
         [SUBMIT_COMPLETE] = "complete", [SUBMIT_FAILED] = "failed",
-        [SUBMIT_REFUSED] = "not run",   [SUBMIT_UNKNOWN] = "unknown",
-        [SUBMIT_RUNNING] = "running",
+        [SUBMIT_NOT_RUN] = "not run",   [SUBMIT_REFUSED] = "refused",
+        [SUBMIT_UNKNOWN] = "unknown",   [SUBMIT_RUNNING] = "running",
     };
 
     return texts[end];
--- a/src/submit.h
+++ b/src/submit.h
@@ -14,7 +14,9 @@
 enum submit_end {
     SUBMIT_COMPLETE, /* the whole answer */
     SUBMIT_FAILED,   /* an answer that says failed, with each task's state */
-    SUBMIT_REFUSED,  /* a fact: nothing of the key was started by this job */
+    SUBMIT_NOT_RUN,  /* a fact: nothing under the key ever started */
+    SUBMIT_REFUSED,  /* these requests started nothing; of earlier ones under
+                        the key it says nothing */
     SUBMIT_UNKNOWN,  /* given up, and some of it may have been started */
     SUBMIT_RUNNING,  /* asked without waiting: not yet ended */
 };
--- a/tests/submit_test.c
+++ b/tests/submit_test.c
@@ -40,7 +40,7 @@
         {200, "{\"status\":\"failed\"}", SUBMIT_FAILED},
         {200, "{\"status\":\"running\"}", SUBMIT_RUNNING},
         {202, "{}", SUBMIT_RUNNING},
-        {404, "{\"started\":\"not_run\"}", SUBMIT_REFUSED},
+        {404, "{\"started\":\"not_run\"}", SUBMIT_NOT_RUN},
         {422, "{\"started\":\"none_by_this_request\"}", SUBMIT_REFUSED},
         {200, "half an answ", SUBMIT_UNKNOWN},
         {404, "no problem details", SUBMIT_UNKNOWN},
@@ -71,7 +71,7 @@
         SUBMIT_UNKNOWN);
     CU_ASSERT_EQUAL(
         next(&state, FETCH_OK, 422, "{\"started\":\"not_run\"}").end,
-        SUBMIT_REFUSED);
+        SUBMIT_NOT_RUN);
     memset(&state, 0, sizeof(state));
     CU_ASSERT_TRUE(next(&state, FETCH_NO_CONNECT, 0, "").again);
     CU_ASSERT_EQUAL(
@@ -104,7 +104,7 @@
     }
     low = submit_next(&o, &state, &reply, 0);
     CU_ASSERT_FALSE(low.again);
-    CU_ASSERT_EQUAL(low.end, SUBMIT_REFUSED);
+    CU_ASSERT_EQUAL(low.end, SUBMIT_NOT_RUN);
     memset(&state, 0, sizeof(state));
     reply.retry_after_s = 2;
     CU_ASSERT_EQUAL(submit_next(&o, &state, &reply, 0).wait_us,
