--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -5,5 +5,8 @@
 SUITE(fake)
 SUITE(servicefile)
 SUITE(settings)
+SUITE(fake)
+SUITE(submit)
+SUITE(demo)
 SUITE(storage)
 /* clang-format on */
