Run the entry reducers under workloads in virtual time

Cause: decisions under load could not be measured: nothing drove several entry reducers together without a network and a clock.

Change: vnet.c carries effects to events through one heap with fixed delays; vcaller.c and vupstream.c stand in for callers and upstreams and record what they saw. workload.c draws jobs and faults from INI files, baseline.c gives the policies to compare with and a lower bound, figures.c the measures and their bounds. bm-bench prints the table; make bench and make bench-update use bench/bounds.ini.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 FORMATTED := $(wildcard src/*.[ch] tests/*.[ch])
 LINTED := $(LIB_SRC) $(MAINS) $(TEST_SRC)
 
-.PHONY: all deps format format-check lint check demo clean
+.PHONY: all deps format format-check lint check demo bench bench-update clean
 .SECONDARY:
 
 all: $(BUILD)/libboragemoor.a $(PROGRAMS)
@@ -82,5 +82,13 @@
 	@$(MAKE) all $(BUILD)/check
 	@$(BUILD)/check tests
 
+WORKLOADS := $(sort $(wildcard bench/workloads/*.ini))
+
+bench: $(BUILD)/bm-bench
+	@$< --bounds bench/bounds.ini $(WORKLOADS)
+
+bench-update: $(BUILD)/bm-bench
+	@$< --bounds bench/bounds.ini --update $(WORKLOADS)
+
 clean:
 	rm -rf build build-address build-thread
--- /dev/null
+++ b/src/bm_bench.c
@@ -0,0 +1,176 @@
+/**
+ * DOC: bm_bench - runs the reducers in virtual time and prints figures
+ *
+ * Exit codes: 0 within bounds, 1 out of bounds or a promise broken, 2 usage.
+ */
+#include <popt.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "figures.h"
+
+enum { EXIT_OUT_OF_BOUNDS = 1, EXIT_USAGE = 2, THREADS_MAX = 64 };
+
+struct options {
+    char *bounds;
+    int update;
+    char *policy;
+    int threads;
+    int version;
+};
+
+/* struct work - runs spread over threads; their order does not matter, each
+ * has its own random numbers and its own place for the figures */
+struct work {
+    const struct workload *workloads;
+    struct figures *figures;
+    const enum policy *policies;
+    size_t n_policies;
+    size_t n;
+    atomic_size_t next;
+};
+
+static void *
+run_some(void *arg)
+{
+    struct work *w = arg;
+    size_t i;
+
+    while ((i = atomic_fetch_add(&w->next, 1)) < w->n) {
+        w->figures[i] = figures_of(&w->workloads[i / w->n_policies],
+                                   w->policies[i % w->n_policies]);
+    }
+    return NULL;
+}
+
+static void
+run_all(struct work *w, int threads)
+{
+    pthread_t ids[THREADS_MAX];
+    int n = 0;
+
+    while (n < threads && n < THREADS_MAX &&
+           pthread_create(&ids[n], NULL, run_some, w) == 0) {
+        n++;
+    }
+    (void)run_some(w);
+    while (n > 0) {
+        (void)pthread_join(ids[--n], NULL);
+    }
+}
+
+static size_t
+wanted_policies(const char *name, enum policy out[POLICIES])
+{
+    size_t n = 0;
+
+    for (int p = 0; p < POLICIES; p++) {
+        if (name == NULL || strcmp(name, policy_name((enum policy)p)) == 0) {
+            out[n++] = (enum policy)p;
+        }
+    }
+    return n;
+}
+
+static int
+report(const struct work *w, const struct options *o, size_t n_workloads)
+{
+    int out_of_bounds = 0;
+
+    figures_print(NULL, stdout);
+    for (size_t i = 0; i < w->n; i++) {
+        figures_print(&w->figures[i], stdout);
+    }
+    if (o->update && !figures_update(w->figures, w->n, o->bounds)) {
+        perror(o->bounds);
+        return EXIT_USAGE;
+    }
+    if (o->bounds != NULL) {
+        out_of_bounds = figures_compare(w->figures, w->n, o->bounds, stdout);
+    }
+    if (out_of_bounds < 0) {
+        return EXIT_USAGE;
+    }
+    printf("bench: workloads=%zu out_of_bounds=%d\n", n_workloads,
+           out_of_bounds);
+    return out_of_bounds > 0 ? EXIT_OUT_OF_BOUNDS : EXIT_SUCCESS;
+}
+
+static int
+run_files(const char **files, size_t n, const struct options *o)
+{
+    enum policy policies[POLICIES];
+    struct workload *workloads = calloc(n, sizeof(*workloads));
+    struct work w = {.workloads = workloads, .policies = policies};
+    int code = EXIT_USAGE;
+
+    w.n_policies = wanted_policies(o->policy, policies);
+    w.n = n * w.n_policies;
+    w.figures = calloc(w.n + 1, sizeof(*w.figures));
+    if (workloads == NULL || w.figures == NULL || w.n == 0) {
+        goto out;
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (!workload_read(files[i], &workloads[i])) {
+            goto out;
+        }
+    }
+    run_all(&w, o->threads);
+    code = report(&w, o, n);
+out:
+    free(workloads);
+    free(w.figures);
+    return code;
+}
+
+int
+main(int argc, const char **argv)
+{
+    struct options o = {.threads = 3};
+    struct poptOption table[] = {
+        {"bounds", 'b', POPT_ARG_STRING, &o.bounds, 0,
+         "compare with the bounds in this file", "FILE"},
+        {"update", 'u', POPT_ARG_NONE, &o.update, 0, "write the bounds first",
+         NULL},
+        {"policy", 'p', POPT_ARG_STRING, &o.policy, 0,
+         "only this policy: holder, sparing, direct or random", "NAME"},
+        {"threads", 't', POPT_ARG_INT, &o.threads, 0, "beside the first", "N"},
+        {"version", 'V', POPT_ARG_NONE, &o.version, 0, "print the version",
+         NULL},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("bm-bench", argc, argv, table, 0);
+    int code = EXIT_USAGE;
+    const char **files;
+    size_t n = 0;
+    int err = poptGetNextOpt(context);
+
+    poptSetOtherOptionHelp(context, "WORKLOAD.ini...");
+    if (err < -1) {
+        (void)fprintf(stderr, "bm-bench: %s: %s\n",
+                      poptBadOption(context, POPT_BADOPTION_NOALIAS),
+                      poptStrerror(err));
+        goto out;
+    }
+    if (o.version) {
+        printf("bm-bench %s\n", BM_VERSION);
+        code = EXIT_SUCCESS;
+        goto out;
+    }
+    files = poptGetArgs(context);
+    while (files != NULL && files[n] != NULL) {
+        n++;
+    }
+    if (n == 0 || (o.update && o.bounds == NULL)) {
+        poptPrintUsage(context, stderr, 0);
+        goto out;
+    }
+    code = run_files(files, n, &o);
+out:
+    poptFreeContext(context);
+    free(o.bounds);
+    free(o.policy);
+    return code;
+}
