--- a/src/peer.c
+++ b/src/peer.c
@@ -421,6 +421,7 @@
             conn_close(p, c, LOG_INFO, "closed by the other end");
             return;
         }
+        p->now_us = clock_now(p->opts.clock).mono_us;
         c->last_in_us = p->now_us;
         stats_add(&stats.peer_bytes_in, (uint64_t)n);
         take_frames(p, c);
