Split the keys and the reading of files off from servicefile

Change: servicekey.c has the keys and their values, filetree.c finds and reads files, servicefile.c the sections, checks and the canonical text. Conclusion: a difference of two configurations can use the keys alone.

--- a/src/servicefile.c
+++ b/src/servicefile.c
@@ -1,63 +1,20 @@
 #include "servicefile.h"
 
 #include <ctype.h>
-#include <errno.h>
-#include <ftw.h>
 #include <ini.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
-
-#define KEY(key, kind_, member, least_, most_, def_, unit_, text_)            \
-    {key,                                                                     \
-     SERVICEFILE_##kind_,                                                     \
-     offsetof(struct OWNER, member),                                          \
-     least_,                                                                  \
-     most_,                                                                   \
-     def_,                                                                    \
-     unit_,                                                                   \
-     text_},
-
-#define OWNER service_conf
-static const struct servicefile_key service_keys[] = {SERVICE_KEY_LIST(KEY)};
-#undef OWNER
-
-#define OWNER team_conf
-static const struct servicefile_key team_keys[] = {TEAM_KEY_LIST(KEY)};
-#undef OWNER
-#undef KEY
-
-enum {
-    N_SERVICE_KEYS = sizeof(service_keys) / sizeof(service_keys[0]),
-    N_TEAM_KEYS = sizeof(team_keys) / sizeof(team_keys[0]),
-    RANGE_SIZE = 64,
-};
 
-static const char *const order_names[] = {
-    [ORDER_LEAST_WORK] = "least-work",
-    [ORDER_ARRIVAL] = "arrival",
-    [ORDER_FAIR] = "fair",
-};
+#include "filetree.h"
 
-/* One kind of section: what it is called and what its keys are. */
-struct section_kind {
-    const char *word;
-    const struct servicefile_key *keys;
-    size_t n_keys;
-    size_t conf_size;
-};
-
-static const struct section_kind service_kind = {
-    "service", service_keys, N_SERVICE_KEYS, sizeof(struct service_conf)};
-static const struct section_kind team_kind = {"team", team_keys, N_TEAM_KEYS,
-                                              sizeof(struct team_conf)};
+enum { RANGE_SIZE = 64 };
 
 /* A section as read, with the place that errors about it name. */
 struct section {
-    const struct section_kind *kind;
+    const struct servicekey_section *kind;
     struct name name;
     char *file;
     int line;
@@ -81,67 +38,6 @@
     bool out_of_memory;
 };
 
-const struct servicefile_key *
-servicefile_service_keys(size_t *n)
-{
-    *n = N_SERVICE_KEYS;
-    return service_keys;
-}
-
-const struct servicefile_key *
-servicefile_team_keys(size_t *n)
-{
-    *n = N_TEAM_KEYS;
-    return team_keys;
-}
-
-static void
-format_milli(int64_t value, char *out, size_t size)
-{
-    int n = snprintf(out, size, "%lld.%03lld", (long long)(value / 1000),
-                     (long long)(value % 1000));
-
-    while (n > 0 && out[n - 1] == '0') {
-        out[--n] = '\0';
-    }
-    if (n > 0 && out[n - 1] == '.') {
-        out[n - 1] = '\0';
-    }
-}
-
-void
-servicefile_range(const struct servicefile_key *key, char *out, size_t size)
-{
-    char least[24];
-    char most[24];
-
-    switch (key->kind) {
-    case SERVICEFILE_NAME:
-        (void)snprintf(out, size, "1 to %lld of A-Z a-z 0-9 . _ -",
-                       (long long)key->most);
-        return;
-    case SERVICEFILE_ZONES:
-        (void)snprintf(out, size, "up to %lld names", (long long)key->most);
-        return;
-    case SERVICEFILE_FLAG:
-        (void)snprintf(out, size, "true or false");
-        return;
-    case SERVICEFILE_ORDER:
-        (void)snprintf(out, size, "least-work, arrival or fair");
-        return;
-    case SERVICEFILE_MILLI:
-        format_milli(key->least, least, sizeof(least));
-        format_milli(key->most, most, sizeof(most));
-        (void)snprintf(out, size, "%s to %s", least, most);
-        return;
-    case SERVICEFILE_COUNT:
-    case SERVICEFILE_MSEC:
-        (void)snprintf(out, size, "%lld to %lld", (long long)key->least,
-                       (long long)key->most);
-        return;
-    }
-}
-
 static void
 add_error(struct loader *l, const char *file, int line, const char *format,
           ...)
@@ -178,153 +74,13 @@
     memset(errs, 0, sizeof(*errs));
 }
 
-static bool
-is_name(const char *text)
-{
-    size_t n = strlen(text);
-
-    if (n == 0 || n >= NAME_SIZE) {
-        return false;
-    }
-    for (size_t i = 0; i < n; i++) {
-        if (!isalnum((unsigned char)text[i]) &&
-            strchr("._-", text[i]) == NULL) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/* Values.  Each parser stores the value in the section's struct and says
- * whether the text was allowed. */
-
-static bool
-parse_whole(const char *text, int64_t least, int64_t most, int64_t *out)
-{
-    char *end;
-    long long value;
-
-    if (!isdigit((unsigned char)text[0])) {
-        return false;
-    }
-    errno = 0;
-    value = strtoll(text, &end, 10);
-    if (errno != 0 || *end != '\0' || value < least || value > most) {
-        return false;
-    }
-    *out = value;
-    return true;
-}
-
-static bool
-parse_milli(const char *text, int64_t least, int64_t most, int64_t *out)
-{
-    char digits[32];
-    const char *point = strchr(text, '.');
-    size_t whole = point == NULL ? strlen(text) : (size_t)(point - text);
-    size_t places = point == NULL ? 0 : strlen(point + 1);
-
-    if (whole == 0 || whole > 12 || places > 3 ||
-        (point != NULL && places == 0)) {
-        return false;
-    }
-    (void)snprintf(digits, sizeof(digits), "%.*s%s%s", (int)whole, text,
-                   point == NULL ? "" : point + 1, &"000"[places]);
-    return parse_whole(digits, least, most, out);
-}
-
-static bool
-parse_flag(const char *text, bool *out)
-{
-    *out = strcmp(text, "true") == 0;
-    return *out || strcmp(text, "false") == 0;
-}
-
-static bool
-parse_order(const char *text, enum queue_order *out)
-{
-    for (size_t i = 0; i < sizeof(order_names) / sizeof(order_names[0]); i++) {
-        if (strcmp(text, order_names[i]) == 0) {
-            *out = (enum queue_order)i;
-            return true;
-        }
-    }
-    return false;
-}
-
-static int
-compare_names(const void *a, const void *b)
-{
-    return strcmp(((const struct name *)a)->s, ((const struct name *)b)->s);
-}
-
-static bool
-parse_zones(const char *text, struct service_conf *conf)
-{
-    char copy[SERVICEFILE_LINE_MAX];
-    char *save = NULL;
-
-    conf->n_zones = 0;
-    (void)snprintf(copy, sizeof(copy), "%s", text);
-    for (char *word = strtok_r(copy, ", \t", &save); word != NULL;
-         word = strtok_r(NULL, ", \t", &save)) {
-        if (!is_name(word) || conf->n_zones == ZONES_MAX) {
-            return false;
-        }
-        conf->zones[conf->n_zones++] = name_of(word);
-    }
-    qsort(conf->zones, conf->n_zones, sizeof(conf->zones[0]), compare_names);
-    for (size_t i = 1; i < conf->n_zones; i++) {
-        if (name_equal(conf->zones[i - 1], conf->zones[i])) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static bool
-parse_value(const struct servicefile_key *key, const char *text, void *conf)
-{
-    char *member = (char *)conf + key->offset;
-    int64_t number = 0;
-    bool good = true;
-
-    switch (key->kind) {
-    case SERVICEFILE_NAME:
-        good = is_name(text);
-        *(struct name *)member = name_of(text);
-        break;
-    case SERVICEFILE_COUNT:
-        good = parse_whole(text, key->least, key->most, &number);
-        *(uint32_t *)member = (uint32_t)number;
-        break;
-    case SERVICEFILE_MILLI:
-        good = parse_milli(text, key->least, key->most, &number);
-        *(uint32_t *)member = (uint32_t)number;
-        break;
-    case SERVICEFILE_MSEC:
-        good = parse_whole(text, key->least, key->most, &number);
-        *(int64_t *)member = number * USEC_PER_MSEC;
-        break;
-    case SERVICEFILE_FLAG:
-        good = parse_flag(text, (bool *)member);
-        break;
-    case SERVICEFILE_ORDER:
-        good = parse_order(text, (enum queue_order *)member);
-        break;
-    case SERVICEFILE_ZONES:
-        good = parse_zones(text, conf);
-        break;
-    }
-    return good;
-}
-
 /* Sections. */
 
-static const struct section_kind *
+static const struct servicekey_section *
 section_kind_of(const char *title, const char **name)
 {
-    const struct section_kind *kinds[] = {&service_kind, &team_kind};
+    const struct servicekey_section *kinds[] = {&servicekey_services,
+                                                &servicekey_teams};
 
     for (size_t i = 0; i < 2; i++) {
         size_t n = strlen(kinds[i]->word);
@@ -360,7 +116,8 @@
 {
     for (size_t i = 0; i < s->kind->n_keys; i++) {
         if (s->kind->keys[i].def != NULL) {
-            (void)parse_value(&s->kind->keys[i], s->kind->keys[i].def, &s->u);
+            (void)servicekey_parse(&s->kind->keys[i], s->kind->keys[i].def,
+                                   &s->u);
         }
     }
 }
@@ -369,7 +126,7 @@
 section_open(struct loader *l, const char *title)
 {
     const char *name = NULL;
-    const struct section_kind *kind = section_kind_of(title, &name);
+    const struct servicekey_section *kind = section_kind_of(title, &name);
     struct section *s;
 
     l->opened = true;
@@ -381,7 +138,7 @@
                   title);
         return;
     }
-    if (!is_name(name)) {
+    if (!servicekey_name_valid(name)) {
         add_error(l, l->file, l->line,
                   "\"%.40s\" is no name of a %s; allowed are 1 to %d of A-Z "
                   "a-z 0-9 . _ -",
@@ -419,7 +176,7 @@
     }
     s = &l->sections[l->n - 1];
     for (size_t i = 0; i < s->kind->n_keys; i++) {
-        const struct servicefile_key *key = &s->kind->keys[i];
+        const struct servicekey *key = &s->kind->keys[i];
 
         if (strcmp(key->name, name) != 0) {
             continue;
@@ -428,8 +185,8 @@
             add_error(l, l->file, l->line, "%s is given twice", name);
         }
         s->seen |= 1U << i;
-        if (!parse_value(key, value, &s->u)) {
-            servicefile_range(key, range, sizeof(range));
+        if (!servicekey_parse(key, value, &s->u)) {
+            servicekey_range(key, range, sizeof(range));
             add_error(l, l->file, l->line,
                       "%s = \"%.32s\" is not allowed; allowed is %s (%s)",
                       name, value, range, key->unit);
@@ -533,7 +290,7 @@
 /* Checks of the whole. */
 
 static struct section *
-find_section(struct loader *l, const struct section_kind *kind,
+find_section(struct loader *l, const struct servicekey_section *kind,
              struct name name, size_t before)
 {
     for (size_t i = 0; i < before; i++) {
@@ -562,14 +319,14 @@
     const struct section *s = &l->sections[index];
     const struct service_conf *conf = &s->u.service;
     const struct section *first =
-        find_section(l, &service_kind, s->name, index);
+        find_section(l, &servicekey_services, s->name, index);
 
     if (first != NULL) {
         add_error(l, s->file, s->line, "service %s stands already in %s:%d",
                   s->name.s, first->file, first->line);
     }
-    if (is_name(conf->team.s) &&
-        find_section(l, &team_kind, conf->team, l->n) == NULL) {
+    if (servicekey_name_valid(conf->team.s) &&
+        find_section(l, &servicekey_teams, conf->team, l->n) == NULL) {
         add_error(l, s->file, s->line,
                   "service %s belongs to team %s, which has no section",
                   s->name.s, conf->team.s);
@@ -588,7 +345,8 @@
 check_team(struct loader *l, size_t index)
 {
     const struct section *s = &l->sections[index];
-    const struct section *first = find_section(l, &team_kind, s->name, index);
+    const struct section *first =
+        find_section(l, &servicekey_teams, s->name, index);
 
     if (first != NULL &&
         memcmp(&first->u.team, &s->u.team, sizeof(s->u.team)) != 0) {
@@ -603,7 +361,7 @@
 {
     for (size_t i = 0; i < l->n; i++) {
         check_required(l, &l->sections[i]);
-        if (l->sections[i].kind == &service_kind) {
+        if (l->sections[i].kind == &servicekey_services) {
             check_service(l, i);
         }
         else {
@@ -631,11 +389,11 @@
 {
     struct section *s = &l->sections[index];
 
-    if (s->kind == &service_kind) {
+    if (s->kind == &servicekey_services) {
         s->u.service.name = s->name;
         c->services[c->n_services++] = s->u.service;
     }
-    else if (find_section(l, &team_kind, s->name, index) == NULL) {
+    else if (find_section(l, &servicekey_teams, s->name, index) == NULL) {
         s->u.team.name = s->name;
         c->teams[c->n_teams++] = s->u.team;
     }
@@ -696,90 +454,11 @@
     return finish(&l, name);
 }
 
-/* Collecting files.  nftw() passes no argument to its callback. */
-
-struct paths {
-    char **items;
-    size_t n;
-    bool out_of_memory;
-};
-
-static _Thread_local struct paths *walked;
-
-static int
-on_path(const char *path, const struct stat *st, int type, struct FTW *ftw)
-{
-    size_t n = strlen(path);
-    size_t suffix = strlen(SERVICEFILE_SUFFIX);
-    char **grown;
-
-    (void)st;
-    (void)ftw;
-    if (type != FTW_F || n < suffix ||
-        strcmp(path + n - suffix, SERVICEFILE_SUFFIX) != 0) {
-        return 0;
-    }
-    grown = realloc(walked->items, (walked->n + 1) * sizeof(*grown));
-    if (grown == NULL) {
-        walked->out_of_memory = true;
-        return 1;
-    }
-    walked->items = grown;
-    walked->items[walked->n] = strdup(path);
-    walked->out_of_memory |= walked->items[walked->n] == NULL;
-    walked->n += walked->items[walked->n] != NULL;
-    return 0;
-}
-
-static int
-compare_paths(const void *a, const void *b)
-{
-    return strcmp(*(char *const *)a, *(char *const *)b);
-}
-
-/* Reads a whole file into a new text, or says why not. */
-static char *
-read_file(const char *path, const char **why)
-{
-    FILE *f = fopen(path, "re");
-    char *text = NULL;
-    size_t n;
-
-    if (f == NULL) {
-        *why = strerror(errno);
-        return NULL;
-    }
-    text = malloc(SERVICEFILE_SIZE_MAX + 1);
-    if (text == NULL) {
-        *why = "out of memory";
-        goto out;
-    }
-    n = fread(text, 1, SERVICEFILE_SIZE_MAX + 1, f);
-    if (ferror(f)) {
-        *why = "it cannot be read";
-    }
-    else if (n > SERVICEFILE_SIZE_MAX) {
-        *why = "it is larger than 4 MiB";
-    }
-    else if (memchr(text, '\0', n) != NULL) {
-        *why = "it holds zero bytes";
-    }
-    else {
-        text[n] = '\0';
-        goto out;
-    }
-    free(text);
-    text = NULL;
-out:
-    (void)fclose(f);
-    return text;
-}
-
 static void
 load_file(struct loader *l, const char *path)
 {
     const char *why = NULL;
-    char *text = read_file(path, &why);
+    char *text = filetree_read(path, SERVICEFILE_SIZE_MAX, &why);
 
     if (text == NULL) {
         add_error(l, path, 0, "not read: %s", why);
@@ -792,25 +471,19 @@
 static void
 load_one_dir(struct loader *l, const char *dir)
 {
-    struct paths paths = {0};
+    struct filetree tree = {0};
+    const char *wrong = filetree_collect(&tree, dir, SERVICEFILE_SUFFIX);
 
-    walked = &paths;
-    if (nftw(dir, on_path, 16, FTW_PHYS) < 0) {
-        add_error(l, dir, 0, "not read: %s", strerror(errno));
+    if (wrong != NULL) {
+        add_error(l, dir, 0, "not read: %s", wrong);
     }
-    else if (paths.n == 0) {
+    else if (tree.n == 0) {
         add_error(l, dir, 0, "holds no file *" SERVICEFILE_SUFFIX);
     }
-    walked = NULL;
-    l->out_of_memory |= paths.out_of_memory;
-    if (paths.n > 0) {
-        qsort(paths.items, paths.n, sizeof(*paths.items), compare_paths);
-    }
-    for (size_t i = 0; i < paths.n; i++) {
-        load_file(l, paths.items[i]);
-        free(paths.items[i]);
+    for (size_t i = 0; i < tree.n; i++) {
+        load_file(l, tree.paths[i]);
     }
-    free(paths.items);
+    filetree_clear(&tree);
 }
 
 struct config *
@@ -834,54 +507,13 @@
 /* Canonical text. */
 
 static void
-print_zones(FILE *f, const struct service_conf *conf)
-{
-    for (size_t i = 0; i < conf->n_zones; i++) {
-        (void)fprintf(f, "%s%s", i > 0 ? ", " : "", conf->zones[i].s);
-    }
-}
-
-static void
-print_value(FILE *f, const struct servicefile_key *key, const void *conf)
-{
-    const char *member = (const char *)conf + key->offset;
-    char text[32];
-
-    switch (key->kind) {
-    case SERVICEFILE_NAME:
-        (void)fputs(((const struct name *)member)->s, f);
-        break;
-    case SERVICEFILE_COUNT:
-        (void)fprintf(f, "%u", *(const uint32_t *)member);
-        break;
-    case SERVICEFILE_MILLI:
-        format_milli(*(const uint32_t *)member, text, sizeof(text));
-        (void)fputs(text, f);
-        break;
-    case SERVICEFILE_MSEC:
-        (void)fprintf(f, "%lld",
-                      (long long)(*(const int64_t *)member / USEC_PER_MSEC));
-        break;
-    case SERVICEFILE_FLAG:
-        (void)fputs(*(const bool *)member ? "true" : "false", f);
-        break;
-    case SERVICEFILE_ORDER:
-        (void)fputs(order_names[*(const enum queue_order *)member], f);
-        break;
-    case SERVICEFILE_ZONES:
-        print_zones(f, conf);
-        break;
-    }
-}
-
-static void
-print_section(FILE *f, const struct section_kind *kind, struct name name,
+print_section(FILE *f, const struct servicekey_section *kind, struct name name,
               const void *conf)
 {
     (void)fprintf(f, "[%s %s]\n", kind->word, name.s);
     for (size_t i = 0; i < kind->n_keys; i++) {
         (void)fprintf(f, "%s = ", kind->keys[i].name);
-        print_value(f, &kind->keys[i], conf);
+        servicekey_print(f, &kind->keys[i], conf);
         (void)fputc('\n', f);
     }
 }
@@ -907,10 +539,11 @@
     qsort(sorted->services, sorted->n_services, sizeof(*sorted->services),
           compare_services);
     for (size_t i = 0; i < sorted->n_teams; i++) {
-        print_section(f, &team_kind, sorted->teams[i].name, &sorted->teams[i]);
+        print_section(f, &servicekey_teams, sorted->teams[i].name,
+                      &sorted->teams[i]);
     }
     for (size_t i = 0; i < sorted->n_services; i++) {
-        print_section(f, &service_kind, sorted->services[i].name,
+        print_section(f, &servicekey_services, sorted->services[i].name,
                       &sorted->services[i]);
     }
     config_free(sorted);
--- a/tests/servicefile_test.c
+++ b/tests/servicefile_test.c
@@ -168,12 +168,12 @@
 }
 
 static void
-check_documented(const char *doc, const struct servicefile_key *key)
+check_documented(const char *doc, const struct servicekey *key)
 {
     char range[128];
     char row[512];
 
-    servicefile_range(key, range, sizeof(range));
+    servicekey_range(key, range, sizeof(range));
     (void)snprintf(row, sizeof(row), "| `%s` | %s | %s | %s | %s |\n",
                    key->name, key->unit, range,
                    key->def == NULL      ? "required"
@@ -186,24 +186,24 @@
     CU_ASSERT_PTR_NOT_NULL(strstr(doc, row));
 }
 
+static void
+check_section(const char *doc, const struct servicekey_section *section)
+{
+    for (size_t i = 0; i < section->n_keys; i++) {
+        check_documented(doc, &section->keys[i]);
+    }
+}
+
 static void
 servicefile_page_is_whole(void)
 {
     char dir[PATH_SIZE];
-    size_t n;
-    const struct servicefile_key *keys;
     char *doc;
 
     (void)snprintf(dir, sizeof(dir), "%s/../docs", check_data_dir());
     doc = slurp(dir, "service-files.md");
-    keys = servicefile_service_keys(&n);
-    for (size_t i = 0; i < n; i++) {
-        check_documented(doc, &keys[i]);
-    }
-    keys = servicefile_team_keys(&n);
-    for (size_t i = 0; i < n; i++) {
-        check_documented(doc, &keys[i]);
-    }
+    check_section(doc, &servicekey_services);
+    check_section(doc, &servicekey_teams);
     free(doc);
 }
 
