--- a/src/fetch.c
+++ b/src/fetch.c
@@ -159,6 +159,17 @@
     }
 }
 
+static void
+read_location(CURL *curl, struct fetch_reply *reply)
+{
+    char *url = NULL;
+
+    curl_easy_getinfo(curl, CURLINFO_REDIRECT_URL, &url);
+    if (url != NULL && strlen(url) < sizeof(reply->location)) {
+        (void)snprintf(reply->location, sizeof(reply->location), "%s", url);
+    }
+}
+
 void
 fetch_run(struct fetch *f, const struct fetch_request *request,
           struct fetch_reply *reply)
@@ -180,6 +191,7 @@
                        request->url, curl_easy_strerror(code));
     }
     read_retry_after(f->curl, reply);
+    read_location(f->curl, reply);
     curl_slist_free_all(headers);
 }
 
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -52,6 +52,7 @@
  * struct fetch_reply - what came back
  * @status: of HTTP; 0 without a reply
  * @retry_after_s: as told; -1 when it was not
+ * @location: of a redirection, whole; empty where there is none
  * @body: with a terminator; NULL without a reply
  * @detail: of an error, for people
  */
@@ -59,6 +60,7 @@
     enum fetch_error error;
     long status;
     long retry_after_s;
+    char location[FETCH_URL_SIZE];
     char *body;
     size_t size;
     char detail[DETAIL_SIZE];
