Add bm-publish

Cause: service files become the configuration in force by one change. Conclusion: a resend after a lost answer ends in 200 or 409; only when no further answer comes is the end unknown, with an exit code of its own.

--- /dev/null
+++ b/src/publish.c
@@ -0,0 +1,109 @@
+#include "publish.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static uint64_t
+number_of(const json_t *json, const char *member)
+{
+    return (uint64_t)json_integer_value(json_object_get(json, member));
+}
+
+static const char *
+text_of(const json_t *json, const char *member)
+{
+    const char *text = json_string_value(json_object_get(json, member));
+
+    return text != NULL ? text : "";
+}
+
+static void
+describe_winner(const json_t *json, struct publish_answer *a)
+{
+    const json_t *winner = json_object_get(json, "winner");
+
+    if (winner == NULL) {
+        (void)snprintf(a->detail, sizeof(a->detail),
+                       "another publication was made from this base");
+        return;
+    }
+    (void)snprintf(a->detail, sizeof(a->detail),
+                   "version %llu by %.40s came first: %.80s",
+                   (unsigned long long)number_of(winner, "version"),
+                   text_of(winner, "operator"), text_of(winner, "summary"));
+}
+
+static enum publish_end
+end_of(const struct fetch_reply *reply, bool unknown)
+{
+    if (reply->error == FETCH_OK && reply->status == 200) {
+        return PUBLISH_ACCEPTED;
+    }
+    if (reply->error == FETCH_OK && reply->status == 409) {
+        return PUBLISH_TAKEN;
+    }
+    /* A refusal is about this request; an earlier one that went unanswered
+     * may have been accepted all the same. */
+    if (unknown) {
+        return PUBLISH_UNKNOWN;
+    }
+    return reply->error == FETCH_OK && reply->status < 500
+               ? PUBLISH_REFUSED
+               : PUBLISH_UNREACHABLE;
+}
+
+struct publish_answer
+publish_read(const struct fetch_reply *reply, bool unknown)
+{
+    struct publish_answer a = {.end = end_of(reply, unknown)};
+    json_t *json = reply->body != NULL
+                       ? json_loadb(reply->body, reply->size, 0, NULL)
+                       : NULL;
+
+    a.version = number_of(json, "version");
+    a.resend = json_is_true(json_object_get(json, "resend"));
+    if (a.end == PUBLISH_ACCEPTED && a.version == 0) {
+        a.end = PUBLISH_UNKNOWN; /* 200 from something that is no bm-control */
+    }
+    if (a.end == PUBLISH_TAKEN) {
+        describe_winner(json, &a);
+    }
+    else if (a.end != PUBLISH_ACCEPTED) {
+        (void)snprintf(a.detail, sizeof(a.detail), "%s, status %ld %.100s",
+                       fetch_error_text(reply->error), reply->status,
+                       text_of(json, "detail"));
+    }
+    json_decref(json);
+    return a;
+}
+
+int
+publish_laggards(const json_t *status, uint64_t version,
+                 struct publish_laggard *out, size_t room)
+{
+    const json_t *followers = json_object_get(status, "followers");
+    const json_t *f;
+    size_t i;
+    int n = 0;
+
+    if (!json_is_array(followers)) {
+        return -1;
+    }
+    json_array_foreach(followers, i, f)
+    {
+        struct publish_laggard l = {.version = number_of(f, "version")};
+
+        if (l.version >= version) {
+            continue;
+        }
+        (void)snprintf(l.instance, sizeof(l.instance), "%s",
+                       text_of(f, "instance"));
+        (void)snprintf(l.zone, sizeof(l.zone), "%s", text_of(f, "zone"));
+        l.heard_ms = (int64_t)number_of(f, "heard_ms");
+        if ((size_t)n < room) {
+            out[n] = l;
+        }
+        n++;
+    }
+    return n;
+}
