--- a/Makefile
+++ b/Makefile
@@ -25,11 +25,11 @@
 LDLIBS := -lmicrohttpd -lcurl -lmsgpackc -lck -linih -ljansson -lxxhash \
 	-lpopt -lsodium -lgsl -lgslcblas -lm
 
-MAINS := $(wildcard src/bm_*.c)
+MAINS := $(wildcard src/bm_*.c) src/bmctl.c
 LIB_SRC := $(filter-out $(MAINS),$(wildcard src/*.c))
 LIB_OBJ := $(LIB_SRC:src/%.c=$(BUILD)/%.o)
-PROGRAMS := $(patsubst src/bm_%.c,$(BUILD)/bm-%,$(MAINS))
-PROGRAMS := $(subst _,-,$(PROGRAMS))
+PROGRAMS := $(patsubst src/bm_%.c,$(BUILD)/bm-%,$(wildcard src/bm_*.c))
+PROGRAMS := $(subst _,-,$(PROGRAMS)) $(BUILD)/bmctl
 TEST_SRC := $(wildcard tests/*.c)
 TEST_OBJ := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%.o)
 HEADERS := $(wildcard src/*.h tests/*.h)
@@ -60,6 +60,9 @@
 $(BUILD)/bm-%: $(BUILD)/bm_$$(subst -,_,$$*).o $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
+$(BUILD)/bmctl: $(BUILD)/bmctl.o $(BUILD)/libboragemoor.a
+	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
+
 $(BUILD)/check: $(TEST_OBJ) $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ -lcunit $(LDLIBS) -o $@
 
--- a/src/bm_publish.c
+++ b/src/bm_publish.c
@@ -190,8 +190,7 @@
         [PUBLISH_TAKEN] = "nothing was changed",
         [PUBLISH_REFUSED] = "refused, nothing was changed",
         [PUBLISH_UNREACHABLE] = "nobody took it, nothing was changed",
-        [PUBLISH_UNKNOWN] = "not known whether it was accepted; run again "
-                            "with the same --request-id",
+        [PUBLISH_UNKNOWN] = "outcome unknown; repeat with this request id",
     };
 
     if (a->end != PUBLISH_ACCEPTED) {
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -8,5 +8,6 @@
 SUITE(fake)
 SUITE(submit)
 SUITE(demo)
+SUITE(publish)
 SUITE(storage)
 /* clang-format on */
