--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -9,5 +9,6 @@
 SUITE(submit)
 SUITE(demo)
 SUITE(publish)
+SUITE(docs)
 SUITE(storage)
 /* clang-format on */
