--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -10,5 +10,7 @@
 SUITE(fake)
 SUITE(submit)
 SUITE(demo)
+SUITE(publish)
+SUITE(docs)
 SUITE(storage)
 /* clang-format on */
