--- /dev/null
+++ b/src/control.c
@@ -0,0 +1,527 @@
+#include "control.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+#include <xxhash.h>
+
+#include "control_state.h"
+
+struct control_options
+control_options_default(void)
+{
+    return (struct control_options){
+        .seed = 1,
+        .election_us = 2 * USEC_PER_SEC,
+        .heartbeat_us = 500 * USEC_PER_MSEC,
+        .poll_us = 10 * USEC_PER_SEC,
+        .follower_us = 60 * USEC_PER_SEC,
+        .request_us = 10 * USEC_PER_SEC,
+        .stop_us = 5 * USEC_PER_SEC,
+        .snapshot_entries = 256,
+        .snapshot_bytes = (size_t)8 << 20,
+        .trail = 64,
+        .chunk = (size_t)64 << 10,
+        .batch = (size_t)256 << 10,
+        .limits = {.publications = 4096,
+                   .texts = 16,
+                   .text_bytes = (size_t)8 << 20},
+    };
+}
+
+uint64_t
+control_founding_disk(struct name region, struct name member)
+{
+    char text[2 * NAME_SIZE + 2];
+
+    (void)snprintf(text, sizeof(text), "%s/%s", region.s, member.s);
+    return XXH3_64bits(text, strlen(text)) | 1;
+}
+
+struct blob *
+control_founding_state(const struct rec_membership *m)
+{
+    struct fsm f;
+    struct blob *state;
+
+    fsm_init(&f, control_options_default().limits);
+    fsm_set_members(&f, m);
+    state = fsm_encode(&f, CONTROL_FOUNDING_INDEX, CONTROL_FOUNDING_TERM);
+    fsm_free(&f);
+    return state;
+}
+
+uint64_t
+control_random(struct control *c)
+{
+    uint64_t z = (c->random += UINT64_C(0x9e3779b97f4a7c15));
+
+    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return z ^ (z >> 31);
+}
+
+void
+control_log(struct control *c, int severity, enum control_reason reason,
+            struct name subject, const char *format, ...)
+{
+    struct ce_log *log = &control_effects_add(c->fx, CE_LOG)->u.log;
+    va_list args;
+
+    log->severity = severity;
+    log->reason = reason;
+    log->subject = subject;
+    va_start(args, format);
+    (void)vsnprintf(log->detail, sizeof(log->detail), format, args);
+    va_end(args);
+}
+
+uint64_t
+control_next_seq(const struct control *c)
+{
+    return c->seq + 1;
+}
+
+static void
+send_now(struct control *c, struct name to, struct msg *m)
+{
+    struct ce_send *s = &control_effects_add(c->fx, CE_SEND)->u.send;
+
+    s->to = to;
+    s->msg = *m;
+    memset(m, 0, sizeof(*m));
+    c->counters.messages_sent++;
+}
+
+/* A vote or a confirmation that leaves before it is on the disk is forgotten
+ * by a power loss, but not by whoever received it: two leaders in one term, or
+ * an accepted change that is gone.  So it waits for its sync. */
+void
+control_send(struct control *c, struct name to, struct msg *m, uint64_t seq)
+{
+    struct held_message *held;
+
+    if (seq <= c->saved || c->opts.breaks[CONTROL_BREAK_ACK_BEFORE_SYNC]) {
+        send_now(c, to, m);
+        return;
+    }
+    held = realloc(c->held, (c->n_held + 1) * sizeof(*held));
+    if (held == NULL) {
+        abort();
+    }
+    c->held = held;
+    c->held[c->n_held].seq = seq;
+    c->held[c->n_held].to = to;
+    c->held[c->n_held].msg = *m;
+    c->n_held++;
+    memset(m, 0, sizeof(*m));
+}
+
+static void
+release_held(struct control *c)
+{
+    size_t kept = 0;
+
+    for (size_t i = 0; i < c->n_held; i++) {
+        if (c->held[i].seq <= c->saved) {
+            send_now(c, c->held[i].to, &c->held[i].msg);
+        }
+        else {
+            c->held[kept++] = c->held[i];
+        }
+    }
+    c->n_held = kept;
+}
+
+void
+control_save_term(struct control *c, uint64_t term, struct name vote)
+{
+    struct ce_vote *v = &control_effects_add(c->fx, CE_SAVE_VOTE)->u.vote;
+
+    c->term = term;
+    c->vote = vote;
+    v->term = term;
+    v->vote = vote;
+    c->hard_seq = control_next_seq(c);
+    c->dirty = true;
+}
+
+static void
+take_entries(struct control *c, const struct storage_found *found)
+{
+    for (size_t i = 0; i < found->n_entries; i++) {
+        struct rec_log_entry e = found->entries[i];
+
+        (void)blob_ref(e.data);
+        clog_add(&c->log, &e, 0);
+    }
+    clog_saved(&c->log, 0);
+}
+
+static bool
+take_snapshot(struct control *c, const struct storage_found *found)
+{
+    uint64_t index = 0;
+    uint64_t term = 0;
+
+    if (found->snapshot == NULL) {
+        return true;
+    }
+    if (!fsm_decode(&c->fsm, found->snapshot, &index, &term) ||
+        index != found->snapshot_index || term != found->snapshot_term) {
+        return false;
+    }
+    c->snapshot = blob_ref(found->snapshot);
+    c->snapshot_index = index;
+    c->snapshot_term = term;
+    c->commit = index;
+    c->applied = index;
+    return true;
+}
+
+struct control *
+control_new(const struct control_options *o, const struct storage_found *found)
+{
+    struct control *c = calloc(1, sizeof(*c));
+
+    if (c == NULL) {
+        abort();
+    }
+    c->opts = *o;
+    c->random = o->seed;
+    fsm_init(&c->fsm, o->limits);
+    clog_init(&c->log, found->snapshot_index, found->snapshot_term);
+    if (!take_snapshot(c, found)) {
+        control_free(c);
+        return NULL;
+    }
+    take_entries(c, found);
+    c->term = found->term;
+    c->vote = found->vote;
+    if (clog_last_term(&c->log) > c->term) {
+        c->term = clog_last_term(&c->log);
+        c->vote = name_of("");
+    }
+    quorum_recall_members(c);
+    return c;
+}
+
+void
+control_free(struct control *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < PEERS_MAX; i++) {
+        blob_unref(c->peers[i].snapshot);
+    }
+    for (size_t i = 0; i < c->n_held; i++) {
+        msg_free(&c->held[i].msg);
+    }
+    free(c->held);
+    free(c->pending);
+    free(c->followers);
+    free(c->incoming.data);
+    blob_unref(c->snapshot);
+    membership_free(&c->members);
+    fsm_free(&c->fsm);
+    clog_free(&c->log);
+    free(c);
+}
+
+static void
+on_message(struct control *c, struct name from, const struct msg *m)
+{
+    switch (m->kind) {
+    case MSG_VOTE:
+        election_on_vote(c, from, &m->u.vote);
+        break;
+    case MSG_VOTE_REPLY:
+        election_on_reply(c, from, &m->u.vote_reply);
+        break;
+    case MSG_HAND_OVER:
+        election_on_hand_over(c, from, &m->u.hand_over);
+        break;
+    case MSG_APPEND:
+        replicate_on_append(c, from, &m->u.append);
+        break;
+    case MSG_APPEND_REPLY:
+        replicate_on_reply(c, from, &m->u.append_reply);
+        break;
+    case MSG_SNAPSHOT:
+        replicate_on_snapshot(c, from, &m->u.snapshot);
+        break;
+    case MSG_SNAPSHOT_REPLY:
+        replicate_on_snapshot_reply(c, from, &m->u.snapshot_reply);
+        break;
+    case MSG_READ_INDEX:
+        serve_on_read_index(c, from, &m->u.read_index);
+        break;
+    case MSG_READ_REPLY:
+        serve_on_read_reply(c, from, &m->u.read_reply);
+        break;
+    case MSG_CONFIG_REQUEST:
+        serve_on_config_request(c, from, &m->u.config_request);
+        break;
+    case MSG_FOLLOWERS:
+        serve_on_followers(c, from, &m->u.followers);
+        break;
+    default:
+        c->counters.messages_bad++;
+        control_log(c, LOG_WARNING, CONTROL_REASON_BAD_MESSAGE, from,
+                    "kind %d has no business here", (int)m->kind);
+        break;
+    }
+}
+
+static void
+on_saved(struct control *c, uint64_t seq)
+{
+    if (seq <= c->saved) {
+        return;
+    }
+    c->saved = seq;
+    clog_saved(&c->log, seq);
+    release_held(c);
+    election_count(c);
+    replicate_advance(c);
+    replicate_saved(c);
+}
+
+static struct progress *
+successor(struct control *c)
+{
+    struct progress *best = NULL;
+
+    for (size_t i = 0; i < PEERS_MAX; i++) {
+        struct progress *p = &c->peers[i];
+
+        if (quorum_counts(c, p) &&
+            p->heard_us + c->opts.election_us > c->now.mono_us &&
+            (best == NULL || p->match > best->match)) {
+            best = p;
+        }
+    }
+    return best;
+}
+
+/* Asks the most advanced voter to take over.  Without it, a planned stop of
+ * the leader would cost an election timeout without publications. */
+static void
+hand_over(struct control *c)
+{
+    struct progress *p = successor(c);
+    struct msg m = {.kind = MSG_HAND_OVER};
+
+    if (p == NULL || p->match < clog_last(&c->log)) {
+        return;
+    }
+    m.u.hand_over.term = c->term;
+    control_send(c, p->name, &m, c->hard_seq);
+    control_log(c, LOG_NOTICE, CONTROL_REASON_HANDED_OVER, p->name,
+                "term %llu", (unsigned long long)c->term);
+}
+
+static void
+leave_lead(struct control *c)
+{
+    bool late = c->now.mono_us + c->opts.heartbeat_us >= c->stop_deadline_us;
+
+    if (c->stopping && (!serve_busy(c) || late)) {
+        hand_over(c);
+    }
+    else if (c->handing_over) {
+        c->handing_over = false;
+        hand_over(c);
+    }
+}
+
+static void
+check_quorum(struct control *c)
+{
+    if (c->now.mono_us < c->quorum_us) {
+        return;
+    }
+    c->quorum_us = c->now.mono_us + c->opts.election_us;
+    if (!quorum_heard(c, c->now.mono_us - c->opts.election_us)) {
+        control_log(c, LOG_WARNING, CONTROL_REASON_NO_QUORUM, c->opts.self,
+                    "no majority in %lld ms",
+                    (long long)(c->opts.election_us / USEC_PER_MSEC));
+        election_follow(c, c->term, name_of(""));
+    }
+}
+
+static void
+on_tick(struct control *c)
+{
+    election_tick(c);
+    if (c->now.mono_us < c->heartbeat_us) {
+        return;
+    }
+    c->heartbeat_us = c->now.mono_us + c->opts.heartbeat_us;
+    if (c->role == CONTROL_LEADER) {
+        check_quorum(c);
+    }
+    if (c->role == CONTROL_LEADER) {
+        replicate_heartbeat(c);
+        leave_lead(c);
+    }
+    serve_tick(c);
+}
+
+static void
+begin_stop(struct control *c)
+{
+    if (c->stopping) {
+        return;
+    }
+    c->stopping = true;
+    c->stop_deadline_us = c->now.mono_us + c->opts.stop_us;
+    control_log(c, LOG_NOTICE, CONTROL_REASON_STOPPING, c->opts.self, "%s",
+                c->role == CONTROL_LEADER ? "leading" : "not leading");
+    if (c->role == CONTROL_LEADER) {
+        leave_lead(c);
+    }
+}
+
+static void
+tell_stopped(struct control *c)
+{
+    bool leads = c->role == CONTROL_LEADER && quorum_size(c) > 1;
+    bool done = !leads && !serve_busy(c);
+
+    if (!c->stopping || c->stopped_told ||
+        (!done && c->now.mono_us < c->stop_deadline_us)) {
+        return;
+    }
+    c->stopped_told = true;
+    (void)control_effects_add(c->fx, CE_STOPPED);
+}
+
+static void
+route(struct control *c, const struct control_event *ev)
+{
+    switch (ev->kind) {
+    case CEV_TICK:
+        on_tick(c);
+        break;
+    case CEV_MESSAGE:
+        on_message(c, ev->u.message.from, ev->u.message.msg);
+        break;
+    case CEV_SAVED:
+        on_saved(c, ev->u.saved.seq);
+        break;
+    case CEV_PUBLISH:
+        serve_publish(c, &ev->u.publish);
+        break;
+    case CEV_CHANGE:
+        serve_change(c, &ev->u.change);
+        break;
+    case CEV_READ:
+        serve_read(c, &ev->u.read);
+        break;
+    case CEV_GONE:
+        serve_gone(c, ev->u.gone.request);
+        break;
+    case CEV_STOP:
+        begin_stop(c);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+tell_members(struct control *c)
+{
+    struct msg *m = &control_effects_add(c->fx, CE_MEMBERS)->u.members.msg;
+
+    m->kind = MSG_MEMBERSHIP;
+    m->u.membership = membership_copy(&c->members);
+}
+
+static void
+start(struct control *c)
+{
+    c->started = true;
+    c->heard_leader_us = c->now.mono_us;
+    c->heartbeat_us = c->now.mono_us;
+    election_restart_timer(c);
+    c->serve_nonce = control_random(c);
+    control_log(c, LOG_NOTICE, CONTROL_REASON_STARTED, c->opts.self,
+                "term %llu, log %llu to %llu, version %llu",
+                (unsigned long long)c->term, (unsigned long long)c->log.base,
+                (unsigned long long)clog_last(&c->log),
+                (unsigned long long)c->fsm.version);
+    tell_members(c);
+}
+
+void
+control_step(struct control *c, const struct control_event *ev,
+             struct control_effects *fx)
+{
+    c->now = ev->now;
+    c->fx = fx;
+    c->dirty = false;
+    if (!c->started) {
+        start(c);
+    }
+    route(c, ev);
+    replicate_apply(c);
+    serve_reads(c);
+    serve_followers(c);
+    tell_stopped(c);
+    if (c->dirty) {
+        c->seq++;
+        c->counters.syncs++;
+        control_effects_add(fx, CE_SYNC)->u.sync.seq = c->seq;
+    }
+    c->fx = NULL;
+}
+
+int64_t
+control_next_us(const struct control *c)
+{
+    bool campaigns = c->role != CONTROL_LEADER && quorum_self_votes(c);
+
+    if (campaigns && c->election_us < c->heartbeat_us) {
+        return c->election_us;
+    }
+    return c->heartbeat_us;
+}
+
+struct control_view
+control_view(const struct control *c)
+{
+    return (struct control_view){
+        .role = c->role,
+        .voter = quorum_self_votes(c),
+        .leader = c->leader,
+        .term = c->term,
+        .base = c->log.base,
+        .last = clog_last(&c->log),
+        .commit = c->commit,
+        .applied = c->applied,
+        .version = c->fsm.version,
+        .log_bytes = c->log.bytes,
+        .state_bytes =
+            fsm_bytes(&c->fsm) + (c->snapshot != NULL ? c->snapshot->size : 0),
+        .followers = c->n_followers,
+        .serving = c->serving,
+        .counters = c->counters,
+    };
+}
+
+const struct rec_log_entry *
+control_entry(const struct control *c, uint64_t index)
+{
+    return clog_at(&c->log, index);
+}
+
+const struct fsm *
+control_fsm(const struct control *c)
+{
+    return &c->fsm;
+}
--- /dev/null
+++ b/src/control.h
@@ -0,0 +1,153 @@
+/**
+ * DOC: control - the reducer of a control member
+ *
+ * The replicated log of accepted configuration.  control_step() takes one
+ * event and appends effects; it reads no clock, does no I/O and draws no
+ * randomness but from its seed.  Nothing is confirmed before the sync it
+ * depends on is reported by SAVED.  The protocol follows Raft (Ongaro and
+ * Ousterhout, 2014) with pre-vote, check-quorum, changes of one member at a
+ * time and reads by a round of heartbeats.
+ */
+#ifndef BM_CONTROL_H
+#define BM_CONTROL_H
+
+#include "control_effect.h"
+#include "control_event.h"
+#include "fsm.h"
+#include "storage.h"
+
+struct control;
+
+/* Wrong decisions, switched on by tests of the checks alone. */
+enum control_break {
+    CONTROL_BREAK_ACK_BEFORE_SYNC, /* counts entries before their sync */
+    CONTROL_BREAK_VOTE_TWICE,      /* forgets its vote */
+    CONTROL_BREAK_NO_PRE_VOTE,     /* campaigns at once */
+    CONTROL_BREAK_ANY_LOG,         /* votes for logs that lack entries */
+    CONTROL_BREAK_NO_STICKINESS,   /* votes although the leader is there */
+    CONTROL_BREAK_COUNT_ANY_DISK,  /* counts members that lost their disk */
+    CONTROL_BREAK_SERVE_AFTER_RESTART, /* serves before it caught up */
+    CONTROL_BREAK_READ_WITHOUT_ROUND,  /* answers reads unasked */
+    CONTROL_BREAK_SERVE_UNCOMMITTED,   /* applies before the commit */
+    CONTROL_BREAK_FORGET_REQUESTS,     /* takes a resend for a new request */
+    CONTROL_BREAKS,
+};
+
+/**
+ * struct control_options - how to construct a control member
+ * @self: its name
+ * @disk: identity of its data folder; it votes only where the members say that
+ *        this is the folder of @self
+ * @seed: for election times; differs at each start
+ * @election_us: silence after which a follower campaigns, up to twice that;
+ *               a leader that hears no quorum for so long steps down
+ * @heartbeat_us: between heartbeats
+ * @poll_us: a long poll is answered after this at the latest
+ * @follower_us: a follower not heard for so long is forgotten
+ * @request_us: a publication not committed by then is answered as unknown
+ * @stop_us: a planned stop takes no longer
+ * @snapshot_entries: entries applied since the last snapshot that make one
+ * @snapshot_bytes: or their bytes
+ * @trail: entries kept in memory behind a snapshot for slow members
+ * @chunk: bytes of a snapshot in one message
+ * @batch: bytes of entries in one message
+ * @limits: what is kept of the history
+ */
+struct control_options {
+    struct name self;
+    uint64_t disk;
+    uint64_t seed;
+    int64_t election_us;
+    int64_t heartbeat_us;
+    int64_t poll_us;
+    int64_t follower_us;
+    int64_t request_us;
+    int64_t stop_us;
+    uint32_t snapshot_entries;
+    size_t snapshot_bytes;
+    uint32_t trail;
+    size_t chunk;
+    size_t batch;
+    struct fsm_limits limits;
+    bool breaks[CONTROL_BREAKS];
+};
+
+/** control_options_default() - every field but self, disk and seed */
+struct control_options control_options_default(void);
+
+/** control_founding_disk() - identity of a founding member's data folder; the
+ * founders know each other's without having met */
+uint64_t control_founding_disk(struct name region, struct name member);
+
+/** control_founding_state() - the snapshot that founders start from */
+struct blob *control_founding_state(const struct rec_membership *m);
+
+enum { CONTROL_FOUNDING_INDEX = 1, CONTROL_FOUNDING_TERM = 1 };
+
+/** control_new() - a member that starts with what its disk held; NULL when the
+ * snapshot cannot be read */
+struct control *control_new(const struct control_options *o,
+                            const struct storage_found *found);
+
+/** control_free() - NULL is allowed */
+void control_free(struct control *c);
+
+/** control_step() - applies one event; effects are appended to @fx */
+void control_step(struct control *c, const struct control_event *ev,
+                  struct control_effects *fx);
+
+/** control_next_us() - monotonic time at which a TICK is due */
+int64_t control_next_us(const struct control *c);
+
+enum control_role { CONTROL_FOLLOWER, CONTROL_CANDIDATE, CONTROL_LEADER };
+
+/* Counters: CONTROL_COUNTER(name, help).  All only rise. */
+/* clang-format off */
+#define CONTROL_COUNTER_LIST(CONTROL_COUNTER)                                 \
+    CONTROL_COUNTER(published, "publications accepted, applied here")         \
+    CONTROL_COUNTER(resent, "publications answered again")                    \
+    CONTROL_COUNTER(refused, "publications refused")                          \
+    CONTROL_COUNTER(elections, "elections begun here")                        \
+    CONTROL_COUNTER(led, "elections won here")                                \
+    CONTROL_COUNTER(syncs, "syncs asked for")                                 \
+    CONTROL_COUNTER(snapshots, "snapshots made or installed")                 \
+    CONTROL_COUNTER(messages_sent, "messages sent")                           \
+    CONTROL_COUNTER(messages_bad, "messages that made no sense here")         \
+    CONTROL_COUNTER(configs_sent, "configurations sent to followers")         \
+    CONTROL_COUNTER(deltas_sent, "of these as a change only")
+/* clang-format on */
+
+struct control_counters {
+#define CONTROL_COUNTER(name, help) uint64_t name;
+    CONTROL_COUNTER_LIST(CONTROL_COUNTER)
+#undef CONTROL_COUNTER
+};
+
+/** struct control_view - what can be seen of a member */
+struct control_view {
+    enum control_role role;
+    bool voter;
+    struct name leader; /* empty: not known */
+    uint64_t term;
+    uint64_t base; /* index before the log in memory */
+    uint64_t last;
+    uint64_t commit;
+    uint64_t applied;
+    uint64_t version;
+    uint64_t log_bytes;
+    uint64_t state_bytes;
+    uint64_t followers;
+    bool serving; /* answers followers */
+    struct control_counters counters;
+};
+
+struct control_view control_view(const struct control *c);
+
+/** control_entry() - the entry at @index, or NULL; for checks */
+const struct rec_log_entry *control_entry(const struct control *c,
+                                          uint64_t index);
+
+/** control_fsm() - the replicated state; for checks */
+const struct fsm *control_fsm(const struct control *c);
+
+#endif
--- /dev/null
+++ b/src/control_effect.h
@@ -0,0 +1,230 @@
+/**
+ * DOC: control_effect - what a control member decides to do, as data
+ *
+ * Effects on the disk are carried out in order, apart from the others; the
+ * shell reports with SAVED that all of them up to a SYNC are durable.  Several
+ * SYNCs may be met by one (group commit).  Effects own what they point to.
+ */
+#ifndef BM_CONTROL_EFFECT_H
+#define BM_CONTROL_EFFECT_H
+
+#include "base.h"
+#include "wire.h"
+
+/* CONTROL_EFFECT(NAME, member of the union, what to do) */
+/* clang-format off */
+#define CONTROL_EFFECT_LIST(CONTROL_EFFECT)                                   \
+    CONTROL_EFFECT(APPEND, append, "disk: add entries to the log")            \
+    CONTROL_EFFECT(TRUNCATE, truncate, "disk: drop the tail of the log")      \
+    CONTROL_EFFECT(SAVE_VOTE, vote, "disk: term and vote")                    \
+    CONTROL_EFFECT(SNAPSHOT, snapshot, "disk: a snapshot")                    \
+    CONTROL_EFFECT(SYNC, sync, "disk: make all before durable, then tell")    \
+    CONTROL_EFFECT(SEND, send, "send a message to a process")                 \
+    CONTROL_EFFECT(REPLY, reply, "answer an operator")                        \
+    CONTROL_EFFECT(TEXT, text, "answer an operator with JSON text")           \
+    CONTROL_EFFECT(MEMBERS, members, "these are the members from now on")     \
+    CONTROL_EFFECT(LOG, log, "log a decision")                                \
+    CONTROL_EFFECT(STOPPED, none, "nothing is in progress any more")
+/* clang-format on */
+
+enum control_effect_kind {
+#define CONTROL_EFFECT(NAME, member, text) CE_##NAME,
+    CONTROL_EFFECT_LIST(CONTROL_EFFECT)
+#undef CONTROL_EFFECT
+        CONTROL_EFFECT_KINDS,
+};
+
+/* Answers to operators: CONTROL_RESULT(NAME, status, slug, title). */
+/* clang-format off */
+#define CONTROL_RESULT_LIST(CONTROL_RESULT)                                   \
+    CONTROL_RESULT(OK, 200, "ok", "Done")                                     \
+    CONTROL_RESULT(NOT_LEADER, 307, "not-leader", "Another member leads")     \
+    CONTROL_RESULT(NO_LEADER, 503, "no-leader", "No leader; nothing changed") \
+    CONTROL_RESULT(STOPPING, 503, "stopping", "This member is stopping")      \
+    CONTROL_RESULT(UNKNOWN, 503, "outcome-unknown",                           \
+                   "May or may not be accepted; send it again")               \
+    CONTROL_RESULT(TAKEN, 409, "base-version-taken",                          \
+                   "Somebody else published from this base version")          \
+    CONTROL_RESULT(BAD_PUBLICATION, 422, "bad-publication",                   \
+                   "The publication is not valid")                            \
+    CONTROL_RESULT(REUSED, 422, "request-id-reused",                          \
+                   "The request id was used for other content")               \
+    CONTROL_RESULT(NO_VERSION, 404, "unknown-version", "No such version")     \
+    CONTROL_RESULT(NOT_KEPT, 410, "version-not-kept",                         \
+                   "The text of this version is no longer kept")              \
+    CONTROL_RESULT(IN_PROGRESS, 409, "change-in-progress",                    \
+                   "The last change of members is not committed yet")         \
+    CONTROL_RESULT(BAD_CHANGE, 422, "bad-change", "Not a possible change")    \
+    CONTROL_RESULT(NOT_JSON, 400, "not-json", "The body is not JSON")         \
+    CONTROL_RESULT(TOO_LARGE, 413, "too-large", "The body is too large")      \
+    CONTROL_RESULT(NOT_FOUND, 404, "not-found", "No such resource")           \
+    CONTROL_RESULT(METHOD, 405, "method-not-allowed", "Method not allowed")   \
+    CONTROL_RESULT(NOT_SIGNED, 401, "not-authenticated",                      \
+                   "Not signed by an operator")                               \
+    CONTROL_RESULT(STALE, 401, "stale-request",                               \
+                   "The signature's time is off or its nonce was used")
+
+enum control_result {
+#define CONTROL_RESULT(NAME, status, slug, title) CONTROL_##NAME,
+    CONTROL_RESULT_LIST(CONTROL_RESULT)
+#undef CONTROL_RESULT
+    CONTROL_RESULTS,
+};
+
+/* Why something was logged: CONTROL_REASON(NAME, text). */
+#define CONTROL_REASON_LIST(CONTROL_REASON)                                   \
+    CONTROL_REASON(ELECTION, "election-started")                              \
+    CONTROL_REASON(LEADING, "leader-elected")                                 \
+    CONTROL_REASON(FOLLOWING, "leader-followed")                              \
+    CONTROL_REASON(STEPPED_DOWN, "leader-stepped-down")                       \
+    CONTROL_REASON(NO_QUORUM, "quorum-not-heard")                             \
+    CONTROL_REASON(HIGHER_TERM, "member-with-higher-term")                    \
+    CONTROL_REASON(PUBLISHED, "config-published")                             \
+    CONTROL_REASON(REFUSED, "publication-refused")                            \
+    CONTROL_REASON(MEMBERS, "members-changed")                                \
+    CONTROL_REASON(PROMOTED, "learner-promoted")                              \
+    CONTROL_REASON(OTHER_DISK, "member-with-other-disk")                      \
+    CONTROL_REASON(SNAPSHOT, "snapshot-made")                                 \
+    CONTROL_REASON(INSTALLED, "snapshot-installed")                           \
+    CONTROL_REASON(CUT, "log-tail-replaced")                                  \
+    CONTROL_REASON(HANDED_OVER, "leadership-handed-over")                     \
+    CONTROL_REASON(BAD_MESSAGE, "bad-message")                                \
+    CONTROL_REASON(BAD_ENTRY, "bad-log-entry")                                \
+    CONTROL_REASON(STARTED, "member-started")                                 \
+    CONTROL_REASON(STOPPING, "stopping")
+
+enum control_reason {
+#define CONTROL_REASON(NAME, text) CONTROL_REASON_##NAME,
+    CONTROL_REASON_LIST(CONTROL_REASON)
+#undef CONTROL_REASON
+    CONTROL_REASONS,
+};
+/* clang-format on */
+
+/** control_result_status() - the HTTP status */
+int control_result_status(enum control_result r);
+
+/** control_result_slug() - last part of the problem's type URI */
+const char *control_result_slug(enum control_result r);
+
+/** control_result_title() - one line for people */
+const char *control_result_title(enum control_result r);
+
+/** control_reason_text() - as it stands in logs */
+const char *control_reason_text(enum control_reason r);
+
+struct ce_append {
+    struct rec_log_entry *entries; /* owned, with a reference per data */
+    size_t n;
+};
+
+struct ce_truncate {
+    uint64_t index; /* the first to go */
+};
+
+struct ce_vote {
+    uint64_t term;
+    struct name vote;
+};
+
+struct ce_snapshot {
+    uint64_t index;
+    uint64_t term;
+    struct blob *state; /* owned reference */
+    bool discard;       /* the log behind it goes, too */
+};
+
+struct ce_sync {
+    uint64_t seq; /* comes back in SAVED */
+};
+
+struct ce_send {
+    struct name to;
+    struct msg msg; /* owned */
+};
+
+/**
+ * struct ce_reply - the answer to a publication, a change or a read of the
+ * configuration
+ * @request: it belongs to
+ * @result: of it
+ * @detail: for people; may be empty
+ * @leader: of NOT_LEADER: where operators reach the leader
+ * @version: in force
+ * @resend: the request id was accepted before
+ * @of: the publication accepted, read, or (of TAKEN) the winner; version 0 if
+ *      there is none; owned
+ * @config: of a read; owned reference
+ */
+struct ce_reply {
+    uint64_t request;
+    enum control_result result;
+    char detail[DETAIL_SIZE];
+    struct address leader;
+    uint64_t version;
+    bool resend;
+    struct msg of; /* MSG_PUBLICATION */
+    struct blob *config;
+};
+
+struct ce_text {
+    uint64_t request;
+    char *json; /* owned */
+};
+
+struct ce_members {
+    struct msg msg; /* MSG_MEMBERSHIP, owned */
+};
+
+struct ce_log {
+    int severity; /* of syslog */
+    enum control_reason reason;
+    struct name subject; /* may be empty */
+    char detail[DETAIL_SIZE];
+};
+
+struct control_effect {
+    enum control_effect_kind kind;
+    union {
+        char none;
+        struct ce_append append;
+        struct ce_truncate truncate;
+        struct ce_vote vote;
+        struct ce_snapshot snapshot;
+        struct ce_sync sync;
+        struct ce_send send;
+        struct ce_reply reply;
+        struct ce_text text;
+        struct ce_members members;
+        struct ce_log log;
+    } u;
+};
+
+/** struct control_effects - a growing list, reused from step to step */
+struct control_effects {
+    struct control_effect *items;
+    size_t n;
+    size_t room;
+};
+
+/** control_effects_add() - appends a zeroed effect; the pointer holds until
+ * the next call.  Ends the process when memory is out. */
+struct control_effect *control_effects_add(struct control_effects *fx,
+                                           enum control_effect_kind kind);
+
+/** control_effect_clear() - releases what one effect owns */
+void control_effect_clear(struct control_effect *f);
+
+/** control_effects_clear() - releases and empties the list */
+void control_effects_clear(struct control_effects *fx);
+
+/** control_effects_free() - control_effects_clear() and the list itself */
+void control_effects_free(struct control_effects *fx);
+
+/** control_effect_name() - the kind, for traces */
+const char *control_effect_name(enum control_effect_kind kind);
+
+/** control_effect_on_disk() - whether the disk's thread carries it out */
+bool control_effect_on_disk(enum control_effect_kind kind);
+
+#endif
--- /dev/null
+++ b/src/control_event.h
@@ -0,0 +1,94 @@
+/**
+ * DOC: control_event - everything that can happen to a control member
+ *
+ * An event lends its pointers for the length of one step.  Each carries the
+ * time.
+ */
+#ifndef BM_CONTROL_EVENT_H
+#define BM_CONTROL_EVENT_H
+
+#include "base.h"
+#include "wire.h"
+
+/* CONTROL_EVENT(NAME, member of the union, what happened) */
+/* clang-format off */
+#define CONTROL_EVENT_LIST(CONTROL_EVENT)                                     \
+    CONTROL_EVENT(TICK, none, "time has passed")                              \
+    CONTROL_EVENT(MESSAGE, message, "a message from another process")         \
+    CONTROL_EVENT(SAVED, saved, "all before that sync is durable")            \
+    CONTROL_EVENT(PUBLISH, publish, "an operator publishes")                  \
+    CONTROL_EVENT(CHANGE, change, "an operator changes the members")          \
+    CONTROL_EVENT(READ, read, "somebody reads")                               \
+    CONTROL_EVENT(GONE, gone, "an HTTP request ended early")                  \
+    CONTROL_EVENT(STOP, none, "a planned stop begins")
+/* clang-format on */
+
+enum control_event_kind {
+#define CONTROL_EVENT(NAME, member, text) CEV_##NAME,
+    CONTROL_EVENT_LIST(CONTROL_EVENT)
+#undef CONTROL_EVENT
+        CONTROL_EVENT_KINDS,
+};
+
+/** enum change_action - what to do with a member */
+enum change_action { CHANGE_ADD, CHANGE_REMOVE, CHANGE_REPLACE };
+
+/** enum read_what - what a read is after */
+enum read_what { READ_CONFIG, READ_HISTORY, READ_STATUS, READ_STATE };
+
+struct cev_message {
+    struct name from;
+    const struct msg *msg;
+};
+
+struct cev_saved {
+    uint64_t seq; /* from CE_SYNC */
+};
+
+struct cev_publish {
+    uint64_t request;
+    struct name publisher;
+    const char *request_id;
+    uint64_t base_version;
+    const char *summary;
+    struct blob *config;
+};
+
+struct cev_change {
+    uint64_t request;
+    enum change_action action;
+    struct name member;
+    struct address address; /* of CHANGE_ADD: for members and followers */
+    struct address http;    /* of CHANGE_ADD: for operators */
+};
+
+struct cev_read {
+    uint64_t request;
+    enum read_what what;
+    uint64_t version; /* of READ_CONFIG; 0 is the newest */
+    uint32_t limit;   /* of READ_HISTORY */
+    bool local;       /* as this member knows it, at once */
+};
+
+struct cev_gone {
+    uint64_t request;
+};
+
+struct control_event {
+    enum control_event_kind kind;
+    struct moment now;
+    union {
+        char none;
+        struct cev_message message;
+        struct cev_saved saved;
+        struct cev_publish publish;
+        struct cev_change change;
+        struct cev_read read;
+        struct cev_gone gone;
+    } u;
+};
+
+/** control_event_name() - the kind, for traces */
+const char *control_event_name(enum control_event_kind kind);
+
+#endif
--- /dev/null
+++ b/src/election.c
@@ -0,0 +1,244 @@
+#include <syslog.h>
+
+#include "control_state.h"
+
+void
+election_restart_timer(struct control *c)
+{
+    uint64_t spread = control_random(c) % (uint64_t)(c->opts.election_us + 1);
+
+    c->election_us = c->now.mono_us + c->opts.election_us + (int64_t)spread;
+}
+
+static void
+forget_grants(struct control *c)
+{
+    for (size_t i = 0; i < PEERS_MAX; i++) {
+        c->peers[i].granted = false;
+    }
+}
+
+static void
+ask_for_votes(struct control *c)
+{
+    for (size_t i = 0; i < c->members.n_members; i++) {
+        const struct rec_control_member *to = &c->members.members[i];
+        struct msg m = {.kind = MSG_VOTE};
+
+        if (to->voter == 0 || name_equal(to->name, c->opts.self)) {
+            continue;
+        }
+        m.u.vote.term = c->pre ? c->term + 1 : c->term;
+        m.u.vote.pre = c->pre ? 1 : 0;
+        m.u.vote.last_index = clog_last(&c->log);
+        m.u.vote.last_term = clog_last_term(&c->log);
+        m.u.vote.forced = c->forced ? 1 : 0;
+        control_send(c, to->name, &m, c->hard_seq);
+    }
+}
+
+static void
+campaign(struct control *c, bool pre, bool forced, uint64_t term)
+{
+    c->role = CONTROL_CANDIDATE;
+    c->pre = pre;
+    c->forced = forced;
+    c->leader = name_of("");
+    forget_grants(c);
+    election_restart_timer(c);
+    if (!pre) {
+        control_save_term(c, term, c->opts.self);
+        c->counters.elections++;
+        control_log(c, LOG_NOTICE, CONTROL_REASON_ELECTION, c->opts.self,
+                    "term %llu", (unsigned long long)term);
+    }
+    ask_for_votes(c);
+    election_count(c);
+}
+
+static void
+begin_to_lead(struct control *c)
+{
+    c->role = CONTROL_LEADER;
+    c->leader = c->opts.self;
+    c->quorum_us = c->now.mono_us + c->opts.election_us;
+    c->handing_over = false;
+    c->counters.led++;
+    control_log(c, LOG_NOTICE, CONTROL_REASON_LEADING, c->opts.self,
+                "term %llu", (unsigned long long)c->term);
+    replicate_start_leading(c);
+}
+
+void
+election_count(struct control *c)
+{
+    if (c->role != CONTROL_CANDIDATE || !quorum_granted(c)) {
+        return;
+    }
+    if (c->pre) {
+        campaign(c, false, c->forced, c->term + 1);
+        return;
+    }
+    begin_to_lead(c);
+}
+
+/* The question whether there would be votes comes first and changes no term.
+ * Otherwise a member that is cut off raises its term with every attempt, and
+ * on its return deposes a leader that all others follow. */
+void
+election_tick(struct control *c)
+{
+    bool pre = !c->opts.breaks[CONTROL_BREAK_NO_PRE_VOTE];
+
+    if (c->role == CONTROL_LEADER || c->now.mono_us < c->election_us ||
+        c->stopping) {
+        return;
+    }
+    c->leader = name_of("");
+    if (!quorum_self_votes(c)) {
+        election_restart_timer(c);
+        return;
+    }
+    campaign(c, pre, false, c->term + 1);
+}
+
+void
+election_follow(struct control *c, uint64_t term, struct name leader)
+{
+    bool changed = !name_equal(leader, c->leader) || term > c->term;
+
+    if (term > c->term) {
+        control_save_term(c, term, leader);
+    }
+    if (c->role == CONTROL_LEADER) {
+        control_log(c, LOG_NOTICE, CONTROL_REASON_STEPPED_DOWN, c->opts.self,
+                    "term %llu", (unsigned long long)term);
+    }
+    if (c->role != CONTROL_FOLLOWER || !name_empty(leader)) {
+        election_restart_timer(c);
+    }
+    c->role = CONTROL_FOLLOWER;
+    c->leader = leader;
+    if (name_empty(leader)) {
+        return;
+    }
+    c->heard_leader_us = c->now.mono_us;
+    if (changed) {
+        control_log(c, LOG_INFO, CONTROL_REASON_FOLLOWING, leader, "term %llu",
+                    (unsigned long long)term);
+    }
+}
+
+void
+election_outbid(struct control *c, uint64_t term)
+{
+    control_log(c, LOG_WARNING, CONTROL_REASON_HIGHER_TERM, c->opts.self,
+                "%llu is above %llu", (unsigned long long)term,
+                (unsigned long long)c->term);
+    campaign(c, false, true, term + 1);
+}
+
+static bool
+up_to_date(const struct control *c, const struct rec_vote *v)
+{
+    uint64_t term = clog_last_term(&c->log);
+
+    if (c->opts.breaks[CONTROL_BREAK_ANY_LOG]) {
+        return true;
+    }
+    return v->last_term > term ||
+           (v->last_term == term && v->last_index >= clog_last(&c->log));
+}
+
+/* While the leader is heard, nobody else is elected: a member that alone does
+ * not hear it must not cost the others their leader. */
+static bool
+leader_is_there(const struct control *c, const struct rec_vote *v)
+{
+    if (v->forced != 0 || c->opts.breaks[CONTROL_BREAK_NO_STICKINESS]) {
+        return false;
+    }
+    return c->role == CONTROL_LEADER ||
+           c->now.mono_us < c->heard_leader_us + c->opts.election_us;
+}
+
+static void
+reply_to_vote(struct control *c, struct name to, const struct rec_vote *v,
+              bool granted)
+{
+    struct msg m = {.kind = MSG_VOTE_REPLY};
+
+    m.u.vote_reply.term = c->term;
+    m.u.vote_reply.for_term = v->term;
+    m.u.vote_reply.pre = v->pre;
+    m.u.vote_reply.granted = granted ? 1 : 0;
+    m.u.vote_reply.disk = c->opts.disk;
+    control_send(c, to, &m, c->hard_seq);
+}
+
+static bool
+grant(struct control *c, struct name from, const struct rec_vote *v)
+{
+    bool free_vote = name_empty(c->vote) || name_equal(c->vote, from) ||
+                     c->opts.breaks[CONTROL_BREAK_VOTE_TWICE];
+
+    if (v->term != c->term || !free_vote || !up_to_date(c, v) ||
+        c->role == CONTROL_LEADER) {
+        return false;
+    }
+    if (!name_equal(c->vote, from)) {
+        control_save_term(c, c->term, from);
+    }
+    election_restart_timer(c);
+    return true;
+}
+
+void
+election_on_vote(struct control *c, struct name from, const struct rec_vote *v)
+{
+    if (leader_is_there(c, v)) {
+        return;
+    }
+    if (v->pre != 0) {
+        reply_to_vote(c, from, v, v->term > c->term && up_to_date(c, v));
+        return;
+    }
+    if (v->term > c->term) {
+        election_follow(c, v->term, name_of(""));
+    }
+    reply_to_vote(c, from, v, grant(c, from, v));
+}
+
+void
+election_on_reply(struct control *c, struct name from,
+                  const struct rec_vote_reply *r)
+{
+    uint64_t wanted = c->pre ? c->term + 1 : c->term;
+    struct progress *p = quorum_peer(c, from);
+
+    if (p == NULL) {
+        return;
+    }
+    if (r->granted == 0 && r->term > c->term && c->role != CONTROL_LEADER) {
+        election_follow(c, r->term, name_of(""));
+        return;
+    }
+    if (c->role != CONTROL_CANDIDATE || r->pre != (c->pre ? 1 : 0) ||
+        r->for_term != wanted || r->granted == 0) {
+        return;
+    }
+    p->disk = r->disk;
+    p->granted = true;
+    election_count(c);
+}
+
+void
+election_on_hand_over(struct control *c, struct name from,
+                      const struct rec_hand_over *h)
+{
+    if (h->term != c->term || !name_equal(from, c->leader) ||
+        c->role != CONTROL_FOLLOWER || !quorum_self_votes(c) || c->stopping) {
+        return;
+    }
+    campaign(c, false, true, c->term + 1);
+}
--- /dev/null
+++ b/src/fsm.c
@@ -0,0 +1,321 @@
+#include "fsm.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "delta.h"
+
+void
+fsm_init(struct fsm *f, struct fsm_limits limits)
+{
+    memset(f, 0, sizeof(*f));
+    f->limits = limits;
+}
+
+static void
+free_publication(struct rec_publication *p)
+{
+    blob_unref(p->request_text);
+    blob_unref(p->summary);
+}
+
+void
+fsm_free(struct fsm *f)
+{
+    for (size_t i = 0; i < f->n_history; i++) {
+        free_publication(&f->history[i]);
+    }
+    for (size_t i = 0; i < f->n_texts; i++) {
+        blob_unref(f->texts[i].text);
+    }
+    free(f->history);
+    free(f->texts);
+    membership_free(&f->members);
+    memset(f, 0, sizeof(*f));
+}
+
+struct rec_membership
+membership_copy(const struct rec_membership *m)
+{
+    struct rec_membership copy = {0};
+
+    copy.members = calloc(m->n_members + 1, sizeof(*copy.members));
+    if (copy.members == NULL) {
+        abort();
+    }
+    copy.n_members = m->n_members;
+    if (m->n_members > 0) {
+        memcpy(copy.members, m->members, m->n_members * sizeof(*copy.members));
+    }
+    return copy;
+}
+
+void
+membership_free(struct rec_membership *m)
+{
+    free(m->members);
+    memset(m, 0, sizeof(*m));
+}
+
+void
+fsm_set_members(struct fsm *f, const struct rec_membership *m)
+{
+    struct rec_membership copy = membership_copy(m);
+
+    membership_free(&f->members);
+    f->members = copy;
+}
+
+const struct rec_publication *
+fsm_version(const struct fsm *f, uint64_t version)
+{
+    uint64_t oldest;
+
+    if (f->n_history == 0) {
+        return NULL;
+    }
+    oldest = f->history[0].version;
+    if (version < oldest || version > f->version) {
+        return NULL;
+    }
+    return &f->history[version - oldest];
+}
+
+struct blob *
+fsm_text(const struct fsm *f, uint64_t version)
+{
+    for (size_t i = f->n_texts; i > 0; i--) {
+        if (f->texts[i - 1].version == version) {
+            return f->texts[i - 1].text;
+        }
+    }
+    return NULL;
+}
+
+static const struct rec_publication *
+find_request(const struct fsm *f, struct key_id id)
+{
+    for (size_t i = f->n_history; i > 0; i--) {
+        if (key_id_equal(f->history[i - 1].request_id, id)) {
+            return &f->history[i - 1];
+        }
+    }
+    return NULL;
+}
+
+struct fsm_outcome
+fsm_judge(const struct fsm *f, const struct rec_publish *p)
+{
+    struct fsm_outcome o = {.result = CONTROL_OK};
+    const struct rec_publication *first = find_request(f, p->request_id);
+
+    if (first != NULL) {
+        bool same = first->digest == p->digest &&
+                    first->version == p->base_version + 1;
+
+        o.result = same ? CONTROL_OK : CONTROL_REUSED;
+        o.of = same ? first : NULL;
+        o.resend = same;
+    }
+    else if (p->base_version < f->version) {
+        o.result = CONTROL_TAKEN;
+        o.of = fsm_version(f, p->base_version + 1);
+    }
+    else if (p->base_version > f->version) {
+        o.result = CONTROL_BAD_PUBLICATION;
+    }
+    return o;
+}
+
+static void
+drop_oldest_text(struct fsm *f)
+{
+    f->text_bytes -= f->texts[0].text->size;
+    blob_unref(f->texts[0].text);
+    f->n_texts--;
+    memmove(f->texts, f->texts + 1, f->n_texts * sizeof(*f->texts));
+}
+
+static void
+add_text(struct fsm *f, uint64_t version, struct blob *text)
+{
+    struct rec_config_text *texts =
+        realloc(f->texts, (f->n_texts + 1) * sizeof(*texts));
+
+    if (texts == NULL) {
+        abort();
+    }
+    f->texts = texts;
+    f->texts[f->n_texts].version = version;
+    f->texts[f->n_texts].text = text;
+    f->n_texts++;
+    f->text_bytes += text->size;
+    while (f->n_texts > 1 && (f->n_texts > f->limits.texts ||
+                              f->text_bytes > f->limits.text_bytes)) {
+        drop_oldest_text(f);
+    }
+}
+
+/* An eighth at a time goes, so that a full history isn't moved each time. */
+static void
+make_room(struct fsm *f)
+{
+    size_t drop = f->limits.publications / 8 + 1;
+
+    if (f->n_history < f->limits.publications + drop) {
+        return;
+    }
+    for (size_t i = 0; i < drop; i++) {
+        free_publication(&f->history[i]);
+    }
+    f->n_history -= drop;
+    memmove(f->history, f->history + drop, f->n_history * sizeof(*f->history));
+}
+
+static const struct rec_publication *
+add_publication(struct fsm *f, uint64_t index, uint64_t term,
+                const struct rec_publish *p, size_t bytes)
+{
+    struct rec_publication *history;
+    struct rec_publication *added;
+
+    make_room(f);
+    history = realloc(f->history, (f->n_history + 1) * sizeof(*history));
+    if (history == NULL) {
+        abort();
+    }
+    f->history = history;
+    added = &f->history[f->n_history++];
+    *added = (struct rec_publication){
+        .version = f->version,
+        .index = index,
+        .term = term,
+        .request_id = p->request_id,
+        .request_text = blob_ref(p->request_text),
+        .publisher = p->publisher,
+        .time_us = p->time_us,
+        .summary = blob_ref(p->summary),
+        .digest = p->digest,
+        .bytes = bytes,
+    };
+    return added;
+}
+
+struct fsm_outcome
+fsm_publish(struct fsm *f, uint64_t index, uint64_t term,
+            const struct rec_publish *p)
+{
+    struct fsm_outcome o = fsm_judge(f, p);
+    struct delta d = {
+        .prefix = p->prefix,
+        .suffix = p->suffix,
+        .middle = p->middle,
+        .digest = p->digest,
+    };
+    struct blob *text;
+
+    if (o.result != CONTROL_OK || o.resend) {
+        return o;
+    }
+    text = delta_apply(fsm_text(f, f->version), &d);
+    if (text == NULL) {
+        o.result = CONTROL_BAD_PUBLICATION;
+        return o;
+    }
+    f->version++;
+    add_text(f, f->version, text);
+    o.of = add_publication(f, index, term, p, text->size);
+    return o;
+}
+
+struct blob *
+fsm_encode(const struct fsm *f, uint64_t index, uint64_t term)
+{
+    struct msg m = {.kind = MSG_CONTROL_STATE};
+    struct rec_control_state *s = &m.u.control_state;
+    msgpack_sbuffer out;
+    struct blob *b;
+
+    s->index = index;
+    s->term = term;
+    s->members = f->members.members;
+    s->n_members = f->members.n_members;
+    s->version = f->version;
+    s->history = f->history;
+    s->n_history = f->n_history;
+    s->texts = f->texts;
+    s->n_texts = f->n_texts;
+    msgpack_sbuffer_init(&out);
+    if (wire_encode(&m, &out) != WIRE_OK) {
+        abort(); /* the limits keep it below a frame */
+    }
+    b = blob_new(out.data, out.size);
+    msgpack_sbuffer_destroy(&out);
+    return b;
+}
+
+static bool
+state_consistent(const struct rec_control_state *s)
+{
+    for (size_t i = 0; i < s->n_history; i++) {
+        if (s->history[i].version != s->version - s->n_history + 1 + i) {
+            return false;
+        }
+    }
+    for (size_t i = 0; i < s->n_texts; i++) {
+        if (s->texts[i].text == NULL) {
+            return false;
+        }
+    }
+    return s->n_members <= CONTROL_MEMBERS_MAX &&
+           (s->version == 0 ||
+            (s->n_texts > 0 &&
+             s->texts[s->n_texts - 1].version == s->version));
+}
+
+bool
+fsm_decode(struct fsm *f, const struct blob *state, uint64_t *index,
+           uint64_t *term)
+{
+    struct msg m;
+    struct rec_control_state *s = &m.u.control_state;
+    struct fsm_limits limits = f->limits;
+
+    if (wire_decode(state->data, state->size, &m) != WIRE_OK) {
+        return false;
+    }
+    if (m.kind != MSG_CONTROL_STATE || !state_consistent(s)) {
+        msg_free(&m);
+        return false;
+    }
+    fsm_free(f);
+    fsm_init(f, limits);
+    *index = s->index;
+    *term = s->term;
+    f->version = s->version;
+    f->members.members = s->members;
+    f->members.n_members = s->n_members;
+    f->history = s->history;
+    f->n_history = s->n_history;
+    f->texts = s->texts;
+    f->n_texts = s->n_texts;
+    for (size_t i = 0; i < f->n_texts; i++) {
+        f->text_bytes += f->texts[i].text->size;
+    }
+    return true;
+}
+
+size_t
+fsm_bytes(const struct fsm *f)
+{
+    size_t total = f->n_history * sizeof(*f->history) + f->text_bytes;
+
+    for (size_t i = 0; i < f->n_history; i++) {
+        const struct rec_publication *p = &f->history[i];
+
+        total += p->request_text != NULL ? p->request_text->size : 0;
+        total += p->summary != NULL ? p->summary->size : 0;
+        total += 2 * sizeof(struct blob);
+    }
+    return total;
+}
--- a/src/msg_list.h
+++ b/src/msg_list.h
@@ -36,4 +36,5 @@
 MSG(DISK_IDENTITY, disk_identity)
 MSG(VOTE_STATE, vote_state)
 MSG(SAVED_STATE, saved_state)
+MSG(PUBLICATION, publication)
 /* clang-format on */
--- /dev/null
+++ b/src/quorum.c
@@ -0,0 +1,334 @@
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+
+#include "control_state.h"
+
+static struct rec_control_member *
+find_member(const struct rec_membership *m, struct name name)
+{
+    for (size_t i = 0; i < m->n_members; i++) {
+        if (name_equal(m->members[i].name, name)) {
+            return &m->members[i];
+        }
+    }
+    return NULL;
+}
+
+const struct rec_control_member *
+quorum_member(const struct control *c, struct name name)
+{
+    return find_member(&c->members, name);
+}
+
+/* A member whose disk was replaced has forgotten what it confirmed and whom it
+ * voted for.  Counted as before, it could help to elect a leader that lacks an
+ * accepted change.  So a vote belongs to a name and a data folder. */
+bool
+quorum_self_votes(const struct control *c)
+{
+    const struct rec_control_member *m = quorum_member(c, c->opts.self);
+
+    return m != NULL && m->voter != 0 &&
+           (m->disk == c->opts.disk ||
+            c->opts.breaks[CONTROL_BREAK_COUNT_ANY_DISK]);
+}
+
+struct progress *
+quorum_peer(struct control *c, struct name name)
+{
+    struct progress *unused = NULL;
+
+    for (size_t i = 0; i < PEERS_MAX; i++) {
+        struct progress *p = &c->peers[i];
+
+        if (name_equal(p->name, name)) {
+            return p;
+        }
+        if (quorum_member(c, p->name) == NULL) {
+            unused = p;
+        }
+    }
+    if (unused == NULL || quorum_member(c, name) == NULL ||
+        name_equal(name, c->opts.self)) {
+        return NULL;
+    }
+    blob_unref(unused->snapshot);
+    memset(unused, 0, sizeof(*unused));
+    unused->name = name;
+    unused->next = clog_last(&c->log) + 1;
+    unused->probing = true;
+    return unused;
+}
+
+bool
+quorum_counts(const struct control *c, const struct progress *p)
+{
+    const struct rec_control_member *m = quorum_member(c, p->name);
+
+    return m != NULL && m->voter != 0 &&
+           (m->disk == p->disk ||
+            c->opts.breaks[CONTROL_BREAK_COUNT_ANY_DISK]);
+}
+
+size_t
+quorum_size(const struct control *c)
+{
+    size_t voters = 0;
+
+    for (size_t i = 0; i < c->members.n_members; i++) {
+        voters += c->members.members[i].voter != 0 ? 1 : 0;
+    }
+    return voters / 2 + 1;
+}
+
+bool
+quorum_granted(const struct control *c)
+{
+    bool own = c->pre || c->hard_seq <= c->saved ||
+               c->opts.breaks[CONTROL_BREAK_ACK_BEFORE_SYNC];
+    size_t votes = own && quorum_self_votes(c) ? 1 : 0;
+
+    for (size_t i = 0; i < PEERS_MAX; i++) {
+        const struct progress *p = &c->peers[i];
+
+        votes += p->granted && quorum_counts(c, p) ? 1 : 0;
+    }
+    return votes >= quorum_size(c);
+}
+
+static int
+compare_down(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+
+    return x < y ? 1 : x > y ? -1 : 0;
+}
+
+/* The highest value that a majority reached. */
+static uint64_t
+majority(const struct control *c, uint64_t values[], size_t n)
+{
+    size_t size = quorum_size(c);
+
+    if (n < size) {
+        return 0;
+    }
+    qsort(values, n, sizeof(*values), compare_down);
+    return values[size - 1];
+}
+
+uint64_t
+quorum_index(const struct control *c)
+{
+    uint64_t values[CONTROL_MEMBERS_MAX + 1];
+    size_t n = 0;
+
+    if (quorum_self_votes(c)) {
+        values[n++] = c->opts.breaks[CONTROL_BREAK_ACK_BEFORE_SYNC]
+                          ? clog_last(&c->log)
+                          : c->log.durable;
+    }
+    for (size_t i = 0; i < PEERS_MAX; i++) {
+        if (quorum_counts(c, &c->peers[i])) {
+            values[n++] = c->peers[i].match;
+        }
+    }
+    return majority(c, values, n);
+}
+
+uint64_t
+quorum_round(const struct control *c)
+{
+    uint64_t values[CONTROL_MEMBERS_MAX + 1];
+    size_t n = 0;
+
+    if (quorum_self_votes(c)) {
+        values[n++] = c->round;
+    }
+    for (size_t i = 0; i < PEERS_MAX; i++) {
+        if (quorum_counts(c, &c->peers[i])) {
+            values[n++] = c->peers[i].round;
+        }
+    }
+    return majority(c, values, n);
+}
+
+static size_t
+heard_voters(const struct control *c, int64_t since_us, struct name except)
+{
+    size_t n = quorum_self_votes(c) && !name_equal(c->opts.self, except);
+
+    for (size_t i = 0; i < PEERS_MAX; i++) {
+        const struct progress *p = &c->peers[i];
+
+        n += quorum_counts(c, p) && p->heard_us >= since_us &&
+             !name_equal(p->name, except);
+    }
+    return n;
+}
+
+bool
+quorum_heard(const struct control *c, int64_t since_us)
+{
+    return heard_voters(c, since_us, name_of("")) >= quorum_size(c);
+}
+
+void
+quorum_set_members(struct control *c, const struct rec_membership *m,
+                   uint64_t index)
+{
+    struct rec_membership copy = membership_copy(m);
+    struct msg *told;
+
+    membership_free(&c->members);
+    c->members = copy;
+    c->members_index = index;
+    if (c->fx != NULL) {
+        told = &control_effects_add(c->fx, CE_MEMBERS)->u.members.msg;
+        told->kind = MSG_MEMBERSHIP;
+        told->u.membership = membership_copy(m);
+    }
+}
+
+void
+quorum_recall_members(struct control *c)
+{
+    for (uint64_t i = clog_last(&c->log); i > c->applied; i--) {
+        const struct rec_log_entry *e = clog_at(&c->log, i);
+        struct msg m;
+
+        if (e == NULL || e->kind != LOG_KIND_MEMBERS || e->data == NULL ||
+            wire_decode(e->data->data, e->data->size, &m) != WIRE_OK) {
+            continue;
+        }
+        if (m.kind == MSG_MEMBERSHIP) {
+            quorum_set_members(c, &m.u.membership, i);
+            msg_free(&m);
+            return;
+        }
+        msg_free(&m);
+    }
+    quorum_set_members(c, &c->fsm.members, c->applied);
+}
+
+static enum control_result
+add_member(struct control *c, const struct cev_change *change,
+           struct rec_membership *out, const char **detail)
+{
+    struct rec_control_member *m;
+
+    if (name_empty(change->member) || change->address.s[0] == '\0') {
+        *detail = "member and address are needed";
+        return CONTROL_BAD_CHANGE;
+    }
+    if (quorum_member(c, change->member) != NULL) {
+        *detail = "it is a member already";
+        return CONTROL_BAD_CHANGE;
+    }
+    if (out->n_members >= CONTROL_MEMBERS_MAX) {
+        *detail = "there are 9 members, no more are allowed";
+        return CONTROL_BAD_CHANGE;
+    }
+    m = &out->members[out->n_members++];
+    memset(m, 0, sizeof(*m));
+    m->name = change->member;
+    m->address = change->address;
+    m->http = change->http;
+    return CONTROL_OK;
+}
+
+/* Whether the voters that are there would still be a majority without one. */
+static bool
+can_spare(const struct control *c, struct name name)
+{
+    const struct rec_control_member *m = quorum_member(c, name);
+    int64_t since = c->now.mono_us - c->opts.election_us;
+    size_t voters = 0;
+
+    if (m->voter == 0) {
+        return true;
+    }
+    for (size_t i = 0; i < c->members.n_members; i++) {
+        voters += c->members.members[i].voter != 0 ? 1 : 0;
+    }
+    return voters > 1 && heard_voters(c, since, name) >= (voters - 1) / 2 + 1;
+}
+
+static enum control_result
+take_out(struct control *c, const struct cev_change *change,
+         struct rec_membership *out, const char **detail)
+{
+    struct rec_control_member *m = find_member(out, change->member);
+
+    if (m == NULL) {
+        *detail = "it is not a member";
+        return CONTROL_BAD_CHANGE;
+    }
+    if (name_equal(change->member, c->opts.self)) {
+        c->handing_over = true;
+        *detail = "it leads and hands over now; send the change again";
+        return CONTROL_NO_LEADER;
+    }
+    if (!can_spare(c, change->member)) {
+        *detail = "the other voters that are up are no majority";
+        return CONTROL_BAD_CHANGE;
+    }
+    if (change->action == CHANGE_REPLACE) {
+        m->voter = 0;
+        m->disk = 0;
+        return CONTROL_OK;
+    }
+    out->n_members--;
+    memmove(m, m + 1,
+            (size_t)(out->members + out->n_members - m) * sizeof(*m));
+    return CONTROL_OK;
+}
+
+/* One change at a time, and none before the leader has committed an entry of
+ * its own term: otherwise majorities of the old and the new members need not
+ * overlap, and two leaders could be elected in one term. */
+enum control_result
+quorum_change(struct control *c, const struct cev_change *change,
+              struct rec_membership *out, const char **detail)
+{
+    enum control_result result;
+
+    if (c->members_index > c->commit || c->first_of_term > c->commit) {
+        return CONTROL_IN_PROGRESS;
+    }
+    *out = membership_copy(&c->members);
+    if (change->action == CHANGE_ADD) {
+        result = add_member(c, change, out, detail);
+    }
+    else {
+        result = take_out(c, change, out, detail);
+    }
+    if (result != CONTROL_OK) {
+        membership_free(out);
+    }
+    return result;
+}
+
+void
+quorum_promote(struct control *c, const struct progress *p)
+{
+    const struct rec_control_member *m = quorum_member(c, p->name);
+    struct msg data = {.kind = MSG_MEMBERSHIP};
+    struct rec_control_member *changed;
+
+    if (m == NULL || m->voter != 0 || p->disk == 0 ||
+        c->members_index > c->commit || c->first_of_term > c->commit ||
+        p->match < c->commit || c->stopping) {
+        return;
+    }
+    data.u.membership = membership_copy(&c->members);
+    changed = find_member(&data.u.membership, p->name);
+    changed->voter = 1;
+    changed->disk = p->disk;
+    control_log(c, LOG_NOTICE, CONTROL_REASON_PROMOTED, p->name,
+                "caught up at %llu", (unsigned long long)p->match);
+    (void)replicate_propose(c, LOG_KIND_MEMBERS, &data);
+    msg_free(&data);
+}
--- /dev/null
+++ b/src/serve.c
@@ -0,0 +1,655 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+
+#include "control_state.h"
+#include "delta.h"
+
+enum {
+    PENDING_MAX = 1024,   /* requests that wait */
+    FOLLOWERS_MAX = 1024, /* entry instances known */
+    REPORT_US = 10 * 1000 * 1000,
+};
+
+/* Answers. */
+static struct ce_reply *
+reply(struct control *c, uint64_t request, enum control_result result,
+      const char *detail)
+{
+    struct ce_reply *r = &control_effects_add(c->fx, CE_REPLY)->u.reply;
+
+    r->request = request;
+    r->result = result;
+    r->version = c->fsm.version;
+    (void)snprintf(r->detail, sizeof(r->detail), "%s", detail);
+    return r;
+}
+
+static void
+attach(struct ce_reply *r, const struct rec_publication *p)
+{
+    if (p != NULL) {
+        r->of.kind = MSG_PUBLICATION;
+        r->of.u.publication = *p;
+        (void)blob_ref(p->request_text);
+        (void)blob_ref(p->summary);
+    }
+}
+
+static void
+reply_outcome(struct control *c, uint64_t request, const struct fsm_outcome *o)
+{
+    struct ce_reply *r = reply(c, request, o->result, "");
+
+    attach(r, o->of);
+    r->resend = o->resend;
+    c->counters.resent += o->resend ? 1 : 0;
+}
+
+static void
+send_elsewhere(struct control *c, uint64_t request)
+{
+    const struct rec_control_member *m = quorum_member(c, c->leader);
+    struct ce_reply *r;
+
+    if (m == NULL || m->http.s[0] == '\0' ||
+        name_equal(c->leader, c->opts.self)) {
+        (void)reply(c, request, CONTROL_NO_LEADER, "no leader is known");
+        return;
+    }
+    r = reply(c, request, CONTROL_NOT_LEADER, m->name.s);
+    r->leader = m->http;
+}
+
+/* Requests that wait. */
+static struct pending *
+add_pending(struct control *c, enum pending_kind kind, uint64_t request)
+{
+    struct pending *p;
+
+    if (c->n_pending >= PENDING_MAX) {
+        return NULL;
+    }
+    p = realloc(c->pending, (c->n_pending + 1) * sizeof(*p));
+    if (p == NULL) {
+        abort();
+    }
+    c->pending = p;
+    p = &c->pending[c->n_pending++];
+    memset(p, 0, sizeof(*p));
+    p->kind = kind;
+    p->request = request;
+    p->deadline_us = c->now.mono_us + c->opts.request_us;
+    return p;
+}
+
+static void
+drop_pending(struct control *c, size_t at)
+{
+    c->n_pending--;
+    memmove(&c->pending[at], &c->pending[at + 1],
+            (c->n_pending - at) * sizeof(*c->pending));
+}
+
+static void
+wait_for_entry(struct control *c, uint64_t request, uint64_t index)
+{
+    struct pending *p = add_pending(c, PENDING_ENTRY, request);
+
+    p->index = index;
+    p->term = c->term;
+}
+
+bool
+serve_busy(const struct control *c)
+{
+    for (size_t i = 0; i < c->n_pending; i++) {
+        if (c->pending[i].kind == PENDING_ENTRY) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether this member may take a change; answers otherwise. */
+static bool
+takes_changes(struct control *c, uint64_t request)
+{
+    if (c->stopping) {
+        (void)reply(c, request, CONTROL_STOPPING, "");
+        return false;
+    }
+    if (c->role != CONTROL_LEADER) {
+        send_elsewhere(c, request);
+        return false;
+    }
+    if (c->n_pending >= PENDING_MAX) {
+        (void)reply(c, request, CONTROL_NO_LEADER, "too many requests wait");
+        return false;
+    }
+    return true;
+}
+
+/* Publications. */
+static struct key_id
+request_key(struct name publisher, const char *request_id)
+{
+    char text[NAME_SIZE + REQUEST_ID_MAX + 2];
+
+    (void)snprintf(text, sizeof(text), "%s/%s", publisher.s, request_id);
+    return key_id_of(text);
+}
+
+static const char *
+publication_fault(const struct cev_publish *p)
+{
+    size_t id = strnlen(p->request_id, REQUEST_ID_MAX + 1);
+
+    if (id == 0 || id > REQUEST_ID_MAX) {
+        return "request_id has 1 to 64 characters";
+    }
+    if (strlen(p->summary) >= DETAIL_SIZE) {
+        return "summary has at most 159 bytes";
+    }
+    if (p->config->size > CONFIG_TEXT_MAX) {
+        return "config has at most 2 MiB";
+    }
+    return NULL;
+}
+
+/* The entry holds what changed against its base, if the base's text is here.
+ * It is looked at only where the base still is the newest when it is applied,
+ * so every member then has that text. */
+static struct msg
+publish_entry(struct control *c, const struct cev_publish *p)
+{
+    struct msg m = {.kind = MSG_PUBLISH};
+    struct rec_publish *r = &m.u.publish;
+    struct delta d = delta_make(fsm_text(&c->fsm, p->base_version), p->config);
+
+    r->base_version = p->base_version;
+    r->request_id = request_key(p->publisher, p->request_id);
+    r->request_text = blob_new(p->request_id, strlen(p->request_id));
+    r->publisher = p->publisher;
+    r->time_us = (uint64_t)c->now.wall_us;
+    r->summary = blob_new(p->summary, strlen(p->summary));
+    r->prefix = d.prefix;
+    r->suffix = d.suffix;
+    r->middle = d.middle;
+    r->digest = d.digest;
+    if (r->request_text == NULL || r->summary == NULL || d.middle == NULL) {
+        abort();
+    }
+    return m;
+}
+
+/* What is settled already is answered at once: a version, once committed, is
+ * never another's, whoever leads. */
+void
+serve_publish(struct control *c, const struct cev_publish *p)
+{
+    const char *fault = publication_fault(p);
+    struct fsm_outcome o;
+    struct msg m;
+
+    if (!takes_changes(c, p->request)) {
+        return;
+    }
+    if (fault != NULL) {
+        (void)reply(c, p->request, CONTROL_BAD_PUBLICATION, fault);
+        return;
+    }
+    m = publish_entry(c, p);
+    o = fsm_judge(&c->fsm, &m.u.publish);
+    if (!c->opts.breaks[CONTROL_BREAK_FORGET_REQUESTS] &&
+        (o.resend || o.result == CONTROL_REUSED ||
+         o.result == CONTROL_TAKEN)) {
+        reply_outcome(c, p->request, &o);
+        c->counters.refused += o.result != CONTROL_OK ? 1 : 0;
+    }
+    else {
+        /* A base version above ours may be on its way here. */
+        uint64_t index = replicate_propose(c, LOG_KIND_PUBLISH, &m);
+
+        wait_for_entry(c, p->request, index);
+    }
+    msg_free(&m);
+}
+
+void
+serve_change(struct control *c, const struct cev_change *change)
+{
+    struct msg m = {.kind = MSG_MEMBERSHIP};
+    const char *detail = "";
+    enum control_result result;
+
+    if (!takes_changes(c, change->request)) {
+        return;
+    }
+    result = quorum_change(c, change, &m.u.membership, &detail);
+    if (result != CONTROL_OK) {
+        (void)reply(c, change->request, result, detail);
+        return;
+    }
+    wait_for_entry(c, change->request,
+                   replicate_propose(c, LOG_KIND_MEMBERS, &m));
+    msg_free(&m);
+}
+
+void
+serve_applied(struct control *c, uint64_t index, uint64_t term,
+              const struct fsm_outcome *o)
+{
+    for (size_t i = c->n_pending; i > 0; i--) {
+        struct pending *p = &c->pending[i - 1];
+
+        if (p->kind != PENDING_ENTRY || p->index != index) {
+            continue;
+        }
+        if (p->term == term) {
+            reply_outcome(c, p->request, o);
+        }
+        else {
+            (void)reply(c, p->request, CONTROL_NO_LEADER,
+                        "the leader changed before it was accepted");
+        }
+        drop_pending(c, i - 1);
+    }
+}
+
+/* Reads. */
+static void
+text(struct control *c, uint64_t request, char *json)
+{
+    struct ce_text *t = &control_effects_add(c->fx, CE_TEXT)->u.text;
+
+    t->request = request;
+    t->json = json;
+}
+
+static void
+read_config(struct control *c, const struct cev_read *r)
+{
+    uint64_t version = r->version != 0 ? r->version : c->fsm.version;
+    const struct rec_publication *p = fsm_version(&c->fsm, version);
+    struct blob *config = fsm_text(&c->fsm, version);
+    struct ce_reply *answer;
+
+    if (version > c->fsm.version) {
+        (void)reply(c, r->request, CONTROL_NO_VERSION, "");
+        return;
+    }
+    if (version > 0 && (config == NULL || p == NULL)) {
+        (void)reply(c, r->request, CONTROL_NOT_KEPT, "");
+        return;
+    }
+    answer = reply(c, r->request, CONTROL_OK, "");
+    attach(answer, p);
+    answer->config = blob_ref(config);
+    if (answer->config == NULL) {
+        answer->config = blob_new("", 0);
+    }
+}
+
+static void
+answer_read(struct control *c, const struct cev_read *r)
+{
+    switch (r->what) {
+    case READ_CONFIG:
+        read_config(c, r);
+        break;
+    case READ_HISTORY:
+        text(c, r->request, control_history_json(c, r->limit));
+        break;
+    case READ_STATUS:
+        text(c, r->request, control_status_json(c));
+        break;
+    default:
+        text(c, r->request, control_state_json(c));
+        break;
+    }
+}
+
+/* A leader that was deposed without knowing would answer with the past; so a
+ * read waits for a round of heartbeats begun after it, and for the entries
+ * committed until then.  Those of earlier terms are known to be committed once
+ * the first of the own term is. */
+static void
+await_round(struct control *c, struct pending *p)
+{
+    p->index = c->commit > c->first_of_term ? c->commit : c->first_of_term;
+    p->round = c->round + 1;
+    replicate_heartbeat(c);
+}
+
+void
+serve_read(struct control *c, const struct cev_read *r)
+{
+    struct pending *p;
+
+    if (r->local || r->what == READ_STATE ||
+        (c->opts.breaks[CONTROL_BREAK_READ_WITHOUT_ROUND] &&
+         c->role == CONTROL_LEADER)) {
+        answer_read(c, r);
+        return;
+    }
+    if (c->role != CONTROL_LEADER) {
+        send_elsewhere(c, r->request);
+        return;
+    }
+    p = add_pending(c, PENDING_READ, r->request);
+    if (p == NULL) {
+        (void)reply(c, r->request, CONTROL_NO_LEADER, "too many requests");
+        return;
+    }
+    p->read = *r;
+    await_round(c, p);
+}
+
+void
+serve_on_read_index(struct control *c, struct name from,
+                    const struct rec_read_index *r)
+{
+    struct pending *p;
+
+    if (c->role != CONTROL_LEADER || quorum_member(c, from) == NULL) {
+        return;
+    }
+    p = add_pending(c, PENDING_INDEX, 0);
+    if (p == NULL) {
+        return;
+    }
+    p->asker = from;
+    p->nonce = r->nonce;
+    await_round(c, p);
+}
+
+void
+serve_on_read_reply(struct control *c, struct name from,
+                    const struct rec_read_reply *r)
+{
+    (void)from;
+    if (r->nonce == c->serve_nonce && c->serve_index == 0) {
+        c->serve_index = r->index;
+    }
+}
+
+static void
+answer_confirmed(struct control *c, const struct pending *p)
+{
+    struct msg m = {.kind = MSG_READ_REPLY};
+
+    if (p->kind == PENDING_READ) {
+        answer_read(c, &p->read);
+        return;
+    }
+    m.u.read_reply.nonce = p->nonce;
+    m.u.read_reply.index = p->index;
+    control_send(c, p->asker, &m, c->hard_seq);
+}
+
+/* Answers what can be: true when the request is done with. */
+static bool
+settle(struct control *c, const struct pending *p, uint64_t round)
+{
+    if (p->kind == PENDING_ENTRY) {
+        /* Its entry is behind a snapshot that came in its place. */
+        if (p->index > c->applied && c->now.mono_us < p->deadline_us) {
+            return false;
+        }
+        (void)reply(c, p->request, CONTROL_UNKNOWN,
+                    "send it again with the same request id");
+        return true;
+    }
+    if (c->role != CONTROL_LEADER || c->now.mono_us >= p->deadline_us) {
+        if (p->kind == PENDING_READ) {
+            send_elsewhere(c, p->request);
+        }
+        return true;
+    }
+    if (p->round > round || p->index > c->applied) {
+        return false;
+    }
+    answer_confirmed(c, p);
+    return true;
+}
+
+void
+serve_reads(struct control *c)
+{
+    uint64_t round;
+
+    if (c->n_pending == 0) {
+        return;
+    }
+    round = quorum_round(c);
+    for (size_t i = c->n_pending; i > 0; i--) {
+        struct pending p = c->pending[i - 1];
+
+        if (settle(c, &p, round)) {
+            drop_pending(c, i - 1);
+        }
+    }
+}
+
+void
+serve_gone(struct control *c, uint64_t request)
+{
+    for (size_t i = c->n_pending; i > 0; i--) {
+        if (c->pending[i - 1].request == request &&
+            c->pending[i - 1].kind != PENDING_INDEX) {
+            drop_pending(c, i - 1);
+        }
+    }
+}
+
+/* Followers. */
+static struct follower *
+find_follower(struct control *c, struct name name)
+{
+    struct follower *f;
+
+    for (size_t i = 0; i < c->n_followers; i++) {
+        if (name_equal(c->followers[i].info.instance, name)) {
+            return &c->followers[i];
+        }
+    }
+    if (c->n_followers >= FOLLOWERS_MAX) {
+        return NULL;
+    }
+    f = realloc(c->followers, (c->n_followers + 1) * sizeof(*f));
+    if (f == NULL) {
+        abort();
+    }
+    c->followers = f;
+    f = &c->followers[c->n_followers++];
+    memset(f, 0, sizeof(*f));
+    f->info.instance = name;
+    f->heard_us = INT64_MIN;
+    return f;
+}
+
+static struct follower *
+note_follower(struct control *c, const struct rec_follower *info,
+              struct name via)
+{
+    struct follower *f = find_follower(c, info->instance);
+    int64_t age = info->age_us < INT64_C(1) << 40 ? (int64_t)info->age_us
+                                                  : INT64_C(1) << 40;
+
+    if (f == NULL || f->heard_us > c->now.mono_us - age) {
+        return f;
+    }
+    if (f->info.version != info->version ||
+        f->info.incarnation != info->incarnation) {
+        c->followers_changed = true;
+    }
+    f->info = *info;
+    f->heard_us = c->now.mono_us - age;
+    f->via = via;
+    f->here = name_equal(via, c->opts.self);
+    return f;
+}
+
+void
+serve_on_config_request(struct control *c, struct name from,
+                        const struct rec_config_request *r)
+{
+    struct rec_follower info = {
+        .instance = from,
+        .zone = r->zone,
+        .incarnation = r->incarnation,
+        .version = r->have_version,
+    };
+    struct follower *f = note_follower(c, &info, c->opts.self);
+
+    if (f == NULL) {
+        return;
+    }
+    f->polling = true;
+    f->have = r->have_version;
+    f->takes_delta = r->takes_delta != 0;
+    f->poll_us = c->now.mono_us + c->opts.poll_us;
+    for (size_t i = 0; i < r->n_members && i < INSTANCES_MAX; i++) {
+        (void)note_follower(c, &r->members[i], c->opts.self);
+    }
+}
+
+void
+serve_on_followers(struct control *c, struct name from,
+                   const struct rec_followers *list)
+{
+    if (quorum_member(c, from) == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < list->n_followers && i < FOLLOWERS_MAX; i++) {
+        (void)note_follower(c, &list->followers[i], from);
+    }
+}
+
+static void
+fill_delta(struct control *c, struct rec_config_reply *r,
+           const struct follower *f, struct blob *text_now)
+{
+    struct blob *old = fsm_text(&c->fsm, f->have);
+    struct delta d;
+
+    if (!f->takes_delta || f->have == 0 || old == NULL) {
+        r->config = blob_ref(text_now);
+        return;
+    }
+    d = delta_make(old, text_now);
+    r->from_version = f->have;
+    r->prefix = d.prefix;
+    r->suffix = d.suffix;
+    r->config = d.middle;
+    c->counters.deltas_sent++;
+}
+
+static void
+send_config(struct control *c, struct follower *f)
+{
+    struct msg m = {.kind = MSG_CONFIG_REPLY};
+    struct rec_config_reply *r = &m.u.config_reply;
+    const struct rec_publication *p = fsm_version(&c->fsm, c->fsm.version);
+
+    r->version = c->fsm.version;
+    r->term = p->term;
+    r->digest = p->digest;
+    fill_delta(c, r, f, fsm_text(&c->fsm, c->fsm.version));
+    f->polling = false;
+    c->counters.configs_sent++;
+    control_send(c, f->info.instance, &m, 0);
+}
+
+static void
+send_nothing_newer(struct control *c, struct follower *f)
+{
+    struct msg m = {.kind = MSG_CONFIG_REPLY};
+
+    m.u.config_reply.version = f->have;
+    f->polling = false;
+    control_send(c, f->info.instance, &m, 0);
+}
+
+/* After a restart the member knows what its disk holds, but not which of it is
+ * committed, and perhaps less than it served before.  Until it has applied
+ * what was committed when the leader answered it, it serves nobody: a follower
+ * that restarted too would otherwise get an older version than it had. */
+void
+serve_followers(struct control *c)
+{
+    if (!c->serving) {
+        return;
+    }
+    for (size_t i = 0; i < c->n_followers; i++) {
+        struct follower *f = &c->followers[i];
+
+        if (f->polling && f->have < c->fsm.version) {
+            send_config(c, f);
+        }
+    }
+}
+
+static void
+report_followers(struct control *c)
+{
+    struct msg m = {.kind = MSG_FOLLOWERS};
+    struct rec_followers *list = &m.u.followers;
+
+    if (name_empty(c->leader) || c->role == CONTROL_LEADER ||
+        (!c->followers_changed && c->now.mono_us < c->report_us)) {
+        return;
+    }
+    c->followers_changed = false;
+    c->report_us = c->now.mono_us + REPORT_US;
+    list->followers = calloc(c->n_followers + 1, sizeof(*list->followers));
+    if (list->followers == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < c->n_followers; i++) {
+        struct follower *f = &c->followers[i];
+
+        if (f->here) {
+            f->info.age_us = (uint64_t)(c->now.mono_us - f->heard_us);
+            list->followers[list->n_followers++] = f->info;
+        }
+    }
+    if (list->n_followers == 0) {
+        msg_free(&m);
+        return;
+    }
+    control_send(c, c->leader, &m, 0);
+}
+
+static void
+ask_to_serve(struct control *c)
+{
+    struct msg m = {.kind = MSG_READ_INDEX};
+
+    if (c->serving || c->serve_index > 0 || name_empty(c->leader) ||
+        c->role == CONTROL_LEADER) {
+        return;
+    }
+    m.u.read_index.nonce = c->serve_nonce;
+    control_send(c, c->leader, &m, c->hard_seq);
+}
+
+void
+serve_tick(struct control *c)
+{
+    for (size_t i = c->n_followers; i > 0; i--) {
+        struct follower *f = &c->followers[i - 1];
+
+        if (f->polling && c->now.mono_us >= f->poll_us) {
+            send_nothing_newer(c, f);
+        }
+        if (c->now.mono_us - f->heard_us > c->opts.follower_us) {
+            c->n_followers--;
+            *f = c->followers[c->n_followers];
+        }
+    }
+    report_followers(c);
+    ask_to_serve(c);
+}
--- /dev/null
+++ b/tests/cluster.c
@@ -0,0 +1,734 @@
+#include "cluster.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "delta.h"
+
+static const char REGION[] = "sk-east";
+static const char FOLLOWER[] = "e1";
+
+uint64_t
+cluster_draw(struct cluster *cl, uint64_t below)
+{
+    uint64_t z = (cl->random += UINT64_C(0x9e3779b97f4a7c15));
+
+    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return (z ^ (z >> 31)) % below;
+}
+
+void
+cluster_violation(struct cluster *cl, const char *format, ...)
+{
+    va_list args;
+
+    if (cl->violations++ == 0) {
+        va_start(args, format);
+        (void)vsnprintf(cl->first_violation, sizeof(cl->first_violation),
+                        format, args);
+        va_end(args);
+    }
+}
+
+static struct name
+node_name(int i)
+{
+    char text[16];
+
+    (void)snprintf(text, sizeof(text), "c%d", i);
+    return name_of(text);
+}
+
+static struct storage_options
+disk_options(const struct cluster *cl, int i)
+{
+    return (struct storage_options){
+        .ops = fault_disk_ops(),
+        .disk = cl->nodes[i].disk,
+        .member = cl->nodes[i].name,
+        .region = name_of(REGION),
+        .new_disk = cl->nodes[i].disk_id,
+    };
+}
+
+/* Checks. */
+static void
+check_leader(struct cluster *cl, const struct node *n,
+             const struct control_view *v)
+{
+    struct name *known = &cl->leaders[v->term % CLUSTER_REQUESTS];
+
+    if (v->role != CONTROL_LEADER) {
+        return;
+    }
+    if (name_empty(*known)) {
+        *known = n->name;
+    }
+    else if (!name_equal(*known, n->name)) {
+        cluster_violation(cl, "%s and %s lead in term %llu", known->s,
+                          n->name.s, (unsigned long long)v->term);
+    }
+}
+
+static uint64_t
+entry_digest(const struct rec_log_entry *e)
+{
+    return delta_digest(e->data) ^ e->kind;
+}
+
+static void
+check_committed(struct cluster *cl, const struct node *n,
+                const struct control_view *v)
+{
+    uint64_t from = v->commit > v->base + 40 ? v->commit - 40 : v->base + 1;
+
+    for (uint64_t i = from; i <= v->commit && i < CLUSTER_ENTRIES; i++) {
+        const struct rec_log_entry *e = control_entry(n->control, i);
+        struct rec_log_entry *known = &cl->committed[i];
+
+        if (e == NULL) {
+            continue;
+        }
+        if (known->index == 0) {
+            known->index = i;
+            known->term = e->term;
+            known->kind = entry_digest(e);
+        }
+        else if (known->term != e->term || known->kind != entry_digest(e)) {
+            cluster_violation(cl, "%s committed another entry %llu", n->name.s,
+                              (unsigned long long)i);
+        }
+    }
+}
+
+static void
+check_versions(struct cluster *cl, const struct node *n,
+               const struct control_view *v)
+{
+    const struct fsm *f = control_fsm(n->control);
+    uint64_t from = v->version > 40 ? v->version - 40 : 1;
+
+    for (uint64_t i = from; i <= v->version; i++) {
+        const struct rec_publication *p = fsm_version(f, i);
+        struct key_id *known = &cl->versions[i % CLUSTER_REQUESTS];
+
+        if (p == NULL) {
+            continue;
+        }
+        if (known->hi == 0 && known->lo == 0) {
+            *known = p->request_id;
+        }
+        else if (!key_id_equal(*known, p->request_id)) {
+            cluster_violation(cl, "%s has another version %llu", n->name.s,
+                              (unsigned long long)i);
+        }
+    }
+}
+
+static void
+check_node(struct cluster *cl, const struct node *n)
+{
+    struct control_view v = control_view(n->control);
+
+    check_leader(cl, n, &v);
+    check_committed(cl, n, &v);
+    check_versions(cl, n, &v);
+}
+
+static void
+check_served(struct cluster *cl, struct node *n,
+             const struct rec_config_reply *r)
+{
+    const struct key_id *known = &cl->versions[r->version % CLUSTER_REQUESTS];
+    const struct fsm *f = control_fsm(n->control);
+
+    if (r->config == NULL) {
+        return;
+    }
+    if (r->version < n->served) {
+        cluster_violation(cl, "%s served %llu after %llu", n->name.s,
+                          (unsigned long long)r->version,
+                          (unsigned long long)n->served);
+    }
+    n->served = r->version;
+    if (known->hi == 0 ||
+        !key_id_equal(*known, fsm_version(f, r->version)->request_id)) {
+        cluster_violation(cl, "%s served an uncommitted version", n->name.s);
+    }
+}
+
+/* The follower. */
+static void
+follower_takes(struct cluster *cl, const struct rec_config_reply *r)
+{
+    struct delta d = {r->prefix, r->suffix, r->config, r->digest};
+    struct blob *base = r->from_version != 0 ? cl->follower_text : NULL;
+    struct blob *text;
+
+    if (r->config == NULL || r->version <= cl->follower_has ||
+        (r->from_version != 0 && r->from_version != cl->follower_has)) {
+        return;
+    }
+    text = delta_apply(base, &d);
+    if (text == NULL) {
+        cluster_violation(cl, "the follower cannot read version %llu",
+                          (unsigned long long)r->version);
+        return;
+    }
+    blob_unref(cl->follower_text);
+    cl->follower_text = text;
+    cl->follower_has = r->version;
+    cl->follower_got++;
+}
+
+/* The network. */
+static int
+node_number(const struct cluster *cl, struct name name)
+{
+    for (int i = 0; i < cl->n; i++) {
+        if (name_equal(cl->nodes[i].name, name)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static void
+fly(struct cluster *cl, struct name from, int to, const struct msg *m)
+{
+    struct flight *f;
+    struct msg back;
+    msgpack_sbuffer buffer;
+
+    if (cl->n_flights == CLUSTER_FLIGHTS ||
+        cluster_draw(cl, 1000) < cl->loss) {
+        return;
+    }
+    /* Over the real codec, so that every message is known to survive it. */
+    msgpack_sbuffer_init(&buffer);
+    if (wire_encode(m, &buffer) != WIRE_OK ||
+        wire_decode(buffer.data, buffer.size, &back) != WIRE_OK) {
+        abort();
+    }
+    msgpack_sbuffer_destroy(&buffer);
+    f = &cl->flights[cl->n_flights++];
+    f->due_us =
+        cl->now_us + 100 + (int64_t)cluster_draw(cl, (uint64_t)cl->delay_us);
+    f->order = cl->order++;
+    f->from = from;
+    f->to = to;
+    f->msg = back;
+}
+
+static void
+carry(struct cluster *cl, struct name from, struct name to,
+      const struct msg *m)
+{
+    int target = node_number(cl, to);
+
+    fly(cl, from, target, m);
+    if (cluster_draw(cl, 1000) < cl->doubled) {
+        fly(cl, from, target, m);
+    }
+}
+
+/* Effects. */
+static void
+check_accepted(struct cluster *cl, const struct answer *a)
+{
+    uint64_t *first = &cl->accepted[a->id];
+
+    if (*first != 0 && *first != a->version) {
+        cluster_violation(cl, "request id %llu got versions %llu and %llu",
+                          (unsigned long long)a->id,
+                          (unsigned long long)*first,
+                          (unsigned long long)a->version);
+    }
+    *first = a->version;
+    if (a->version > cl->confirmed) {
+        cl->confirmed = a->version;
+    }
+}
+
+static void
+take_reply(struct cluster *cl, const struct ce_reply *r)
+{
+    struct answer *a = &cl->answers[r->request % CLUSTER_REQUESTS];
+    uint64_t version = r->of.kind == MSG_PUBLICATION
+                           ? r->of.u.publication.version
+                           : r->version;
+
+    a->done = true;
+    a->result = r->result;
+    a->version = version;
+    a->resend = r->resend;
+    if (r->result != CONTROL_OK) {
+        return;
+    }
+    if (r->config != NULL) {
+        if (version < a->floor) {
+            cluster_violation(cl, "a read gave %llu after %llu was confirmed",
+                              (unsigned long long)version,
+                              (unsigned long long)a->floor);
+        }
+    }
+    else if (r->of.kind == MSG_PUBLICATION) {
+        check_accepted(cl, a);
+    }
+}
+
+static void
+take_effect(struct cluster *cl, struct node *n, struct control_effect *f)
+{
+    if (control_effect_on_disk(f->kind)) {
+        if (n->n_work == CLUSTER_OPERATIONS) {
+            abort();
+        }
+        if (n->n_work == 0) {
+            n->work_us = cl->now_us + 200 + (int64_t)cluster_draw(cl, 4000);
+        }
+        n->work[n->n_work++] = *f;
+        memset(f, 0, sizeof(*f));
+        f->kind = CE_STOPPED;
+        return;
+    }
+    if (f->kind == CE_SEND && !n->cut) {
+        if (f->u.send.msg.kind == MSG_CONFIG_REPLY) {
+            check_served(cl, n, &f->u.send.msg.u.config_reply);
+        }
+        carry(cl, n->name, f->u.send.to, &f->u.send.msg);
+    }
+    if (f->kind == CE_REPLY) {
+        take_reply(cl, &f->u.reply);
+    }
+}
+
+/* Counts a step; whoever was to be killed at it is. */
+static bool
+killed(struct cluster *cl, int i)
+{
+    cl->steps++;
+    if (cl->steps != cl->kill_at) {
+        return false;
+    }
+    cluster_crash(cl, i);
+    return true;
+}
+
+static void
+step(struct cluster *cl, int i, struct control_event *ev)
+{
+    struct node *n = &cl->nodes[i];
+    struct control_effects fx = {0};
+
+    if (n->control == NULL || killed(cl, i)) {
+        return;
+    }
+    ev->now.mono_us = cl->now_us;
+    ev->now.wall_us = cl->now_us;
+    control_step(n->control, ev, &fx);
+    check_node(cl, n);
+    for (size_t e = 0; e < fx.n; e++) {
+        take_effect(cl, n, &fx.items[e]);
+    }
+    control_effects_free(&fx);
+}
+
+/* The disk's thread: one effect at a time. */
+static enum storage_error
+carry_out(struct storage *s, const struct control_effect *f)
+{
+    switch (f->kind) {
+    case CE_APPEND:
+        return storage_append(s, f->u.append.entries, f->u.append.n);
+    case CE_TRUNCATE:
+        return storage_truncate(s, f->u.truncate.index);
+    case CE_SAVE_VOTE:
+        return storage_save_vote(s, f->u.vote.term, f->u.vote.vote);
+    case CE_SNAPSHOT:
+        return storage_save_snapshot(s, f->u.snapshot.index,
+                                     f->u.snapshot.term, f->u.snapshot.state,
+                                     f->u.snapshot.discard);
+    default:
+        return storage_sync(s);
+    }
+}
+
+static void
+work(struct cluster *cl, int i)
+{
+    struct node *n = &cl->nodes[i];
+    struct control_effect f = n->work[0];
+    struct control_event ev = {.kind = CEV_SAVED};
+    enum storage_error err;
+
+    if (killed(cl, i)) {
+        return;
+    }
+    n->n_work--;
+    memmove(n->work, n->work + 1, n->n_work * sizeof(n->work[0]));
+    err = carry_out(n->storage, &f);
+    ev.u.saved.seq = f.u.sync.seq;
+    n->work_us = cl->now_us + (n->work[0].kind == CE_SYNC
+                                   ? 500 + (int64_t)cluster_draw(cl, 8000)
+                                   : 50);
+    if (err != STORAGE_OK) {
+        cluster_crash(cl, i); /* the process stops */
+    }
+    else if (f.kind == CE_SYNC) {
+        step(cl, i, &ev);
+    }
+    control_effect_clear(&f);
+}
+
+void
+cluster_crash(struct cluster *cl, int i)
+{
+    struct node *n = &cl->nodes[i];
+
+    control_free(n->control);
+    n->control = NULL;
+    storage_close(n->storage);
+    n->storage = NULL;
+    for (size_t w = 0; w < n->n_work; w++) {
+        control_effect_clear(&n->work[w]);
+    }
+    n->n_work = 0;
+    fault_disk_crash(n->disk, cluster_draw(cl, 1000000));
+}
+
+void
+cluster_start(struct cluster *cl, int i)
+{
+    struct node *n = &cl->nodes[i];
+    struct storage_options o = disk_options(cl, i);
+    struct control_options co = cl->options;
+    struct control_event ev = {.kind = CEV_TICK};
+    struct storage_found found;
+    char detail[DETAIL_SIZE];
+
+    if (n->control != NULL) {
+        return;
+    }
+    if (storage_open(&o, &n->storage, &found, detail) != STORAGE_OK) {
+        cluster_violation(cl, "%s does not start: %s", n->name.s, detail);
+        return;
+    }
+    co.self = n->name;
+    co.disk = found.disk;
+    co.seed = cluster_draw(cl, UINT64_MAX);
+    n->control = control_new(&co, &found);
+    storage_found_free(&found);
+    if (n->control == NULL) {
+        cluster_violation(cl, "%s cannot read its snapshot", n->name.s);
+        return;
+    }
+    step(cl, i, &ev);
+}
+
+void
+cluster_wipe(struct cluster *cl, int i)
+{
+    fault_disk_wipe(cl->nodes[i].disk);
+    cl->nodes[i].disk_id = cluster_draw(cl, UINT64_MAX) | 1;
+    cl->nodes[i].served = 0;
+}
+
+/* Time. */
+static size_t
+next_flight(const struct cluster *cl)
+{
+    size_t best = 0;
+
+    for (size_t i = 1; i < cl->n_flights; i++) {
+        if (cl->flights[i].due_us < cl->flights[best].due_us ||
+            (cl->flights[i].due_us == cl->flights[best].due_us &&
+             cl->flights[i].order < cl->flights[best].order)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+static void
+deliver(struct cluster *cl, size_t at)
+{
+    struct flight f = cl->flights[at];
+    struct control_event ev = {.kind = CEV_MESSAGE};
+
+    cl->flights[at] = cl->flights[--cl->n_flights];
+    ev.u.message.from = f.from;
+    ev.u.message.msg = &f.msg;
+    if (f.to < 0) {
+        if (f.msg.kind == MSG_CONFIG_REPLY) {
+            follower_takes(cl, &f.msg.u.config_reply);
+        }
+    }
+    else if (!cl->nodes[f.to].cut &&
+             cl->nodes[f.to].deaf_to != node_number(cl, f.from)) {
+        step(cl, f.to, &ev);
+    }
+    msg_free(&f.msg);
+}
+
+static bool
+run_next(struct cluster *cl, int64_t until_us)
+{
+    size_t flight = next_flight(cl);
+    int64_t due = cl->n_flights > 0 ? cl->flights[flight].due_us : INT64_MAX;
+    struct control_event ev = {.kind = CEV_TICK};
+    int who = -1;
+    bool disk = false;
+
+    for (int i = 0; i < cl->n; i++) {
+        const struct node *n = &cl->nodes[i];
+
+        if (n->control != NULL && n->n_work > 0 && n->work_us < due) {
+            due = n->work_us;
+            who = i;
+            disk = true;
+        }
+        if (n->control != NULL && control_next_us(n->control) < due) {
+            due = control_next_us(n->control);
+            who = i;
+            disk = false;
+        }
+    }
+    if (due > until_us) {
+        return false;
+    }
+    cl->now_us = due > cl->now_us ? due : cl->now_us;
+    if (who < 0) {
+        deliver(cl, flight);
+    }
+    else if (disk) {
+        work(cl, who);
+    }
+    else {
+        step(cl, who, &ev);
+    }
+    return true;
+}
+
+void
+cluster_run(struct cluster *cl, int64_t us)
+{
+    int64_t until_us = cl->now_us + us;
+
+    while (run_next(cl, until_us)) {
+    }
+    cl->now_us = until_us;
+}
+
+int
+cluster_leader(const struct cluster *cl)
+{
+    uint64_t term = 0;
+    int leader = -1;
+
+    for (int i = 0; i < cl->n; i++) {
+        struct control_view v;
+
+        if (cl->nodes[i].control == NULL) {
+            continue;
+        }
+        v = control_view(cl->nodes[i].control);
+        if (v.role == CONTROL_LEADER && v.term > term && v.serving) {
+            term = v.term;
+            leader = i;
+        }
+    }
+    return leader;
+}
+
+int
+cluster_await_leader(struct cluster *cl)
+{
+    int leader = cluster_leader(cl);
+
+    for (int i = 0; leader < 0 && i < 600; i++) {
+        cluster_run(cl, 100 * USEC_PER_MSEC);
+        leader = cluster_leader(cl);
+    }
+    if (leader < 0) {
+        cluster_violation(cl, "no leader in a minute");
+        leader = 0;
+    }
+    return leader;
+}
+
+/* Requests. */
+static struct answer *
+ask(struct cluster *cl, uint64_t r)
+{
+    struct answer *a = &cl->answers[r];
+
+    memset(a, 0, sizeof(*a));
+    a->floor = cl->confirmed;
+    return a;
+}
+
+/* A text of fixed length in which the place of the change moves about. */
+static struct blob *
+text_of(uint64_t id)
+{
+    char text[600];
+    char change[32];
+    int n = snprintf(change, sizeof(change), "change %llu",
+                     (unsigned long long)id);
+
+    memset(text, 'x', sizeof(text));
+    memcpy(text + id * 7 % 500, change, (size_t)n);
+    return blob_new(text, sizeof(text));
+}
+
+void
+cluster_publish(struct cluster *cl, int i, uint64_t r, uint64_t base,
+                uint64_t id)
+{
+    struct control_event ev = {.kind = CEV_PUBLISH};
+    char id_text[24];
+
+    (void)snprintf(id_text, sizeof(id_text), "r%llu", (unsigned long long)id);
+    ask(cl, r)->id = id;
+    ev.u.publish.request = r;
+    ev.u.publish.publisher = name_of("alice");
+    ev.u.publish.request_id = id_text;
+    ev.u.publish.base_version = base;
+    ev.u.publish.summary = "a change";
+    ev.u.publish.config = text_of(id);
+    step(cl, i, &ev);
+    blob_unref(ev.u.publish.config);
+}
+
+void
+cluster_read(struct cluster *cl, int i, uint64_t r)
+{
+    struct control_event ev = {.kind = CEV_READ};
+
+    (void)ask(cl, r);
+    ev.u.read.request = r;
+    ev.u.read.what = READ_CONFIG;
+    step(cl, i, &ev);
+}
+
+void
+cluster_change(struct cluster *cl, int i, uint64_t r,
+               enum change_action action, int member)
+{
+    struct control_event ev = {.kind = CEV_CHANGE};
+
+    (void)ask(cl, r);
+    ev.u.change.request = r;
+    ev.u.change.action = action;
+    ev.u.change.member = node_name(member);
+    ev.u.change.address = address_of("127.0.0.1:1");
+    ev.u.change.http = address_of("127.0.0.1:2");
+    step(cl, i, &ev);
+}
+
+void
+cluster_stop(struct cluster *cl, int i)
+{
+    struct control_event ev = {.kind = CEV_STOP};
+
+    step(cl, i, &ev);
+}
+
+void
+cluster_forget(struct cluster *cl)
+{
+    blob_unref(cl->follower_text);
+    cl->follower_text = NULL;
+    cl->follower_has = 0;
+}
+
+void
+cluster_poll(struct cluster *cl, int i)
+{
+    struct msg m = {.kind = MSG_CONFIG_REQUEST};
+
+    m.u.config_request.have_version = cl->follower_has;
+    m.u.config_request.incarnation = 1;
+    m.u.config_request.zone = name_of("sk-east-a");
+    m.u.config_request.takes_delta = cl->follower_text != NULL;
+    if (!cl->nodes[i].cut) {
+        carry(cl, name_of(FOLLOWER), cl->nodes[i].name, &m);
+    }
+}
+
+/* Construction. */
+static struct blob *
+founding(const struct cluster *cl)
+{
+    struct rec_control_member members[CLUSTER_NODES] = {0};
+    struct rec_membership m = {members, (size_t)cl->n};
+
+    for (int i = 0; i < cl->n; i++) {
+        members[i].name = node_name(i);
+        members[i].address = address_of("127.0.0.1:1");
+        members[i].http = address_of("127.0.0.1:2");
+        members[i].voter = 1;
+        members[i].disk =
+            control_founding_disk(name_of(REGION), members[i].name);
+    }
+    return control_founding_state(&m);
+}
+
+struct cluster *
+cluster_new(int n, uint64_t seed, const bool *breaks)
+{
+    struct cluster *cl = calloc(1, sizeof(*cl));
+    struct blob *state;
+    char detail[DETAIL_SIZE];
+
+    if (cl == NULL) {
+        abort();
+    }
+    cl->n = n;
+    cl->random = seed;
+    cl->now_us = USEC_PER_SEC;
+    cl->delay_us = 2 * USEC_PER_MSEC;
+    cl->options = control_options_default();
+    cl->options.snapshot_entries = 20;
+    cl->options.trail = 5;
+    cl->options.chunk = 700;
+    if (breaks != NULL) {
+        memcpy(cl->options.breaks, breaks, sizeof(cl->options.breaks));
+    }
+    state = founding(cl);
+    for (int i = 0; i < n; i++) {
+        struct storage_options o;
+
+        cl->nodes[i].name = node_name(i);
+        cl->nodes[i].deaf_to = CLUSTER_NODES;
+        cl->nodes[i].disk = fault_disk_new();
+        cl->nodes[i].disk_id =
+            control_founding_disk(name_of(REGION), node_name(i));
+        o = disk_options(cl, i);
+        if (storage_format(&o, CONTROL_FOUNDING_INDEX, CONTROL_FOUNDING_TERM,
+                           state, detail) != STORAGE_OK) {
+            abort();
+        }
+        cluster_start(cl, i);
+    }
+    blob_unref(state);
+    return cl;
+}
+
+void
+cluster_free(struct cluster *cl)
+{
+    for (int i = 0; i < cl->n; i++) {
+        cluster_crash(cl, i);
+        fault_disk_free(cl->nodes[i].disk);
+    }
+    for (size_t i = 0; i < cl->n_flights; i++) {
+        msg_free(&cl->flights[i].msg);
+    }
+    blob_unref(cl->follower_text);
+    free(cl);
+}
--- /dev/null
+++ b/tests/cluster.h
@@ -0,0 +1,123 @@
+/**
+ * DOC: cluster - control members in virtual time, on disks that fail, with
+ * checks after every step
+ *
+ * The reducers and the storage are the real ones.  The checks: one leader in a
+ * term; what is committed is the same everywhere and never changes; a version
+ * once confirmed stays and belongs to one request; no member serves an older
+ * or an uncommitted version than it served before; a read is not older than
+ * what was confirmed before it began.
+ */
+#ifndef BM_CLUSTER_H
+#define BM_CLUSTER_H
+
+#include "control.h"
+#include "fault_disk.h"
+
+enum {
+    CLUSTER_NODES = 5,
+    CLUSTER_REQUESTS = 4096,
+    CLUSTER_ENTRIES = 8192,
+    CLUSTER_FLIGHTS = 4096,
+    CLUSTER_OPERATIONS = 512,
+};
+
+struct node {
+    struct name name;
+    struct disk *disk;
+    uint64_t disk_id;
+    struct storage *storage;
+    struct control *control; /* NULL while it is down */
+    bool cut;                /* reaches nobody */
+    int deaf_to; /* hears nothing from that one; CLUSTER_NODES: none */
+    struct control_effect work[CLUSTER_OPERATIONS]; /* for the disk */
+    size_t n_work;
+    int64_t work_us; /* when the first of it is done */
+    uint64_t served; /* newest version sent to a follower */
+};
+
+struct flight {
+    int64_t due_us;
+    uint64_t order;
+    struct name from;
+    int to;
+    struct msg msg;
+};
+
+struct answer {
+    bool done;
+    uint64_t id; /* number of the request id */
+    enum control_result result;
+    uint64_t version; /* of the publication or the read */
+    bool resend;
+    uint64_t floor; /* confirmed before a read was begun */
+};
+
+struct cluster {
+    struct control_options options;
+    int n;
+    struct node nodes[CLUSTER_NODES];
+    int64_t now_us;
+    uint64_t random;
+    uint64_t order;
+    struct flight flights[CLUSTER_FLIGHTS];
+    size_t n_flights;
+    unsigned int loss;    /* of 1000 messages */
+    unsigned int doubled; /* of 1000 messages */
+    int64_t delay_us;     /* most a message takes */
+    uint64_t steps;       /* steps of reducers and operations of disks */
+    uint64_t kill_at;     /* crash whoever takes that step; 0 never */
+    struct answer answers[CLUSTER_REQUESTS];
+    uint64_t confirmed; /* newest confirmed version */
+    struct rec_log_entry committed[CLUSTER_ENTRIES]; /* data: digest only */
+    struct key_id versions[CLUSTER_REQUESTS]; /* request of each version */
+    struct name leaders[CLUSTER_REQUESTS];    /* of each term */
+    uint64_t accepted[CLUSTER_REQUESTS];      /* version of each request id */
+    uint64_t follower_has;
+    struct blob *follower_text;
+    uint64_t follower_got; /* replies with a configuration */
+    int violations;
+    char first_violation[DETAIL_SIZE];
+};
+
+/** cluster_new() - @n founding members, all started; options may be changed
+ * with @breaks */
+struct cluster *cluster_new(int n, uint64_t seed, const bool *breaks);
+void cluster_free(struct cluster *cl);
+
+/** cluster_run() - lets that much time pass */
+void cluster_run(struct cluster *cl, int64_t us);
+
+/** cluster_leader() - number of the leader that has the highest term; -1 when
+ * there is none */
+int cluster_leader(const struct cluster *cl);
+
+/** cluster_await_leader() - runs until there is one that can answer */
+int cluster_await_leader(struct cluster *cl);
+
+void cluster_crash(struct cluster *cl, int node);
+void cluster_start(struct cluster *cl, int node);
+
+/** cluster_wipe() - its disk is replaced by an empty one, while it is down */
+void cluster_wipe(struct cluster *cl, int node);
+
+/** cluster_publish() - request @r, with the request id of that number and a
+ * text made of it */
+void cluster_publish(struct cluster *cl, int node, uint64_t r, uint64_t base,
+                     uint64_t id);
+void cluster_read(struct cluster *cl, int node, uint64_t r);
+void cluster_change(struct cluster *cl, int node, uint64_t r,
+                    enum change_action action, int member);
+void cluster_stop(struct cluster *cl, int node);
+
+/** cluster_forget() - the follower restarts with nothing */
+void cluster_forget(struct cluster *cl);
+
+/** cluster_poll() - the follower asks a member with what it has */
+void cluster_poll(struct cluster *cl, int node);
+
+uint64_t cluster_draw(struct cluster *cl, uint64_t below);
+void cluster_violation(struct cluster *cl, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+#endif
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -5,4 +5,5 @@
 SUITE(settings)
 SUITE(fake)
 SUITE(storage)
+SUITE(control)
 /* clang-format on */
