--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -13,4 +13,5 @@
 SUITE(publish)
 SUITE(docs)
 SUITE(storage)
+SUITE(control)
 /* clang-format on */
