Enumerate every fault at every step from a traced run

Cause: which step of a path a fault may hit was nowhere tried out.

Change: scenario.c takes every path once; matrix.c traces it, takes each hop over the network as a step, and runs one cell for each fault at each step, and sampled pairs. vcheck.c judges the records of callers and upstreams. MUTANT() guards one deliberately wrong decision per promise, compiled with BM_MUTANTS alone.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 FORMATTED := $(wildcard src/*.[ch] tests/*.[ch])
 LINTED := $(LIB_SRC) $(MAINS) $(TEST_SRC)
 
-.PHONY: all deps format format-check lint check demo bench bench-update clean
+.PHONY: all deps format format-check lint check demo bench bench-update matrix clean
 .SECONDARY:
 
 all: $(BUILD)/libboragemoor.a $(PROGRAMS)
@@ -56,11 +56,24 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+# The same library with the wrong decisions that prove the fault matrix; only
+# tests and the matrix link it.
+$(BUILD)/mutant/%.o: src/%.c $(HEADERS)
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) -DBM_MUTANTS $(ALL_CFLAGS) -c $< -o $@
+
+$(BUILD)/libboragemoor-mutant.a: $(LIB_SRC:src/%.c=$(BUILD)/mutant/%.o)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/mutant/bm-bench: $(BUILD)/bm_bench.o $(BUILD)/libboragemoor-mutant.a
+	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
+
 .SECONDEXPANSION:
 $(BUILD)/bm-%: $(BUILD)/bm_$$(subst -,_,$$*).o $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
-$(BUILD)/check: $(TEST_OBJ) $(BUILD)/libboragemoor.a
+$(BUILD)/check: $(TEST_OBJ) $(BUILD)/libboragemoor-mutant.a
 	$(CC) $(ALL_CFLAGS) $^ -lcunit $(LDLIBS) -o $@
 
 format:
@@ -90,5 +103,8 @@
 bench-update: $(BUILD)/bm-bench
 	@$< --bounds bench/bounds.ini --update $(WORKLOADS)
 
+matrix: $(BUILD)/mutant/bm-bench
+	@$< --matrix --mutants
+
 clean:
 	rm -rf build build-address build-thread
--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "figures.h"
+#include "matrix.h"
 
 enum { EXIT_OUT_OF_BOUNDS = 1, EXIT_USAGE = 2, THREADS_MAX = 64 };
 
@@ -19,6 +20,12 @@
     int update;
     char *policy;
     int threads;
+    int matrix;
+    int mutants;
+    int per_label;
+    int pairs;
+    int seed;
+    char *cell;
     int version;
 };
 
@@ -126,10 +133,42 @@
     return code;
 }
 
+static int
+run_matrix(const struct options *o)
+{
+    struct matrix_options m = {.seed = (uint64_t)o->seed};
+    struct matrix_result r;
+
+    m.per_label = (uint32_t)o->per_label;
+    m.pairs = (uint32_t)o->pairs;
+    m.threads = (uint32_t)o->threads + 1;
+    m.mutants = o->mutants;
+    r = matrix_run(&m, stdout);
+    printf("matrix: cells=%llu passed=%llu failed=%llu mutants=%u caught=%u\n",
+           (unsigned long long)r.cells, (unsigned long long)r.passed,
+           (unsigned long long)r.failed, r.mutants, r.caught);
+    return r.failed > 0 || r.caught < r.mutants ? EXIT_OUT_OF_BOUNDS
+                                                : EXIT_SUCCESS;
+}
+
+static int
+run_cell(const struct options *o)
+{
+    bool ok = false;
+
+    if (!matrix_cell((uint64_t)o->seed, o->cell, stdout, &ok)) {
+        (void)fprintf(stderr, "bm-bench: a cell is STEP:FAULT[,STEP:FAULT]\n");
+        return EXIT_USAGE;
+    }
+    printf("%s\n", ok ? "passed" : "failed");
+    return ok ? EXIT_SUCCESS : EXIT_OUT_OF_BOUNDS;
+}
+
 int
 main(int argc, const char **argv)
 {
-    struct options o = {.threads = 3};
+    struct options o = {
+        .threads = 3, .per_label = 6, .pairs = 4000, .seed = 1};
     struct poptOption table[] = {
         {"bounds", 'b', POPT_ARG_STRING, &o.bounds, 0,
          "compare with the bounds in this file", "FILE"},
@@ -138,6 +177,17 @@
         {"policy", 'p', POPT_ARG_STRING, &o.policy, 0,
          "only this policy: holder, sparing, direct or random", "NAME"},
         {"threads", 't', POPT_ARG_INT, &o.threads, 0, "beside the first", "N"},
+        {"matrix", 'm', POPT_ARG_NONE, &o.matrix, 0, "run the fault matrix",
+         NULL},
+        {"mutants", 'M', POPT_ARG_NONE, &o.mutants, 0,
+         "prove the matrix with mutants (builds with BM_MUTANTS)", NULL},
+        {"per-label", 'l', POPT_ARG_INT, &o.per_label, 0,
+         "steps of a label that are tried; 0: all", "N"},
+        {"pairs", 'P', POPT_ARG_INT, &o.pairs, 0, "cells with two faults",
+         "N"},
+        {"seed", 's', POPT_ARG_INT, &o.seed, 0, "of the matrix", "N"},
+        {"cell", 'c', POPT_ARG_STRING, &o.cell, 0, "repeat one cell",
+         "STEP:FAULT[,STEP:FAULT]"},
         {"version", 'V', POPT_ARG_NONE, &o.version, 0, "print the version",
          NULL},
         POPT_AUTOHELP POPT_TABLEEND};
@@ -159,6 +209,10 @@
         code = EXIT_SUCCESS;
         goto out;
     }
+    if (o.matrix || o.cell != NULL) {
+        code = o.matrix ? run_matrix(&o) : run_cell(&o);
+        goto out;
+    }
     files = poptGetArgs(context);
     while (files != NULL && files[n] != NULL) {
         n++;
@@ -172,5 +226,6 @@
     poptFreeContext(context);
     free(o.bounds);
     free(o.policy);
+    free(o.cell);
     return code;
 }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -444,6 +444,10 @@
     case START_LOST:
     default:
         e->counters.starts_lost++;
+        if (MUTANT(e, START_ONCE)) {
+            end_not_started(e, s);
+            break;
+        }
         ask_for(e, s);
         break;
     }
@@ -478,6 +482,10 @@
         break;
     case REVOKE_OTHER_LIFE:
     default:
+        if (MUTANT(e, NON_IDEMPOTENT)) {
+            end_not_started(e, s);
+            break;
+        }
         end_unknown(e, s);
         break;
     }
--- a/src/entry.c
+++ b/src/entry.c
@@ -210,7 +210,8 @@
 {
     struct config *copy;
 
-    if (e->config != NULL && config->version <= e->config->version) {
+    if (e->config != NULL && config->version <= e->config->version &&
+        !MUTANT(e, CONFIG)) {
         entry_log(e, LOG_DEBUG, REASON_CONFIG_IGNORED, NULL, -1, name_of(""),
                   "version %llu is not above %llu",
                   (unsigned long long)config->version,
@@ -296,8 +297,9 @@
 static void
 tell_stopped(struct entry *e)
 {
-    if (!e->stopping || e->stopped_told || jobs_active(e) > 0 ||
-        dispatch_running(e) > 0) {
+    bool busy = jobs_active(e) > 0 || dispatch_running(e) > 0;
+
+    if (!e->stopping || e->stopped_told || (busy && !MUTANT(e, STOP))) {
         return;
     }
     e->stopped_told = true;
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -17,6 +17,14 @@
 #include "entry.h"
 #include "table.h"
 
+/* MUTANT() - whether to make the decision wrongly that breaks this promise.
+ * Only the build that proves the fault matrix can say yes. */
+#ifdef BM_MUTANTS
+#define MUTANT(e, promise) ((e)->opts.break_promise[PROMISE_##promise])
+#else
+#define MUTANT(e, promise) false
+#endif
+
 struct members;
 struct claims;
 struct jobs;
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -310,7 +310,8 @@
     struct job_answer *a = new_answer(job->n_tasks, JOB_FAILED, reason);
 
     for (uint32_t i = 0; job->tasks != NULL && i < job->n_tasks; i++) {
-        a->tasks[i].state = state_of(&job->tasks[i]);
+        a->tasks[i].state =
+            MUTANT(e, NOT_RUN) ? TASK_NOT_RUN : state_of(&job->tasks[i]);
         a->tasks[i].ok = job->tasks[i].phase == TASK_ENDED && job->tasks[i].ok;
         if (a->tasks[i].state == TASK_UNKNOWN) {
             e->counters.tasks_unknown++;
@@ -358,6 +359,9 @@
         e->counters.outcomes_dropped++;
         return;
     }
+    if (MUTANT(e, OWN_ANSWER) && index > 0) {
+        index = job->n_ended; /* as if outcomes came in order */
+    }
     t = &job->tasks[index];
     t->phase = TASK_ENDED;
     t->ok = ok;
@@ -366,7 +370,7 @@
     t->payload = NULL;
     job->work_left_us -= t->run_us;
     job->n_ended++;
-    if (job->n_ended == job->n_tasks) {
+    if (job->n_ended == job->n_tasks || MUTANT(e, WHOLE)) {
         job_complete(e, job);
     }
 }
--- a/src/kind.h
+++ b/src/kind.h
@@ -4,6 +4,27 @@
 #ifndef BM_KIND_H
 #define BM_KIND_H
 
+/* What must always hold: PROMISE(NAME, how it is broken).  The fault matrix
+ * judges it from outside. */
+/* clang-format off */
+#define PROMISE_LIST(PROMISE)                                                 \
+    PROMISE(START_ONCE, "a task started twice")                               \
+    PROMISE(WHOLE, "an answer was partial")                                   \
+    PROMISE(OWN_ANSWER, "a caller did not get its own one answer")            \
+    PROMISE(NOT_RUN, "a task told as not run had started")                    \
+    PROMISE(NON_IDEMPOTENT, "a non-idempotent task started twice")            \
+    PROMISE(LEAVING, "a leaving upstream got new work")                       \
+    PROMISE(STOP, "a planned stop cut off a request")                         \
+    PROMISE(CONFIG, "a configuration reverted or did not come into force")
+/* clang-format on */
+
+enum promise {
+#define PROMISE(NAME, text) PROMISE_##NAME,
+    PROMISE_LIST(PROMISE)
+#undef PROMISE
+        PROMISES,
+};
+
 /** enum claim_purpose - what a claimed key stands for */
 enum claim_purpose { CLAIM_RUN, CLAIM_CANCEL };
 
--- a/src/vcaller.c
+++ b/src/vcaller.c
@@ -299,7 +299,7 @@
 
     if (h->ok) {
         c->told_not_run = true;
-        c->told_not_run_us = n->now_us;
+        c->told_not_run_us = a->replied_us;
     }
     if (a->cancel || c->settled) {
         return;
--- a/src/vnet.c
+++ b/src/vnet.c
@@ -437,6 +437,7 @@
     }
     h.to = (struct end){END_CALLER, (uint32_t)request};
     n->attempts[request - 1].replied = true;
+    n->attempts[request - 1].replied_us = n->now_us;
     if (kind == HOP_ANSWER) {
         h.answer = f->u.answer.answer;
         f->u.answer.answer = NULL;
--- a/src/vnet.h
+++ b/src/vnet.h
@@ -132,6 +132,7 @@
     uint32_t rack;
     uint64_t incarnation;
     uint64_t epoch;
+    uint32_t holder; /* the instance that fenced with it */
     uint32_t slots;
     uint32_t running;
     uint32_t asks; /* announcements made, picks the instance */
@@ -173,6 +174,7 @@
     uint32_t service;
     bool idempotent;
     bool never_fits;
+    bool probe; /* must complete: all troubles are over by then */
     int64_t deadline_us;
     int64_t at_us;
     int64_t patience_us; /* per submission; then it asks elsewhere */
@@ -186,8 +188,8 @@
     bool settled;
     bool refused; /* settled by a problem */
     enum problem problem;
-    bool told_not_run; /* by a problem */
-    int64_t told_not_run_us;
+    bool told_not_run;       /* by a problem */
+    int64_t told_not_run_us; /* when its instance said so */
     int64_t settled_us;
     struct job_answer *answer; /* the first */
 };
@@ -201,27 +203,10 @@
     bool cancel;
     bool arrived; /* was read by its instance */
     bool replied; /* the instance sent its reply */
+    int64_t replied_us;
     uint32_t replies;
 };
 
-/** enum promise - what must hold, judged from outside */
-#define PROMISE_LIST(PROMISE)                                                 \
-    PROMISE(START_ONCE, "a task started twice")                               \
-    PROMISE(WHOLE, "an answer was partial")                                   \
-    PROMISE(OWN_ANSWER, "a caller did not get its own one answer")            \
-    PROMISE(NOT_RUN, "a task told as not run had started")                    \
-    PROMISE(NON_IDEMPOTENT, "a non-idempotent task started twice")            \
-    PROMISE(LEAVING, "a leaving upstream got new work")                       \
-    PROMISE(STOP, "a planned stop cut off a request")                         \
-    PROMISE(CONFIG, "a configuration reverted or did not come into force")
-
-enum promise {
-#define PROMISE(NAME, text) PROMISE_##NAME,
-    PROMISE_LIST(PROMISE)
-#undef PROMISE
-        PROMISES,
-};
-
 /** struct vnet_options - sizes and delays; see vnet_options_default() */
 struct vnet_options {
     uint32_t zones;
--- a/src/vupstream.c
+++ b/src/vupstream.c
@@ -4,6 +4,7 @@
 
 #include "vnet.h"
 
+#define LEAVING_GRACE_US (3 * USEC_PER_SEC)
 #define FAIL_RUN_US (2 * USEC_PER_MSEC)
 
 static struct end
@@ -183,7 +184,7 @@
     const struct vupstream *u = &n->upstreams[h->to.index];
     struct hop r = reply_to(h, HOP_ENDED);
 
-    if (u->leaving_us != 0 && n->now_us > u->leaving_us + 5 * USEC_PER_SEC &&
+    if (u->leaving_us != 0 && n->now_us > u->leaving_us + LEAVING_GRACE_US &&
         h->incarnation == u->incarnation) {
         vnet_break(n, PROMISE_LEAVING, "%s got a start %lld ms after leaving",
                    u->name.s, (long long)(n->now_us - u->leaving_us) / 1000);
@@ -256,11 +257,13 @@
     if (h->incarnation != u->incarnation) {
         r.code = FENCE_OTHER_LIFE;
     }
-    else if (h->epoch < u->epoch) {
+    else if (h->epoch < u->epoch ||
+             (h->epoch == u->epoch && u->holder != h->from.index)) {
         r.code = FENCE_STALE;
     }
     else {
         u->epoch = h->epoch;
+        u->holder = h->from.index;
     }
     r.epoch = u->epoch;
     r.us = u->running;
