--- a/Makefile
+++ b/Makefile
@@ -95,6 +95,10 @@
 	@$(MAKE) all $(BUILD)/check
 	@$(BUILD)/check tests
 
+demo: deps
+	@$(MAKE) all
+	@sh demo/run $(BUILD)
+
 WORKLOADS := $(sort $(wildcard bench/workloads/*.ini))
 
 bench: $(BUILD)/bm-bench
--- a/src/matrix.c
+++ b/src/matrix.c
@@ -95,7 +95,7 @@
     struct trace *t = arg;
     struct step *s;
 
-    (void)delay_us;
+    *delay_us = 0;
     if (point != POINT_SENT || n->now_us < SCENARIO_BEGIN_US ||
         n->now_us > SCENARIO_END_US) {
         return FATE_PASS;
@@ -447,7 +447,8 @@
 
     qsort(t->steps, t->n, sizeof(*t->steps), by_label);
     for (size_t i = 1; i <= t->n; i++) {
-        if (i == t->n || strcmp(t->steps[i].label, t->steps[first].label)) {
+        if (i == t->n ||
+            strcmp(t->steps[i].label, t->steps[first].label) != 0) {
             add_label(cs, &t->steps[first], i - first, per_label);
             first = i;
             labels++;
--- a/src/scenario.c
+++ b/src/scenario.c
@@ -5,7 +5,7 @@
 
 #include "key.h"
 
-enum { PROBES_SEC = 50, END_SEC = 60, RETRIES = 40 };
+enum { PROBES_SEC = 50, END_SEC = 60, RETRIES = 40, SPREAD_MS = 30 };
 
 #define MSEC USEC_PER_MSEC
 
@@ -63,7 +63,7 @@
         abort();
     }
     for (uint32_t i = 0; i < p->tasks; i++) {
-        c.tasks[i].run_us = p->run * MSEC + i * 30 * MSEC;
+        c.tasks[i].run_us = (p->run + (int64_t)i * SPREAD_MS) * MSEC;
     }
     if (p->bare) {
         (void)snprintf(c.key, sizeof(c.key), "bare-%llu",
--- a/src/vnet.c
+++ b/src/vnet.c
@@ -220,6 +220,8 @@
         return n->instances[end.index].zone;
     case END_UPSTREAM:
         return n->upstreams[end.index].zone;
+    case END_CONTROL:
+        return end.index % n->opts.zones;
     default:
         return ZONES_MAX;
     }
@@ -362,6 +364,11 @@
             return (struct end){END_INSTANCE, i};
         }
     }
+    for (uint32_t i = 0; i < VCONTROLS; i++) {
+        if (name_equal(n->control_names[i], name)) {
+            return (struct end){END_CONTROL, i};
+        }
+    }
     return (struct end){END_NONE, 0};
 }
 
@@ -528,14 +535,30 @@
 
 /* ---- arrivals ---- */
 
+static void
+deliver_config(struct vnet *n, uint32_t instance, uint64_t version)
+{
+    struct event ev = {.kind = EV_CONFIG};
+    struct config c = n->config;
+
+    c.version = version;
+    ev.u.config = &c;
+    (void)vnet_deliver(n, instance, &ev);
+}
+
 static void
 deliver_message(struct vnet *n, struct hop *h)
 {
     struct event ev = {.kind = EV_MESSAGE};
 
-    ev.u.message.from = n->instances[h->from.index].name;
+    ev.u.message.from = h->from.role == END_CONTROL
+                            ? n->control_names[h->from.index]
+                            : n->instances[h->from.index].name;
     ev.u.message.msg = &h->msg;
     (void)vnet_deliver(n, h->to.index, &ev);
+    if (h->msg.kind == MSG_CONFIG_REPLY && h->msg.u.config_reply.config) {
+        deliver_config(n, h->to.index, h->msg.u.config_reply.version);
+    }
 }
 
 static void
@@ -625,17 +648,6 @@
     (void)vnet_deliver(n, h->to.index, &ev);
 }
 
-static void
-deliver_config(struct vnet *n, const struct hop *h)
-{
-    struct event ev = {.kind = EV_CONFIG};
-    struct config c = n->config;
-
-    c.version = h->call;
-    ev.u.config = &c;
-    (void)vnet_deliver(n, h->to.index, &ev);
-}
-
 static void
 deliver_peer(struct vnet *n, const struct hop *h)
 {
@@ -672,9 +684,6 @@
     case HOP_LEAVE:
         deliver_announce(n, h);
         break;
-    case HOP_CONFIG:
-        deliver_config(n, h);
-        break;
     case HOP_PEER:
         deliver_peer(n, h);
         break;
@@ -726,6 +735,14 @@
             vupstream_arrives(n, h);
         }
         break;
+    case END_CONTROL:
+        if (h->kind == HOP_ALARM) {
+            vcontrol_alarm(n, h);
+        }
+        else {
+            vcontrol_arrives(n, h);
+        }
+        break;
     case END_CALLER:
         if (h->kind == HOP_ALARM) {
             vcaller_alarm(n, h);
@@ -814,6 +831,8 @@
     o.incarnation = v->life;
     o.peers = n->peers;
     o.n_peers = n->n_instances;
+    o.controls = n->control_names;
+    o.n_controls = VCONTROLS;
     o.seed = n->opts.seed * 1000 + i + v->life * 131;
     o.new_region = o.new_region && first;
     v->entry = entry_new(&o);
@@ -825,8 +844,6 @@
     v->stopped = false;
     v->paused_until_us = 0;
     v->tick_us = n->now_us;
-    vnet_add(n, HOP_CONFIG, (struct end){END_NONE, 0}, self, 0)->call =
-        n->config.version;
     for (uint32_t p = 0; p < n->n_instances; p++) {
         if (p == i || n->instances[p].entry == NULL) {
             continue;
@@ -885,20 +902,6 @@
     n->cut_until_us[zone] = n->now_us + us;
 }
 
-void
-vnet_publish(struct vnet *n)
-{
-    n->config.version++;
-    n->published_us = n->now_us;
-    for (uint32_t i = 0; i < n->n_instances; i++) {
-        struct hop h = {.kind = HOP_CONFIG, .from = {END_NONE, 0}};
-
-        h.to = (struct end){END_INSTANCE, i};
-        h.call = n->config.version;
-        vnet_send(n, &h);
-    }
-}
-
 /* ---- construction ---- */
 
 static void
@@ -949,6 +952,7 @@
     n->config = (struct config){
         .version = 1, .services = &n->opts.service, .n_services = 1};
     name_processes(n);
+    vcontrol_begin(n);
     for (uint32_t i = 0; i < n->n_instances; i++) {
         begin_instance(n, i, true);
     }
@@ -983,6 +987,7 @@
         hop_clear(&n->heap[i]);
     }
     free_calls(n);
+    blob_unref(n->text);
     free(n->heap);
     free(n->peers);
     free(n->instances);
--- a/src/vnet.h
+++ b/src/vnet.h
@@ -34,7 +34,7 @@
     HOP(ANNOUNCE, 1)                                                          \
     HOP(LEAVE, 1)                                                             \
     HOP(ANNOUNCED, 1)                                                         \
-    HOP(CONFIG, 1)   /* a publication reaches an instance */                  \
+    HOP(ACCEPTED, 1) /* a publication reaches a control process */            \
     HOP(RESET, 0)    /* a caller's connection breaks */                       \
     HOP(PEER, 0)     /* an instance's connection comes or goes */             \
     HOP(RUN_END, 0)  /* a task ends on its upstream */                        \
@@ -43,6 +43,8 @@
     HOP(SCRIPT, 0)   /* a step of the scenario */
 /* clang-format on */
 
+enum { VCONTROLS = 3 };
+
 enum hop_kind {
 #define HOP(NAME, network) HOP_##NAME,
     HOP_LIST(HOP)
@@ -50,7 +52,13 @@
         HOP_KINDS,
 };
 
-enum end_role { END_INSTANCE, END_UPSTREAM, END_CALLER, END_NONE };
+enum end_role {
+    END_INSTANCE,
+    END_UPSTREAM,
+    END_CALLER,
+    END_CONTROL,
+    END_NONE,
+};
 
 /** struct end - a process: role and index */
 struct end {
@@ -146,6 +154,16 @@
     size_t n_tombstones;
 };
 
+/** struct vcontrol - a control process that followers poll; it may lag */
+struct vcontrol {
+    struct name name;
+    uint64_t version;
+    bool dead;
+    /* each instance's poll that waits: */
+    uint64_t have[INSTANCES_MAX];
+    int64_t until_us[INSTANCES_MAX]; /* 0: none */
+};
+
 /** struct vtask - one task of a caller's job and what truly became of it */
 struct vtask {
     int64_t run_us;
@@ -255,6 +273,9 @@
     struct map keys_by_id;
     struct hop *current;  /* the one being read */
     struct config config; /* last accepted */
+    struct blob *text;    /* of it */
+    struct name control_names[VCONTROLS];
+    struct vcontrol controls[VCONTROLS];
     int64_t published_us;
     int64_t cut_until_us[ZONES_MAX];
     struct effects fx;
@@ -303,7 +324,8 @@
 void vnet_break(struct vnet *n, enum promise p, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
-/** vnet_publish() - the next version is accepted and goes out to all */
+/** vnet_publish() - the next version is accepted and reaches all but the last
+ * control process at once, that one some seconds later */
 void vnet_publish(struct vnet *n);
 
 /* Faults */
@@ -342,6 +364,11 @@
 void vupstream_restart(struct vnet *n, uint32_t upstream);
 void vupstream_leave(struct vnet *n, uint32_t upstream);
 
+/* vcontrol.c */
+void vcontrol_begin(struct vnet *n);
+void vcontrol_arrives(struct vnet *n, struct hop *h);
+void vcontrol_alarm(struct vnet *n, const struct hop *h);
+
 /* vcheck.c */
 
 /** vcheck_judge() - judges the records at the end; returns how many promises
