Run the fault matrix in make check and prove it with mutants

Cause: nothing tried every fault at every step of every path.

Replies are for the life of the process that asked: without that an answer for a dead process reached its successor. A fault strikes once: a paused message arrives twice. A caller gives a bare key up before its claim window ends, since past it the key is a new one.

--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -22,6 +22,8 @@
     int threads;
     int matrix;
     int mutants;
+    int mutant;
+    int steps;
     int per_label;
     int pairs;
     int seed;
@@ -156,7 +158,7 @@
 {
     bool ok = false;
 
-    if (!matrix_cell((uint64_t)o->seed, o->cell, stdout, &ok)) {
+    if (!matrix_cell((uint64_t)o->seed, o->cell, o->mutant, stdout, &ok)) {
         (void)fprintf(stderr, "bm-bench: a cell is STEP:FAULT[,STEP:FAULT]\n");
         return EXIT_USAGE;
     }
@@ -168,7 +170,7 @@
 main(int argc, const char **argv)
 {
     struct options o = {
-        .threads = 3, .per_label = 6, .pairs = 4000, .seed = 1};
+        .threads = 3, .per_label = 6, .pairs = 4000, .seed = 1, .mutant = -1};
     struct poptOption table[] = {
         {"bounds", 'b', POPT_ARG_STRING, &o.bounds, 0,
          "compare with the bounds in this file", "FILE"},
@@ -188,6 +190,10 @@
         {"seed", 's', POPT_ARG_INT, &o.seed, 0, "of the matrix", "N"},
         {"cell", 'c', POPT_ARG_STRING, &o.cell, 0, "repeat one cell",
          "STEP:FAULT[,STEP:FAULT]"},
+        {"steps", 0, POPT_ARG_NONE, &o.steps, 0, "print the matrix's steps",
+         NULL},
+        {"mutant", 0, POPT_ARG_INT, &o.mutant, 0,
+         "repeat the cell under this mutant", "N"},
         {"version", 'V', POPT_ARG_NONE, &o.version, 0, "print the version",
          NULL},
         POPT_AUTOHELP POPT_TABLEEND};
@@ -209,6 +215,11 @@
         code = EXIT_SUCCESS;
         goto out;
     }
+    if (o.steps) {
+        matrix_steps((uint64_t)o.seed, stdout);
+        code = EXIT_SUCCESS;
+        goto out;
+    }
     if (o.matrix || o.cell != NULL) {
         code = o.matrix ? run_matrix(&o) : run_cell(&o);
         goto out;
--- a/src/matrix.c
+++ b/src/matrix.c
@@ -46,6 +46,7 @@
 struct cell {
     struct matrix_fault faults[FAULTS_PER_CELL];
     size_t n_faults;
+    bool struck[FAULTS_PER_CELL]; /* a paused hop arrives twice */
     bool broken[PROMISES];
     bool failed;
     char text[200];
@@ -119,6 +120,18 @@
     return t;
 }
 
+void
+matrix_steps(uint64_t seed, FILE *out)
+{
+    struct trace t = trace_run(seed);
+
+    for (size_t i = 0; i < t.n; i++) {
+        (void)fprintf(out, "%llu %s\n", (unsigned long long)t.steps[i].number,
+                      t.steps[i].label);
+    }
+    free(t.steps);
+}
+
 /* ---- one cell ---- */
 
 static bool
@@ -308,21 +321,26 @@
         const struct matrix_fault *f = &c->faults[i];
         enum need need = faults[f->fault].need;
 
-        if (f->step != h->number || point != point_of(f->fault) ||
+        if (c->struck[i] || f->step != h->number ||
+            point != point_of(f->fault) ||
             (need == NEED_SENDER && h->from.role != END_INSTANCE) ||
             (need == NEED_RECEIVER && h->to.role != END_INSTANCE)) {
             continue;
         }
+        c->struck[i] = true;
         fate = strike(n, c, f->fault, h, delay_us);
     }
     return fate;
 }
 
 static void
-cell_run(struct cell *c, uint64_t seed, int mutant)
+cell_run(struct cell *c, uint64_t seed, int mutant, FILE *log)
 {
     struct vnet *n = scenario_begin(seed, mutant);
 
+    memset(c->struck, 0, sizeof(c->struck));
+    c->silent_until_us = 0;
+    n->log = log;
     n->hook = (struct vnet_hook){cell_hop, c};
     scenario_run(n);
     c->failed = vcheck_judge(n) > 0;
@@ -345,7 +363,7 @@
            (i = atomic_fetch_add(&cs->next, 1)) < cs->n) {
         struct cell *c = &cs->items[i];
 
-        cell_run(c, cs->seed, cs->mutant);
+        cell_run(c, cs->seed, cs->mutant, NULL);
         if (cs->mutant >= 0 && c->broken[cs->mutant]) {
             atomic_store(&cs->caught, true);
         }
@@ -593,7 +611,7 @@
 }
 
 bool
-matrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok)
+matrix_cell(uint64_t seed, const char *text, int mutant, FILE *out, bool *ok)
 {
     struct cell c = {0};
 
@@ -607,7 +625,7 @@
         }
         text++;
     }
-    cell_run(&c, seed, -1);
+    cell_run(&c, seed, mutant, out);
     *ok = !c.failed;
     if (c.failed) {
         print_cell(&c, seed, out);
--- a/src/matrix.h
+++ b/src/matrix.h
@@ -84,8 +84,13 @@
  * option that repeats it */
 struct matrix_result matrix_run(const struct matrix_options *o, FILE *out);
 
-/** matrix_cell() - repeats the cell "STEP:FAULT[,STEP:FAULT]" and prints what
- * broke; false when the text is no cell.  @ok gets whether it passed. */
-bool matrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok);
+/** matrix_steps() - prints the traced steps, each with its label */
+void matrix_steps(uint64_t seed, FILE *out);
+
+/** matrix_cell() - repeats the cell "STEP:FAULT[,STEP:FAULT]" under a mutant
+ * (-1: none) and prints what was decided and what broke; false when the text
+ * is no cell.  @ok gets whether it passed. */
+bool matrix_cell(uint64_t seed, const char *text, int mutant, FILE *out,
+                 bool *ok);
 
 #endif
--- a/src/scenario.c
+++ b/src/scenario.c
@@ -8,6 +8,11 @@
 enum { PROBES_SEC = 50, END_SEC = 60, RETRIES = 40, SPREAD_MS = 30 };
 
 #define MSEC USEC_PER_MSEC
+#define CLAIM_WINDOW_US (24 * USEC_PER_SEC)
+
+/* A bare key says nothing of its age: submitted again past the claim window
+ * it is a new key.  Callers must stop asking before that. */
+#define GIVE_UP_US (20 * USEC_PER_SEC)
 
 /* struct plan - a job of the scenario; times in ms */
 struct plan {
@@ -52,6 +57,7 @@
     c.cancel_us = p->cancel * MSEC;
     c.patience_us = 6 * USEC_PER_SEC;
     c.retries = RETRIES;
+    c.give_up_us = c.at_us + GIVE_UP_US;
     c.idempotent = p->idempotent;
     c.never_fits = p->never_fits;
     if (p->never_fits) {
@@ -143,7 +149,7 @@
     o.upstreams = 2;
     o.slots = 3;
     o.rack = 1;
-    o.entry.claim_window_us = 24 * USEC_PER_SEC;
+    o.entry.claim_window_us = CLAIM_WINDOW_US;
     o.entry.clock_skew_us = 1 * USEC_PER_SEC;
     o.entry.answer_keep_us = 10 * USEC_PER_SEC;
     o.service.deadline_max_us = 6 * USEC_PER_SEC;
--- a/src/vcaller.c
+++ b/src/vcaller.c
@@ -304,7 +304,8 @@
     if (a->cancel || c->settled) {
         return;
     }
-    if (worth_retry(h->code) && c->submitted <= c->retries) {
+    if (worth_retry(h->code) && c->submitted <= c->retries &&
+        (c->give_up_us == 0 || n->now_us < c->give_up_us)) {
         alarm_add(n, a->job, ALARM_AGAIN, n->now_us + wait_us, 0);
         return;
     }
--- a/src/vnet.c
+++ b/src/vnet.c
@@ -393,10 +393,21 @@
     vnet_send(n, &h);
 }
 
+/* A reply is for the life of the process that asked. */
+static struct hop
+call_hop(const struct vnet *n, enum hop_kind kind, struct end self,
+         uint64_t call)
+{
+    return (struct hop){.kind = kind,
+                        .from = self,
+                        .call = call,
+                        .life = n->instances[self.index].life};
+}
+
 static void
 on_start(struct vnet *n, struct end self, const struct ef_start *f)
 {
-    struct hop h = {.kind = HOP_START, .from = self, .call = f->call};
+    struct hop h = call_hop(n, HOP_START, self, f->call);
 
     h.to = upstream_at(f->address);
     h.job = vnet_job(n, f->key);
@@ -411,7 +422,7 @@
 static void
 on_revoke(struct vnet *n, struct end self, const struct ef_revoke *f)
 {
-    struct hop h = {.kind = HOP_REVOKE, .from = self, .call = f->call};
+    struct hop h = call_hop(n, HOP_REVOKE, self, f->call);
 
     h.to = upstream_at(f->address);
     h.index = f->index;
@@ -424,7 +435,7 @@
 static void
 on_fence(struct vnet *n, struct end self, const struct ef_fence *f)
 {
-    struct hop h = {.kind = HOP_FENCE, .from = self, .call = f->call};
+    struct hop h = call_hop(n, HOP_FENCE, self, f->call);
 
     h.to = upstream_at(f->address);
     h.incarnation = f->incarnation;
@@ -457,6 +468,19 @@
     vnet_send(n, &h);
 }
 
+static void
+print_log(const struct vnet *n, struct end self, const struct ef_log *l)
+{
+    if (n->log == NULL) {
+        return;
+    }
+    (void)fprintf(n->log, "%9.3f %s %s job=%llu/%d %s %s\n",
+                  (double)n->now_us / USEC_PER_SEC,
+                  n->instances[self.index].name.s, reason_text(l->reason),
+                  (unsigned long long)vnet_job(n, l->key), l->index,
+                  l->subject.s, l->detail);
+}
+
 static void
 carry_out(struct vnet *n, struct end self, struct effect *f)
 {
@@ -479,6 +503,9 @@
     case EF_PROBLEM:
         on_reply(n, self, HOP_PROBLEM, f->u.problem.request, f);
         break;
+    case EF_LOG:
+        print_log(n, self, &f->u.log);
+        break;
     case EF_STOPPED:
         n->instances[self.index].stopped = true;
         break;
--- a/src/vnet.h
+++ b/src/vnet.h
@@ -73,7 +73,7 @@
     enum hop_kind kind;
     struct end from;
     struct end to;
-    uint64_t life; /* of an instance it is for; 0: whichever is there */
+    uint64_t life; /* of the instance it is for or from; 0: any */
     uint64_t call; /* number of the call or request */
     uint64_t job;  /* number of the caller's job, where it is about one */
     uint64_t incarnation;
@@ -197,6 +197,7 @@
     int64_t at_us;
     int64_t patience_us; /* per submission; then it asks elsewhere */
     uint32_t retries;    /* more submissions it makes after refusals */
+    int64_t give_up_us;  /* no more of them then; 0: never */
     uint32_t submitted;
     uint64_t wished;     /* requests not caused by a refusal or a fault */
     int64_t resubmit_us; /* a second arrival beside the first; 0: none */
@@ -286,6 +287,7 @@
     char first_broken[200];
     void (*script)(struct vnet *n, const struct hop *h);
     uint64_t steps; /* of reducers */
+    FILE *log;      /* decisions of the reducers; NULL: none */
 };
 
 /** vnet_options_default() - three zones with two instances each */
--- a/src/vupstream.c
+++ b/src/vupstream.c
@@ -57,6 +57,7 @@
     struct hop r = {.kind = kind, .from = h->to, .to = h->from};
 
     r.call = h->call;
+    r.life = h->life;
     r.index = h->index;
     return r;
 }
@@ -156,6 +157,7 @@
     end->call = h->call;
     end->job = h->job;
     end->index = h->index;
+    end->life = h->life;
     end->incarnation = u->incarnation;
     end->us = run_us;
     end->ok = !u->failing;
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -9,4 +9,5 @@
 SUITE(submit)
 SUITE(demo)
 SUITE(storage)
+SUITE(matrix)
 /* clang-format on */
