--- a/src/vnet.c
+++ b/src/vnet.c
@@ -220,6 +220,8 @@
         return n->instances[end.index].zone;
     case END_UPSTREAM:
         return n->upstreams[end.index].zone;
+    case END_CONTROL:
+        return end.index % n->opts.zones;
     default:
         return ZONES_MAX;
     }
@@ -362,6 +364,11 @@
             return (struct end){END_INSTANCE, i};
         }
     }
+    for (uint32_t i = 0; i < VCONTROLS; i++) {
+        if (name_equal(n->control_names[i], name)) {
+            return (struct end){END_CONTROL, i};
+        }
+    }
     return (struct end){END_NONE, 0};
 }
 
@@ -386,10 +393,21 @@
     vnet_send(n, &h);
 }
 
+/* A reply is for the life of the process that asked. */
+static struct hop
+call_hop(const struct vnet *n, enum hop_kind kind, struct end self,
+         uint64_t call)
+{
+    return (struct hop){.kind = kind,
+                        .from = self,
+                        .call = call,
+                        .life = n->instances[self.index].life};
+}
+
 static void
 on_start(struct vnet *n, struct end self, const struct ef_start *f)
 {
-    struct hop h = {.kind = HOP_START, .from = self, .call = f->call};
+    struct hop h = call_hop(n, HOP_START, self, f->call);
 
     h.to = upstream_at(f->address);
     h.job = vnet_job(n, f->key);
@@ -404,7 +422,7 @@
 static void
 on_revoke(struct vnet *n, struct end self, const struct ef_revoke *f)
 {
-    struct hop h = {.kind = HOP_REVOKE, .from = self, .call = f->call};
+    struct hop h = call_hop(n, HOP_REVOKE, self, f->call);
 
     h.to = upstream_at(f->address);
     h.index = f->index;
@@ -417,7 +435,7 @@
 static void
 on_fence(struct vnet *n, struct end self, const struct ef_fence *f)
 {
-    struct hop h = {.kind = HOP_FENCE, .from = self, .call = f->call};
+    struct hop h = call_hop(n, HOP_FENCE, self, f->call);
 
     h.to = upstream_at(f->address);
     h.incarnation = f->incarnation;
@@ -437,6 +455,7 @@
     }
     h.to = (struct end){END_CALLER, (uint32_t)request};
     n->attempts[request - 1].replied = true;
+    n->attempts[request - 1].replied_us = n->now_us;
     if (kind == HOP_ANSWER) {
         h.answer = f->u.answer.answer;
         f->u.answer.answer = NULL;
@@ -449,6 +468,19 @@
     vnet_send(n, &h);
 }
 
+static void
+print_log(const struct vnet *n, struct end self, const struct ef_log *l)
+{
+    if (n->log == NULL) {
+        return;
+    }
+    (void)fprintf(n->log, "%9.3f %s %s job=%llu/%d %s %s\n",
+                  (double)n->now_us / USEC_PER_SEC,
+                  n->instances[self.index].name.s, reason_text(l->reason),
+                  (unsigned long long)vnet_job(n, l->key), l->index,
+                  l->subject.s, l->detail);
+}
+
 static void
 carry_out(struct vnet *n, struct end self, struct effect *f)
 {
@@ -471,6 +503,9 @@
     case EF_PROBLEM:
         on_reply(n, self, HOP_PROBLEM, f->u.problem.request, f);
         break;
+    case EF_LOG:
+        print_log(n, self, &f->u.log);
+        break;
     case EF_STOPPED:
         n->instances[self.index].stopped = true;
         break;
@@ -527,14 +562,30 @@
 
 /* ---- arrivals ---- */
 
+static void
+deliver_config(struct vnet *n, uint32_t instance, uint64_t version)
+{
+    struct event ev = {.kind = EV_CONFIG};
+    struct config c = n->config;
+
+    c.version = version;
+    ev.u.config = &c;
+    (void)vnet_deliver(n, instance, &ev);
+}
+
 static void
 deliver_message(struct vnet *n, struct hop *h)
 {
     struct event ev = {.kind = EV_MESSAGE};
 
-    ev.u.message.from = n->instances[h->from.index].name;
+    ev.u.message.from = h->from.role == END_CONTROL
+                            ? n->control_names[h->from.index]
+                            : n->instances[h->from.index].name;
     ev.u.message.msg = &h->msg;
     (void)vnet_deliver(n, h->to.index, &ev);
+    if (h->msg.kind == MSG_CONFIG_REPLY && h->msg.u.config_reply.config) {
+        deliver_config(n, h->to.index, h->msg.u.config_reply.version);
+    }
 }
 
 static void
@@ -624,17 +675,6 @@
     (void)vnet_deliver(n, h->to.index, &ev);
 }
 
-static void
-deliver_config(struct vnet *n, const struct hop *h)
-{
-    struct event ev = {.kind = EV_CONFIG};
-    struct config c = n->config;
-
-    c.version = h->call;
-    ev.u.config = &c;
-    (void)vnet_deliver(n, h->to.index, &ev);
-}
-
 static void
 deliver_peer(struct vnet *n, const struct hop *h)
 {
@@ -671,9 +711,6 @@
     case HOP_LEAVE:
         deliver_announce(n, h);
         break;
-    case HOP_CONFIG:
-        deliver_config(n, h);
-        break;
     case HOP_PEER:
         deliver_peer(n, h);
         break;
@@ -725,6 +762,14 @@
             vupstream_arrives(n, h);
         }
         break;
+    case END_CONTROL:
+        if (h->kind == HOP_ALARM) {
+            vcontrol_alarm(n, h);
+        }
+        else {
+            vcontrol_arrives(n, h);
+        }
+        break;
     case END_CALLER:
         if (h->kind == HOP_ALARM) {
             vcaller_alarm(n, h);
@@ -813,6 +858,8 @@
     o.incarnation = v->life;
     o.peers = n->peers;
     o.n_peers = n->n_instances;
+    o.controls = n->control_names;
+    o.n_controls = VCONTROLS;
     o.seed = n->opts.seed * 1000 + i + v->life * 131;
     o.new_region = o.new_region && first;
     v->entry = entry_new(&o);
@@ -824,8 +871,6 @@
     v->stopped = false;
     v->paused_until_us = 0;
     v->tick_us = n->now_us;
-    vnet_add(n, HOP_CONFIG, (struct end){END_NONE, 0}, self, 0)->call =
-        n->config.version;
     for (uint32_t p = 0; p < n->n_instances; p++) {
         if (p == i || n->instances[p].entry == NULL) {
             continue;
@@ -884,20 +929,6 @@
     n->cut_until_us[zone] = n->now_us + us;
 }
 
-void
-vnet_publish(struct vnet *n)
-{
-    n->config.version++;
-    n->published_us = n->now_us;
-    for (uint32_t i = 0; i < n->n_instances; i++) {
-        struct hop h = {.kind = HOP_CONFIG, .from = {END_NONE, 0}};
-
-        h.to = (struct end){END_INSTANCE, i};
-        h.call = n->config.version;
-        vnet_send(n, &h);
-    }
-}
-
 /* ---- construction ---- */
 
 static void
@@ -948,6 +979,7 @@
     n->config = (struct config){
         .version = 1, .services = &n->opts.service, .n_services = 1};
     name_processes(n);
+    vcontrol_begin(n);
     for (uint32_t i = 0; i < n->n_instances; i++) {
         begin_instance(n, i, true);
     }
@@ -982,6 +1014,7 @@
         hop_clear(&n->heap[i]);
     }
     free_calls(n);
+    blob_unref(n->text);
     free(n->heap);
     free(n->peers);
     free(n->instances);
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -14,4 +14,5 @@
 SUITE(docs)
 SUITE(storage)
 SUITE(control)
+SUITE(matrix)
 /* clang-format on */
