--- a/src/start.c
+++ b/src/start.c
@@ -448,6 +448,10 @@
     default:
         e->counters.starts_lost++;
         note_failed(e, s);
+        if (MUTANT(e, START_ONCE)) {
+            end_not_started(e, s);
+            break;
+        }
         ask(e, s);
         break;
     }
@@ -492,6 +496,10 @@
         break;
     case REVOKE_OTHER_LIFE:
     default:
+        if (MUTANT(e, NON_IDEMPOTENT)) {
+            end_not_started(e, s);
+            break;
+        }
         end_unknown(e, s);
         break;
     }
