Bound the queue by time, so that a burst's admitted jobs finish

Cause: admission looked only at what goes before a job; in a burst of ten times the capacity a stream of later small jobs overtook the large ones, which failed at their deadlines with most of their tasks run. Change: all that is queued must fit into a quarter of a time limit; the longest task of a large job is expected at the 99th percentile. Jobs whose longest task is about their limit still fail late, since their lengths are not known beforehand.

--- a/src/admit.c
+++ b/src/admit.c
@@ -8,6 +8,8 @@
 #include "upstream.h"
 
 #define CAPACITY_US (20 * USEC_PER_MSEC) /* an estimate is used this long */
+enum { QUEUE_PART = 4 }; /* of a time limit, for all that is queued */
+
 #define RETRY_LEAST_US (200 * USEC_PER_MSEC)
 #define RETRY_MOST_US (30 * USEC_PER_SEC)
 
@@ -334,10 +336,31 @@
     x.ahead = (running + ahead_us(s, admit_class(work_us))) / capacity;
     x.all = (running + ahead_us(s, WORK_CLASSES - 1)) / capacity;
     x.longest = learn_expected_us(&s->learned, longest_us);
-    x.tail = learn_tail_us(&s->learned, longest_us);
+    x.tail = learn_longest_us(&s->learned, job->n_tasks, longest_us);
     return x;
 }
 
+/** late_us() - by how much a job would be late, or make others late.  What
+ * goes before it must leave it time enough.  And all that is queued must fit
+ * into half of a time limit: for the other half jobs that come later may go
+ * first (queue.h), and without this bound a stream of small ones would make
+ * the large ones, admitted in good faith, fail at their deadlines with half
+ * their tasks run. */
+static int64_t
+late_us(const struct service_state *s, const struct estimate *x, int64_t left)
+{
+    int64_t limit = s->conf != NULL ? s->conf->deadline_us : 0;
+    int64_t own_late = x->ahead + x->own + x->tail - left;
+    int64_t all_late;
+
+    if (x->all == 0) {
+        return 0;
+    }
+    limit = limit > left ? limit : left;
+    all_late = x->all - limit / QUEUE_PART;
+    return own_late > all_late ? own_late : all_late;
+}
+
 static struct admission
 judge_time(struct entry *e, struct service_state *s, const struct job *job)
 {
@@ -356,8 +379,8 @@
                        (long long)(left / USEC_PER_MSEC));
         return a;
     }
-    late = x.ahead + x.own + x.tail - left;
-    if (x.ahead == 0 || late <= 0) {
+    late = late_us(s, &x, left);
+    if (late <= 0) {
         return (struct admission){.admitted = true};
     }
     a = refuse(PROBLEM_OVERLOADED, REASON_DEADLINE_HOPELESS,
--- a/src/learn.c
+++ b/src/learn.c
@@ -3,13 +3,17 @@
 #include <math.h>
 #include <stdbool.h>
 
-enum { SAMPLES_ENOUGH = 10 }; /* before that the declared time counts */
+enum {
+    SAMPLES_ENOUGH = 10, /* before that the declared time counts */
+    MANY = 8,            /* tasks, of which one is likely past the tail */
+};
 
-static const double SLOWEST = 0.01;   /* weight of a sample in the long run */
-static const double TAIL_STEP = 0.05; /* of the quantile estimate */
+static const double SLOWEST = 0.01; /* weight of a sample in the long run */
+static const double STEP = 0.05;    /* of the quantile estimates */
 static const double TAIL_SHARE = 0.95;
 static const double TAIL_START = 3.0; /* run time over expected */
-static const double TAIL_LEAST = 1.0;
+static const double EXTREME = 0.99;
+static const double LEAST = 1.0; /* of both */
 
 static void
 blend(double *mean, double sample, double weight)
@@ -29,18 +33,18 @@
     return l->ratio_error < l->mean_error;
 }
 
-/* Robbins-Monro: the estimate rests where one sample in twenty lies above. */
+/* Robbins-Monro: the estimate rests where the share @within lies below it. */
 static void
-learn_tail(struct learned *l, double over_expected)
+learn_quantile(double *estimate, double within, double sample)
 {
-    if (over_expected > l->tail) {
-        l->tail *= 1.0 + TAIL_STEP * TAIL_SHARE;
+    if (sample > *estimate) {
+        *estimate *= 1.0 + STEP * within;
     }
     else {
-        l->tail *= 1.0 - TAIL_STEP * (1.0 - TAIL_SHARE);
+        *estimate *= 1.0 - STEP * (1.0 - within);
     }
-    if (l->tail < TAIL_LEAST) {
-        l->tail = TAIL_LEAST;
+    if (*estimate < LEAST) {
+        *estimate = LEAST;
     }
 }
 
@@ -50,16 +54,20 @@
     double ran = positive(ran_us);
     double declared = positive(declared_us);
     double weight;
+    double over;
 
     if (l->samples == 0) {
         l->mean_us = ran;
         l->ratio = ran / declared;
         l->tail = TAIL_START;
+        l->extreme = TAIL_START;
     }
     l->samples++;
     weight = 1.0 / (double)l->samples;
     weight = weight > SLOWEST ? weight : SLOWEST;
-    learn_tail(l, ran / positive(learn_expected_us(l, declared_us)));
+    over = ran / positive(learn_expected_us(l, declared_us));
+    learn_quantile(&l->tail, TAIL_SHARE, over);
+    learn_quantile(&l->extreme, EXTREME, over);
     blend(&l->mean_error, fabs(log(ran / l->mean_us)), weight);
     blend(&l->ratio_error, fabs(log(ran / (l->ratio * declared))), weight);
     blend(&l->mean_us, ran, weight);
@@ -91,3 +99,12 @@
 
     return (int64_t)(tail * (double)learn_expected_us(l, declared_us));
 }
+
+int64_t
+learn_longest_us(const struct learned *l, uint32_t n, int64_t declared_us)
+{
+    if (n < MANY || l->samples < SAMPLES_ENOUGH) {
+        return learn_tail_us(l, declared_us);
+    }
+    return (int64_t)(l->extreme * (double)learn_expected_us(l, declared_us));
+}
--- a/src/learn.h
+++ b/src/learn.h
@@ -18,6 +18,7 @@
  * @mean_error: moving mean of |log(run / mean_us)|
  * @ratio_error: the same for @ratio times declared
  * @tail: 95th percentile of the run time over the expected one
+ * @extreme: 99th percentile of the same
  */
 struct learned {
     uint32_t samples;
@@ -26,6 +27,7 @@
     double mean_error;
     double ratio_error;
     double tail;
+    double extreme;
 };
 
 /** learn_sample() - a task declared to take @declared_us ran for @ran_us */
@@ -40,4 +42,9 @@
 /** learn_tail_us() - 19 of 20 such tasks end within this */
 int64_t learn_tail_us(const struct learned *l, int64_t declared_us);
 
+/** learn_longest_us() - within this the longest of @n such tasks ends, most
+ * times */
+int64_t learn_longest_us(const struct learned *l, uint32_t n,
+                         int64_t declared_us);
+
 #endif
