--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -281,20 +281,22 @@
  * back, and placing each again and again would be load on top of the trouble.
  * Starts earn a budget that re-placements spend; past it, jobs fail. */
 void
-dispatch_requeue(struct entry *e, struct job *job, uint32_t index)
+dispatch_requeue(struct entry *e, struct job *job, uint32_t index,
+                 bool charged)
 {
     struct dispatch *d = e->dispatch;
     struct queued *q = job->queue_place;
 
     put_task(e, job, index);
-    if (d->retry_tokens < 1 || job->tasks[index].attempts >= ATTEMPTS_MAX) {
+    if (charged &&
+        (d->retry_tokens < 1 || job->tasks[index].attempts >= ATTEMPTS_MAX)) {
         entry_log(e, LOG_WARNING, REASON_RETRIES_SPENT, &job->id,
                   (int32_t)index, name_of(""), "%u starts of this task",
                   job->tasks[index].attempts);
         jobs_fail(e, job, REASON_RETRIES_SPENT);
         return;
     }
-    d->retry_tokens -= 1;
+    d->retry_tokens -= charged ? 1 : 0;
     e->counters.tasks_requeued++;
     rank(e, q->service, q);
     queue_put(&q->service->queue, q);
--- a/src/dispatch_state.h
+++ b/src/dispatch_state.h
@@ -97,7 +97,9 @@
 void dispatch_task_done(struct entry *e, struct job *job);
 
 /** dispatch_requeue() - a task that was proved not to have started goes back
- * to the queue, or its job fails where the retry budget is spent */
-void dispatch_requeue(struct entry *e, struct job *job, uint32_t index);
+ * to the queue; where it is @charged and the retry budget is spent, its job
+ * fails */
+void dispatch_requeue(struct entry *e, struct job *job, uint32_t index,
+                      bool charged);
 
 #endif
--- a/src/start.c
+++ b/src/start.c
@@ -336,9 +336,10 @@
     }
 }
 
-/* One refusal of a full upstream usually comes with others that were sent at
- * the same moment: together they count once, or a burst would look like an
- * upstream that fails everything. */
+/* A full upstream's refusal costs a message and is no sign of illness, but
+ * asking again at once would cost more.  The place is left alone for a while,
+ * longer with each refusal in a row; one that refuses everything is so tried
+ * ever more rarely. */
 static void
 note_refused(struct entry *e, struct start *s)
 {
@@ -349,7 +350,6 @@
     }
     place_block(e, p);
     dispatch_wake_at(e, p->blocked_us);
-    note_failed(e, s);
 }
 
 static void
@@ -389,14 +389,15 @@
     jobs_task_ended(e, job, index, ok, result);
 }
 
+/** end_not_started() - @charged against the retry budget */
 static void
-end_not_started(struct entry *e, struct start *s)
+end_not_started(struct entry *e, struct start *s, bool charged)
 {
     uint32_t index = s->index;
     struct job *job = end_start(e, s);
 
     if (job != NULL) {
-        dispatch_requeue(e, job, index);
+        dispatch_requeue(e, job, index, charged);
     }
 }
 
@@ -434,22 +435,27 @@
         end_done(e, s, ev->ok, ev->result, ev->ran_us);
         break;
     case START_REFUSED:
+        e->counters.starts_refused++;
+        note_refused(e, s);
+        end_not_started(e, s, false);
+        break;
     case START_NO_CONNECT:
         e->counters.starts_refused++;
         note_refused(e, s);
-        end_not_started(e, s);
+        note_failed(e, s);
+        end_not_started(e, s, true);
         break;
     case START_STALE:
         e->counters.starts_refused++;
         note_stale(e, s);
-        end_not_started(e, s);
+        end_not_started(e, s, true);
         break;
     case START_LOST:
     default:
         e->counters.starts_lost++;
         note_failed(e, s);
         if (MUTANT(e, START_ONCE)) {
-            end_not_started(e, s);
+            end_not_started(e, s, true);
             break;
         }
         ask(e, s);
@@ -482,7 +488,7 @@
     drop_question(ss, s);
     switch (ev->outcome) {
     case REVOKE_NEVER:
-        end_not_started(e, s);
+        end_not_started(e, s, true);
         break;
     case REVOKE_DONE:
         end_done(e, s, ev->ok, ev->result, 0);
@@ -497,7 +503,7 @@
     case REVOKE_OTHER_LIFE:
     default:
         if (MUTANT(e, NON_IDEMPOTENT)) {
-            end_not_started(e, s);
+            end_not_started(e, s, true);
             break;
         }
         end_unknown(e, s);
