Ask for slots only where waiting is worth it, and shed idle ones

Cause: at 0.8 load lending cost half a wasted message per task. A grant past its lease with one long task on it also kept its other slots from everybody. Change: slots are asked for when our own would take 40 ms to clear the queue, requests are left with holders at 150 ms; grants to who waits go in batches of 60 ms, recalls every 100 ms; closed grants return each slot as it empties, together with others within 20 ms.

--- a/src/borrow.c
+++ b/src/borrow.c
@@ -12,8 +12,9 @@
                                         */
 #define WAIT_US (1 * USEC_PER_SEC)     /* a request is remembered */
 #define REPLY_US (300 * USEC_PER_MSEC) /* after which a reply is lost */
-#define BATCH_US (30 * USEC_PER_MSEC)  /* grants to those who wait */
-#define WORTH_US (20 * USEC_PER_MSEC)  /* of waiting, to ask for it */
+#define BATCH_US (60 * USEC_PER_MSEC)  /* grants to those who wait */
+#define ASK_WORTH_US (40 * USEC_PER_MSEC) /* of waiting, to ask for it */
+#define WORTH_US (150 * USEC_PER_MSEC)    /* the same, where nothing is free */
 #define RANK_MARGIN_US (100 * USEC_PER_MSEC) /* to go before our own */
 #define SPARE_TIMES 3 /* longer pauses to spare messages */
 
@@ -317,7 +318,7 @@
 
     b->next_us = e->now.mono_us + pause_us(e, QUIET_US);
     if (wanted <= on_order ||
-        (e->opts.spare_messages && clear_us(s, wanted) < WORTH_US)) {
+        clear_us(s, wanted) < pause_us(e, ASK_WORTH_US)) {
         return;
     }
     wanted -= on_order;
--- a/src/slot.c
+++ b/src/slot.c
@@ -12,11 +12,12 @@
 #include "upstream.h"
 
 #define LENT_MARGIN_US (10 * USEC_PER_SEC)    /* after the lease of a grant */
-#define RECALL_US (30 * USEC_PER_MSEC)        /* between recalls */
-#define RECALL_AGAIN_US (100 * USEC_PER_MSEC) /* of the same borrower */
+#define RECALL_US (100 * USEC_PER_MSEC)       /* between recalls */
+#define RECALL_AGAIN_US (400 * USEC_PER_MSEC) /* of the same borrower */
 #define SPARE_TIMES 3                 /* longer pauses to spare messages */
 #define DEBT_US (300 * USEC_PER_MSEC) /* run time until one is learned */
 #define IDLE_US (2 * USEC_PER_SEC)    /* before a slot goes back unasked */
+#define FLUSH_US (20 * USEC_PER_MSEC) /* returns wait for others */
 #define LOOK_US (500 * USEC_PER_MSEC) /* between looks at idle slots */
 
 /** struct lent - slots on one upstream that another instance may use */
@@ -56,6 +57,7 @@
     struct debtor debtors[INSTANCES_MAX];
     size_t n_debtors;
     int64_t recall_us; /* nobody is asked before */
+    int64_t flush_us;  /* when returns are sent */
     int64_t idle_us;   /* when borrowed slots may have been idle for long */
 };
 
@@ -72,6 +74,7 @@
     table_init(&sl->lents, sizeof(struct lent));
     map_init(&sl->lent_by_grant, MAP_U64);
     sl->idle_us = INT64_MAX;
+    sl->flush_us = INT64_MAX;
     return sl;
 }
 
@@ -184,13 +187,25 @@
     }
 }
 
+/** shed() - what is idle at a closed place goes back soon, with others */
 static void
-remove_place(struct entry *e, struct place *p)
+shed(struct entry *e, struct place *p)
 {
-    if (!place_own(p) && p->slots > 0) {
-        give_back(e, p, p->slots);
-        wake_by(e, e->now.mono_us);
+    int64_t soon = e->now.mono_us + FLUSH_US;
+
+    if (place_own(p) || p->slots <= p->used) {
+        return;
+    }
+    give_back(e, p, p->slots - p->used);
+    if (soon < e->slots->flush_us) {
+        e->slots->flush_us = soon;
     }
+}
+
+static void
+remove_place(struct entry *e, struct place *p)
+{
+    shed(e, p);
     if (p->upstream != NULL && p->upstream->place == p) {
         p->upstream->place = NULL;
     }
@@ -209,6 +224,7 @@
         remove_place(e, p);
         return;
     }
+    shed(e, p);
     place_update(e, p);
 }
 
@@ -223,9 +239,14 @@
         remove_place(e, p);
         return;
     }
-    if (!place_own(p)) {
-        wake_by(e, e->now.mono_us + IDLE_US);
+    if (place_own(p)) {
+        return;
+    }
+    if (p->closed) {
+        shed(e, p);
+        return;
     }
+    wake_by(e, e->now.mono_us + IDLE_US);
 }
 
 void
@@ -243,6 +264,7 @@
 {
     struct slots *sl = e->slots;
 
+    sl->flush_us = INT64_MAX;
     for (size_t i = 0; i < sl->n_backs; i++) {
         struct backs *b = &sl->backs[i];
         struct msg m = {.kind = MSG_SLOT_RETURN};
@@ -736,7 +758,7 @@
     at = 0;
     while ((p = table_next(&sl->places, &at, &h)) != NULL) {
         if (!place_own(p) && name_equal(p->lender, member)) {
-            p->slots = p->used; /* nobody is there to return them to */
+            p->slots = 0; /* nobody is there to return them to */
             slots_close(e, p);
         }
     }
@@ -761,12 +783,17 @@
     if (sl->idle_us <= e->now.mono_us) {
         look_at_all(e, IDLE_US);
     }
+    if (sl->flush_us <= e->now.mono_us) {
+        flush_backs(e);
+    }
 }
 
 int64_t
 slots_next_us(const struct entry *e)
 {
-    int64_t lent_us = timers_next_us(&e->slots->lent_timers);
+    const struct slots *sl = e->slots;
+    int64_t next = timers_next_us(&sl->lent_timers);
 
-    return lent_us < e->slots->idle_us ? lent_us : e->slots->idle_us;
+    next = sl->idle_us < next ? sl->idle_us : next;
+    return sl->flush_us < next ? sl->flush_us : next;
 }
