Test starts, proofs, holders, lending, quarantine and learning

Cause: the dispatcher's decisions had no tests of their own. No fault was found by them but faults of the tests; the run-time tail needs some hundred samples to settle. Conclusion: each hard case about upstreams, holders, connections, outcomes, bursts, cancel waves and quarantine has a test.

--- /dev/null
+++ b/tests/dispatch_test.c
@@ -0,0 +1,418 @@
+/* Starts, the proof of their ends, retries, admission and order. */
+#include "check.h"
+#include "one_entry.h"
+
+#define RUN_US (100 * USEC_PER_MSEC)
+
+static struct one *
+one_with(int n_upstreams, const struct one_options *options)
+{
+    struct one *o = one_new(options);
+
+    for (int i = 0; i < n_upstreams; i++) {
+        char name[] = {'u', (char)('0' + i), '\0'};
+
+        one_announce(o, one_upstream(name));
+    }
+    one_clear(o);
+    return o;
+}
+
+static uint64_t
+first_call(const struct one *o)
+{
+    return one_get(o, EF_START, 0)->u.start.call;
+}
+
+static void
+every_task_starts_once(void)
+{
+    struct one *o = one_with(2, &(struct one_options){0});
+    uint64_t request = one_submit(o, "a", 20, RUN_US);
+    size_t started = 0;
+
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 8);
+    while (one_count(o, EF_START) > 0) {
+        started += one_end_all(o, START_DONE, true);
+    }
+    CU_ASSERT_EQUAL(started, 20);
+    CU_ASSERT(one_ended(o, request, JOB_COMPLETE, REASON_COMPLETED));
+    one_free(o);
+}
+
+/* An upstream with 3 connections and 4 slots would refuse a fourth start, and
+ * with all three in use nobody could ask it anything.  A user would see jobs
+ * that hang until their deadline. */
+static void
+connections_bound_the_starts(void)
+{
+    struct one *o = one_with(0, &(struct one_options){0});
+    struct rec_upstream_info info = one_upstream("u");
+
+    info.connections = 3;
+    one_announce(o, info);
+    one_clear(o);
+    (void)one_submit(o, "a", 9, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 2);
+    one_free(o);
+}
+
+/* The upstream fills up or begins to leave just while it is picked, and says
+ * that it did not start the task.  The task must go elsewhere at once, and the
+ * caller must not notice. */
+static void
+refused_start_goes_elsewhere(void)
+{
+    struct one *o = one_with(2, &(struct one_options){0});
+    uint64_t request = one_submit(o, "a", 1, RUN_US);
+    struct name refusing = one_get(o, EF_START, 0)->u.start.upstream;
+
+    CU_ASSERT_EQUAL(one_end_all(o, START_REFUSED, false), 1);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 1);
+    CU_ASSERT(
+        !name_equal(refusing, one_get(o, EF_START, 0)->u.start.upstream));
+    (void)one_end_all(o, START_DONE, true);
+    CU_ASSERT(one_ended(o, request, JOB_COMPLETE, REASON_COMPLETED));
+    one_free(o);
+}
+
+/* Nothing listens any more where the upstreams were.  Each start comes back at
+ * once and could be sent again for ever, by every instance, just when the
+ * machines that are left have most to do.  Past the budget the job fails, and
+ * its tasks are truly not run. */
+static void
+retries_have_a_budget(void)
+{
+    struct one *o = one_with(3, &(struct one_options){0});
+    uint64_t request = one_submit(o, "a", 200, RUN_US);
+    size_t started = 0;
+    int rounds = 0;
+
+    while (one_answer(o, request) == NULL && rounds++ < 2000) {
+        started += one_end_all(o, START_NO_CONNECT, false);
+        if (one_count(o, EF_START) == 0) {
+            one_run(o, 20 * USEC_PER_MSEC);
+        }
+        if (rounds % 20 == 0) {
+            for (int u = 0; u < 3; u++) {
+                char name[] = {'u', (char)('0' + u), '\0'};
+
+                one_announce(o, one_upstream(name));
+            }
+        }
+    }
+    CU_ASSERT(one_ended(o, request, JOB_FAILED, REASON_RETRIES_SPENT) ||
+              one_ended(o, request, JOB_FAILED, REASON_DEADLINE));
+    CU_ASSERT(started < 300);
+    for (size_t i = 0; i < 200; i++) {
+        const struct job_answer *a = one_answer(o, request)->u.answer.answer;
+
+        CU_ASSERT(a->tasks[i].state != TASK_RAN);
+    }
+    one_free(o);
+}
+
+/* A connection goes silent after the start was sent.  The task may have been
+ * started or not; if it were simply sent again, two families could get one
+ * plot.  It is asked for by its identity, and only the upstream's word that
+ * it never started lets it be placed again. */
+static void
+lost_start_needs_proof(void)
+{
+    struct one *o = one_with(2, &(struct one_options){0});
+    uint64_t request = one_submit(o, "a", 1, RUN_US);
+
+    (void)one_end_all(o, START_LOST, false);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 0);
+    CU_ASSERT_EQUAL(one_count(o, EF_REVOKE), 1);
+    one_revoked(o, one_get(o, EF_REVOKE, 0)->u.revoke.call, REVOKE_NEVER);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 1);
+    (void)one_end_all(o, START_DONE, true);
+    CU_ASSERT(one_ended(o, request, JOB_COMPLETE, REASON_COMPLETED));
+    one_free(o);
+}
+
+/* The silent task is still running, so it is asked for again, ever more
+ * rarely, until its result is there. */
+static void
+lost_start_that_runs_is_asked_again(void)
+{
+    struct one *o = one_with(1, &(struct one_options){0});
+    uint64_t request = one_submit(o, "a", 1, RUN_US);
+
+    (void)one_end_all(o, START_LOST, false);
+    one_revoked(o, one_get(o, EF_REVOKE, 0)->u.revoke.call, REVOKE_RUNNING);
+    one_clear(o);
+    one_run(o, USEC_PER_SEC);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 0);
+    CU_ASSERT_EQUAL(one_count(o, EF_REVOKE), 1);
+    one_revoked(o, one_get(o, EF_REVOKE, 0)->u.revoke.call, REVOKE_DONE);
+    CU_ASSERT(one_ended(o, request, JOB_COMPLETE, REASON_COMPLETED));
+    one_free(o);
+}
+
+/* The upstream restarted while a task was on it: the new process cannot know
+ * what the old one did.  The caller is told "unknown", not "not run", and the
+ * task is never started again. */
+static void
+other_incarnation_leaves_it_unknown(void)
+{
+    struct one *o = one_with(2, &(struct one_options){0});
+    uint64_t request = one_submit(o, "a", 1, RUN_US);
+
+    (void)one_end_all(o, START_LOST, false);
+    one_revoked(o, one_get(o, EF_REVOKE, 0)->u.revoke.call, REVOKE_OTHER_LIFE);
+    CU_ASSERT(one_ended(o, request, JOB_FAILED, REASON_OUTCOME_LOST));
+    CU_ASSERT_EQUAL(one_answer(o, request)->u.answer.answer->tasks[0].state,
+                    TASK_UNKNOWN);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 0);
+    one_free(o);
+}
+
+/* The same, found out by the new incarnation's announcement under the old
+ * name, while the old connection is still silent. */
+static void
+replaced_upstream_is_asked(void)
+{
+    struct one *o = one_with(1, &(struct one_options){0});
+    struct rec_upstream_info info = one_upstream("u0");
+
+    (void)one_submit(o, "a", 2, RUN_US);
+    one_clear(o);
+    info.incarnation = 2;
+    one_announce(o, info);
+    CU_ASSERT_EQUAL(one_count(o, EF_REVOKE), 2);
+    CU_ASSERT_EQUAL(one_get(o, EF_REVOKE, 0)->u.revoke.incarnation, 1);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 0);
+    one_free(o);
+}
+
+/* The upstream is gone for good: nobody answers for the task.  The job may not
+ * wait for ever, and its slot may not be lost to others for ever. */
+static void
+unreachable_ends_at_the_deadline(void)
+{
+    struct one *o = one_with(1, &(struct one_options){0});
+    uint64_t request = one_submit(o, "a", 1, RUN_US);
+
+    (void)one_end_all(o, START_LOST, false);
+    for (int i = 0; i < 200 && entry_gauges(o->e).tasks_running > 0; i++) {
+        const struct effect *f = one_get(o, EF_REVOKE, 0);
+
+        if (f != NULL) {
+            uint64_t call = f->u.revoke.call;
+
+            one_clear(o);
+            one_revoked(o, call, REVOKE_UNREACHABLE);
+        }
+        if (one_answer(o, request) != NULL) {
+            CU_ASSERT(one_ended(o, request, JOB_FAILED, REASON_DEADLINE));
+            request = 0;
+        }
+        one_run(o, 200 * USEC_PER_MSEC);
+    }
+    CU_ASSERT_EQUAL(request, 0);
+    CU_ASSERT_EQUAL(entry_gauges(o->e).tasks_running, 0);
+    one_free(o);
+}
+
+/* An answer comes twice, or after its job has ended, or with a number that
+ * nobody gave out.  Counted as another task's result it would give somebody a
+ * wrong answer. */
+static void
+doubled_outcomes_are_dropped(void)
+{
+    struct one *o = one_with(1, &(struct one_options){0});
+    uint64_t request = one_submit(o, "a", 2, RUN_US);
+    uint64_t call = first_call(o);
+
+    one_end(o, call, START_DONE, true);
+    one_end(o, call, START_DONE, true);
+    one_end(o, call + 1000, START_DONE, true);
+    CU_ASSERT_EQUAL(entry_counters(o->e).outcomes_dropped, 2);
+    CU_ASSERT_PTR_NULL(one_answer(o, request));
+    one_end(o, one_get(o, EF_START, 1)->u.start.call, START_DONE, true);
+    CU_ASSERT(one_ended(o, request, JOB_COMPLETE, REASON_COMPLETED));
+    one_free(o);
+}
+
+/* A ferry is cancelled and every couple cancels at once.  What is still queued
+ * must go without a message to anybody; what was sent keeps its slot until it
+ * ends, or the next job's tasks would be refused by a full upstream. */
+static void
+cancel_wave_sends_nothing(void)
+{
+    struct one *o = one_with(6, &(struct one_options){.peers = 1});
+    size_t started;
+
+    (void)one_submit(o, "a", 100, RUN_US);
+    started = one_count(o, EF_START);
+    CU_ASSERT(started > 0 && started % 4 == 0);
+    one_clear(o);
+    one_cancel(o, "a");
+    CU_ASSERT_EQUAL(one_count(o, EF_REVOKE), 0);
+    CU_ASSERT(one_count(o, EF_SEND) <= 1); /* its request for slots */
+    CU_ASSERT_EQUAL(entry_gauges(o->e).tasks_queued, 0);
+    CU_ASSERT_EQUAL(entry_gauges(o->e).tasks_running, started);
+    (void)one_submit(o, "b", 1, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 0);
+    one_free(o);
+}
+
+static void
+never_fits_is_refused_at_once(void)
+{
+    struct one *o = one_with(0, &(struct one_options){0});
+    struct rec_upstream_info info = one_upstream("u");
+    const struct effect *f;
+    uint64_t request;
+
+    request = one_submit(o, "a", 1, RUN_US);
+    f = one_answer(o, request);
+    CU_ASSERT(f->kind == EF_PROBLEM &&
+              f->u.problem.problem == PROBLEM_NO_UPSTREAMS &&
+              f->u.problem.retry_after_us > 0);
+    info.cpu_milli = 500;
+    one_announce(o, info);
+    request = one_submit(o, "b", 1, RUN_US);
+    f = one_answer(o, request);
+    CU_ASSERT(f->kind == EF_PROBLEM &&
+              f->u.problem.problem == PROBLEM_NEVER_FITS &&
+              f->u.problem.not_run);
+    one_free(o);
+}
+
+/* Ten times as many jobs arrive as can be done.  Taking them all would let
+ * nearly all fail at their deadline after part of their work; those that are
+ * let in must be answered in time, the rest told at once when to come back. */
+static void
+burst_is_refused_early(void)
+{
+    struct one *o =
+        one_with(2, &(struct one_options){.deadline_us = 4 * USEC_PER_SEC});
+    int refused = 0;
+    int64_t until;
+
+    for (int i = 0; i < 400; i++) {
+        char key[] = {'k', (char)('a' + i / 20), (char)('a' + i % 20), '\0'};
+        uint64_t request = one_submit(o, key, 2, RUN_US);
+        const struct effect *f = one_answer(o, request);
+
+        if (f != NULL) {
+            CU_ASSERT_EQUAL(f->kind, EF_PROBLEM);
+            CU_ASSERT(f->u.problem.retry_after_us > 0);
+            refused++;
+        }
+    }
+    CU_ASSERT(refused > 200 && refused < 390);
+    until = o->now_us + 4 * USEC_PER_SEC;
+    while (entry_gauges(o->e).tasks_running > 0 && o->now_us < until) {
+        one_run(o, RUN_US);
+        (void)one_end_all(o, START_DONE, true);
+    }
+    CU_ASSERT_EQUAL(entry_counters(o->e).jobs_complete, 400 - refused);
+    CU_ASSERT_EQUAL(entry_counters(o->e).jobs_failed, 0);
+    one_free(o);
+}
+
+/* With the least work first, small jobs pass a large one.  But in a steady
+ * stream of them the large one would never come to its turn. */
+static void
+small_jobs_pass_but_do_not_starve(void)
+{
+    struct one *o =
+        one_with(1, &(struct one_options){.deadline_us = 8 * USEC_PER_SEC});
+    uint64_t large = one_submit(o, "large", 40, RUN_US);
+    uint64_t small = one_submit(o, "small", 1, RUN_US);
+    bool large_answered = false;
+
+    one_run(o, RUN_US);
+    (void)one_end_all(o, START_DONE, true);
+    one_run(o, RUN_US);
+    (void)one_end_all(o, START_DONE, true);
+    CU_ASSERT(one_ended(o, small, JOB_COMPLETE, REASON_COMPLETED));
+    for (int i = 0; i < 60 && !large_answered; i++) {
+        char name[] = {'u', '0', '\0'};
+        char key[] = {'s', (char)('0' + i), '\0'};
+
+        for (int c = 0; c < 4; c++) {
+            key[0] = (char)('a' + c);
+            (void)one_submit(o, key, 1, RUN_US);
+        }
+        one_run(o, RUN_US);
+        one_announce(o, one_upstream(name));
+        (void)one_end_all(o, START_DONE, true);
+        large_answered = one_answer(o, large) != NULL;
+        CU_ASSERT(!large_answered ||
+                  one_ended(o, large, JOB_COMPLETE, REASON_COMPLETED));
+    }
+    CU_ASSERT(large_answered);
+    one_free(o);
+}
+
+static void
+arrival_order_is_kept_where_asked_for(void)
+{
+    struct one *o = one_with(1, &(struct one_options){.order = ORDER_ARRIVAL});
+    struct key_id small = key_id_of("small");
+
+    (void)one_submit(o, "large", 10, RUN_US);
+    one_run(o, 1);
+    (void)one_submit(o, "small", 1, RUN_US);
+    (void)one_end_all(o, START_DONE, true);
+    (void)one_end_all(o, START_DONE, true);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 3);
+    CU_ASSERT(key_id_equal(one_get(o, EF_START, 2)->u.start.key, small));
+    one_free(o);
+}
+
+/* A team's limit holds for what runs from here, whatever is free. */
+static void
+quota_holds_tasks_back(void)
+{
+    struct one *o = one_with(3, &(struct one_options){.slots_max_running = 5});
+
+    (void)one_submit(o, "a", 12, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 5);
+    CU_ASSERT_EQUAL(one_end_all(o, START_DONE, true), 5);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 5);
+    one_free(o);
+}
+
+static void
+quota_paces_starts(void)
+{
+    struct one *o = one_with(9, &(struct one_options){.starts_per_s = 10});
+    size_t at_once;
+
+    (void)one_submit(o, "a", 30, RUN_US);
+    at_once = one_count(o, EF_START);
+    CU_ASSERT(at_once >= 1 && at_once <= 3);
+    one_run(o, USEC_PER_SEC);
+    CU_ASSERT(one_count(o, EF_START) >= 9 && one_count(o, EF_START) <= 13);
+    one_free(o);
+}
+
+#define ADD(test) check_add("dispatch", #test, test)
+
+void
+suite_dispatch(void)
+{
+    ADD(every_task_starts_once);
+    ADD(connections_bound_the_starts);
+    ADD(refused_start_goes_elsewhere);
+    ADD(retries_have_a_budget);
+    ADD(lost_start_needs_proof);
+    ADD(lost_start_that_runs_is_asked_again);
+    ADD(other_incarnation_leaves_it_unknown);
+    ADD(replaced_upstream_is_asked);
+    ADD(unreachable_ends_at_the_deadline);
+    ADD(doubled_outcomes_are_dropped);
+    ADD(cancel_wave_sends_nothing);
+    ADD(never_fits_is_refused_at_once);
+    ADD(burst_is_refused_early);
+    ADD(small_jobs_pass_but_do_not_starve);
+    ADD(arrival_order_is_kept_where_asked_for);
+    ADD(quota_holds_tasks_back);
+    ADD(quota_paces_starts);
+}
--- /dev/null
+++ b/tests/health_test.c
@@ -0,0 +1,220 @@
+/* Quarantine, probes, and what is learned of run times. */
+#include "check.h"
+#include "learn.h"
+#include "one_entry.h"
+
+#define RUN_US (100 * USEC_PER_MSEC)
+
+enum { UPSTREAMS = 6, ROUNDS = 12 };
+
+static struct one *
+six(void)
+{
+    struct one *o =
+        one_new(&(struct one_options){.deadline_us = 60 * USEC_PER_SEC});
+
+    for (int i = 0; i < UPSTREAMS; i++) {
+        char name[] = {'u', (char)('0' + i), '\0'};
+
+        one_announce(o, one_upstream(name));
+    }
+    one_clear(o);
+    return o;
+}
+
+static void
+renew_all(struct one *o)
+{
+    for (int i = 0; i < UPSTREAMS; i++) {
+        char name[] = {'u', (char)('0' + i), '\0'};
+
+        one_announce(o, one_upstream(name));
+    }
+}
+
+/** failing_round() - ends all starts, also those that follow; upstreams from
+ * u0 up to below "u<failing>" fail theirs.  Returns starts on these. */
+static size_t
+failing_round(struct one *o, int failing)
+{
+    size_t bad = 0;
+
+    for (size_t i = 0; i < one_count(o, EF_START); i++) {
+        const struct ef_start *f = &one_get(o, EF_START, i)->u.start;
+        bool fails = f->upstream.s[1] - '0' < failing;
+
+        bad += fails ? 1 : 0;
+        one_end(o, f->call, START_DONE, !fails);
+    }
+    return bad;
+}
+
+static void
+submit_round(struct one *o, int round)
+{
+    char key[] = {'k', (char)('a' + round), '\0'};
+
+    one_clear(o);
+    (void)one_submit(o, key, 24, RUN_US);
+}
+
+/* One upstream fails everything, at once, so it always has free slots and
+ * draws more and more of the work: whole evenings of bookings come back as
+ * failed though five others are well. */
+static void
+failing_upstream_is_quarantined(void)
+{
+    struct one *o = six();
+    size_t bad = 0;
+
+    for (int round = 0; round < ROUNDS; round++) {
+        submit_round(o, round);
+        bad += failing_round(o, 1);
+    }
+    CU_ASSERT_EQUAL(entry_counters(o->e).quarantines, 1);
+    CU_ASSERT(bad <= 8);
+    one_free(o);
+}
+
+/* After a while one task at a time finds out whether it is well again. */
+static void
+probe_restores_an_upstream(void)
+{
+    struct one *o = six();
+    size_t probes = 0;
+
+    for (int round = 0; round < 4; round++) {
+        submit_round(o, round);
+        (void)failing_round(o, 1);
+    }
+    one_run(o, 2 * USEC_PER_SEC);
+    renew_all(o);
+    one_run(o, 2 * USEC_PER_SEC);
+    submit_round(o, 5);
+    for (size_t i = 0; i < one_count(o, EF_START); i++) {
+        const struct ef_start *f = &one_get(o, EF_START, i)->u.start;
+
+        probes += f->upstream.s[1] == '0' ? 1 : 0;
+    }
+    CU_ASSERT_EQUAL(probes, 1);
+    (void)failing_round(o, 0);
+    submit_round(o, 6);
+    probes = 0;
+    for (size_t i = 0; i < one_count(o, EF_START); i++) {
+        const struct ef_start *f = &one_get(o, EF_START, i)->u.start;
+
+        probes += f->upstream.s[1] == '0' ? 1 : 0;
+    }
+    CU_ASSERT_EQUAL(probes, 4);
+    one_free(o);
+}
+
+/* A broken release of the service makes every upstream fail everything.  With
+ * all of them in quarantine nothing would run, and nobody would find out that
+ * the release was mended. */
+static void
+service_wide_failure_is_capped(void)
+{
+    struct one *o = six();
+
+    for (int round = 0; round < ROUNDS; round++) {
+        submit_round(o, round);
+        (void)failing_round(o, UPSTREAMS);
+    }
+    CU_ASSERT_EQUAL(entry_counters(o->e).quarantines, 2);
+    submit_round(o, ROUNDS);
+    CU_ASSERT(one_count(o, EF_START) >= 16);
+    one_free(o);
+}
+
+static void
+last_upstream_stays(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+
+    one_announce(o, one_upstream("u0"));
+    for (int round = 0; round < ROUNDS; round++) {
+        submit_round(o, round);
+        (void)failing_round(o, 1);
+    }
+    CU_ASSERT_EQUAL(entry_counters(o->e).quarantines, 0);
+    one_free(o);
+}
+
+/* Two holders quarantine at the same moment and pass the cap together.  Both
+ * hear of it, and the holder of the last by name restores it. */
+static void
+cap_counts_the_whole_zone(void)
+{
+    struct one *o = one_new(&(struct one_options){.peers = 1});
+    struct rec_upstream_info info = one_upstream("a0");
+
+    info.holder = name_of("p0");
+    info.epoch = 256;
+    o->manual_fences = true;
+    one_news(o, "p0", info);
+    o->manual_fences = false;
+    for (int i = 0; entry_gauges(o->e).upstreams_held == 0; i++) {
+        char name[] = {'u', (char)('0' + i), '\0'};
+
+        one_announce(o, one_upstream(name));
+    }
+    for (int round = 0; round < ROUNDS; round++) {
+        submit_round(o, round);
+        (void)failing_round(o, 10);
+    }
+    CU_ASSERT_EQUAL(entry_counters(o->e).quarantines, 1);
+    one_clear(o);
+    info.quarantined = 1;
+    one_news(o, "p0", info);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(one_sent(o, MSG_UPSTREAM_NEWS, 0));
+    CU_ASSERT_EQUAL(one_sent(o, MSG_UPSTREAM_NEWS, 0)
+                        ->u.upstream_news.upstreams[0]
+                        .quarantined,
+                    0);
+    one_free(o);
+}
+
+/* Declared run times are three times too long, but steadily so. */
+static void
+declared_times_are_corrected(void)
+{
+    struct learned l = {0};
+
+    CU_ASSERT_EQUAL(learn_expected_us(&l, 900), 900);
+    for (int i = 0; i < 1000; i++) {
+        int64_t ran = INT64_C(1000) * (1 + i % 7);
+
+        learn_sample(&l, 3 * ran, ran);
+    }
+    CU_ASSERT_DOUBLE_EQUAL(learn_expected_us(&l, 6000), 2000, 100);
+    CU_ASSERT(learn_tail_us(&l, 6000) < 3000);
+}
+
+/* Declared run times say nothing: the mean does better. */
+static void
+useless_declarations_are_ignored(void)
+{
+    struct learned l = {0};
+
+    for (int i = 0; i < 400; i++) {
+        learn_sample(&l, 1 + INT64_C(5000) * (i * 7 % 11),
+                     900 + INT64_C(100) * (i % 3));
+    }
+    CU_ASSERT_DOUBLE_EQUAL(learn_expected_us(&l, 50000), 1000, 50);
+    CU_ASSERT_DOUBLE_EQUAL(learn_expected_us(&l, 1), 1000, 50);
+}
+
+#define ADD(test) check_add("health", #test, test)
+
+void
+suite_health(void)
+{
+    ADD(failing_upstream_is_quarantined);
+    ADD(probe_restores_an_upstream);
+    ADD(service_wide_failure_is_capped);
+    ADD(last_upstream_stays);
+    ADD(cap_counts_the_whole_zone);
+    ADD(declared_times_are_corrected);
+    ADD(useless_declarations_are_ignored);
+}
--- /dev/null
+++ b/tests/one_entry.h
@@ -0,0 +1,91 @@
+/**
+ * DOC: one_entry - one entry reducer whose surroundings the test plays
+ *
+ * The test is callers, upstreams and the other instances.  Effects pile up
+ * until one_clear(); fences and claims are answered at once unless the test
+ * says otherwise.
+ */
+#ifndef BM_ONE_ENTRY_H
+#define BM_ONE_ENTRY_H
+
+#include "entry.h"
+
+struct one {
+    struct entry *e;
+    struct effects fx;
+    size_t handled; /* effects that were looked at for an answer */
+    int64_t now_us;
+    uint64_t requests;
+    bool manual_fences;     /* the test answers fences itself */
+    uint32_t fence_running; /* told in answers to fences */
+    struct service_conf service;
+    struct team_conf team;
+    struct config config;
+};
+
+/** struct one_options - zero values mean the default */
+struct one_options {
+    int peers; /* other instances in the zone, up from the start */
+    uint32_t slots_max_running; /* quota of the team */
+    uint32_t starts_per_s;
+    enum queue_order order;
+    int64_t deadline_us;
+    enum placement placement;
+};
+
+struct one *one_new(const struct one_options *o);
+void one_free(struct one *o);
+
+/** one_step() - one event, now; effects are appended */
+void one_step(struct one *o, struct event *ev);
+
+/** one_run() - time passes, with ticks when they are due */
+void one_run(struct one *o, int64_t for_us);
+
+/** one_clear() - forgets the effects so far */
+void one_clear(struct one *o);
+
+/** one_count() - effects of a kind since one_clear() */
+size_t one_count(const struct one *o, enum effect_kind kind);
+
+/** one_get() - the @i-th of a kind, or NULL */
+const struct effect *one_get(const struct one *o, enum effect_kind kind,
+                             size_t i);
+
+/** one_sent() - the @i-th message of a kind, or NULL */
+const struct msg *one_sent(const struct one *o, enum msg_kind kind, size_t i);
+
+/** one_upstream() - what an upstream of 4 slots would announce */
+struct rec_upstream_info one_upstream(const char *name);
+void one_announce(struct one *o, struct rec_upstream_info info);
+
+uint64_t one_submit(struct one *o, const char *key, int n_tasks,
+                    int64_t run_us);
+void one_cancel(struct one *o, const char *key);
+
+/** one_end() - the start with that call ends */
+void one_end(struct one *o, uint64_t call, enum start_outcome outcome,
+             bool ok);
+
+/** one_end_all() - the same for all starts since one_clear(), which then
+ * forgets; returns how many there were */
+size_t one_end_all(struct one *o, enum start_outcome outcome, bool ok);
+void one_revoked(struct one *o, uint64_t call, enum revoke_outcome outcome);
+
+/** one_message() - from another instance, "p0" being the first */
+void one_message(struct one *o, const char *from, struct msg *m);
+
+/** one_heartbeat() - a peer says it is up */
+void one_heartbeat(struct one *o, const char *from, uint64_t incarnation);
+
+/** one_news() - a peer tells of an upstream */
+void one_news(struct one *o, const char *from, struct rec_upstream_info info);
+
+/** one_answer() - the answer or problem a request got, or NULL */
+const struct effect *one_answer(const struct one *o, uint64_t request);
+
+/** one_ended() - whether it was answered with that status and reason */
+bool one_ended(const struct one *o, uint64_t request, enum job_status status,
+               enum reason reason);
+
+#endif
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -1,6 +1,9 @@
 /* The suites of `make check`, kept once: SUITE(name) calls suite_<name>(). */
 /* clang-format off */
 SUITE(base)
+SUITE(dispatch)
+SUITE(upstream)
+SUITE(health)
 SUITE(claim)
 SUITE(fake)
 SUITE(servicefile)
--- /dev/null
+++ b/tests/upstream_test.c
@@ -0,0 +1,464 @@
+/* Announcements, holders, fences, and slots lent between instances. */
+#include "check.h"
+#include "one_entry.h"
+
+#define RUN_US (100 * USEC_PER_MSEC)
+
+static const struct effect *
+last_announced(struct one *o, struct rec_upstream_info info)
+{
+    one_clear(o);
+    one_announce(o, info);
+    return one_get(o, EF_PROBLEM, 0);
+}
+
+static void
+bad_announcements_are_refused(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+    struct rec_upstream_info bad[7];
+
+    for (int i = 0; i < 7; i++) {
+        bad[i] = one_upstream("u");
+    }
+    bad[0].zone = name_of("elsewhere");
+    bad[1].slots = 0;
+    bad[2].slots = 1025;
+    bad[3].connections = 0;
+    bad[4].address = address_of("");
+    bad[5].service = name_of("");
+    bad[6].incarnation = 0;
+    for (int i = 0; i < 7; i++) {
+        const struct effect *f = last_announced(o, bad[i]);
+
+        CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+        CU_ASSERT_EQUAL(f->u.problem.problem, PROBLEM_BAD_ANNOUNCE);
+        CU_ASSERT(f->u.problem.detail[0] != '\0');
+    }
+    CU_ASSERT_EQUAL(entry_gauges(o->e).upstreams, 0);
+    one_free(o);
+}
+
+/* An announcement of a process that is dead by now arrives late, over a slow
+ * connection.  If it replaced the record of the new one, starts would go out
+ * with an incarnation that the upstream refuses. */
+static void
+late_announcement_of_an_earlier_life(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+    struct rec_upstream_info info = one_upstream("u");
+    const struct effect *f;
+
+    info.incarnation = 5;
+    one_announce(o, info);
+    info.incarnation = 4;
+    f = last_announced(o, info);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+    CU_ASSERT_EQUAL(f->u.problem.problem, PROBLEM_STALE_LIFE);
+    (void)one_submit(o, "a", 1, RUN_US);
+    CU_ASSERT_EQUAL(one_get(o, EF_START, 0)->u.start.incarnation, 5);
+    one_free(o);
+}
+
+static void
+silent_upstream_expires(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+
+    one_announce(o, one_upstream("u"));
+    one_run(o, 5 * USEC_PER_SEC);
+    CU_ASSERT_EQUAL(entry_gauges(o->e).upstreams, 1);
+    one_run(o, 2 * USEC_PER_SEC);
+    CU_ASSERT_EQUAL(entry_gauges(o->e).upstreams, 0);
+    one_free(o);
+}
+
+static void
+leaving_gets_no_new_work(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+    struct event ev = {.kind = EV_LEAVE};
+    uint64_t request;
+
+    one_announce(o, one_upstream("u"));
+    request = one_submit(o, "a", 6, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 4);
+    ev.u.announce.info = one_upstream("u");
+    one_step(o, &ev);
+    CU_ASSERT_EQUAL(one_end_all(o, START_DONE, true), 4);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 0);
+    one_announce(o, one_upstream("v"));
+    CU_ASSERT_EQUAL(one_end_all(o, START_DONE, true), 2);
+    CU_ASSERT(one_ended(o, request, JOB_COMPLETE, REASON_COMPLETED));
+    one_free(o);
+}
+
+/* Two instances believe they hold one upstream, because one of them was cut
+ * off.  News with a higher epoch ends the older hold, and the start that was
+ * under way under it comes back refused: it goes out again under the new
+ * hold, and so is started once. */
+static void
+higher_epoch_ends_a_hold(void)
+{
+    struct one *o = one_new(&(struct one_options){.peers = 1});
+    struct rec_upstream_info info = one_upstream("u");
+    uint64_t epoch;
+
+    for (char c = 'a'; one_count(o, EF_FENCE) == 0; c++) {
+        char name[] = {'u', c, '\0'};
+
+        info = one_upstream(name);
+        one_announce(o, info);
+    }
+    epoch = one_get(o, EF_FENCE, 0)->u.fence.epoch;
+    (void)one_submit(o, "a", 1, RUN_US);
+    CU_ASSERT_EQUAL(one_get(o, EF_START, 0)->u.start.epoch, epoch);
+    info.epoch = epoch + 1000;
+    info.holder = name_of("p0");
+    o->manual_fences = true;
+    one_news(o, "p0", info);
+    CU_ASSERT_EQUAL(entry_gauges(o->e).upstreams_held, 0);
+    (void)one_end_all(o, START_STALE, false);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 0);
+    o->manual_fences = false;
+    one_run(o, 2 * USEC_PER_SEC);
+    CU_ASSERT_EQUAL(entry_gauges(o->e).upstreams_held, 1);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 1);
+    CU_ASSERT(one_get(o, EF_START, 0)->u.start.epoch > info.epoch);
+    one_free(o);
+}
+
+/* The upstream has met a higher epoch than this instance ever heard of.  Its
+ * answer tells which, and the next fence goes above it, after a pause. */
+static void
+stale_fence_learns_the_epoch(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+    struct event ev = {.kind = EV_FENCED};
+
+    o->manual_fences = true;
+    one_announce(o, one_upstream("u"));
+    ev.u.fenced.call = one_get(o, EF_FENCE, 0)->u.fence.call;
+    ev.u.fenced.outcome = FENCE_STALE;
+    ev.u.fenced.epoch = 70000;
+    one_clear(o);
+    one_step(o, &ev);
+    CU_ASSERT_EQUAL(one_count(o, EF_FENCE), 0);
+    one_run(o, USEC_PER_SEC);
+    CU_ASSERT_EQUAL(one_count(o, EF_FENCE), 1);
+    CU_ASSERT(one_get(o, EF_FENCE, 0)->u.fence.epoch > 70000);
+    one_free(o);
+}
+
+/* The process slept for a minute, and others have taken its upstreams over.
+ * Its first act may not be a start under the old epoch. */
+static void
+paused_holder_lets_go_first(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+
+    one_announce(o, one_upstream("u"));
+    (void)one_submit(o, "a", 9, RUN_US);
+    o->manual_fences = true;
+    o->now_us += 3 * USEC_PER_SEC;
+    (void)one_end_all(o, START_DONE, true);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 0);
+    CU_ASSERT_EQUAL(entry_gauges(o->e).upstreams_held, 0);
+    one_free(o);
+}
+
+/* After a take-over the upstream still runs what the former holder started.
+ * Until it reports less, its slots may not be counted as free. */
+static void
+foreign_tasks_take_slots(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+    struct rec_upstream_info info = one_upstream("u");
+
+    o->fence_running = 3;
+    one_announce(o, info);
+    (void)one_submit(o, "a", 8, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 1);
+    info.busy = 2; /* our own and one foreign */
+    one_announce(o, info);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 3);
+    one_free(o);
+}
+
+/* An instance that restarted knows no upstream, and would refuse every job
+ * until each had announced itself to it again. */
+static void
+restarted_peer_is_told(void)
+{
+    struct one *o = one_new(&(struct one_options){.peers = 1});
+
+    one_announce(o, one_upstream("u"));
+    one_announce(o, one_upstream("v"));
+    one_clear(o);
+    one_heartbeat(o, "p0", 2);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(one_sent(o, MSG_UPSTREAM_NEWS, 0));
+    CU_ASSERT(one_sent(o, MSG_UPSTREAM_NEWS, 0)->u.upstream_news.n_upstreams >=
+              1);
+    one_free(o);
+}
+
+static void
+stop_hands_upstreams_over(void)
+{
+    struct one *o = one_new(&(struct one_options){.peers = 1});
+    struct event ev = {.kind = EV_STOP};
+
+    for (int i = 0; i < 8; i++) {
+        char name[] = {'u', (char)('0' + i), '\0'};
+
+        one_announce(o, one_upstream(name));
+    }
+    CU_ASSERT(entry_gauges(o->e).upstreams_held > 0);
+    one_clear(o);
+    one_step(o, &ev);
+    CU_ASSERT_EQUAL(one_count(o, EF_STOPPED), 1);
+    CU_ASSERT_EQUAL(entry_gauges(o->e).upstreams_held, 0);
+    CU_ASSERT_PTR_NOT_NULL(one_sent(o, MSG_UPSTREAM_NEWS, 0));
+    one_free(o);
+}
+
+/* Lending */
+
+static struct one *
+lender(void)
+{
+    struct one *o = one_new(&(struct one_options){.peers = 1});
+
+    for (int i = 0; entry_gauges(o->e).upstreams_held == 0; i++) {
+        char name[] = {'u', (char)('0' + i), '\0'};
+
+        one_announce(o, one_upstream(name));
+    }
+    one_clear(o);
+    return o;
+}
+
+static void
+ask_for_slots(struct one *o, uint64_t count)
+{
+    struct msg m = {.kind = MSG_SLOT_REQUEST};
+
+    m.u.slot_request.request = 1;
+    m.u.slot_request.service = name_of("camp");
+    m.u.slot_request.count = count;
+    m.u.slot_request.cpu_milli = 1000;
+    m.u.slot_request.memory_mb = 64;
+    one_message(o, "p0", &m);
+}
+
+static uint64_t
+granted(const struct one *o)
+{
+    const struct msg *m;
+    uint64_t n = 0;
+
+    for (size_t k = 0; (m = one_sent(o, MSG_SLOT_GRANT, k)) != NULL; k++) {
+        for (size_t i = 0; i < m->u.slot_grant.n_grants; i++) {
+            n += m->u.slot_grant.grants[i].slots;
+        }
+    }
+    return n;
+}
+
+static void
+give_back(struct one *o, uint64_t grant, uint64_t slots, uint64_t failed)
+{
+    struct msg m = {.kind = MSG_SLOT_RETURN};
+    struct rec_slot_return *r = &m.u.slot_return;
+
+    r->backs = calloc(1, sizeof(*r->backs));
+    r->n_backs = 1;
+    r->backs[0].grant = grant;
+    r->backs[0].slots = slots;
+    r->backs[0].failed = failed;
+    r->backs[0].done = failed == 0 ? 1 : 0;
+    one_message(o, "p0", &m);
+}
+
+static void
+lent_slots_are_used_until_returned(void)
+{
+    struct one *o = lender();
+    uint64_t grant;
+
+    ask_for_slots(o, 2);
+    CU_ASSERT_EQUAL(granted(o), 2);
+    grant = one_sent(o, MSG_SLOT_GRANT, 0)->u.slot_grant.grants[0].grant;
+    (void)one_submit(o, "a", 8, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 2);
+    give_back(o, grant, 1, 0);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 3);
+    give_back(o, grant, 7, 0); /* more than it had */
+    CU_ASSERT(one_count(o, EF_START) <= 4);
+    one_free(o);
+}
+
+/* The borrower dies with tasks running on what it borrowed, or its return was
+ * lost with a connection.  Its slots must neither be given out while the tasks
+ * run, nor stay lost. */
+static void
+dead_borrowers_slots_come_back(void)
+{
+    struct one *o = lender();
+    struct rec_upstream_info info;
+
+    ask_for_slots(o, 4);
+    info = one_upstream(
+        one_sent(o, MSG_SLOT_GRANT, 0)->u.slot_grant.grants[0].upstream.s);
+    o->manual_fences = true;
+    one_run(o, 3 * USEC_PER_SEC); /* p0 is down by now */
+    one_clear(o);
+    (void)one_submit(o, "a", 4, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 0);
+    info.busy = 3;
+    one_announce(o, info);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 1);
+    info.busy = 1; /* our own */
+    one_announce(o, info);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 4);
+    one_free(o);
+}
+
+/* A request that came in vain is met when slots come free, unless the asker
+ * has withdrawn it. */
+static void
+waiting_request_is_met_later(void)
+{
+    struct one *o = lender();
+
+    (void)one_submit(o, "a", 4, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 4);
+    ask_for_slots(o, 3);
+    CU_ASSERT_EQUAL(granted(o), 0);
+    (void)one_end_all(o, START_DONE, true);
+    one_run(o, 100 * USEC_PER_MSEC);
+    CU_ASSERT_EQUAL(granted(o), 3);
+    one_free(o);
+}
+
+static void
+receive_grant(struct one *o, uint64_t slots)
+{
+    struct rec_upstream_info info = one_upstream("far");
+    struct msg m = {.kind = MSG_SLOT_GRANT};
+    struct rec_slot_grant *g = &m.u.slot_grant;
+
+    g->service = name_of("camp");
+    g->grants = calloc(1, sizeof(*g->grants));
+    g->n_grants = 1;
+    g->grants[0] = (struct rec_grant){.grant = 9,
+                                      .upstream = info.upstream,
+                                      .incarnation = 1,
+                                      .zone = info.zone,
+                                      .address = info.address,
+                                      .epoch = 256,
+                                      .slots = slots,
+                                      .cpu_milli = 1000,
+                                      .memory_mb = 64,
+                                      .duration_us = 2 * USEC_PER_SEC};
+    one_message(o, "p0", &m);
+}
+
+static void
+borrowed_slots_are_used_and_returned(void)
+{
+    struct one *o = lender();
+    uint64_t returned = 0;
+
+    (void)one_submit(o, "a", 20, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 4);
+    receive_grant(o, 3);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 7);
+    CU_ASSERT_EQUAL(one_get(o, EF_START, 6)->u.start.epoch, 256);
+    while (one_end_all(o, START_DONE, true) > 0) {
+    }
+    for (int i = 0; i < 8; i++) {
+        one_heartbeat(o, "p0", 1);
+        one_run(o, USEC_PER_SEC / 2);
+    }
+    for (size_t i = 0; one_sent(o, MSG_SLOT_RETURN, i) != NULL; i++) {
+        const struct rec_slot_return *r =
+            &one_sent(o, MSG_SLOT_RETURN, i)->u.slot_return;
+
+        for (size_t k = 0; k < r->n_backs; k++) {
+            returned += r->backs[k].slots;
+        }
+    }
+    CU_ASSERT_EQUAL(returned, 3);
+    (void)one_submit(o, "b", 20, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 4);
+    one_free(o);
+}
+
+/* The holder is short itself: what lies idle at a borrower must come back when
+ * it asks, not at the end of the lease. */
+static void
+recalled_slots_return_at_once(void)
+{
+    struct one *o = lender();
+    struct msg m = {.kind = MSG_SLOT_RECALL};
+
+    receive_grant(o, 3);
+    one_clear(o);
+    m.u.slot_recall.service = name_of("camp");
+    one_message(o, "p0", &m);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(one_sent(o, MSG_SLOT_RETURN, 0));
+    CU_ASSERT_EQUAL(
+        one_sent(o, MSG_SLOT_RETURN, 0)->u.slot_return.backs[0].slots, 3);
+    one_free(o);
+}
+
+/* The lender died or lost the upstream: starts under its epoch are refused.
+ * They are proved not to have started, so they go elsewhere, and the grant is
+ * used no more. */
+static void
+stale_grant_is_dropped(void)
+{
+    struct one *o = lender();
+    size_t starts;
+
+    receive_grant(o, 2);
+    (void)one_submit(o, "a", 6, RUN_US);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 6);
+    for (size_t i = 0; i < 6; i++) {
+        const struct ef_start *f = &one_get(o, EF_START, i)->u.start;
+
+        if (f->epoch == 256) {
+            one_end(o, f->call, START_STALE, false);
+        }
+    }
+    starts = one_count(o, EF_START);
+    CU_ASSERT_EQUAL(starts, 6);
+    (void)one_end_all(o, START_DONE, true);
+    CU_ASSERT_EQUAL(one_count(o, EF_START), 2);
+    CU_ASSERT(one_get(o, EF_START, 0)->u.start.epoch != 256);
+    one_free(o);
+}
+
+#define ADD(test) check_add("upstream", #test, test)
+
+void
+suite_upstream(void)
+{
+    ADD(bad_announcements_are_refused);
+    ADD(late_announcement_of_an_earlier_life);
+    ADD(silent_upstream_expires);
+    ADD(leaving_gets_no_new_work);
+    ADD(higher_epoch_ends_a_hold);
+    ADD(stale_fence_learns_the_epoch);
+    ADD(paused_holder_lets_go_first);
+    ADD(foreign_tasks_take_slots);
+    ADD(restarted_peer_is_told);
+    ADD(stop_hands_upstreams_over);
+    ADD(lent_slots_are_used_until_returned);
+    ADD(dead_borrowers_slots_come_back);
+    ADD(waiting_request_is_met_later);
+    ADD(borrowed_slots_are_used_and_returned);
+    ADD(recalled_slots_return_at_once);
+    ADD(stale_grant_is_dropped);
+}
