Parse and apply configurations; test keys and jobs

Cause: follow.c kept the text of a configuration without reading it, and neither keys nor jobs were tested.

Change: follow.c reads the text with servicefile_parse_text() and puts it in force. The first version after a start waits for a majority of the control processes, or a second, and is none that a member's heartbeat is past: one control process behind a partition could otherwise bring back an older configuration.

Two faults that the hostile-message test found: polls held by an instance without control processes, and replies to it, left a timer that was always due, so the reducer thread would have spun.

Conclusion: keys, claims and jobs stand on tests; follow.c has none yet.

--- a/src/entry.c
+++ b/src/entry.c
@@ -205,8 +205,8 @@
     members_paused(e);
 }
 
-static void
-apply_config(struct entry *e, const struct config *config)
+void
+entry_apply_config(struct entry *e, const struct config *config)
 {
     struct config *copy;
 
@@ -313,7 +313,7 @@
         on_tick(e);
         break;
     case EV_CONFIG:
-        apply_config(e, ev->u.config);
+        entry_apply_config(e, ev->u.config);
         break;
     case EV_SUBMIT:
         jobs_submit(e, &ev->u.submit);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -64,6 +64,10 @@
                const struct key_id *key, int32_t index, struct name subject,
                const char *format, ...) __attribute__((format(printf, 7, 8)));
 
+/** entry_apply_config() - puts a copy in force if its version is above the
+ * one in force */
+void entry_apply_config(struct entry *e, const struct config *config);
+
 /** entry_refuse() - answers a request with a problem; see struct ef_problem.
  * Does nothing for REQUEST_NONE. */
 void entry_refuse(struct entry *e, uint64_t request, enum problem problem,
--- a/src/follow.c
+++ b/src/follow.c
@@ -4,27 +4,35 @@
 #include <syslog.h>
 
 #include "member.h"
+#include "servicefile.h"
 
-enum {
-    POLL_SEC = 5,     /* the longest a server holds a request */
-    RETRY_MSEC = 500, /* before the next server is asked */
-    PAUSE_MSEC = 50,  /* between polls, should a server not hold them */
-};
+enum { CONTROLS_MAX = 64 }; /* told apart when counting replies */
+
+#define POLL_US (5 * USEC_PER_SEC)     /* the longest a server holds one */
+#define RETRY_US (500 * USEC_PER_MSEC) /* before another server is asked */
+#define PAUSE_US                                                              \
+    (50 * USEC_PER_MSEC) /* between polls that came back empty                \
+                          */
+#define START_WAIT_US (1 * USEC_PER_SEC) /* for a majority of control */
+#define LAG_US (1 * USEC_PER_SEC) /* behind a member before it is asked */
 
 /* A follower that waits here for something newer. */
 struct poll {
-    struct name from; /* empty: unused */
+    struct name from;
     uint64_t have_version;
     int64_t until_us;
 };
 
 struct follow {
-    uint64_t version; /* of @blob */
+    uint64_t version; /* newest text received */
     uint64_t term;
-    struct blob *blob;
-    size_t control; /* the one asked last */
-    bool asked;
+    struct blob *text;
+    size_t control; /* asked last */
+    bool silent;    /* the server asked last has not replied */
     int64_t due_us;
+    int64_t started_us;
+    uint64_t replied;  /* control processes that replied since the start */
+    int64_t behind_us; /* since when a member has a newer version; 0: none */
     struct poll polls[INSTANCES_MAX];
     size_t n_polls;
 };
@@ -45,64 +53,203 @@
 follow_free(struct follow *f)
 {
     if (f != NULL) {
-        blob_unref(f->blob);
+        blob_unref(f->text);
         free(f);
     }
 }
 
+/* ---- asking ---- */
+
+static void
+ask(struct entry *e, struct name server)
+{
+    struct msg m = {.kind = MSG_CONFIG_REQUEST};
+
+    m.u.config_request.have_version = e->follow->version;
+    m.u.config_request.incarnation = e->opts.incarnation;
+    m.u.config_request.zone = e->zone;
+    entry_send(e, server, &m);
+}
+
 /* The first member of our zone that is up and stays: it asks across zones
  * for all of them. */
-static struct name
-zone_follower(const struct entry *e)
+static bool
+zone_follower(const struct entry *e, struct name *out)
 {
     size_t at = 0;
     struct member *m;
 
     while ((m = members_next(e, &at)) != NULL) {
         if (m->up && !m->stopping && name_equal(m->zone, e->zone)) {
-            return m->name;
+            *out = m->name;
+            return !m->self;
         }
     }
-    return e->opts.self;
+    return false;
 }
 
-/* Whoever has nothing yet asks control itself, not only its zone. */
-static struct name
-pick_server(struct entry *e)
+/* The member with the newest version in force, if that is above ours. */
+static const struct member *
+newest_member(const struct entry *e)
+{
+    const struct member *best = NULL;
+    uint64_t version = entry_config_version(e);
+    size_t at = 0;
+    struct member *m;
+
+    while ((m = members_next(e, &at)) != NULL) {
+        if (!m->self && m->up && m->config_version > version) {
+            version = m->config_version;
+            best = m;
+        }
+    }
+    return best;
+}
+
+/* Nothing in force yet: every control process and, from the second time on,
+ * the whole zone is asked.  One control process alone may sit behind a
+ * partition with an old log, and what it has could be older than what this
+ * instance had in force before it restarted. */
+static void
+ask_everyone(struct entry *e)
 {
     struct follow *f = e->follow;
-    struct name follower = zone_follower(e);
+    bool first = f->started_us == 0;
+    size_t at = 0;
+    struct member *m;
 
-    if (!name_equal(follower, e->opts.self) && entry_config_version(e) > 0) {
-        return follower;
+    f->started_us = first ? e->now.mono_us : f->started_us;
+    for (size_t i = 0; i < e->opts.n_controls; i++) {
+        ask(e, e->opts.controls[i]);
     }
-    f->control = (f->control + (f->asked ? 1 : 0)) % e->opts.n_controls;
-    return e->opts.controls[f->control];
+    while (!first && (m = members_next(e, &at)) != NULL) {
+        if (!m->self && m->up && name_equal(m->zone, e->zone)) {
+            ask(e, m->name);
+        }
+    }
+    f->due_us = e->now.mono_us + RETRY_US;
 }
 
 static void
-ask(struct entry *e)
+ask_one(struct entry *e)
 {
     struct follow *f = e->follow;
-    struct msg m = {.kind = MSG_CONFIG_REQUEST};
+    struct name server;
 
-    m.u.config_request.have_version = f->version;
-    m.u.config_request.incarnation = e->opts.incarnation;
-    m.u.config_request.zone = e->zone;
-    entry_send(e, pick_server(e), &m);
-    f->asked = true;
-    f->due_us =
-        e->now.mono_us + POLL_SEC * USEC_PER_SEC + RETRY_MSEC * USEC_PER_MSEC;
+    if (!zone_follower(e, &server)) {
+        f->control = (f->control + (f->silent ? 1 : 0)) % e->opts.n_controls;
+        server = e->opts.controls[f->control];
+    }
+    ask(e, server);
+    f->silent = true;
+    f->due_us = e->now.mono_us + POLL_US + RETRY_US;
+}
+
+/* ---- what came ---- */
+
+static int
+control_number(const struct entry *e, struct name from)
+{
+    for (size_t i = 0; i < e->opts.n_controls && i < CONTROLS_MAX; i++) {
+        if (name_equal(e->opts.controls[i], from)) {
+            return (int)i;
+        }
+    }
+    return -1;
 }
 
 static void
-reply(struct entry *e, struct name to)
+put_in_force(struct entry *e)
+{
+    struct follow *f = e->follow;
+    struct servicefile_errors errs = {0};
+    struct config *c =
+        servicefile_parse_text(f->text->data, "received", &errs);
+
+    if (c == NULL) {
+        entry_log(e, LOG_ERR, REASON_BAD_MESSAGE, NULL, -1, name_of(""),
+                  "version %llu, line %d: %s", (unsigned long long)f->version,
+                  errs.n > 0 ? errs.items[0].line : 0,
+                  errs.n > 0 ? errs.items[0].text : "");
+        servicefile_errors_clear(&errs);
+        return;
+    }
+    c->version = f->version;
+    entry_apply_config(e, c);
+    config_free(c);
+    servicefile_errors_clear(&errs);
+}
+
+static bool
+majority_replied(const struct entry *e)
+{
+    size_t replied = (size_t)__builtin_popcountll(e->follow->replied);
+
+    return replied > e->opts.n_controls / 2;
+}
+
+/* The first version after a start waits for a majority of control, or for
+ * some time, and is none that a member is known to be past. */
+static void
+consider(struct entry *e)
+{
+    struct follow *f = e->follow;
+    const struct member *ahead = newest_member(e);
+
+    if (f->text == NULL || f->version <= entry_config_version(e)) {
+        return;
+    }
+    if (e->config == NULL) {
+        bool waited = e->now.mono_us - f->started_us >= START_WAIT_US;
+
+        if ((!waited && !majority_replied(e)) ||
+            (ahead != NULL && ahead->config_version > f->version)) {
+            return;
+        }
+    }
+    put_in_force(e);
+}
+
+static void serve_polls(struct entry *e);
+
+static void
+on_reply(struct entry *e, struct name from, const struct rec_config_reply *m)
+{
+    struct follow *f = e->follow;
+    int control = control_number(e, from);
+
+    if (e->opts.n_controls == 0 ||
+        (control < 0 && members_of(e, from) == NULL)) {
+        e->counters.messages_bad++;
+        return;
+    }
+    if (control >= 0) {
+        f->replied |= UINT64_C(1) << control;
+    }
+    if (e->config != NULL) {
+        f->silent = false; /* this server lives: stay with it */
+        f->due_us = e->now.mono_us + PAUSE_US;
+    }
+    if (m->version > f->version && m->config != NULL) {
+        blob_unref(f->text);
+        f->text = blob_ref(m->config);
+        f->version = m->version;
+        f->term = m->term;
+        serve_polls(e);
+    }
+    consider(e);
+}
+
+/* ---- serving ---- */
+
+static void
+reply(struct entry *e, struct name to, bool whole)
 {
     struct follow *f = e->follow;
     struct msg m = {.kind = MSG_CONFIG_REPLY};
 
     m.u.config_reply.version = f->version;
-    m.u.config_reply.config = blob_ref(f->blob);
+    m.u.config_reply.config = whole ? blob_ref(f->text) : NULL;
     m.u.config_reply.term = f->term;
     entry_send(e, to, &m);
 }
@@ -119,32 +266,29 @@
         }
     }
     if (p == NULL) {
-        if (f->n_polls == INSTANCES_MAX) {
-            return;
-        }
         p = &f->polls[f->n_polls++];
     }
     p->from = from;
     p->have_version = have_version;
-    p->until_us = e->now.mono_us + POLL_SEC * USEC_PER_SEC;
+    p->until_us = e->now.mono_us + POLL_US;
 }
 
 static void
 on_request(struct entry *e, struct name from,
            const struct rec_config_request *m)
 {
-    if (members_of(e, from) == NULL) {
+    if (members_of(e, from) == NULL || name_equal(from, e->opts.self)) {
         e->counters.messages_bad++;
         return;
     }
     if (e->follow->version > m->have_version) {
-        reply(e, from);
+        reply(e, from, true);
         return;
     }
     hold(e, from, m->have_version);
 }
 
-/* Answers the held requests that something newer came for, or whose time is
+/* Answers the held polls that something newer came for, or whose time is
  * over. */
 static void
 serve_polls(struct entry *e)
@@ -155,8 +299,11 @@
     for (size_t i = 0; i < f->n_polls; i++) {
         struct poll p = f->polls[i];
 
-        if (f->version > p.have_version || e->now.mono_us >= p.until_us) {
-            reply(e, p.from);
+        if (f->version > p.have_version) {
+            reply(e, p.from, true);
+        }
+        else if (e->now.mono_us >= p.until_us) {
+            reply(e, p.from, false);
         }
         else {
             f->polls[kept++] = p;
@@ -165,68 +312,73 @@
     f->n_polls = kept;
 }
 
-static bool
-known_server(const struct entry *e, struct name from)
+void
+follow_on_message(struct entry *e, struct name from, const struct msg *m)
 {
-    for (size_t i = 0; i < e->opts.n_controls; i++) {
-        if (name_equal(e->opts.controls[i], from)) {
-            return true;
-        }
+    if (m->kind == MSG_CONFIG_REQUEST) {
+        on_request(e, from, &m->u.config_request);
+        return;
     }
-    return members_of(e, from) != NULL;
+    on_reply(e, from, &m->u.config_reply);
 }
 
+/* ---- time ---- */
+
+/* A poll's reply may be lost, or its server lag behind.  Heartbeats tell the
+ * versions of all; whoever is behind for a while asks a member that is not. */
 static void
-on_reply(struct entry *e, struct name from, const struct rec_config_reply *m)
+catch_up(struct entry *e)
 {
     struct follow *f = e->follow;
+    const struct member *ahead = newest_member(e);
 
-    if (!known_server(e, from)) {
-        e->counters.messages_bad++;
+    if (ahead == NULL) {
+        f->behind_us = 0;
         return;
     }
-    f->asked = false; /* this server is alive: stay with it */
-    f->due_us = e->now.mono_us + PAUSE_MSEC * USEC_PER_MSEC;
-    if (m->version <= f->version || m->config == NULL) {
-        return;
+    if (f->behind_us == 0) {
+        f->behind_us = e->now.mono_us;
     }
-    blob_unref(f->blob);
-    f->blob = blob_ref(m->config);
-    f->version = m->version;
-    f->term = m->term;
-    entry_log(e, LOG_INFO, REASON_CONFIG_APPLIED, NULL, -1, from,
-              "received version %llu", (unsigned long long)m->version);
-    serve_polls(e);
-}
-
-void
-follow_on_message(struct entry *e, struct name from, const struct msg *m)
-{
-    if (m->kind == MSG_CONFIG_REQUEST) {
-        on_request(e, from, &m->u.config_request);
-        return;
+    else if (e->now.mono_us - f->behind_us >= LAG_US) {
+        f->behind_us = e->now.mono_us;
+        ask(e, ahead->name);
     }
-    on_reply(e, from, &m->u.config_reply);
 }
 
 void
 follow_tick(struct entry *e)
 {
+    serve_polls(e);
+    if (e->opts.n_controls == 0) {
+        return;
+    }
     if (e->now.mono_us >= e->follow->due_us) {
-        ask(e);
+        if (e->config == NULL) {
+            ask_everyone(e);
+            consider(e);
+        }
+        else {
+            ask_one(e);
+        }
+    }
+    if (e->config != NULL) {
+        catch_up(e);
     }
-    serve_polls(e);
 }
 
 int64_t
 follow_next_us(const struct entry *e)
 {
-    int64_t next = e->follow->due_us;
+    const struct follow *f = e->follow;
+    int64_t next = f->due_us;
 
-    for (size_t i = 0; i < e->follow->n_polls; i++) {
-        int64_t until = e->follow->polls[i].until_us;
+    for (size_t i = 0; i < f->n_polls; i++) {
+        int64_t until = f->polls[i].until_us;
 
         next = until < next ? until : next;
     }
+    if (f->behind_us > 0 && f->behind_us + LAG_US < next) {
+        next = f->behind_us + LAG_US;
+    }
     return next;
 }
--- a/tests/claim_test.c
+++ b/tests/claim_test.c
@@ -5,7 +5,6 @@
 #include "check.h"
 #include "claim.h"
 #include "entry_net.h"
-#include "key.h"
 
 enum {
     SCHEDULES = 150, /* random ones; each a seed */
@@ -50,18 +49,6 @@
     }
 }
 
-/* A key of zone z0, issued @ago_us before now. */
-static const char *
-key_of(const struct net *n, int number, int64_t ago_us)
-{
-    static char text[KEY_TEXT_SIZE];
-
-    key_mint(name_of("z0"), name_of("caller"), 1,
-             INT64_C(1764720000000000) + n->now_us - ago_us, (uint64_t)number,
-             text);
-    return text;
-}
-
 static struct net *
 two_zones(void)
 {
@@ -89,7 +76,7 @@
     uint64_t c;
     uint64_t d;
 
-    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    net_key(n, "z0", 1, 0, key);
     cut_all_but(NODE_C, 0);
     c = net_submit(n, NODE_C, key, 3, 11);
     net_run(n, 70 * MSEC);
@@ -120,7 +107,7 @@
     char key[KEY_TEXT_SIZE];
     uint64_t again;
 
-    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    net_key(n, "z0", 1, 0, key);
     (void)net_submit(n, NODE_C, key, 2, 11);
     net_run(n, 50 * MSEC);
     net_restart(n, 0);
@@ -141,11 +128,12 @@
 {
     struct net *n = two_zones();
     char key[KEY_TEXT_SIZE];
+    char other[KEY_TEXT_SIZE];
     uint64_t again;
     uint64_t bare;
     uint64_t fresh;
 
-    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    net_key(n, "z0", 1, 0, key);
     (void)net_submit(n, NODE_C, key, 2, 11);
     net_run(n, 50 * MSEC);
     net_restart(n, 0);
@@ -154,7 +142,8 @@
     CU_ASSERT_FALSE(claims_voting(n->nodes[0].e, name_of("z0")));
     again = net_submit(n, NODE_D, key, 2, 11);
     bare = net_submit(n, NODE_D, "bare-of-z0-2", 1, 12);
-    fresh = net_submit(n, NODE_D, key_of(n, 2, 0), 1, 13);
+    net_key(n, "z0", 2, 0, other);
+    fresh = net_submit(n, NODE_D, other, 1, 13);
     net_run(n, SEC);
     CU_ASSERT_EQUAL(net_starts(n, key, NET_WHOLE), 2);
     CU_ASSERT_TRUE(net_ended(n, again, JOB_COMPLETE, REASON_COMPLETED) ||
@@ -179,7 +168,7 @@
         char key[KEY_TEXT_SIZE];
         uint64_t requests[VOTERS];
 
-        (void)snprintf(key, sizeof(key), "%s", key_of(n, i, 0));
+        net_key(n, "z0", i, 0, key);
         for (int j = 0; j < VOTERS; j++) {
             requests[j] = net_submit(n, j, key, 2, 11);
         }
@@ -207,7 +196,7 @@
         uint64_t a;
         uint64_t b;
 
-        (void)snprintf(key, sizeof(key), "%s", key_of(n, i, 0));
+        net_key(n, "z0", i, 0, key);
         a = net_submit(n, 0, key, 2, 11);
         b = net_submit(n, 1, key, 2, 11);
         net_run(n, SEC);
@@ -225,6 +214,7 @@
 cut_off_zone_goes_on(void)
 {
     struct net *n = two_zones();
+    char key[KEY_TEXT_SIZE];
     uint64_t with_two;
     uint64_t with_one;
 
@@ -236,12 +226,14 @@
     }
     net_kill(n, 2);
     net_run(n, 3 * SEC);
-    with_two = net_submit(n, 0, key_of(n, 1, 0), 2, 11);
+    net_key(n, "z0", 1, 0, key);
+    with_two = net_submit(n, 0, key, 2, 11);
     net_run(n, SEC);
     CU_ASSERT_TRUE(net_ended(n, with_two, JOB_COMPLETE, REASON_COMPLETED));
     net_kill(n, 1);
     net_run(n, 3 * SEC);
-    with_one = net_submit(n, 0, key_of(n, 2, 0), 2, 11);
+    net_key(n, "z0", 2, 0, key);
+    with_one = net_submit(n, 0, key, 2, 11);
     net_run(n, SEC);
     CU_ASSERT_TRUE(net_problem(n, with_one, PROBLEM_NO_CLAIM));
     CU_ASSERT_TRUE(net_answer(n, with_one)->problem.not_by_this);
@@ -259,7 +251,7 @@
     uint64_t first;
     uint64_t second;
 
-    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    net_key(n, "z0", 1, 0, key);
     cut_all_but(NODE_C, 0);
     first = net_submit(n, NODE_C, key, 2, 11);
     net_run(n, SEC);
@@ -283,7 +275,7 @@
     size_t votes = 0;
 
     n->opts.doubled = 100;
-    (void)snprintf(key, sizeof(key), "%s", key_of(n, 1, 0));
+    net_key(n, "z0", 1, 0, key);
     (void)net_submit(n, NODE_C, key, 2, 11);
     net_run(n, SEC);
     for (int i = 0; i < VOTERS; i++) {
@@ -346,8 +338,7 @@
     char keys[KEYS][KEY_TEXT_SIZE];
 
     for (int i = 0; i < KEYS; i++) {
-        (void)snprintf(keys[i], KEY_TEXT_SIZE, "%s",
-                       key_of(n, i, i % 2 == 0 ? 0 : 60 * SEC));
+        net_key(n, "z0", i, i % 2 == 0 ? 0 : 60 * SEC, keys[i]);
     }
     for (int i = 0; i < 60; i++) {
         random_event(n, keys);
--- a/tests/entry_net.c
+++ b/tests/entry_net.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "key.h"
+
 enum { LATE_MAX_MSEC = 40, ANNOUNCE_SEC = 1, SLOTS = 64 };
 
 #define WALL_OFFSET INT64_C(1764720000000000)
@@ -147,6 +149,9 @@
     enum net_fate fate;
 
     if (to < 0) {
+        if (n->opts.outside != NULL) {
+            n->opts.outside(n, from, f->to, &f->msg);
+        }
         return;
     }
     n->messages++;
@@ -368,24 +373,33 @@
     return a->request;
 }
 
+uint64_t
+net_submit_spec(struct net *n, int node, const char *key,
+                struct job_spec *spec, bool respond_async)
+{
+    struct event ev = {.kind = EV_SUBMIT};
+
+    ev.u.submit.request = new_request(n, node);
+    ev.u.submit.key = key;
+    ev.u.submit.spec = spec;
+    ev.u.submit.respond_async = respond_async;
+    net_step(n, node, &ev);
+    job_spec_free(spec);
+    return ev.u.submit.request;
+}
+
 uint64_t
 net_submit(struct net *n, int node, const char *key, int n_tasks,
            uint64_t body)
 {
     struct job_spec *spec = must(job_spec_new((size_t)n_tasks));
-    struct event ev = {.kind = EV_SUBMIT};
 
     spec->service = name_of("camp");
     spec->digest = body;
     for (int i = 0; i < n_tasks; i++) {
         spec->tasks[i].payload = blob_new("{}", 2);
     }
-    ev.u.submit.request = new_request(n, node);
-    ev.u.submit.key = key;
-    ev.u.submit.spec = spec;
-    net_step(n, node, &ev);
-    job_spec_free(spec);
-    return ev.u.submit.request;
+    return net_submit_spec(n, node, key, spec, false);
 }
 
 static uint64_t
@@ -421,6 +435,25 @@
     net_step(n, node, &ev);
 }
 
+void
+net_send(struct net *n, struct name from, int to, struct msg *m)
+{
+    struct event ev = {.kind = EV_MESSAGE};
+
+    ev.u.message.from = from;
+    ev.u.message.msg = m;
+    net_step(n, to, &ev);
+    msg_free(m);
+}
+
+void
+net_key(const struct net *n, const char *zone, int number, int64_t ago_us,
+        char out[KEY_TEXT_SIZE])
+{
+    key_mint(name_of(zone), name_of("caller"), 1,
+             moment_of(n).wall_us - ago_us, (uint64_t)number, out);
+}
+
 /* ---- life and death ---- */
 
 static void
@@ -459,7 +492,9 @@
     n->nodes[node].e = must(entry_new(&o));
     n->nodes[node].stopped = false;
     ev.u.config = n->config;
-    net_step(n, node, &ev);
+    if (!n->opts.no_config) {
+        net_step(n, node, &ev);
+    }
 }
 
 static void
@@ -644,16 +679,29 @@
     return false;
 }
 
-/* A frozen node's packets wait for it to wake. */
+/* A frozen node's packets wait for it to wake, but for heartbeats, which
+ * would only fill its sockets. */
 static void
-hold_frozen(struct net *n)
+hold_packet(struct net *n, size_t i)
 {
-    for (size_t i = 0; i < n->n_packets; i++) {
+    struct net_packet *p = &n->packets[i];
+
+    if (p->event.kind == EV_MESSAGE && p->msg.kind == MSG_HEARTBEAT) {
+        packet_clear(p);
+        *p = n->packets[--n->n_packets];
+        return;
+    }
+    p->at_us = INT64_MAX;
+}
+
+void
+net_freeze(struct net *n, int node, bool frozen)
+{
+    n->nodes[node].frozen = frozen;
+    for (size_t i = 0; !frozen && i < n->n_packets; i++) {
         struct net_packet *p = &n->packets[i];
 
-        if (n->nodes[p->to].frozen && p->at_us <= n->now_us) {
-            p->at_us = n->now_us + USEC_PER_MSEC;
-        }
+        p->at_us = p->at_us == INT64_MAX ? n->now_us : p->at_us;
     }
 }
 
@@ -668,7 +716,6 @@
         int64_t at = tick_due(n, until, &node);
         size_t first;
 
-        hold_frozen(n);
         first = packet_first(n);
         if (n->n_packets > 0 && n->packets[first].at_us <= at) {
             at = n->packets[first].at_us;
@@ -678,7 +725,10 @@
             continue;
         }
         n->now_us = at > n->now_us ? at : n->now_us;
-        if (node == -2 && !n->nodes[n->packets[first].to].frozen) {
+        if (node == -2 && n->nodes[n->packets[first].to].frozen) {
+            hold_packet(n, first);
+        }
+        else if (node == -2) {
             deliver(n, first);
         }
         else if (node >= 0) {
--- a/tests/entry_net.h
+++ b/tests/entry_net.h
@@ -37,7 +37,11 @@
     /* more by hand: NULL passes all */
     enum net_fate (*fate)(struct net *n, int from, int to,
                           const struct msg *m);
+    /* messages to somebody who is no node, a control process say */
+    void (*outside)(struct net *n, int from, struct name to,
+                    const struct msg *m);
     void (*tune)(struct entry_options *o);
+    bool no_config; /* nodes get none at their start */
 };
 
 /** struct net_answer - what a caller got, NULL result while it waits */
@@ -126,16 +130,31 @@
  * the request */
 uint64_t net_submit(struct net *n, int node, const char *key, int n_tasks,
                     uint64_t body);
+
+/** net_submit_spec() - the same with a job as given, which it frees */
+uint64_t net_submit_spec(struct net *n, int node, const char *key,
+                         struct job_spec *spec, bool respond_async);
 uint64_t net_get(struct net *n, int node, const char *key, bool wait);
 uint64_t net_cancel(struct net *n, int node, const char *key);
 void net_stop(struct net *n, int node);
 
+/** net_send() - a message from a node, or from anybody else, arrives now;
+ * frees @m */
+void net_send(struct net *n, struct name from, int to, struct msg *m);
+
+/** net_key() - a minted key of a zone, issued so long before now */
+void net_key(const struct net *n, const char *zone, int number, int64_t ago_us,
+             char out[KEY_TEXT_SIZE]);
+
 /** net_kill() - the process is gone; connections break */
 void net_kill(struct net *n, int node);
 
 /** net_restart() - a new incarnation with nothing remembered */
 void net_restart(struct net *n, int node);
 
+/** net_freeze() - pauses a process, or lets it go on; the clock goes on */
+void net_freeze(struct net *n, int node, bool frozen);
+
 /** net_answer() - of a request; its kind is EFFECT_KINDS while it waits */
 const struct net_answer *net_answer(const struct net *n, uint64_t request);
 
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -3,6 +3,8 @@
 SUITE(base)
 SUITE(claim)
 SUITE(fake)
+SUITE(jobs)
+SUITE(key)
 SUITE(servicefile)
 SUITE(settings)
 SUITE(storage)
