--- a/src/entry.c
+++ b/src/entry.c
@@ -12,6 +12,7 @@
 #include "follow.h"
 #include "jobs.h"
 #include "member.h"
+#include "slot.h"
 #include "upstream.h"
 
 struct entry_options
@@ -164,6 +165,7 @@
     e->claims = claims_new(e);
     e->jobs = jobs_new(e);
     e->upstreams = upstreams_new(e);
+    e->slots = slots_new(e);
     e->dispatch = dispatch_new(e);
     e->follow = follow_new(e);
     return e;
@@ -177,6 +179,7 @@
     }
     follow_free(e->follow);
     dispatch_free(e->dispatch);
+    slots_free(e->slots);
     upstreams_free(e->upstreams);
     jobs_free(e->jobs);
     claims_free(e->claims);
@@ -210,7 +213,8 @@
 {
     struct config *copy;
 
-    if (e->config != NULL && config->version <= e->config->version) {
+    if (e->config != NULL && config->version <= e->config->version &&
+        !MUTANT(e, CONFIG)) {
         entry_log(e, LOG_DEBUG, REASON_CONFIG_IGNORED, NULL, -1, name_of(""),
                   "version %llu is not above %llu",
                   (unsigned long long)config->version,
@@ -296,8 +300,9 @@
 static void
 tell_stopped(struct entry *e)
 {
-    if (!e->stopping || e->stopped_told || jobs_active(e) > 0 ||
-        dispatch_running(e) > 0) {
+    bool busy = jobs_active(e) > 0 || dispatch_running(e) > 0;
+
+    if (!e->stopping || e->stopped_told || (busy && !MUTANT(e, STOP))) {
         return;
     }
     e->stopped_told = true;
