--- a/src/entry.c
+++ b/src/entry.c
@@ -171,12 +171,26 @@
     return e;
 }
 
+static void
+forget_queues(struct entry *e)
+{
+    struct job *job;
+    uint32_t at = 0;
+
+    while ((job = jobs_next(e, &at)) != NULL) {
+        if (job->phase == JOB_ACTIVE) {
+            dispatch_forget(e, job);
+        }
+    }
+}
+
 void
 entry_free(struct entry *e)
 {
     if (e == NULL) {
         return;
     }
+    forget_queues(e);
     follow_free(e->follow);
     dispatch_free(e->dispatch);
     slots_free(e->slots);
