Bound what a frame may claim to hold before it is unpacked

Cause: msgpack-c takes memory for as many elements as an array says it has. Nine bytes from a stranger asked for 128 GB; under ThreadSanitizer the process died of it, and without it lives by the kernel's overcommit.

Change: wirescan.c passes once over a frame and adds up what its arrays say; wire_decode() refuses it before any memory is taken.

Conclusion: ruled out: limits of msgpack-c itself, it has none for arrays; the scan is of the format's lead bytes alone, the library still decodes.

--- a/src/wire.c
+++ b/src/wire.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "wirescan.h"
+
 /* Each pass over wire_list.h makes one function per record. */
 
 /* Number of fields. */
@@ -364,12 +366,17 @@
 {
     msgpack_unpacked unpacked;
     size_t used = 0;
-    enum wire_error err = WIRE_MALFORMED;
+    enum wire_error err;
 
     memset(m, 0, sizeof(*m));
     if (size > WIRE_FRAME_MAX) {
         return WIRE_TOO_LARGE;
     }
+    err = wire_scan(data, size);
+    if (err != WIRE_OK) {
+        return err;
+    }
+    err = WIRE_MALFORMED;
     msgpack_unpacked_init(&unpacked);
     if (msgpack_unpack_next(&unpacked, data, size, &used) ==
             MSGPACK_UNPACK_SUCCESS &&
--- a/tests/base_test.c
+++ b/tests/base_test.c
@@ -101,6 +101,33 @@
     msgpack_sbuffer_destroy(&buffer);
 }
 
+/* A few bytes say that an array of billions follows.  msgpack-c would take
+ * memory for all of it at once, and the process would be killed. */
+static void
+wire_refuses_arrays_that_cannot_be(void)
+{
+    static const struct {
+        const char *bytes;
+        size_t size;
+        enum wire_error error;
+    } cases[] = {
+        {"\xdd\xff\xff\xff\xff", 5, WIRE_TOO_LARGE},
+        {"\x92\x00\xdd\x00\x00\xff\xff", 7, WIRE_MALFORMED},
+        {"\x92\xdc\xff\xff", 4, WIRE_MALFORMED},
+        {"\x92\x00\xdf\x7f\xff\xff\xff", 7, WIRE_MALFORMED},
+        {"\xc6\xff\xff\xff\xff", 5, WIRE_MALFORMED},
+        {"\xc9\xff\xff\xff\xff", 5, WIRE_MALFORMED},
+        {"\x9f", 1, WIRE_MALFORMED},
+        {"", 0, WIRE_MALFORMED},
+    };
+    struct msg m;
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        CU_ASSERT_EQUAL(wire_decode(cases[i].bytes, cases[i].size, &m),
+                        cases[i].error);
+    }
+}
+
 void
 suite_base(void)
 {
@@ -108,4 +135,6 @@
     check_add("base", "map_finds_by_leading_key", map_finds_by_leading_key);
     check_add("base", "wire_round_trip", wire_round_trip);
     check_add("base", "wire_refuses_cut_frames", wire_refuses_cut_frames);
+    check_add("base", "wire_refuses_arrays_that_cannot_be",
+              wire_refuses_arrays_that_cannot_be);
 }
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -13,7 +13,7 @@
 #include "net.h"
 #include "stats.h"
 
-enum { HEARTBEAT_US = 500000 };
+#define HEARTBEAT_US (500 * USEC_PER_MSEC)
 
 /* One end under test, with what it told its owner. */
 struct end {
