--- a/tests/upclient_test.c
+++ b/tests/upclient_test.c
@@ -175,11 +175,13 @@
 static struct envelope *
 next_outcome(struct mailbox *outcomes)
 {
-    struct mail *mail;
+    struct mail *mail = mailbox_take(outcomes);
 
-    while ((mail = mailbox_take(outcomes)) == NULL) {
-        mailbox_wait(outcomes, USEC_PER_SEC);
+    for (int i = 0; mail == NULL && i < NET_PATIENCE_MS / 10; i++) {
+        mailbox_wait(outcomes, 10 * USEC_PER_MSEC);
+        mail = mailbox_take(outcomes);
     }
+    CU_ASSERT_PTR_NOT_NULL_FATAL(mail);
     return (struct envelope *)mail;
 }
 
