--- a/src/bm_demo.c
+++ b/src/bm_demo.c
@@ -54,13 +54,16 @@
     const char *sync;
     const char *killed;
     uint32_t upstreams;
+    bool config; /* a change of configuration is to come */
+    struct demo_watch *watch;
+    struct demo_seen seen;
     struct outcome *outcomes;
     uint32_t n_jobs;
     uint64_t seed;
     double seconds;
     int64_t began_us;
     atomic_uint next;
-    atomic_uint ended;
+    atomic_bool ending;
     atomic_uint cut_off;
     atomic_uint lost; /* attempts lost at the killed instance */
     atomic_uint attempts;
@@ -340,7 +343,6 @@
             tell(d, "half");
         }
         run_job(d, o, c);
-        atomic_fetch_add(&d->ended, 1);
     }
     caller_free(c);
     return NULL;
@@ -432,11 +434,20 @@
     }
 }
 
+/* Instances without the accepted change at the end; one where no change was
+ * accepted at all, or none had it in force. */
+static uint32_t
+config_lost(const struct demo_seen *seen)
+{
+    return seen->in_force_us < 0 && seen->behind == 0 ? 1 : seen->behind;
+}
+
 static int
 report(struct demo *d, const struct demo_records *r)
 {
     struct summary s = {0};
     uint32_t cut_off = atomic_load(&d->cut_off) + r->cut_off;
+    uint32_t lost;
     bool good;
 
     for (uint32_t i = 0; i < d->n_jobs; i++) {
@@ -454,10 +465,18 @@
            "at the killed instance, %u jobs unknown\n",
            r->files, (unsigned long long)r->starts, atomic_load(&d->attempts),
            atomic_load(&d->lost), s.unknown);
+    lost = d->config ? config_lost(&d->seen) : 0;
+    good = good && lost == 0 && d->seen.reverts == 0;
     printf("demo: jobs=%u complete=%u failed=%u refused=%u started_twice=%u "
-           "partial=%u wrong_answer=%u cut_off_by_planned_stop=%u\n",
+           "partial=%u wrong_answer=%u cut_off_by_planned_stop=%u",
            d->n_jobs, s.complete, s.failed, s.refused, r->started_twice,
            s.partial, s.wrong, cut_off);
+    if (d->config) {
+        printf(" config_reverts=%u config_lost=%u in_force_s=%.1f",
+               d->seen.reverts, lost,
+               (double)d->seen.in_force_us / USEC_PER_SEC);
+    }
+    putchar('\n');
     return good ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
@@ -465,15 +484,11 @@
 static bool
 wait_until_ready(struct demo *d)
 {
-    struct demo_watch *w = demo_watch_start(&d->callers);
     bool ready = false;
 
-    for (int ms = 0; w != NULL && !ready && ms < READY_MS; ms += STEP_MS) {
+    for (int ms = 0; !ready && ms < READY_MS; ms += STEP_MS) {
         sleep_ms(STEP_MS);
-        ready = demo_watch_ready(w, d->upstreams);
-    }
-    if (w != NULL) {
-        demo_watch_stop(w);
+        ready = demo_watch_ready(d->watch, d->upstreams);
     }
     if (!ready) {
         (void)fprintf(stderr, "demo: not ready after %d ms\n", READY_MS);
@@ -481,21 +496,77 @@
     return ready;
 }
 
+/* The version that demo/run writes once its change is accepted; 0 before. */
+static uint64_t
+accepted_version(const struct demo *d)
+{
+    char path[PATH_SIZE];
+    unsigned long long version = 0;
+    FILE *f;
+
+    (void)snprintf(path, sizeof(path), "%s/accepted", d->sync);
+    f = fopen(path, "re");
+    if (f == NULL) {
+        return 0;
+    }
+    if (fscanf(f, "%llu", &version) != 1) {
+        version = 0;
+    }
+    (void)fclose(f);
+    return version;
+}
+
+/* Notices the accepted change, and measures until it is in force. */
+static void *
+run_expect(void *user)
+{
+    struct demo *d = user;
+    uint64_t version = 0;
+
+    while (version == 0 && !atomic_load(&d->ending)) {
+        sleep_ms(STEP_MS / 2);
+        version = accepted_version(d);
+    }
+    if (version > 0) {
+        demo_watch_expect(d->watch, version);
+    }
+    return NULL;
+}
+
+/* Runs the callers and, beside them, the watch on the configuration. */
+static bool
+run_all(struct demo *d, int callers)
+{
+    pthread_t expect;
+    bool good = false;
+
+    d->watch = demo_watch_start(&d->callers);
+    if (d->watch == NULL) {
+        return false;
+    }
+    if (wait_until_ready(d) &&
+        pthread_create(&expect, NULL, run_expect, d) == 0) {
+        run_callers(d, callers);
+        atomic_store(&d->ending, true);
+        pthread_join(expect, NULL);
+        d->seen = demo_watch_seen(d->watch);
+        good = true;
+    }
+    demo_watch_stop(d->watch);
+    return good;
+}
+
 static int
 run(struct demo *d, int callers, const char *records)
 {
     struct demo_records r;
     int code;
 
-    if (!wait_until_ready(d)) {
-        return EXIT_FAILURE;
-    }
-
     d->outcomes = calloc(d->n_jobs, sizeof(*d->outcomes));
-    if (d->outcomes == NULL) {
+    if (d->outcomes == NULL || !run_all(d, callers)) {
+        free(d->outcomes);
         return EXIT_FAILURE;
     }
-    run_callers(d, callers);
     tell(d, "done");
     wait_until_told(d, "stopped");
     demo_records_init(&r);
@@ -533,6 +604,7 @@
     char *sync;
     char *killed;
     int upstreams;
+    int config;
     int jobs;
     int callers;
     int seed;
@@ -569,6 +641,7 @@
     d.sync = o->sync;
     d.killed = o->killed;
     d.upstreams = (uint32_t)o->upstreams;
+    d.config = o->config != 0;
     d.n_jobs = (uint32_t)o->jobs;
     d.seconds = o->seconds;
     d.seed = (uint64_t)o->seed;
@@ -589,7 +662,11 @@
         {"records", 0, POPT_ARG_STRING, &o.records, 0,
          "folder of the upstreams' record files, *.record", "DIR"},
         {"sync", 0, POPT_ARG_STRING, &o.sync, 0,
-         "folder for the files half, done and stopped", "DIR"},
+         "folder for the files half, accepted, done and stopped", "DIR"},
+        {"config", 0, POPT_ARG_NONE, &o.config, 0,
+         "a change of configuration comes: the file accepted in --sync holds "
+         "its version",
+         NULL},
         {"killed", 0, POPT_ARG_STRING, &o.killed, 0,
          "entry instance that will be killed", "ADDRESS"},
         {"upstreams", 0, POPT_ARG_INT, &o.upstreams, 0,
