Ask for every service at every instance in the demo

Cause: jobs' entries and services went by the same remainder, so each instance saw one service, and the upstream that goes silent had no work. Change: services change with every round of the entries; 1,000 jobs, 96 callers.

--- a/src/bm_demo.c
+++ b/src/bm_demo.c
@@ -321,6 +321,13 @@
     }
 }
 
+/* Every service is asked for at every instance. */
+static const char *
+service_of(const struct demo *d, uint32_t number)
+{
+    return d->services[number / d->callers.n_entries % d->n_services];
+}
+
 static void *
 run_caller(void *user)
 {
@@ -336,8 +343,7 @@
             co.seed ^= (uint64_t)number * 104729 + 3;
             c = caller_new(&co);
         }
-        o->job = demo_job_plan(d->seed, number,
-                               d->services[number % d->n_services]);
+        o->job = demo_job_plan(d->seed, number, service_of(d, number));
         wait_for_turn(d, number);
         if (number == d->n_jobs / 2) {
             tell(d, "half");
@@ -652,7 +658,7 @@
 main(int argc, const char **argv)
 {
     static struct options o = {
-        .jobs = 400, .callers = 48, .seed = 1, .seconds = 24};
+        .jobs = 1000, .callers = 96, .seed = 1, .seconds = 20};
     int version = 0;
     struct poptOption table[] = {
         {"entry", 'e', POPT_ARG_STRING, &o.entries, 0, "entry instances",
