--- a/src/vnet.h
+++ b/src/vnet.h
@@ -34,7 +34,7 @@
     HOP(ANNOUNCE, 1)                                                          \
     HOP(LEAVE, 1)                                                             \
     HOP(ANNOUNCED, 1)                                                         \
-    HOP(CONFIG, 1)   /* a publication reaches an instance */                  \
+    HOP(ACCEPTED, 1) /* a publication reaches a control process */            \
     HOP(RESET, 0)    /* a caller's connection breaks */                       \
     HOP(PEER, 0)     /* an instance's connection comes or goes */             \
     HOP(RUN_END, 0)  /* a task ends on its upstream */                        \
@@ -43,6 +43,8 @@
     HOP(SCRIPT, 0)   /* a step of the scenario */
 /* clang-format on */
 
+enum { VCONTROLS = 3 };
+
 enum hop_kind {
 #define HOP(NAME, network) HOP_##NAME,
     HOP_LIST(HOP)
@@ -50,7 +52,13 @@
         HOP_KINDS,
 };
 
-enum end_role { END_INSTANCE, END_UPSTREAM, END_CALLER, END_NONE };
+enum end_role {
+    END_INSTANCE,
+    END_UPSTREAM,
+    END_CALLER,
+    END_CONTROL,
+    END_NONE,
+};
 
 /** struct end - a process: role and index */
 struct end {
@@ -65,7 +73,7 @@
     enum hop_kind kind;
     struct end from;
     struct end to;
-    uint64_t life; /* of an instance it is for; 0: whichever is there */
+    uint64_t life; /* of the instance it is for or from; 0: any */
     uint64_t call; /* number of the call or request */
     uint64_t job;  /* number of the caller's job, where it is about one */
     uint64_t incarnation;
@@ -132,6 +140,7 @@
     uint32_t rack;
     uint64_t incarnation;
     uint64_t epoch;
+    uint32_t holder; /* the instance that fenced with it */
     uint32_t slots;
     uint32_t running;
     uint32_t asks; /* announcements made, picks the instance */
@@ -145,6 +154,16 @@
     size_t n_tombstones;
 };
 
+/** struct vcontrol - a control process that followers poll; it may lag */
+struct vcontrol {
+    struct name name;
+    uint64_t version;
+    bool dead;
+    /* each instance's poll that waits: */
+    uint64_t have[INSTANCES_MAX];
+    int64_t until_us[INSTANCES_MAX]; /* 0: none */
+};
+
 /** struct vtask - one task of a caller's job and what truly became of it */
 struct vtask {
     int64_t run_us;
@@ -173,10 +192,12 @@
     uint32_t service;
     bool idempotent;
     bool never_fits;
+    bool probe; /* must complete: all troubles are over by then */
     int64_t deadline_us;
     int64_t at_us;
     int64_t patience_us; /* per submission; then it asks elsewhere */
     uint32_t retries;    /* more submissions it makes after refusals */
+    int64_t give_up_us;  /* no more of them then; 0: never */
     uint32_t submitted;
     uint64_t wished;     /* requests not caused by a refusal or a fault */
     int64_t resubmit_us; /* a second arrival beside the first; 0: none */
@@ -186,8 +207,8 @@
     bool settled;
     bool refused; /* settled by a problem */
     enum problem problem;
-    bool told_not_run; /* by a problem */
-    int64_t told_not_run_us;
+    bool told_not_run;       /* by a problem */
+    int64_t told_not_run_us; /* when its instance said so */
     int64_t settled_us;
     struct job_answer *answer; /* the first */
 };
@@ -201,27 +222,10 @@
     bool cancel;
     bool arrived; /* was read by its instance */
     bool replied; /* the instance sent its reply */
+    int64_t replied_us;
     uint32_t replies;
 };
 
-/** enum promise - what must hold, judged from outside */
-#define PROMISE_LIST(PROMISE)                                                 \
-    PROMISE(START_ONCE, "a task started twice")                               \
-    PROMISE(WHOLE, "an answer was partial")                                   \
-    PROMISE(OWN_ANSWER, "a caller did not get its own one answer")            \
-    PROMISE(NOT_RUN, "a task told as not run had started")                    \
-    PROMISE(NON_IDEMPOTENT, "a non-idempotent task started twice")            \
-    PROMISE(LEAVING, "a leaving upstream got new work")                       \
-    PROMISE(STOP, "a planned stop cut off a request")                         \
-    PROMISE(CONFIG, "a configuration reverted or did not come into force")
-
-enum promise {
-#define PROMISE(NAME, text) PROMISE_##NAME,
-    PROMISE_LIST(PROMISE)
-#undef PROMISE
-        PROMISES,
-};
-
 /** struct vnet_options - sizes and delays; see vnet_options_default() */
 struct vnet_options {
     uint32_t zones;
@@ -270,6 +274,9 @@
     struct map keys_by_id;
     struct hop *current;  /* the one being read */
     struct config config; /* last accepted */
+    struct blob *text;    /* of it */
+    struct name control_names[VCONTROLS];
+    struct vcontrol controls[VCONTROLS];
     int64_t published_us;
     int64_t cut_until_us[ZONES_MAX];
     struct effects fx;
@@ -280,6 +287,7 @@
     char first_broken[200];
     void (*script)(struct vnet *n, const struct hop *h);
     uint64_t steps; /* of reducers */
+    FILE *log;      /* decisions of the reducers; NULL: none */
 };
 
 /** vnet_options_default() - three zones with two instances each */
@@ -318,7 +326,8 @@
 void vnet_break(struct vnet *n, enum promise p, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
-/** vnet_publish() - the next version is accepted and goes out to all */
+/** vnet_publish() - the next version is accepted and reaches all but the last
+ * control process at once, that one some seconds later */
 void vnet_publish(struct vnet *n);
 
 /* Faults */
@@ -357,6 +366,11 @@
 void vupstream_restart(struct vnet *n, uint32_t upstream);
 void vupstream_leave(struct vnet *n, uint32_t upstream);
 
+/* vcontrol.c */
+void vcontrol_begin(struct vnet *n);
+void vcontrol_arrives(struct vnet *n, struct hop *h);
+void vcontrol_alarm(struct vnet *n, const struct hop *h);
+
 /* vcheck.c */
 
 /** vcheck_judge() - judges the records at the end; returns how many promises
--- a/src/vupstream.c
+++ b/src/vupstream.c
@@ -4,6 +4,7 @@
 
 #include "vnet.h"
 
+#define LEAVING_GRACE_US (3 * USEC_PER_SEC)
 #define FAIL_RUN_US (2 * USEC_PER_MSEC)
 
 static struct end
@@ -56,6 +57,7 @@
     struct hop r = {.kind = kind, .from = h->to, .to = h->from};
 
     r.call = h->call;
+    r.life = h->life;
     r.index = h->index;
     return r;
 }
@@ -155,6 +157,7 @@
     end->call = h->call;
     end->job = h->job;
     end->index = h->index;
+    end->life = h->life;
     end->incarnation = u->incarnation;
     end->us = run_us;
     end->ok = !u->failing;
@@ -183,7 +186,7 @@
     const struct vupstream *u = &n->upstreams[h->to.index];
     struct hop r = reply_to(h, HOP_ENDED);
 
-    if (u->leaving_us != 0 && n->now_us > u->leaving_us + 5 * USEC_PER_SEC &&
+    if (u->leaving_us != 0 && n->now_us > u->leaving_us + LEAVING_GRACE_US &&
         h->incarnation == u->incarnation) {
         vnet_break(n, PROMISE_LEAVING, "%s got a start %lld ms after leaving",
                    u->name.s, (long long)(n->now_us - u->leaving_us) / 1000);
@@ -256,11 +259,13 @@
     if (h->incarnation != u->incarnation) {
         r.code = FENCE_OTHER_LIFE;
     }
-    else if (h->epoch < u->epoch) {
+    else if (h->epoch < u->epoch ||
+             (h->epoch == u->epoch && u->holder != h->from.index)) {
         r.code = FENCE_STALE;
     }
     else {
         u->epoch = h->epoch;
+        u->holder = h->from.index;
     }
     r.epoch = u->epoch;
     r.us = u->running;
