Add bm-control

Cause: the decisions need a process around them: disk, network, operators. Long polls are answered after 4 s, below the 5.5 s after which follow.c asks elsewhere.

--- a/src/control.c
+++ b/src/control.c
@@ -16,7 +16,7 @@
         .seed = 1,
         .election_us = 2 * USEC_PER_SEC,
         .heartbeat_us = 500 * USEC_PER_MSEC,
-        .poll_us = 10 * USEC_PER_SEC,
+        .poll_us = 4 * USEC_PER_SEC,
         .follower_us = 60 * USEC_PER_SEC,
         .request_us = 10 * USEC_PER_SEC,
         .stop_us = 5 * USEC_PER_SEC,
--- /dev/null
+++ b/src/control_disk.c
@@ -0,0 +1,142 @@
+#include "control_disk.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mailbox.h"
+#include "stats.h"
+
+enum { RING_ROOM = 4, WAIT_US = 1000000 };
+
+struct work {
+    struct mail mail;
+    struct control_effect effect;
+};
+
+struct control_disk {
+    struct control_disk_options opts;
+    struct mailbox mailbox;
+    pthread_t thread;
+    atomic_bool stop;
+    bool broken;
+};
+
+static enum storage_error
+carry_out(struct storage *s, const struct control_effect *f)
+{
+    switch (f->kind) {
+    case CE_APPEND:
+        return storage_append(s, f->u.append.entries, f->u.append.n);
+    case CE_TRUNCATE:
+        return storage_truncate(s, f->u.truncate.index);
+    case CE_SAVE_VOTE:
+        return storage_save_vote(s, f->u.vote.term, f->u.vote.vote);
+    case CE_SNAPSHOT:
+        return storage_save_snapshot(s, f->u.snapshot.index,
+                                     f->u.snapshot.term, f->u.snapshot.state,
+                                     f->u.snapshot.discard);
+    default:
+        return STORAGE_OK;
+    }
+}
+
+static void
+fail(struct control_disk *d, enum storage_error err)
+{
+    d->broken = true;
+    d->opts.failed(d->opts.ctx, err, storage_detail(d->opts.storage));
+}
+
+/* After the first failure nothing is carried out and nothing reported as
+ * saved: what a failed sync left on the disk is not known. */
+static void
+work_batch(struct control_disk *d)
+{
+    enum storage_error err = STORAGE_OK;
+    uint64_t seq = 0;
+    struct mail *mail;
+
+    while ((mail = mailbox_take(&d->mailbox)) != NULL) {
+        struct work *w = (struct work *)mail;
+
+        if (!d->broken && err == STORAGE_OK) {
+            err = carry_out(d->opts.storage, &w->effect);
+            seq = w->effect.kind == CE_SYNC ? w->effect.u.sync.seq : seq;
+        }
+        control_effect_clear(&w->effect);
+        free(w);
+    }
+    if (d->broken) {
+        return;
+    }
+    if (err == STORAGE_OK && seq > 0) {
+        err = storage_sync(d->opts.storage);
+    }
+    if (err != STORAGE_OK) {
+        fail(d, err);
+    }
+    else if (seq > 0) {
+        stats_add(&stats.disk_syncs, 1);
+        d->opts.saved(d->opts.ctx, seq);
+    }
+}
+
+static void *
+disk_run(void *arg)
+{
+    struct control_disk *d = arg;
+
+    while (!atomic_load(&d->stop)) {
+        work_batch(d);
+        mailbox_wait(&d->mailbox, WAIT_US);
+    }
+    work_batch(d);
+    return NULL;
+}
+
+struct control_disk *
+control_disk_new(const struct control_disk_options *o)
+{
+    struct control_disk *d = calloc(1, sizeof(*d));
+
+    if (d == NULL || mailbox_init(&d->mailbox, RING_ROOM) != 0) {
+        free(d);
+        return NULL;
+    }
+    d->opts = *o;
+    if (pthread_create(&d->thread, NULL, disk_run, d) != 0) {
+        mailbox_destroy(&d->mailbox);
+        free(d);
+        return NULL;
+    }
+    return d;
+}
+
+void
+control_disk_post(struct control_disk *d, struct control_effect *f)
+{
+    struct work *w = calloc(1, sizeof(*w));
+
+    if (w == NULL) {
+        abort();
+    }
+    w->effect = *f;
+    memset(f, 0, sizeof(*f));
+    f->kind = CE_STOPPED;
+    mailbox_post(&d->mailbox, &w->mail);
+}
+
+void
+control_disk_free(struct control_disk *d)
+{
+    if (d == NULL) {
+        return;
+    }
+    atomic_store(&d->stop, true);
+    mailbox_wake(&d->mailbox);
+    (void)pthread_join(d->thread, NULL);
+    mailbox_destroy(&d->mailbox);
+    free(d);
+}
--- /dev/null
+++ b/src/control_http.c
@@ -0,0 +1,486 @@
+#include "control_http.h"
+
+#include <errno.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "control_request.h"
+#include "fsm.h"
+#include "log.h"
+#include "netaddr.h"
+#include "stats.h"
+#include "table.h"
+
+enum {
+    /* A configuration in JSON: each character may take up to two. */
+    BODY_MAX = 2 * CONFIG_TEXT_MAX + 65536,
+    BODY_START = 4096,
+    PATH_MAX_SIZE = 160,
+    QUERY_SIZE = 160,
+    LIMIT_DEFAULT = 100,
+    NUMBER_DIGITS_MAX = 18,
+};
+
+/* One request, from its headers to its reply. */
+struct request {
+    struct MHD_Connection *connection;
+    struct handle self;
+    enum control_route route;
+    char path[PATH_MAX_SIZE];
+    char query_text[QUERY_SIZE];
+    struct control_query query;
+    char *body;
+    size_t size;
+    size_t room;
+    bool too_large;
+    bool waiting;
+    bool replied;
+    struct control_effect reply;
+};
+
+struct control_http {
+    struct control_http_options opts;
+    struct MHD_Daemon *daemon;
+    struct netaddr address;
+    atomic_uint in_progress;
+    pthread_mutex_t lock; /* for @waiting */
+    struct table waiting; /* struct request *, by request number */
+};
+
+static uint64_t
+id_of(struct handle h)
+{
+    return (uint64_t)h.generation << 32 | h.index;
+}
+
+static struct handle
+handle_of(uint64_t id)
+{
+    return (struct handle){.index = (uint32_t)id,
+                           .generation = (uint32_t)(id >> 32)};
+}
+
+static enum MHD_Result
+queue(struct request *r, struct control_response *out)
+{
+    struct MHD_Response *response;
+    enum MHD_Result queued;
+
+    if (out->body == NULL) {
+        return MHD_NO; /* out of memory: the connection is closed */
+    }
+    response = MHD_create_response_from_buffer(strlen(out->body), out->body,
+                                               MHD_RESPMEM_MUST_FREE);
+    if (response == NULL) {
+        free(out->body);
+        return MHD_NO;
+    }
+    (void)MHD_add_response_header(response, "Content-Type", out->type);
+    if (out->retry) {
+        (void)MHD_add_response_header(response, "Retry-After", "1");
+    }
+    if (out->location[0] != '\0') {
+        (void)MHD_add_response_header(response, "Location", out->location);
+    }
+    queued =
+        MHD_queue_response(r->connection, (unsigned int)out->status, response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+static enum MHD_Result
+queue_refusal(struct request *r, enum control_result result,
+              const char *detail)
+{
+    struct control_refusal why = {.result = result};
+    struct control_response out;
+
+    (void)snprintf(why.detail, sizeof(why.detail), "%s", detail);
+    stats_add(&stats.http_refused, 1);
+    out = control_response_refusal(&why);
+    return queue(r, &out);
+}
+
+static bool
+read_number(const char *text, uint64_t *out)
+{
+    size_t n = strspn(text, "0123456789");
+
+    if (n == 0 || n > NUMBER_DIGITS_MAX || text[n] != '\0') {
+        return false;
+    }
+    *out = strtoull(text, NULL, 10);
+    return true;
+}
+
+/* Keeps the arguments that are known, for a redirection too. */
+static enum MHD_Result
+on_argument(void *cls, enum MHD_ValueKind kind, const char *key,
+            const char *value)
+{
+    struct request *r = cls;
+    size_t used = strlen(r->query_text);
+    uint64_t n = 0;
+
+    (void)kind;
+    value = value != NULL ? value : "";
+    if (strcmp(key, "local") == 0 && strcmp(value, "true") == 0) {
+        r->query.local = true;
+    }
+    else if (strcmp(key, "version") == 0 && read_number(value, &n)) {
+        r->query.version = n;
+    }
+    else if (strcmp(key, "limit") == 0 && read_number(value, &n)) {
+        r->query.limit = n < UINT32_MAX ? (uint32_t)n : UINT32_MAX;
+    }
+    else {
+        return MHD_YES;
+    }
+    (void)snprintf(r->query_text + used, sizeof(r->query_text) - used,
+                   "%s%s=%s", used == 0 ? "?" : "&", key, value);
+    return MHD_YES;
+}
+
+static enum MHD_Result
+begin(struct control_http *h, struct MHD_Connection *connection,
+      const char *url, const char *method, void **ctx)
+{
+    struct request *r = calloc(1, sizeof(*r));
+
+    if (r == NULL) {
+        return MHD_NO;
+    }
+    *ctx = r;
+    (void)atomic_fetch_add(&h->in_progress, 1);
+    stats_add(&stats.http_requests, 1);
+    r->connection = connection;
+    r->route = control_route_of(method, url);
+    r->query.limit = LIMIT_DEFAULT;
+    (void)snprintf(r->path, sizeof(r->path), "%s", url);
+    (void)MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
+                                    on_argument, r);
+    if (r->route == CONTROL_ROUTE_NONE) {
+        return queue_refusal(r, CONTROL_NOT_FOUND, "");
+    }
+    if (r->route == CONTROL_ROUTE_METHOD) {
+        return queue_refusal(r, CONTROL_METHOD, "");
+    }
+    return MHD_YES;
+}
+
+static enum MHD_Result
+take_body(struct request *r, const char *data, size_t *n)
+{
+    size_t room = r->room > 0 ? r->room : BODY_START;
+    char *body;
+
+    if (!control_route_changes(r->route) || r->size + *n > BODY_MAX) {
+        r->too_large = true; /* read on, and refused at the end */
+        *n = 0;
+        return MHD_YES;
+    }
+    while (room < r->size + *n) {
+        room *= 2;
+    }
+    body = room != r->room ? realloc(r->body, room) : r->body;
+    if (body == NULL) {
+        return MHD_NO;
+    }
+    r->body = body;
+    r->room = room;
+    memcpy(r->body + r->size, data, *n);
+    r->size += *n;
+    *n = 0;
+    return MHD_YES;
+}
+
+static const char *
+header(struct request *r, const char *name)
+{
+    return MHD_lookup_connection_value(r->connection, MHD_HEADER_KIND, name);
+}
+
+/* Only changes need to be signed. */
+static enum opauth_result
+check_signature(struct control_http *h, struct request *r, const char *method,
+                struct name *publisher)
+{
+    struct opsign_request signed_request = {
+        .method = method,
+        .path = r->path,
+        .body = r->body,
+        .size = r->size,
+    };
+    const struct opauth_headers headers = {
+        .operator_name = header(r, "Boragemoor-Operator"),
+        .time = header(r, "Boragemoor-Time"),
+        .nonce = header(r, "Boragemoor-Nonce"),
+        .auth = header(r, "Boragemoor-Auth"),
+    };
+    enum opauth_result result;
+
+    if (!control_route_changes(r->route)) {
+        return OPAUTH_OK;
+    }
+    result = opauth_check(h->opts.auth, &signed_request, &headers,
+                          clock_now(h->opts.clock).wall_us);
+    *publisher = signed_request.operator_name;
+    if (result != OPAUTH_OK) {
+        stats_add(&stats.auth_refused, 1);
+        log_event(LOG_WARNING, "change-refused",
+                  headers.operator_name != NULL ? headers.operator_name : NULL,
+                  "%s %s: %s", method, r->path,
+                  result == OPAUTH_STALE ? "stale" : "not authenticated");
+    }
+    return result;
+}
+
+static enum MHD_Result
+reply_health(struct control_http *h, struct request *r)
+{
+    bool healthy = h->opts.healthy(h->opts.ctx);
+    struct control_response out = {
+        .status = healthy ? 200 : 503,
+        .type = "application/json",
+        .body = strdup(healthy ? "{\"status\":\"ok\"}\n"
+                               : "{\"status\":\"unavailable\"}\n"),
+    };
+
+    return queue(r, &out);
+}
+
+static uint64_t
+waiting_add(struct control_http *h, struct request *r)
+{
+    struct request **place;
+
+    (void)pthread_mutex_lock(&h->lock);
+    place = table_add(&h->waiting, &r->self);
+    *place = r;
+    r->waiting = true;
+    (void)pthread_mutex_unlock(&h->lock);
+    return id_of(r->self);
+}
+
+static struct request *
+waiting_take(struct control_http *h, uint64_t id)
+{
+    struct request **place;
+    struct request *r = NULL;
+
+    (void)pthread_mutex_lock(&h->lock);
+    place = table_get(&h->waiting, handle_of(id));
+    if (place != NULL) {
+        r = *place;
+        r->waiting = false;
+        table_remove(&h->waiting, handle_of(id));
+    }
+    (void)pthread_mutex_unlock(&h->lock);
+    return r;
+}
+
+/* The connection is suspended before the event is offered: the reply may come
+ * before this returns. */
+static enum MHD_Result
+offer(struct control_http *h, struct request *r, struct name publisher)
+{
+    struct control_refusal why = {0};
+    uint64_t id = waiting_add(h, r);
+    struct control_mail *m = control_request_mail(
+        r->route, &r->query, publisher, r->body, r->size, id, &why);
+
+    if (m == NULL) {
+        (void)waiting_take(h, id);
+        return queue_refusal(r, why.result, why.detail);
+    }
+    MHD_suspend_connection(r->connection);
+    if (!h->opts.offer(h->opts.ctx, m)) {
+        struct control_effect full = {.kind = CE_REPLY};
+
+        control_mail_free(m);
+        stats_add(&stats.http_inbox_full, 1);
+        full.u.reply.result = CONTROL_NO_LEADER;
+        control_http_reply(h, id, &full);
+    }
+    return MHD_YES;
+}
+
+static enum MHD_Result
+act(struct control_http *h, struct request *r, const char *method)
+{
+    struct name publisher = {""};
+
+    if (r->too_large) {
+        return queue_refusal(r, CONTROL_TOO_LARGE, "");
+    }
+    if (r->route == CONTROL_ROUTE_HEALTH) {
+        return reply_health(h, r);
+    }
+    switch (check_signature(h, r, method, &publisher)) {
+    case OPAUTH_NOT_SIGNED:
+        return queue_refusal(r, CONTROL_NOT_SIGNED, "");
+    case OPAUTH_STALE:
+        return queue_refusal(r, CONTROL_STALE, "");
+    default:
+        return offer(h, r, publisher);
+    }
+}
+
+static enum MHD_Result
+on_request(void *cls, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *upload_data,
+           size_t *upload_data_size, void **ctx)
+{
+    struct control_http *h = cls;
+    struct request *r = *ctx;
+
+    (void)version;
+    if (r == NULL) {
+        return begin(h, connection, url, method, ctx);
+    }
+    if (r->replied) {
+        struct control_response out =
+            control_response_of(r->route, &r->reply, r->path, r->query_text);
+
+        return queue(r, &out);
+    }
+    if (*upload_data_size > 0) {
+        return take_body(r, upload_data, upload_data_size);
+    }
+    return act(h, r, method);
+}
+
+void
+control_http_reply(struct control_http *h, uint64_t request,
+                   struct control_effect *f)
+{
+    struct request *r = waiting_take(h, request);
+
+    if (r == NULL) {
+        return;
+    }
+    r->reply = *f;
+    memset(f, 0, sizeof(*f));
+    f->kind = CE_STOPPED;
+    r->replied = true;
+    MHD_resume_connection(r->connection);
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *connection, void **ctx,
+             enum MHD_RequestTerminationCode how)
+{
+    struct control_http *h = cls;
+    struct request *r = *ctx;
+
+    (void)connection;
+    (void)how;
+    if (r == NULL) {
+        return;
+    }
+    *ctx = NULL;
+    if (r->waiting && waiting_take(h, id_of(r->self)) != NULL) {
+        h->opts.gone(h->opts.ctx, id_of(r->self));
+    }
+    if (r->replied) {
+        control_effect_clear(&r->reply);
+    }
+    free(r->body);
+    free(r);
+    (void)atomic_fetch_sub(&h->in_progress, 1);
+}
+
+static bool
+start_daemon(struct control_http *h)
+{
+    const struct control_http_options *o = &h->opts;
+    unsigned int flags =
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+
+    if (h->address.sa.ss_family == AF_INET6) {
+        flags |= MHD_USE_IPv6;
+    }
+    errno = 0;
+    h->daemon = MHD_start_daemon(
+        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR,
+        (struct sockaddr *)&h->address.sa, MHD_OPTION_THREAD_POOL_SIZE,
+        o->threads, MHD_OPTION_CONNECTION_LIMIT, o->connections,
+        MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
+        MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    return h->daemon != NULL;
+}
+
+struct control_http *
+control_http_new(const struct control_http_options *o)
+{
+    struct control_http *h = calloc(1, sizeof(*h));
+
+    if (h == NULL) {
+        return NULL;
+    }
+    h->opts = *o;
+    (void)pthread_mutex_init(&h->lock, NULL);
+    table_init(&h->waiting, sizeof(struct request *));
+    if (!netaddr_parse(o->listen.s, &h->address)) {
+        errno = EINVAL;
+    }
+    else if (start_daemon(h)) {
+        return h;
+    }
+    table_clear(&h->waiting);
+    (void)pthread_mutex_destroy(&h->lock);
+    free(h);
+    return NULL;
+}
+
+void
+control_http_drain(struct control_http *h, int64_t timeout_ms)
+{
+    MHD_socket listener = MHD_quiesce_daemon(h->daemon);
+
+    for (int64_t waited = 0; waited < timeout_ms; waited++) {
+        if (atomic_load(&h->in_progress) == 0) {
+            break;
+        }
+        (void)usleep(USEC_PER_MSEC);
+    }
+    if (listener != MHD_INVALID_SOCKET) {
+        (void)close(listener);
+    }
+}
+
+static bool
+refuse_one(struct control_http *h)
+{
+    struct control_effect stop = {.kind = CE_REPLY};
+    struct handle self = {0};
+    uint32_t at = 0;
+    bool found;
+
+    (void)pthread_mutex_lock(&h->lock);
+    found = table_next(&h->waiting, &at, &self) != NULL;
+    (void)pthread_mutex_unlock(&h->lock);
+    if (found) {
+        stop.u.reply.result = CONTROL_UNKNOWN;
+        control_http_reply(h, id_of(self), &stop);
+    }
+    return found;
+}
+
+void
+control_http_free(struct control_http *h)
+{
+    if (h == NULL) {
+        return;
+    }
+    while (refuse_one(h)) {
+    }
+    MHD_stop_daemon(h->daemon);
+    table_clear(&h->waiting);
+    (void)pthread_mutex_destroy(&h->lock);
+    free(h);
+}
--- /dev/null
+++ b/src/control_request.h
@@ -0,0 +1,80 @@
+/**
+ * DOC: control_request - an operator's HTTP request as an event, and the
+ * reducer's answer as an HTTP response
+ */
+#ifndef BM_CONTROL_REQUEST_H
+#define BM_CONTROL_REQUEST_H
+
+#include "control_effect.h"
+#include "control_mail.h"
+
+/* What can be asked: CONTROL_ROUTE(NAME, method, path). */
+/* clang-format off */
+#define CONTROL_ROUTE_LIST(CONTROL_ROUTE)                                     \
+    CONTROL_ROUTE(PUBLISH, "POST", "/v1/config")                              \
+    CONTROL_ROUTE(CONFIG, "GET", "/v1/config")                                \
+    CONTROL_ROUTE(HISTORY, "GET", "/v1/config/history")                       \
+    CONTROL_ROUTE(CHANGE, "POST", "/v1/members")                              \
+    CONTROL_ROUTE(STATUS, "GET", "/v1/status")                                \
+    CONTROL_ROUTE(STATE, "GET", "/v1/state")                                  \
+    CONTROL_ROUTE(HEALTH, "GET", "/v1/health")                                \
+    CONTROL_ROUTE(METRICS, "GET", "/metrics")
+/* clang-format on */
+
+enum control_route {
+#define CONTROL_ROUTE(NAME, method, path) CONTROL_ROUTE_##NAME,
+    CONTROL_ROUTE_LIST(CONTROL_ROUTE)
+#undef CONTROL_ROUTE
+        CONTROL_ROUTE_METHOD, /* the path exists, not with that method */
+    CONTROL_ROUTE_NONE,
+};
+
+/** control_route_of() - what is asked for */
+enum control_route control_route_of(const char *method, const char *path);
+
+/** control_route_changes() - whether it must be signed */
+bool control_route_changes(enum control_route route);
+
+/** struct control_query - of the URL */
+struct control_query {
+    uint64_t version;
+    uint32_t limit;
+    bool local;
+};
+
+/** struct control_refusal - why a request is refused before the reducer */
+struct control_refusal {
+    enum control_result result;
+    char detail[DETAIL_SIZE];
+};
+
+/** control_request_mail() - the event of a request, numbered @id; NULL with
+ * @why where the body is wrong */
+struct control_mail *control_request_mail(enum control_route route,
+                                          const struct control_query *query,
+                                          struct name publisher,
+                                          const char *body, size_t size,
+                                          uint64_t id,
+                                          struct control_refusal *why);
+
+/** struct control_response - what goes out; @body is owned */
+struct control_response {
+    int status;
+    const char *type;
+    char *body;
+    char location[512];
+    bool retry;
+};
+
+/** control_response_of() - of CE_REPLY or CE_TEXT; @path and @query (with its
+ * "?", or empty) make the Location of a redirection */
+struct control_response control_response_of(enum control_route route,
+                                            const struct control_effect *f,
+                                            const char *path,
+                                            const char *query);
+
+/** control_response_refusal() - a refusal by the shell */
+struct control_response
+control_response_refusal(const struct control_refusal *why);
+
+#endif
--- /dev/null
+++ b/src/control_runtime.c
@@ -0,0 +1,487 @@
+#include "control_runtime.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "control_disk.h"
+#include "log.h"
+#include "stats.h"
+
+enum {
+    BATCH = 64,             /* events between looks at the timers */
+    WAIT_MAX_US = 1000000,  /* longest sleep of the reducer's thread */
+    HOLD_BACK_US = 200,     /* between tries to hand over a message */
+    DRAIN_MS = 2000,        /* for replies to go out at the end */
+    STATE_REQUEST_DUMP = 0, /* the state goes to standard error */
+};
+
+struct control_runtime {
+    struct control_runtime_options opts;
+    struct mailbox inbox;
+    struct disk *folder;
+    struct storage *storage;
+    struct control *control;
+    struct control_effects effects;
+    struct control_disk *disk;
+    struct control_http *http;
+    struct peer *peers;
+    pthread_t thread;
+    bool running;
+    atomic_bool healthy;
+    atomic_bool stopping;
+    atomic_bool stopped;
+    atomic_bool failed;
+    atomic_bool ended;
+};
+
+static void
+log_decision(const struct ce_log *l)
+{
+    log_event(l->severity, control_reason_text(l->reason), l->subject.s, "%s",
+              l->detail);
+}
+
+/* Members that the settings did not name yet get a connection too. */
+static void
+connect_members(struct control_runtime *r, const struct rec_membership *m)
+{
+    for (size_t i = 0; i < m->n_members; i++) {
+        struct peer_remote remote = {.name = m->members[i].name,
+                                     .address = m->members[i].address};
+
+        peer_add(r->peers, &remote);
+    }
+}
+
+static void
+carry_out(struct control_runtime *r, struct control_effect *f)
+{
+    if (control_effect_on_disk(f->kind)) {
+        control_disk_post(r->disk, f);
+        return;
+    }
+    switch (f->kind) {
+    case CE_SEND:
+        peer_send(r->peers, f->u.send.to, &f->u.send.msg);
+        break;
+    case CE_REPLY:
+        control_http_reply(r->http, f->u.reply.request, f);
+        break;
+    case CE_TEXT:
+        if (f->u.text.request == STATE_REQUEST_DUMP) {
+            log_json(LOG_NOTICE, "dump", "state", f->u.text.json);
+        }
+        else {
+            control_http_reply(r->http, f->u.text.request, f);
+        }
+        break;
+    case CE_MEMBERS:
+        connect_members(r, &f->u.members.msg.u.membership);
+        break;
+    case CE_LOG:
+        log_decision(&f->u.log);
+        break;
+    default:
+        atomic_store(&r->stopped, true);
+        break;
+    }
+}
+
+static void
+step(struct control_runtime *r, struct control_event *ev)
+{
+    struct control_view v;
+
+    ev->now = clock_now(r->opts.clock);
+    control_step(r->control, ev, &r->effects);
+    for (size_t i = 0; i < r->effects.n; i++) {
+        carry_out(r, &r->effects.items[i]);
+    }
+    control_effects_clear(&r->effects);
+    v = control_view(r->control);
+    atomic_store(&r->healthy, !name_empty(v.leader));
+    stats_add(&stats.steps, 1);
+}
+
+static void
+print_metrics(FILE *out, const struct control_view *v)
+{
+    const struct control_counters *c = &v->counters;
+
+#define CONTROL_COUNTER(name, help)                                           \
+    stats_print_one(out, "control_" #name "_total", "counter", help, c->name);
+    CONTROL_COUNTER_LIST(CONTROL_COUNTER)
+#undef CONTROL_COUNTER
+    stats_print_one(out, "control_leader", "gauge", "this member leads",
+                    v->role == CONTROL_LEADER);
+    stats_print_one(out, "control_voter", "gauge", "this member has a vote",
+                    v->voter);
+    stats_print_one(out, "control_term", "gauge", "term", v->term);
+    stats_print_one(out, "control_commit", "gauge", "last committed entry",
+                    v->commit);
+    stats_print_one(out, "control_version", "gauge",
+                    "version of the configuration", v->version);
+    stats_print_one(out, "control_log_bytes", "gauge", "entries in memory",
+                    v->log_bytes);
+    stats_print_one(out, "control_state_bytes", "gauge",
+                    "history, texts and snapshot in memory", v->state_bytes);
+    stats_print_one(out, "control_followers", "gauge", "entry instances known",
+                    v->followers);
+}
+
+static void
+reply_metrics(struct control_runtime *r, uint64_t request)
+{
+    struct control_effect f = {.kind = CE_TEXT};
+    struct control_view v = control_view(r->control);
+    size_t size;
+    FILE *out = open_memstream(&f.u.text.json, &size);
+
+    if (out == NULL) {
+        abort();
+    }
+    print_metrics(out, &v);
+    stats_print(out);
+    (void)fclose(out);
+    control_http_reply(r->http, request, &f);
+    control_effect_clear(&f);
+}
+
+static void
+take_batch(struct control_runtime *r)
+{
+    struct mail *mail;
+
+    for (int i = 0; i < BATCH; i++) {
+        struct control_mail *m;
+
+        mail = mailbox_take(&r->inbox);
+        if (mail == NULL) {
+            return;
+        }
+        m = (struct control_mail *)mail;
+        if (m->kind == CONTROL_MAIL_METRICS) {
+            reply_metrics(r, m->event.u.read.request);
+        }
+        else {
+            step(r, &m->event);
+        }
+        control_mail_free(m);
+    }
+}
+
+static void *
+reducer_run(void *arg)
+{
+    struct control_runtime *r = arg;
+
+    while (!atomic_load(&r->ended)) {
+        int64_t left_us;
+
+        take_batch(r);
+        left_us =
+            control_next_us(r->control) - clock_now(r->opts.clock).mono_us;
+        if (left_us <= 0) {
+            step(r, &(struct control_event){.kind = CEV_TICK});
+            continue;
+        }
+        mailbox_wait(&r->inbox, left_us < WAIT_MAX_US ? left_us : WAIT_MAX_US);
+    }
+    return NULL;
+}
+
+static bool
+on_offer(void *ctx, struct control_mail *m)
+{
+    struct control_runtime *r = ctx;
+
+    return mailbox_offer(&r->inbox, &m->mail);
+}
+
+static void
+on_gone(void *ctx, uint64_t request)
+{
+    struct control_runtime *r = ctx;
+    struct control_mail *m = control_mail_new(CEV_GONE);
+
+    m->event.u.gone.request = request;
+    mailbox_post(&r->inbox, &m->mail);
+}
+
+static bool
+is_healthy(void *ctx)
+{
+    struct control_runtime *r = ctx;
+
+    return atomic_load(&r->healthy) && !atomic_load(&r->stopping);
+}
+
+/* While the inbox is full the thread of peer waits here and reads nothing, so
+ * that TCP holds the senders back. */
+static void
+on_message(void *ctx, struct name from, struct msg *msg)
+{
+    struct control_runtime *r = ctx;
+    struct control_mail *m = control_mail_message(from, msg);
+
+    while (!mailbox_offer(&r->inbox, &m->mail)) {
+        if (atomic_load(&r->ended)) {
+            control_mail_free(m);
+            return;
+        }
+        (void)usleep(HOLD_BACK_US);
+    }
+}
+
+static void
+on_peer(void *ctx, struct name remote, bool up)
+{
+    (void)ctx;
+    (void)remote;
+    (void)up;
+}
+
+static void
+on_saved(void *ctx, uint64_t seq)
+{
+    struct control_runtime *r = ctx;
+    struct control_mail *m = control_mail_new(CEV_SAVED);
+
+    m->event.u.saved.seq = seq;
+    mailbox_post(&r->inbox, &m->mail);
+}
+
+static void
+on_failed(void *ctx, enum storage_error err, const char *detail)
+{
+    struct control_runtime *r = ctx;
+
+    log_event(LOG_CRIT, "disk-failed", r->opts.data, "%s: %s",
+              storage_error_text(err), detail);
+    atomic_store(&r->failed, true);
+}
+
+static bool
+open_folder(const struct control_runtime_options *o, struct disk **disk,
+            struct storage_options *s)
+{
+    int err = disk_files_open(o->data, disk);
+
+    if (err != 0) {
+        log_event(LOG_ERR, "not-started", o->data, "data folder: %s",
+                  err == -EWOULDBLOCK ? "another process uses it"
+                                      : strerror(-err));
+        return false;
+    }
+    s->ops = disk_files_ops();
+    s->disk = *disk;
+    s->member = o->control.self;
+    s->region = o->region;
+    return true;
+}
+
+bool
+control_runtime_found(const struct control_runtime_options *o,
+                      const struct rec_membership *members)
+{
+    struct storage_options s = {0};
+    struct disk *disk = NULL;
+    struct blob *state;
+    enum storage_error err;
+    char detail[DETAIL_SIZE];
+
+    if (!open_folder(o, &disk, &s)) {
+        return false;
+    }
+    state = control_founding_state(members);
+    s.new_disk = control_founding_disk(o->region, o->control.self);
+    err = storage_format(&s, CONTROL_FOUNDING_INDEX, CONTROL_FOUNDING_TERM,
+                         state, detail);
+    blob_unref(state);
+    disk_files_close(disk);
+    if (err != STORAGE_OK) {
+        log_event(LOG_ERR, "not-founded", o->data, "%s: %s",
+                  storage_error_text(err), detail);
+    }
+    return err == STORAGE_OK;
+}
+
+static bool
+open_storage(struct control_runtime *r, struct storage_found *found)
+{
+    struct storage_options s = {0};
+    enum storage_error err;
+    char detail[DETAIL_SIZE];
+
+    if (!open_folder(&r->opts, &r->folder, &s)) {
+        return false;
+    }
+    randombytes_buf(&s.new_disk, sizeof(s.new_disk));
+    s.new_disk |= 1;
+    err = storage_open(&s, &r->storage, found, detail);
+    if (err != STORAGE_OK) {
+        log_event(LOG_CRIT, "not-started", r->opts.data, "%s: %s",
+                  storage_error_text(err), detail);
+        return false;
+    }
+    if (found->made) {
+        log_event(LOG_WARNING, "data-folder-empty", r->opts.data,
+                  "no vote until an operator adds or replaces this member");
+    }
+    if (found->cut > 0) {
+        log_event(LOG_NOTICE, "log-tail-cut", r->opts.data,
+                  "%llu bytes that were never confirmed",
+                  (unsigned long long)found->cut);
+    }
+    return true;
+}
+
+static bool
+open_control(struct control_runtime *r)
+{
+    struct storage_found found;
+
+    if (!open_storage(r, &found)) {
+        return false;
+    }
+    r->opts.control.disk = found.disk;
+    r->control = control_new(&r->opts.control, &found);
+    storage_found_free(&found);
+    if (r->control == NULL) {
+        log_event(LOG_CRIT, "not-started", r->opts.data,
+                  "the snapshot is not one of this version");
+    }
+    return r->control != NULL;
+}
+
+static bool
+start_modules(struct control_runtime *r)
+{
+    struct control_disk_options disk = {
+        .storage = r->storage,
+        .saved = on_saved,
+        .failed = on_failed,
+        .ctx = r,
+    };
+    struct peer_options peers = r->opts.peers;
+    struct control_http_options http = r->opts.http;
+
+    r->disk = control_disk_new(&disk);
+    peers.on_message = on_message;
+    peers.on_peer = on_peer;
+    peers.ctx = r;
+    peers.clock = r->opts.clock;
+    r->peers = r->disk != NULL ? peer_new(&peers) : NULL;
+    if (r->peers == NULL) {
+        log_event(LOG_ERR, "not-started", peers.listen.s, "connections: %s",
+                  strerror(errno));
+        return false;
+    }
+    http.offer = on_offer;
+    http.gone = on_gone;
+    http.healthy = is_healthy;
+    http.ctx = r;
+    http.clock = r->opts.clock;
+    r->http = control_http_new(&http);
+    if (r->http == NULL) {
+        log_event(LOG_ERR, "not-started", http.listen.s, "HTTP server: %s",
+                  strerror(errno));
+    }
+    return r->http != NULL;
+}
+
+struct control_runtime *
+control_runtime_new(const struct control_runtime_options *o)
+{
+    struct control_runtime *r = calloc(1, sizeof(*r));
+
+    if (r == NULL || mailbox_init(&r->inbox, o->inbox) != 0) {
+        free(r);
+        return NULL;
+    }
+    r->opts = *o;
+    if (!open_control(r) || !start_modules(r)) {
+        control_runtime_free(r);
+        return NULL;
+    }
+    r->running = pthread_create(&r->thread, NULL, reducer_run, r) == 0;
+    if (!r->running) {
+        log_event(LOG_ERR, "not-started", NULL, "no thread");
+        control_runtime_free(r);
+        return NULL;
+    }
+    return r;
+}
+
+void
+control_runtime_dump(struct control_runtime *r)
+{
+    struct control_mail *m = control_mail_new(CEV_READ);
+
+    m->event.u.read.request = STATE_REQUEST_DUMP;
+    m->event.u.read.what = READ_STATE;
+    mailbox_post(&r->inbox, &m->mail);
+}
+
+void
+control_runtime_stop(struct control_runtime *r)
+{
+    struct control_mail *m = control_mail_new(CEV_STOP);
+
+    atomic_store(&r->stopping, true);
+    mailbox_post(&r->inbox, &m->mail);
+}
+
+bool
+control_runtime_stopped(const struct control_runtime *r)
+{
+    return atomic_load(&r->stopped);
+}
+
+bool
+control_runtime_failed(const struct control_runtime *r)
+{
+    return atomic_load(&r->failed);
+}
+
+static void
+drop_mail(struct control_runtime *r)
+{
+    struct mail *mail;
+
+    while ((mail = mailbox_take(&r->inbox)) != NULL) {
+        control_mail_free((struct control_mail *)mail);
+    }
+    mailbox_destroy(&r->inbox);
+}
+
+/* The sources of events end before the reducer's thread does, and what it
+ * sends into before their owner: nothing is used after it is freed. */
+void
+control_runtime_free(struct control_runtime *r)
+{
+    if (r == NULL) {
+        return;
+    }
+    if (r->running && !control_runtime_failed(r)) {
+        control_http_drain(r->http, DRAIN_MS);
+    }
+    atomic_store(&r->ended, true);
+    if (r->running) {
+        mailbox_wake(&r->inbox);
+        (void)pthread_join(r->thread, NULL);
+    }
+    control_http_free(r->http);
+    peer_free(r->peers);
+    control_disk_free(r->disk);
+    control_free(r->control);
+    control_effects_free(&r->effects);
+    storage_close(r->storage);
+    disk_files_close(r->folder);
+    drop_mail(r);
+    free(r);
+}
--- /dev/null
+++ b/src/control_settings.c
@@ -0,0 +1,244 @@
+#include "control_settings.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+enum { INBOX = 4096 };
+
+/* Keys of [limits] that go straight into an option struct, in its unit:
+ * LIMIT(key, unit, min, max, default, member, factor, help). */
+/* clang-format off */
+#define LIMIT_LIST(LIMIT)                                                     \
+    LIMIT("election_ms", "ms", 100, 60000, "2000",                            \
+        control.election_us, USEC_PER_MSEC,                                   \
+        "silence of the leader after which there is an election")             \
+    LIMIT("heartbeat_ms", "ms", 20, 10000, "500",                             \
+        control.heartbeat_us, USEC_PER_MSEC, "between heartbeats")            \
+    LIMIT("request_ms", "ms", 100, 60000, "10000",                            \
+        control.request_us, USEC_PER_MSEC,                                    \
+        "a change not committed by then is answered as unknown")              \
+    LIMIT("stop_ms", "ms", 0, 60000, "5000",                                  \
+        control.stop_us, USEC_PER_MSEC, "longest planned stop")               \
+    LIMIT("follower_s", "s", 5, 86400, "60",                                  \
+        control.follower_us, USEC_PER_SEC,                                    \
+        "an entry instance not heard for so long is forgotten")               \
+    LIMIT("snapshot_entries", "entries", 16, 65536, "256",                    \
+        control.snapshot_entries, 1, "applied since the last snapshot")       \
+    LIMIT("history", "publications", 64, 8192, "4096",                        \
+        control.limits.publications, 1,                                       \
+        "kept with their request ids")                                        \
+    LIMIT("texts", "versions", 1, 256, "16",                                  \
+        control.limits.texts, 1, "whose text is kept")                        \
+    LIMIT("http_threads", "threads", 1, 16, "1",                              \
+        http.threads, 1, "of the HTTP server")                                \
+    LIMIT("http_connections", "connections", 4, 65536, "256",                 \
+        http.connections, 1, "of operators, at a time")                       \
+    LIMIT("idle_timeout_s", "s", 1, 3600, "30",                               \
+        http.idle_timeout_s, 1, "a silent HTTP connection")                   \
+    LIMIT("peer_buffer_mb", "MiB", 1, 1024, "32",                             \
+        peers.send_max, 1 << 20, "that may wait for a process")
+/* clang-format on */
+
+static const struct setting table[] = {
+    {"control", "name", SETTING_NAME, true, NULL, 0, 0, NULL, NULL,
+     "of this member"},
+    {"control", "region", SETTING_NAME, true, NULL, 0, 0, NULL, NULL,
+     "whose configuration this is; the same on all members"},
+    {"control", "listen_http", SETTING_ADDRESS, true, NULL, 0, 0, NULL, NULL,
+     "where operators connect"},
+    {"control", "listen_peer", SETTING_ADDRESS, true, NULL, 0, 0, NULL, NULL,
+     "where other members and entry instances connect"},
+    {"control", "data", SETTING_TEXT, true, NULL, 1, 180, NULL, NULL,
+     "folder on a disk that is this member's own"},
+    {"control", "operators", SETTING_TEXT, true, NULL, 1, 180, NULL, NULL,
+     "file of those who may change anything"},
+    {"control", "auth_window_s", SETTING_INT, false, "s", 1, 3600, "60", NULL,
+     "how far a signature's time may be off"},
+    {"control", "log_level", SETTING_CHOICE, false, NULL, 0, 0, "info",
+     "emerg|alert|crit|err|warning|notice|info|debug",
+     "least severe lines that are logged"},
+    {"member *", "address", SETTING_ADDRESS, true, NULL, 0, 0, NULL, NULL,
+     "listen_peer of a member, also of this one"},
+    {"member *", "http", SETTING_ADDRESS, true, NULL, 0, 0, NULL, NULL,
+     "its listen_http, for redirections"},
+    {"instance *", "zone", SETTING_NAME, true, NULL, 0, 0, NULL, NULL,
+     "availability zone of an entry instance that may ask here"},
+#define LIMIT(key, unit, min, max, fallback, member, factor, help)            \
+    {"limits", key, SETTING_INT, false, unit, min, max, fallback, NULL, help},
+    LIMIT_LIST(LIMIT)
+#undef LIMIT
+};
+
+enum { TABLE = sizeof(table) / sizeof(table[0]) };
+
+static void
+read_limits(struct control_settings *s)
+{
+    struct control_runtime_options *o = &s->runtime;
+
+#define LIMIT(key, unit, min, max, fallback, member, factor, help)            \
+    o->member =                                                               \
+        (__typeof__(o->member))(settings_int(s->file, "limits", key) *        \
+                                (factor));
+    LIMIT_LIST(LIMIT)
+#undef LIMIT
+}
+
+static const char *
+member_text(const struct settings *file, const char *name, const char *key)
+{
+    char section[2 * NAME_SIZE];
+
+    (void)snprintf(section, sizeof(section), "member %s", name);
+    return settings_text(file, section, key);
+}
+
+static void
+read_members(struct control_settings *s)
+{
+    struct peer_options *p = &s->runtime.peers;
+    size_t n = settings_count(s->file, "member");
+    bool self = false;
+
+    if (n > CONTROL_MEMBERS_MAX) {
+        settings_add_error(s->file, 0, "more than %d members",
+                           CONTROL_MEMBERS_MAX);
+        return;
+    }
+    for (size_t i = 0; i < n; i++) {
+        const char *name = settings_name(s->file, "member", i);
+        struct rec_control_member *m = &s->founders[i];
+
+        m->name = name_of(name);
+        m->address = address_of(member_text(s->file, name, "address"));
+        m->http = address_of(member_text(s->file, name, "http"));
+        m->voter = 1;
+        m->disk = control_founding_disk(s->runtime.region, m->name);
+        s->remotes[p->n_remotes].name = m->name;
+        s->remotes[p->n_remotes].address = m->address;
+        p->n_remotes++;
+        self = self || name_equal(m->name, s->runtime.control.self);
+    }
+    s->founding.members = s->founders;
+    s->founding.n_members = n;
+    if (!self) {
+        settings_add_error(s->file, settings_line(s->file, "control", "name"),
+                           "there is no section [member %s]",
+                           s->runtime.control.self.s);
+    }
+}
+
+/* Entry instances dial; they are not dialed. */
+static void
+read_instances(struct control_settings *s)
+{
+    struct peer_options *p = &s->runtime.peers;
+    size_t n = settings_count(s->file, "instance");
+
+    if (n > INSTANCES_MAX) {
+        settings_add_error(s->file, 0, "more than %d instances",
+                           INSTANCES_MAX);
+        return;
+    }
+    for (size_t i = 0; i < n; i++) {
+        s->remotes[p->n_remotes].name =
+            name_of(settings_name(s->file, "instance", i));
+        p->n_remotes++;
+    }
+}
+
+static void
+check_times(struct control_settings *s)
+{
+    const struct control_options *c = &s->runtime.control;
+
+    if (c->election_us < 3 * c->heartbeat_us) {
+        settings_add_error(s->file,
+                           settings_line(s->file, "limits", "election_ms"),
+                           "election_ms must be at least three heartbeat_ms");
+    }
+}
+
+static void
+read_operators(struct control_settings *s)
+{
+    char error[240];
+
+    if (!opsign_read_file(settings_text(s->file, "control", "operators"),
+                          &s->operators, error, sizeof(error))) {
+        settings_add_error(s->file,
+                           settings_line(s->file, "control", "operators"),
+                           "%s", error);
+    }
+}
+
+static void
+read_values(struct control_settings *s)
+{
+    struct control_runtime_options *o = &s->runtime;
+    const struct settings *f = s->file;
+
+    o->control = control_options_default();
+    o->peers = peer_options_default();
+    o->inbox = INBOX;
+    read_limits(s);
+    o->control.self = name_of(settings_text(f, "control", "name"));
+    o->region = name_of(settings_text(f, "control", "region"));
+    o->data = settings_text(f, "control", "data");
+    o->http.listen = address_of(settings_text(f, "control", "listen_http"));
+    o->peers.self = o->control.self;
+    o->peers.listen = address_of(settings_text(f, "control", "listen_peer"));
+    o->peers.heartbeat_us = o->control.heartbeat_us;
+    o->peers.remotes = s->remotes;
+    s->auth_window_us =
+        settings_int(f, "control", "auth_window_s") * USEC_PER_SEC;
+    s->log_level = settings_choice(f, "control", "log_level");
+    read_members(s);
+    read_instances(s);
+    check_times(s);
+    read_operators(s);
+}
+
+struct control_settings *
+control_settings_read(const char *path, FILE *errors)
+{
+    struct control_settings *s = calloc(1, sizeof(*s));
+    size_t n;
+
+    if (s == NULL) {
+        return NULL;
+    }
+    s->file = settings_read_file(table, TABLE, path);
+    if (s->file == NULL) {
+        free(s);
+        return NULL;
+    }
+    (void)settings_errors(s->file, &n);
+    if (n == 0) {
+        read_values(s);
+        (void)settings_errors(s->file, &n);
+    }
+    if (n > 0) {
+        settings_print_errors(s->file, errors);
+        control_settings_free(s);
+        return NULL;
+    }
+    return s;
+}
+
+void
+control_settings_free(struct control_settings *s)
+{
+    if (s != NULL) {
+        settings_free(s->file);
+        free(s);
+    }
+}
+
+void
+control_settings_help(FILE *out)
+{
+    settings_help(table, TABLE, out);
+}
--- a/src/peer.c
+++ b/src/peer.c
@@ -40,11 +40,13 @@
     bool up;
 };
 
-/* A message on its way to the thread. */
+/* A message on its way to the thread, or a new remote. */
 struct outgoing {
     struct mail mail;
     struct name to;
     struct msg msg;
+    bool add;
+    struct address address; /* of the new remote */
 };
 
 struct peer {
@@ -467,6 +469,38 @@
     }
 }
 
+static bool
+add_remote(struct peer *p, const struct peer_remote *from)
+{
+    struct remote *r = &p->remotes[p->n_remotes];
+
+    r->name = from->name;
+    r->backoff_us = BACKOFF_MIN_US;
+    r->has_address = from->address.s[0] != '\0';
+    if (r->has_address && !netaddr_parse(from->address.s, &r->address)) {
+        return false;
+    }
+    map_put(&p->by_name, r);
+    p->n_remotes++;
+    return true;
+}
+
+static void
+add_late(struct peer *p, const struct outgoing *o)
+{
+    struct peer_remote remote = {.name = o->to, .address = o->address};
+
+    if (p->n_remotes >= p->opts.n_remotes + PEER_SPARE ||
+        name_equal(o->to, p->opts.self) ||
+        map_get(&p->by_name, &o->to) != NULL) {
+        return;
+    }
+    if (!add_remote(p, &remote)) {
+        log_event(LOG_WARNING, "peer-refused", o->to.s,
+                  "its address is not IP:PORT: %s", o->address.s);
+    }
+}
+
 /* All that was posted is queued first and then written with one call a
  * connection. */
 static void
@@ -479,7 +513,12 @@
     while ((mail = mailbox_take(&p->mailbox)) != NULL) {
         struct outgoing *o = (struct outgoing *)mail;
 
-        send_one(p, o);
+        if (o->add) {
+            add_late(p, o);
+        }
+        else {
+            send_one(p, o);
+        }
         msg_free(&o->msg);
         free(o);
     }
@@ -595,26 +634,19 @@
 static bool
 add_remotes(struct peer *p, const struct peer_options *o)
 {
-    p->remotes = calloc(o->n_remotes + 1, sizeof(*p->remotes));
+    /* Connections point into the array, so it must not move later. */
+    p->remotes = calloc(o->n_remotes + PEER_SPARE, sizeof(*p->remotes));
     if (p->remotes == NULL) {
         return false;
     }
     for (size_t i = 0; i < o->n_remotes; i++) {
-        const struct peer_remote *from = &o->remotes[i];
-        struct remote *r = &p->remotes[p->n_remotes];
-
-        if (name_equal(from->name, o->self)) {
+        if (name_equal(o->remotes[i].name, o->self)) {
             continue;
         }
-        r->name = from->name;
-        r->backoff_us = BACKOFF_MIN_US;
-        r->has_address = from->address.s[0] != '\0';
-        if (r->has_address && !netaddr_parse(from->address.s, &r->address)) {
+        if (!add_remote(p, &o->remotes[i])) {
             errno = EINVAL;
             return false;
         }
-        map_put(&p->by_name, r);
-        p->n_remotes++;
     }
     return true;
 }
@@ -703,7 +735,7 @@
 void
 peer_send(struct peer *p, struct name to, struct msg *m)
 {
-    struct outgoing *o = malloc(sizeof(*o));
+    struct outgoing *o = calloc(1, sizeof(*o));
 
     if (o == NULL) {
         abort();
@@ -714,6 +746,20 @@
     mailbox_post(&p->mailbox, &o->mail);
 }
 
+void
+peer_add(struct peer *p, const struct peer_remote *remote)
+{
+    struct outgoing *o = calloc(1, sizeof(*o));
+
+    if (o == NULL) {
+        abort();
+    }
+    o->to = remote->name;
+    o->add = true;
+    o->address = remote->address;
+    mailbox_post(&p->mailbox, &o->mail);
+}
+
 void
 peer_poke(struct peer *p)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -63,6 +63,8 @@
 
 struct peer;
 
+enum { PEER_SPARE = 32 };
+
 /** peer_options_default() - heartbeat and bounds */
 struct peer_options peer_options_default(void);
 
@@ -76,6 +78,11 @@
  * from any thread */
 void peer_send(struct peer *p, struct name to, struct msg *m);
 
+/** peer_add() - one more remote may speak and is dialed; one that is known
+ * already, or the PEER_SPARE-th after the start, is ignored.  From any thread.
+ */
+void peer_add(struct peer *p, const struct peer_remote *remote);
+
 /** peer_poke() - makes the thread look at its clock, for tests */
 void peer_poke(struct peer *p);
 
--- a/src/stats.h
+++ b/src/stats.h
@@ -30,6 +30,8 @@
     STAT(peer_frames_out, "frames sent")                                      \
     STAT(peer_bytes_in, "bytes received from other instances")                \
     STAT(peer_bytes_out, "bytes sent to other instances")                     \
+    STAT(disk_syncs, "syncs of the disk")                                     \
+    STAT(auth_refused, "changes refused: not signed, or stale")               \
     STAT(steps, "events the reducer took")                                    \
     STAT(step_ns, "time in the reducer, nanoseconds")                         \
     STAT(effect_ns, "time carrying out effects, nanoseconds")
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -10,4 +10,5 @@
 SUITE(demo)
 SUITE(storage)
 SUITE(control)
+SUITE(operator)
 /* clang-format on */
