Say at how many instances a publication is in force

Conclusion: control cannot know of an instance that never asked; ruled out: taking the absence of laggards for all.

--- a/src/bm_publish.c
+++ b/src/bm_publish.c
@@ -41,6 +41,7 @@
     long long base;
     int timeout_ms;
     int wait_ms;
+    int instances;
     int dry_run;
     int wait;
 };
@@ -121,45 +122,70 @@
                : fail(CODE_UNREACHABLE, "control's answer makes no sense", "");
 }
 
-/* Waits until every instance that control knows has the version in force. */
+static struct publish_reach
+ask_reach(struct opclient *c, uint64_t version, struct publish_laggard *lag)
+{
+    struct opclient_request request = {"GET", "/v1/status", "", NULL};
+    struct publish_reach reach;
+    struct fetch_reply reply;
+    json_t *json;
+
+    (void)opclient_run(c, &request, &reply);
+    json = reply.body != NULL ? json_loadb(reply.body, reply.size, 0, NULL)
+                              : NULL;
+    reach = publish_laggards(json, version, lag, LAGGARDS_MAX);
+    json_decref(json);
+    fetch_reply_clear(&reply);
+    return reach;
+}
+
+/* Control forgets an instance that was silent for long, and does not know one
+ * that has not asked yet; --instances says how many there must be. */
+static bool
+everywhere(const struct options *o, const struct publish_reach *reach)
+{
+    return reach->known && reach->lagging == 0 &&
+           reach->in_force >= (size_t)o->instances;
+}
+
+static int
+name_laggards(const struct options *o, const struct publish_reach *reach,
+              const struct publish_laggard *lag)
+{
+    for (size_t i = 0; i < reach->lagging && i < LAGGARDS_MAX; i++) {
+        (void)fprintf(
+            stderr, "lags: %s in %s has version %llu, heard %lld ms ago\n",
+            lag[i].instance, lag[i].zone, (unsigned long long)lag[i].version,
+            (long long)lag[i].heard_ms);
+    }
+    (void)fprintf(stderr,
+                  "bm-publish: accepted; in force at %zu instances, %zu lag, "
+                  "%d wanted\n",
+                  reach->in_force, reach->lagging, o->instances);
+    return CODE_LAGS;
+}
+
 static int
 wait_in_force(const struct options *o, struct opclient *c, uint64_t version)
 {
-    struct opclient_request request = {"GET", "/v1/status", "", NULL};
     const struct timespec pause = {.tv_nsec = POLL_MS * 1000000L};
     struct publish_laggard lag[LAGGARDS_MAX];
     int64_t began_us = clock_now(clock_real()).mono_us;
     int64_t until_us = began_us + o->wait_ms * USEC_PER_MSEC;
-    int n;
+    struct publish_reach reach = ask_reach(c, version, lag);
 
-    for (;;) {
-        struct fetch_reply reply;
-        json_t *json;
-
-        (void)opclient_run(c, &request, &reply);
-        json = reply.body != NULL ? json_loadb(reply.body, reply.size, 0, NULL)
-                                  : NULL;
-        n = publish_laggards(json, version, lag, LAGGARDS_MAX);
-        json_decref(json);
-        fetch_reply_clear(&reply);
-        if (n == 0 || clock_now(clock_real()).mono_us > until_us) {
-            break;
-        }
+    while (!everywhere(o, &reach) &&
+           clock_now(clock_real()).mono_us < until_us) {
         (void)nanosleep(&pause, NULL);
+        reach = ask_reach(c, version, lag);
     }
-    if (n == 0) {
-        printf("in force everywhere after %.1f s\n",
-               (double)(clock_now(clock_real()).mono_us - began_us) /
-                   USEC_PER_SEC);
-        return CODE_DONE;
-    }
-    for (int i = 0; i < n && i < LAGGARDS_MAX; i++) {
-        (void)fprintf(
-            stderr, "lags: %s in %s has version %llu, heard %lld ms ago\n",
-            lag[i].instance, lag[i].zone, (unsigned long long)lag[i].version,
-            (long long)lag[i].heard_ms);
+    if (!everywhere(o, &reach)) {
+        return name_laggards(o, &reach, lag);
     }
-    return fail(CODE_LAGS, "accepted, not yet in force everywhere", "");
+    printf("in force at %zu instances after %.1f s\n", reach.in_force,
+           (double)(clock_now(clock_real()).mono_us - began_us) /
+               USEC_PER_SEC);
+    return CODE_DONE;
 }
 
 static char *
@@ -315,7 +341,7 @@
 main(int argc, const char **argv)
 {
     static struct options o = {
-        .base = -1, .timeout_ms = 15000, .wait_ms = 30000};
+        .base = -1, .timeout_ms = 15000, .wait_ms = 30000, .instances = 1};
     static char drawn_id[OPSIGN_NONCE_SIZE];
     int version = 0;
     struct poptOption table[] = {
@@ -331,6 +357,8 @@
          "end when it is in force everywhere; names who lags", NULL},
         {"wait-ms", 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &o.wait_ms, 0,
          "longest wait", "MS"},
+        {"instances", 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT,
+         &o.instances, 0, "with --wait: at so many instances at least", "N"},
         {"base", 'b', POPT_ARG_LONGLONG, &o.base, 0,
          "version that the files were made from; the one in force where not "
          "given",
--- a/src/publish.c
+++ b/src/publish.c
@@ -77,33 +77,37 @@
     return a;
 }
 
-int
+static struct publish_laggard
+read_laggard(const json_t *follower)
+{
+    struct publish_laggard l = {.version = number_of(follower, "version")};
+
+    (void)snprintf(l.instance, sizeof(l.instance), "%s",
+                   text_of(follower, "instance"));
+    (void)snprintf(l.zone, sizeof(l.zone), "%s", text_of(follower, "zone"));
+    l.heard_ms = (int64_t)number_of(follower, "heard_ms");
+    return l;
+}
+
+struct publish_reach
 publish_laggards(const json_t *status, uint64_t version,
                  struct publish_laggard *out, size_t room)
 {
     const json_t *followers = json_object_get(status, "followers");
+    struct publish_reach reach = {.known = json_is_array(followers)};
     const json_t *f;
     size_t i;
-    int n = 0;
 
-    if (!json_is_array(followers)) {
-        return -1;
-    }
     json_array_foreach(followers, i, f)
     {
-        struct publish_laggard l = {.version = number_of(f, "version")};
-
-        if (l.version >= version) {
+        if (number_of(f, "version") >= version) {
+            reach.in_force++;
             continue;
         }
-        (void)snprintf(l.instance, sizeof(l.instance), "%s",
-                       text_of(f, "instance"));
-        (void)snprintf(l.zone, sizeof(l.zone), "%s", text_of(f, "zone"));
-        l.heard_ms = (int64_t)number_of(f, "heard_ms");
-        if ((size_t)n < room) {
-            out[n] = l;
+        if (reach.lagging < room) {
+            out[reach.lagging] = read_laggard(f);
         }
-        n++;
+        reach.lagging++;
     }
-    return n;
+    return reach;
 }
--- a/src/publish.h
+++ b/src/publish.h
@@ -39,9 +39,17 @@
     int64_t heard_ms;
 };
 
-/** publish_laggards() - reads a status; returns how many instances are below
- * @version, and lists up to @room of them.  -1 when it is no status. */
-int publish_laggards(const json_t *status, uint64_t version,
-                     struct publish_laggard *out, size_t room);
+/** struct publish_reach - how far a version has come */
+struct publish_reach {
+    bool known; /* it was read from a status */
+    size_t in_force;
+    size_t lagging;
+};
+
+/** publish_laggards() - reads a status and lists up to @room instances that
+ * are below @version */
+struct publish_reach publish_laggards(const json_t *status, uint64_t version,
+                                      struct publish_laggard *out,
+                                      size_t room);
 
 #endif
--- a/tests/publish_test.c
+++ b/tests/publish_test.c
@@ -107,11 +107,12 @@
         0, NULL);
     struct publish_laggard lag[1];
 
-    CU_ASSERT_EQUAL(publish_laggards(status, 7, lag, 1), 0);
-    CU_ASSERT_EQUAL(publish_laggards(status, 8, lag, 1), 1);
+    CU_ASSERT_EQUAL(publish_laggards(status, 7, lag, 1).lagging, 0);
+    CU_ASSERT_EQUAL(publish_laggards(status, 7, lag, 1).in_force, 2);
+    CU_ASSERT_EQUAL(publish_laggards(status, 8, lag, 1).lagging, 1);
     CU_ASSERT_STRING_EQUAL(lag[0].instance, "e2");
-    CU_ASSERT_EQUAL(publish_laggards(status, 9, lag, 1), 2);
-    CU_ASSERT_EQUAL(publish_laggards(NULL, 8, lag, 1), -1);
+    CU_ASSERT_EQUAL(publish_laggards(status, 9, lag, 1).lagging, 2);
+    CU_ASSERT_FALSE(publish_laggards(NULL, 8, lag, 1).known);
     json_decref(status);
 }
 
