--- a/src/bm_publish.c
+++ b/src/bm_publish.c
@@ -226,7 +226,6 @@
     printf("version %llu accepted%s, request id %s\n",
            (unsigned long long)a->version, a->resend ? " earlier" : "",
            o->request_id);
-    (void)fflush(stdout);
     return o->wait ? wait_in_force(o, c, a->version) : CODE_DONE;
 }
 
@@ -272,7 +271,10 @@
     if (o->dry_run) {
         goto out;
     }
-    if (now.version > 0 && diff.added + diff.removed + diff.changed == 0) {
+    /* With --base the operator wants to know who came first, even where the
+     * result is the same. */
+    if (o->base < 0 && now.version > 0 &&
+        diff.added + diff.removed + diff.changed == 0) {
         code = o->wait ? wait_in_force(o, c, now.version) : CODE_DONE;
         goto out;
     }
@@ -393,6 +395,7 @@
     }
     else {
         (void)signal(SIGPIPE, SIG_IGN);
+        (void)setvbuf(stdout, NULL, _IOLBF, 0);
         fetch_setup();
         opsign_nonce(drawn_id);
         if (o.request_id == NULL) {
--- a/src/publish.c
+++ b/src/publish.c
@@ -69,9 +69,10 @@
         describe_winner(json, &a);
     }
     else if (a.end != PUBLISH_ACCEPTED) {
-        (void)snprintf(a.detail, sizeof(a.detail), "%s, status %ld %.100s",
+        (void)snprintf(a.detail, sizeof(a.detail),
+                       "%s, status %ld %.60s %.60s",
                        fetch_error_text(reply->error), reply->status,
-                       text_of(json, "detail"));
+                       text_of(json, "title"), text_of(json, "detail"));
     }
     json_decref(json);
     return a;
