Let bmctl change the members of control

Cause: a member that lost its disk is replaced by a signed request, and there was no program to sign it.

--- a/src/bm_publish.c
+++ b/src/bm_publish.c
@@ -295,13 +295,9 @@
     if (o->key_file == NULL) {
         return o->dry_run ? NULL : "--key-file is needed";
     }
-    if (!opsign_read_file(o->key_file, operators, error, sizeof(error))) {
-        return error;
-    }
-    co->signer = o->operator_name != NULL
-                     ? opsign_find(operators, name_of(o->operator_name))
-                     : &operators->items[0];
-    return co->signer != NULL ? NULL : "--operator is not in the key file";
+    co->signer = opsign_choose(o->key_file, o->operator_name, operators, error,
+                               sizeof(error));
+    return co->signer != NULL ? NULL : error;
 }
 
 static int
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -27,6 +27,8 @@
     CTL_USAGE = 2,
     CTL_NOT_FOUND = 3, /* somebody answered: there is no such thing */
     CTL_LAGS = 4,      /* status: an instance lags or does not answer */
+    CTL_REFUSED = 5,   /* a change was refused */
+    CTL_UNKNOWN = 6,   /* the answer to a change was lost */
 };
 
 /** ctl_get() - the JSON at a path of the first address that answers 200;
@@ -51,6 +53,11 @@
 /** ctl_explain() - what was decided for a job, when and why */
 int ctl_explain(const struct ctl_options *o, const char *key);
 
+/** ctl_member() - adds, removes or replaces a member of control; @address and
+ * @http are for adding alone */
+int ctl_member(const struct ctl_options *o, const char *action,
+               const char *name, const char *address, const char *http);
+
 /** ctl_config_show() - a configuration; @version NULL is the one in force */
 int ctl_config_show(const struct ctl_options *o, const char *version);
 
--- a/src/ctl_config.c
+++ b/src/ctl_config.c
@@ -1,5 +1,6 @@
-/* The part of ctl.h that reads control's configurations. */
+/* The part of ctl.h that is about control. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
@@ -149,3 +150,66 @@
     config_free(new);
     return code;
 }
+
+static char *
+member_change(const char *action, const char *name, const char *address,
+              const char *http)
+{
+    json_t *json = json_pack("{s:s, s:s}", "action", action, "member", name);
+    char *body;
+
+    if (address != NULL && http != NULL) {
+        (void)json_object_set_new(json, "address", json_string(address));
+        (void)json_object_set_new(json, "http", json_string(http));
+    }
+    body = json_dumps(json, JSON_COMPACT);
+    json_decref(json);
+    return body;
+}
+
+static int
+member_code(const struct fetch_reply *reply, bool unknown)
+{
+    if (reply->error == FETCH_OK && reply->status == 200) {
+        return CTL_DONE;
+    }
+    if (unknown) {
+        return CTL_UNKNOWN;
+    }
+    return reply->error == FETCH_OK && reply->status < 500 ? CTL_REFUSED
+                                                           : CTL_UNREACHABLE;
+}
+
+int
+ctl_member(const struct ctl_options *o, const char *action, const char *name,
+           const char *address, const char *http)
+{
+    struct opclient_request request = {"POST", "/v1/members", "", NULL};
+    struct opclient *c = opclient_new(&o->control);
+    char *body = member_change(action, name, address, http);
+    struct fetch_reply reply;
+    bool unknown;
+    int code;
+
+    if (c == NULL || body == NULL) {
+        opclient_free(c);
+        free(body);
+        return CTL_UNREACHABLE;
+    }
+    request.body = body;
+    unknown = opclient_run(c, &request, &reply);
+    code = member_code(&reply, unknown);
+    if (code == CTL_DONE) {
+        printf("%s %s: changed\n", action, name);
+    }
+    else {
+        (void)fprintf(stderr, "bmctl: %s %s: %s, status %ld %s\n", action,
+                      name,
+                      code == CTL_UNKNOWN ? "outcome unknown" : "not changed",
+                      reply.status, reply.body != NULL ? reply.body : "");
+    }
+    fetch_reply_clear(&reply);
+    opclient_free(c);
+    free(body);
+    return code;
+}
--- a/src/opsign.c
+++ b/src/opsign.c
@@ -120,6 +120,22 @@
     return NULL;
 }
 
+const struct opsign_operator *
+opsign_choose(const char *path, const char *name,
+              struct opsign_operators *room, char *error, size_t size)
+{
+    const struct opsign_operator *found;
+
+    if (!opsign_read_file(path, room, error, size)) {
+        return NULL;
+    }
+    found = name != NULL ? opsign_find(room, name_of(name)) : &room->items[0];
+    if (found == NULL) {
+        (void)snprintf(error, size, "%s: no operator %.47s", path, name);
+    }
+    return found;
+}
+
 void
 opsign_nonce(char out[OPSIGN_NONCE_SIZE])
 {
--- a/src/opsign.h
+++ b/src/opsign.h
@@ -52,6 +52,12 @@
 const struct opsign_operator *
 opsign_find(const struct opsign_operators *operators, struct name name);
 
+/** opsign_choose() - the operator of that name in a file, or its first where
+ * @name is NULL; NULL with the mistake in @error */
+const struct opsign_operator *opsign_choose(const char *path, const char *name,
+                                            struct opsign_operators *room,
+                                            char *error, size_t size);
+
 /** opsign_nonce() - draws a new nonce */
 void opsign_nonce(char out[OPSIGN_NONCE_SIZE]);
 
