Stop without waiting when nobody can take over

Cause: three members stopped together: the last leader waited out its 5 s for a successor that was gone; a member that cannot serve yet kept followers with "nothing newer" instead of letting them ask another. Change: a stopping leader leaves when no voter was heard within an election timeout; a member that does not serve yet stays silent. A file size limit reads as a full disk instead of killing the process.

--- a/src/bm_control.c
+++ b/src/bm_control.c
@@ -39,6 +39,7 @@
     (void)sigaddset(&set, SIGUSR1);
     (void)pthread_sigmask(SIG_BLOCK, &set, NULL);
     (void)signal(SIGPIPE, SIG_IGN);
+    (void)signal(SIGXFSZ, SIG_IGN); /* a limit reads as a full disk */
     return set;
 }
 
--- a/src/control.c
+++ b/src/control.c
@@ -389,7 +389,7 @@
 static void
 tell_stopped(struct control *c)
 {
-    bool leads = c->role == CONTROL_LEADER && quorum_size(c) > 1;
+    bool leads = c->role == CONTROL_LEADER && successor(c) != NULL;
     bool done = !leads && !serve_busy(c);
 
     if (!c->stopping || c->stopped_told ||
--- a/src/serve.c
+++ b/src/serve.c
@@ -642,7 +642,9 @@
     for (size_t i = c->n_followers; i > 0; i--) {
         struct follower *f = &c->followers[i - 1];
 
-        if (f->polling && c->now.mono_us >= f->poll_us) {
+        /* One that cannot serve yet stays silent: the follower asks another.
+         */
+        if (c->serving && f->polling && c->now.mono_us >= f->poll_us) {
             send_nothing_newer(c, f);
         }
         if (c->now.mono_us - f->heard_us > c->opts.follower_us) {
