Listen to members alone, and to no impossible term

Cause: a forged VOTE in the name of an entry instance raised the term of two members to 2^64-1 for good (trial with hostile frames); no leader could be elected any more. Change: what only members send is taken from members of the log or the settings alone; a term more than 2^32 above ours is refused; both are counted and logged. Conclusion: who can pose as a member by name can still disturb; the processes' network is taken as closed to others.

--- a/src/control.c
+++ b/src/control.c
@@ -9,6 +9,8 @@
 
 #include "control_state.h"
 
+#define TERM_JUMP_MAX (UINT64_C(1) << 32)
+
 struct control_options
 control_options_default(void)
 {
@@ -231,8 +233,56 @@
     free(c);
 }
 
+static bool
+is_member(const struct control *c, struct name from)
+{
+    for (size_t i = 0; i < c->opts.n_known; i++) {
+        if (name_equal(c->opts.known[i], from)) {
+            return true;
+        }
+    }
+    return quorum_member(c, from) != NULL;
+}
+
+/* The term a message claims; 0 where it has none. */
+static uint64_t
+term_of(const struct msg *m)
+{
+    switch (m->kind) {
+    case MSG_VOTE:
+        return m->u.vote.term;
+    case MSG_VOTE_REPLY:
+        return m->u.vote_reply.term;
+    case MSG_APPEND:
+        return m->u.append.term;
+    case MSG_APPEND_REPLY:
+        return m->u.append_reply.term;
+    case MSG_SNAPSHOT:
+        return m->u.snapshot.term;
+    case MSG_SNAPSHOT_REPLY:
+        return m->u.snapshot_reply.term;
+    default:
+        return 0;
+    }
+}
+
+/* A message from an entry instance, or one that was garbled on its way, must
+ * not move the term: it would be saved, spread to all members, and near its
+ * largest value no election could be held any more. */
+static const char *
+member_fault(const struct control *c, struct name from, const struct msg *m)
+{
+    if (!is_member(c, from)) {
+        return "is no member";
+    }
+    if (term_of(m) > c->term && term_of(m) - c->term > TERM_JUMP_MAX) {
+        return "claims an impossible term";
+    }
+    return NULL;
+}
+
 static void
-on_message(struct control *c, struct name from, const struct msg *m)
+on_member_message(struct control *c, struct name from, const struct msg *m)
 {
     switch (m->kind) {
     case MSG_VOTE:
@@ -262,20 +312,42 @@
     case MSG_READ_REPLY:
         serve_on_read_reply(c, from, &m->u.read_reply);
         break;
-    case MSG_CONFIG_REQUEST:
-        serve_on_config_request(c, from, &m->u.config_request);
-        break;
     case MSG_FOLLOWERS:
         serve_on_followers(c, from, &m->u.followers);
         break;
     default:
-        c->counters.messages_bad++;
-        control_log(c, LOG_WARNING, CONTROL_REASON_BAD_MESSAGE, from,
-                    "kind %d has no business here", (int)m->kind);
         break;
     }
 }
 
+static bool
+between_members(enum msg_kind kind)
+{
+    return (kind >= MSG_VOTE && kind <= MSG_HAND_OVER) ||
+           kind == MSG_FOLLOWERS;
+}
+
+static void
+on_message(struct control *c, struct name from, const struct msg *m)
+{
+    const char *fault = "has no business here";
+
+    if (m->kind == MSG_CONFIG_REQUEST) {
+        serve_on_config_request(c, from, &m->u.config_request);
+        return;
+    }
+    if (between_members(m->kind)) {
+        fault = member_fault(c, from, m);
+    }
+    if (fault == NULL) {
+        on_member_message(c, from, m);
+        return;
+    }
+    c->counters.messages_bad++;
+    control_log(c, LOG_WARNING, CONTROL_REASON_BAD_MESSAGE, from, "%s: %s",
+                msg_name(m->kind), fault);
+}
+
 static void
 on_saved(struct control *c, uint64_t seq)
 {
--- a/src/control.h
+++ b/src/control.h
@@ -38,6 +38,9 @@
  * @self: its name
  * @disk: identity of its data folder; it votes only where the members say that
  *        this is the folder of @self
+ * @known: members of the settings; besides those of the log, only they are
+ *         listened to as members
+ * @n_known: of @known, at most CONTROL_MEMBERS_MAX
  * @seed: for election times; differs at each start
  * @election_us: silence after which a follower campaigns, up to twice that;
  *               a leader that hears no quorum for so long steps down
@@ -56,6 +59,8 @@
 struct control_options {
     struct name self;
     uint64_t disk;
+    struct name known[CONTROL_MEMBERS_MAX];
+    size_t n_known;
     uint64_t seed;
     int64_t election_us;
     int64_t heartbeat_us;
--- a/src/control_settings.c
+++ b/src/control_settings.c
@@ -119,6 +119,8 @@
         s->remotes[p->n_remotes].name = m->name;
         s->remotes[p->n_remotes].address = m->address;
         p->n_remotes++;
+        s->runtime.control.known[i] = m->name;
+        s->runtime.control.n_known = i + 1;
         self = self || name_equal(m->name, s->runtime.control.self);
     }
     s->founding.members = s->founders;
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -638,6 +638,17 @@
     step(cl, i, &ev);
 }
 
+void
+cluster_inject(struct cluster *cl, const char *from, int i,
+               const struct msg *m)
+{
+    struct control_event ev = {.kind = CEV_MESSAGE};
+
+    ev.u.message.from = name_of(from);
+    ev.u.message.msg = m;
+    step(cl, i, &ev);
+}
+
 void
 cluster_forget(struct cluster *cl)
 {
@@ -700,6 +711,10 @@
         memcpy(cl->options.breaks, breaks, sizeof(cl->options.breaks));
     }
     state = founding(cl);
+    cl->options.n_known = (size_t)n;
+    for (int i = 0; i < n; i++) {
+        cl->options.known[i] = node_name(i);
+    }
     for (int i = 0; i < n; i++) {
         struct storage_options o;
 
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -110,6 +110,10 @@
                     enum change_action action, int member);
 void cluster_stop(struct cluster *cl, int node);
 
+/** cluster_inject() - a message that nobody of the cluster sent */
+void cluster_inject(struct cluster *cl, const char *from, int node,
+                    const struct msg *m);
+
 /** cluster_forget() - the follower restarts with nothing */
 void cluster_forget(struct cluster *cl);
 
--- a/tests/control_test.c
+++ b/tests/control_test.c
@@ -588,6 +588,80 @@
     cluster_free(cl);
 }
 
+/* A message of one kind with the same number in all fields that matter. */
+static struct msg
+forged(enum msg_kind kind, uint64_t n)
+{
+    struct msg m = {.kind = kind};
+
+    switch (kind) {
+    case MSG_VOTE:
+        m.u.vote = (struct rec_vote){n, 0, n, n, 1};
+        break;
+    case MSG_VOTE_REPLY:
+        m.u.vote_reply = (struct rec_vote_reply){n, n, 0, 0, n};
+        break;
+    case MSG_APPEND:
+        m.u.append.term = n;
+        m.u.append.prev_index = n;
+        m.u.append.commit = n;
+        break;
+    case MSG_APPEND_REPLY:
+        m.u.append_reply = (struct rec_append_reply){n, 1, n, n, n, n};
+        break;
+    case MSG_SNAPSHOT:
+        m.u.snapshot.term = n;
+        m.u.snapshot.index = n;
+        m.u.snapshot.size = n;
+        break;
+    case MSG_SNAPSHOT_REPLY:
+        m.u.snapshot_reply = (struct rec_snapshot_reply){n, n, n, n, n};
+        break;
+    case MSG_HAND_OVER:
+        m.u.hand_over.term = n;
+        break;
+    default:
+        m.u.read_index.nonce = n;
+        break;
+    }
+    return m;
+}
+
+/* An entry instance, or somebody in its name, sends what only members send,
+ * and a member sends garbled numbers.  The term must not move: saved and
+ * spread, a huge one would end all elections for good. */
+static void
+forged_messages_change_nothing(void)
+{
+    static const uint64_t numbers[] = {0, 1, 1000, UINT64_C(1) << 62,
+                                       UINT64_MAX};
+    struct cluster *cl = cluster_new(3, 31, NULL);
+    int leader = cluster_await_leader(cl);
+    uint64_t term = control_view(cl->nodes[leader].control).term;
+
+    publish_until_accepted(cl, 1);
+    for (int kind = 0; kind < MSG_KINDS; kind++) {
+        for (size_t n = 0; n < sizeof(numbers) / sizeof(numbers[0]); n++) {
+            struct msg m = forged((enum msg_kind)kind, numbers[n]);
+
+            for (int i = 0; i < 3; i++) {
+                cluster_inject(cl, "e1", i, &m);
+                if (numbers[n] > 1000) {
+                    cluster_inject(cl, "c1", i, &m);
+                }
+            }
+        }
+    }
+    cluster_run(cl, 5 * SEC);
+    CU_ASSERT_EQUAL(cluster_leader(cl), leader);
+    CU_ASSERT_EQUAL(control_view(cl->nodes[leader].control).term, term);
+    CU_ASSERT_TRUE(
+        control_view(cl->nodes[leader].control).counters.messages_bad > 50);
+    check_recovers(cl, 100);
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* Random schedules. */
 static void
 publish_something(struct cluster *cl, uint64_t r)
@@ -857,6 +931,8 @@
     check_add("control", "cut_off_leader_steps_down",
               cut_off_leader_steps_down);
     check_add("control", "planned_stop_hands_over", planned_stop_hands_over);
+    check_add("control", "forged_messages_change_nothing",
+              forged_messages_change_nothing);
     check_add("control", "random_schedules", random_schedules);
     check_add("control", "wrong_decisions_are_noticed",
               wrong_decisions_are_noticed);
