--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -18,5 +18,6 @@
 SUITE(docs)
 SUITE(storage)
 SUITE(control)
+SUITE(operator)
 SUITE(matrix)
 /* clang-format on */
