Measure slopes and plot response against load

Cause: CAPACITY.md needs what one more task, job, upstream, instance or change costs; figures at one load hide where a policy bends.

Change: slopes.c runs the reducers at four sizes each and fits lines: processor time of the reducers alone (least of five runs, the clock's own cost taken off), messages between instances and their encoded bytes, heap that freeing the reducers gives back. report.c writes data and gnuplot scripts; make report draws them. Baselines try refused starts again freely: the shipped retry budget failed their jobs and hid their waiting.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 FORMATTED := $(wildcard src/*.[ch] tests/*.[ch])
 LINTED := $(LIB_SRC) $(MAINS) $(TEST_SRC)
 
-.PHONY: all deps format format-check lint check demo bench bench-update matrix clean
+.PHONY: all deps format format-check lint check demo bench bench-update matrix slopes report clean
 .SECONDARY:
 
 all: $(BUILD)/libboragemoor.a $(PROGRAMS)
@@ -107,6 +107,15 @@
 bench-update: $(BUILD)/bm-bench
 	@$< --bounds bench/bounds.ini --update $(WORKLOADS)
 
+# Plots of response and wasted messages against load, policy and baselines.
+report: $(BUILD)/bm-bench
+	@mkdir -p $(BUILD)/report
+	@$< --report $(BUILD)/report bench/workloads/tatranska-80.ini
+	@cd $(BUILD)/report && gnuplot *.gp && ls *.png
+
+slopes: $(BUILD)/bm-bench
+	@$< --slopes
+
 matrix: $(BUILD)/mutant/bm-bench
 	@$< --matrix --mutants
 
--- a/src/baseline.c
+++ b/src/baseline.c
@@ -2,6 +2,10 @@
 
 #include <stdlib.h>
 
+/* Who does not know where slots are free is refused often; a retry budget
+ * made for the shipped policy would fail its jobs and hide its waiting. */
+enum { RETRY_FREELY = 10000 };
+
 const char *
 policy_name(enum policy p)
 {
@@ -25,10 +29,12 @@
         break;
     case POLICY_DIRECT:
         o.entry.placement = PLACE_DIRECT;
+        o.entry.retry_percent = RETRY_FREELY;
         o.service.order = ORDER_ARRIVAL;
         break;
     case POLICY_RANDOM:
         o.entry.placement = PLACE_RANDOM;
+        o.entry.retry_percent = RETRY_FREELY;
         o.service.order = ORDER_ARRIVAL;
         break;
     default:
--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -12,6 +12,8 @@
 
 #include "figures.h"
 #include "matrix.h"
+#include "report.h"
+#include "slopes.h"
 
 enum { EXIT_OUT_OF_BOUNDS = 1, EXIT_USAGE = 2, THREADS_MAX = 64 };
 
@@ -24,10 +26,13 @@
     int mutants;
     int mutant;
     int steps;
+    int explain;
+    int slopes;
     int per_label;
     int pairs;
     int seed;
     char *cell;
+    char *report;
     int version;
 };
 
@@ -92,6 +97,9 @@
     figures_print(NULL, stdout);
     for (size_t i = 0; i < w->n; i++) {
         figures_print(&w->figures[i], stdout);
+        if (o->explain) {
+            figures_explain(&w->figures[i], stdout);
+        }
     }
     if (o->update && !figures_update(w->figures, w->n, o->bounds)) {
         perror(o->bounds);
@@ -127,6 +135,11 @@
             goto out;
         }
     }
+    if (o->report != NULL) {
+        code =
+            report_write(&workloads[0], o->report) ? EXIT_SUCCESS : EXIT_USAGE;
+        goto out;
+    }
     run_all(&w, o->threads);
     code = report(&w, o, n);
 out:
@@ -179,6 +192,8 @@
         {"policy", 'p', POPT_ARG_STRING, &o.policy, 0,
          "only this policy: holder, sparing, direct or random", "NAME"},
         {"threads", 't', POPT_ARG_INT, &o.threads, 0, "beside the first", "N"},
+        {"explain", 'e', POPT_ARG_NONE, &o.explain, 0,
+         "why jobs failed and what the messages were", NULL},
         {"matrix", 'm', POPT_ARG_NONE, &o.matrix, 0, "run the fault matrix",
          NULL},
         {"mutants", 'M', POPT_ARG_NONE, &o.mutants, 0,
@@ -190,6 +205,10 @@
         {"seed", 's', POPT_ARG_INT, &o.seed, 0, "of the matrix", "N"},
         {"cell", 'c', POPT_ARG_STRING, &o.cell, 0, "repeat one cell",
          "STEP:FAULT[,STEP:FAULT]"},
+        {"report", 'r', POPT_ARG_STRING, &o.report, 0,
+         "write plots of the first workload against load", "DIR"},
+        {"slopes", 0, POPT_ARG_NONE, &o.slopes, 0,
+         "measure what one more of something costs", NULL},
         {"steps", 0, POPT_ARG_NONE, &o.steps, 0, "print the matrix's steps",
          NULL},
         {"mutant", 0, POPT_ARG_INT, &o.mutant, 0,
@@ -215,6 +234,11 @@
         code = EXIT_SUCCESS;
         goto out;
     }
+    if (o.slopes) {
+        slopes_run(stdout);
+        code = EXIT_SUCCESS;
+        goto out;
+    }
     if (o.steps) {
         matrix_steps((uint64_t)o.seed, stdout);
         code = EXIT_SUCCESS;
@@ -238,5 +262,6 @@
     free(o.bounds);
     free(o.policy);
     free(o.cell);
+    free(o.report);
     return code;
 }
--- a/src/figures.c
+++ b/src/figures.c
@@ -199,6 +199,8 @@
     for (int k = HOP_FENCE; k <= HOP_ANNOUNCED; k++) {
         upkeep += n->hop_count[k];
     }
+    memcpy(f->hops, n->hop_count, sizeof(f->hops));
+    memcpy(f->messages, n->msg_count, sizeof(f->messages));
     for (int k = 0; k < MSG_KINDS; k++) {
         if (is_upkeep((enum msg_kind)k)) {
             upkeep += n->msg_count[k];
@@ -224,6 +226,8 @@
         f->complete += is_complete(c) ? 1 : 0;
         f->failed += c->answer != NULL && !is_complete(c) ? 1 : 0;
         f->refused += c->refused ? 1 : 0;
+        f->failed_by[c->answer != NULL ? c->answer->reason : REASON_NONE]++;
+        f->refused_by[c->problem] += c->refused ? 1 : 0;
         f->open += c->settled ? 0 : 1;
         for (size_t t = 0; c->answer != NULL && t < c->answer->n_tasks; t++) {
             f->unknown += c->answer->tasks[t].state == TASK_UNKNOWN ? 1 : 0;
@@ -274,6 +278,35 @@
         f->broken > 0 ? f->first_broken : "");
 }
 
+static void
+explain_one(const char *what, const char *name, uint64_t n, FILE *out)
+{
+    if (n > 0) {
+        (void)fprintf(out, " %s%s=%llu", what, name, (unsigned long long)n);
+    }
+}
+
+void
+figures_explain(const struct figures *f, FILE *out)
+{
+    (void)fprintf(out, "  ");
+    for (int i = REASON_COMPLETED + 1; i < REASONS; i++) {
+        explain_one("failed:", reason_text((enum reason)i), f->failed_by[i],
+                    out);
+    }
+    for (int i = 0; i < PROBLEMS; i++) {
+        explain_one("refused:", problem_slug((enum problem)i),
+                    f->refused_by[i], out);
+    }
+    for (int i = HOP_SUBMIT; i <= HOP_ANNOUNCED; i++) {
+        explain_one("", hop_name((enum hop_kind)i), f->hops[i], out);
+    }
+    for (int i = 0; i < MSG_KINDS; i++) {
+        explain_one("", msg_name((enum msg_kind)i), f->messages[i], out);
+    }
+    (void)fprintf(out, "\n");
+}
+
 /* ---- bounds ---- */
 
 #define B_INT(key, text)                                                      \
--- a/src/figures.h
+++ b/src/figures.h
@@ -34,6 +34,10 @@
     uint64_t unknown; /* tasks told as unknown */
     uint64_t broken;  /* promises */
     char first_broken[200];
+    uint64_t failed_by[REASONS];
+    uint64_t refused_by[PROBLEMS];
+    uint64_t hops[HOP_KINDS];
+    uint64_t messages[MSG_KINDS];
 #define FIGURE(name, text) double name;
     FIGURE_LIST(FIGURE)
 #undef FIGURE
@@ -45,6 +49,9 @@
 /** figures_print() - one line of the table; a head line when @f is NULL */
 void figures_print(const struct figures *f, FILE *out);
 
+/** figures_explain() - why jobs failed and what the messages were */
+void figures_explain(const struct figures *f, FILE *out);
+
 /** figures_compare() - prints every figure past its bound in the file;
  * returns how many workloads are out of bounds, -1 when it cannot be read */
 int figures_compare(const struct figures *f, size_t n, const char *path,
--- a/src/vnet.c
+++ b/src/vnet.c
@@ -530,6 +530,19 @@
     }
 }
 
+static void
+step(struct vnet *n, struct entry *e, const struct event *ev,
+     struct effects *fx)
+{
+    int64_t begin_ns = n->cpu_ns != NULL ? n->cpu_ns() : 0;
+
+    entry_step(e, ev, fx);
+    n->steps++;
+    if (n->cpu_ns != NULL) {
+        n->used_ns += n->cpu_ns() - begin_ns;
+    }
+}
+
 bool
 vnet_deliver(struct vnet *n, uint32_t instance, struct event *ev)
 {
@@ -542,8 +555,7 @@
     }
     memset(&n->fx, 0, sizeof(n->fx));
     ev->now = vnet_moment(n);
-    entry_step(v->entry, ev, &fx);
-    n->steps++;
+    step(n, v->entry, ev, &fx);
     note_version(n, v);
     if (n->current != NULL) {
         (void)ask_hook(n, POINT_READ, n->current, &n->current->at_us);
--- a/src/vnet.h
+++ b/src/vnet.h
@@ -286,8 +286,10 @@
     uint64_t broken[PROMISES];
     char first_broken[200];
     void (*script)(struct vnet *n, const struct hop *h);
-    uint64_t steps; /* of reducers */
-    FILE *log;      /* decisions of the reducers; NULL: none */
+    uint64_t steps;          /* of reducers */
+    FILE *log;               /* decisions of the reducers; NULL: none */
+    int64_t (*cpu_ns)(void); /* measures the reducers alone; NULL: not */
+    int64_t used_ns;
 };
 
 /** vnet_options_default() - three zones with two instances each */
