--- a/src/figures.c
+++ b/src/figures.c
@@ -58,6 +58,17 @@
     return us;
 }
 
+/* Alone on an empty system: no task runs on two slots at once, and all slots
+ * together do no more than one second's work in a second. */
+static int64_t
+ideal_us(const struct workload *w, const struct vcall *c)
+{
+    int64_t longest = longest_us(c);
+    int64_t shared = work_us(c) / workload_slots(w);
+
+    return longest > shared ? longest : shared;
+}
+
 static struct sample
 sample_of(const struct workload *w, const struct vnet *n)
 {
@@ -78,7 +89,7 @@
         }
         b->at_us = c->at_us;
         b->work_us = work_us(c);
-        b->ideal_us = round_trip_us + longest_us(c);
+        b->ideal_us = round_trip_us + ideal_us(w, c);
         s.response[s.n] = (double)(c->settled_us - c->at_us);
         s.ideal[s.n] = (double)b->ideal_us;
         s.ratio[s.n] = s.response[s.n] / s.ideal[s.n];
--- a/src/slopes.c
+++ b/src/slopes.c
@@ -176,17 +176,26 @@
     return p;
 }
 
+/* struct quiet - a system without jobs */
+struct quiet {
+    uint32_t zones;
+    uint32_t instances; /* a zone */
+    uint32_t upstreams; /* a zone */
+    uint32_t services;
+    uint32_t changes; /* of configuration */
+};
+
 static struct point
-run_quiet(uint32_t zones, uint32_t instances, uint32_t upstreams,
-          uint32_t changes, double size, double clock_ns)
+run_quiet(struct quiet q, double size, double clock_ns)
 {
     struct vnet_options o = vnet_options_default();
     struct vnet *n;
     struct point p;
 
-    o.zones = zones;
-    o.instances = instances;
-    o.upstreams = upstreams;
+    o.zones = q.zones;
+    o.instances = q.instances;
+    o.upstreams = q.upstreams;
+    o.services = q.services;
     o.bytes = true;
     n = vnet_new(&o);
     n->cpu_ns = thread_cpu_ns;
@@ -197,9 +206,9 @@
         n->msg_count[k] = 0;
         n->msg_bytes[k] = 0;
     }
-    for (uint32_t c = 0; c < changes; c++) {
+    for (uint32_t c = 0; c < q.changes; c++) {
         vnet_publish(n);
-        vnet_run(n, n->now_us + QUIET_SEC * USEC_PER_SEC / changes);
+        vnet_run(n, n->now_us + QUIET_SEC * USEC_PER_SEC / q.changes);
     }
     vnet_run(n, (5 + QUIET_SEC) * USEC_PER_SEC);
     p = finish(n, size, clock_ns);
@@ -211,7 +220,8 @@
 run_upstreams(int i, double clock_ns)
 {
     static const uint32_t upstreams[SIZES] = {16, 64, 160, 350};
-    struct point p = run_quiet(1, 2, upstreams[i], 0, upstreams[i], clock_ns);
+    struct point p = run_quiet((struct quiet){1, 2, upstreams[i], 1, 0},
+                               upstreams[i], clock_ns);
 
     p.cpu_us /= QUIET_SEC * 2;
     p.messages /= QUIET_SEC * 2;
@@ -226,7 +236,8 @@
 {
     static const uint32_t instances[SIZES] = {2, 4, 8, 14};
     uint32_t all = 3 * instances[i];
-    struct point p = run_quiet(3, instances[i], 1, 0, all, clock_ns);
+    struct point p =
+        run_quiet((struct quiet){3, instances[i], 1, 1, 0}, all, clock_ns);
 
     p.cpu_us /= (double)QUIET_SEC * all;
     p.messages /= (double)QUIET_SEC * all;
@@ -235,12 +246,28 @@
     return p;
 }
 
+/* Services of the configuration: each heartbeat tells the load of each. */
+static struct point
+run_services(int i, double clock_ns)
+{
+    static const uint32_t services[SIZES] = {1, 10, 40, 100};
+    struct point p = run_quiet((struct quiet){3, 2, 1, services[i], 0},
+                               services[i], clock_ns);
+
+    p.cpu_us /= QUIET_SEC * 6;
+    p.messages /= QUIET_SEC * 6;
+    p.bytes /= QUIET_SEC * 6;
+    p.memory /= 6;
+    return p;
+}
+
 /* Changes of configuration, an instance. */
 static struct point
 run_changes(int i, double clock_ns)
 {
     static const uint32_t changes[SIZES] = {0, 20, 60, 200};
-    struct point p = run_quiet(3, 2, 1, changes[i], changes[i], clock_ns);
+    struct point p = run_quiet((struct quiet){3, 2, 1, 1, changes[i]},
+                               changes[i], clock_ns);
 
     p.cpu_us /= 6;
     p.messages /= 6;
@@ -381,6 +408,10 @@
      "instance",
      run_instances,
      {true, true, true, true}},
+    {"a second and instance, by services (6 instances)",
+     "service",
+     run_services,
+     {true, true, true, true}},
     {"an instance, by changes of configuration (1 service)",
      "change",
      run_changes,
--- a/src/vcheck.c
+++ b/src/vcheck.c
@@ -90,3 +90,15 @@
     }
     return broken;
 }
+
+const char *
+promise_text(enum promise p)
+{
+    static const char *const texts[] = {
+#define PROMISE(NAME, text) text,
+        PROMISE_LIST(PROMISE)
+#undef PROMISE
+    };
+
+    return texts[p];
+}
--- a/src/vcontrol.c
+++ b/src/vcontrol.c
@@ -114,7 +114,7 @@
 vnet_publish(struct vnet *n)
 {
     n->config.version++;
-    n->opts.service.max_queued++;
+    n->services[0].max_queued++;
     set_text(n);
     for (uint32_t i = 0; i < VCONTROLS; i++) {
         struct end none = {END_NONE, 0};
--- a/src/vnet.h
+++ b/src/vnet.h
@@ -98,6 +98,12 @@
 /** enum hop_fate - the hook's word at POINT_SENT */
 enum hop_fate { FATE_PASS, FATE_LOSE, FATE_DOUBLE, FATE_DELAY };
 
+/* struct vopen - a call of an instance that has not come to an end */
+struct vopen {
+    uint64_t id; /* first: looked up by it */
+    struct handle self;
+};
+
 struct vnet;
 
 struct vnet_hook {
@@ -241,6 +247,7 @@
     bool bytes;                 /* also count bytes of messages (slow) */
     struct entry_options entry; /* identity is filled in */
     struct service_conf service;
+    uint32_t services; /* in the configuration; the others get no jobs */
 };
 
 struct vnet {
@@ -274,7 +281,8 @@
     struct map keys_by_id;
     struct hop *current;  /* the one being read */
     struct config config; /* last accepted */
-    struct blob *text;    /* of it */
+    struct service_conf *services;
+    struct blob *text; /* of it */
     struct name control_names[VCONTROLS];
     struct vcontrol controls[VCONTROLS];
     int64_t published_us;
@@ -300,6 +308,28 @@
 struct vnet *vnet_new(const struct vnet_options *o);
 void vnet_free(struct vnet *n);
 
+/* vhop.c: the heap of hops and the network */
+void vhop_push(struct vnet *n, const struct hop *h);
+
+/** vhop_pop() - takes the earliest out; there must be one */
+struct hop vhop_pop(struct vnet *n);
+
+/** vhop_clear() - releases what a hop owns */
+void vhop_clear(struct hop *h);
+
+/** vhop_ask() - asks the hook about a hop */
+enum hop_fate vhop_ask(struct vnet *n, enum hop_point point, struct hop *h,
+                       int64_t *delay_us);
+
+/* vcarry.c: carries out what an instance decides */
+
+/** vcarry_close() - the call that this reply is for came to an end; false
+ * when it had before */
+bool vcarry_close(struct vnet *n, const struct hop *h);
+
+/* varrive.c */
+void varrive_at_instance(struct vnet *n, struct hop *h);
+
 /** vnet_job() - number of the caller's job with that key; 0 if none: numbers
  * count from 1 */
 uint64_t vnet_job(const struct vnet *n, struct key_id id);
