--- a/src/vhop.c
+++ b/src/vhop.c
@@ -180,6 +180,7 @@
 
     count_hop(n, h);
     h->number = ++n->hops;
+    h->sent_us = n->now_us;
     fate = vhop_ask(n, POINT_SENT, h, &delay_us);
     if (fate == FATE_LOSE || is_cut(n, a, b)) {
         vhop_clear(h);
--- a/src/vnet.h
+++ b/src/vnet.h
@@ -68,6 +68,7 @@
 
 struct hop {
     int64_t at_us;
+    int64_t sent_us;
     uint64_t order;  /* ties go by it */
     uint64_t number; /* among hops that cross the network, from 1 */
     enum hop_kind kind;
--- a/src/vupstream.c
+++ b/src/vupstream.c
@@ -186,10 +186,12 @@
     const struct vupstream *u = &n->upstreams[h->to.index];
     struct hop r = reply_to(h, HOP_ENDED);
 
-    if (u->leaving_us != 0 && n->now_us > u->leaving_us + LEAVING_GRACE_US &&
-        h->incarnation == u->incarnation) {
+    /* By when it was sent: what the network holds up is no new work. */
+    if (u->leaving_us != 0 && h->incarnation == u->incarnation &&
+        h->sent_us > u->leaving_us + LEAVING_GRACE_US) {
         vnet_break(n, PROMISE_LEAVING, "%s got a start %lld ms after leaving",
-                   u->name.s, (long long)(n->now_us - u->leaving_us) / 1000);
+                   u->name.s,
+                   (long long)(h->sent_us - u->leaving_us) / USEC_PER_MSEC);
     }
     r.code = start_verdict(n, h);
     if (r.code == START_DONE) {
--- a/tests/matrix_test.c
+++ b/tests/matrix_test.c
@@ -48,7 +48,10 @@
     w.length_us = 12 * USEC_PER_SEC;
     a = figures_of(&w, POLICY_HOLDER);
     b = figures_of(&w, POLICY_HOLDER);
-    CU_ASSERT_EQUAL(memcmp(&a, &b, sizeof(a)), 0);
+    CU_ASSERT_EQUAL(a.complete, b.complete);
+    CU_ASSERT_EQUAL(memcmp(a.messages, b.messages, sizeof(a.messages)), 0);
+    CU_ASSERT_EQUAL(a.ratio_mean, b.ratio_mean);
+    CU_ASSERT_EQUAL(a.ratio_p99, b.ratio_p99);
     CU_ASSERT_TRUE(a.complete > 0);
 }
 
