Refuse what fits in no zone at once; wait longer before a start is silent

Cause: a task too large for every upstream of its own zone was queued until its deadline, in case another zone had a larger one, and its requests for slots kept others waiting. Starts of long tasks were taken for silent and asked for. Change: heartbeats tell the largest sizes of a service's upstreams; a start is silent after four times the 95th or twice the 99th percentile. Conclusion: a zone whose first heartbeat has not come yet counts as having no upstreams, so such a job may be refused in the first half second.

--- a/src/admit.c
+++ b/src/admit.c
@@ -122,9 +122,41 @@
 /** enum fit - of a task */
 enum fit { FIT_SOME, FIT_NONE, FIT_UNKNOWN };
 
-/** others_may() - upstreams of other zones are not known here one by one */
+void
+admit_largest(const struct entry *e, const struct service_state *s,
+              struct rec_load *load)
+{
+    const struct upstream *u;
+    uint32_t at = 0;
+
+    while ((u = upstreams_next(e, &at)) != NULL) {
+        const struct rec_upstream_info *i = &u->info;
+
+        if (u->service != s) {
+            continue;
+        }
+        load->cpu_milli =
+            i->cpu_milli > load->cpu_milli ? i->cpu_milli : load->cpu_milli;
+        load->memory_mb =
+            i->memory_mb > load->memory_mb ? i->memory_mb : load->memory_mb;
+        load->accelerators = i->accelerators > load->accelerators
+                                 ? i->accelerators
+                                 : load->accelerators;
+    }
+}
+
 static bool
-others_may(const struct entry *e, const struct service_state *s)
+load_fits(const struct rec_load *l, struct resources need)
+{
+    return need.cpu_milli <= l->cpu_milli && need.memory_mb <= l->memory_mb &&
+           need.accelerators <= l->accelerators;
+}
+
+/** others_may() - upstreams of other zones are not known here one by one, but
+ * heartbeats tell the largest sizes */
+static bool
+others_may(const struct entry *e, const struct service_state *s,
+           struct resources need)
 {
     const struct member *m;
     size_t at = 0;
@@ -133,8 +165,14 @@
         return false;
     }
     while ((m = members_next(e, &at)) != NULL) {
-        if (m->up && !m->self && !name_equal(m->zone, e->zone)) {
-            return true;
+        if (!m->up || m->self || name_equal(m->zone, e->zone)) {
+            continue;
+        }
+        for (size_t i = 0; i < m->n_loads; i++) {
+            if (name_equal(m->loads[i].service, s->name) &&
+                load_fits(&m->loads[i], need)) {
+                return true;
+            }
         }
     }
     return false;
@@ -199,7 +237,7 @@
             last = need;
             continue;
         }
-        if (others_may(e, s)) {
+        if (others_may(e, s, *need)) {
             continue;
         }
         if (fit == FIT_UNKNOWN) {
--- a/src/admit.h
+++ b/src/admit.h
@@ -20,6 +20,11 @@
  * ones of others; at least one */
 uint32_t admit_capacity(struct entry *e, struct service_state *s);
 
+/** admit_largest() - fills in the largest sizes of the zone's upstreams, so
+ * that instances of other zones can tell what fits nowhere */
+void admit_largest(const struct entry *e, const struct service_state *s,
+                   struct rec_load *load);
+
 /** admit_job() - see dispatch_admit() */
 struct admission admit_job(struct entry *e, const struct job *job);
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -518,7 +518,9 @@
                                 .backlog = s->queued,
                                 .running = s->running};
 
-        if (load.free_slots + load.backlog + load.running > 0) {
+        admit_largest(e, s, &load);
+        if (load.free_slots + load.backlog + load.running > 0 ||
+            load.cpu_milli + load.memory_mb > 0) {
             (*loads)[n++] = load;
         }
     }
--- a/src/start.c
+++ b/src/start.c
@@ -11,8 +11,9 @@
 #include "upstream.h"
 
 enum {
-    SILENT_TIMES = 4, /* 95th percentiles after which a start is silent */
-    ASK_TRIES = 6,    /* questions that reached nobody, before giving up */
+    SILENT_TIMES = 4,   /* 95th percentiles after which a start is silent */
+    SILENT_LONGEST = 2, /* the same with 99th percentiles */
+    ASK_TRIES = 6,      /* questions that reached nobody, before giving up */
     ASK_DOUBLINGS = 4,
 };
 
@@ -156,14 +157,24 @@
     dispatch_wake(e, s->service);
 }
 
+static int64_t
+longer(int64_t a, int64_t b)
+{
+    return a > b ? a : b;
+}
+
+/** silent_after() - a question too early costs a message, one too late costs
+ * the caller's time */
 static int64_t
 silent_after(const struct start *s)
 {
-    int64_t us =
-        SILENT_TIMES * learn_tail_us(&s->service->learned, s->declared_us);
+    const struct learned *l = &s->service->learned;
+    int64_t us = SILENT_TIMES * learn_tail_us(l, s->declared_us);
 
-    us = us > s->declared_us ? us : s->declared_us;
-    return us > SILENT_MIN_US ? us : SILENT_MIN_US;
+    us = longer(us, SILENT_LONGEST *
+                        learn_longest_us(l, JOB_TASKS_MAX, s->declared_us));
+    us = longer(us, s->declared_us);
+    return longer(us, SILENT_MIN_US);
 }
 
 static void
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -13,6 +13,9 @@
     U64(free_slots)     /* free slots on upstreams the sender holds */
     U64(backlog)        /* tasks queued at the sender */
     U64(running)        /* tasks of the service started by the sender */
+    U64(cpu_milli)      /* the most that any upstream it knows of has */
+    U64(memory_mb)
+    U64(accelerators)
 END(load)
 
 RECORD(upstream_ref)
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -1,4 +1,6 @@
 /* Starts, the proof of their ends, retries, admission and order. */
+#include <stdlib.h>
+
 #include "check.h"
 #include "one_entry.h"
 
@@ -282,6 +284,38 @@
     one_free(o);
 }
 
+/* Only another zone has upstreams large enough.  Their names are not known
+ * here, but heartbeats tell the largest sizes: a task that fits there waits
+ * for slots, one that fits nowhere is refused at once and not at its deadline.
+ */
+static void
+fit_counts_other_zones(void)
+{
+    struct one *o =
+        one_with(1, &(struct one_options){.peers = 1, .far = true});
+    struct msg m = {.kind = MSG_HEARTBEAT};
+    const struct effect *f;
+
+    m.u.heartbeat.incarnation = 1;
+    m.u.heartbeat.loads = calloc(1, sizeof(struct rec_load));
+    m.u.heartbeat.n_loads = 1;
+    m.u.heartbeat.loads[0] = (struct rec_load){.service = name_of("camp"),
+                                               .free_slots = 8,
+                                               .cpu_milli = 64000,
+                                               .memory_mb = 65536};
+    one_message(o, "p0", &m);
+    one_need(o, 100000);
+    f = one_answer(o, one_submit(o, "a", 1, RUN_US));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+    CU_ASSERT_EQUAL(f->u.problem.problem, PROBLEM_NEVER_FITS);
+    one_need(o, 48000);
+    CU_ASSERT_PTR_NULL(one_answer(o, one_submit(o, "b", 1, RUN_US)));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(one_sent(o, MSG_SLOT_REQUEST, 0));
+    CU_ASSERT_EQUAL(one_sent(o, MSG_SLOT_REQUEST, 0)->u.slot_request.cpu_milli,
+                    48000);
+    one_free(o);
+}
+
 /* Ten times as many jobs arrive as can be done.  Taking them all would let
  * nearly all fail at their deadline after part of their work; those that are
  * let in must be answered in time, the rest told at once when to come back. */
@@ -410,6 +444,7 @@
     ADD(doubled_outcomes_are_dropped);
     ADD(cancel_wave_sends_nothing);
     ADD(never_fits_is_refused_at_once);
+    ADD(fit_counts_other_zones);
     ADD(burst_is_refused_early);
     ADD(small_jobs_pass_but_do_not_starve);
     ADD(arrival_order_is_kept_where_asked_for);
--- a/tests/one_entry.c
+++ b/tests/one_entry.c
@@ -101,7 +101,8 @@
         char text[NAME_SIZE];
 
         (void)snprintf(text, sizeof(text), "p%d", i);
-        peers[i + 1] = (struct entry_peer){name_of(text), name_of("z")};
+        peers[i + 1] = (struct entry_peer){name_of(text),
+                                           name_of(options->far ? "y" : "z")};
     }
     eo.self = name_of("self");
     eo.incarnation = 1;
@@ -124,6 +125,7 @@
         .max_tasks = JOB_TASKS_MAX,
         .max_queued = 10000,
         .order = options->order,
+        .spill = options->far,
     };
     o->config = (struct config){.version = 1,
                                 .services = &o->service,
@@ -207,6 +209,12 @@
     one_step(o, &ev);
 }
 
+void
+one_need(struct one *o, uint32_t cpu_milli)
+{
+    o->need.cpu_milli = cpu_milli;
+}
+
 uint64_t
 one_submit(struct one *o, const char *key, int n_tasks, int64_t run_us)
 {
@@ -218,6 +226,8 @@
     for (int i = 0; i < n_tasks; i++) {
         spec->tasks[i].payload = blob_new("{}", 2);
         spec->tasks[i].run_us = run_us;
+        spec->tasks[i].need = o->need;
+        spec->tasks[i].need_given = o->need.cpu_milli > 0;
     }
     ev.u.submit.request = ++o->requests;
     ev.u.submit.key = key;
--- a/tests/one_entry.h
+++ b/tests/one_entry.h
@@ -16,6 +16,7 @@
     size_t handled; /* effects that were looked at for an answer */
     int64_t now_us;
     uint64_t requests;
+    struct resources need;  /* of tasks; all zero: the service's default */
     bool manual_fences;     /* the test answers fences itself */
     uint32_t fence_running; /* told in answers to fences */
     struct service_conf service;
@@ -26,6 +27,7 @@
 /** struct one_options - zero values mean the default */
 struct one_options {
     int peers; /* other instances in the zone, up from the start */
+    bool far;  /* they are in another zone */
     uint32_t slots_max_running; /* quota of the team */
     uint32_t starts_per_s;
     enum queue_order order;
@@ -59,6 +61,9 @@
 struct rec_upstream_info one_upstream(const char *name);
 void one_announce(struct one *o, struct rec_upstream_info info);
 
+/** one_need() - what tasks submitted from now on need, in cpu_milli */
+void one_need(struct one *o, uint32_t cpu_milli);
+
 uint64_t one_submit(struct one *o, const char *key, int n_tasks,
                     int64_t run_us);
 void one_cancel(struct one *o, const char *key);
