--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -298,6 +298,9 @@
 
     m.u.heartbeat.incarnation = 1;
     m.u.heartbeat.loads = calloc(1, sizeof(struct rec_load));
+    if (m.u.heartbeat.loads == NULL) {
+        abort();
+    }
     m.u.heartbeat.n_loads = 1;
     m.u.heartbeat.loads[0] = (struct rec_load){.service = name_of("camp"),
                                                .free_slots = 8,
