Explain decisions per key; test how configurations travel

Cause: /v1/explain/KEY gave an empty list of decisions, and follow.c had no tests.

Conclusion: the state and the reasons can be asked for.

--- a/src/claim.c
+++ b/src/claim.c
@@ -274,6 +274,24 @@
     reply->purpose = r->purpose;
 }
 
+bool
+claims_record(const struct entry *e, struct key_id id,
+              struct claim_result *out)
+{
+    const struct claim *r = record_get(e, id);
+
+    if (r == NULL || r->contested) {
+        return false;
+    }
+    memset(out, 0, sizeof(*out));
+    out->end = CLAIM_END_OTHER;
+    out->claimer = members_at(e, r->claimer)->name;
+    out->incarnation = r->incarnation;
+    out->digest = r->digest;
+    out->purpose = (enum claim_purpose)r->purpose;
+    return true;
+}
+
 static void
 record_grant(struct entry *e, const struct rec_claim *m, uint16_t claimer,
              int zone)
--- a/src/claim.h
+++ b/src/claim.h
@@ -56,6 +56,11 @@
 size_t claims_count(const struct entry *e);
 size_t claims_bytes(const struct entry *e);
 
+/** claims_record() - who has the key as far as this voter knows; false where
+ * it has no record */
+bool claims_record(const struct entry *e, struct key_id id,
+                   struct claim_result *out);
+
 /** claims_voting() - whether this voter of @zone knows all live claims */
 bool claims_voting(const struct entry *e, struct name zone);
 
--- a/src/dump.c
+++ b/src/dump.c
@@ -1,6 +1,5 @@
 #include "dump.h"
 
-#include <jansson.h>
 #include <stdlib.h>
 
 #include "claim.h"
@@ -10,8 +9,8 @@
 #include "member.h"
 #include "upstream.h"
 
-static void
-answer_text(struct entry *e, uint64_t request, json_t *root)
+void
+dump_answer(struct entry *e, uint64_t request, json_t *root)
 {
     struct ef_text *f;
     char *text = json_dumps(root, JSON_INDENT(2));
@@ -98,7 +97,7 @@
     return list;
 }
 
-static json_t *
+json_t *
 dump_job(const struct job *job)
 {
     static const char *const phases[] = {"claiming", "joined", "active",
@@ -171,20 +170,5 @@
     (void)json_object_set_new(root, "upstreams", dump_upstreams(e));
     (void)json_object_set_new(root, "jobs", dump_jobs(e));
     (void)json_object_set_new(root, "counters", dump_counters(e));
-    answer_text(e, q->request, root);
-}
-
-void
-explain_query(struct entry *e, const struct ev_query *q)
-{
-    struct key_id id = key_id_of(q->key != NULL ? q->key : "");
-    const struct job *job = jobs_by_key(e, id);
-    json_t *root = json_object();
-
-    put_text(root, "key", q->key != NULL ? q->key : "");
-    if (job != NULL) {
-        (void)json_object_set_new(root, "job", dump_job(job));
-    }
-    (void)json_object_set_new(root, "decisions", json_array());
-    answer_text(e, q->request, root);
+    dump_answer(e, q->request, root);
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -9,6 +9,7 @@
 #include "dispatch.h"
 #include "dump.h"
 #include "entry_state.h"
+#include "explain.h"
 #include "follow.h"
 #include "jobs.h"
 #include "member.h"
@@ -89,6 +90,9 @@
     va_start(args, format);
     (void)vsnprintf(log->detail, sizeof(log->detail), format, args);
     va_end(args);
+    if (key != NULL) {
+        explain_log(e, log);
+    }
 }
 
 void
@@ -161,6 +165,7 @@
         return NULL;
     }
     e->random = o->seed;
+    e->explain = explain_new();
     e->members = members_new(e);
     e->claims = claims_new(e);
     e->jobs = jobs_new(e);
@@ -198,6 +203,7 @@
     jobs_free(e->jobs);
     claims_free(e->claims);
     members_free(e->members);
+    explain_free(e->explain);
     config_free(e->config);
     free((void *)e->opts.peers);
     free((void *)e->opts.controls);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -32,6 +32,7 @@
 struct slots;
 struct dispatch;
 struct follow;
+struct explain;
 
 struct entry {
     struct entry_options opts; /* opts.peers is the entry's own copy */
@@ -52,6 +53,7 @@
     struct slots *slots;
     struct dispatch *dispatch;
     struct follow *follow;
+    struct explain *explain;
 };
 
 /** entry_random() - next number of the seeded generator (splitmix64) */
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -6,6 +6,7 @@
 #include <syslog.h>
 
 #include "dispatch.h"
+#include "explain.h"
 #include "map.h"
 #include "member.h"
 #include "submission.h"
@@ -97,6 +98,7 @@
 
     waiters_drop(&j->requests, job);
     free_tasks(job);
+    explain_forget(job);
     drop_answer(j, job);
     if (job->phase != JOB_ENDED) {
         j->n_active--;
@@ -119,6 +121,7 @@
     while ((job = table_next(&j->table, &at, NULL)) != NULL) {
         waiters_drop(&j->requests, job);
         free_tasks(job);
+        explain_forget(job);
         job_answer_free(job->answer);
     }
     table_clear(&j->table);
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -58,6 +58,7 @@
     enum job_status status;
     enum reason reason;
     int64_t ended_us;
+    struct notes *notes;    /* of explain.c */
     struct waiter *waiters; /* of jobs.c: callers and instances */
     struct name claimer;    /* JOB_JOINED */
     uint64_t claimer_incarnation;
--- a/src/start.c
+++ b/src/start.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <syslog.h>
 
+#include "explain.h"
 #include "health.h"
 #include "quota.h"
 #include "slot.h"
@@ -214,6 +215,7 @@
     t->start = h;
     job->n_sent++;
     emit_start(e, s, t->payload);
+    explain_add(e, job, REASON_STARTED, (int32_t)index, s->name);
 }
 
 void
--- a/tests/entry_net.c
+++ b/tests/entry_net.c
@@ -295,6 +295,10 @@
         if (f->kind == EF_PROBLEM) {
             a->problem = f->u.problem;
         }
+        else if (f->kind == EF_TEXT) {
+            free(a->text);
+            a->text = must(strdup(f->u.text.json));
+        }
         else if (f->kind == EF_ANSWER) {
             job_answer_free(a->answer);
             a->answer = job_answer_copy(f->u.answer.answer);
@@ -319,6 +323,9 @@
     case EF_PROBLEM:
         on_reply(n, f->u.problem.request, f);
         break;
+    case EF_TEXT:
+        on_reply(n, f->u.text.request, f);
+        break;
     case EF_START:
         on_start(n, node, &f->u.start);
         break;
@@ -421,6 +428,18 @@
     return query(n, node, key, EV_JOB_GET, wait);
 }
 
+uint64_t
+enet_explain(struct enet *n, int node, const char *key)
+{
+    return query(n, node, key, EV_EXPLAIN, false);
+}
+
+uint64_t
+enet_dump(struct enet *n, int node)
+{
+    return query(n, node, NULL, EV_DUMP, false);
+}
+
 uint64_t
 enet_cancel(struct enet *n, int node, const char *key)
 {
@@ -616,6 +635,7 @@
     }
     for (size_t i = 0; i < n->n_answers; i++) {
         job_answer_free(n->answers[i].answer);
+        free(n->answers[i].text);
     }
     free(n->packets);
     free(n->answers);
--- a/tests/entry_net.h
+++ b/tests/entry_net.h
@@ -52,6 +52,7 @@
     enum effect_kind kind;
     struct ef_problem problem;
     struct job_answer *answer;
+    char *text; /* JSON for operators */
 };
 
 struct enet_packet {
@@ -135,6 +136,8 @@
 uint64_t enet_submit_spec(struct enet *n, int node, const char *key,
                           struct job_spec *spec, bool respond_async);
 uint64_t enet_get(struct enet *n, int node, const char *key, bool wait);
+uint64_t enet_explain(struct enet *n, int node, const char *key);
+uint64_t enet_dump(struct enet *n, int node);
 uint64_t enet_cancel(struct enet *n, int node, const char *key);
 void enet_stop(struct enet *n, int node);
 
--- /dev/null
+++ b/tests/follow_test.c
@@ -0,0 +1,246 @@
+/* Configurations on their way from control to every instance. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "check.h"
+#include "entry_net.h"
+
+enum {
+    CONTROLS = 3,
+    PER_ZONE = 3,
+    NODES = 6,
+    POLLS_MAX = 64,
+    TEXT_SIZE = 300
+};
+
+#define SEC USEC_PER_SEC
+
+/* Fake control processes: what each has, and whether it talks. */
+static struct {
+    uint64_t version;
+    bool silent;
+} controls[CONTROLS];
+
+static const struct name names[CONTROLS] = {{"c0"}, {"c1"}, {"c2"}};
+
+/* Requests that wait for something newer. */
+static struct {
+    int node;
+    int control;
+    uint64_t have;
+} polls[POLLS_MAX];
+static int n_polls;
+
+static uint64_t asked;
+
+static void
+send_version(struct enet *n, int control, int node)
+{
+    struct msg m = {.kind = MSG_CONFIG_REPLY};
+    char text[TEXT_SIZE];
+
+    (void)snprintf(text, sizeof(text),
+                   "[service camp]\nteam = pilgrims\nrun_ms = %llu\n"
+                   "[team pilgrims]\n",
+                   100 + (unsigned long long)controls[control].version);
+    m.u.config_reply.version = controls[control].version;
+    m.u.config_reply.config = blob_new(text, strlen(text));
+    enet_send(n, names[control], node, &m);
+}
+
+static void
+on_outside(struct enet *n, int from, struct name to, const struct msg *m)
+{
+    (void)n;
+    for (int i = 0; i < CONTROLS; i++) {
+        if (name_equal(names[i], to) && m->kind == MSG_CONFIG_REQUEST &&
+            !controls[i].silent && n_polls < POLLS_MAX) {
+            polls[n_polls].node = from;
+            polls[n_polls].control = i;
+            polls[n_polls++].have = m->u.config_request.have_version;
+            asked++;
+        }
+    }
+}
+
+/* Answers what can be answered, and goes on. */
+static void
+run(struct enet *n, int64_t for_us)
+{
+    for (int64_t past = 0; past < for_us; past += SEC / 100) {
+        int kept = 0;
+        int all = n_polls;
+
+        enet_run(n, SEC / 100);
+        for (int i = 0; i < all; i++) {
+            int control = polls[i].control;
+
+            if (controls[control].version <= polls[i].have) {
+                polls[kept++] = polls[i];
+            }
+            else if (n->nodes[polls[i].node].e != NULL) {
+                send_version(n, control, polls[i].node);
+            }
+        }
+        memmove(polls + kept, polls + all,
+                (size_t)(n_polls - all) * sizeof(polls[0]));
+        n_polls += kept - all;
+    }
+}
+
+static void
+follow_controls(struct entry_options *o)
+{
+    o->controls = names;
+    o->n_controls = CONTROLS;
+}
+
+static struct enet *
+new_net(uint64_t version)
+{
+    struct enet_options o = {.zones = 2,
+                             .per_zone = PER_ZONE,
+                             .seed = 5,
+                             .new_region = true,
+                             .run_us = SEC / 10,
+                             .outside = on_outside,
+                             .tune = follow_controls,
+                             .no_config = true};
+
+    memset(controls, 0, sizeof(controls));
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].version = version;
+    }
+    n_polls = 0;
+    return enet_new(&o);
+}
+
+static bool
+all_have(const struct enet *n, uint64_t version)
+{
+    for (int i = 0; i < n->n_nodes; i++) {
+        if (n->nodes[i].e != NULL &&
+            entry_config_version(n->nodes[i].e) != version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+changes_reach_everyone(void)
+{
+    struct enet *n = new_net(4);
+
+    run(n, 2 * SEC);
+    CU_ASSERT_TRUE(all_have(n, 4));
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].version = 5;
+    }
+    asked = 0;
+    run(n, SEC / 5);
+    CU_ASSERT_TRUE(all_have(n, 5));
+    run(n, 30 * SEC);
+    /* One instance in each of two zones polls, every 5.5 s at least. */
+    CU_ASSERT_TRUE(asked >= 10 && asked <= 16);
+    enet_free(n);
+}
+
+/* The control process that an instance polls falls silent, its connection
+ * still open.  Without a limit on the wait the zone would never see a change
+ * again. */
+static void
+silent_control_is_left(void)
+{
+    struct enet *n = new_net(4);
+
+    run(n, 2 * SEC);
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].version = 5;
+        controls[i].silent = i < 2;
+    }
+    n_polls = 0;
+    run(n, 14 * SEC);
+    CU_ASSERT_TRUE(all_have(n, 5));
+    enet_free(n);
+}
+
+/* An instance restarts after many changes.  One control process sits behind
+ * a partition with an old log and is the first to answer.  Applied, its
+ * version would bring back limits that were changed long ago. */
+static void
+restart_never_reverts(void)
+{
+    struct enet *n = new_net(4);
+    uint64_t first = 0;
+
+    run(n, 2 * SEC);
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].version = 900;
+    }
+    run(n, 2 * SEC);
+    controls[0].version = 4;
+    controls[1].silent = true;
+    controls[2].silent = true;
+    enet_restart(n, 1);
+    for (int i = 0; i < 500 && first == 0; i++) {
+        run(n, SEC / 100);
+        first = entry_config_version(n->nodes[1].e);
+    }
+    CU_ASSERT_EQUAL(first, 900);
+    enet_free(n);
+}
+
+/* A text that does not parse arrives as a newer version.  What is in force
+ * stays, and the next good version is applied. */
+static void
+bad_text_changes_nothing(void)
+{
+    struct enet *n = new_net(4);
+    struct msg m = {.kind = MSG_CONFIG_REPLY};
+
+    run(n, 2 * SEC);
+    m.u.config_reply.version = 5;
+    m.u.config_reply.config = blob_new("[service", 8);
+    enet_send(n, names[0], 0, &m);
+    CU_ASSERT_TRUE(all_have(n, 4));
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].version = 6;
+    }
+    run(n, 14 * SEC);
+    CU_ASSERT_TRUE(all_have(n, 6));
+    enet_free(n);
+}
+
+/* A zone is cut off from control, and one of its instances was cut off from
+ * the zone when the last change came.  It gets it from its neighbours. */
+static void
+neighbours_help(void)
+{
+    struct enet *n = new_net(4);
+
+    run(n, 2 * SEC);
+    enet_kill(n, 2);
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].version = 5;
+    }
+    run(n, 2 * SEC);
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].silent = true;
+    }
+    enet_restart(n, 2);
+    run(n, 3 * SEC);
+    CU_ASSERT_TRUE(all_have(n, 5));
+    enet_free(n);
+}
+
+void
+suite_follow(void)
+{
+    check_add("follow", "changes_reach_everyone", changes_reach_everyone);
+    check_add("follow", "silent_control_is_left", silent_control_is_left);
+    check_add("follow", "restart_never_reverts", restart_never_reverts);
+    check_add("follow", "bad_text_changes_nothing", bad_text_changes_nothing);
+    check_add("follow", "neighbours_help", neighbours_help);
+}
--- a/tests/jobs_test.c
+++ b/tests/jobs_test.c
@@ -483,6 +483,42 @@
     enet_free(n);
 }
 
+static int
+count_text(const char *text, const char *part)
+{
+    int count = 0;
+
+    while ((text = strstr(text, part)) != NULL) {
+        count++;
+        text++;
+    }
+    return count;
+}
+
+static void
+decisions_are_explained(void)
+{
+    struct enet *n = new_net(300 * MSEC);
+    const struct enet_answer *a;
+
+    (void)enet_submit(n, 1, key, 40, 11);
+    enet_run(n, 50 * MSEC);
+    a = enet_answer(n, enet_explain(n, 1, key));
+    CU_ASSERT_EQUAL_FATAL(a->kind, EF_TEXT);
+    CU_ASSERT_EQUAL(count_text(a->text, "\"claim-won\""), 1);
+    CU_ASSERT_EQUAL(count_text(a->text, "\"started\""), 15);
+    CU_ASSERT_EQUAL(count_text(a->text, "\"left_out\": 25"), 1);
+    (void)enet_cancel(n, 1, key);
+    a = enet_answer(n, enet_explain(n, 1, key));
+    CU_ASSERT_EQUAL(count_text(a->text, "\"cancelled\""), 3);
+    a = enet_answer(n, enet_explain(n, 0, "order-4711"));
+    CU_ASSERT_EQUAL(count_text(a->text, "\"reason\""), 0);
+    a = enet_answer(n, enet_dump(n, 1));
+    CU_ASSERT_EQUAL(count_text(a->text, "\"claims_granted\": 1"), 1);
+    CU_ASSERT_EQUAL(count_text(a->text, "\"incarnation\": 1"), NODES + 9);
+    enet_free(n);
+}
+
 static struct msg
 random_message(struct enet *n)
 {
@@ -569,5 +605,6 @@
     check_add("jobs", "asynchronous_submission", asynchronous_submission);
     check_add("jobs", "caller_hangs_up", caller_hangs_up);
     check_add("jobs", "waits_are_asked_again", waits_are_asked_again);
+    check_add("jobs", "decisions_are_explained", decisions_are_explained);
     check_add("jobs", "hostile_messages", hostile_messages);
 }
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -3,6 +3,7 @@
 SUITE(base)
 SUITE(claim)
 SUITE(fake)
+SUITE(follow)
 SUITE(jobs)
 SUITE(key)
 SUITE(servicefile)
