--- a/src/bm_publish.c
+++ b/src/bm_publish.c
@@ -41,6 +41,7 @@
     long long base;
     int timeout_ms;
     int wait_ms;
+    int instances;
     int dry_run;
     int wait;
 };
@@ -121,45 +122,70 @@
                : fail(CODE_UNREACHABLE, "control's answer makes no sense", "");
 }
 
-/* Waits until every instance that control knows has the version in force. */
+static struct publish_reach
+ask_reach(struct opclient *c, uint64_t version, struct publish_laggard *lag)
+{
+    struct opclient_request request = {"GET", "/v1/status", "", NULL};
+    struct publish_reach reach;
+    struct fetch_reply reply;
+    json_t *json;
+
+    (void)opclient_run(c, &request, &reply);
+    json = reply.body != NULL ? json_loadb(reply.body, reply.size, 0, NULL)
+                              : NULL;
+    reach = publish_laggards(json, version, lag, LAGGARDS_MAX);
+    json_decref(json);
+    fetch_reply_clear(&reply);
+    return reach;
+}
+
+/* Control forgets an instance that was silent for long, and does not know one
+ * that has not asked yet; --instances says how many there must be. */
+static bool
+everywhere(const struct options *o, const struct publish_reach *reach)
+{
+    return reach->known && reach->lagging == 0 &&
+           reach->in_force >= (size_t)o->instances;
+}
+
+static int
+name_laggards(const struct options *o, const struct publish_reach *reach,
+              const struct publish_laggard *lag)
+{
+    for (size_t i = 0; i < reach->lagging && i < LAGGARDS_MAX; i++) {
+        (void)fprintf(
+            stderr, "lags: %s in %s has version %llu, heard %lld ms ago\n",
+            lag[i].instance, lag[i].zone, (unsigned long long)lag[i].version,
+            (long long)lag[i].heard_ms);
+    }
+    (void)fprintf(stderr,
+                  "bm-publish: accepted; in force at %zu instances, %zu lag, "
+                  "%d wanted\n",
+                  reach->in_force, reach->lagging, o->instances);
+    return CODE_LAGS;
+}
+
 static int
 wait_in_force(const struct options *o, struct opclient *c, uint64_t version)
 {
-    struct opclient_request request = {"GET", "/v1/status", "", NULL};
     const struct timespec pause = {.tv_nsec = POLL_MS * 1000000L};
     struct publish_laggard lag[LAGGARDS_MAX];
     int64_t began_us = clock_now(clock_real()).mono_us;
     int64_t until_us = began_us + o->wait_ms * USEC_PER_MSEC;
-    int n;
-
-    for (;;) {
-        struct fetch_reply reply;
-        json_t *json;
+    struct publish_reach reach = ask_reach(c, version, lag);
 
-        (void)opclient_run(c, &request, &reply);
-        json = reply.body != NULL ? json_loadb(reply.body, reply.size, 0, NULL)
-                                  : NULL;
-        n = publish_laggards(json, version, lag, LAGGARDS_MAX);
-        json_decref(json);
-        fetch_reply_clear(&reply);
-        if (n == 0 || clock_now(clock_real()).mono_us > until_us) {
-            break;
-        }
+    while (!everywhere(o, &reach) &&
+           clock_now(clock_real()).mono_us < until_us) {
         (void)nanosleep(&pause, NULL);
+        reach = ask_reach(c, version, lag);
     }
-    if (n == 0) {
-        printf("in force everywhere after %.1f s\n",
-               (double)(clock_now(clock_real()).mono_us - began_us) /
-                   USEC_PER_SEC);
-        return CODE_DONE;
-    }
-    for (int i = 0; i < n && i < LAGGARDS_MAX; i++) {
-        (void)fprintf(
-            stderr, "lags: %s in %s has version %llu, heard %lld ms ago\n",
-            lag[i].instance, lag[i].zone, (unsigned long long)lag[i].version,
-            (long long)lag[i].heard_ms);
+    if (!everywhere(o, &reach)) {
+        return name_laggards(o, &reach, lag);
     }
-    return fail(CODE_LAGS, "accepted, not yet in force everywhere", "");
+    printf("in force at %zu instances after %.1f s\n", reach.in_force,
+           (double)(clock_now(clock_real()).mono_us - began_us) /
+               USEC_PER_SEC);
+    return CODE_DONE;
 }
 
 static char *
@@ -200,7 +226,6 @@
     printf("version %llu accepted%s, request id %s\n",
            (unsigned long long)a->version, a->resend ? " earlier" : "",
            o->request_id);
-    (void)fflush(stdout);
     return o->wait ? wait_in_force(o, c, a->version) : CODE_DONE;
 }
 
@@ -246,7 +271,10 @@
     if (o->dry_run) {
         goto out;
     }
-    if (now.version > 0 && diff.added + diff.removed + diff.changed == 0) {
+    /* With --base the operator wants to know who came first, even where the
+     * result is the same. */
+    if (o->base < 0 && now.version > 0 &&
+        diff.added + diff.removed + diff.changed == 0) {
         code = o->wait ? wait_in_force(o, c, now.version) : CODE_DONE;
         goto out;
     }
@@ -267,13 +295,9 @@
     if (o->key_file == NULL) {
         return o->dry_run ? NULL : "--key-file is needed";
     }
-    if (!opsign_read_file(o->key_file, operators, error, sizeof(error))) {
-        return error;
-    }
-    co->signer = o->operator_name != NULL
-                     ? opsign_find(operators, name_of(o->operator_name))
-                     : &operators->items[0];
-    return co->signer != NULL ? NULL : "--operator is not in the key file";
+    co->signer = opsign_choose(o->key_file, o->operator_name, operators, error,
+                               sizeof(error));
+    return co->signer != NULL ? NULL : error;
 }
 
 static int
@@ -315,7 +339,7 @@
 main(int argc, const char **argv)
 {
     static struct options o = {
-        .base = -1, .timeout_ms = 15000, .wait_ms = 30000};
+        .base = -1, .timeout_ms = 15000, .wait_ms = 30000, .instances = 1};
     static char drawn_id[OPSIGN_NONCE_SIZE];
     int version = 0;
     struct poptOption table[] = {
@@ -331,6 +355,8 @@
          "end when it is in force everywhere; names who lags", NULL},
         {"wait-ms", 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &o.wait_ms, 0,
          "longest wait", "MS"},
+        {"instances", 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT,
+         &o.instances, 0, "with --wait: at so many instances at least", "N"},
         {"base", 'b', POPT_ARG_LONGLONG, &o.base, 0,
          "version that the files were made from; the one in force where not "
          "given",
@@ -365,6 +391,7 @@
     }
     else {
         (void)signal(SIGPIPE, SIG_IGN);
+        (void)setvbuf(stdout, NULL, _IOLBF, 0);
         fetch_setup();
         opsign_nonce(drawn_id);
         if (o.request_id == NULL) {
