Split the claims into voter, claimer and takeover

Cause: claim.c had grown to 1,400 lines with three jobs in it.

Change: vote.c keeps a voter's records, claim_sync.c takes them over after a restart, claim.c makes the attempts. No decision changed.

--- a/src/claim.c
+++ b/src/claim.c
@@ -4,50 +4,15 @@
 #include <string.h>
 #include <syslog.h>
 
+#include "claim_state.h"
+#include "claim_sync.h"
 #include "jobs.h"
-#include "map.h"
 #include "member.h"
-#include "timers.h"
+#include "vote.h"
 
 enum {
     ROUNDS_MAX = 6,     /* of asking before an attempt is given up */
     LIFE_TIMEOUTS = 20, /* an attempt's longest life, in claim timeouts */
-    SYNC_PAGE = 1024,   /* places of the table in one page */
-    SWEEP_PARTS = 60,   /* ticks in which all records are looked at */
-    SWEEP_MIN = 64,     /* places looked at in one tick */
-    SYNC_TIMEOUTS = 4,  /* between requests, in claim timeouts */
-    FELLOWS_MAX = VOTERS_PER_ZONE - 1,
-};
-
-/* A voter's record. Kept small: there is one for each key of the window. */
-struct claim {
-    struct key_id id; /* first: looked up by it */
-    struct handle self;
-    uint64_t digest;
-    uint64_t attempt;
-    uint64_t incarnation; /* of the claimer */
-    int64_t expires_us;   /* wall time */
-    uint16_t claimer;     /* number of the member */
-    uint8_t zone;         /* number of the home zone */
-    uint8_t purpose : 1;
-    uint8_t copied : 1;    /* taken over from a fellow voter */
-    uint8_t contested : 1; /* fellow voters named different claimers */
-    uint8_t bare : 1;
-};
-
-/* Another voter of a zone that this instance votes for. */
-struct fellow {
-    struct name name;
-    uint64_t incarnation; /* that answers our pages */
-    uint64_t page;
-    bool done;
-};
-
-struct voting {
-    bool voter;
-    bool ready; /* knows all live claims of the zone */
-    struct fellow fellows[FELLOWS_MAX];
-    size_t n_fellows;
 };
 
 /* One voter's part in an attempt. */
@@ -80,39 +45,6 @@
     size_t n_asks;
 };
 
-struct claims {
-    struct table records;
-    struct map by_key;
-    struct table attempts;
-    struct map by_number;
-    struct timers timers;
-    struct voting votings[ZONES_MAX]; /* as members_zones() */
-    bool started;
-    struct moment start;
-    int64_t sync_due_us;
-    int64_t sweep_due_us;
-    uint32_t sweep_at;
-};
-
-static void attempt_step(struct entry *e, struct attempt *a);
-
-static void
-voting_init(const struct entry *e, struct voting *v, struct name zone)
-{
-    struct name voters[VOTERS_PER_ZONE];
-    size_t n = members_voters(e, zone, voters);
-
-    for (size_t i = 0; i < n; i++) {
-        if (name_equal(voters[i], e->opts.self)) {
-            v->voter = true;
-        }
-        else if (v->n_fellows < FELLOWS_MAX) {
-            v->fellows[v->n_fellows++].name = voters[i];
-        }
-    }
-    v->ready = e->opts.new_region;
-}
-
 struct claims *
 claims_new(const struct entry *e)
 {
@@ -128,7 +60,7 @@
     table_init(&c->attempts, sizeof(struct attempt));
     map_init(&c->by_number, MAP_U64);
     for (size_t i = 0; i < n; i++) {
-        voting_init(e, &c->votings[i], zones[i]);
+        vote_init(e, &c->votings[i], zones[i]);
     }
     return c;
 }
@@ -147,307 +79,6 @@
     free(c);
 }
 
-/* The first event's time stands for the start: what an earlier incarnation
- * granted, it granted before. */
-static void
-note_start(struct entry *e)
-{
-    struct claims *c = e->claims;
-
-    if (!c->started) {
-        c->started = true;
-        c->start = e->now;
-        c->sync_due_us = e->now.mono_us;
-        c->sweep_due_us = e->now.mono_us + USEC_PER_SEC;
-    }
-}
-
-/* Number of a zone, or -1. */
-static int
-zone_number(const struct entry *e, struct name zone)
-{
-    size_t n;
-    const struct name *zones = members_zones(e, &n);
-
-    for (size_t i = 0; i < n; i++) {
-        if (name_equal(zones[i], zone)) {
-            return (int)i;
-        }
-    }
-    return -1;
-}
-
-static struct voting *
-voting_of(const struct entry *e, struct name zone)
-{
-    int i = zone_number(e, zone);
-
-    return i >= 0 && e->claims->votings[i].voter ? &e->claims->votings[i]
-                                                 : NULL;
-}
-
-bool
-claims_voting(const struct entry *e, struct name zone)
-{
-    const struct voting *v = voting_of(e, zone);
-
-    return v != NULL && v->ready;
-}
-
-/* ---- the voter's records ---- */
-
-/* A record outlives its key by the skew between clocks: an instance whose
- * clock is behind may still take the key. */
-static int64_t
-record_expiry(const struct entry *e, int64_t issued_us)
-{
-    int64_t from = issued_us > 0 ? issued_us : e->now.wall_us;
-
-    return from + e->opts.claim_window_us + 2 * e->opts.clock_skew_us;
-}
-
-static void
-record_remove(struct claims *c, struct claim *r)
-{
-    (void)map_remove(&c->by_key, &r->id);
-    table_remove(&c->records, r->self);
-}
-
-static struct claim *
-record_get(const struct entry *e, struct key_id id)
-{
-    struct claim *r = map_get(&e->claims->by_key, &id);
-
-    if (r != NULL && r->expires_us <= e->now.wall_us) {
-        record_remove(e->claims, r);
-        return NULL;
-    }
-    return r;
-}
-
-static struct claim *
-record_add(struct entry *e, struct key_id id, int zone)
-{
-    struct handle h;
-    struct claim *r = table_add(&e->claims->records, &h);
-
-    r->id = id;
-    r->self = h;
-    r->zone = (uint8_t)zone;
-    map_put(&e->claims->by_key, r);
-    return r;
-}
-
-/* Whether this voter can know all that was ever claimed under the key: it
- * knows all live claims, or the key is younger than its own life.  Voters
- * refuse keys issued further than the skew in the future, so an earlier
- * incarnation cannot have granted a key issued two skews after this start. */
-static bool
-may_vote(const struct entry *e, const struct voting *v, int64_t issued_us)
-{
-    int64_t born = e->claims->start.wall_us + 2 * e->opts.clock_skew_us;
-
-    return v->ready || (issued_us > 0 && issued_us > born);
-}
-
-static bool
-too_old(const struct entry *e, int64_t issued_us)
-{
-    return issued_us > 0 &&
-           issued_us + e->opts.claim_window_us < e->now.wall_us;
-}
-
-static bool
-in_future(const struct entry *e, int64_t issued_us)
-{
-    return issued_us > e->now.wall_us + e->opts.clock_skew_us;
-}
-
-static void
-reply_taken(const struct entry *e, const struct claim *r,
-            struct rec_claim_reply *reply)
-{
-    reply->verdict = CLAIM_TAKEN;
-    reply->claimer = members_at(e, r->claimer)->name;
-    reply->claimer_incarnation = r->incarnation;
-    reply->digest = r->digest;
-    reply->purpose = r->purpose;
-}
-
-bool
-claims_record(const struct entry *e, struct key_id id,
-              struct claim_result *out)
-{
-    const struct claim *r = record_get(e, id);
-
-    if (r == NULL || r->contested) {
-        return false;
-    }
-    memset(out, 0, sizeof(*out));
-    out->end = CLAIM_END_OTHER;
-    out->claimer = members_at(e, r->claimer)->name;
-    out->incarnation = r->incarnation;
-    out->digest = r->digest;
-    out->purpose = (enum claim_purpose)r->purpose;
-    return true;
-}
-
-static void
-record_grant(struct entry *e, const struct rec_claim *m, uint16_t claimer,
-             int zone)
-{
-    struct claim *r = record_add(e, m->key, zone);
-
-    r->digest = m->digest;
-    r->attempt = m->attempt;
-    r->incarnation = m->incarnation;
-    r->expires_us = record_expiry(e, (int64_t)m->issued_us);
-    r->claimer = claimer;
-    r->purpose = m->purpose;
-    r->bare = m->issued_us == 0;
-    e->counters.claims_granted++;
-}
-
-/* Decides on a key that is recorded already.  A copy in a voter that is not
- * ready is no vote: what another voter granted was not granted here, and
- * counted twice it would make a majority of one. */
-static void
-vote_again(struct entry *e, const struct voting *v, const struct rec_claim *m,
-           uint16_t claimer, struct claim *r, struct rec_claim_reply *reply)
-{
-    if (r->bare) {
-        r->expires_us = record_expiry(e, 0);
-    }
-    if (r->contested || (r->copied && !v->ready)) {
-        reply->verdict = CLAIM_NOT_VOTING;
-        return;
-    }
-    if (r->claimer != claimer || r->incarnation != m->incarnation) {
-        reply_taken(e, r, reply);
-        return;
-    }
-    if (m->attempt > r->attempt) {
-        r->attempt = m->attempt;
-        r->digest = m->digest;
-        r->purpose = m->purpose;
-    }
-    reply->verdict = CLAIM_GRANTED;
-}
-
-static void
-vote(struct entry *e, const struct voting *v, const struct rec_claim *m,
-     uint16_t claimer, struct rec_claim_reply *reply)
-{
-    int64_t issued = (int64_t)m->issued_us;
-    struct claim *r = record_get(e, m->key);
-
-    if (too_old(e, issued)) {
-        reply->verdict = CLAIM_TOO_OLD;
-    }
-    else if (r != NULL) {
-        vote_again(e, v, m, claimer, r, reply);
-    }
-    else if (in_future(e, issued) || !may_vote(e, v, issued)) {
-        reply->verdict = CLAIM_NOT_VOTING;
-    }
-    else {
-        record_grant(e, m, claimer, zone_number(e, m->zone));
-        reply->verdict = CLAIM_GRANTED;
-    }
-}
-
-static void
-look_up(struct entry *e, const struct voting *v, struct key_id key,
-        struct rec_claim_reply *reply)
-{
-    struct claim *r = record_get(e, key);
-
-    if (r != NULL && !r->contested) {
-        reply_taken(e, r, reply);
-    }
-    else {
-        reply->verdict = r == NULL && v->ready ? CLAIM_NONE : CLAIM_NOT_VOTING;
-    }
-}
-
-/* Every reply tells which incarnations of the fellow voters were met: see
- * grant_stale(). */
-static void
-reply_views(const struct entry *e, const struct voting *v,
-            struct rec_claim_reply *reply)
-{
-    reply->voter_incarnation = e->opts.incarnation;
-    reply->views = calloc(FELLOWS_MAX, sizeof(*reply->views));
-    if (reply->views == NULL) {
-        abort();
-    }
-    for (size_t i = 0; i < v->n_fellows; i++) {
-        reply->views[i].voter = v->fellows[i].name;
-        reply->views[i].incarnation =
-            members_of(e, v->fellows[i].name)->incarnation;
-    }
-    reply->n_views = v->n_fellows;
-}
-
-/* Fills the reply to a claim or a find; false where it makes no sense. */
-static bool
-answer_claim(struct entry *e, struct name from, const struct rec_claim *m,
-             struct rec_claim_reply *reply)
-{
-    const struct voting *v = voting_of(e, m->zone);
-    struct member *claimer = members_of(e, from);
-
-    if (v == NULL || claimer == NULL || m->purpose > CLAIM_CANCEL ||
-        m->incarnation < claimer->incarnation || m->issued_us > INT64_MAX) {
-        return false;
-    }
-    memset(reply, 0, sizeof(*reply));
-    reply->key = m->key;
-    reply->zone = m->zone;
-    reply->attempt = m->attempt;
-    vote(e, v, m, members_index(e, claimer), reply);
-    reply_views(e, v, reply);
-    return true;
-}
-
-static bool
-answer_find(struct entry *e, const struct rec_claim_find *m,
-            struct rec_claim_reply *reply)
-{
-    const struct voting *v = voting_of(e, m->zone);
-
-    if (v == NULL) {
-        return false;
-    }
-    memset(reply, 0, sizeof(*reply));
-    reply->key = m->key;
-    reply->zone = m->zone;
-    reply->attempt = m->attempt;
-    look_up(e, v, m->key, reply);
-    reply_views(e, v, reply);
-    return true;
-}
-
-static bool
-answer_release(struct entry *e, struct name from,
-               const struct rec_claim_release *m)
-{
-    struct member *claimer = members_of(e, from);
-    struct claim *r = record_get(e, m->key);
-
-    if (claimer == NULL || voting_of(e, m->zone) == NULL) {
-        return false;
-    }
-    if (r != NULL && !r->contested &&
-        r->claimer == members_index(e, claimer) &&
-        r->incarnation == m->incarnation && r->attempt <= m->attempt) {
-        record_remove(e->claims, r);
-    }
-    return true;
-}
-
-/* ---- the claimer's attempts ---- */
-
 static void
 attempt_due(struct entry *e, struct attempt *a, int64_t after_us)
 {
@@ -532,7 +163,7 @@
     m.u.claim_release.attempt = attempt;
     m.u.claim_release.incarnation = e->opts.incarnation;
     if (name_equal(to, e->opts.self)) {
-        (void)answer_release(e, to, &m.u.claim_release);
+        (void)vote_release(e, to, &m.u.claim_release);
         return;
     }
     entry_send(e, to, &m);
@@ -660,8 +291,8 @@
 ask_self(struct entry *e, struct attempt *a, const struct msg *m)
 {
     struct rec_claim_reply reply;
-    bool sense = a->find ? answer_find(e, &m->u.claim_find, &reply)
-                         : answer_claim(e, e->opts.self, &m->u.claim, &reply);
+    bool sense = a->find ? vote_find(e, &m->u.claim_find, &reply)
+                         : vote_claim(e, e->opts.self, &m->u.claim, &reply);
 
     if (sense) {
         (void)attempt_take(e, a, e->opts.self, &reply);
@@ -926,7 +557,7 @@
 static void
 attempt_begin(struct entry *e, struct attempt *a)
 {
-    note_start(e);
+    vote_note_start(e);
     attempt_due(e, a, e->opts.claim_timeout_us);
     attempt_step(e, a);
 }
@@ -1028,7 +659,7 @@
 {
     struct msg reply = {.kind = MSG_CLAIM_REPLY};
 
-    if (!answer_claim(e, from, m, &reply.u.claim_reply)) {
+    if (!vote_claim(e, from, m, &reply.u.claim_reply)) {
         return false;
     }
     entry_send(e, from, &reply);
@@ -1040,289 +671,18 @@
 {
     struct msg reply = {.kind = MSG_CLAIM_REPLY};
 
-    if (!answer_find(e, m, &reply.u.claim_reply)) {
+    if (!vote_find(e, m, &reply.u.claim_reply)) {
         return false;
     }
     entry_send(e, from, &reply);
     return true;
 }
 
-/* ---- taking over the live claims after a restart ---- */
-
-static struct fellow *
-fellow_of(struct voting *v, struct name name)
-{
-    for (size_t i = 0; v != NULL && i < v->n_fellows; i++) {
-        if (name_equal(v->fellows[i].name, name)) {
-            return &v->fellows[i];
-        }
-    }
-    return NULL;
-}
-
-static void
-request_page(struct entry *e, struct name zone, const struct fellow *f)
-{
-    struct msg m = {.kind = MSG_SYNC_REQUEST};
-
-    m.u.sync_request.zone = zone;
-    m.u.sync_request.incarnation = e->opts.incarnation;
-    m.u.sync_request.page = f->page;
-    entry_send(e, f->name, &m);
-}
-
-static void
-copy_record(const struct entry *e, const struct claim *r,
-            struct rec_claim_copy *to)
-{
-    to->key = r->id;
-    to->expires_us = (uint64_t)r->expires_us;
-    to->digest = r->digest;
-    to->purpose = r->purpose;
-    to->attempt = r->attempt;
-    to->incarnation = r->incarnation;
-    if (!r->contested) {
-        to->claimer = members_at(e, r->claimer)->name;
-    }
-}
-
-/* A page is a range of places in the table.  Records do not move, so one
- * that is there during the whole transfer is in exactly one page; one that
- * is added to a place already passed was granted after the request, and its
- * reply names the new incarnation. */
-static void
-fill_page(struct entry *e, int zone, struct rec_sync_reply *reply)
-{
-    const struct table *t = &e->claims->records;
-    uint64_t end = (reply->page + 1) * SYNC_PAGE;
-    uint32_t at = (uint32_t)(reply->page * SYNC_PAGE);
-    struct handle h;
-    const struct claim *r;
-
-    reply->claims = calloc(SYNC_PAGE, sizeof(*reply->claims));
-    if (reply->claims == NULL) {
-        abort();
-    }
-    while ((r = table_next(t, &at, &h)) != NULL && h.index <= end) {
-        if (r->zone == zone && r->expires_us > e->now.wall_us) {
-            copy_record(e, r, &reply->claims[reply->n_claims++]);
-        }
-    }
-    reply->more = end < t->places ? 1 : 0;
-}
-
-static bool
-on_sync_request(struct entry *e, struct name from,
-                const struct rec_sync_request *m)
-{
-    struct voting *v = voting_of(e, m->zone);
-    struct member *asker = members_of(e, from);
-    struct msg reply = {.kind = MSG_SYNC_REPLY};
-    struct rec_sync_reply *r = &reply.u.sync_reply;
-
-    if (fellow_of(v, from) == NULL ||
-        m->page > e->claims->records.places / SYNC_PAGE ||
-        !members_met(e, asker, m->incarnation)) {
-        return false;
-    }
-    r->zone = m->zone;
-    r->incarnation = e->opts.incarnation;
-    r->for_incarnation = m->incarnation;
-    r->ready = v->ready ? 1 : 0;
-    r->page = m->page;
-    if (v->ready) {
-        fill_page(e, zone_number(e, m->zone), r);
-    }
-    entry_send(e, from, &reply);
-    return true;
-}
-
-/* Two voters that name different claimers leave open which one had the
- * majority with this voter's forgotten vote.  Keeping either could hide the
- * winner once the other releases the key, so for the rest of the window this
- * voter has no vote on it. */
-static void
-merge_copy(struct claim *r, const struct rec_claim_copy *c, uint16_t claimer,
-           bool contested)
-{
-    if (!r->copied) {
-        return; /* our own vote stands above what others tell */
-    }
-    if (contested || r->claimer != claimer ||
-        r->incarnation != c->incarnation) {
-        r->contested = 1;
-        return;
-    }
-    if (c->attempt > r->attempt) {
-        r->attempt = c->attempt;
-        r->digest = c->digest;
-        r->purpose = c->purpose;
-    }
-}
-
-static bool
-take_copy(struct entry *e, int zone, const struct rec_claim_copy *c)
-{
-    bool contested = name_empty(c->claimer);
-    const struct member *m = members_of(e, c->claimer);
-    uint16_t claimer = m != NULL ? members_index(e, m) : 0;
-    int64_t longest = record_expiry(e, 0) + 2 * e->opts.clock_skew_us;
-    struct claim *r;
-
-    if ((m == NULL && !contested) || c->purpose > CLAIM_CANCEL ||
-        c->expires_us > (uint64_t)longest) {
-        return false;
-    }
-    r = record_get(e, c->key);
-    if (r != NULL) {
-        merge_copy(r, c, claimer, contested);
-        return true;
-    }
-    r = record_add(e, c->key, zone);
-    r->digest = c->digest;
-    r->attempt = c->attempt;
-    r->incarnation = c->incarnation;
-    r->expires_us = (int64_t)c->expires_us;
-    r->claimer = claimer;
-    r->purpose = c->purpose;
-    r->copied = 1;
-    r->contested = contested ? 1 : 0;
-    return true;
-}
-
-static void
-voting_ready(struct entry *e, struct voting *v, const char *how)
-{
-    v->ready = true;
-    entry_log(e, LOG_NOTICE, REASON_SYNCED, NULL, -1, name_of(""),
-              "votes on all keys, %s; %zu claims", how, claims_count(e));
-}
-
-static void
-fellow_done(struct entry *e, struct voting *v, struct fellow *f)
-{
-    f->done = true;
-    for (size_t i = 0; i < v->n_fellows; i++) {
-        if (!v->fellows[i].done) {
-            return;
-        }
-    }
-    voting_ready(e, v, "claims taken over from every other voter");
-}
-
-/* Pages count only within one incarnation of the sender: a later one may have
- * lost what the pages before told. */
-static bool
-page_expected(struct fellow *f, const struct rec_sync_reply *m)
-{
-    if (m->incarnation != f->incarnation) {
-        f->incarnation = m->incarnation;
-        f->page = 0;
-        f->done = false;
-    }
-    return m->page == f->page && !f->done;
-}
-
-static bool
-on_sync_reply(struct entry *e, struct name from,
-              const struct rec_sync_reply *m)
-{
-    struct voting *v = voting_of(e, m->zone);
-    struct fellow *f = fellow_of(v, from);
-    bool sense = true;
-
-    if (f == NULL || !members_met(e, members_of(e, from), m->incarnation)) {
-        return false;
-    }
-    if (v->ready || m->ready == 0 ||
-        m->for_incarnation != e->opts.incarnation || !page_expected(f, m)) {
-        return true;
-    }
-    for (size_t i = 0; i < m->n_claims; i++) {
-        sense = take_copy(e, zone_number(e, m->zone), &m->claims[i]) && sense;
-    }
-    if (m->more != 0) {
-        f->page++;
-        request_page(e, m->zone, f);
-    }
-    else if (sense) {
-        fellow_done(e, v, f);
-    }
-    return sense;
-}
-
-static void
-request_pages(struct entry *e, struct name zone, struct voting *v)
-{
-    for (size_t i = 0; i < v->n_fellows; i++) {
-        struct fellow *f = &v->fellows[i];
-
-        if (!f->done && members_of(e, f->name)->up) {
-            request_page(e, zone, f);
-        }
-    }
-}
-
-/* What was claimed before this start has run out by itself. */
-static int64_t
-window_over_us(const struct entry *e)
-{
-    return e->claims->start.mono_us + e->opts.claim_window_us +
-           2 * e->opts.clock_skew_us;
-}
-
-static bool
-sync_needed(const struct entry *e)
-{
-    size_t n;
-
-    (void)members_zones(e, &n);
-    for (size_t i = 0; i < n; i++) {
-        if (e->claims->votings[i].voter && !e->claims->votings[i].ready) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-sync_tick(struct entry *e)
-{
-    size_t n;
-    const struct name *zones = members_zones(e, &n);
-    bool over = e->now.mono_us >= window_over_us(e);
-
-    for (size_t i = 0; i < n; i++) {
-        struct voting *v = &e->claims->votings[i];
-
-        if (!v->voter || v->ready) {
-            continue;
-        }
-        if (over) {
-            voting_ready(e, v, "the claim window has passed");
-            continue;
-        }
-        request_pages(e, zones[i], v);
-    }
-    e->claims->sync_due_us =
-        e->now.mono_us + SYNC_TIMEOUTS * e->opts.claim_timeout_us;
-}
-
 void
 claims_member_up(struct entry *e, struct name member)
 {
-    size_t n;
-    const struct name *zones = members_zones(e, &n);
-
-    note_start(e);
-    for (size_t i = 0; i < n; i++) {
-        struct voting *v = &e->claims->votings[i];
-        struct fellow *f = fellow_of(v, member);
-
-        if (v->voter && !v->ready && f != NULL && !f->done) {
-            request_page(e, zones[i], f);
-        }
-    }
+    vote_note_start(e);
+    sync_member_up(e, member);
 }
 
 void
@@ -1330,7 +690,7 @@
 {
     bool sense = false;
 
-    note_start(e);
+    vote_note_start(e);
     switch (m->kind) {
     case MSG_CLAIM:
         sense = on_claim(e, from, &m->u.claim);
@@ -1339,16 +699,16 @@
         sense = on_reply(e, from, &m->u.claim_reply);
         break;
     case MSG_CLAIM_RELEASE:
-        sense = answer_release(e, from, &m->u.claim_release);
+        sense = vote_release(e, from, &m->u.claim_release);
         break;
     case MSG_CLAIM_FIND:
         sense = on_find(e, from, &m->u.claim_find);
         break;
     case MSG_SYNC_REQUEST:
-        sense = on_sync_request(e, from, &m->u.sync_request);
+        sense = sync_on_request(e, from, &m->u.sync_request);
         break;
     case MSG_SYNC_REPLY:
-        sense = on_sync_reply(e, from, &m->u.sync_reply);
+        sense = sync_on_reply(e, from, &m->u.sync_reply);
         break;
     default:
         break;
@@ -1360,36 +720,13 @@
     }
 }
 
-/* ---- time ---- */
-
-/* Looks at a part of the records, so that no tick takes long. */
-static void
-sweep(struct entry *e)
-{
-    struct claims *c = e->claims;
-    uint32_t left = c->records.places / SWEEP_PARTS + SWEEP_MIN;
-    struct claim *r;
-
-    while (left-- > 0) {
-        r = table_next(&c->records, &c->sweep_at, NULL);
-        if (r == NULL) {
-            c->sweep_at = 0;
-            break;
-        }
-        if (r->expires_us <= e->now.wall_us) {
-            record_remove(c, r);
-        }
-    }
-    c->sweep_due_us = e->now.mono_us + USEC_PER_SEC;
-}
-
 void
 claims_tick(struct entry *e)
 {
     struct claims *c = e->claims;
     struct handle h;
 
-    note_start(e);
+    vote_note_start(e);
     while (timers_pop(&c->timers, e->now.mono_us, &h)) {
         struct attempt *a = table_get(&c->attempts, h);
 
@@ -1401,7 +738,7 @@
         sync_tick(e);
     }
     if (e->now.mono_us >= c->sweep_due_us) {
-        sweep(e);
+        vote_sweep(e);
     }
 }
 
@@ -1419,15 +756,3 @@
     }
     return next;
 }
-
-size_t
-claims_count(const struct entry *e)
-{
-    return map_count(&e->claims->by_key);
-}
-
-size_t
-claims_bytes(const struct entry *e)
-{
-    return table_bytes(&e->claims->records) + map_bytes(&e->claims->by_key);
-}
--- /dev/null
+++ b/src/claim_state.h
@@ -0,0 +1,61 @@
+/**
+ * DOC: claim_state - what the modules of the claims share
+ *
+ * vote.c keeps a voter's records, claim_sync.c takes them over after a
+ * restart, claim.c makes a claimer's attempts.
+ */
+#ifndef BM_CLAIM_STATE_H
+#define BM_CLAIM_STATE_H
+
+#include "claim.h"
+#include "map.h"
+#include "timers.h"
+
+enum { FELLOWS_MAX = VOTERS_PER_ZONE - 1 };
+
+/* A voter's record. Kept small: there is one for each key of the window. */
+struct claim {
+    struct key_id id; /* first: looked up by it */
+    struct handle self;
+    uint64_t digest;
+    uint64_t attempt;
+    uint64_t incarnation; /* of the claimer */
+    int64_t expires_us;   /* wall time */
+    uint16_t claimer;     /* number of the member */
+    uint8_t zone;         /* number of the home zone */
+    uint8_t purpose : 1;
+    uint8_t copied : 1;    /* taken over from a fellow voter */
+    uint8_t contested : 1; /* fellow voters named different claimers */
+    uint8_t bare : 1;
+};
+
+/* Another voter of a zone that this instance votes for. */
+struct fellow {
+    struct name name;
+    uint64_t incarnation; /* that answers our pages */
+    uint64_t page;
+    bool done;
+};
+
+struct voting {
+    bool voter;
+    bool ready; /* knows all live claims of the zone */
+    struct fellow fellows[FELLOWS_MAX];
+    size_t n_fellows;
+};
+
+struct claims {
+    struct table records;
+    struct map by_key;
+    struct table attempts;
+    struct map by_number;
+    struct timers timers;
+    struct voting votings[ZONES_MAX]; /* as members_zones() */
+    bool started;
+    struct moment start;
+    int64_t sync_due_us;
+    int64_t sweep_due_us;
+    uint32_t sweep_at;
+};
+
+#endif
--- /dev/null
+++ b/src/claim_sync.c
@@ -0,0 +1,288 @@
+#include "claim_sync.h"
+
+#include <stdlib.h>
+#include <syslog.h>
+
+#include "member.h"
+#include "vote.h"
+
+enum {
+    SYNC_PAGE = 1024,  /* places of the table in one page */
+    SYNC_TIMEOUTS = 4, /* between requests, in claim timeouts */
+};
+
+static struct fellow *
+fellow_of(struct voting *v, struct name name)
+{
+    for (size_t i = 0; v != NULL && i < v->n_fellows; i++) {
+        if (name_equal(v->fellows[i].name, name)) {
+            return &v->fellows[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+request_page(struct entry *e, struct name zone, const struct fellow *f)
+{
+    struct msg m = {.kind = MSG_SYNC_REQUEST};
+
+    m.u.sync_request.zone = zone;
+    m.u.sync_request.incarnation = e->opts.incarnation;
+    m.u.sync_request.page = f->page;
+    entry_send(e, f->name, &m);
+}
+
+static void
+copy_record(const struct entry *e, const struct claim *r,
+            struct rec_claim_copy *to)
+{
+    to->key = r->id;
+    to->expires_us = (uint64_t)r->expires_us;
+    to->digest = r->digest;
+    to->purpose = r->purpose;
+    to->attempt = r->attempt;
+    to->incarnation = r->incarnation;
+    if (!r->contested) {
+        to->claimer = members_at(e, r->claimer)->name;
+    }
+}
+
+/* A page is a range of places in the table.  Records do not move, so one
+ * that is there during the whole transfer is in exactly one page; one that
+ * is added to a place already passed was granted after the request, and its
+ * reply names the new incarnation. */
+static void
+fill_page(struct entry *e, int zone, struct rec_sync_reply *reply)
+{
+    const struct table *t = &e->claims->records;
+    uint64_t end = (reply->page + 1) * SYNC_PAGE;
+    uint32_t at = (uint32_t)(reply->page * SYNC_PAGE);
+    struct handle h;
+    const struct claim *r;
+
+    reply->claims = calloc(SYNC_PAGE, sizeof(*reply->claims));
+    if (reply->claims == NULL) {
+        abort();
+    }
+    while ((r = table_next(t, &at, &h)) != NULL && h.index <= end) {
+        if (r->zone == zone && r->expires_us > e->now.wall_us) {
+            copy_record(e, r, &reply->claims[reply->n_claims++]);
+        }
+    }
+    reply->more = end < t->places ? 1 : 0;
+}
+
+bool
+sync_on_request(struct entry *e, struct name from,
+                const struct rec_sync_request *m)
+{
+    struct voting *v = vote_zone(e, m->zone);
+    struct member *asker = members_of(e, from);
+    struct msg reply = {.kind = MSG_SYNC_REPLY};
+    struct rec_sync_reply *r = &reply.u.sync_reply;
+
+    if (fellow_of(v, from) == NULL ||
+        m->page > e->claims->records.places / SYNC_PAGE ||
+        !members_met(e, asker, m->incarnation)) {
+        return false;
+    }
+    r->zone = m->zone;
+    r->incarnation = e->opts.incarnation;
+    r->for_incarnation = m->incarnation;
+    r->ready = v->ready ? 1 : 0;
+    r->page = m->page;
+    if (v->ready) {
+        fill_page(e, vote_zone_number(e, m->zone), r);
+    }
+    entry_send(e, from, &reply);
+    return true;
+}
+
+/* Two voters that name different claimers leave open which one had the
+ * majority with this voter's forgotten vote.  Keeping either could hide the
+ * winner once the other releases the key, so for the rest of the window this
+ * voter has no vote on it. */
+static void
+merge_copy(struct claim *r, const struct rec_claim_copy *c, uint16_t claimer,
+           bool contested)
+{
+    if (!r->copied) {
+        return; /* our own vote stands above what others tell */
+    }
+    if (contested || r->claimer != claimer ||
+        r->incarnation != c->incarnation) {
+        r->contested = 1;
+        return;
+    }
+    if (c->attempt > r->attempt) {
+        r->attempt = c->attempt;
+        r->digest = c->digest;
+        r->purpose = c->purpose;
+    }
+}
+
+static bool
+take_copy(struct entry *e, int zone, const struct rec_claim_copy *c)
+{
+    bool contested = name_empty(c->claimer);
+    const struct member *m = members_of(e, c->claimer);
+    uint16_t claimer = m != NULL ? members_index(e, m) : 0;
+    int64_t longest = vote_record_expiry(e, 0) + 2 * e->opts.clock_skew_us;
+    struct claim *r;
+
+    if ((m == NULL && !contested) || c->purpose > CLAIM_CANCEL ||
+        c->expires_us > (uint64_t)longest) {
+        return false;
+    }
+    r = vote_record(e, c->key);
+    if (r != NULL) {
+        merge_copy(r, c, claimer, contested);
+        return true;
+    }
+    r = vote_record_add(e, c->key, zone);
+    r->digest = c->digest;
+    r->attempt = c->attempt;
+    r->incarnation = c->incarnation;
+    r->expires_us = (int64_t)c->expires_us;
+    r->claimer = claimer;
+    r->purpose = c->purpose;
+    r->copied = 1;
+    r->contested = contested ? 1 : 0;
+    return true;
+}
+
+static void
+voting_ready(struct entry *e, struct voting *v, const char *how)
+{
+    v->ready = true;
+    entry_log(e, LOG_NOTICE, REASON_SYNCED, NULL, -1, name_of(""),
+              "votes on all keys, %s; %zu claims", how, claims_count(e));
+}
+
+static void
+fellow_done(struct entry *e, struct voting *v, struct fellow *f)
+{
+    f->done = true;
+    for (size_t i = 0; i < v->n_fellows; i++) {
+        if (!v->fellows[i].done) {
+            return;
+        }
+    }
+    voting_ready(e, v, "claims taken over from every other voter");
+}
+
+/* Pages count only within one incarnation of the sender: a later one may have
+ * lost what the pages before told. */
+static bool
+page_expected(struct fellow *f, const struct rec_sync_reply *m)
+{
+    if (m->incarnation != f->incarnation) {
+        f->incarnation = m->incarnation;
+        f->page = 0;
+        f->done = false;
+    }
+    return m->page == f->page && !f->done;
+}
+
+bool
+sync_on_reply(struct entry *e, struct name from,
+              const struct rec_sync_reply *m)
+{
+    struct voting *v = vote_zone(e, m->zone);
+    struct fellow *f = fellow_of(v, from);
+    bool sense = true;
+
+    if (f == NULL || !members_met(e, members_of(e, from), m->incarnation)) {
+        return false;
+    }
+    if (v->ready || m->ready == 0 ||
+        m->for_incarnation != e->opts.incarnation || !page_expected(f, m)) {
+        return true;
+    }
+    for (size_t i = 0; i < m->n_claims; i++) {
+        sense =
+            take_copy(e, vote_zone_number(e, m->zone), &m->claims[i]) && sense;
+    }
+    if (m->more != 0) {
+        f->page++;
+        request_page(e, m->zone, f);
+    }
+    else if (sense) {
+        fellow_done(e, v, f);
+    }
+    return sense;
+}
+
+static void
+request_pages(struct entry *e, struct name zone, struct voting *v)
+{
+    for (size_t i = 0; i < v->n_fellows; i++) {
+        struct fellow *f = &v->fellows[i];
+
+        if (!f->done && members_of(e, f->name)->up) {
+            request_page(e, zone, f);
+        }
+    }
+}
+
+/* What was claimed before this start has run out by itself. */
+static int64_t
+window_over_us(const struct entry *e)
+{
+    return e->claims->start.mono_us + e->opts.claim_window_us +
+           2 * e->opts.clock_skew_us;
+}
+
+bool
+sync_needed(const struct entry *e)
+{
+    size_t n;
+
+    (void)members_zones(e, &n);
+    for (size_t i = 0; i < n; i++) {
+        if (e->claims->votings[i].voter && !e->claims->votings[i].ready) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+sync_tick(struct entry *e)
+{
+    size_t n;
+    const struct name *zones = members_zones(e, &n);
+    bool over = e->now.mono_us >= window_over_us(e);
+
+    for (size_t i = 0; i < n; i++) {
+        struct voting *v = &e->claims->votings[i];
+
+        if (!v->voter || v->ready) {
+            continue;
+        }
+        if (over) {
+            voting_ready(e, v, "the claim window has passed");
+            continue;
+        }
+        request_pages(e, zones[i], v);
+    }
+    e->claims->sync_due_us =
+        e->now.mono_us + SYNC_TIMEOUTS * e->opts.claim_timeout_us;
+}
+
+void
+sync_member_up(struct entry *e, struct name member)
+{
+    size_t n;
+    const struct name *zones = members_zones(e, &n);
+
+    for (size_t i = 0; i < n; i++) {
+        struct voting *v = &e->claims->votings[i];
+        struct fellow *f = fellow_of(v, member);
+
+        if (v->voter && !v->ready && f != NULL && !f->done) {
+            request_page(e, zones[i], f);
+        }
+    }
+}
--- /dev/null
+++ b/src/vote.c
@@ -0,0 +1,354 @@
+#include "vote.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "member.h"
+
+enum {
+    SWEEP_PARTS = 60, /* ticks in which all records are looked at */
+    SWEEP_MIN = 64,   /* places looked at in one tick */
+};
+
+void
+vote_note_start(struct entry *e)
+{
+    struct claims *c = e->claims;
+
+    if (!c->started) {
+        c->started = true;
+        c->start = e->now;
+        c->sync_due_us = e->now.mono_us;
+        c->sweep_due_us = e->now.mono_us + USEC_PER_SEC;
+    }
+}
+
+int
+vote_zone_number(const struct entry *e, struct name zone)
+{
+    size_t n;
+    const struct name *zones = members_zones(e, &n);
+
+    for (size_t i = 0; i < n; i++) {
+        if (name_equal(zones[i], zone)) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+struct voting *
+vote_zone(const struct entry *e, struct name zone)
+{
+    int i = vote_zone_number(e, zone);
+
+    return i >= 0 && e->claims->votings[i].voter ? &e->claims->votings[i]
+                                                 : NULL;
+}
+
+void
+vote_init(const struct entry *e, struct voting *v, struct name zone)
+{
+    struct name voters[VOTERS_PER_ZONE];
+    size_t n = members_voters(e, zone, voters);
+
+    for (size_t i = 0; i < n; i++) {
+        if (name_equal(voters[i], e->opts.self)) {
+            v->voter = true;
+        }
+        else if (v->n_fellows < FELLOWS_MAX) {
+            v->fellows[v->n_fellows++].name = voters[i];
+        }
+    }
+    v->ready = e->opts.new_region;
+}
+
+bool
+claims_voting(const struct entry *e, struct name zone)
+{
+    const struct voting *v = vote_zone(e, zone);
+
+    return v != NULL && v->ready;
+}
+
+/* A record outlives its key by the skew between clocks: an instance whose
+ * clock is behind may still take the key. */
+int64_t
+vote_record_expiry(const struct entry *e, int64_t issued_us)
+{
+    int64_t from = issued_us > 0 ? issued_us : e->now.wall_us;
+
+    return from + e->opts.claim_window_us + 2 * e->opts.clock_skew_us;
+}
+
+static void
+vote_record_remove(struct claims *c, struct claim *r)
+{
+    (void)map_remove(&c->by_key, &r->id);
+    table_remove(&c->records, r->self);
+}
+
+struct claim *
+vote_record(const struct entry *e, struct key_id id)
+{
+    struct claim *r = map_get(&e->claims->by_key, &id);
+
+    if (r != NULL && r->expires_us <= e->now.wall_us) {
+        vote_record_remove(e->claims, r);
+        return NULL;
+    }
+    return r;
+}
+
+struct claim *
+vote_record_add(struct entry *e, struct key_id id, int zone)
+{
+    struct handle h;
+    struct claim *r = table_add(&e->claims->records, &h);
+
+    r->id = id;
+    r->self = h;
+    r->zone = (uint8_t)zone;
+    map_put(&e->claims->by_key, r);
+    return r;
+}
+
+/* Whether this voter can know all that was ever claimed under the key: it
+ * knows all live claims, or the key is younger than its own life.  Voters
+ * refuse keys issued further than the skew in the future, so an earlier
+ * incarnation cannot have granted a key issued two skews after this start. */
+static bool
+may_vote(const struct entry *e, const struct voting *v, int64_t issued_us)
+{
+    int64_t born = e->claims->start.wall_us + 2 * e->opts.clock_skew_us;
+
+    return v->ready || (issued_us > 0 && issued_us > born);
+}
+
+static bool
+too_old(const struct entry *e, int64_t issued_us)
+{
+    return issued_us > 0 &&
+           issued_us + e->opts.claim_window_us < e->now.wall_us;
+}
+
+static bool
+in_future(const struct entry *e, int64_t issued_us)
+{
+    return issued_us > e->now.wall_us + e->opts.clock_skew_us;
+}
+
+static void
+reply_taken(const struct entry *e, const struct claim *r,
+            struct rec_claim_reply *reply)
+{
+    reply->verdict = CLAIM_TAKEN;
+    reply->claimer = members_at(e, r->claimer)->name;
+    reply->claimer_incarnation = r->incarnation;
+    reply->digest = r->digest;
+    reply->purpose = r->purpose;
+}
+
+bool
+claims_record(const struct entry *e, struct key_id id,
+              struct claim_result *out)
+{
+    const struct claim *r = vote_record(e, id);
+
+    if (r == NULL || r->contested) {
+        return false;
+    }
+    memset(out, 0, sizeof(*out));
+    out->end = CLAIM_END_OTHER;
+    out->claimer = members_at(e, r->claimer)->name;
+    out->incarnation = r->incarnation;
+    out->digest = r->digest;
+    out->purpose = (enum claim_purpose)r->purpose;
+    return true;
+}
+
+static void
+record_grant(struct entry *e, const struct rec_claim *m, uint16_t claimer,
+             int zone)
+{
+    struct claim *r = vote_record_add(e, m->key, zone);
+
+    r->digest = m->digest;
+    r->attempt = m->attempt;
+    r->incarnation = m->incarnation;
+    r->expires_us = vote_record_expiry(e, (int64_t)m->issued_us);
+    r->claimer = claimer;
+    r->purpose = m->purpose;
+    r->bare = m->issued_us == 0;
+    e->counters.claims_granted++;
+}
+
+/* Decides on a key that is recorded already.  A copy in a voter that is not
+ * ready is no vote: what another voter granted was not granted here, and
+ * counted twice it would make a majority of one. */
+static void
+vote_again(struct entry *e, const struct voting *v, const struct rec_claim *m,
+           uint16_t claimer, struct claim *r, struct rec_claim_reply *reply)
+{
+    if (r->bare) {
+        r->expires_us = vote_record_expiry(e, 0);
+    }
+    if (r->contested || (r->copied && !v->ready)) {
+        reply->verdict = CLAIM_NOT_VOTING;
+        return;
+    }
+    if (r->claimer != claimer || r->incarnation != m->incarnation) {
+        reply_taken(e, r, reply);
+        return;
+    }
+    if (m->attempt > r->attempt) {
+        r->attempt = m->attempt;
+        r->digest = m->digest;
+        r->purpose = m->purpose;
+    }
+    reply->verdict = CLAIM_GRANTED;
+}
+
+static void
+vote(struct entry *e, const struct voting *v, const struct rec_claim *m,
+     uint16_t claimer, struct rec_claim_reply *reply)
+{
+    int64_t issued = (int64_t)m->issued_us;
+    struct claim *r = vote_record(e, m->key);
+
+    if (too_old(e, issued)) {
+        reply->verdict = CLAIM_TOO_OLD;
+    }
+    else if (r != NULL) {
+        vote_again(e, v, m, claimer, r, reply);
+    }
+    else if (in_future(e, issued) || !may_vote(e, v, issued)) {
+        reply->verdict = CLAIM_NOT_VOTING;
+    }
+    else {
+        record_grant(e, m, claimer, vote_zone_number(e, m->zone));
+        reply->verdict = CLAIM_GRANTED;
+    }
+}
+
+static void
+look_up(struct entry *e, const struct voting *v, struct key_id key,
+        struct rec_claim_reply *reply)
+{
+    struct claim *r = vote_record(e, key);
+
+    if (r != NULL && !r->contested) {
+        reply_taken(e, r, reply);
+    }
+    else {
+        reply->verdict = r == NULL && v->ready ? CLAIM_NONE : CLAIM_NOT_VOTING;
+    }
+}
+
+/* Every reply tells which incarnations of the fellow voters were met: see
+ * grant_stale(). */
+static void
+reply_views(const struct entry *e, const struct voting *v,
+            struct rec_claim_reply *reply)
+{
+    reply->voter_incarnation = e->opts.incarnation;
+    reply->views = calloc(FELLOWS_MAX, sizeof(*reply->views));
+    if (reply->views == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < v->n_fellows; i++) {
+        reply->views[i].voter = v->fellows[i].name;
+        reply->views[i].incarnation =
+            members_of(e, v->fellows[i].name)->incarnation;
+    }
+    reply->n_views = v->n_fellows;
+}
+
+bool
+vote_claim(struct entry *e, struct name from, const struct rec_claim *m,
+           struct rec_claim_reply *reply)
+{
+    const struct voting *v = vote_zone(e, m->zone);
+    struct member *claimer = members_of(e, from);
+
+    if (v == NULL || claimer == NULL || m->purpose > CLAIM_CANCEL ||
+        m->incarnation < claimer->incarnation || m->issued_us > INT64_MAX) {
+        return false;
+    }
+    memset(reply, 0, sizeof(*reply));
+    reply->key = m->key;
+    reply->zone = m->zone;
+    reply->attempt = m->attempt;
+    vote(e, v, m, members_index(e, claimer), reply);
+    reply_views(e, v, reply);
+    return true;
+}
+
+bool
+vote_find(struct entry *e, const struct rec_claim_find *m,
+          struct rec_claim_reply *reply)
+{
+    const struct voting *v = vote_zone(e, m->zone);
+
+    if (v == NULL) {
+        return false;
+    }
+    memset(reply, 0, sizeof(*reply));
+    reply->key = m->key;
+    reply->zone = m->zone;
+    reply->attempt = m->attempt;
+    look_up(e, v, m->key, reply);
+    reply_views(e, v, reply);
+    return true;
+}
+
+bool
+vote_release(struct entry *e, struct name from,
+             const struct rec_claim_release *m)
+{
+    struct member *claimer = members_of(e, from);
+    struct claim *r = vote_record(e, m->key);
+
+    if (claimer == NULL || vote_zone(e, m->zone) == NULL) {
+        return false;
+    }
+    if (r != NULL && !r->contested &&
+        r->claimer == members_index(e, claimer) &&
+        r->incarnation == m->incarnation && r->attempt <= m->attempt) {
+        vote_record_remove(e->claims, r);
+    }
+    return true;
+}
+
+/* Looks at a part of the records, so that no tick takes long. */
+void
+vote_sweep(struct entry *e)
+{
+    struct claims *c = e->claims;
+    uint32_t left = c->records.places / SWEEP_PARTS + SWEEP_MIN;
+    struct claim *r;
+
+    while (left-- > 0) {
+        r = table_next(&c->records, &c->sweep_at, NULL);
+        if (r == NULL) {
+            c->sweep_at = 0;
+            break;
+        }
+        if (r->expires_us <= e->now.wall_us) {
+            vote_record_remove(c, r);
+        }
+    }
+    c->sweep_due_us = e->now.mono_us + USEC_PER_SEC;
+}
+
+size_t
+claims_count(const struct entry *e)
+{
+    return map_count(&e->claims->by_key);
+}
+
+size_t
+claims_bytes(const struct entry *e)
+{
+    return table_bytes(&e->claims->records) + map_bytes(&e->claims->by_key);
+}
