Split the jobs into their life, their callers and their peers

Cause: jobs.c had grown to 1,200 lines.

Change: jobs.c keeps jobs and ends them, job_caller.c takes callers' requests, job_peer.c waits at other instances and answers theirs. No decision changed.

--- /dev/null
+++ b/src/job_caller.c
@@ -0,0 +1,289 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <syslog.h>
+
+#include "job_state.h"
+#include "submission.h"
+
+enum {
+    MINT_MAX = 1000,
+    WINDOW_SHARE = 4, /* of the claim window: a query's longest wait */
+};
+
+static void
+refuse_request(struct entry *e, uint64_t request, const struct ef_problem *p)
+{
+    struct ef_problem *to;
+
+    if (request == REQUEST_NONE) {
+        return;
+    }
+    to = &effects_add(e->fx, EF_PROBLEM)->u.problem;
+    *to = *p;
+    to->request = request;
+}
+
+static void
+refuse_plain(struct entry *e, uint64_t request, enum problem problem,
+             int64_t retry_after_us, const char *detail)
+{
+    struct ef_problem p = {.problem = problem,
+                           .retry_after_us = retry_after_us,
+                           .not_by_this = true};
+
+    (void)snprintf(p.detail, sizeof(p.detail), "%s", detail);
+    refuse_request(e, request, &p);
+}
+
+static void
+refuse_stopping(struct entry *e, uint64_t request)
+{
+    e->counters.jobs_refused++;
+    refuse_plain(e, request, PROBLEM_STOPPING, entry_jitter(e, USEC_PER_SEC),
+                 "another instance takes it");
+}
+
+static void
+refuse_past(struct entry *e, uint64_t request, const struct past *p,
+            uint64_t digest)
+{
+    if (digest != 0 && p->digest != 0 && digest != p->digest) {
+        refuse_plain(e, request, PROBLEM_CONFLICT, 0,
+                     "the key was used with another body");
+        return;
+    }
+    refuse_plain(e, request, PROBLEM_FORGOTTEN, 0,
+                 "the job ended; its answer is no longer kept");
+}
+
+static void
+answer_running(struct entry *e, uint64_t request)
+{
+    struct ef_answer *f = &effects_add(e->fx, EF_ANSWER)->u.answer;
+
+    f->request = request;
+    f->answer = job_answer_begin(0, JOB_RUNNING, REASON_NONE);
+}
+
+static void
+submit_again(struct entry *e, const struct ev_submit *ev, struct job *job)
+{
+    struct waiter w = {.request = ev->request,
+                       .n_tasks = (uint32_t)ev->spec->n_tasks,
+                       .async = ev->respond_async};
+
+    if (job_digest_differs(job, ev->spec->digest)) {
+        entry_log(e, LOG_INFO, REASON_KEY_CONFLICT, &job->id, -1, name_of(""),
+                  "submitted here with another body");
+        refuse_plain(e, ev->request, PROBLEM_CONFLICT, 0,
+                     "the key was used with another body");
+        return;
+    }
+    e->counters.jobs_joined++;
+    job_join(e, job, &w);
+}
+
+static void
+fill_task(struct task *t, const struct task_spec *spec,
+          const struct service_conf *s)
+{
+    t->phase = TASK_WAITING;
+    t->need = spec->need_given ? spec->need : s->need;
+    t->run_us = spec->run_us > 0 ? spec->run_us : s->run_us;
+    t->payload = blob_ref(spec->payload);
+}
+
+static void
+fill_job(struct entry *e, struct job *job, const struct job_spec *spec)
+{
+    const struct service_conf *s = config_service(e->config, spec->service);
+
+    job->purpose = CLAIM_RUN;
+    job->digest = spec->digest;
+    job->service = s;
+    job->service_name = s->name;
+    job->team = s->team;
+    job->idempotent =
+        spec->idempotent_given ? spec->idempotent : s->idempotent;
+    job->deadline_us = job->submitted_us + submission_deadline_us(e, s, spec);
+    job->n_tasks = (uint32_t)spec->n_tasks;
+    job->tasks = calloc(spec->n_tasks, sizeof(*job->tasks));
+    if (job->tasks == NULL) {
+        abort();
+    }
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        fill_task(&job->tasks[i], &spec->tasks[i], s);
+        job->work_left_us += job->tasks[i].run_us;
+    }
+}
+
+static void
+submit_new(struct entry *e, const struct ev_submit *ev,
+           const struct key_ref *key)
+{
+    struct waiter w = {.request = ev->request,
+                       .n_tasks = (uint32_t)ev->spec->n_tasks,
+                       .async = ev->respond_async};
+    struct job *job = job_add(e, key, false);
+
+    fill_job(e, job, ev->spec);
+    waiters_add(&e->jobs->requests, job, &w);
+    job_due(e, job, job->deadline_us);
+    claims_begin(e, key, job->digest, CLAIM_RUN, job->self);
+}
+
+void
+jobs_submit(struct entry *e, const struct ev_submit *ev)
+{
+    struct ef_problem p = {0};
+    struct key_ref key;
+    struct job *job;
+
+    e->counters.jobs_submitted++;
+    if (!submission_key(e, ev->key, &key, &p)) {
+        e->counters.jobs_refused++;
+        refuse_request(e, ev->request, &p);
+        return;
+    }
+    job = jobs_by_key(e, key.id);
+    if (job != NULL) {
+        submit_again(e, ev, job);
+    }
+    else if (job_past(e, key.id) != NULL) {
+        refuse_past(e, ev->request, job_past(e, key.id), ev->spec->digest);
+    }
+    else if (e->stopping) {
+        refuse_stopping(e, ev->request);
+    }
+    else if (!submission_check(e, ev->spec, &p)) {
+        e->counters.jobs_refused++;
+        refuse_request(e, ev->request, &p);
+    }
+    else {
+        submit_new(e, ev, &key);
+    }
+}
+
+/* Asks the key's voters, then its claimer. */
+static void
+query_new(struct entry *e, const struct ev_query *ev,
+          const struct key_ref *key)
+{
+    struct waiter w = {.request = ev->request};
+    struct job *job = job_add(e, key, true);
+
+    job->peek = !ev->wait;
+    job->deadline_us =
+        job->submitted_us + e->opts.claim_window_us / WINDOW_SHARE;
+    waiters_add(&e->jobs->requests, job, &w);
+    job_due(e, job, job->deadline_us);
+    claims_find(e, key, job->self);
+}
+
+void
+jobs_get(struct entry *e, const struct ev_query *ev)
+{
+    struct waiter w = {.request = ev->request};
+    struct ef_problem p = {0};
+    struct key_ref key;
+    struct job *job;
+
+    if (!submission_key(e, ev->key, &key, &p)) {
+        refuse_request(e, ev->request, &p);
+        return;
+    }
+    job = jobs_by_key(e, key.id);
+    if (job != NULL && job->phase != JOB_ENDED && !ev->wait) {
+        answer_running(e, ev->request);
+    }
+    else if (job != NULL) {
+        job_join(e, job, &w);
+    }
+    else if (job_past(e, key.id) != NULL) {
+        refuse_past(e, ev->request, job_past(e, key.id), 0);
+    }
+    else if (e->stopping) {
+        refuse_stopping(e, ev->request);
+    }
+    else {
+        query_new(e, ev, &key);
+    }
+}
+
+/* A cancel that overtook its submission claims the key itself, so that the
+ * submission finds it taken. */
+static void
+cancel_new(struct entry *e, const struct ev_query *ev,
+           const struct key_ref *key)
+{
+    struct waiter w = {.request = ev->request};
+    struct job *job = job_add(e, key, false);
+
+    job->purpose = CLAIM_CANCEL;
+    job->deadline_us =
+        job->submitted_us + e->opts.claim_window_us / WINDOW_SHARE;
+    waiters_add(&e->jobs->requests, job, &w);
+    job_due(e, job, job->deadline_us);
+    claims_begin(e, key, 0, CLAIM_CANCEL, job->self);
+}
+
+void
+jobs_cancel(struct entry *e, const struct ev_query *ev)
+{
+    struct waiter w = {.request = ev->request};
+    struct ef_problem p = {0};
+    struct key_ref key;
+    struct job *job;
+
+    if (!submission_key(e, ev->key, &key, &p)) {
+        refuse_request(e, ev->request, &p);
+        return;
+    }
+    job = jobs_by_key(e, key.id);
+    if (job != NULL) {
+        job_join(e, job, &w);
+        job_cancel(e, job);
+    }
+    else if (job_past(e, key.id) != NULL) {
+        refuse_past(e, ev->request, job_past(e, key.id), 0);
+    }
+    else if (e->stopping) {
+        refuse_stopping(e, ev->request);
+    }
+    else {
+        cancel_new(e, ev, &key);
+    }
+}
+
+void
+jobs_caller_gone(struct entry *e, uint64_t request)
+{
+    struct waiter *w = map_get(&e->jobs->requests, &request);
+    struct job *job = w != NULL ? jobs_of(e, w->job) : NULL;
+
+    if (job != NULL &&
+        waiters_gone(&e->jobs->requests, job, request) == NULL && job->query) {
+        job_remove(e, job);
+    }
+}
+
+void
+jobs_mint(struct entry *e, const struct ev_mint *ev)
+{
+    uint32_t n = ev->count < MINT_MAX ? ev->count : MINT_MAX;
+    char(*keys)[KEY_TEXT_SIZE] = calloc(n > 0 ? n : 1, sizeof(*keys));
+    struct ef_keys *f;
+
+    if (keys == NULL) {
+        entry_refuse(e, ev->request, PROBLEM_INTERNAL, 0, "out of memory");
+        return;
+    }
+    for (uint32_t i = 0; i < n; i++) {
+        key_mint(e->zone, e->opts.self, e->opts.incarnation, e->now.wall_us,
+                 ++e->jobs->minted, keys[i]);
+    }
+    f = &effects_add(e->fx, EF_KEYS)->u.keys;
+    f->request = ev->request;
+    f->keys = keys;
+    f->n_keys = n;
+}
--- /dev/null
+++ b/src/job_peer.c
@@ -0,0 +1,273 @@
+#include <syslog.h>
+
+#include "job_state.h"
+#include "member.h"
+
+static uint64_t
+wait_number(struct handle h)
+{
+    return ((uint64_t)h.index << 32) | h.generation;
+}
+
+static struct job *
+job_of_wait(const struct entry *e, uint64_t wait)
+{
+    struct handle h = {.index = (uint32_t)(wait >> 32),
+                       .generation = (uint32_t)wait};
+
+    return jobs_of(e, h);
+}
+
+void
+job_send_wait(struct entry *e, struct job *job)
+{
+    struct msg m = {.kind = MSG_JOB_WAIT};
+    struct rec_job_wait *w = &m.u.job_wait;
+
+    w->key = job->id;
+    w->digest = job->digest;
+    w->wait = wait_number(job->self);
+    w->cancel = job->cancel ? 1 : 0;
+    w->peek = job->peek ? 1 : 0;
+    w->incarnation = job->claimer_incarnation;
+    entry_send(e, job->claimer, &m);
+}
+
+static bool
+claimer_gone(const struct entry *e, const struct job *job)
+{
+    const struct member *m = members_of(e, job->claimer);
+
+    if (m == NULL || m->self || m->incarnation > job->claimer_incarnation) {
+        return true;
+    }
+    return !m->up && (m->incarnation != 0 || e->now.mono_us >= job->lost_us);
+}
+
+/* The question may be lost with its connection; asked again, the claimer
+ * knows it by its number. */
+void
+job_wait_again(struct entry *e, struct job *job)
+{
+    int64_t next = e->now.mono_us + e->opts.member_timeout_us;
+
+    if (claimer_gone(e, job)) {
+        job_claimer_lost(e, job);
+        return;
+    }
+    job_send_wait(e, job);
+    job_due(e, job, next < job->deadline_us ? next : job->deadline_us);
+}
+
+void
+job_join_claimer(struct entry *e, struct job *job,
+                 const struct claim_result *r)
+{
+    struct handle self = job->self;
+
+    job->phase = JOB_JOINED;
+    job->claimer = r->claimer;
+    job->claimer_incarnation = r->incarnation;
+    job->cancel = job->cancel || job->purpose == CLAIM_CANCEL;
+    job->lost_us = e->now.mono_us + e->opts.member_timeout_us;
+    e->counters.jobs_joined += job->query ? 0 : 1;
+    entry_log(e, LOG_DEBUG, REASON_CLAIM_ELSEWHERE, &job->id, -1, r->claimer,
+              "waits there");
+    waiters_release(e, job);
+    job_free_tasks(job);
+    job_wait_again(e, job);
+    job = jobs_of(e, self);
+    if (job != NULL) {
+        waiters_accepted(e, &e->jobs->requests, job);
+    }
+}
+
+static void
+wait_unknown(struct entry *e, struct name from, const struct rec_job_wait *m)
+{
+    const struct past *p = job_past(e, m->key);
+    enum wait_outcome outcome = WAIT_RELEASED;
+
+    if (p != NULL) {
+        outcome = m->digest != 0 && p->digest != 0 && p->digest != m->digest
+                      ? WAIT_CONFLICT
+                      : WAIT_FORGOTTEN;
+    }
+    else if (m->incarnation != e->opts.incarnation) {
+        outcome = WAIT_LOST;
+    }
+    waiter_reply(e, from, m->wait, m->key, outcome, NULL);
+}
+
+static void
+wait_known(struct entry *e, struct name from, const struct rec_job_wait *m,
+           struct job *job)
+{
+    struct waiter w = {.instance = from, .wait = m->wait};
+
+    if (job_digest_differs(job, m->digest)) {
+        waiter_reply(e, from, m->wait, m->key, WAIT_CONFLICT, NULL);
+        return;
+    }
+    if (job->phase == JOB_JOINED) {
+        waiter_reply(e, from, m->wait, m->key, WAIT_RELEASED, NULL);
+        return;
+    }
+    if (job->phase != JOB_ENDED && m->peek != 0 && m->cancel == 0) {
+        waiter_reply(e, from, m->wait, m->key, WAIT_RUNNING, NULL);
+        return;
+    }
+    job_join(e, job, &w);
+    if (m->cancel != 0) {
+        job_cancel(e, job);
+    }
+}
+
+static bool
+on_wait(struct entry *e, struct name from, const struct rec_job_wait *m)
+{
+    struct job *job = jobs_by_key(e, m->key);
+
+    if (members_of(e, from) == NULL) {
+        return false;
+    }
+    if (job == NULL) {
+        wait_unknown(e, from, m);
+    }
+    else {
+        wait_known(e, from, m, job);
+    }
+    return true;
+}
+
+/* An answer is whole or it is none: a wrong number of tasks, a state or a
+ * reason nobody knows, or a complete job with a task that did not run. */
+static bool
+answer_sound(const struct job *job, const struct rec_job_answer *m)
+{
+    bool cancelled = m->n_tasks == 0 && m->status == JOB_FAILED;
+
+    if ((m->status != JOB_COMPLETE && m->status != JOB_FAILED) ||
+        m->reason >= REASONS || m->n_tasks > JOB_TASKS_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < m->n_tasks; i++) {
+        if (m->tasks[i].state > TASK_UNKNOWN ||
+            (m->status == JOB_COMPLETE && m->tasks[i].state != TASK_RAN)) {
+            return false;
+        }
+    }
+    return job->n_tasks == 0 || m->n_tasks == job->n_tasks || cancelled;
+}
+
+static bool
+take_answer(struct entry *e, struct job *job, const struct rec_job_answer *m)
+{
+    struct job_answer *a;
+
+    if (!answer_sound(job, m)) {
+        return false;
+    }
+    a = job_answer_begin(m->n_tasks, (enum job_status)m->status,
+                         (enum reason)m->reason);
+    for (size_t i = 0; i < m->n_tasks; i++) {
+        a->tasks[i].state = (enum task_state)m->tasks[i].state;
+        a->tasks[i].ok = m->tasks[i].ok != 0;
+        a->tasks[i].result = blob_ref(m->tasks[i].result);
+    }
+    entry_log(e, LOG_DEBUG, a->reason, &job->id, -1, job->claimer,
+              "answered there");
+    waiters_answer(e, &e->jobs->requests, job, a);
+    job_answer_free(a);
+    job_remove(e, job);
+    return true;
+}
+
+static void
+take_running(struct entry *e, struct job *job)
+{
+    struct job_answer *a = job_answer_begin(0, JOB_RUNNING, REASON_NONE);
+
+    waiters_answer(e, &e->jobs->requests, job, a);
+    job_answer_free(a);
+    job_remove(e, job);
+}
+
+static void
+take_released(struct entry *e, struct job *job)
+{
+    entry_log(e, LOG_INFO, REASON_CLAIMER_RELEASED, &job->id, -1, job->claimer,
+              "it gave the key up");
+    if (job->query) {
+        job_refuse_plain(e, job, PROBLEM_UNKNOWN_JOB, 0, WAIT_RELEASED,
+                         "its claimer gave it up before any start");
+        return;
+    }
+    job_refuse_plain(e, job, PROBLEM_NO_CLAIM,
+                     entry_jitter(e, 4 * e->opts.claim_timeout_us),
+                     WAIT_RELEASED, "its claimer gave it up");
+}
+
+static bool
+on_answer(struct entry *e, struct name from, const struct rec_job_answer *m)
+{
+    struct job *job = job_of_wait(e, m->wait);
+
+    if (job == NULL || job->phase != JOB_JOINED ||
+        !key_id_equal(job->id, m->key) || !name_equal(job->claimer, from)) {
+        return members_of(e, from) != NULL; /* late or doubled */
+    }
+    switch (m->outcome) {
+    case WAIT_ANSWER:
+        return take_answer(e, job, m);
+    case WAIT_RUNNING:
+        if (job->peek) {
+            take_running(e, job);
+        }
+        return true;
+    case WAIT_CONFLICT:
+        job_refuse_plain(e, job, PROBLEM_CONFLICT, 0, WAIT_RELEASED,
+                         "the key was used with another body");
+        return true;
+    case WAIT_RELEASED:
+        take_released(e, job);
+        return true;
+    case WAIT_FORGOTTEN:
+        job_refuse_plain(e, job, PROBLEM_FORGOTTEN, 0, WAIT_RELEASED,
+                         "the job ended; its answer is no longer kept");
+        return true;
+    case WAIT_LOST:
+        job_claimer_lost(e, job);
+        return true;
+    default:
+        return false;
+    }
+}
+
+void
+jobs_on_message(struct entry *e, struct name from, const struct msg *m)
+{
+    bool sense = m->kind == MSG_JOB_WAIT
+                     ? on_wait(e, from, &m->u.job_wait)
+                     : on_answer(e, from, &m->u.job_answer);
+
+    if (!sense) {
+        e->counters.messages_bad++;
+        entry_log(e, LOG_WARNING, REASON_BAD_MESSAGE, NULL, -1, from, "%s",
+                  msg_name(m->kind));
+    }
+}
+
+void
+jobs_member_down(struct entry *e, struct name member)
+{
+    uint32_t at = 0;
+    struct job *job;
+
+    while ((job = jobs_next(e, &at)) != NULL) {
+        if (job->phase == JOB_JOINED && name_equal(job->claimer, member) &&
+            claimer_gone(e, job)) {
+            job_claimer_lost(e, job);
+        }
+    }
+}
--- /dev/null
+++ b/src/job_state.h
@@ -0,0 +1,95 @@
+/**
+ * DOC: job_state - what the modules of the jobs share
+ *
+ * jobs.c keeps jobs and ends them, job_caller.c takes callers' requests,
+ * job_peer.c waits at other instances and answers theirs.
+ */
+#ifndef BM_JOB_STATE_H
+#define BM_JOB_STATE_H
+
+#include "jobs.h"
+#include "map.h"
+#include "timers.h"
+#include "waiter.h"
+
+/* What is left of a job whose answer is not kept any more. */
+struct past {
+    struct key_id id; /* first: looked up by it */
+    struct handle self;
+    uint64_t digest;
+};
+
+struct jobs {
+    struct table table;
+    struct map by_key;
+    struct map requests; /* waiters that are callers, by request */
+    struct timers due;
+    struct timers kept; /* ended jobs, by when their answer goes */
+    struct table past;
+    struct map past_by_key;
+    struct timers past_due;
+    size_t n_active;
+    size_t answer_bytes;
+    uint64_t minted;
+};
+
+/** job_add() - a new job that waits for its claim; a query is not found by its
+ * key */
+struct job *job_add(struct entry *e, const struct key_ref *key, bool query);
+
+/** job_remove() - frees it; whoever still waits hears nothing */
+void job_remove(struct entry *e, struct job *job);
+
+/** job_free_tasks() - an ended or joined job needs none */
+void job_free_tasks(struct job *job);
+
+/** job_due() - sets its next timer */
+void job_due(struct entry *e, struct job *job, int64_t at_us);
+
+/** job_past() - what is left of an ended job, or NULL */
+const struct past *job_past(const struct entry *e, struct key_id id);
+
+/** job_answer_begin() - an answer of @n_tasks tasks, all not run */
+struct job_answer *job_answer_begin(size_t n_tasks, enum job_status status,
+                                    enum reason reason);
+
+/** job_failed_answer() - the answer if the job were given up now */
+struct job_answer *job_failed_answer(struct entry *e, const struct job *job,
+                                     enum reason reason);
+
+/** job_end() - takes over the answer and gives it to everybody who waits */
+void job_end(struct entry *e, struct job *job, struct job_answer *answer);
+
+/** job_refuse() - refuses everybody who waits and forgets the job */
+void job_refuse(struct entry *e, struct job *job, const struct ef_problem *p,
+                enum wait_outcome outcome);
+
+/** job_refuse_plain() - the same, saying that this request started nothing */
+void job_refuse_plain(struct entry *e, struct job *job, enum problem problem,
+                      int64_t retry_after_us, enum wait_outcome outcome,
+                      const char *detail);
+
+/** job_claimer_lost() - answers that nobody can tell what its claimer started
+ */
+void job_claimer_lost(struct entry *e, struct job *job);
+
+/** job_join() - one more waiter for a job that is here already */
+void job_join(struct entry *e, struct job *job, const struct waiter *w);
+
+/** job_cancel() - cancels a job that is here */
+void job_cancel(struct entry *e, struct job *job);
+
+/** job_digest_differs() - whether it was submitted with another body */
+bool job_digest_differs(const struct job *job, uint64_t digest);
+
+/** job_send_wait() - asks the claimer for the answer */
+void job_send_wait(struct entry *e, struct job *job);
+
+/** job_wait_again() - asks again, or finds the claimer gone */
+void job_wait_again(struct entry *e, struct job *job);
+
+/** job_join_claimer() - the key is claimed elsewhere: waits there */
+void job_join_claimer(struct entry *e, struct job *job,
+                      const struct claim_result *r);
+
+#endif
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -2,42 +2,11 @@
 
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 #include <syslog.h>
 
 #include "dispatch.h"
 #include "explain.h"
-#include "map.h"
-#include "member.h"
-#include "submission.h"
-#include "timers.h"
-#include "waiter.h"
-
-enum {
-    MINT_MAX = 1000,
-    WINDOW_SHARE = 4, /* of the claim window: a query's longest wait */
-};
-
-/* What is left of a job whose answer is not kept any more. */
-struct past {
-    struct key_id id; /* first: looked up by it */
-    struct handle self;
-    uint64_t digest;
-};
-
-struct jobs {
-    struct table table;
-    struct map by_key;
-    struct map requests; /* waiters that are callers, by request */
-    struct timers due;
-    struct timers kept; /* ended jobs, by when their answer goes */
-    struct table past;
-    struct map past_by_key;
-    struct timers past_due;
-    size_t n_active;
-    size_t answer_bytes;
-    uint64_t minted;
-};
+#include "job_state.h"
 
 struct jobs *
 jobs_new(const struct entry *e)
@@ -56,10 +25,8 @@
     return j;
 }
 
-/* ---- memory of one job ---- */
-
-static void
-free_tasks(struct job *job)
+void
+job_free_tasks(struct job *job)
 {
     for (uint32_t i = 0; job->tasks != NULL && i < job->n_tasks; i++) {
         blob_unref(job->tasks[i].payload);
@@ -91,13 +58,13 @@
     job->answer = NULL;
 }
 
-static void
+void
 job_remove(struct entry *e, struct job *job)
 {
     struct jobs *j = e->jobs;
 
     waiters_drop(&j->requests, job);
-    free_tasks(job);
+    job_free_tasks(job);
     explain_forget(job);
     drop_answer(j, job);
     if (job->phase != JOB_ENDED) {
@@ -120,7 +87,7 @@
     }
     while ((job = table_next(&j->table, &at, NULL)) != NULL) {
         waiters_drop(&j->requests, job);
-        free_tasks(job);
+        job_free_tasks(job);
         explain_forget(job);
         job_answer_free(job->answer);
     }
@@ -165,8 +132,8 @@
     return e->jobs->answer_bytes;
 }
 
-static const struct past *
-past_of(const struct entry *e, struct key_id id)
+const struct past *
+job_past(const struct entry *e, struct key_id id)
 {
     return map_get(&e->jobs->past_by_key, &id);
 }
@@ -176,17 +143,18 @@
 {
     const struct job *job = jobs_by_key(e, id);
 
-    return past_of(e, id) != NULL || (job != NULL && job->phase != JOB_JOINED);
+    return job_past(e, id) != NULL ||
+           (job != NULL && job->phase != JOB_JOINED);
 }
 
-static void
+void
 job_due(struct entry *e, struct job *job, int64_t at_us)
 {
     job->due_us = at_us;
     timers_add(&e->jobs->due, at_us, job->self);
 }
 
-static struct job *
+struct job *
 job_add(struct entry *e, const struct key_ref *key, bool query)
 {
     struct handle h;
@@ -205,8 +173,6 @@
     return job;
 }
 
-/* ---- the end of a job ---- */
-
 /* An ended job shrinks in two steps: its whole answer is kept for some time,
  * then only that the key was used, for as long as voters know it. */
 static void
@@ -255,7 +221,7 @@
 }
 
 /* The answer goes out whole, to everybody who waits, in this very step. */
-static void
+void
 job_end(struct entry *e, struct job *job, struct job_answer *answer)
 {
     struct jobs *j = e->jobs;
@@ -268,7 +234,7 @@
     job->answer = answer;
     j->n_active--;
     j->answer_bytes += answer_size(answer);
-    free_tasks(job);
+    job_free_tasks(job);
     count_end(e, answer);
     entry_log(e, answer->status == JOB_COMPLETE ? LOG_DEBUG : LOG_INFO,
               answer->reason, &job->id, -1, name_of(""),
@@ -280,8 +246,8 @@
     bound_answers(e);
 }
 
-static struct job_answer *
-new_answer(size_t n_tasks, enum job_status status, enum reason reason)
+struct job_answer *
+job_answer_begin(size_t n_tasks, enum job_status status, enum reason reason)
 {
     struct job_answer *a = job_answer_new(n_tasks);
 
@@ -307,10 +273,10 @@
     }
 }
 
-static struct job_answer *
-failed_answer(struct entry *e, const struct job *job, enum reason reason)
+struct job_answer *
+job_failed_answer(struct entry *e, const struct job *job, enum reason reason)
 {
-    struct job_answer *a = new_answer(job->n_tasks, JOB_FAILED, reason);
+    struct job_answer *a = job_answer_begin(job->n_tasks, JOB_FAILED, reason);
 
     for (uint32_t i = 0; job->tasks != NULL && i < job->n_tasks; i++) {
         a->tasks[i].state =
@@ -331,7 +297,7 @@
     if (job->phase != JOB_ACTIVE) {
         return;
     }
-    a = failed_answer(e, job, reason);
+    a = job_failed_answer(e, job, reason);
     dispatch_forget(e, job);
     job_end(e, job, a);
 }
@@ -340,7 +306,7 @@
 job_complete(struct entry *e, struct job *job)
 {
     struct job_answer *a =
-        new_answer(job->n_tasks, JOB_COMPLETE, REASON_COMPLETED);
+        job_answer_begin(job->n_tasks, JOB_COMPLETE, REASON_COMPLETED);
 
     for (uint32_t i = 0; i < job->n_tasks; i++) {
         a->tasks[i].state = TASK_RAN;
@@ -379,7 +345,7 @@
 }
 
 /* Refuses everybody who waits and forgets the job. */
-static void
+void
 job_refuse(struct entry *e, struct job *job, const struct ef_problem *p,
            enum wait_outcome outcome)
 {
@@ -388,7 +354,7 @@
     job_remove(e, job);
 }
 
-static void
+void
 job_refuse_plain(struct entry *e, struct job *job, enum problem problem,
                  int64_t retry_after_us, enum wait_outcome outcome,
                  const char *detail)
@@ -403,8 +369,8 @@
 
 /* The instance that runs the job is gone or another incarnation of it is
  * there.  What it started, nobody can tell. */
-static void
-claimer_lost(struct entry *e, struct job *job)
+void
+job_claimer_lost(struct entry *e, struct job *job)
 {
     struct job_answer *a;
 
@@ -417,7 +383,7 @@
                          "the instance that took the key is gone");
         return;
     }
-    a = new_answer(job->n_tasks, JOB_FAILED, REASON_CLAIMER_LOST);
+    a = job_answer_begin(job->n_tasks, JOB_FAILED, REASON_CLAIMER_LOST);
     for (uint32_t i = 0; i < job->n_tasks; i++) {
         a->tasks[i].state = TASK_UNKNOWN;
         e->counters.tasks_unknown++;
@@ -428,88 +394,40 @@
     job_remove(e, job);
 }
 
-/* ---- waiting at the claimer ---- */
-
-static uint64_t
-wait_number(struct handle h)
-{
-    return ((uint64_t)h.index << 32) | h.generation;
-}
-
-static struct job *
-job_of_wait(const struct entry *e, uint64_t wait)
-{
-    struct handle h = {.index = (uint32_t)(wait >> 32),
-                       .generation = (uint32_t)wait};
-
-    return jobs_of(e, h);
-}
-
-static void
-send_wait(struct entry *e, struct job *job)
-{
-    struct msg m = {.kind = MSG_JOB_WAIT};
-    struct rec_job_wait *w = &m.u.job_wait;
-
-    w->key = job->id;
-    w->digest = job->digest;
-    w->wait = wait_number(job->self);
-    w->cancel = job->cancel ? 1 : 0;
-    w->peek = job->peek ? 1 : 0;
-    w->incarnation = job->claimer_incarnation;
-    entry_send(e, job->claimer, &m);
-}
-
-static bool
-claimer_gone(const struct entry *e, const struct job *job)
+/* One more caller for a job that is here already. */
+void
+job_join(struct entry *e, struct job *job, const struct waiter *w)
 {
-    const struct member *m = members_of(e, job->claimer);
-
-    if (m == NULL || m->self || m->incarnation > job->claimer_incarnation) {
-        return true;
+    waiters_add(&e->jobs->requests, job, w);
+    if (job->phase == JOB_ENDED) {
+        waiters_answer(e, &e->jobs->requests, job, job->answer);
+    }
+    else if (job->phase != JOB_CLAIMING) {
+        waiters_accepted(e, &e->jobs->requests, job);
     }
-    return !m->up && (m->incarnation != 0 || e->now.mono_us >= job->lost_us);
 }
 
-/* The question may be lost with its connection; asked again, the claimer
- * knows it by its number. */
-static void
-wait_again(struct entry *e, struct job *job)
+bool
+job_digest_differs(const struct job *job, uint64_t digest)
 {
-    int64_t next = e->now.mono_us + e->opts.member_timeout_us;
-
-    if (claimer_gone(e, job)) {
-        claimer_lost(e, job);
-        return;
-    }
-    send_wait(e, job);
-    job_due(e, job, next < job->deadline_us ? next : job->deadline_us);
+    return digest != 0 && job->digest != 0 && job->digest != digest;
 }
 
-static void
-join_claimer(struct entry *e, struct job *job, const struct claim_result *r)
+/* Cancels a job that is here. */
+void
+job_cancel(struct entry *e, struct job *job)
 {
-    struct handle self = job->self;
+    bool first = !job->cancel;
 
-    job->phase = JOB_JOINED;
-    job->claimer = r->claimer;
-    job->claimer_incarnation = r->incarnation;
-    job->cancel = job->cancel || job->purpose == CLAIM_CANCEL;
-    job->lost_us = e->now.mono_us + e->opts.member_timeout_us;
-    e->counters.jobs_joined += job->query ? 0 : 1;
-    entry_log(e, LOG_DEBUG, REASON_CLAIM_ELSEWHERE, &job->id, -1, r->claimer,
-              "waits there");
-    waiters_release(e, job);
-    free_tasks(job);
-    wait_again(e, job);
-    job = jobs_of(e, self);
-    if (job != NULL) {
-        waiters_accepted(e, &e->jobs->requests, job);
+    job->cancel = true;
+    if (job->phase == JOB_ACTIVE) {
+        jobs_fail(e, job, REASON_CANCELLED);
+    }
+    else if (job->phase == JOB_JOINED && first) {
+        job_send_wait(e, job);
     }
 }
 
-/* ---- what became of the claim ---- */
-
 static void
 job_start(struct entry *e, struct job *job)
 {
@@ -553,7 +471,7 @@
         end = REASON_DEADLINE;
     }
     if (end != REASON_NONE) {
-        job_end(e, job, failed_answer(e, job, end));
+        job_end(e, job, job_failed_answer(e, job, end));
         return;
     }
     job_start(e, job);
@@ -569,7 +487,7 @@
                          "the key was used with another body");
         return;
     }
-    join_claimer(e, job, r);
+    job_join_claimer(e, job, r);
 }
 
 static void
@@ -613,512 +531,6 @@
     }
 }
 
-/* ---- callers ---- */
-
-static void
-refuse_request(struct entry *e, uint64_t request, const struct ef_problem *p)
-{
-    struct ef_problem *to;
-
-    if (request == REQUEST_NONE) {
-        return;
-    }
-    to = &effects_add(e->fx, EF_PROBLEM)->u.problem;
-    *to = *p;
-    to->request = request;
-}
-
-static void
-refuse_plain(struct entry *e, uint64_t request, enum problem problem,
-             int64_t retry_after_us, const char *detail)
-{
-    struct ef_problem p = {.problem = problem,
-                           .retry_after_us = retry_after_us,
-                           .not_by_this = true};
-
-    (void)snprintf(p.detail, sizeof(p.detail), "%s", detail);
-    refuse_request(e, request, &p);
-}
-
-static void
-refuse_stopping(struct entry *e, uint64_t request)
-{
-    e->counters.jobs_refused++;
-    refuse_plain(e, request, PROBLEM_STOPPING, entry_jitter(e, USEC_PER_SEC),
-                 "another instance takes it");
-}
-
-static void
-refuse_past(struct entry *e, uint64_t request, const struct past *p,
-            uint64_t digest)
-{
-    if (digest != 0 && p->digest != 0 && digest != p->digest) {
-        refuse_plain(e, request, PROBLEM_CONFLICT, 0,
-                     "the key was used with another body");
-        return;
-    }
-    refuse_plain(e, request, PROBLEM_FORGOTTEN, 0,
-                 "the job ended; its answer is no longer kept");
-}
-
-static void
-answer_running(struct entry *e, uint64_t request)
-{
-    struct ef_answer *f = &effects_add(e->fx, EF_ANSWER)->u.answer;
-
-    f->request = request;
-    f->answer = new_answer(0, JOB_RUNNING, REASON_NONE);
-}
-
-/* One more caller for a job that is here already. */
-static void
-job_join(struct entry *e, struct job *job, const struct waiter *w)
-{
-    waiters_add(&e->jobs->requests, job, w);
-    if (job->phase == JOB_ENDED) {
-        waiters_answer(e, &e->jobs->requests, job, job->answer);
-    }
-    else if (job->phase != JOB_CLAIMING) {
-        waiters_accepted(e, &e->jobs->requests, job);
-    }
-}
-
-static bool
-digest_differs(const struct job *job, uint64_t digest)
-{
-    return digest != 0 && job->digest != 0 && job->digest != digest;
-}
-
-static void
-submit_again(struct entry *e, const struct ev_submit *ev, struct job *job)
-{
-    struct waiter w = {.request = ev->request,
-                       .n_tasks = (uint32_t)ev->spec->n_tasks,
-                       .async = ev->respond_async};
-
-    if (digest_differs(job, ev->spec->digest)) {
-        entry_log(e, LOG_INFO, REASON_KEY_CONFLICT, &job->id, -1, name_of(""),
-                  "submitted here with another body");
-        refuse_plain(e, ev->request, PROBLEM_CONFLICT, 0,
-                     "the key was used with another body");
-        return;
-    }
-    e->counters.jobs_joined++;
-    job_join(e, job, &w);
-}
-
-static void
-fill_task(struct task *t, const struct task_spec *spec,
-          const struct service_conf *s)
-{
-    t->phase = TASK_WAITING;
-    t->need = spec->need_given ? spec->need : s->need;
-    t->run_us = spec->run_us > 0 ? spec->run_us : s->run_us;
-    t->payload = blob_ref(spec->payload);
-}
-
-static void
-fill_job(struct entry *e, struct job *job, const struct job_spec *spec)
-{
-    const struct service_conf *s = config_service(e->config, spec->service);
-
-    job->purpose = CLAIM_RUN;
-    job->digest = spec->digest;
-    job->service = s;
-    job->service_name = s->name;
-    job->team = s->team;
-    job->idempotent =
-        spec->idempotent_given ? spec->idempotent : s->idempotent;
-    job->deadline_us = job->submitted_us + submission_deadline_us(e, s, spec);
-    job->n_tasks = (uint32_t)spec->n_tasks;
-    job->tasks = calloc(spec->n_tasks, sizeof(*job->tasks));
-    if (job->tasks == NULL) {
-        abort();
-    }
-    for (uint32_t i = 0; i < job->n_tasks; i++) {
-        fill_task(&job->tasks[i], &spec->tasks[i], s);
-        job->work_left_us += job->tasks[i].run_us;
-    }
-}
-
-static void
-submit_new(struct entry *e, const struct ev_submit *ev,
-           const struct key_ref *key)
-{
-    struct waiter w = {.request = ev->request,
-                       .n_tasks = (uint32_t)ev->spec->n_tasks,
-                       .async = ev->respond_async};
-    struct job *job = job_add(e, key, false);
-
-    fill_job(e, job, ev->spec);
-    waiters_add(&e->jobs->requests, job, &w);
-    job_due(e, job, job->deadline_us);
-    claims_begin(e, key, job->digest, CLAIM_RUN, job->self);
-}
-
-void
-jobs_submit(struct entry *e, const struct ev_submit *ev)
-{
-    struct ef_problem p = {0};
-    struct key_ref key;
-    struct job *job;
-
-    e->counters.jobs_submitted++;
-    if (!submission_key(e, ev->key, &key, &p)) {
-        e->counters.jobs_refused++;
-        refuse_request(e, ev->request, &p);
-        return;
-    }
-    job = jobs_by_key(e, key.id);
-    if (job != NULL) {
-        submit_again(e, ev, job);
-    }
-    else if (past_of(e, key.id) != NULL) {
-        refuse_past(e, ev->request, past_of(e, key.id), ev->spec->digest);
-    }
-    else if (e->stopping) {
-        refuse_stopping(e, ev->request);
-    }
-    else if (!submission_check(e, ev->spec, &p)) {
-        e->counters.jobs_refused++;
-        refuse_request(e, ev->request, &p);
-    }
-    else {
-        submit_new(e, ev, &key);
-    }
-}
-
-/* Asks the key's voters, then its claimer. */
-static void
-query_new(struct entry *e, const struct ev_query *ev,
-          const struct key_ref *key)
-{
-    struct waiter w = {.request = ev->request};
-    struct job *job = job_add(e, key, true);
-
-    job->peek = !ev->wait;
-    job->deadline_us =
-        job->submitted_us + e->opts.claim_window_us / WINDOW_SHARE;
-    waiters_add(&e->jobs->requests, job, &w);
-    job_due(e, job, job->deadline_us);
-    claims_find(e, key, job->self);
-}
-
-void
-jobs_get(struct entry *e, const struct ev_query *ev)
-{
-    struct waiter w = {.request = ev->request};
-    struct ef_problem p = {0};
-    struct key_ref key;
-    struct job *job;
-
-    if (!submission_key(e, ev->key, &key, &p)) {
-        refuse_request(e, ev->request, &p);
-        return;
-    }
-    job = jobs_by_key(e, key.id);
-    if (job != NULL && job->phase != JOB_ENDED && !ev->wait) {
-        answer_running(e, ev->request);
-    }
-    else if (job != NULL) {
-        job_join(e, job, &w);
-    }
-    else if (past_of(e, key.id) != NULL) {
-        refuse_past(e, ev->request, past_of(e, key.id), 0);
-    }
-    else if (e->stopping) {
-        refuse_stopping(e, ev->request);
-    }
-    else {
-        query_new(e, ev, &key);
-    }
-}
-
-/* Cancels a job that is here. */
-static void
-job_cancel(struct entry *e, struct job *job)
-{
-    bool first = !job->cancel;
-
-    job->cancel = true;
-    if (job->phase == JOB_ACTIVE) {
-        jobs_fail(e, job, REASON_CANCELLED);
-    }
-    else if (job->phase == JOB_JOINED && first) {
-        send_wait(e, job);
-    }
-}
-
-/* A cancel that overtook its submission claims the key itself, so that the
- * submission finds it taken. */
-static void
-cancel_new(struct entry *e, const struct ev_query *ev,
-           const struct key_ref *key)
-{
-    struct waiter w = {.request = ev->request};
-    struct job *job = job_add(e, key, false);
-
-    job->purpose = CLAIM_CANCEL;
-    job->deadline_us =
-        job->submitted_us + e->opts.claim_window_us / WINDOW_SHARE;
-    waiters_add(&e->jobs->requests, job, &w);
-    job_due(e, job, job->deadline_us);
-    claims_begin(e, key, 0, CLAIM_CANCEL, job->self);
-}
-
-void
-jobs_cancel(struct entry *e, const struct ev_query *ev)
-{
-    struct waiter w = {.request = ev->request};
-    struct ef_problem p = {0};
-    struct key_ref key;
-    struct job *job;
-
-    if (!submission_key(e, ev->key, &key, &p)) {
-        refuse_request(e, ev->request, &p);
-        return;
-    }
-    job = jobs_by_key(e, key.id);
-    if (job != NULL) {
-        job_join(e, job, &w);
-        job_cancel(e, job);
-    }
-    else if (past_of(e, key.id) != NULL) {
-        refuse_past(e, ev->request, past_of(e, key.id), 0);
-    }
-    else if (e->stopping) {
-        refuse_stopping(e, ev->request);
-    }
-    else {
-        cancel_new(e, ev, &key);
-    }
-}
-
-void
-jobs_caller_gone(struct entry *e, uint64_t request)
-{
-    struct waiter *w = map_get(&e->jobs->requests, &request);
-    struct job *job = w != NULL ? jobs_of(e, w->job) : NULL;
-
-    if (job != NULL &&
-        waiters_gone(&e->jobs->requests, job, request) == NULL && job->query) {
-        job_remove(e, job);
-    }
-}
-
-void
-jobs_mint(struct entry *e, const struct ev_mint *ev)
-{
-    uint32_t n = ev->count < MINT_MAX ? ev->count : MINT_MAX;
-    char(*keys)[KEY_TEXT_SIZE] = calloc(n > 0 ? n : 1, sizeof(*keys));
-    struct ef_keys *f;
-
-    if (keys == NULL) {
-        entry_refuse(e, ev->request, PROBLEM_INTERNAL, 0, "out of memory");
-        return;
-    }
-    for (uint32_t i = 0; i < n; i++) {
-        key_mint(e->zone, e->opts.self, e->opts.incarnation, e->now.wall_us,
-                 ++e->jobs->minted, keys[i]);
-    }
-    f = &effects_add(e->fx, EF_KEYS)->u.keys;
-    f->request = ev->request;
-    f->keys = keys;
-    f->n_keys = n;
-}
-
-/* ---- other instances ---- */
-
-static void
-wait_unknown(struct entry *e, struct name from, const struct rec_job_wait *m)
-{
-    const struct past *p = past_of(e, m->key);
-    enum wait_outcome outcome = WAIT_RELEASED;
-
-    if (p != NULL) {
-        outcome = m->digest != 0 && p->digest != 0 && p->digest != m->digest
-                      ? WAIT_CONFLICT
-                      : WAIT_FORGOTTEN;
-    }
-    else if (m->incarnation != e->opts.incarnation) {
-        outcome = WAIT_LOST;
-    }
-    waiter_reply(e, from, m->wait, m->key, outcome, NULL);
-}
-
-static void
-wait_known(struct entry *e, struct name from, const struct rec_job_wait *m,
-           struct job *job)
-{
-    struct waiter w = {.instance = from, .wait = m->wait};
-
-    if (digest_differs(job, m->digest)) {
-        waiter_reply(e, from, m->wait, m->key, WAIT_CONFLICT, NULL);
-        return;
-    }
-    if (job->phase == JOB_JOINED) {
-        waiter_reply(e, from, m->wait, m->key, WAIT_RELEASED, NULL);
-        return;
-    }
-    if (job->phase != JOB_ENDED && m->peek != 0 && m->cancel == 0) {
-        waiter_reply(e, from, m->wait, m->key, WAIT_RUNNING, NULL);
-        return;
-    }
-    job_join(e, job, &w);
-    if (m->cancel != 0) {
-        job_cancel(e, job);
-    }
-}
-
-static bool
-on_wait(struct entry *e, struct name from, const struct rec_job_wait *m)
-{
-    struct job *job = jobs_by_key(e, m->key);
-
-    if (members_of(e, from) == NULL) {
-        return false;
-    }
-    if (job == NULL) {
-        wait_unknown(e, from, m);
-    }
-    else {
-        wait_known(e, from, m, job);
-    }
-    return true;
-}
-
-/* An answer is whole or it is none: a wrong number of tasks, a state or a
- * reason nobody knows, or a complete job with a task that did not run. */
-static bool
-answer_sound(const struct job *job, const struct rec_job_answer *m)
-{
-    bool cancelled = m->n_tasks == 0 && m->status == JOB_FAILED;
-
-    if ((m->status != JOB_COMPLETE && m->status != JOB_FAILED) ||
-        m->reason >= REASONS || m->n_tasks > JOB_TASKS_MAX) {
-        return false;
-    }
-    for (size_t i = 0; i < m->n_tasks; i++) {
-        if (m->tasks[i].state > TASK_UNKNOWN ||
-            (m->status == JOB_COMPLETE && m->tasks[i].state != TASK_RAN)) {
-            return false;
-        }
-    }
-    return job->n_tasks == 0 || m->n_tasks == job->n_tasks || cancelled;
-}
-
-static bool
-take_answer(struct entry *e, struct job *job, const struct rec_job_answer *m)
-{
-    struct job_answer *a;
-
-    if (!answer_sound(job, m)) {
-        return false;
-    }
-    a = new_answer(m->n_tasks, (enum job_status)m->status,
-                   (enum reason)m->reason);
-    for (size_t i = 0; i < m->n_tasks; i++) {
-        a->tasks[i].state = (enum task_state)m->tasks[i].state;
-        a->tasks[i].ok = m->tasks[i].ok != 0;
-        a->tasks[i].result = blob_ref(m->tasks[i].result);
-    }
-    entry_log(e, LOG_DEBUG, a->reason, &job->id, -1, job->claimer,
-              "answered there");
-    waiters_answer(e, &e->jobs->requests, job, a);
-    job_answer_free(a);
-    job_remove(e, job);
-    return true;
-}
-
-static void
-take_running(struct entry *e, struct job *job)
-{
-    struct job_answer *a = new_answer(0, JOB_RUNNING, REASON_NONE);
-
-    waiters_answer(e, &e->jobs->requests, job, a);
-    job_answer_free(a);
-    job_remove(e, job);
-}
-
-static void
-take_released(struct entry *e, struct job *job)
-{
-    entry_log(e, LOG_INFO, REASON_CLAIMER_RELEASED, &job->id, -1, job->claimer,
-              "it gave the key up");
-    if (job->query) {
-        job_refuse_plain(e, job, PROBLEM_UNKNOWN_JOB, 0, WAIT_RELEASED,
-                         "its claimer gave it up before any start");
-        return;
-    }
-    job_refuse_plain(e, job, PROBLEM_NO_CLAIM,
-                     entry_jitter(e, 4 * e->opts.claim_timeout_us),
-                     WAIT_RELEASED, "its claimer gave it up");
-}
-
-static bool
-on_answer(struct entry *e, struct name from, const struct rec_job_answer *m)
-{
-    struct job *job = job_of_wait(e, m->wait);
-
-    if (job == NULL || job->phase != JOB_JOINED ||
-        !key_id_equal(job->id, m->key) || !name_equal(job->claimer, from)) {
-        return members_of(e, from) != NULL; /* late or doubled */
-    }
-    switch (m->outcome) {
-    case WAIT_ANSWER:
-        return take_answer(e, job, m);
-    case WAIT_RUNNING:
-        if (job->peek) {
-            take_running(e, job);
-        }
-        return true;
-    case WAIT_CONFLICT:
-        job_refuse_plain(e, job, PROBLEM_CONFLICT, 0, WAIT_RELEASED,
-                         "the key was used with another body");
-        return true;
-    case WAIT_RELEASED:
-        take_released(e, job);
-        return true;
-    case WAIT_FORGOTTEN:
-        job_refuse_plain(e, job, PROBLEM_FORGOTTEN, 0, WAIT_RELEASED,
-                         "the job ended; its answer is no longer kept");
-        return true;
-    case WAIT_LOST:
-        claimer_lost(e, job);
-        return true;
-    default:
-        return false;
-    }
-}
-
-void
-jobs_on_message(struct entry *e, struct name from, const struct msg *m)
-{
-    bool sense = m->kind == MSG_JOB_WAIT
-                     ? on_wait(e, from, &m->u.job_wait)
-                     : on_answer(e, from, &m->u.job_answer);
-
-    if (!sense) {
-        e->counters.messages_bad++;
-        entry_log(e, LOG_WARNING, REASON_BAD_MESSAGE, NULL, -1, from, "%s",
-                  msg_name(m->kind));
-    }
-}
-
-void
-jobs_member_down(struct entry *e, struct name member)
-{
-    uint32_t at = 0;
-    struct job *job;
-
-    while ((job = jobs_next(e, &at)) != NULL) {
-        if (job->phase == JOB_JOINED && name_equal(job->claimer, member) &&
-            claimer_gone(e, job)) {
-            claimer_lost(e, job);
-        }
-    }
-}
-
 void
 jobs_config_changed(struct entry *e)
 {
@@ -1130,8 +542,6 @@
     }
 }
 
-/* ---- time ---- */
-
 /* A job that waits at a claimer, or for the claim itself, has no answer of
  * its own to give at its deadline. */
 static void
@@ -1139,7 +549,7 @@
 {
     entry_log(e, LOG_INFO, REASON_DEADLINE, &job->id, -1, job->claimer,
               "no answer from its claimer");
-    claimer_lost(e, job);
+    job_claimer_lost(e, job);
 }
 
 static void
@@ -1156,7 +566,7 @@
             joined_deadline(e, job);
         }
         else {
-            wait_again(e, job);
+            job_wait_again(e, job);
         }
         break;
     case JOB_ACTIVE:
