End a wait at a claimer that never answers as what it is

Cause: at its deadline a waiting submission was answered with claimer-lost though the claimer was up, at the very instant its answer may be under way, and a waiting GET was refused as if the claimer were gone. A failed answer without tasks was taken for a cancelled one whatever its reason.

Change: two claim timeouts of patience, then deadline-passed with unknown tasks; a GET hears that the job runs. Only a cancelled answer may have no tasks.

--- a/src/job_peer.c
+++ b/src/job_peer.c
@@ -44,19 +44,70 @@
     return !m->up && (m->incarnation != 0 || e->now.mono_us >= job->lost_us);
 }
 
+/* The instance that runs the job is gone or another incarnation of it is
+ * there.  What it started, nobody can tell. */
+static void
+claimer_lost(struct entry *e, struct job *job)
+{
+    entry_log(e, LOG_WARNING, REASON_CLAIMER_LOST, &job->id, -1, job->claimer,
+              "incarnation %llu",
+              (unsigned long long)job->claimer_incarnation);
+    if (job->n_tasks > 0) {
+        job_unknown(e, job, REASON_CLAIMER_LOST);
+        return;
+    }
+    job_refuse_plain(e, job, PROBLEM_CLAIMER_LOST, e->opts.member_timeout_us,
+                     WAIT_RELEASED, "the instance that took the key is gone");
+}
+
+static void
+take_running(struct entry *e, struct job *job)
+{
+    struct job_answer *a = job_answer_begin(0, JOB_RUNNING, REASON_NONE);
+
+    waiters_answer(e, &e->jobs->requests, job, a);
+    job_answer_free(a);
+    job_remove(e, job);
+}
+
+/* The claimer has the same deadline or an earlier one, and its answer is on
+ * the way then: a little patience turns an unknown into an answer. */
+static int64_t
+joined_end_us(const struct entry *e, const struct job *job)
+{
+    return job->deadline_us + 2 * e->opts.claim_timeout_us;
+}
+
+static void
+joined_over(struct entry *e, struct job *job)
+{
+    if (job->n_tasks == 0) {
+        take_running(e, job);
+        return;
+    }
+    entry_log(e, LOG_INFO, REASON_DEADLINE, &job->id, -1, job->claimer,
+              "no answer from its claimer");
+    job_unknown(e, job, REASON_DEADLINE);
+}
+
 /* The question may be lost with its connection; asked again, the claimer
  * knows it by its number. */
 void
 job_wait_again(struct entry *e, struct job *job)
 {
     int64_t next = e->now.mono_us + e->opts.member_timeout_us;
+    int64_t end = joined_end_us(e, job);
 
     if (claimer_gone(e, job)) {
-        job_claimer_lost(e, job);
+        claimer_lost(e, job);
+        return;
+    }
+    if (e->now.mono_us >= end) {
+        joined_over(e, job);
         return;
     }
     job_send_wait(e, job);
-    job_due(e, job, next < job->deadline_us ? next : job->deadline_us);
+    job_due(e, job, next < end ? next : end);
 }
 
 void
@@ -145,7 +196,8 @@
 static bool
 answer_sound(const struct job *job, const struct rec_job_answer *m)
 {
-    bool cancelled = m->n_tasks == 0 && m->status == JOB_FAILED;
+    bool cancelled = m->n_tasks == 0 && m->status == JOB_FAILED &&
+                     m->reason == REASON_CANCELLED;
 
     if ((m->status != JOB_COMPLETE && m->status != JOB_FAILED) ||
         m->reason >= REASONS || m->n_tasks > JOB_TASKS_MAX) {
@@ -183,16 +235,6 @@
     return true;
 }
 
-static void
-take_running(struct entry *e, struct job *job)
-{
-    struct job_answer *a = job_answer_begin(0, JOB_RUNNING, REASON_NONE);
-
-    waiters_answer(e, &e->jobs->requests, job, a);
-    job_answer_free(a);
-    job_remove(e, job);
-}
-
 static void
 take_released(struct entry *e, struct job *job)
 {
@@ -237,7 +279,7 @@
                          "the job ended; its answer is no longer kept");
         return true;
     case WAIT_LOST:
-        job_claimer_lost(e, job);
+        claimer_lost(e, job);
         return true;
     default:
         return false;
@@ -267,7 +309,7 @@
     while ((job = jobs_next(e, &at)) != NULL) {
         if (job->phase == JOB_JOINED && name_equal(job->claimer, member) &&
             claimer_gone(e, job)) {
-            job_claimer_lost(e, job);
+            claimer_lost(e, job);
         }
     }
 }
--- a/src/job_state.h
+++ b/src/job_state.h
@@ -69,9 +69,9 @@
                       int64_t retry_after_us, enum wait_outcome outcome,
                       const char *detail);
 
-/** job_claimer_lost() - answers that nobody can tell what its claimer started
- */
-void job_claimer_lost(struct entry *e, struct job *job);
+/** job_unknown() - answers that nobody can tell what its claimer started, and
+ * forgets the job */
+void job_unknown(struct entry *e, struct job *job, enum reason reason);
 
 /** job_join() - one more waiter for a job that is here already */
 void job_join(struct entry *e, struct job *job, const struct waiter *w);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -367,23 +367,11 @@
     job_refuse(e, job, &p, outcome);
 }
 
-/* The instance that runs the job is gone or another incarnation of it is
- * there.  What it started, nobody can tell. */
 void
-job_claimer_lost(struct entry *e, struct job *job)
+job_unknown(struct entry *e, struct job *job, enum reason reason)
 {
-    struct job_answer *a;
+    struct job_answer *a = job_answer_begin(job->n_tasks, JOB_FAILED, reason);
 
-    entry_log(e, LOG_WARNING, REASON_CLAIMER_LOST, &job->id, -1, job->claimer,
-              "incarnation %llu",
-              (unsigned long long)job->claimer_incarnation);
-    if (job->n_tasks == 0) {
-        job_refuse_plain(e, job, PROBLEM_CLAIMER_LOST,
-                         e->opts.member_timeout_us, WAIT_RELEASED,
-                         "the instance that took the key is gone");
-        return;
-    }
-    a = job_answer_begin(job->n_tasks, JOB_FAILED, REASON_CLAIMER_LOST);
     for (uint32_t i = 0; i < job->n_tasks; i++) {
         a->tasks[i].state = TASK_UNKNOWN;
         e->counters.tasks_unknown++;
@@ -542,32 +530,15 @@
     }
 }
 
-/* A job that waits at a claimer, or for the claim itself, has no answer of
- * its own to give at its deadline. */
-static void
-joined_deadline(struct entry *e, struct job *job)
-{
-    entry_log(e, LOG_INFO, REASON_DEADLINE, &job->id, -1, job->claimer,
-              "no answer from its claimer");
-    job_claimer_lost(e, job);
-}
-
 static void
 job_timer(struct entry *e, struct job *job)
 {
-    bool over = e->now.mono_us >= job->deadline_us;
-
     switch (job->phase) {
     case JOB_CLAIMING:
         on_unavailable(e, job);
         break;
     case JOB_JOINED:
-        if (over) {
-            joined_deadline(e, job);
-        }
-        else {
-            job_wait_again(e, job);
-        }
+        job_wait_again(e, job);
         break;
     case JOB_ACTIVE:
         jobs_fail(e, job, REASON_DEADLINE);
--- a/tests/jobs_test.c
+++ b/tests/jobs_test.c
@@ -483,6 +483,38 @@
     enet_free(n);
 }
 
+static enum enet_fate
+lose_answers(struct enet *n, int from, int to, const struct msg *m)
+{
+    (void)n;
+    (void)from;
+    (void)to;
+    return m->kind == MSG_JOB_ANSWER ? ENET_DROP : ENET_PASS;
+}
+
+/* The claimer's answers never arrive, though it is up and hears us.  The
+ * caller must not wait past its deadline; who only asks hears that the job
+ * runs, as far as this instance can tell. */
+static void
+claimer_never_answers(void)
+{
+    struct enet *n = new_net(300 * MSEC);
+    uint64_t again;
+    uint64_t get;
+
+    n->opts.fate = lose_answers;
+    (void)enet_submit(n, 1, key, 2, 11);
+    enet_run(n, 50 * MSEC);
+    again = enet_submit(n, OTHER_ZONE, key, 2, 11);
+    get = enet_get(n, 2, key, true);
+    enet_run(n, 5200 * MSEC);
+    CU_ASSERT_TRUE(enet_ended(n, again, JOB_FAILED, REASON_DEADLINE));
+    CU_ASSERT_EQUAL(count_states(enet_answer(n, again), TASK_UNKNOWN), 2);
+    enet_run(n, 150 * SEC);
+    CU_ASSERT_TRUE(enet_ended(n, get, JOB_RUNNING, REASON_NONE));
+    enet_free(n);
+}
+
 static int
 count_text(const char *text, const char *part)
 {
@@ -605,6 +637,7 @@
     check_add("jobs", "asynchronous_submission", asynchronous_submission);
     check_add("jobs", "caller_hangs_up", caller_hangs_up);
     check_add("jobs", "waits_are_asked_again", waits_are_asked_again);
+    check_add("jobs", "claimer_never_answers", claimer_never_answers);
     check_add("jobs", "decisions_are_explained", decisions_are_explained);
     check_add("jobs", "hostile_messages", hostile_messages);
 }
