Send loads to other zones less often the more services there are

Cause: a heartbeat is 22 bytes, and 26 more for each service's load: 48 with one service, 282 with ten, 2,624 with a hundred. Twice a second to 15 other instances that is 79 KB a second with a hundred services (worked out from the measured sizes), most of it to other zones.

Change: up to 8 services every heartbeat has the loads, as before; beyond that, heartbeats to other zones carry them once in n/8 beats, eight at most. has_loads tells a heartbeat without loads from one with none; borrow.c reads a lender's number once for each time it was told.

--- a/src/borrow.c
+++ b/src/borrow.c
@@ -22,7 +22,7 @@
     struct member *member;
     bool near;        /* in our zone */
     uint32_t free;    /* slots, as last told, less what was asked for */
-    int64_t heard_us; /* heartbeat the number is from */
+    int64_t heard_us; /* when the lender told the number */
     int64_t quiet_us; /* nothing is asked before that */
     uint64_t request; /* on its way; 0: none */
     uint32_t asked;
@@ -105,10 +105,10 @@
 {
     const struct member *m = l->member;
 
-    if (l->heard_us == m->heard_us) {
+    if (l->heard_us == m->loads_us) {
         return;
     }
-    l->heard_us = m->heard_us;
+    l->heard_us = m->loads_us;
     l->free = 0;
     for (size_t i = 0; i < m->n_loads; i++) {
         if (name_equal(m->loads[i].service, s->name)) {
--- a/src/member.c
+++ b/src/member.c
@@ -9,7 +9,11 @@
 #include "jobs.h"
 #include "upstream.h"
 
-enum { RENEWED_MAX = 4096 };
+enum {
+    RENEWED_MAX = 4096,
+    FAR_LOADS = 8,     /* loads in a heartbeat to another zone, on average */
+    FAR_BEATS_MAX = 8, /* heartbeats there for one with loads, at most */
+};
 
 struct members {
     struct member *items; /* sorted by name */
@@ -19,6 +23,7 @@
     struct rec_upstream_ref *renewed;
     size_t n_renewed;
     int64_t heartbeat_due_us;
+    uint64_t beats;
 };
 
 static int
@@ -192,8 +197,24 @@
     ref->busy = busy;
 }
 
+/* Heartbeats go to every instance of the region and say first of all that we
+ * are up.  With many services most of their bytes are loads, which our zone
+ * needs at once and the others only to find out where to ask when they are
+ * full themselves; so the more services there are, the fewer of the
+ * heartbeats to other zones carry them. */
+static bool
+far_loads_due(const struct entry *e, size_t n_loads)
+{
+    size_t every = (n_loads + FAR_LOADS - 1) / FAR_LOADS;
+
+    if (every > FAR_BEATS_MAX) {
+        every = FAR_BEATS_MAX;
+    }
+    return every <= 1 || e->members->beats % every == 0;
+}
+
 static struct msg
-make_heartbeat(struct entry *e, bool whole)
+make_heartbeat(struct entry *e, bool loads, bool renewed)
 {
     struct msg m = {.kind = MSG_HEARTBEAT};
     struct rec_heartbeat *hb = &m.u.heartbeat;
@@ -202,8 +223,11 @@
     hb->incarnation = e->opts.incarnation;
     hb->stopping = e->stopping ? 1 : 0;
     hb->config_version = entry_config_version(e);
-    hb->n_loads = dispatch_loads(e, &hb->loads);
-    if (whole && mm->n_renewed > 0) {
+    if (loads) {
+        hb->has_loads = 1;
+        hb->n_loads = dispatch_loads(e, &hb->loads);
+    }
+    if (renewed && mm->n_renewed > 0) {
         hb->renewed = calloc(mm->n_renewed, sizeof(*hb->renewed));
         if (hb->renewed == NULL) {
             abort();
@@ -219,8 +243,9 @@
 static void
 send_heartbeats(struct entry *e)
 {
-    struct msg whole = make_heartbeat(e, true);
-    struct msg brief = make_heartbeat(e, false);
+    struct msg near = make_heartbeat(e, true, true);
+    bool far_loads = far_loads_due(e, near.u.heartbeat.n_loads);
+    struct msg far = make_heartbeat(e, far_loads, false);
     size_t at = 0;
     struct member *to;
 
@@ -230,11 +255,12 @@
         if (to->self) {
             continue;
         }
-        copy = msg_copy(name_equal(to->zone, e->zone) ? &whole : &brief);
+        copy = msg_copy(name_equal(to->zone, e->zone) ? &near : &far);
         entry_send(e, to->name, &copy);
     }
-    msg_free(&whole);
-    msg_free(&brief);
+    msg_free(&near);
+    msg_free(&far);
+    e->members->beats++;
     e->members->n_renewed = 0;
     e->members->heartbeat_due_us = e->now.mono_us + e->opts.heartbeat_us;
 }
@@ -283,7 +309,8 @@
 }
 
 static void
-take_loads(struct member *m, const struct rec_heartbeat *hb)
+take_loads(const struct entry *e, struct member *m,
+           const struct rec_heartbeat *hb)
 {
     struct rec_load *loads = realloc(
         m->loads, (hb->n_loads > 0 ? hb->n_loads : 1) * sizeof(*loads));
@@ -296,6 +323,7 @@
     }
     m->loads = loads;
     m->n_loads = hb->n_loads;
+    m->loads_us = e->now.mono_us;
 }
 
 void
@@ -312,7 +340,9 @@
     was_stopping = m->stopping;
     m->stopping = hb->stopping != 0;
     m->config_version = hb->config_version;
-    take_loads(m, hb);
+    if (hb->has_loads != 0) {
+        take_loads(e, m, hb);
+    }
     if (m->stopping != was_stopping) {
         upstreams_members_changed(e);
     }
@@ -338,7 +368,7 @@
         m->heard_us = heard < m->heard_us ? heard : m->heard_us;
         return;
     }
-    hb = make_heartbeat(e, false);
+    hb = make_heartbeat(e, true, false);
     entry_send(e, peer, &hb);
     if (m->up) {
         claims_member_up(e, peer);
--- a/src/member.h
+++ b/src/member.h
@@ -20,8 +20,9 @@
     uint64_t incarnation; /* newest met, 0 is none */
     int64_t heard_us;     /* monotonic */
     uint64_t config_version;
-    struct rec_load *loads; /* from its last heartbeat */
+    struct rec_load *loads; /* as it told last */
     size_t n_loads;
+    int64_t loads_us; /* when it did, monotonic */
 };
 
 struct members *members_new(const struct entry *e);
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -44,6 +44,7 @@
     U64(incarnation)
     U64(stopping)
     U64(config_version)
+    U64(has_loads)      /* the loads are told, even if there are none */
     ARRAY(load, loads)
     ARRAY(upstream_ref, renewed)  /* announced at the sender since the last */
 END(heartbeat)
