Widen the random schedules of claims

Cause: the schedules had two zones of three instances only, no pauses, and did not look for requests that nobody answers.

Change: six shapes, down to one zone of two instances and zones whose voters are borrowed; pauses of up to four seconds; every request at an instance that stayed up must be answered once.

--- a/tests/claim_test.c
+++ b/tests/claim_test.c
@@ -294,12 +294,29 @@
     for (;;) {
         int i = (int)enet_random(n, (uint64_t)n->n_nodes);
 
-        if (n->nodes[i].e != NULL) {
+        if (n->nodes[i].e != NULL && !n->nodes[i].frozen) {
             return i;
         }
     }
 }
 
+/* Pauses an instance for up to four seconds. */
+static void
+random_pause(struct enet *n)
+{
+    int node = random_claimer(n);
+
+    enet_freeze(n, node, true);
+    enet_run(n, (int64_t)enet_random(n, 4000) * MSEC);
+    enet_freeze(n, node, false);
+}
+
+/* Zones and instances in each: a zone of two borrows its third voter. */
+static const struct {
+    int zones;
+    int per_zone;
+} shapes[] = {{2, 3}, {2, 3}, {3, 2}, {2, 1}, {1, 4}, {1, 2}};
+
 static void
 random_event(struct enet *n, char keys[KEYS][KEY_TEXT_SIZE])
 {
@@ -313,7 +330,10 @@
         (void)enet_cancel(n, random_claimer(n), keys[number]);
     }
     else if (roll < 85) {
-        enet_restart(n, (int)enet_random(n, VOTERS));
+        enet_restart(n, random_claimer(n) % VOTERS);
+    }
+    else if (roll < 88) {
+        random_pause(n);
     }
     else {
         enet_run(n, (int64_t)enet_random(n, 200) * MSEC);
@@ -326,8 +346,9 @@
 static void
 random_schedule(uint64_t seed)
 {
-    struct enet_options o = {.zones = 2,
-                             .per_zone = VOTERS,
+    size_t shape = seed % (sizeof(shapes) / sizeof(shapes[0]));
+    struct enet_options o = {.zones = shapes[shape].zones,
+                             .per_zone = shapes[shape].per_zone,
                              .seed = seed,
                              .new_region = true,
                              .run_us = 20 * MSEC,
@@ -345,11 +366,13 @@
         enet_run(n, (int64_t)enet_random(n, 20) * MSEC);
     }
     enet_run(n, 8 * SEC);
-    if (enet_started_twice(n) != 0 || enet_doubled_answers(n) != 0) {
+    if (enet_started_twice(n) + enet_doubled_answers(n) + enet_unanswered(n) !=
+        0) {
         printf("seed %llu\n", (unsigned long long)seed);
     }
     CU_ASSERT_EQUAL(enet_started_twice(n), 0);
     CU_ASSERT_EQUAL(enet_doubled_answers(n), 0);
+    CU_ASSERT_EQUAL(enet_unanswered(n), 0);
     enet_free(n);
 }
 
--- a/tests/entry_net.c
+++ b/tests/entry_net.c
@@ -376,6 +376,7 @@
     memset(a, 0, sizeof(*a));
     a->request = ++n->requests;
     a->node = node;
+    a->life = n->nodes[node].incarnation;
     a->kind = EFFECT_KINDS;
     return a->request;
 }
@@ -835,6 +836,22 @@
     return twice;
 }
 
+int
+enet_unanswered(const struct enet *n)
+{
+    int count = 0;
+
+    for (size_t i = 0; i < n->n_answers; i++) {
+        const struct enet_answer *a = &n->answers[i];
+        const struct enet_node *node = &n->nodes[a->node];
+
+        if (a->times == 0 && node->e != NULL && node->incarnation == a->life) {
+            count++;
+        }
+    }
+    return count;
+}
+
 int
 enet_doubled_answers(const struct enet *n)
 {
--- a/tests/entry_net.h
+++ b/tests/entry_net.h
@@ -48,7 +48,8 @@
 struct enet_answer {
     uint64_t request;
     int node;
-    int times; /* it was answered: more than once is a fault */
+    uint64_t life; /* incarnation that was asked */
+    int times;     /* it was answered: more than once is a fault */
     enum effect_kind kind;
     struct ef_problem problem;
     struct job_answer *answer;
@@ -175,6 +176,10 @@
 /** enet_started_twice() - tasks that upstreams saw started more than once */
 int enet_started_twice(const struct enet *n);
 
+/** enet_unanswered() - requests without an answer at instances that were up
+ * all the time */
+int enet_unanswered(const struct enet *n);
+
 /** enet_doubled_answers() - requests answered more than once */
 int enet_doubled_answers(const struct enet *n);
 
