Bound the memory of ended jobs whole; test membership

Cause: the bound on kept answers counted the answers alone, yet with small jobs the records and notes beside them weigh more. Membership had no tests, and nothing counted claims won, yielded or without a majority.

Change: answer_bytes counts the ended job, its notes and its answer. Three counters of claims. tests/member_test.c: the same voters everywhere, death noticed, earlier incarnations ignored, waking from a pause, loads to other zones.

--- a/src/claim.c
+++ b/src/claim.c
@@ -417,6 +417,8 @@
 {
     struct claim_result r = {.end = end};
 
+    e->counters.claims_won += end == CLAIM_END_WON ? 1 : 0;
+    e->counters.claims_unavailable += end == CLAIM_END_UNAVAILABLE ? 1 : 0;
     if (end == CLAIM_END_WON || end == CLAIM_END_ABSENT) {
         attempt_end(e, a, &r);
         return;
@@ -458,6 +460,7 @@
     uint16_t self = members_index(e, members_of(e, e->opts.self));
 
     if (t->other != NULL && (t->grants == 0 || t->other->claimer <= self)) {
+        e->counters.claims_yielded++;
         entry_log(e, LOG_INFO, REASON_CLAIM_YIELDED, &a->key.id, -1,
                   members_at(e, t->other->claimer)->name,
                   "%zu votes, the other has %zu", t->grants, t->other_votes);
--- a/src/entry.h
+++ b/src/entry.h
@@ -110,6 +110,9 @@
     COUNTER(messages_sent, "messages to other instances")                     \
     COUNTER(messages_bad, "messages that made no sense here")                 \
     COUNTER(claims_granted, "claims recorded as a voter")                     \
+    COUNTER(claims_won, "keys claimed with a majority")                       \
+    COUNTER(claims_yielded, "split votes given up to another claimer")        \
+    COUNTER(claims_unavailable, "keys that no majority was found for")        \
     COUNTER(slots_lent, "slots lent to other instances")                      \
     COUNTER(slots_borrowed, "slots borrowed")                                 \
     COUNTER(quarantines, "upstreams quarantined")                             \
--- a/src/explain.c
+++ b/src/explain.c
@@ -74,6 +74,16 @@
     return RING_SIZE * sizeof(struct decision);
 }
 
+size_t
+explain_size(const struct job *job)
+{
+    const struct notes *notes = job->notes;
+
+    return notes == NULL
+               ? 0
+               : sizeof(*notes) + notes->room * sizeof(notes->items[0]);
+}
+
 void
 explain_forget(struct job *job)
 {
--- a/src/explain.h
+++ b/src/explain.h
@@ -21,6 +21,9 @@
 void explain_add(struct entry *e, struct job *job, enum reason reason,
                  int32_t index, struct name subject);
 
+/** explain_size() - bytes of a job's own notes */
+size_t explain_size(const struct job *job);
+
 /** explain_forget() - frees a job's own notes */
 void explain_forget(struct job *job);
 
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -36,10 +36,14 @@
     job->tasks = NULL;
 }
 
+/* With many small jobs the records weigh more than the answers; a bound on
+ * the answers alone would let the process grow past its memory. */
 static size_t
-answer_size(const struct job_answer *a)
+kept_size(const struct job *job)
 {
-    size_t size = sizeof(*a) + a->n_tasks * sizeof(*a->tasks);
+    const struct job_answer *a = job->answer;
+    size_t size = sizeof(*job) + explain_size(job) + sizeof(*a) +
+                  a->n_tasks * sizeof(*a->tasks);
 
     for (size_t i = 0; i < a->n_tasks; i++) {
         size += a->tasks[i].result != NULL ? a->tasks[i].result->size : 0;
@@ -53,7 +57,7 @@
     if (job->answer == NULL) {
         return;
     }
-    j->answer_bytes -= answer_size(job->answer);
+    j->answer_bytes -= job->kept_bytes;
     job_answer_free(job->answer);
     job->answer = NULL;
 }
@@ -233,7 +237,6 @@
     job->ended_us = e->now.mono_us;
     job->answer = answer;
     j->n_active--;
-    j->answer_bytes += answer_size(answer);
     job_free_tasks(job);
     count_end(e, answer);
     entry_log(e, answer->status == JOB_COMPLETE ? LOG_DEBUG : LOG_INFO,
@@ -242,6 +245,8 @@
               answer->status == JOB_COMPLETE ? "complete" : "failed",
               (long long)(job->ended_us - job->submitted_us), answer->n_tasks);
     waiters_answer(e, &j->requests, job, answer);
+    job->kept_bytes = kept_size(job);
+    j->answer_bytes += job->kept_bytes;
     timers_add(&j->kept, job->ended_us + e->opts.answer_keep_us, self);
     bound_answers(e);
 }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -58,6 +58,7 @@
     enum job_status status;
     enum reason reason;
     int64_t ended_us;
+    size_t kept_bytes;      /* that the ended job and its answer take */
     struct notes *notes;    /* of explain.c */
     struct waiter *waiters; /* of jobs.c: callers and instances */
     struct name claimer;    /* JOB_JOINED */
@@ -114,6 +115,7 @@
 
 /** jobs_active() - jobs that still owe somebody an answer */
 size_t jobs_active(const struct entry *e);
+/** jobs_answer_bytes() - memory of ended jobs whose answers are kept */
 size_t jobs_answer_bytes(const struct entry *e);
 
 #endif
--- a/tests/jobs_test.c
+++ b/tests/jobs_test.c
@@ -229,6 +229,37 @@
     enet_free(n);
 }
 
+static void
+keep_little(struct entry_options *o)
+{
+    o->answer_keep_bytes = 8000;
+}
+
+/* Many jobs end within the time that answers are kept.  The oldest answers go
+ * first, so that memory stays bounded, but their keys are still known. */
+static void
+answers_are_bounded(void)
+{
+    struct enet *n = new_net(20 * MSEC);
+    char keys[20][KEY_TEXT_SIZE];
+
+    n->opts.tune = keep_little;
+    enet_restart(n, 1);
+    enet_run(n, 12 * SEC);
+    for (int i = 0; i < 20; i++) {
+        enet_key(n, "z0", i, 0, keys[i]);
+        (void)enet_submit(n, 1, keys[i], 2, 11);
+        enet_run(n, 100 * MSEC);
+    }
+    CU_ASSERT_TRUE(jobs_answer_bytes(n->nodes[1].e) <= 8000);
+    CU_ASSERT_TRUE(jobs_answer_bytes(n->nodes[1].e) > 4000);
+    CU_ASSERT_TRUE(
+        enet_problem(n, enet_submit(n, 1, keys[0], 2, 11), PROBLEM_FORGOTTEN));
+    CU_ASSERT_TRUE(complete(n, enet_submit(n, 1, keys[19], 2, 11), 2));
+    CU_ASSERT_EQUAL(enet_started_twice(n), 0);
+    enet_free(n);
+}
+
 /* A cancel overtakes its submission, at another instance even.  Both callers
  * hear that nothing ran, and nothing does. */
 static void
@@ -626,6 +657,7 @@
     check_add("jobs", "claimer_restarts", claimer_restarts);
     check_add("jobs", "asking_for_a_job", asking_for_a_job);
     check_add("jobs", "late_resubmissions", late_resubmissions);
+    check_add("jobs", "answers_are_bounded", answers_are_bounded);
     check_add("jobs", "cancel_before_submission", cancel_before_submission);
     check_add("jobs", "cancel_while_running", cancel_while_running);
     check_add("jobs", "deadline_passes", deadline_passes);
--- /dev/null
+++ b/tests/member_test.c
@@ -0,0 +1,199 @@
+/* Membership: who is up, who votes, what heartbeats carry. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "check.h"
+#include "entry_net.h"
+#include "member.h"
+
+enum { PER_ZONE = 3, SERVICES = 30 };
+
+#define MSEC USEC_PER_MSEC
+#define SEC USEC_PER_SEC
+
+static struct enet *
+new_net(int zones, int per_zone)
+{
+    struct enet_options o = {.zones = zones,
+                             .per_zone = per_zone,
+                             .seed = 9,
+                             .new_region = true,
+                             .run_us = 100 * MSEC};
+
+    return enet_new(&o);
+}
+
+static const struct member *
+seen(const struct enet *n, int by, int node)
+{
+    return members_of(n->nodes[by].e, n->nodes[node].name);
+}
+
+/* If two instances disagreed on the voters of a zone, two claimers could each
+ * get a majority of their own. */
+static void
+voters_are_the_same_everywhere(void)
+{
+    struct enet *n = new_net(3, 2);
+
+    enet_kill(n, 0);
+    enet_run(n, 5 * SEC);
+    for (int zone = 0; zone < 3; zone++) {
+        struct name first[VOTERS_PER_ZONE];
+        struct name other[VOTERS_PER_ZONE];
+        struct name home = n->nodes[zone * 2].zone;
+
+        CU_ASSERT_EQUAL(members_voters(n->nodes[1].e, home, first), 3);
+        CU_ASSERT_TRUE(name_equal(first[0], n->nodes[zone * 2].name));
+        CU_ASSERT_TRUE(name_equal(first[1], n->nodes[zone * 2 + 1].name));
+        for (int i = 2; i < n->n_nodes; i++) {
+            (void)members_voters(n->nodes[i].e, home, other);
+            for (int v = 0; v < VOTERS_PER_ZONE; v++) {
+                CU_ASSERT_TRUE(name_equal(first[v], other[v]));
+            }
+        }
+    }
+    CU_ASSERT_EQUAL(members_voters(n->nodes[1].e, name_of("nowhere"),
+                                   (struct name[VOTERS_PER_ZONE]){{""}}),
+                    0);
+    enet_free(n);
+}
+
+/* A process dies and its connections break: the others know within a second.
+ * A machine that falls silent is down after the member timeout. */
+static void
+death_is_noticed(void)
+{
+    struct enet *n = new_net(2, PER_ZONE);
+
+    enet_kill(n, 1);
+    enet_run(n, SEC);
+    CU_ASSERT_FALSE(seen(n, 0, 1)->up);
+    enet_freeze(n, 2, true);
+    enet_run(n, SEC);
+    CU_ASSERT_TRUE(seen(n, 0, 2)->up);
+    enet_run(n, 2 * SEC);
+    CU_ASSERT_FALSE(seen(n, 0, 2)->up);
+    enet_restart(n, 1);
+    enet_run(n, 10 * MSEC);
+    CU_ASSERT_TRUE(seen(n, 0, 1)->up);
+    CU_ASSERT_EQUAL(seen(n, 0, 1)->incarnation, 2);
+    enet_free(n);
+}
+
+/* A heartbeat of an earlier incarnation arrives after its instance restarted.
+ * Were it believed, the instance would be taken for restarted again and every
+ * wait at it answered as lost. */
+static void
+earlier_incarnations_are_ignored(void)
+{
+    struct enet *n = new_net(2, PER_ZONE);
+    struct msg late = {.kind = MSG_HEARTBEAT};
+    uint64_t bad;
+
+    enet_restart(n, 1);
+    enet_run(n, SEC);
+    bad = entry_counters(n->nodes[0].e).messages_bad;
+    late.u.heartbeat.incarnation = 1;
+    late.u.heartbeat.stopping = 1;
+    enet_send(n, n->nodes[1].name, 0, &late);
+    CU_ASSERT_EQUAL(seen(n, 0, 1)->incarnation, 2);
+    CU_ASSERT_FALSE(seen(n, 0, 1)->stopping);
+    CU_ASSERT_EQUAL(entry_counters(n->nodes[0].e).messages_bad, bad + 1);
+    enet_free(n);
+}
+
+/* A process wakes from a pause of a minute.  Nobody was heard during it; were
+ * all taken for dead, it would grab every upstream of its zone. */
+static void
+waking_does_not_bury_the_others(void)
+{
+    struct enet *n = new_net(2, PER_ZONE);
+
+    enet_freeze(n, 1, true);
+    enet_run(n, 60 * SEC);
+    enet_freeze(n, 1, false);
+    enet_run(n, 10 * MSEC);
+    for (int i = 0; i < n->n_nodes; i++) {
+        CU_ASSERT_TRUE(seen(n, 1, i)->up);
+    }
+    enet_kill(n, 4);
+    enet_run(n, 3 * SEC);
+    CU_ASSERT_FALSE(seen(n, 1, 4)->up);
+    CU_ASSERT_TRUE(seen(n, 1, 5)->up);
+    enet_free(n);
+}
+
+/* Counts the heartbeats of node 0 with loads, near and far. */
+static int near_loads;
+static int far_loads;
+static int far_beats;
+
+static enum enet_fate
+count_loads(struct enet *n, int from, int to, const struct msg *m)
+{
+    bool loads = m->kind == MSG_HEARTBEAT && m->u.heartbeat.has_loads != 0;
+
+    if (from == 0 && m->kind == MSG_HEARTBEAT) {
+        near_loads += loads && to == 1 ? 1 : 0;
+        far_loads += loads && to == PER_ZONE ? 1 : 0;
+        far_beats += to == PER_ZONE ? 1 : 0;
+    }
+    (void)n;
+    return ENET_PASS;
+}
+
+static void
+announce_services(struct enet *n)
+{
+    for (int i = 0; i < SERVICES; i++) {
+        struct event ev = {.kind = EV_ANNOUNCE};
+        struct rec_upstream_info *info = &ev.u.announce.info;
+        char text[NAME_SIZE];
+
+        (void)snprintf(text, sizeof(text), "s%d", i);
+        info->service = name_of(text);
+        info->upstream = name_of(text);
+        info->incarnation = 1;
+        info->zone = n->nodes[0].zone;
+        info->address = address_of("http://127.0.0.1:1");
+        info->slots = 8;
+        info->connections = 8;
+        enet_step(n, 0, &ev);
+    }
+}
+
+static void
+far_loads_are_rarer_with_many_services(void)
+{
+    struct enet *n = new_net(2, PER_ZONE);
+
+    n->opts.fate = count_loads;
+    near_loads = far_loads = far_beats = 0;
+    enet_run(n, 8 * SEC);
+    CU_ASSERT_EQUAL(far_beats, 16);
+    CU_ASSERT_EQUAL(far_loads, 16);
+    announce_services(n);
+    near_loads = far_loads = far_beats = 0;
+    enet_run(n, 4 * SEC);
+    CU_ASSERT_EQUAL(near_loads, 8);
+    CU_ASSERT_EQUAL(far_beats, 8);
+    CU_ASSERT_TRUE(far_loads >= 1 && far_loads <= 6);
+    CU_ASSERT_TRUE(seen(n, PER_ZONE, 0)->n_loads >= 1);
+    enet_free(n);
+}
+
+void
+suite_member(void)
+{
+    check_add("member", "voters_are_the_same_everywhere",
+              voters_are_the_same_everywhere);
+    check_add("member", "death_is_noticed", death_is_noticed);
+    check_add("member", "earlier_incarnations_are_ignored",
+              earlier_incarnations_are_ignored);
+    check_add("member", "waking_does_not_bury_the_others",
+              waking_does_not_bury_the_others);
+    check_add("member", "far_loads_are_rarer_with_many_services",
+              far_loads_are_rarer_with_many_services);
+}
