--- a/tests/entry_net.h
+++ b/tests/entry_net.h
@@ -48,10 +48,12 @@
 struct enet_answer {
     uint64_t request;
     int node;
-    int times; /* it was answered: more than once is a fault */
+    uint64_t life; /* incarnation that was asked */
+    int times;     /* it was answered: more than once is a fault */
     enum effect_kind kind;
     struct ef_problem problem;
     struct job_answer *answer;
+    char *text; /* JSON for operators */
 };
 
 struct enet_packet {
@@ -135,6 +137,8 @@
 uint64_t enet_submit_spec(struct enet *n, int node, const char *key,
                           struct job_spec *spec, bool respond_async);
 uint64_t enet_get(struct enet *n, int node, const char *key, bool wait);
+uint64_t enet_explain(struct enet *n, int node, const char *key);
+uint64_t enet_dump(struct enet *n, int node);
 uint64_t enet_cancel(struct enet *n, int node, const char *key);
 void enet_stop(struct enet *n, int node);
 
@@ -172,6 +176,10 @@
 /** enet_started_twice() - tasks that upstreams saw started more than once */
 int enet_started_twice(const struct enet *n);
 
+/** enet_unanswered() - requests without an answer at instances that were up
+ * all the time */
+int enet_unanswered(const struct enet *n);
+
 /** enet_doubled_answers() - requests answered more than once */
 int enet_doubled_answers(const struct enet *n);
 
