--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -55,7 +55,7 @@
         http.body_timeout_ms, 1, "from headers to the end of the body")       \
     LIMIT("idle_timeout_s", "s", 1, 3600, "75",                               \
         http.idle_timeout_s, 1, "a connection without a request")             \
-    LIMIT("upstream_threads", "threads", 1, UPCLIENT_THREADS_MAX, "2",        \
+    LIMIT("upstream_threads", "threads", 1, UPCLIENT_THREADS_MAX, "4",        \
         upstreams.threads, 1, "that talk to upstreams")                       \
     LIMIT("upstream_connections", "connections", 1, 65536, "64",              \
         upstreams.connections_per_upstream, 1, "to one upstream")             \
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -93,6 +93,19 @@
     return queued;
 }
 
+static enum MHD_Result
+queue_effect(struct httpd *h, struct httprequest *r)
+{
+    struct httpreply reply = httpreply_of(&r->reply, r->route.kind, r->key);
+    int64_t took_us = clock_now(h->opts.clock).mono_us - r->begun_us;
+
+    if (r->route.kind == ROUTE_SUBMIT && r->reply.kind == EF_ANSWER) {
+        stats_add(&stats.submit_us, (uint64_t)took_us);
+        stats_add(&stats.submits_answered, 1);
+    }
+    return queue_reply(h, r, &reply);
+}
+
 static enum MHD_Result
 queue_refusal(struct httpd *h, struct httprequest *r,
               const struct httprefusal *why)
@@ -136,8 +149,7 @@
         r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
 
     r->fd = info != NULL ? info->connect_fd : -1;
-    r->body_due_us = clock_now(h->opts.clock).mono_us +
-                     h->opts.body_timeout_ms * USEC_PER_MSEC;
+    r->body_due_us = r->begun_us + h->opts.body_timeout_ms * USEC_PER_MSEC;
     (void)pthread_mutex_lock(&h->lock);
     r->reading = true;
     TAILQ_INSERT_TAIL(&h->reading, r, reading_link);
@@ -208,6 +220,7 @@
     (void)atomic_fetch_add(&h->in_progress, 1);
     stats_add(&stats.http_requests, 1);
     r->connection = connection;
+    r->begun_us = clock_now(h->opts.clock).mono_us;
     r->route = route_find(method, url);
     if (!httprequest_check(r, h->opts.body_max, &why)) {
         return queue_refusal(h, r, &why);
@@ -316,10 +329,7 @@
         return begin_request(h, connection, url, method, ctx);
     }
     if (r->replied) {
-        struct httpreply reply =
-            httpreply_of(&r->reply, r->route.kind, r->key);
-
-        return queue_reply(h, r, &reply);
+        return queue_effect(h, r);
     }
     if (*upload_data_size > 0) {
         return take_body(h, r, upload_data, upload_data_size);
--- a/src/httprequest.h
+++ b/src/httprequest.h
@@ -18,6 +18,7 @@
  * struct httprequest - a request
  * @route: what it asks for
  * @body: as far as it came
+ * @begun_us: monotonic time when its headers were there
  * @body_due_us: monotonic time by which the body must be there
  * @reading: it is in the list of those whose body is on its way
  * @cut_off: it was refused before its body was whole
@@ -36,6 +37,7 @@
     size_t body_size;
     size_t body_room;
     int fd;
+    int64_t begun_us;
     int64_t body_due_us;
     bool reading;
     bool cut_off;
--- a/src/runtime.c
+++ b/src/runtime.c
@@ -268,6 +268,7 @@
     struct peer_options peers = r->opts.peers;
     struct upclient_options upstreams = r->opts.upstreams;
 
+    upstreams.clock = r->opts.clock;
     upstreams.done = on_outcome;
     upstreams.ctx = r;
     r->upstreams = upclient_new(&upstreams);
--- a/src/stats.h
+++ b/src/stats.h
@@ -16,8 +16,12 @@
     STAT(http_requests, "requests whose headers arrived")                     \
     STAT(http_refused, "requests refused by the shell")                       \
     STAT(http_slow_bodies, "requests whose body came too slowly")             \
+    STAT(submit_us, "from submissions' headers to answers, microseconds")     \
+    STAT(submits_answered, "submissions answered, for submit_us")             \
     STAT(http_inbox_full, "requests refused because the inbox was full")      \
     STAT(calls_begun, "requests sent to upstreams")                           \
+    STAT(start_us, "from starts' hand-over to outcomes, microseconds")        \
+    STAT(starts_ended, "starts that came to an end, for start_us")            \
     STAT(calls_not_resent, "starts that libcurl was kept from sending again") \
     STAT(peer_connects, "connections to other instances opened")              \
     STAT(peer_accepts, "connections of other instances accepted")             \
--- a/src/upcall.h
+++ b/src/upcall.h
@@ -19,6 +19,7 @@
 /**
  * struct upcall - a request on its way
  * @effect: an EF_START, EF_REVOKE or EF_FENCE, owned
+ * @begun_us: monotonic time when it was handed over
  * @attempts: times libcurl was about to send the request
  * @body: to be sent
  * @sent: bytes of @body given to libcurl
@@ -32,6 +33,7 @@
     struct mail mail;
     LIST_ENTRY(upcall) active;
     struct effect effect;
+    int64_t begun_us;
     CURL *easy;
     struct curl_slist *headers;
     int attempts;
--- a/src/upclient.c
+++ b/src/upclient.c
@@ -35,7 +35,7 @@
 upclient_options_default(void)
 {
     return (struct upclient_options){
-        .threads = 2,
+        .threads = 4,
         .connections_per_upstream = 64,
         .connect_timeout_ms = 1000,
         .control_timeout_ms = 1000,
@@ -89,6 +89,11 @@
     struct upcall *u = NULL;
 
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&u);
+    if (u->effect.kind == EF_START) {
+        stats_add(&stats.start_us,
+                  (uint64_t)(clock_now(o->clock).mono_us - u->begun_us));
+        stats_add(&stats.starts_ended, 1);
+    }
     o->done(o->ctx, upcall_finish(u, result));
     LIST_REMOVE(u, active);
     curl_multi_remove_handle(w->multi, easy);
@@ -262,6 +267,7 @@
         abort();
     }
     u->effect = *effect;
+    u->begun_us = clock_now(c->opts.clock).mono_us;
     memset(effect, 0, sizeof(*effect));
     hash = key_id_of(upstream_of(&u->effect).s);
     mailbox_post(&c->workers[hash.lo % c->n_workers].mailbox, &u->mail);
--- a/src/upclient.h
+++ b/src/upclient.h
@@ -28,6 +28,7 @@
  * @control_timeout_ms: for a revoke or a fence
  * @idle_s: a kept connection older than that is not used again
  * @result_max: bytes of a result; a longer one is a failure of the task
+ * @clock: for the counters
  * @done: takes each outcome, exactly one a call; from any of the threads
  * @ctx: for @done
  */
@@ -39,6 +40,7 @@
     long control_timeout_ms;
     long idle_s;
     size_t result_max;
+    const struct clock *clock;
     void (*done)(void *ctx, struct envelope *outcome);
     void *ctx;
 };
@@ -47,7 +49,7 @@
 
 struct upclient;
 
-/** upclient_options_default() - all but @self, @done and @ctx */
+/** upclient_options_default() - all but @self, @clock, @done and @ctx */
 struct upclient_options upclient_options_default(void);
 
 /** upclient_new() - starts the threads; NULL when that fails */
--- a/tests/upclient_test.c
+++ b/tests/upclient_test.c
@@ -160,6 +160,7 @@
     o.threads = 1;
     o.result_max = 1000;
     o.control_timeout_ms = SILENT_US / 1000;
+    o.clock = clock_real();
     o.done = on_done;
     o.ctx = outcomes;
     return upclient_new(&o);
