Tell control what the rest of the zone has in force

Change: the zone's follower sends their versions along, and again as soon as one changes. Conclusion: one more message for each change and zone; ruled out: waiting for the next poll, up to 5 s late.

--- a/src/follow.c
+++ b/src/follow.c
@@ -33,6 +33,7 @@
     int64_t started_us;
     uint64_t replied;  /* control processes that replied since the start */
     int64_t behind_us; /* since when a member has a newer version; 0: none */
+    uint64_t reported; /* sum of the versions told to control of our zone */
     struct poll polls[INSTANCES_MAX];
     size_t n_polls;
 };
@@ -60,11 +61,45 @@
 
 /* ---- asking ---- */
 
+static bool
+in_our_zone(const struct entry *e, const struct member *m)
+{
+    return !m->self && m->up && name_equal(m->zone, e->zone);
+}
+
+/* What the others of our zone have in force, for control's status: they poll
+ * here, so that control hears of them from nobody else. */
+static void
+report_zone(struct entry *e, struct rec_config_request *r)
+{
+    size_t at = 0;
+    struct member *m;
+
+    e->follow->reported = 0;
+    r->members = calloc(e->opts.n_peers, sizeof(*r->members));
+    while (r->members != NULL && (m = members_next(e, &at)) != NULL) {
+        if (in_our_zone(e, m)) {
+            r->members[r->n_members++] = (struct rec_follower){
+                .instance = m->name,
+                .zone = m->zone,
+                .incarnation = m->incarnation,
+                .version = m->config_version,
+                .age_us = (uint64_t)(e->now.mono_us - m->heard_us),
+            };
+            e->follow->reported += m->config_version;
+        }
+    }
+}
+
 static void
 ask(struct entry *e, struct name server)
 {
     struct msg m = {.kind = MSG_CONFIG_REQUEST};
 
+    if (members_of(e, server) == NULL) {
+        report_zone(e, &m.u.config_request);
+    }
+
     m.u.config_request.have_version = e->follow->version;
     m.u.config_request.incarnation = e->opts.incarnation;
     m.u.config_request.zone = e->zone;
@@ -345,6 +380,29 @@
     }
 }
 
+/* An operator waits until a change is in force everywhere.  Told only with the
+ * next poll, control's status would be late by as long as a poll is held, and
+ * the operator would see instances lag that do not. */
+static void
+report_changes(struct entry *e)
+{
+    struct follow *f = e->follow;
+    struct name server;
+    uint64_t sum = 0;
+    size_t at = 0;
+    struct member *m;
+
+    if (zone_follower(e, &server)) {
+        return;
+    }
+    while ((m = members_next(e, &at)) != NULL) {
+        sum += in_our_zone(e, m) ? m->config_version : 0;
+    }
+    if (sum != f->reported) {
+        ask(e, e->opts.controls[f->control]);
+    }
+}
+
 void
 follow_tick(struct entry *e)
 {
@@ -363,6 +421,7 @@
     }
     if (e->config != NULL) {
         catch_up(e);
+        report_changes(e);
     }
 }
 
