--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -14,7 +14,7 @@
 
 enum {
     SERVICES_START = 16,
-    ATTEMPTS_MAX = 20, /* starts of one task */
+    ATTEMPTS_MAX = 50, /* starts of one task */
     ASIDE_MAX = 8,     /* jobs that do not fit now and are passed over */
     TOKENS_MAX = 1000, /* re-placements saved up */
     TOKENS_START = 100,
@@ -281,20 +281,22 @@
  * back, and placing each again and again would be load on top of the trouble.
  * Starts earn a budget that re-placements spend; past it, jobs fail. */
 void
-dispatch_requeue(struct entry *e, struct job *job, uint32_t index)
+dispatch_requeue(struct entry *e, struct job *job, uint32_t index,
+                 bool charged)
 {
     struct dispatch *d = e->dispatch;
     struct queued *q = job->queue_place;
 
     put_task(e, job, index);
-    if (d->retry_tokens < 1 || job->tasks[index].attempts >= ATTEMPTS_MAX) {
+    if (charged &&
+        (d->retry_tokens < 1 || job->tasks[index].attempts >= ATTEMPTS_MAX)) {
         entry_log(e, LOG_WARNING, REASON_RETRIES_SPENT, &job->id,
                   (int32_t)index, name_of(""), "%u starts of this task",
                   job->tasks[index].attempts);
         jobs_fail(e, job, REASON_RETRIES_SPENT);
         return;
     }
-    d->retry_tokens -= 1;
+    d->retry_tokens -= charged ? 1 : 0;
     e->counters.tasks_requeued++;
     rank(e, q->service, q);
     queue_put(&q->service->queue, q);
@@ -363,6 +365,8 @@
     struct queued *q;
 
     while (n_aside < ASIDE_MAX && (q = queue_first(&s->queue)) != NULL) {
+        while (borrow_before(e, s, q->rank_us)) {
+        }
         end = s->pool.n_listed > 0 ? serve_job(e, s, q) : NO_PLACE;
         if (end == NO_QUOTA || s->pool.n_listed == 0) {
             if (q->n > 0) {
@@ -386,13 +390,20 @@
 {
     enum served end = serve(e, s);
 
+    if (e->opts.placement != PLACE_HOLDER) {
+        return;
+    }
     if (s->queued == 0) {
+        borrow_stop(e, s);
         borrow_serve(e, s);
     }
-    else if (end != NO_QUOTA && e->opts.placement == PLACE_HOLDER) {
+    else if (end != NO_QUOTA) {
         borrow_ask(e, s);
         dispatch_wake_at(e, borrow_next_us(s));
     }
+    if (end != NO_QUOTA && borrow_wanted(s) && s->pool.own_free == 0) {
+        slots_recall(e, s);
+    }
 }
 
 void
@@ -530,7 +541,7 @@
             dispatch_wake(e, s);
         }
     }
-    if (borrow_next_us(s) <= e->now.mono_us) {
+    if (borrow_next_us(s) <= e->now.mono_us || borrow_wanted(s)) {
         dispatch_wake(e, s);
     }
 }
--- a/src/vnet.h
+++ b/src/vnet.h
@@ -68,6 +68,7 @@
 
 struct hop {
     int64_t at_us;
+    int64_t sent_us;
     uint64_t order;  /* ties go by it */
     uint64_t number; /* among hops that cross the network, from 1 */
     enum hop_kind kind;
@@ -98,6 +99,12 @@
 /** enum hop_fate - the hook's word at POINT_SENT */
 enum hop_fate { FATE_PASS, FATE_LOSE, FATE_DOUBLE, FATE_DELAY };
 
+/* struct vopen - a call of an instance that has not come to an end */
+struct vopen {
+    uint64_t id; /* first: looked up by it */
+    struct handle self;
+};
+
 struct vnet;
 
 struct vnet_hook {
@@ -241,6 +248,7 @@
     bool bytes;                 /* also count bytes of messages (slow) */
     struct entry_options entry; /* identity is filled in */
     struct service_conf service;
+    uint32_t services; /* in the configuration; the others get no jobs */
 };
 
 struct vnet {
@@ -274,7 +282,8 @@
     struct map keys_by_id;
     struct hop *current;  /* the one being read */
     struct config config; /* last accepted */
-    struct blob *text;    /* of it */
+    struct service_conf *services;
+    struct blob *text; /* of it */
     struct name control_names[VCONTROLS];
     struct vcontrol controls[VCONTROLS];
     int64_t published_us;
@@ -286,8 +295,10 @@
     uint64_t broken[PROMISES];
     char first_broken[200];
     void (*script)(struct vnet *n, const struct hop *h);
-    uint64_t steps; /* of reducers */
-    FILE *log;      /* decisions of the reducers; NULL: none */
+    uint64_t steps;          /* of reducers */
+    FILE *log;               /* decisions of the reducers; NULL: none */
+    int64_t (*cpu_ns)(void); /* measures the reducers alone; NULL: not */
+    int64_t used_ns;
 };
 
 /** vnet_options_default() - three zones with two instances each */
@@ -298,6 +309,28 @@
 struct vnet *vnet_new(const struct vnet_options *o);
 void vnet_free(struct vnet *n);
 
+/* vhop.c: the heap of hops and the network */
+void vhop_push(struct vnet *n, const struct hop *h);
+
+/** vhop_pop() - takes the earliest out; there must be one */
+struct hop vhop_pop(struct vnet *n);
+
+/** vhop_clear() - releases what a hop owns */
+void vhop_clear(struct hop *h);
+
+/** vhop_ask() - asks the hook about a hop */
+enum hop_fate vhop_ask(struct vnet *n, enum hop_point point, struct hop *h,
+                       int64_t *delay_us);
+
+/* vcarry.c: carries out what an instance decides */
+
+/** vcarry_close() - the call that this reply is for came to an end; false
+ * when it had before */
+bool vcarry_close(struct vnet *n, const struct hop *h);
+
+/* varrive.c */
+void varrive_at_instance(struct vnet *n, struct hop *h);
+
 /** vnet_job() - number of the caller's job with that key; 0 if none: numbers
  * count from 1 */
 uint64_t vnet_job(const struct vnet *n, struct key_id id);
