Test that control hears of every instance soon

Cause: the report of a zone had no test. Change: the fake control notes what it is told of each instance. Conclusion: none further.

--- a/tests/follow_test.c
+++ b/tests/follow_test.c
@@ -34,6 +34,19 @@
 
 static uint64_t asked;
 
+/* What control has been told of each node, by itself or by its zone. */
+static uint64_t told[NODES];
+
+static void
+note_told(const struct enet *n, struct name instance, uint64_t version)
+{
+    for (int i = 0; i < NODES; i++) {
+        if (name_equal(n->nodes[i].name, instance) && version > told[i]) {
+            told[i] = version;
+        }
+    }
+}
+
 static void
 send_version(struct enet *n, int control, int node)
 {
@@ -52,7 +65,14 @@
 static void
 on_outside(struct enet *n, int from, struct name to, const struct msg *m)
 {
-    (void)n;
+    if (m->kind == MSG_CONFIG_REQUEST) {
+        const struct rec_config_request *r = &m->u.config_request;
+
+        note_told(n, n->nodes[from].name, r->have_version);
+        for (size_t i = 0; i < r->n_members; i++) {
+            note_told(n, r->members[i].instance, r->members[i].version);
+        }
+    }
     for (int i = 0; i < CONTROLS; i++) {
         if (name_equal(names[i], to) && m->kind == MSG_CONFIG_REQUEST &&
             !controls[i].silent && n_polls < POLLS_MAX) {
@@ -147,6 +167,25 @@
     enet_free(n);
 }
 
+/* An operator publishes and waits.  If control learnt of the instances that
+ * poll a neighbour only now and then, the operator would see them lag. */
+static void
+control_hears_of_all(void)
+{
+    struct enet *n = new_net(4);
+
+    run(n, 2 * SEC);
+    memset(told, 0, sizeof(told));
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].version = 5;
+    }
+    run(n, 2 * SEC);
+    for (int i = 0; i < NODES; i++) {
+        CU_ASSERT_EQUAL(told[i], 5);
+    }
+    enet_free(n);
+}
+
 /* The control process that an instance polls falls silent, its connection
  * still open.  Without a limit on the wait the zone would never see a change
  * again. */
@@ -239,6 +278,7 @@
 suite_follow(void)
 {
     check_add("follow", "changes_reach_everyone", changes_reach_everyone);
+    check_add("follow", "control_hears_of_all", control_hears_of_all);
     check_add("follow", "silent_control_is_left", silent_control_is_left);
     check_add("follow", "restart_never_reverts", restart_never_reverts);
     check_add("follow", "bad_text_changes_nothing", bad_text_changes_nothing);
