--- a/tests/jobs_test.c
+++ b/tests/jobs_test.c
@@ -229,6 +229,37 @@
     enet_free(n);
 }
 
+static void
+keep_little(struct entry_options *o)
+{
+    o->answer_keep_bytes = 8000;
+}
+
+/* Many jobs end within the time that answers are kept.  The oldest answers go
+ * first, so that memory stays bounded, but their keys are still known. */
+static void
+answers_are_bounded(void)
+{
+    struct enet *n = new_net(20 * MSEC);
+    char keys[20][KEY_TEXT_SIZE];
+
+    n->opts.tune = keep_little;
+    enet_restart(n, 1);
+    enet_run(n, 12 * SEC);
+    for (int i = 0; i < 20; i++) {
+        enet_key(n, "z0", i, 0, keys[i]);
+        (void)enet_submit(n, 1, keys[i], 2, 11);
+        enet_run(n, 100 * MSEC);
+    }
+    CU_ASSERT_TRUE(jobs_answer_bytes(n->nodes[1].e) <= 8000);
+    CU_ASSERT_TRUE(jobs_answer_bytes(n->nodes[1].e) > 4000);
+    CU_ASSERT_TRUE(
+        enet_problem(n, enet_submit(n, 1, keys[0], 2, 11), PROBLEM_FORGOTTEN));
+    CU_ASSERT_TRUE(complete(n, enet_submit(n, 1, keys[19], 2, 11), 2));
+    CU_ASSERT_EQUAL(enet_started_twice(n), 0);
+    enet_free(n);
+}
+
 /* A cancel overtakes its submission, at another instance even.  Both callers
  * hear that nothing ran, and nothing does. */
 static void
@@ -483,6 +514,74 @@
     enet_free(n);
 }
 
+static enum enet_fate
+lose_answers(struct enet *n, int from, int to, const struct msg *m)
+{
+    (void)n;
+    (void)from;
+    (void)to;
+    return m->kind == MSG_JOB_ANSWER ? ENET_DROP : ENET_PASS;
+}
+
+/* The claimer's answers never arrive, though it is up and hears us.  The
+ * caller must not wait past its deadline; who only asks hears that the job
+ * runs, as far as this instance can tell. */
+static void
+claimer_never_answers(void)
+{
+    struct enet *n = new_net(300 * MSEC);
+    uint64_t again;
+    uint64_t get;
+
+    n->opts.fate = lose_answers;
+    (void)enet_submit(n, 1, key, 2, 11);
+    enet_run(n, 50 * MSEC);
+    again = enet_submit(n, OTHER_ZONE, key, 2, 11);
+    get = enet_get(n, 2, key, true);
+    enet_run(n, 5200 * MSEC);
+    CU_ASSERT_TRUE(enet_ended(n, again, JOB_FAILED, REASON_DEADLINE));
+    CU_ASSERT_EQUAL(count_states(enet_answer(n, again), TASK_UNKNOWN), 2);
+    enet_run(n, 150 * SEC);
+    CU_ASSERT_TRUE(enet_ended(n, get, JOB_RUNNING, REASON_NONE));
+    enet_free(n);
+}
+
+static int
+count_text(const char *text, const char *part)
+{
+    int count = 0;
+
+    while ((text = strstr(text, part)) != NULL) {
+        count++;
+        text++;
+    }
+    return count;
+}
+
+static void
+decisions_are_explained(void)
+{
+    struct enet *n = new_net(300 * MSEC);
+    const struct enet_answer *a;
+
+    (void)enet_submit(n, 1, key, 40, 11);
+    enet_run(n, 50 * MSEC);
+    a = enet_answer(n, enet_explain(n, 1, key));
+    CU_ASSERT_EQUAL_FATAL(a->kind, EF_TEXT);
+    CU_ASSERT_EQUAL(count_text(a->text, "\"claim-won\""), 1);
+    CU_ASSERT_EQUAL(count_text(a->text, "\"started\""), 15);
+    CU_ASSERT_EQUAL(count_text(a->text, "\"left_out\": 25"), 1);
+    (void)enet_cancel(n, 1, key);
+    a = enet_answer(n, enet_explain(n, 1, key));
+    CU_ASSERT_EQUAL(count_text(a->text, "\"cancelled\""), 3);
+    a = enet_answer(n, enet_explain(n, 0, "order-4711"));
+    CU_ASSERT_EQUAL(count_text(a->text, "\"reason\""), 0);
+    a = enet_answer(n, enet_dump(n, 1));
+    CU_ASSERT_EQUAL(count_text(a->text, "\"claims_granted\": 1"), 1);
+    CU_ASSERT_EQUAL(count_text(a->text, "\"incarnation\": 1"), NODES + 9);
+    enet_free(n);
+}
+
 static struct msg
 random_message(struct enet *n)
 {
@@ -558,6 +657,7 @@
     check_add("jobs", "claimer_restarts", claimer_restarts);
     check_add("jobs", "asking_for_a_job", asking_for_a_job);
     check_add("jobs", "late_resubmissions", late_resubmissions);
+    check_add("jobs", "answers_are_bounded", answers_are_bounded);
     check_add("jobs", "cancel_before_submission", cancel_before_submission);
     check_add("jobs", "cancel_while_running", cancel_while_running);
     check_add("jobs", "deadline_passes", deadline_passes);
@@ -569,5 +669,7 @@
     check_add("jobs", "asynchronous_submission", asynchronous_submission);
     check_add("jobs", "caller_hangs_up", caller_hangs_up);
     check_add("jobs", "waits_are_asked_again", waits_are_asked_again);
+    check_add("jobs", "claimer_never_answers", claimer_never_answers);
+    check_add("jobs", "decisions_are_explained", decisions_are_explained);
     check_add("jobs", "hostile_messages", hostile_messages);
 }
