--- a/src/slopes.c
+++ b/src/slopes.c
@@ -261,6 +261,37 @@
     return p;
 }
 
+/* A heartbeat with the loads of that many services; only services with work
+ * or free slots are in it, so the quiet runs above show none. */
+static struct point
+run_loads(int i, double clock_ns)
+{
+    static const size_t loads[SIZES] = {0, 10, 40, 100};
+    struct msg m = {.kind = MSG_HEARTBEAT};
+    struct rec_heartbeat *hb = &m.u.heartbeat;
+    struct point p = {.size = (double)loads[i]};
+    msgpack_sbuffer out;
+
+    (void)clock_ns;
+    hb->incarnation = UINT64_C(1764720000000000);
+    hb->loads = calloc(loads[i] + 1, sizeof(*hb->loads));
+    if (hb->loads == NULL) {
+        abort();
+    }
+    hb->n_loads = loads[i];
+    for (size_t s = 0; s < loads[i]; s++) {
+        (void)snprintf(hb->loads[s].service.s, NAME_SIZE, "service-%03zu", s);
+        hb->loads[s].free_slots = 1000;
+        hb->loads[s].backlog = 1000;
+        hb->loads[s].running = 1000;
+    }
+    msgpack_sbuffer_init(&out);
+    p.bytes = wire_encode(&m, &out) == WIRE_OK ? (double)out.size + 4 : 0;
+    msgpack_sbuffer_destroy(&out);
+    msg_free(&m);
+    return p;
+}
+
 /* Changes of configuration, an instance. */
 static struct point
 run_changes(int i, double clock_ns)
@@ -412,6 +443,10 @@
      "service",
      run_services,
      {true, true, true, true}},
+    {"one heartbeat, by services with work",
+     "service",
+     run_loads,
+     {false, false, true, false}},
     {"an instance, by changes of configuration (1 service)",
      "change",
      run_changes,
