--- a/src/job_caller.c
+++ b/src/job_caller.c
@@ -7,7 +7,6 @@
 
 enum {
     MINT_MAX = 1000,
-    WINDOW_SHARE = 4, /* of the claim window: a query's longest wait */
 };
 
 static void
