Ask for slots by what has been waited, not by an estimate alone

Cause: a job larger than the free slots of an idle instance waited a whole run time for them: the estimate took its tasks to end one after the other, and before any run time was known it was made up. Change: the queue's wait so far counts too, and with nothing learned slots are asked for at once.

--- a/src/borrow.c
+++ b/src/borrow.c
@@ -7,16 +7,18 @@
 #include "member.h"
 #include "slot.h"
 
-#define QUIET_US                                                              \
-    (100 * USEC_PER_MSEC)              /* after a reply that gave too little  \
-                                        */
-#define WAIT_US (1 * USEC_PER_SEC)     /* a request is remembered */
-#define REPLY_US (300 * USEC_PER_MSEC) /* after which a reply is lost */
-#define BATCH_US (60 * USEC_PER_MSEC)  /* grants to those who wait */
-#define ASK_WORTH_US (40 * USEC_PER_MSEC) /* of waiting, to ask for it */
-#define WORTH_US (150 * USEC_PER_MSEC)    /* the same, where nothing is free */
+#define QUIET_US (100 * USEC_PER_MSEC)       /* after a reply that was lost */
+#define WAIT_US (1 * USEC_PER_SEC)           /* a request is remembered */
+#define REPLY_US (300 * USEC_PER_MSEC)       /* after which a reply is lost */
+#define BATCH_US (60 * USEC_PER_MSEC)        /* between grants to who waits */
+#define ASK_WORTH_US (40 * USEC_PER_MSEC)    /* of waiting, to ask for slots */
+#define WORTH_US (150 * USEC_PER_MSEC)       /* the same where none are free */
 #define RANK_MARGIN_US (100 * USEC_PER_MSEC) /* to go before our own */
-#define SPARE_TIMES 3 /* longer pauses to spare messages */
+
+enum {
+    SPARE_TIMES = 3,  /* longer pauses to spare messages */
+    SAMPLES_FEW = 10, /* run times; with fewer nothing is known */
+};
 
 /** struct lender - what is known of another instance's free slots */
 struct lender {
@@ -48,8 +50,9 @@
     size_t n_lenders;
     struct slot_wait *waits; /* room for one of each instance */
     size_t n_waits;
-    int64_t next_us;  /* when to ask again */
-    int64_t serve_us; /* those who wait get nothing before that */
+    int64_t blocked_us; /* since when the queue lacks places; 0: it doesn't */
+    int64_t next_us;    /* when to ask again */
+    int64_t serve_us;   /* those who wait get nothing before that */
 };
 
 static struct borrowing *
@@ -267,6 +270,9 @@
 {
     struct borrowing *b = s->borrowing;
 
+    if (b != NULL) {
+        b->blocked_us = 0;
+    }
     for (size_t i = 0; b != NULL && i < b->n_lenders; i++) {
         struct lender *l = &b->lenders[i];
         struct msg m = {.kind = MSG_SLOT_REQUEST};
@@ -297,15 +303,21 @@
     return job->tasks[q->tasks[q->n - 1]].need;
 }
 
-/** clear_us() - how long our own slots take to work @wanted tasks off */
+/** waiting_us() - how long the queue has to wait for our own slots: what they
+ * need to work it off if they end one after the other, or what it has waited
+ * already if they don't.  With nothing learned yet, nobody can tell. */
 static int64_t
-clear_us(const struct service_state *s, uint32_t wanted)
+waiting_us(const struct entry *e, const struct service_state *s,
+           uint32_t wanted)
 {
-    int64_t each = s->learned.samples > 0 ? (int64_t)s->learned.mean_us
-                                          : 100 * USEC_PER_MSEC;
     uint32_t slots = s->running > 0 ? s->running : 1;
+    int64_t waited = e->now.mono_us - s->borrowing->blocked_us;
+    int64_t clear = (int64_t)s->learned.mean_us * wanted / slots;
 
-    return each * wanted / slots;
+    if (s->learned.samples < SAMPLES_FEW) {
+        return INT64_MAX;
+    }
+    return waited > clear ? waited : clear;
 }
 
 void
@@ -316,9 +328,12 @@
     uint32_t wanted = at_most(s->queued, SLOT_REQUEST_MAX);
     struct resources need;
 
-    b->next_us = e->now.mono_us + pause_us(e, QUIET_US);
+    b->next_us = e->now.mono_us + pause_us(e, ASK_WORTH_US);
+    if (b->blocked_us == 0) {
+        b->blocked_us = e->now.mono_us;
+    }
     if (wanted <= on_order ||
-        clear_us(s, wanted) < pause_us(e, ASK_WORTH_US)) {
+        waiting_us(e, s, wanted) < pause_us(e, ASK_WORTH_US)) {
         return;
     }
     wanted -= on_order;
@@ -327,7 +342,7 @@
     if (wanted > 0 && may_spill(s)) {
         wanted = ask_free(e, s, need, false, wanted);
     }
-    if (wanted > 0 && clear_us(s, wanted) > pause_us(e, WORTH_US)) {
+    if (wanted > 0 && waiting_us(e, s, wanted) > pause_us(e, WORTH_US)) {
         ask_to_wait(e, s, need, wanted);
     }
 }
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -301,6 +301,7 @@
     if (m.u.heartbeat.loads == NULL) {
         abort();
     }
+    m.u.heartbeat.has_loads = 1;
     m.u.heartbeat.n_loads = 1;
     m.u.heartbeat.loads[0] = (struct rec_load){.service = name_of("camp"),
                                                .free_slots = 8,
