--- a/src/borrow.c
+++ b/src/borrow.c
@@ -11,8 +11,8 @@
 #define WAIT_US (1 * USEC_PER_SEC)           /* a request is remembered */
 #define REPLY_US (300 * USEC_PER_MSEC)       /* after which a reply is lost */
 #define BATCH_US (60 * USEC_PER_MSEC)        /* between grants to who waits */
-#define ASK_WORTH_US (40 * USEC_PER_MSEC)    /* of waiting, to ask for slots */
-#define WORTH_US (150 * USEC_PER_MSEC)       /* the same where none are free */
+#define ASK_WORTH_US (60 * USEC_PER_MSEC)    /* of waiting, to ask for slots */
+#define WORTH_US (250 * USEC_PER_MSEC)       /* the same where none are free */
 #define RANK_MARGIN_US (100 * USEC_PER_MSEC) /* to go before our own */
 
 enum {
