Split the lender's side off slot.c

Cause: slot.c had grown to 800 lines with two jobs. Change: lend.c keeps what is lent, slot.c places and what is borrowed.

--- a/src/borrow.c
+++ b/src/borrow.c
@@ -5,7 +5,7 @@
 
 #include "jobs.h"
 #include "member.h"
-#include "slot.h"
+#include "lend.h"
 
 #define QUIET_US (100 * USEC_PER_MSEC)       /* after a reply that was lost */
 #define WAIT_US (1 * USEC_PER_SEC)           /* a request is remembered */
@@ -505,7 +505,7 @@
 lend_to(struct entry *e, struct service_state *s, struct slot_wait *w,
         uint32_t most)
 {
-    uint32_t given = slots_grant(e, s, w->from, w->request, w->need,
+    uint32_t given = lends_grant(e, s, w->from, w->request, w->need,
                                  at_most(w->count, most), false);
 
     w->count -= given;
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -7,6 +7,7 @@
 #include "admit.h"
 #include "borrow.h"
 #include "dispatch_state.h"
+#include "lend.h"
 #include "member.h"
 #include "quota.h"
 #include "slot.h"
@@ -32,6 +33,7 @@
     map_init(&d->by_name, MAP_NAME);
     d->starts = starts_new();
     d->quotas = quotas_new();
+    d->lends = lends_new();
     d->unblock_us = INT64_MAX;
     d->retry_tokens = TOKENS_START;
     return d;
@@ -59,6 +61,7 @@
     map_clear(&d->by_name);
     starts_free(d->starts);
     quotas_free(d->quotas);
+    lends_free(d->lends);
     free(d);
 }
 
@@ -402,7 +405,7 @@
         dispatch_wake_at(e, borrow_next_us(s));
     }
     if (end != NO_QUOTA && borrow_wanted(s) && s->pool.own_free == 0) {
-        slots_recall(e, s);
+        lends_recall(e, s);
     }
 }
 
--- a/src/dispatch_state.h
+++ b/src/dispatch_state.h
@@ -18,6 +18,7 @@
 struct job;
 struct starts;
 struct quotas;
+struct lends;
 struct quota;
 struct borrowing;
 
@@ -74,6 +75,7 @@
     size_t room;
     struct starts *starts;
     struct quotas *quotas;
+    struct lends *lends;
     uint32_t queued;
     bool dirty;          /* some service is */
     int64_t unblock_us;  /* a place may be used again */
--- a/src/slot.h
+++ b/src/slot.h
@@ -32,16 +32,6 @@
  */
 void slots_close(struct entry *e, struct place *p);
 
-/** slots_grant() - lends up to @count free slots and sends the grants; with
- * @answer also when there are none.  Returns how many were lent. */
-uint32_t slots_grant(struct entry *e, struct service_state *s, struct name to,
-                     uint64_t request, struct resources need, uint32_t count,
-                     bool answer);
-
-/** slots_recall() - asks those who borrowed slots of the service to return at
- * once what is idle */
-void slots_recall(struct entry *e, struct service_state *s);
-
 /** slots_epoch() - the upstream's epoch rose: grants under lower ones and
  * what was lent under them are void */
 void slots_epoch(struct entry *e, struct upstream *u);
