Keep room in the queue for a team that has nothing queued yet

Cause: shares of the instance's queue counted only teams that had tasks in it, so one team alone could fill it and every other one was refused. Change: one share more is counted; tests of shares of queue and quotas. Conclusion: a team alone has half of the queue.

--- a/src/admit.c
+++ b/src/admit.c
@@ -269,7 +269,7 @@
 
 /** struct crowd - who shares the instance's queue */
 struct crowd {
-    uint64_t weights; /* of teams with queued tasks, the asker included */
+    uint64_t weights; /* of teams with queued tasks, and room for one more */
     uint32_t own;     /* tasks queued by the asker's team */
 };
 
@@ -277,7 +277,8 @@
 crowd_of(const struct entry *e, struct name team)
 {
     const struct dispatch *d = e->dispatch;
-    struct crowd c = {.weights = team_weight(e, team)};
+    /* The team itself and one that may come yet. */
+    struct crowd c = {.weights = 2 * (uint64_t)team_weight(e, team)};
 
     for (size_t i = 0; i < d->n_services; i++) {
         const struct service_state *s = d->services[i];
@@ -297,7 +298,8 @@
 
 /* A team that submits without end would fill the queue of the instance, and
  * every other team's jobs would be refused though their upstreams are idle.
- * So past half of the bound each team has its share by weight. */
+ * So past half of the bound each team has its share by weight, one share
+ * being kept for a team that has nothing queued yet. */
 static bool
 queue_full(const struct entry *e, const struct service_state *s,
            const struct job *job)
--- a/tests/one_entry.c
+++ b/tests/one_entry.c
@@ -110,11 +110,12 @@
     eo.n_peers = (size_t)options->peers + 1;
     eo.new_region = true;
     eo.placement = options->placement;
-    o->team = (struct team_conf){.name = name_of("team"),
-                                 .weight = 1,
-                                 .max_running = options->slots_max_running,
-                                 .starts_per_s = options->starts_per_s};
-    o->service = (struct service_conf){
+    eo.queue_max = options->queue_max > 0 ? options->queue_max : eo.queue_max;
+    o->teams[0] = (struct team_conf){.name = name_of("team"),
+                                     .weight = 1,
+                                     .max_running = options->slots_max_running,
+                                     .starts_per_s = options->starts_per_s};
+    o->services[0] = (struct service_conf){
         .name = name_of("camp"),
         .team = name_of("team"),
         .need = {.cpu_milli = 1000, .memory_mb = 64},
@@ -127,11 +128,15 @@
         .order = options->order,
         .spill = options->far,
     };
+    o->teams[1] = (struct team_conf){.name = name_of("other"), .weight = 1};
+    o->services[1] = o->services[0];
+    o->services[1].name = name_of("tents");
+    o->services[1].team = name_of("other");
     o->config = (struct config){.version = 1,
-                                .services = &o->service,
-                                .n_services = 1,
-                                .teams = &o->team,
-                                .n_teams = 1};
+                                .services = o->services,
+                                .n_services = 2,
+                                .teams = o->teams,
+                                .n_teams = 2};
     o->e = entry_new(&eo);
     ev.u.config = &o->config;
     one_step(o, &ev);
@@ -221,7 +226,7 @@
     struct job_spec *spec = job_spec_new((size_t)n_tasks);
     struct event ev = event_of(EV_SUBMIT);
 
-    spec->service = o->service.name;
+    spec->service = o->services[o->service].name;
     spec->digest = 7;
     for (int i = 0; i < n_tasks; i++) {
         spec->tasks[i].payload = blob_new("{}", 2);
@@ -307,6 +312,25 @@
     one_message(o, from, &m);
 }
 
+void
+one_load(struct one *o, const char *from, uint64_t running, uint64_t backlog)
+{
+    struct msg m = {.kind = MSG_HEARTBEAT};
+    struct rec_load *load = calloc(1, sizeof(*load));
+
+    if (load == NULL) {
+        abort();
+    }
+    load->service = name_of("camp");
+    load->running = running;
+    load->backlog = backlog;
+    m.u.heartbeat.incarnation = 1;
+    m.u.heartbeat.has_loads = 1;
+    m.u.heartbeat.loads = load;
+    m.u.heartbeat.n_loads = 1;
+    one_message(o, from, &m);
+}
+
 void
 one_news(struct one *o, const char *from, struct rec_upstream_info info)
 {
--- a/tests/one_entry.h
+++ b/tests/one_entry.h
@@ -16,11 +16,12 @@
     size_t handled; /* effects that were looked at for an answer */
     int64_t now_us;
     uint64_t requests;
+    int service;            /* that jobs are submitted to */
     struct resources need;  /* of tasks; all zero: the service's default */
     bool manual_fences;     /* the test answers fences itself */
     uint32_t fence_running; /* told in answers to fences */
-    struct service_conf service;
-    struct team_conf team;
+    struct service_conf services[2]; /* "camp" of "team", "tents" of "other" */
+    struct team_conf teams[2];
     struct config config;
 };
 
@@ -30,6 +31,7 @@
     bool far;  /* they are in another zone */
     uint32_t slots_max_running; /* quota of the team */
     uint32_t starts_per_s;
+    uint32_t queue_max;
     enum queue_order order;
     int64_t deadline_us;
     enum placement placement;
@@ -83,6 +85,10 @@
 /** one_heartbeat() - a peer says it is up */
 void one_heartbeat(struct one *o, const char *from, uint64_t incarnation);
 
+/** one_load() - the same, with what it runs and has queued of "camp" */
+void one_load(struct one *o, const char *from, uint64_t running,
+              uint64_t backlog);
+
 /** one_news() - a peer tells of an upstream */
 void one_news(struct one *o, const char *from, struct rec_upstream_info info);
 
--- /dev/null
+++ b/tests/quota_test.c
@@ -0,0 +1,106 @@
+/* Limits of teams across instances, and their shares of the queue. */
+#include "check.h"
+#include "one_entry.h"
+
+#define RUN_US (100 * USEC_PER_MSEC)
+
+/** limited() - an instance with room for 24 tasks, one other instance in
+ * another zone, and a limit of 8 running tasks in the region */
+static struct one *
+limited(void)
+{
+    struct one *o = one_new(&(struct one_options){
+        .peers = 1, .far = true, .slots_max_running = 8});
+
+    for (int i = 0; i < 6; i++) {
+        char name[] = {'u', (char)('0' + i), '\0'};
+
+        one_announce(o, one_upstream(name));
+    }
+    return o;
+}
+
+static size_t
+running(const struct one *o)
+{
+    return entry_gauges(o->e).tasks_running;
+}
+
+/* One instance has all of the team's load: it may use the whole limit. */
+static void
+share_follows_the_load(void)
+{
+    struct one *o = limited();
+
+    (void)one_submit(o, "a", 20, RUN_US);
+    for (int i = 0; i < 4; i++) {
+        one_load(o, "p0", 0, 0);
+        one_run(o, USEC_PER_SEC / 4);
+    }
+    CU_ASSERT_EQUAL(running(o), 8);
+    one_free(o);
+}
+
+/* Both have more than enough: together they keep to the limit. */
+static void
+shares_add_up_to_the_limit(void)
+{
+    struct one *o = limited();
+
+    for (int i = 0; i < 4; i++) {
+        one_load(o, "p0", 4, 16);
+        one_run(o, USEC_PER_SEC / 4);
+    }
+    (void)one_submit(o, "a", 20, RUN_US);
+    one_run(o, USEC_PER_SEC / 2);
+    CU_ASSERT_EQUAL(running(o), 4);
+    one_free(o);
+}
+
+/* The zones lose each other.  If each side took the whole limit for itself, a
+ * team would run twice what it is allowed for as long as the cut lasts. */
+static void
+cut_keeps_the_other_zones_part(void)
+{
+    struct one *o = limited();
+
+    one_run(o, 3 * USEC_PER_SEC); /* p0 has not been heard of */
+    (void)one_submit(o, "a", 20, RUN_US);
+    one_run(o, USEC_PER_SEC);
+    CU_ASSERT_EQUAL(running(o), 4);
+    one_free(o);
+}
+
+/* One team submits without end.  Another team's upstreams are idle, but its
+ * jobs have to pass the same queue: there must be room for them. */
+static void
+queue_keeps_room_for_other_teams(void)
+{
+    struct one *o = one_new(&(struct one_options){.queue_max = 40});
+    struct rec_upstream_info info = one_upstream("t0");
+    size_t taken = 0;
+
+    one_announce(o, one_upstream("u0"));
+    info.service = name_of("tents");
+    one_announce(o, info);
+    for (int i = 0; i < 30; i++) {
+        char key[] = {'k', (char)('a' + i), '\0'};
+
+        taken += one_answer(o, one_submit(o, key, 2, RUN_US)) == NULL;
+    }
+    CU_ASSERT(taken >= 10 && taken <= 15);
+    o->service = 1;
+    CU_ASSERT_PTR_NULL(one_answer(o, one_submit(o, "t", 10, RUN_US)));
+    one_free(o);
+}
+
+#define ADD(test) check_add("quota", #test, test)
+
+void
+suite_quota(void)
+{
+    ADD(share_follows_the_load);
+    ADD(shares_add_up_to_the_limit);
+    ADD(cut_keeps_the_other_zones_part);
+    ADD(queue_keeps_room_for_other_teams);
+}
