Count other zones' free slots at admission from the first heartbeat

Cause: an instance that had not borrowed yet knew of no slots elsewhere; with its own zone's upstreams gone it refused jobs as if there were one slot. Change: heartbeats are read when capacity is judged; a test.

--- a/src/borrow.c
+++ b/src/borrow.c
@@ -378,15 +378,15 @@
 }
 
 uint32_t
-borrow_reachable(const struct entry *e, const struct service_state *s)
+borrow_reachable(struct entry *e, struct service_state *s)
 {
-    const struct borrowing *b = s->borrowing;
+    struct borrowing *b = borrowing_of(e, s);
     uint32_t free_slots = 0;
 
-    (void)e;
-    for (size_t i = 0; b != NULL && i < b->n_lenders; i++) {
-        const struct lender *l = &b->lenders[i];
+    for (size_t i = 0; i < b->n_lenders; i++) {
+        struct lender *l = &b->lenders[i];
 
+        read_heartbeat(s, l);
         if (l->member->up && (l->near || may_spill(s))) {
             free_slots += l->free;
         }
--- a/src/borrow.h
+++ b/src/borrow.h
@@ -48,8 +48,7 @@
                         struct name member);
 
 /** borrow_reachable() - free slots at others, as far as known */
-uint32_t borrow_reachable(const struct entry *e,
-                          const struct service_state *s);
+uint32_t borrow_reachable(struct entry *e, struct service_state *s);
 
 /** borrow_next_us() - when to ask again */
 int64_t borrow_next_us(const struct service_state *s);
--- a/tests/quota_test.c
+++ b/tests/quota_test.c
@@ -1,4 +1,6 @@
 /* Limits of teams across instances, and their shares of the queue. */
+#include <stdlib.h>
+
 #include "check.h"
 #include "one_entry.h"
 
@@ -94,6 +96,34 @@
     one_free(o);
 }
 
+/* All upstreams of the zone are gone, and this instance has never borrowed
+ * yet. Jobs that other zones can run in time must be let in by what heartbeats
+ * tell, and not be refused as if there were one slot in the world. */
+static void
+other_zones_slots_count_at_admission(void)
+{
+    struct one *o = one_new(&(struct one_options){
+        .peers = 1, .far = true, .deadline_us = USEC_PER_SEC});
+    struct msg m = {.kind = MSG_HEARTBEAT};
+    struct rec_load *load = calloc(1, sizeof(*load));
+
+    if (load == NULL) {
+        abort();
+    }
+    *load = (struct rec_load){.service = name_of("camp"),
+                              .free_slots = 64,
+                              .cpu_milli = 32000,
+                              .memory_mb = 65536};
+    m.u.heartbeat.incarnation = 1;
+    m.u.heartbeat.has_loads = 1;
+    m.u.heartbeat.loads = load;
+    m.u.heartbeat.n_loads = 1;
+    one_message(o, "p0", &m);
+    CU_ASSERT_PTR_NULL(one_answer(o, one_submit(o, "a", 40, RUN_US)));
+    CU_ASSERT_PTR_NOT_NULL(one_sent(o, MSG_SLOT_REQUEST, 0));
+    one_free(o);
+}
+
 #define ADD(test) check_add("quota", #test, test)
 
 void
@@ -102,5 +132,6 @@
     ADD(share_follows_the_load);
     ADD(shares_add_up_to_the_limit);
     ADD(cut_keeps_the_other_zones_part);
+    ADD(other_zones_slots_count_at_admission);
     ADD(queue_keeps_room_for_other_teams);
 }
