--- a/src/claim.c
+++ b/src/claim.c
@@ -110,7 +110,7 @@
             v->fellows[v->n_fellows++].name = voters[i];
         }
     }
-    v->ready = e->opts.new_region;
+    v->ready = e->opts.new_region || MUTANT(e, VOTE_AT_ONCE);
 }
 
 struct claims *
--- a/src/entry.c
+++ b/src/entry.c
@@ -240,7 +240,7 @@
     struct config *copy;
 
     if (e->config != NULL && config->version <= e->config->version &&
-        !MUTANT(e, CONFIG)) {
+        !MUTANT(e, ANY_VERSION)) {
         entry_log(e, LOG_DEBUG, REASON_CONFIG_IGNORED, NULL, -1, name_of(""),
                   "version %llu is not above %llu",
                   (unsigned long long)config->version,
@@ -328,7 +328,8 @@
 {
     bool busy = jobs_active(e) > 0 || dispatch_running(e) > 0;
 
-    if (!e->stopping || e->stopped_told || (busy && !MUTANT(e, STOP))) {
+    if (!e->stopping || e->stopped_told ||
+        (busy && !MUTANT(e, STOP_AT_ONCE))) {
         return;
     }
     e->stopped_told = true;
--- a/src/entry.h
+++ b/src/entry.h
@@ -66,7 +66,7 @@
     uint32_t quarantine_after;   /* failures in a row */
     uint32_t quarantine_percent; /* most upstreams of a service at once */
     bool spare_messages;         /* prefer fewer messages over response time */
-    bool break_promise[PROMISES]; /* with BM_MUTANTS: a wrong decision each */
+    bool mutants[MUTANTS];       /* with BM_MUTANTS: wrong decisions to make */
 };
 
 /** entry_options_default() - every field but self, peers and incarnation */
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -17,12 +17,12 @@
 #include "entry.h"
 #include "table.h"
 
-/* MUTANT() - whether to make the decision wrongly that breaks this promise.
- * Only the build that proves the fault matrix can say yes. */
+/* MUTANT() - whether to make this wrong decision.  Only the build that proves
+ * the fault matrix can say yes. */
 #ifdef BM_MUTANTS
-#define MUTANT(e, promise) ((e)->opts.break_promise[PROMISE_##promise])
+#define MUTANT(e, name) ((e)->opts.mutants[MUTANT_##name])
 #else
-#define MUTANT(e, promise) false
+#define MUTANT(e, name) false
 #endif
 
 /* Part of the claim window that a job or a question may last at most, and a
--- a/src/follow.c
+++ b/src/follow.c
@@ -197,7 +197,7 @@
     const struct member *ahead = newest_member(e);
 
     if (f->text == NULL ||
-        (f->version <= entry_config_version(e) && !MUTANT(e, CONFIG))) {
+        (f->version <= entry_config_version(e) && !MUTANT(e, ANY_VERSION))) {
         return;
     }
     if (e->config == NULL) {
@@ -231,7 +231,8 @@
         f->silent = false; /* this server lives: stay with it */
         f->due_us = e->now.mono_us + PAUSE_US;
     }
-    if ((m->version > f->version || MUTANT(e, CONFIG)) && m->config != NULL) {
+    if ((m->version > f->version || MUTANT(e, ANY_VERSION)) &&
+        m->config != NULL) {
         blob_unref(f->text);
         f->text = blob_ref(m->config);
         f->version = m->version;
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -310,7 +310,7 @@
 
     for (uint32_t i = 0; job->tasks != NULL && i < job->n_tasks; i++) {
         a->tasks[i].state =
-            MUTANT(e, NOT_RUN) ? TASK_NOT_RUN : state_of(&job->tasks[i]);
+            MUTANT(e, SENT_NOT_RUN) ? TASK_NOT_RUN : state_of(&job->tasks[i]);
         a->tasks[i].ok = job->tasks[i].phase == TASK_ENDED && job->tasks[i].ok;
         if (a->tasks[i].state == TASK_UNKNOWN) {
             e->counters.tasks_unknown++;
@@ -358,7 +358,7 @@
         e->counters.outcomes_dropped++;
         return;
     }
-    if (MUTANT(e, OWN_ANSWER) && index > 0) {
+    if (MUTANT(e, IN_ORDER) && index > 0) {
         index = job->n_ended; /* as if outcomes came in order */
     }
     t = &job->tasks[index];
@@ -369,7 +369,7 @@
     t->payload = NULL;
     job->work_left_us -= t->run_us;
     job->n_ended++;
-    if (job->n_ended == job->n_tasks || MUTANT(e, WHOLE)) {
+    if (job->n_ended == job->n_tasks || MUTANT(e, ANSWER_EARLY)) {
         job_complete(e, job);
     }
 }
@@ -393,6 +393,7 @@
                            .retry_after_us = retry_after_us,
                            .not_by_this = true};
 
+    p.not_run = MUTANT(e, UNCLAIMED_NOT_RUN);
     (void)snprintf(p.detail, sizeof(p.detail), "%s", detail);
     job_refuse(e, job, &p, outcome);
 }
--- a/src/kind.h
+++ b/src/kind.h
@@ -25,6 +25,30 @@
         PROMISES,
 };
 
+/* Wrong decisions that prove the fault matrix: MUTANT_KIND(NAME, the promise
+ * it breaks, what is decided).  Builds with BM_MUTANTS can make them. */
+/* clang-format off */
+#define MUTANT_LIST(MUTANT_KIND)                                              \
+    MUTANT_KIND(RESTART_LOST, START_ONCE, "start again what went silent")     \
+    MUTANT_KIND(VOTE_AT_ONCE, START_ONCE, "vote with claims forgotten")       \
+    MUTANT_KIND(ANSWER_EARLY, WHOLE, "answer with the first outcome")         \
+    MUTANT_KIND(IN_ORDER, OWN_ANSWER, "take outcomes as they come")           \
+    MUTANT_KIND(FIRST_WAITER, OWN_ANSWER, "answer one of those who wait")     \
+    MUTANT_KIND(SENT_NOT_RUN, NOT_RUN, "tell sent tasks as not run")          \
+    MUTANT_KIND(UNCLAIMED_NOT_RUN, NOT_RUN, "tell unclaimed jobs as not run") \
+    MUTANT_KIND(RENAMED_NOT_RUN, NON_IDEMPOTENT, "start again after a restart") \
+    MUTANT_KIND(STAY, LEAVING, "go on with what is leaving")                  \
+    MUTANT_KIND(STOP_AT_ONCE, STOP, "stop with jobs in progress")             \
+    MUTANT_KIND(ANY_VERSION, CONFIG, "apply what is not newer")
+/* clang-format on */
+
+enum mutant {
+#define MUTANT_KIND(NAME, promise, text) MUTANT_##NAME,
+    MUTANT_LIST(MUTANT_KIND)
+#undef MUTANT_KIND
+        MUTANTS,
+};
+
 /** enum claim_purpose - what a claimed key stands for */
 enum claim_purpose { CLAIM_RUN, CLAIM_CANCEL };
 
--- a/src/matrix.c
+++ b/src/matrix.c
@@ -28,6 +28,15 @@
 #undef FAULT
 };
 
+static const struct {
+    const char *text;
+    enum promise promise;
+} mutants[] = {
+#define MUTANT_KIND(NAME, promise, text) {text, PROMISE_##promise},
+    MUTANT_LIST(MUTANT_KIND)
+#undef MUTANT_KIND
+};
+
 /* struct step - a hop of the traced run */
 struct step {
     uint64_t number;
@@ -208,6 +217,10 @@
         vupstream_leave(n, i);
         break;
     case FAULT_UPSTREAM_RENAMED:
+        vupstream_restart(n, i);
+        (void)snprintf(u->name.s, sizeof(u->name.s), "renamed-%u", i);
+        return;
+    case FAULT_UPSTREAM_RESTARTED:
         vupstream_restart(n, i);
         return;
     default:
@@ -364,7 +377,7 @@
         struct cell *c = &cs->items[i];
 
         cell_run(c, cs->seed, cs->mutant, NULL);
-        if (cs->mutant >= 0 && c->broken[cs->mutant]) {
+        if (cs->mutant >= 0 && c->broken[mutants[cs->mutant].promise]) {
             atomic_store(&cs->caught, true);
         }
     }
@@ -548,13 +561,13 @@
     size_t all = cs->n;
 
     cs->n = singles;
-    for (int p = 0; p < PROMISES; p++) {
-        cells_run(cs, threads, p);
+    for (int m = 0; m < MUTANTS; m++) {
+        cells_run(cs, threads, m);
         r->mutants++;
         r->caught += atomic_load(&cs->caught) ? 1 : 0;
         if (!atomic_load(&cs->caught)) {
-            (void)fprintf(out, "not caught: mutant of \"%s\"\n",
-                          promise_text((enum promise)p));
+            (void)fprintf(out, "not caught: mutant %d, %s\n", m,
+                          mutants[m].text);
         }
     }
     cs->n = all;
--- a/src/matrix.h
+++ b/src/matrix.h
@@ -40,7 +40,8 @@
     FAULT(UPSTREAM_SLOW, HOP)                                                 \
     FAULT(UPSTREAM_FAILING, HOP)                                              \
     FAULT(UPSTREAM_LEAVING, HOP)                                              \
-    FAULT(UPSTREAM_RENAMED, HOP) /* a new incarnation at its address */
+    FAULT(UPSTREAM_RESTARTED, HOP)                                            \
+    FAULT(UPSTREAM_RENAMED, HOP) /* restarts under another name */
 /* clang-format on */
 
 enum fault {
--- a/src/scenario.c
+++ b/src/scenario.c
@@ -10,6 +10,8 @@
 #define MSEC USEC_PER_MSEC
 #define CLAIM_WINDOW_US (24 * USEC_PER_SEC)
 
+#define PATIENCE_US (7 * USEC_PER_SEC) /* longer than any deadline */
+
 /* A bare key says nothing of its age: submitted again past the claim window
  * it is a new key.  Callers must stop asking before that. */
 #define GIVE_UP_US (20 * USEC_PER_SEC)
@@ -55,7 +57,7 @@
     c.deadline_us = p->deadline * MSEC;
     c.resubmit_us = p->resubmit * MSEC;
     c.cancel_us = p->cancel * MSEC;
-    c.patience_us = 6 * USEC_PER_SEC;
+    c.patience_us = PATIENCE_US;
     c.retries = RETRIES;
     c.give_up_us = c.at_us + GIVE_UP_US;
     c.idempotent = p->idempotent;
@@ -155,7 +157,7 @@
     o.service.deadline_us = 5 * USEC_PER_SEC;
     o.service.deadline_max_us = 6 * USEC_PER_SEC;
     if (mutant >= 0) {
-        o.entry.break_promise[mutant] = true;
+        o.entry.mutants[mutant] = true;
     }
     n = vnet_new(&o);
     n->script = run_script;
--- a/src/scenario.h
+++ b/src/scenario.h
@@ -24,8 +24,8 @@
     SCENARIO_UPSTREAM_BACK,
 };
 
-/** scenario_begin() - @mutant is the promise the reducers break on purpose,
- * -1 for none */
+/** scenario_begin() - @mutant is the wrong decision the reducers make on
+ * purpose, -1 for none */
 struct vnet *scenario_begin(uint64_t seed, int mutant);
 
 /** scenario_run() - to its end */
--- a/src/start.c
+++ b/src/start.c
@@ -454,7 +454,7 @@
     default:
         e->counters.starts_lost++;
         note_failed(e, s);
-        if (MUTANT(e, START_ONCE)) {
+        if (MUTANT(e, RESTART_LOST)) {
             end_not_started(e, s, true);
             break;
         }
@@ -502,7 +502,7 @@
         break;
     case REVOKE_OTHER_LIFE:
     default:
-        if (MUTANT(e, NON_IDEMPOTENT)) {
+        if (MUTANT(e, RENAMED_NOT_RUN)) {
             end_not_started(e, s, true);
             break;
         }
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -550,7 +550,7 @@
     if (u->info.leaving) {
         return;
     }
-    u->info.leaving = MUTANT(e, LEAVING) ? 0 : 1;
+    u->info.leaving = MUTANT(e, STAY) ? 0 : 1;
     entry_log(e, LOG_INFO, REASON_LEAVING, NULL, -1, u->name,
               "no new work; %u running from here", u->running);
     dispatch_upstream_changed(e, u);
--- a/src/vcaller.c
+++ b/src/vcaller.c
@@ -81,6 +81,7 @@
     a = &n->attempts[n->n_attempts++];
     *a = (struct vattempt){.job = job, .instance = instance};
     a->life = n->instances[instance].life;
+    a->sent_us = n->now_us;
     a->open = true;
     a->cancel = cancel;
     return n->n_attempts; /* requests count from 1 */
@@ -113,6 +114,21 @@
     }
 }
 
+/* An instance that lives and runs answers every request by the job's
+ * deadline, if only with a refusal; callers here wait longer than that. */
+static void
+check_silence(struct vnet *n, const struct vattempt *a)
+{
+    const struct vinstance *v = &n->instances[a->instance];
+    bool ran = v->life == a->life && v->entry != NULL &&
+               v->paused_until_us < a->sent_us;
+
+    if (a->arrived && !a->replied && ran) {
+        vnet_break(n, PROMISE_OWN_ANSWER, "%s: %s left a request unanswered",
+                   vnet_call(n, a->job)->key, v->name.s);
+    }
+}
+
 /* A caller whose patience ends leaves its connection and asks elsewhere. */
 static void
 patience_over(struct vnet *n, uint64_t job, uint64_t request)
@@ -124,6 +140,7 @@
         return;
     }
     a->open = false;
+    check_silence(n, a);
     ev.u.query.request = request;
     if (n->instances[a->instance].life == a->life &&
         n->instances[a->instance].paused_until_us <= n->now_us) {
--- a/src/vnet.h
+++ b/src/vnet.h
@@ -228,6 +228,7 @@
     bool open;
     bool cancel;
     bool arrived; /* was read by its instance */
+    int64_t sent_us;
     bool replied; /* the instance sent its reply */
     int64_t replied_us;
     uint32_t replies;
--- a/src/waiter.c
+++ b/src/waiter.c
@@ -143,6 +143,10 @@
         struct waiter *w = job->waiters;
 
         job->waiters = w->next;
+        if (MUTANT(e, FIRST_WAITER) && job->waiters != NULL) {
+            waiter_free(requests, w);
+            continue;
+        }
         if (w->request != REQUEST_NONE) {
             answer_caller(e, w, answer);
         }
--- a/tests/matrix_test.c
+++ b/tests/matrix_test.c
@@ -27,7 +27,7 @@
            (unsigned long long)r.failed, r.mutants, r.caught);
     CU_ASSERT_TRUE(r.cells >= LEAST_CELLS);
     CU_ASSERT_EQUAL(r.failed, 0);
-    CU_ASSERT_EQUAL(r.mutants, PROMISES);
+    CU_ASSERT_EQUAL(r.mutants, MUTANTS);
     CU_ASSERT_EQUAL(r.caught, r.mutants);
 }
 
@@ -54,7 +54,9 @@
     n = vnet_new(&o);
     c.resubmit_us = c.at_us + 10 * USEC_PER_MSEC;
     c.tasks = calloc(1, sizeof(*c.tasks));
-    CU_ASSERT_PTR_NOT_NULL_FATAL(c.tasks);
+    if (c.tasks == NULL) {
+        abort();
+    }
     c.tasks[0].run_us = 100 * USEC_PER_MSEC;
     (void)vcaller_add(n, &c);
     vnet_run(n, c.at_us + 5 * USEC_PER_MSEC);
