Test what switched-off rules of the claims showed untested

Cause: in a trial each rule of docs/design/claims.md was switched off. No test failed for four of them: the views in replies (the claimer's own knowledge of the restart stood in for them), giving late grants back, the attempt number of a release, and looking at deadlines right after a pause (letting go of upstreams stood in for it, but not with direct placement).

Conclusion: each rule that matters on its own has a test that needs it.

--- a/tests/claim_test.c
+++ b/tests/claim_test.c
@@ -27,6 +27,18 @@
     return m->kind == MSG_CLAIM && cut[from][to] ? ENET_DROP : ENET_PASS;
 }
 
+/* Besides, whatever the first voter says to NODE_C gets lost. */
+static bool deaf;
+
+static enum enet_fate
+claims_cut_and_deaf(struct enet *n, int from, int to, const struct msg *m)
+{
+    if (deaf && from == 0 && to == NODE_C) {
+        return ENET_DROP;
+    }
+    return claims_cut(n, from, to, m);
+}
+
 static enum enet_fate
 all_cut(struct enet *n, int from, int to, const struct msg *m)
 {
@@ -63,13 +75,8 @@
     return enet_new(&o);
 }
 
-/* A submission reaches one voter, which grants it and then restarts empty and
- * takes over the claims of the other two.  The same submission reaches
- * another instance, which gets the restarted voter and a second one.  Now the
- * first instance reaches the third voter and has two grants as well.  Were
- * both counted, one camp plot would be given to two groups. */
 static void
-grant_of_restarted_voter_does_not_count(void)
+grant_of_restarted_voter(bool then_deaf)
 {
     struct enet *n = two_zones();
     char key[KEY_TEXT_SIZE];
@@ -81,6 +88,8 @@
     c = enet_submit(n, NODE_C, key, 3, 11);
     enet_run(n, 70 * MSEC);
     CU_ASSERT_EQUAL(claims_count(n->nodes[0].e), 1);
+    n->opts.fate = claims_cut_and_deaf;
+    deaf = then_deaf;
     enet_restart(n, 0);
     enet_run(n, 10 * MSEC);
     CU_ASSERT_TRUE(claims_voting(n->nodes[0].e, name_of("z0")));
@@ -90,6 +99,8 @@
     enet_run(n, 60 * MSEC);
     CU_ASSERT_EQUAL(enet_starts(n, key, ENET_WHOLE), 3);
     cut[NODE_C][1] = false;
+    enet_run(n, 100 * MSEC);
+    deaf = false;
     enet_run(n, SEC);
     CU_ASSERT_EQUAL(enet_starts(n, key, ENET_WHOLE), 3);
     CU_ASSERT_TRUE(enet_ended(n, c, JOB_COMPLETE, REASON_COMPLETED));
@@ -97,6 +108,25 @@
     enet_free(n);
 }
 
+/* A submission reaches one voter, which grants it and then restarts empty and
+ * takes over the claims of the other two.  The same submission reaches
+ * another instance, which gets the restarted voter and a second one.  Now the
+ * first instance reaches the third voter and has two grants as well.  Were
+ * both counted, one camp plot would be given to two groups. */
+static void
+grant_of_restarted_voter_does_not_count(void)
+{
+    grant_of_restarted_voter(false);
+}
+
+/* The same, and the first instance hears nothing from the restarted voter
+ * itself.  Only the third voter's reply can tell it of the restart. */
+static void
+restart_is_learnt_from_another_voter(void)
+{
+    grant_of_restarted_voter(true);
+}
+
 /* A voter restarts empty.  A caller whose answer was lost submits again, at
  * the very instance that restarted.  Had it not taken over the claims, it
  * would grant the key a second time together with the third voter. */
@@ -264,6 +294,48 @@
     enet_free(n);
 }
 
+/* A claim arrives at a voter long after its claimer gave up, when no release
+ * will follow any more.  The claimer gives the unexpected grant back; else the
+ * vote would be lost to everybody for the whole window. */
+static void
+late_grants_are_given_back(void)
+{
+    struct enet *n = two_zones();
+    struct msg late = {.kind = MSG_CLAIM};
+
+    late.u.claim.key = key_id_of("late");
+    late.u.claim.zone = name_of("z0");
+    late.u.claim.digest = 11;
+    late.u.claim.attempt = 4711;
+    late.u.claim.incarnation = 1;
+    enet_send(n, n->nodes[NODE_C].name, 0, &late);
+    CU_ASSERT_EQUAL(claims_count(n->nodes[0].e), 1);
+    enet_run(n, 10 * MSEC);
+    CU_ASSERT_EQUAL(claims_count(n->nodes[0].e), 0);
+    enet_free(n);
+}
+
+/* The release of a lost attempt overtakes nothing and arrives last, after the
+ * claimer has won the key with another attempt. */
+static void
+old_releases_are_ignored(void)
+{
+    struct enet *n = two_zones();
+    struct msg old = {.kind = MSG_CLAIM_RELEASE};
+    char key[KEY_TEXT_SIZE];
+
+    enet_key(n, "z0", 1, 0, key);
+    (void)enet_submit(n, 0, key, 2, 11);
+    enet_run(n, 50 * MSEC);
+    CU_ASSERT_EQUAL(claims_count(n->nodes[0].e), 1);
+    old.u.claim_release.key = key_id_of(key);
+    old.u.claim_release.zone = name_of("z0");
+    old.u.claim_release.incarnation = 1;
+    enet_send(n, n->nodes[0].name, 0, &old);
+    CU_ASSERT_EQUAL(claims_count(n->nodes[0].e), 1);
+    enet_free(n);
+}
+
 /* The network brings a grant twice, the second time after the claim was won.
  * Were it taken for a grant of an attempt that is over, its release would
  * take away a vote that the running job stands on. */
@@ -389,6 +461,11 @@
 {
     check_add("claim", "grant_of_restarted_voter_does_not_count",
               grant_of_restarted_voter_does_not_count);
+    check_add("claim", "restart_is_learnt_from_another_voter",
+              restart_is_learnt_from_another_voter);
+    check_add("claim", "late_grants_are_given_back",
+              late_grants_are_given_back);
+    check_add("claim", "old_releases_are_ignored", old_releases_are_ignored);
     check_add("claim", "restarted_voter_knows_live_claims",
               restarted_voter_knows_live_claims);
     check_add("claim", "two_voters_restart_at_once",
--- a/tests/jobs_test.c
+++ b/tests/jobs_test.c
@@ -356,12 +356,18 @@
  * it wakes its voters have forgotten the key and the job may run elsewhere;
  * so nothing of it may start any more. */
 static void
-paused_claimer_starts_nothing(void)
+paused_claimer(void (*tune)(struct entry_options *o))
 {
     struct enet *n = new_net(2 * SEC);
-    uint64_t submit = enet_submit(n, 1, key, JOB_TASKS_MAX, 11);
+    uint64_t submit;
     int started;
 
+    n->opts.tune = tune;
+    enet_restart(n, 1);
+    enet_run(n, 11 * SEC);
+    enet_key(n, "z0", 1, 0, key);
+    submit = enet_submit(n, 1, key, JOB_TASKS_MAX, 11);
+
     enet_run(n, 100 * MSEC);
     started = enet_starts(n, key, ENET_WHOLE);
     CU_ASSERT_TRUE(started > 0 && started < JOB_TASKS_MAX);
@@ -374,6 +380,19 @@
     enet_free(n);
 }
 
+static void
+place_direct(struct entry_options *o)
+{
+    o->placement = PLACE_DIRECT;
+}
+
+static void
+paused_claimer_starts_nothing(void)
+{
+    paused_claimer(NULL);
+    paused_claimer(place_direct);
+}
+
 static struct job_spec *
 spec_of(const char *service, size_t n_tasks)
 {
