Show explanations as the entry instances give them

Cause: bmctl explain read members that the answer no longer has. Change: time, claim and the decisions of note are shown; keys are escaped in paths, by one function for callers and operators.

--- a/src/caller.c
+++ b/src/caller.c
@@ -156,17 +156,11 @@
            const char *query, struct caller_result *result)
 {
     struct fetch_request request = {.method = method};
-    char path[3 * KEY_TEXT_SIZE + 32] = "/v1/jobs/";
-    size_t n = strlen(path);
+    char escaped[3 * KEY_TEXT_SIZE];
+    char path[sizeof(escaped) + 32];
 
-    for (const char *p = key; *p != '\0' && n + 4 < sizeof(path) - 16; p++) {
-        bool plain = (*p >= '0' && *p <= '9') || (*p >= 'a' && *p <= 'z') ||
-                     (*p >= 'A' && *p <= 'Z') || strchr("-._~", *p) != NULL;
-
-        n += (size_t)snprintf(path + n, sizeof(path) - n,
-                              plain ? "%c" : "%%%02X", (unsigned char)*p);
-    }
-    (void)snprintf(path + n, sizeof(path) - n, "%s", query);
+    fetch_escape(key, escaped, sizeof(escaped));
+    (void)snprintf(path, sizeof(path), "/v1/jobs/%s%s", escaped, query);
     run(c, &request, path, result);
 }
 
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -6,7 +6,7 @@
 
 #include "texttable.h"
 
-enum { ASK_MS = 2000, PATH_SIZE = 2 * KEY_TEXT_SIZE + 64 };
+enum { ASK_MS = 2000, PATH_SIZE = 3 * NAME_SIZE + 64 };
 
 static json_t *
 parse_reply(const struct fetch_reply *reply, long *status)
@@ -355,10 +355,12 @@
 int
 ctl_drain(const struct ctl_options *o, const char *name)
 {
+    char escaped[3 * NAME_SIZE];
     char path[PATH_SIZE];
     bool answered = false;
 
-    (void)snprintf(path, sizeof(path), "/v1/upstreams/%s/drain", name);
+    fetch_escape(name, escaped, sizeof(escaped));
+    (void)snprintf(path, sizeof(path), "/v1/upstreams/%s/drain", escaped);
     for (size_t i = 0; i < o->entries.n_addresses; i++) {
         long status;
 
@@ -375,25 +377,48 @@
 }
 
 static void
-show_explanation(const char *address, const json_t *json)
+add_decisions(struct texttable *t, const json_t *decisions)
 {
-    struct texttable *t = texttable_new("WHEN,REASON,TASK,SUBJECT,DETAIL");
-    const json_t *job = json_object_get(json, "job");
     size_t i;
     json_t *d;
 
-    json_array_foreach(json_object_get(json, "decisions"), i, d)
+    json_array_foreach(decisions, i, d)
     {
-        texttable_cell(t, "%lld", number_of(d, "time_us"));
+        const json_t *task = json_object_get(d, "task");
+
+        texttable_cell(t, "%s", text_of(d, "time"));
         texttable_cell(t, "%s", text_of(d, "reason"));
-        texttable_cell(t, "%lld", number_of(d, "task"));
+        if (task != NULL) {
+            texttable_cell(t, "%lld", json_integer_value(task));
+        }
+        else {
+            texttable_cell(t, "-");
+        }
         texttable_cell(t, "%s", text_of(d, "subject"));
         texttable_cell(t, "%s", text_of(d, "detail"));
     }
-    printf("%s: %s, %s, %lld tasks, %lld queued, %lld sent, %lld ended\n",
-           address, text_of(job, "phase"), text_of(job, "reason"),
-           number_of(job, "tasks"), number_of(job, "queued"),
-           number_of(job, "sent"), number_of(job, "ended"));
+}
+
+static void
+show_explanation(const json_t *json)
+{
+    struct texttable *t = texttable_new("WHEN,REASON,TASK,SUBJECT,DETAIL");
+    const json_t *job = json_object_get(json, "job");
+    const json_t *claim = json_object_get(json, "claim");
+
+    printf("%s:", text_of(json, "instance"));
+    if (claim != NULL) {
+        printf(" claimed by %s to %s;", text_of(claim, "claimer"),
+               text_of(claim, "purpose"));
+    }
+    if (job != NULL) {
+        printf(" job %s, %s, %lld tasks, %lld queued, %lld sent, %lld ended",
+               text_of(job, "phase"), text_of(job, "reason"),
+               number_of(job, "tasks"), number_of(job, "queued"),
+               number_of(job, "sent"), number_of(job, "ended"));
+    }
+    add_decisions(t, json_object_get(json, "decisions"));
+    add_decisions(t, json_object_get(json, "of_note"));
     print_table(t, "");
 }
 
@@ -401,17 +426,20 @@
 knows_something(const json_t *json)
 {
     return json_object_get(json, "job") != NULL ||
-           json_array_size(json_object_get(json, "decisions")) > 0;
+           json_object_get(json, "claim") != NULL ||
+           json_array_size(json_object_get(json, "of_note")) > 0;
 }
 
 int
 ctl_explain(const struct ctl_options *o, const char *key)
 {
-    char path[PATH_SIZE];
+    char escaped[3 * KEY_TEXT_SIZE];
+    char path[sizeof(escaped) + 32];
     bool answered = false;
     bool known = false;
 
-    (void)snprintf(path, sizeof(path), "/v1/explain/%s", key);
+    fetch_escape(key, escaped, sizeof(escaped));
+    (void)snprintf(path, sizeof(path), "/v1/explain/%s", escaped);
     for (size_t i = 0; i < o->entries.n_addresses; i++) {
         long status;
         json_t *json =
@@ -424,7 +452,7 @@
                 print_json(json);
             }
             else {
-                show_explanation(o->entries.addresses[i], json);
+                show_explanation(json);
             }
         }
         json_decref(json);
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -228,3 +228,23 @@
     }
     return n > 0 && (size_t)n < size;
 }
+
+static bool
+unreserved(char c)
+{
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') || (c != '\0' && strchr("-._~", c) != NULL);
+}
+
+void
+fetch_escape(const char *text, char *out, size_t size)
+{
+    size_t n = 0;
+
+    out[0] = '\0';
+    for (const char *p = text; *p != '\0' && n + 4 <= size; p++) {
+        n += (size_t)snprintf(out + n, size - n,
+                              unreserved(*p) ? "%c" : "%%%02X",
+                              (unsigned char)*p);
+    }
+}
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -91,4 +91,8 @@
  * it is.  Returns false when it does not fit. */
 bool fetch_base_url(const char *address, char *out, size_t size);
 
+/** fetch_escape() - writes a text as a segment of a path (RFC 3986), cut where
+ * it does not fit */
+void fetch_escape(const char *text, char *out, size_t size);
+
 #endif
