--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -13,6 +13,9 @@
     U64(free_slots)     /* free slots on upstreams the sender holds */
     U64(backlog)        /* tasks queued at the sender */
     U64(running)        /* tasks of the service started by the sender */
+    U64(cpu_milli)      /* the most that any upstream it knows of has */
+    U64(memory_mb)
+    U64(accelerators)
 END(load)
 
 RECORD(upstream_ref)
@@ -44,6 +47,7 @@
     U64(incarnation)
     U64(stopping)
     U64(config_version)
+    U64(has_loads)      /* the loads are told, even if there are none */
     ARRAY(load, loads)
     ARRAY(upstream_ref, renewed)  /* announced at the sender since the last */
 END(heartbeat)
