Answer heartbeats with what is durable, not after the next sync

Cause: while a follower's disk took seconds for a sync, its answers to heartbeats waited for it; the leader heard no majority and stepped down. Change: a heartbeat is answered at once, with the durable part of the log. Random schedules now have slow disks, too.

--- a/src/replicate.c
+++ b/src/replicate.c
@@ -524,6 +524,11 @@
         return;
     }
     learn_commit(c, a->commit, match);
+    /* A heartbeat is answered with what is durable already.  Waiting for a
+     * slow disk, this member would look dead, and its leader step down. */
+    if (a->n_entries == 0 && match > c->log.durable) {
+        match = c->log.durable;
+    }
     reply_append(c, from, a, true, match);
 }
 
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -372,9 +372,10 @@
     memmove(n->work, n->work + 1, n->n_work * sizeof(n->work[0]));
     err = carry_out(n->storage, &f);
     ev.u.saved.seq = f.u.sync.seq;
-    n->work_us = cl->now_us + (n->work[0].kind == CE_SYNC
-                                   ? 500 + (int64_t)cluster_draw(cl, 8000)
-                                   : 50);
+    n->work_us = cl->now_us +
+                 (n->work[0].kind == CE_SYNC
+                      ? 500 + (int64_t)cluster_draw(cl, (uint64_t)cl->sync_us)
+                      : 50);
     if (err != STORAGE_OK) {
         cluster_crash(cl, i); /* the process stops */
     }
@@ -703,6 +704,7 @@
     cl->random = seed;
     cl->now_us = USEC_PER_SEC;
     cl->delay_us = 2 * USEC_PER_MSEC;
+    cl->sync_us = 8 * USEC_PER_MSEC;
     cl->options = control_options_default();
     cl->options.snapshot_entries = 20;
     cl->options.trail = 5;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -65,6 +65,7 @@
     unsigned int loss;    /* of 1000 messages */
     unsigned int doubled; /* of 1000 messages */
     int64_t delay_us;     /* most a message takes */
+    int64_t sync_us;      /* most a sync takes */
     uint64_t steps;       /* steps of reducers and operations of disks */
     uint64_t kill_at;     /* crash whoever takes that step; 0 never */
     struct answer answers[CLUSTER_REQUESTS];
--- a/tests/control_test.c
+++ b/tests/control_test.c
@@ -60,6 +60,7 @@
     cl->loss = 0;
     cl->doubled = 0;
     cl->delay_us = 2 * MSEC;
+    cl->sync_us = 8 * MSEC;
     cl->kill_at = 0;
     for (int i = 0; i < cl->n; i++) {
         cl->nodes[i].cut = false;
@@ -565,6 +566,27 @@
     cluster_free(cl);
 }
 
+/* The disks of two members take seconds for a sync.  Publications wait for
+ * them, but the leader must not step down over it and make matters worse. */
+static void
+slow_disks_keep_the_leader(void)
+{
+    struct cluster *cl = cluster_new(3, 37, NULL);
+    int leader = cluster_await_leader(cl);
+    uint64_t term = control_view(cl->nodes[leader].control).term;
+
+    publish_until_accepted(cl, 1);
+    cl->sync_us = 20 * SEC;
+    cluster_publish(cl, leader, 2, 1, 2);
+    cluster_run(cl, 3 * SEC);
+    cl->sync_us = 8 * MSEC;
+    cluster_run(cl, 25 * SEC);
+    CU_ASSERT_EQUAL(control_view(cl->nodes[leader].control).term, term);
+    CU_ASSERT_EQUAL(version_of(cl, leader), 2);
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* A planned stop of the leader while operators publish.  Without a handover
  * they would wait out an election timeout, or be told "unknown". */
 static void
@@ -713,6 +735,7 @@
         cl->loss = (unsigned int)cluster_draw(cl, 300);
         cl->doubled = (unsigned int)cluster_draw(cl, 200);
         cl->delay_us = (int64_t)cluster_draw(cl, 60000) + 1000;
+        cl->sync_us = (int64_t)cluster_draw(cl, 300000) + 1000;
         break;
     }
 }
@@ -930,6 +953,8 @@
     check_add("control", "members_join_by_snapshot", members_join_by_snapshot);
     check_add("control", "cut_off_leader_steps_down",
               cut_off_leader_steps_down);
+    check_add("control", "slow_disks_keep_the_leader",
+              slow_disks_keep_the_leader);
     check_add("control", "planned_stop_hands_over", planned_stop_hands_over);
     check_add("control", "forged_messages_change_nothing",
               forged_messages_change_nothing);
