Follow the configuration by changes

Cause: a member of control sent each follower the whole text for each change; the zone's follower sent it to the others of its zone again. Change: follow.c says when it has the text of its version and takes a change against it; it keeps the text before, to send changes inside the zone. A change that does not fit its digest is dropped and the whole text asked for.

--- a/src/follow.c
+++ b/src/follow.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <syslog.h>
 
+#include "delta.h"
 #include "member.h"
 #include "servicefile.h"
 
@@ -21,14 +22,18 @@
     struct name from;
     uint64_t have_version;
     int64_t until_us;
+    bool takes_delta;
 };
 
 struct follow {
     uint64_t version; /* newest text received */
     uint64_t term;
     struct blob *text;
+    uint64_t old_version; /* the one before, to send changes against */
+    struct blob *old_text;
     size_t control; /* asked last */
     bool silent;    /* the server asked last has not replied */
+    bool whole;     /* a change did not fit: ask for the whole text */
     int64_t due_us;
     int64_t started_us;
     uint64_t replied;  /* control processes that replied since the start */
@@ -55,6 +60,7 @@
 {
     if (f != NULL) {
         blob_unref(f->text);
+        blob_unref(f->old_text);
         free(f);
     }
 }
@@ -103,6 +109,8 @@
     m.u.config_request.have_version = e->follow->version;
     m.u.config_request.incarnation = e->opts.incarnation;
     m.u.config_request.zone = e->zone;
+    m.u.config_request.takes_delta =
+        e->follow->text != NULL && !e->follow->whole;
     entry_send(e, server, &m);
 }
 
@@ -247,6 +255,50 @@
 
 static void serve_polls(struct entry *e);
 
+/* The text of a reply, which may hold only what changed; NULL where it does
+ * not fit what is here.  A text put together wrongly would be in force here
+ * alone, and nobody would see it in the versions. */
+static struct blob *
+text_of_reply(const struct follow *f, const struct rec_config_reply *m)
+{
+    struct delta d = {
+        .prefix = m->prefix,
+        .suffix = m->suffix,
+        .middle = m->config,
+        .digest = m->digest,
+    };
+
+    if (m->from_version == 0) {
+        bool good = m->digest == 0 || m->digest == delta_digest(m->config);
+
+        return good ? blob_ref(m->config) : NULL;
+    }
+    return m->from_version == f->version ? delta_apply(f->text, &d) : NULL;
+}
+
+static void
+take_text(struct entry *e, const struct rec_config_reply *m)
+{
+    struct follow *f = e->follow;
+    struct blob *text = text_of_reply(f, m);
+
+    f->whole = text == NULL;
+    if (text == NULL) {
+        entry_log(e, LOG_WARNING, REASON_BAD_MESSAGE, NULL, -1, name_of(""),
+                  "the change to version %llu does not fit version %llu",
+                  (unsigned long long)m->version,
+                  (unsigned long long)f->version);
+        return;
+    }
+    blob_unref(f->old_text);
+    f->old_text = f->text;
+    f->old_version = f->version;
+    f->text = text;
+    f->version = m->version;
+    f->term = m->term;
+    serve_polls(e);
+}
+
 static void
 on_reply(struct entry *e, struct name from, const struct rec_config_reply *m)
 {
@@ -266,11 +318,7 @@
         f->due_us = e->now.mono_us + PAUSE_US;
     }
     if (m->version > f->version && m->config != NULL) {
-        blob_unref(f->text);
-        f->text = blob_ref(m->config);
-        f->version = m->version;
-        f->term = m->term;
-        serve_polls(e);
+        take_text(e, m);
     }
     consider(e);
 }
@@ -278,19 +326,33 @@
 /* ---- serving ---- */
 
 static void
-reply(struct entry *e, struct name to, bool whole)
+reply(struct entry *e, struct name to, bool newer, uint64_t have,
+      bool takes_delta)
 {
     struct follow *f = e->follow;
     struct msg m = {.kind = MSG_CONFIG_REPLY};
-
-    m.u.config_reply.version = f->version;
-    m.u.config_reply.config = whole ? blob_ref(f->text) : NULL;
-    m.u.config_reply.term = f->term;
+    struct rec_config_reply *r = &m.u.config_reply;
+    struct delta d;
+
+    r->version = f->version;
+    r->term = f->term;
+    if (newer && takes_delta && f->old_text != NULL &&
+        have == f->old_version) {
+        d = delta_make(f->old_text, f->text);
+        r->from_version = have;
+        r->prefix = d.prefix;
+        r->suffix = d.suffix;
+        r->digest = d.digest;
+        r->config = d.middle;
+    }
+    else if (newer) {
+        r->config = blob_ref(f->text);
+    }
     entry_send(e, to, &m);
 }
 
 static void
-hold(struct entry *e, struct name from, uint64_t have_version)
+hold(struct entry *e, struct name from, const struct rec_config_request *m)
 {
     struct follow *f = e->follow;
     struct poll *p = NULL;
@@ -304,7 +366,8 @@
         p = &f->polls[f->n_polls++];
     }
     p->from = from;
-    p->have_version = have_version;
+    p->have_version = m->have_version;
+    p->takes_delta = m->takes_delta != 0;
     p->until_us = e->now.mono_us + POLL_US;
 }
 
@@ -317,10 +380,10 @@
         return;
     }
     if (e->follow->version > m->have_version) {
-        reply(e, from, true);
+        reply(e, from, true, m->have_version, m->takes_delta != 0);
         return;
     }
-    hold(e, from, m->have_version);
+    hold(e, from, m);
 }
 
 /* Answers the held polls that something newer came for, or whose time is
@@ -335,10 +398,10 @@
         struct poll p = f->polls[i];
 
         if (f->version > p.have_version) {
-            reply(e, p.from, true);
+            reply(e, p.from, true, p.have_version, p.takes_delta);
         }
         else if (e->now.mono_us >= p.until_us) {
-            reply(e, p.from, false);
+            reply(e, p.from, false, p.have_version, false);
         }
         else {
             f->polls[kept++] = p;
--- a/tests/follow_test.c
+++ b/tests/follow_test.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "check.h"
+#include "delta.h"
 #include "entry_net.h"
 
 enum {
@@ -29,24 +30,63 @@
     int node;
     int control;
     uint64_t have;
+    bool takes_delta;
 } polls[POLLS_MAX];
 static int n_polls;
 
 static uint64_t asked;
 
-static void
-send_version(struct enet *n, int control, int node)
+/* Changes sent in place of whole texts, and how many of them are garbled. */
+static uint64_t changes;
+static uint64_t garble;
+
+static struct blob *
+text_of(uint64_t version)
 {
-    struct msg m = {.kind = MSG_CONFIG_REPLY};
     char text[TEXT_SIZE];
 
     (void)snprintf(text, sizeof(text),
                    "[service camp]\nteam = pilgrims\nrun_ms = %llu\n"
                    "[team pilgrims]\n",
-                   100 + (unsigned long long)controls[control].version);
+                   100 + (unsigned long long)version);
+    return blob_new(text, strlen(text));
+}
+
+static void
+fill_change(struct rec_config_reply *r, uint64_t have, struct blob *text)
+{
+    struct blob *old = text_of(have);
+    struct delta d = delta_make(old, text);
+
+    r->from_version = have;
+    r->prefix = d.prefix;
+    r->suffix = d.suffix;
+    r->digest = d.digest;
+    r->config = d.middle;
+    if (garble > 0) {
+        garble--;
+        r->prefix--;
+    }
+    changes++;
+    blob_unref(old);
+}
+
+static void
+send_version(struct enet *n, int at)
+{
+    int control = polls[at].control;
+    struct msg m = {.kind = MSG_CONFIG_REPLY};
+    struct blob *text = text_of(controls[control].version);
+
     m.u.config_reply.version = controls[control].version;
-    m.u.config_reply.config = blob_new(text, strlen(text));
-    enet_send(n, names[control], node, &m);
+    if (polls[at].takes_delta) {
+        fill_change(&m.u.config_reply, polls[at].have, text);
+    }
+    else {
+        m.u.config_reply.config = blob_ref(text);
+    }
+    enet_send(n, names[control], polls[at].node, &m);
+    blob_unref(text);
 }
 
 static void
@@ -58,6 +98,7 @@
             !controls[i].silent && n_polls < POLLS_MAX) {
             polls[n_polls].node = from;
             polls[n_polls].control = i;
+            polls[n_polls].takes_delta = m->u.config_request.takes_delta != 0;
             polls[n_polls++].have = m->u.config_request.have_version;
             asked++;
         }
@@ -80,7 +121,7 @@
                 polls[kept++] = polls[i];
             }
             else if (n->nodes[polls[i].node].e != NULL) {
-                send_version(n, control, polls[i].node);
+                send_version(n, i);
             }
         }
         memmove(polls + kept, polls + all,
@@ -147,6 +188,34 @@
     enet_free(n);
 }
 
+/* What an instance has differs from what control takes it to have, or the
+ * change is garbled on its way.  Put together all the same, the text would be
+ * in force at this instance alone, under the version of the right one. */
+static void
+change_that_does_not_fit(void)
+{
+    struct enet *n = new_net(4);
+
+    run(n, 2 * SEC);
+    changes = 0;
+    garble = UINT64_MAX; /* all */
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].version = 5;
+    }
+    run(n, 8 * SEC);
+    garble = 0;
+    CU_ASSERT_TRUE(changes >= 2);
+    changes = 0;
+    CU_ASSERT_TRUE(all_have(n, 5));
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].version = 6;
+    }
+    run(n, 8 * SEC);
+    CU_ASSERT_TRUE(changes >= 2); /* whole ones were for once only */
+    CU_ASSERT_TRUE(all_have(n, 6));
+    enet_free(n);
+}
+
 /* The control process that an instance polls falls silent, its connection
  * still open.  Without a limit on the wait the zone would never see a change
  * again. */
@@ -239,6 +308,7 @@
 suite_follow(void)
 {
     check_add("follow", "changes_reach_everyone", changes_reach_everyone);
+    check_add("follow", "change_that_does_not_fit", change_that_does_not_fit);
     check_add("follow", "silent_control_is_left", silent_control_is_left);
     check_add("follow", "restart_never_reverts", restart_never_reverts);
     check_add("follow", "bad_text_changes_nothing", bad_text_changes_nothing);
