Recover control from one member when a majority lost its disks

Cause: with two of three data folders gone nothing could ever be published again: a new control would begin at version 1, which instances ignore. Conclusion: the way back exists; it gives up the history and request ids.

--- a/src/bm_control.c
+++ b/src/bm_control.c
@@ -1,7 +1,8 @@
 /*
  * bm-control: a control member.  Exit codes: 0 after a planned stop (or after
- * --check or --found), 1 when it can't start, 2 for a mistake on the command
- * line, 3 for one in the settings, 4 when the disk failed while it ran.
+ * --check, --found or --recover), 1 when it can't start, 2 for a mistake on
+ * the command line, 3 for one in the settings, 4 when the disk failed while it
+ * ran.
  */
 #include <popt.h>
 #include <pthread.h>
@@ -24,6 +25,7 @@
     int check;
     int settings;
     int found;
+    int recover;
     const char *file;
 };
 
@@ -102,6 +104,20 @@
     return failed ? EXIT_DISK : EXIT_SUCCESS;
 }
 
+static int
+recover(struct control_settings *s)
+{
+    for (size_t i = 0; i < s->founding.n_members; i++) {
+        const struct rec_control_member *m = &s->founding.members[i];
+
+        if (name_equal(m->name, s->runtime.control.self)) {
+            return control_runtime_recover(&s->runtime, m) ? EXIT_SUCCESS
+                                                           : EXIT_FAILURE;
+        }
+    }
+    return EXIT_FAILURE;
+}
+
 static int
 read_and_run(const struct arguments *a)
 {
@@ -120,6 +136,9 @@
         code = control_runtime_found(&s->runtime, &s->founding) ? EXIT_SUCCESS
                                                                 : EXIT_FAILURE;
     }
+    else if (a->recover) {
+        code = recover(s);
+    }
     else {
         code = run(s);
     }
@@ -160,13 +179,17 @@
          "make the empty data folder that of a founding member, and end; once "
          "in the life of a region",
          NULL},
+        {"recover", 0, POPT_ARG_NONE, &a.recover, 0,
+         "a majority lost its data folders for good: make this member, with "
+         "what its own holds, the only one, and end",
+         NULL},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext popt =
         poptGetContext("bm-control", argc, (const char **)argv, options, 0);
     int code = EXIT_USAGE;
     int rc;
 
-    poptSetOtherOptionHelp(popt, "[--check] [--found] FILE");
+    poptSetOtherOptionHelp(popt, "[--check] [--found] [--recover] FILE");
     rc = poptGetNextOpt(popt);
     if (rc < -1) {
         (void)fprintf(stderr, "bm-control: %s: %s\n",
--- a/src/control.h
+++ b/src/control.h
@@ -87,6 +87,27 @@
 /** control_founding_state() - the snapshot that founders start from */
 struct blob *control_founding_state(const struct rec_membership *m);
 
+/**
+ * struct control_recovered - where a member begins anew
+ * @index: of the snapshot, above all that the disk held
+ * @term: of it, likewise
+ * @state: the snapshot; owned
+ * @version: that its text has from now on
+ */
+struct control_recovered {
+    uint64_t index;
+    uint64_t term;
+    struct blob *state;
+    uint64_t version;
+};
+
+/** control_recover() - for when a majority of the members has lost its disks:
+ * all that one disk held, committed or not, as the state of a region whose
+ * only member is @self; false when the snapshot cannot be read */
+bool control_recover(const struct storage_found *found,
+                     const struct rec_control_member *self, uint64_t time_us,
+                     struct control_recovered *out);
+
 enum { CONTROL_FOUNDING_INDEX = 1, CONTROL_FOUNDING_TERM = 1 };
 
 /** control_new() - a member that starts with what its disk held; NULL when the
--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -265,6 +265,15 @@
     atomic_store(&r->failed, true);
 }
 
+static uint64_t
+new_disk_id(void)
+{
+    uint64_t id;
+
+    randombytes_buf(&id, sizeof(id));
+    return id | 1;
+}
+
 static bool
 open_folder(const struct control_runtime_options *o, struct disk **disk,
             struct storage_options *s)
@@ -310,6 +319,73 @@
     return err == STORAGE_OK;
 }
 
+static enum storage_error
+save_recovered(struct storage *s, const struct control_recovered *r,
+               char *detail)
+{
+    enum storage_error err = storage_save_vote(s, r->term, name_of(""));
+
+    if (err == STORAGE_OK) {
+        err = storage_save_snapshot(s, r->index, r->term, r->state, true);
+    }
+    (void)snprintf(detail, DETAIL_SIZE, "%s", storage_detail(s));
+    return err;
+}
+
+static enum storage_error
+recover_folder(const struct control_runtime_options *o,
+               const struct storage_options *opts,
+               const struct rec_control_member *self, char *detail)
+{
+    struct storage *s = NULL;
+    struct storage_found found;
+    struct control_recovered r = {0};
+    enum storage_error err = storage_open(opts, &s, &found, detail);
+    uint64_t now_us = (uint64_t)clock_now(o->clock).wall_us;
+
+    if (err != STORAGE_OK) {
+        return err;
+    }
+    if (!control_recover(&found, self, now_us, &r)) {
+        (void)snprintf(detail, DETAIL_SIZE, "there is no state in it");
+        err = STORAGE_DAMAGED;
+    }
+    else {
+        err = save_recovered(s, &r, detail);
+    }
+    if (err == STORAGE_OK) {
+        log_event(LOG_WARNING, "recovered", o->data,
+                  "version %llu, the only member is %s",
+                  (unsigned long long)r.version, self->name.s);
+    }
+    blob_unref(r.state);
+    storage_found_free(&found);
+    storage_close(s);
+    return err;
+}
+
+bool
+control_runtime_recover(const struct control_runtime_options *o,
+                        const struct rec_control_member *self)
+{
+    struct storage_options s = {0};
+    struct disk *disk = NULL;
+    enum storage_error err;
+    char detail[DETAIL_SIZE];
+
+    if (!open_folder(o, &disk, &s)) {
+        return false;
+    }
+    s.new_disk = new_disk_id();
+    err = recover_folder(o, &s, self, detail);
+    disk_files_close(disk);
+    if (err != STORAGE_OK) {
+        log_event(LOG_ERR, "not-recovered", o->data, "%s: %s",
+                  storage_error_text(err), detail);
+    }
+    return err == STORAGE_OK;
+}
+
 static bool
 open_storage(struct control_runtime *r, struct storage_found *found)
 {
@@ -320,8 +396,7 @@
     if (!open_folder(&r->opts, &r->folder, &s)) {
         return false;
     }
-    randombytes_buf(&s.new_disk, sizeof(s.new_disk));
-    s.new_disk |= 1;
+    s.new_disk = new_disk_id();
     err = storage_open(&s, &r->storage, found, detail);
     if (err != STORAGE_OK) {
         log_event(LOG_CRIT, "not-started", r->opts.data, "%s: %s",
--- a/src/control_runtime.h
+++ b/src/control_runtime.h
@@ -38,6 +38,11 @@
 bool control_runtime_found(const struct control_runtime_options *o,
                            const struct rec_membership *members);
 
+/** control_runtime_recover() - makes this member, with what its data folder
+ * holds, the only one of its region; false with the reason logged */
+bool control_runtime_recover(const struct control_runtime_options *o,
+                             const struct rec_control_member *self);
+
 /** control_runtime_new() - reads the data folder and starts all threads; NULL
  * with the reason logged */
 struct control_runtime *
--- a/src/fsm.c
+++ b/src/fsm.c
@@ -228,6 +228,43 @@
     return o;
 }
 
+static void
+forget_history(struct fsm *f)
+{
+    for (size_t i = 0; i < f->n_history; i++) {
+        free_publication(&f->history[i]);
+    }
+    f->n_history = 0;
+    while (f->n_texts > 0) {
+        drop_oldest_text(f);
+    }
+}
+
+void
+fsm_recover(struct fsm *f, uint64_t index, uint64_t term, uint64_t time_us)
+{
+    static const char note[] = "recovered from one member";
+    struct blob *text = blob_ref(fsm_text(f, f->version));
+    struct rec_publish p = {
+        .request_id = key_id_of(note),
+        .request_text = blob_new("", 0),
+        .publisher = name_of("recovery"),
+        .time_us = time_us,
+        .summary = blob_new(note, strlen(note)),
+    };
+
+    if (text == NULL) {
+        text = blob_new("", 0);
+    }
+    p.digest = delta_digest(text);
+    forget_history(f);
+    f->version += RECOVERY_GAP;
+    (void)add_publication(f, index, term, &p, text->size);
+    add_text(f, f->version, text);
+    blob_unref(p.request_text);
+    blob_unref(p.summary);
+}
+
 struct blob *
 fsm_encode(const struct fsm *f, uint64_t index, uint64_t term)
 {
--- a/src/fsm.h
+++ b/src/fsm.h
@@ -15,6 +15,7 @@
     CONTROL_MEMBERS_MAX = 9,
     CONFIG_TEXT_MAX = 2 * 1024 * 1024, /* bytes of a configuration */
     REQUEST_ID_MAX = 64,               /* characters */
+    RECOVERY_GAP = 1000000,            /* versions left out by a recovery */
 };
 
 /**
@@ -61,6 +62,12 @@
 /** fsm_set_members() - applies a committed change; copies @m */
 void fsm_set_members(struct fsm *f, const struct rec_membership *m);
 
+/** fsm_recover() - what is here becomes a new version far above the last one
+ * known here, since later ones may be in force somewhere; the history before
+ * it is given up */
+void fsm_recover(struct fsm *f, uint64_t index, uint64_t term,
+                 uint64_t time_us);
+
 /** fsm_version() - the publication of that version, or NULL */
 const struct rec_publication *fsm_version(const struct fsm *f,
                                           uint64_t version);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -438,6 +438,32 @@
     cl->nodes[i].served = 0;
 }
 
+void
+cluster_recover(struct cluster *cl, int i)
+{
+    struct storage_options o = disk_options(cl, i);
+    struct rec_control_member self = {
+        .name = cl->nodes[i].name,
+        .address = address_of("127.0.0.1:1"),
+        .http = address_of("127.0.0.1:2"),
+    };
+    struct control_recovered r = {0};
+    struct storage *s = NULL;
+    struct storage_found found;
+    char detail[DETAIL_SIZE];
+
+    if (storage_open(&o, &s, &found, detail) != STORAGE_OK ||
+        !control_recover(&found, &self, 1, &r) ||
+        storage_save_vote(s, r.term, name_of("")) != STORAGE_OK ||
+        storage_save_snapshot(s, r.index, r.term, r.state, true) !=
+            STORAGE_OK) {
+        cluster_violation(cl, "%s cannot be recovered", cl->nodes[i].name.s);
+    }
+    blob_unref(r.state);
+    storage_found_free(&found);
+    storage_close(s);
+}
+
 /* Time. */
 static size_t
 next_flight(const struct cluster *cl)
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -102,6 +102,9 @@
 /** cluster_wipe() - its disk is replaced by an empty one, while it is down */
 void cluster_wipe(struct cluster *cl, int node);
 
+/** cluster_recover() - makes a member that is down the only one */
+void cluster_recover(struct cluster *cl, int node);
+
 /** cluster_publish() - request @r, with the request id of that number and a
  * text made of it */
 void cluster_publish(struct cluster *cl, int node, uint64_t r, uint64_t base,
--- a/tests/control_test.c
+++ b/tests/control_test.c
@@ -498,6 +498,52 @@
     cluster_free(cl);
 }
 
+/* Two of three disks are lost, the second right after the first was replaced.
+ * No majority is left that knows what was confirmed.  From the member that is
+ * left, operators go on; its versions must be above all that instances have,
+ * or they would ignore everything published from then on. */
+static void
+majority_lost_and_recovered(void)
+{
+    struct cluster *cl = cluster_new(3, 41, NULL);
+    int left = cluster_await_leader(cl);
+    uint64_t before;
+
+    for (uint64_t r = 1; r <= 30; r++) {
+        publish_until_accepted(cl, r);
+    }
+    cluster_poll(cl, left);
+    cluster_run(cl, 2 * SEC);
+    before = cl->follower_has;
+    CU_ASSERT_EQUAL(before, 30);
+    for (int i = 0; i < 3; i++) {
+        cluster_crash(cl, i);
+        if (i != left) {
+            cluster_wipe(cl, i);
+        }
+    }
+    cluster_recover(cl, left);
+    for (int i = 0; i < 3; i++) {
+        cluster_start(cl, i);
+    }
+    cluster_run(cl, 10 * SEC);
+    CU_ASSERT_EQUAL(cluster_leader(cl), left);
+    for (int i = 0; i < 3; i++) {
+        if (i != left) {
+            cluster_change(cl, left, 40 + (uint64_t)i, CHANGE_ADD, i);
+            cluster_run(cl, 10 * SEC);
+            CU_ASSERT_TRUE(control_view(cl->nodes[i].control).voter);
+        }
+    }
+    check_recovers(cl, 50);
+    cluster_poll(cl, left);
+    cluster_run(cl, 2 * SEC);
+    CU_ASSERT_TRUE(cl->follower_has > before);
+    CU_ASSERT_EQUAL(cl->follower_has, version_of(cl, left));
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* A member that was away longer than the log reaches back gets a snapshot in
  * pieces.  Were it left behind, the next loss of a member would stop all
  * publications. */
@@ -950,6 +996,8 @@
     check_add("control", "deaf_member_does_not_disturb",
               deaf_member_does_not_disturb);
     check_add("control", "lost_disk_does_not_vote", lost_disk_does_not_vote);
+    check_add("control", "majority_lost_and_recovered",
+              majority_lost_and_recovered);
     check_add("control", "members_join_by_snapshot", members_join_by_snapshot);
     check_add("control", "cut_off_leader_steps_down",
               cut_off_leader_steps_down);
