Stop and wake control members in the schedules

Cause: a process that is paused for a minute wakes with messages, reads and publications before it; the schedules had no such fault. Change: the cluster of the tests can pause a member; random schedules do, and a test has the paused leader wake to a read and a publication.

--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -324,7 +324,7 @@
     struct node *n = &cl->nodes[i];
     struct control_effects fx = {0};
 
-    if (n->control == NULL || killed(cl, i)) {
+    if (n->control == NULL || n->paused || killed(cl, i)) {
         return;
     }
     ev->now.mono_us = cl->now_us;
@@ -486,6 +486,10 @@
     struct flight f = cl->flights[at];
     struct control_event ev = {.kind = CEV_MESSAGE};
 
+    if (f.to >= 0 && cl->nodes[f.to].paused) {
+        cl->flights[at].due_us += 50 * USEC_PER_MSEC; /* in its socket */
+        return;
+    }
     cl->flights[at] = cl->flights[--cl->n_flights];
     ev.u.message.from = f.from;
     ev.u.message.msg = &f.msg;
@@ -513,12 +517,15 @@
     for (int i = 0; i < cl->n; i++) {
         const struct node *n = &cl->nodes[i];
 
-        if (n->control != NULL && n->n_work > 0 && n->work_us < due) {
+        if (n->control == NULL || n->paused) {
+            continue;
+        }
+        if (n->n_work > 0 && n->work_us < due) {
             due = n->work_us;
             who = i;
             disk = true;
         }
-        if (n->control != NULL && control_next_us(n->control) < due) {
+        if (control_next_us(n->control) < due) {
             due = control_next_us(n->control);
             who = i;
             disk = false;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -30,6 +30,7 @@
     struct control *control; /* NULL while it is down */
     bool cut;                /* reaches nobody */
     int deaf_to; /* hears nothing from that one; CLUSTER_NODES: none */
+    bool paused; /* stopped, with all it has still before it */
     struct control_effect work[CLUSTER_OPERATIONS]; /* for the disk */
     size_t n_work;
     int64_t work_us; /* when the first of it is done */
--- a/tests/control_test.c
+++ b/tests/control_test.c
@@ -11,7 +11,7 @@
     KILL_SEEDS = 3,
     SCHEDULES = 100,
     SCHEDULE_STEPS = 120,
-    BREAK_SCHEDULES = 150,
+    BREAK_SCHEDULES = 400,
 };
 
 static const int64_t MSEC = USEC_PER_MSEC;
@@ -64,6 +64,7 @@
     cl->kill_at = 0;
     for (int i = 0; i < cl->n; i++) {
         cl->nodes[i].cut = false;
+        cl->nodes[i].paused = false;
         cluster_start(cl, i);
     }
     cluster_run(cl, 10 * SEC);
@@ -633,6 +634,45 @@
     cluster_free(cl);
 }
 
+/* The leader's process is stopped for a minute and wakes with messages, reads
+ * and publications before it.  It must notice that another leads before it
+ * tells anybody anything. */
+static void
+paused_leader_wakes(void)
+{
+    struct cluster *cl = cluster_new(3, 43, NULL);
+    int old = cluster_await_leader(cl);
+    int leader;
+
+    publish_until_accepted(cl, 1);
+    cl->nodes[old].paused = true;
+    cluster_run(cl, 10 * SEC);
+    for (int i = 0; i < 3; i++) {
+        if (i != old) {
+            cluster_publish(cl, i, 2, 1, 2);
+            cluster_run(cl, SEC);
+        }
+        if (cl->answers[2].result == CONTROL_OK && cl->answers[2].done) {
+            break;
+        }
+    }
+    CU_ASSERT_EQUAL(cl->confirmed, 2);
+    cluster_run(cl, 50 * SEC);
+    cl->nodes[old].paused = false;
+    cluster_read(cl, old, 3);
+    cluster_publish(cl, old, 4, 1, 4);
+    cluster_run(cl, 15 * SEC);
+    CU_ASSERT_TRUE(cl->answers[3].done && cl->answers[4].done);
+    CU_ASSERT_NOT_EQUAL(cl->answers[3].result, CONTROL_OK);
+    CU_ASSERT_NOT_EQUAL(cl->answers[4].result, CONTROL_OK);
+    leader = cluster_await_leader(cl);
+    CU_ASSERT_NOT_EQUAL(leader, old);
+    check_recovers(cl, 100);
+    CU_ASSERT_EQUAL(version_of(cl, old), 3);
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* A planned stop of the leader while operators publish.  Without a handover
  * they would wait out an election timeout, or be told "unknown". */
 static void
@@ -751,7 +791,7 @@
 {
     int at = (int)cluster_draw(cl, (uint64_t)cl->n);
 
-    switch (cluster_draw(cl, 10)) {
+    switch (cluster_draw(cl, 13)) {
     case 0:
     case 1:
         cluster_crash(cl, at);
@@ -770,6 +810,13 @@
         cl->nodes[at].cut = false;
         break;
     case 8:
+        cl->nodes[at].paused = true;
+        break;
+    case 9:
+    case 10:
+        cl->nodes[at].paused = false;
+        break;
+    case 11:
         for (int i = 0; i < cl->n; i++) {
             cluster_crash(cl, i);
         }
@@ -790,7 +837,7 @@
 all_voters(const struct cluster *cl)
 {
     for (int i = 0; i < cl->n; i++) {
-        if (cl->nodes[i].control == NULL ||
+        if (cl->nodes[i].control == NULL || cl->nodes[i].paused ||
             !control_view(cl->nodes[i].control).voter) {
             return false;
         }
@@ -860,6 +907,7 @@
     cl->loss = 0;
     for (int i = 0; i < cl->n; i++) {
         cl->nodes[i].cut = false;
+        cl->nodes[i].paused = false;
         cluster_start(cl, i);
     }
     cluster_run(cl, 10 * SEC);
@@ -1003,6 +1051,7 @@
               cut_off_leader_steps_down);
     check_add("control", "slow_disks_keep_the_leader",
               slow_disks_keep_the_leader);
+    check_add("control", "paused_leader_wakes", paused_leader_wakes);
     check_add("control", "planned_stop_hands_over", planned_stop_hands_over);
     check_add("control", "forged_messages_change_nothing",
               forged_messages_change_nothing);
