--- a/src/control_http.c
+++ b/src/control_http.c
@@ -228,7 +228,11 @@
     result = opauth_check(h->opts.auth, &signed_request, &headers,
                           clock_now(h->opts.clock).wall_us);
     *publisher = signed_request.operator_name;
-    if (result != OPAUTH_OK) {
+    if (result == OPAUTH_OK) {
+        log_event(LOG_NOTICE, "change-signed", publisher->s, "%s %s", method,
+                  r->path);
+    }
+    else {
         stats_add(&stats.auth_refused, 1);
         log_event(LOG_WARNING, "change-refused",
                   headers.operator_name != NULL ? headers.operator_name : NULL,
