Bound what readers and reported followers can cost control

Cause: reads need no signature, and each made the leader send a heartbeat to every member; an instance that reports neighbours which do not exist could fill the table of followers, and one that asks itself then got no configuration. Change: reads that come within 10 ms share a round; a follower that asks here takes the place of one that was only reported. Conclusion: an unsigned client can no longer multiply messages.

--- a/src/control_state.h
+++ b/src/control_state.h
@@ -72,6 +72,7 @@
     int64_t heard_us;
     struct name via;  /* the member it, or its zone's poller, asks */
     bool here;        /* reported to this member, not to another */
+    bool direct;      /* it asked this member itself */
     bool polling;     /* waits for an answer */
     uint64_t have;    /* of the poll */
     bool takes_delta; /* of the poll */
@@ -111,6 +112,7 @@
     int64_t heartbeat_us; /* next one, or next housekeeping */
     int64_t quorum_us;    /* next check of the quorum */
     uint64_t round;
+    int64_t round_us;       /* when it was begun */
     uint64_t first_of_term; /* index of the leader's NOOP */
 
     /* Members: the newest in the log rule, committed or not. */
--- a/src/replicate.c
+++ b/src/replicate.c
@@ -204,6 +204,7 @@
 replicate_heartbeat(struct control *c)
 {
     c->round++;
+    c->round_us = c->now.mono_us;
     for_others(c, beat);
 }
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -10,6 +10,7 @@
     PENDING_MAX = 1024,   /* requests that wait */
     FOLLOWERS_MAX = 1024, /* entry instances known */
     REPORT_US = 10 * 1000 * 1000,
+    ROUND_GAP_US = 10 * 1000, /* between rounds that reads begin */
 };
 
 /* Answers. */
@@ -314,13 +315,19 @@
 /* A leader that was deposed without knowing would answer with the past; so a
  * read waits for a round of heartbeats begun after it, and for the entries
  * committed until then.  Those of earlier terms are known to be committed once
- * the first of the own term is. */
+ * the first of the own term is.  Reads that come close together share a round:
+ * anybody may read, and must not make the leader send as often as he asks. */
 static void
 await_round(struct control *c, struct pending *p)
 {
     p->index = c->commit > c->first_of_term ? c->commit : c->first_of_term;
     p->round = c->round + 1;
-    replicate_heartbeat(c);
+    if (c->now.mono_us - c->round_us >= ROUND_GAP_US) {
+        replicate_heartbeat(c);
+    }
+    else if (c->heartbeat_us > c->round_us + ROUND_GAP_US) {
+        c->heartbeat_us = c->round_us + ROUND_GAP_US;
+    }
 }
 
 void
@@ -445,36 +452,65 @@
 }
 
 /* Followers. */
+
+/* The place of a follower that was only reported, by others.  Whatever they
+ * report, one that asks here itself must find room: it would not get any
+ * configuration otherwise. */
 static struct follower *
-find_follower(struct control *c, struct name name)
+place_of_reported(struct control *c)
 {
-    struct follower *f;
-
     for (size_t i = 0; i < c->n_followers; i++) {
-        if (name_equal(c->followers[i].info.instance, name)) {
+        if (!c->followers[i].direct) {
             return &c->followers[i];
         }
     }
-    if (c->n_followers >= FOLLOWERS_MAX) {
-        return NULL;
-    }
-    f = realloc(c->followers, (c->n_followers + 1) * sizeof(*f));
+    return NULL;
+}
+
+static struct follower *
+add_follower(struct control *c)
+{
+    struct follower *f =
+        realloc(c->followers, (c->n_followers + 1) * sizeof(*f));
+
     if (f == NULL) {
         abort();
     }
     c->followers = f;
-    f = &c->followers[c->n_followers++];
-    memset(f, 0, sizeof(*f));
-    f->info.instance = name;
-    f->heard_us = INT64_MIN;
+    return &c->followers[c->n_followers++];
+}
+
+static struct follower *
+find_follower(struct control *c, struct name name, bool direct)
+{
+    struct follower *f = NULL;
+
+    for (size_t i = 0; i < c->n_followers; i++) {
+        if (name_equal(c->followers[i].info.instance, name)) {
+            c->followers[i].direct |= direct;
+            return &c->followers[i];
+        }
+    }
+    if (c->n_followers < FOLLOWERS_MAX) {
+        f = add_follower(c);
+    }
+    else if (direct) {
+        f = place_of_reported(c);
+    }
+    if (f != NULL) {
+        memset(f, 0, sizeof(*f));
+        f->info.instance = name;
+        f->heard_us = INT64_MIN;
+        f->direct = direct;
+    }
     return f;
 }
 
 static struct follower *
 note_follower(struct control *c, const struct rec_follower *info,
-              struct name via)
+              struct name via, bool direct)
 {
-    struct follower *f = find_follower(c, info->instance);
+    struct follower *f = find_follower(c, info->instance, direct);
     int64_t age = info->age_us < INT64_C(1) << 40 ? (int64_t)info->age_us
                                                   : INT64_C(1) << 40;
 
@@ -502,7 +538,7 @@
         .incarnation = r->incarnation,
         .version = r->have_version,
     };
-    struct follower *f = note_follower(c, &info, c->opts.self);
+    struct follower *f = note_follower(c, &info, c->opts.self, true);
 
     if (f == NULL) {
         return;
@@ -512,7 +548,7 @@
     f->takes_delta = r->takes_delta != 0;
     f->poll_us = c->now.mono_us + c->opts.poll_us;
     for (size_t i = 0; i < r->n_members && i < INSTANCES_MAX; i++) {
-        (void)note_follower(c, &r->members[i], c->opts.self);
+        (void)note_follower(c, &r->members[i], c->opts.self, false);
     }
 }
 
@@ -524,7 +560,7 @@
         return;
     }
     for (size_t i = 0; i < list->n_followers && i < FOLLOWERS_MAX; i++) {
-        (void)note_follower(c, &list->followers[i], from);
+        (void)note_follower(c, &list->followers[i], from, false);
     }
 }
 
--- a/tests/control_test.c
+++ b/tests/control_test.c
@@ -696,6 +696,62 @@
     cluster_free(cl);
 }
 
+/* Anybody may read.  If each read made the leader send to all members, one
+ * client in a loop would use up the bytes that control may spend. */
+static void
+reads_share_rounds(void)
+{
+    struct cluster *cl = cluster_new(3, 47, NULL);
+    int leader = cluster_await_leader(cl);
+    uint64_t sent;
+
+    publish_until_accepted(cl, 1);
+    cluster_run(cl, 100 * MSEC);
+    sent = control_view(cl->nodes[leader].control).counters.messages_sent;
+    for (uint64_t r = 2; r < 502; r++) {
+        cluster_read(cl, leader, r);
+        cluster_run(cl, 100);
+    }
+    cluster_run(cl, 100 * MSEC);
+    sent =
+        control_view(cl->nodes[leader].control).counters.messages_sent - sent;
+    CU_ASSERT_TRUE(sent < 40);
+    for (uint64_t r = 2; r < 502; r++) {
+        CU_ASSERT_TRUE(cl->answers[r].done);
+        CU_ASSERT_EQUAL(cl->answers[r].result, CONTROL_OK);
+    }
+    no_violation(cl);
+    cluster_free(cl);
+}
+
+/* An entry instance reports neighbours by the thousand that do not exist.  A
+ * real one that asks must still be served. */
+static void
+reported_followers_do_not_crowd_out(void)
+{
+    struct cluster *cl = cluster_new(3, 53, NULL);
+    int leader = cluster_await_leader(cl);
+    struct rec_follower made_up[200] = {0};
+    struct msg m = {.kind = MSG_CONFIG_REQUEST};
+
+    publish_until_accepted(cl, 1);
+    m.u.config_request.have_version = 1;
+    m.u.config_request.members = made_up;
+    m.u.config_request.n_members = 200;
+    for (int i = 0; i < 8; i++) {
+        for (int k = 0; k < 200; k++) {
+            (void)snprintf(made_up[k].instance.s, NAME_SIZE, "x%d-%d", i, k);
+        }
+        cluster_inject(cl, "e9", leader, &m);
+    }
+    CU_ASSERT_TRUE(control_view(cl->nodes[leader].control).followers <= 1024);
+    cluster_poll(cl, leader);
+    cluster_run(cl, SEC);
+    CU_ASSERT_EQUAL(cl->follower_has, 1);
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* A message of one kind with the same number in all fields that matter. */
 static struct msg
 forged(enum msg_kind kind, uint64_t n)
@@ -1055,6 +1111,9 @@
     check_add("control", "planned_stop_hands_over", planned_stop_hands_over);
     check_add("control", "forged_messages_change_nothing",
               forged_messages_change_nothing);
+    check_add("control", "reads_share_rounds", reads_share_rounds);
+    check_add("control", "reported_followers_do_not_crowd_out",
+              reported_followers_do_not_crowd_out);
     check_add("control", "random_schedules", random_schedules);
     check_add("control", "wrong_decisions_are_noticed",
               wrong_decisions_are_noticed);
