--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -324,7 +324,7 @@
     struct node *n = &cl->nodes[i];
     struct control_effects fx = {0};
 
-    if (n->control == NULL || killed(cl, i)) {
+    if (n->control == NULL || n->paused || killed(cl, i)) {
         return;
     }
     ev->now.mono_us = cl->now_us;
@@ -372,9 +372,10 @@
     memmove(n->work, n->work + 1, n->n_work * sizeof(n->work[0]));
     err = carry_out(n->storage, &f);
     ev.u.saved.seq = f.u.sync.seq;
-    n->work_us = cl->now_us + (n->work[0].kind == CE_SYNC
-                                   ? 500 + (int64_t)cluster_draw(cl, 8000)
-                                   : 50);
+    n->work_us = cl->now_us +
+                 (n->work[0].kind == CE_SYNC
+                      ? 500 + (int64_t)cluster_draw(cl, (uint64_t)cl->sync_us)
+                      : 50);
     if (err != STORAGE_OK) {
         cluster_crash(cl, i); /* the process stops */
     }
@@ -437,6 +438,32 @@
     cl->nodes[i].served = 0;
 }
 
+void
+cluster_recover(struct cluster *cl, int i)
+{
+    struct storage_options o = disk_options(cl, i);
+    struct rec_control_member self = {
+        .name = cl->nodes[i].name,
+        .address = address_of("127.0.0.1:1"),
+        .http = address_of("127.0.0.1:2"),
+    };
+    struct control_recovered r = {0};
+    struct storage *s = NULL;
+    struct storage_found found;
+    char detail[DETAIL_SIZE];
+
+    if (storage_open(&o, &s, &found, detail) != STORAGE_OK ||
+        !control_recover(&found, &self, 1, &r) ||
+        storage_save_vote(s, r.term, name_of("")) != STORAGE_OK ||
+        storage_save_snapshot(s, r.index, r.term, r.state, true) !=
+            STORAGE_OK) {
+        cluster_violation(cl, "%s cannot be recovered", cl->nodes[i].name.s);
+    }
+    blob_unref(r.state);
+    storage_found_free(&found);
+    storage_close(s);
+}
+
 /* Time. */
 static size_t
 next_flight(const struct cluster *cl)
@@ -459,6 +486,10 @@
     struct flight f = cl->flights[at];
     struct control_event ev = {.kind = CEV_MESSAGE};
 
+    if (f.to >= 0 && cl->nodes[f.to].paused) {
+        cl->flights[at].due_us += 50 * USEC_PER_MSEC; /* in its socket */
+        return;
+    }
     cl->flights[at] = cl->flights[--cl->n_flights];
     ev.u.message.from = f.from;
     ev.u.message.msg = &f.msg;
@@ -486,12 +517,15 @@
     for (int i = 0; i < cl->n; i++) {
         const struct node *n = &cl->nodes[i];
 
-        if (n->control != NULL && n->n_work > 0 && n->work_us < due) {
+        if (n->control == NULL || n->paused) {
+            continue;
+        }
+        if (n->n_work > 0 && n->work_us < due) {
             due = n->work_us;
             who = i;
             disk = true;
         }
-        if (n->control != NULL && control_next_us(n->control) < due) {
+        if (control_next_us(n->control) < due) {
             due = control_next_us(n->control);
             who = i;
             disk = false;
@@ -703,6 +737,7 @@
     cl->random = seed;
     cl->now_us = USEC_PER_SEC;
     cl->delay_us = 2 * USEC_PER_MSEC;
+    cl->sync_us = 8 * USEC_PER_MSEC;
     cl->options = control_options_default();
     cl->options.snapshot_entries = 20;
     cl->options.trail = 5;
