Let no request wait at a server that is closing

Cause: the demo found it: an instance that was stopped as planned ended with SIGABRT, "MHD_stop_daemon() called while we have suspended connections". A request on a kept connection came in after the last look at the waiting ones, or was not yet suspended when it was answered. Change: closing and waiting are decided under one lock; what comes later is refused at once; the last look waits until a connection is suspended. Conclusion: ruled out: dropping kept connections when the stop begins, which would cut off requests in progress.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -14,7 +14,8 @@
 #include "stats.h"
 
 enum {
-    LOOK_US = 50 * 1000, /* between looks at slow bodies */
+    LOOK_US = 50 * 1000,   /* between looks at slow bodies */
+    LOOK_SUSPEND_US = 100, /* until a connection is suspended */
     RAW_SIZE = 1024,
 };
 
@@ -29,6 +30,7 @@
     pthread_mutex_t lock;    /* for what follows */
     struct table waiting;    /* struct httprequest *, by request number */
     TAILQ_HEAD(, httprequest) reading; /* bodies on their way, oldest first */
+    bool closed; /* no request waits for a reply any more */
 };
 
 struct httpd_options
@@ -258,16 +260,30 @@
     return queue_reply(h, r, &reply);
 }
 
-static uint64_t
+/* False once the server is closing. */
+static bool
 waiting_add(struct httpd *h, struct httprequest *r)
 {
     struct httprequest **place;
+    bool open;
 
     (void)pthread_mutex_lock(&h->lock);
-    place = table_add(&h->waiting, &r->self);
-    *place = r;
+    open = !h->closed;
+    if (open) {
+        place = table_add(&h->waiting, &r->self);
+        *place = r;
+    }
+    (void)pthread_mutex_unlock(&h->lock);
+    return open;
+}
+
+static void
+suspend(struct httpd *h, struct httprequest *r)
+{
+    MHD_suspend_connection(r->connection);
+    (void)pthread_mutex_lock(&h->lock);
+    r->suspended = true;
     (void)pthread_mutex_unlock(&h->lock);
-    return id_of(r->self);
 }
 
 static struct httprequest *
@@ -291,17 +307,22 @@
 static enum MHD_Result
 offer_request(struct httpd *h, struct httprequest *r)
 {
-    struct httprefusal why;
-    uint64_t id = waiting_add(h, r);
-    struct envelope *e = httprequest_event(r, id, &why);
+    struct httprefusal why = {.problem = PROBLEM_STOPPING};
+    struct envelope *e;
+    uint64_t id;
 
+    if (!waiting_add(h, r)) {
+        return queue_refusal(h, r, &why);
+    }
+    id = id_of(r->self);
+    e = httprequest_event(r, id, &why);
     if (e == NULL) {
         (void)waiting_take(h, id);
         return queue_refusal(h, r, &why);
     }
     free(r->body);
     r->body = NULL;
-    MHD_suspend_connection(r->connection);
+    suspend(h, r);
     if (!h->opts.offer(h->opts.ctx, e)) {
         struct effect full = {.kind = EF_PROBLEM};
 
@@ -459,27 +480,49 @@
     return atomic_load(&h->in_progress) == 0;
 }
 
+/* A request that waits, whose connection is suspended; NULL when there is
+ * none or it is only just being suspended (@any tells these apart). */
+static const struct httprequest *
+next_suspended(struct httpd *h, bool *any, struct handle *self)
+{
+    uint32_t at = 0;
+    struct httprequest **place;
+    struct httprequest *r;
+
+    (void)pthread_mutex_lock(&h->lock);
+    h->closed = true;
+    place = table_next(&h->waiting, &at, self);
+    r = place != NULL && (*place)->suspended ? *place : NULL;
+    *any = place != NULL;
+    (void)pthread_mutex_unlock(&h->lock);
+    return r;
+}
+
+/* Kept connections go on bringing requests when the reducer has ended.  One
+ * that waits for a reply then keeps its connection suspended, and
+ * libmicrohttpd aborts the process for it: the planned stop would end as a
+ * crash.  So none is let in any more, and each is answered. */
 static void
 refuse_waiting(struct httpd *h)
 {
     struct handle self;
     struct effect stop;
+    bool any;
 
     for (;;) {
-        uint32_t at = 0;
-
-        (void)pthread_mutex_lock(&h->lock);
-        if (table_next(&h->waiting, &at, &self) == NULL) {
-            break;
+        if (next_suspended(h, &any, &self) == NULL) {
+            if (!any) {
+                return;
+            }
+            (void)usleep(LOOK_SUSPEND_US);
+            continue;
         }
-        (void)pthread_mutex_unlock(&h->lock);
         memset(&stop, 0, sizeof(stop));
         stop.kind = EF_PROBLEM;
         stop.u.problem.problem = PROBLEM_STOPPING;
         stop.u.problem.not_by_this = true;
         httpd_reply(h, id_of(self), &stop);
     }
-    (void)pthread_mutex_unlock(&h->lock);
 }
 
 void
--- a/src/httprequest.h
+++ b/src/httprequest.h
@@ -22,6 +22,7 @@
  * @body_due_us: monotonic time by which the body must be there
  * @reading: it is in the list of those whose body is on its way
  * @cut_off: it was refused before its body was whole
+ * @suspended: its connection is, until the reply is there
  * @replied: @reply is there
  */
 struct httprequest {
@@ -41,6 +42,7 @@
     int64_t body_due_us;
     bool reading;
     bool cut_off;
+    bool suspended;
     bool replied;
     struct effect reply;
     TAILQ_ENTRY(httprequest) reading_link;
