--- a/src/vote.c
+++ b/src/vote.c
@@ -60,7 +60,7 @@
             v->fellows[v->n_fellows++].name = voters[i];
         }
     }
-    v->ready = e->opts.new_region;
+    v->ready = e->opts.new_region || MUTANT(e, VOTE_AT_ONCE);
 }
 
 bool
