--- a/tests/control_test.c
+++ b/tests/control_test.c
@@ -11,7 +11,7 @@
     KILL_SEEDS = 3,
     SCHEDULES = 100,
     SCHEDULE_STEPS = 120,
-    BREAK_SCHEDULES = 150,
+    BREAK_SCHEDULES = 400,
 };
 
 static const int64_t MSEC = USEC_PER_MSEC;
@@ -60,9 +60,11 @@
     cl->loss = 0;
     cl->doubled = 0;
     cl->delay_us = 2 * MSEC;
+    cl->sync_us = 8 * MSEC;
     cl->kill_at = 0;
     for (int i = 0; i < cl->n; i++) {
         cl->nodes[i].cut = false;
+        cl->nodes[i].paused = false;
         cluster_start(cl, i);
     }
     cluster_run(cl, 10 * SEC);
@@ -497,6 +499,52 @@
     cluster_free(cl);
 }
 
+/* Two of three disks are lost, the second right after the first was replaced.
+ * No majority is left that knows what was confirmed.  From the member that is
+ * left, operators go on; its versions must be above all that instances have,
+ * or they would ignore everything published from then on. */
+static void
+majority_lost_and_recovered(void)
+{
+    struct cluster *cl = cluster_new(3, 41, NULL);
+    int left = cluster_await_leader(cl);
+    uint64_t before;
+
+    for (uint64_t r = 1; r <= 30; r++) {
+        publish_until_accepted(cl, r);
+    }
+    cluster_poll(cl, left);
+    cluster_run(cl, 2 * SEC);
+    before = cl->follower_has;
+    CU_ASSERT_EQUAL(before, 30);
+    for (int i = 0; i < 3; i++) {
+        cluster_crash(cl, i);
+        if (i != left) {
+            cluster_wipe(cl, i);
+        }
+    }
+    cluster_recover(cl, left);
+    for (int i = 0; i < 3; i++) {
+        cluster_start(cl, i);
+    }
+    cluster_run(cl, 10 * SEC);
+    CU_ASSERT_EQUAL(cluster_leader(cl), left);
+    for (int i = 0; i < 3; i++) {
+        if (i != left) {
+            cluster_change(cl, left, 40 + (uint64_t)i, CHANGE_ADD, i);
+            cluster_run(cl, 10 * SEC);
+            CU_ASSERT_TRUE(control_view(cl->nodes[i].control).voter);
+        }
+    }
+    check_recovers(cl, 50);
+    cluster_poll(cl, left);
+    cluster_run(cl, 2 * SEC);
+    CU_ASSERT_TRUE(cl->follower_has > before);
+    CU_ASSERT_EQUAL(cl->follower_has, version_of(cl, left));
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* A member that was away longer than the log reaches back gets a snapshot in
  * pieces.  Were it left behind, the next loss of a member would stop all
  * publications. */
@@ -565,6 +613,66 @@
     cluster_free(cl);
 }
 
+/* The disks of two members take seconds for a sync.  Publications wait for
+ * them, but the leader must not step down over it and make matters worse. */
+static void
+slow_disks_keep_the_leader(void)
+{
+    struct cluster *cl = cluster_new(3, 37, NULL);
+    int leader = cluster_await_leader(cl);
+    uint64_t term = control_view(cl->nodes[leader].control).term;
+
+    publish_until_accepted(cl, 1);
+    cl->sync_us = 20 * SEC;
+    cluster_publish(cl, leader, 2, 1, 2);
+    cluster_run(cl, 3 * SEC);
+    cl->sync_us = 8 * MSEC;
+    cluster_run(cl, 25 * SEC);
+    CU_ASSERT_EQUAL(control_view(cl->nodes[leader].control).term, term);
+    CU_ASSERT_EQUAL(version_of(cl, leader), 2);
+    no_violation(cl);
+    cluster_free(cl);
+}
+
+/* The leader's process is stopped for a minute and wakes with messages, reads
+ * and publications before it.  It must notice that another leads before it
+ * tells anybody anything. */
+static void
+paused_leader_wakes(void)
+{
+    struct cluster *cl = cluster_new(3, 43, NULL);
+    int old = cluster_await_leader(cl);
+    int leader;
+
+    publish_until_accepted(cl, 1);
+    cl->nodes[old].paused = true;
+    cluster_run(cl, 10 * SEC);
+    for (int i = 0; i < 3; i++) {
+        if (i != old) {
+            cluster_publish(cl, i, 2, 1, 2);
+            cluster_run(cl, SEC);
+        }
+        if (cl->answers[2].result == CONTROL_OK && cl->answers[2].done) {
+            break;
+        }
+    }
+    CU_ASSERT_EQUAL(cl->confirmed, 2);
+    cluster_run(cl, 50 * SEC);
+    cl->nodes[old].paused = false;
+    cluster_read(cl, old, 3);
+    cluster_publish(cl, old, 4, 1, 4);
+    cluster_run(cl, 15 * SEC);
+    CU_ASSERT_TRUE(cl->answers[3].done && cl->answers[4].done);
+    CU_ASSERT_NOT_EQUAL(cl->answers[3].result, CONTROL_OK);
+    CU_ASSERT_NOT_EQUAL(cl->answers[4].result, CONTROL_OK);
+    leader = cluster_await_leader(cl);
+    CU_ASSERT_NOT_EQUAL(leader, old);
+    check_recovers(cl, 100);
+    CU_ASSERT_EQUAL(version_of(cl, old), 3);
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* A planned stop of the leader while operators publish.  Without a handover
  * they would wait out an election timeout, or be told "unknown". */
 static void
@@ -588,6 +696,62 @@
     cluster_free(cl);
 }
 
+/* Anybody may read.  If each read made the leader send to all members, one
+ * client in a loop would use up the bytes that control may spend. */
+static void
+reads_share_rounds(void)
+{
+    struct cluster *cl = cluster_new(3, 47, NULL);
+    int leader = cluster_await_leader(cl);
+    uint64_t sent;
+
+    publish_until_accepted(cl, 1);
+    cluster_run(cl, 100 * MSEC);
+    sent = control_view(cl->nodes[leader].control).counters.messages_sent;
+    for (uint64_t r = 2; r < 502; r++) {
+        cluster_read(cl, leader, r);
+        cluster_run(cl, 100);
+    }
+    cluster_run(cl, 100 * MSEC);
+    sent =
+        control_view(cl->nodes[leader].control).counters.messages_sent - sent;
+    CU_ASSERT_TRUE(sent < 40);
+    for (uint64_t r = 2; r < 502; r++) {
+        CU_ASSERT_TRUE(cl->answers[r].done);
+        CU_ASSERT_EQUAL(cl->answers[r].result, CONTROL_OK);
+    }
+    no_violation(cl);
+    cluster_free(cl);
+}
+
+/* An entry instance reports neighbours by the thousand that do not exist.  A
+ * real one that asks must still be served. */
+static void
+reported_followers_do_not_crowd_out(void)
+{
+    struct cluster *cl = cluster_new(3, 53, NULL);
+    int leader = cluster_await_leader(cl);
+    struct rec_follower made_up[200] = {0};
+    struct msg m = {.kind = MSG_CONFIG_REQUEST};
+
+    publish_until_accepted(cl, 1);
+    m.u.config_request.have_version = 1;
+    m.u.config_request.members = made_up;
+    m.u.config_request.n_members = 200;
+    for (int i = 0; i < 8; i++) {
+        for (int k = 0; k < 200; k++) {
+            (void)snprintf(made_up[k].instance.s, NAME_SIZE, "x%d-%d", i, k);
+        }
+        cluster_inject(cl, "e9", leader, &m);
+    }
+    CU_ASSERT_TRUE(control_view(cl->nodes[leader].control).followers <= 1024);
+    cluster_poll(cl, leader);
+    cluster_run(cl, SEC);
+    CU_ASSERT_EQUAL(cl->follower_has, 1);
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* A message of one kind with the same number in all fields that matter. */
 static struct msg
 forged(enum msg_kind kind, uint64_t n)
@@ -683,7 +847,7 @@
 {
     int at = (int)cluster_draw(cl, (uint64_t)cl->n);
 
-    switch (cluster_draw(cl, 10)) {
+    switch (cluster_draw(cl, 13)) {
     case 0:
     case 1:
         cluster_crash(cl, at);
@@ -702,6 +866,13 @@
         cl->nodes[at].cut = false;
         break;
     case 8:
+        cl->nodes[at].paused = true;
+        break;
+    case 9:
+    case 10:
+        cl->nodes[at].paused = false;
+        break;
+    case 11:
         for (int i = 0; i < cl->n; i++) {
             cluster_crash(cl, i);
         }
@@ -713,6 +884,7 @@
         cl->loss = (unsigned int)cluster_draw(cl, 300);
         cl->doubled = (unsigned int)cluster_draw(cl, 200);
         cl->delay_us = (int64_t)cluster_draw(cl, 60000) + 1000;
+        cl->sync_us = (int64_t)cluster_draw(cl, 300000) + 1000;
         break;
     }
 }
@@ -721,7 +893,7 @@
 all_voters(const struct cluster *cl)
 {
     for (int i = 0; i < cl->n; i++) {
-        if (cl->nodes[i].control == NULL ||
+        if (cl->nodes[i].control == NULL || cl->nodes[i].paused ||
             !control_view(cl->nodes[i].control).voter) {
             return false;
         }
@@ -791,6 +963,7 @@
     cl->loss = 0;
     for (int i = 0; i < cl->n; i++) {
         cl->nodes[i].cut = false;
+        cl->nodes[i].paused = false;
         cluster_start(cl, i);
     }
     cluster_run(cl, 10 * SEC);
@@ -927,12 +1100,20 @@
     check_add("control", "deaf_member_does_not_disturb",
               deaf_member_does_not_disturb);
     check_add("control", "lost_disk_does_not_vote", lost_disk_does_not_vote);
+    check_add("control", "majority_lost_and_recovered",
+              majority_lost_and_recovered);
     check_add("control", "members_join_by_snapshot", members_join_by_snapshot);
     check_add("control", "cut_off_leader_steps_down",
               cut_off_leader_steps_down);
+    check_add("control", "slow_disks_keep_the_leader",
+              slow_disks_keep_the_leader);
+    check_add("control", "paused_leader_wakes", paused_leader_wakes);
     check_add("control", "planned_stop_hands_over", planned_stop_hands_over);
     check_add("control", "forged_messages_change_nothing",
               forged_messages_change_nothing);
+    check_add("control", "reads_share_rounds", reads_share_rounds);
+    check_add("control", "reported_followers_do_not_crowd_out",
+              reported_followers_do_not_crowd_out);
     check_add("control", "random_schedules", random_schedules);
     check_add("control", "wrong_decisions_are_noticed",
               wrong_decisions_are_noticed);
