Split the leader's, the follower's and the entry instances' parts of control

Change: receive.c takes what replicate.c sends; apply.c applies what is committed; followers.c serves entry instances. No decision changed. Conclusion: one job a file.

--- /dev/null
+++ b/src/apply.c
@@ -0,0 +1,126 @@
+#include <string.h>
+#include <syslog.h>
+
+#include "control_state.h"
+
+void
+apply_save_snapshot(struct control *c, struct blob *state, uint64_t index,
+                    uint64_t term, bool discard)
+{
+    struct ce_snapshot *e =
+        &control_effects_add(c->fx, CE_SNAPSHOT)->u.snapshot;
+
+    e->index = index;
+    e->term = term;
+    e->state = blob_ref(state);
+    e->discard = discard;
+    blob_unref(c->snapshot);
+    c->snapshot = state;
+    c->snapshot_index = index;
+    c->snapshot_term = term;
+    c->snapshot_seq = control_next_seq(c);
+    c->bytes_since = 0;
+    c->dirty = true;
+    c->counters.snapshots++;
+}
+
+static void
+apply_publish(struct control *c, const struct rec_log_entry *e,
+              const struct rec_publish *p)
+{
+    struct fsm_outcome o;
+    struct rec_publish anew = *p;
+
+    if (c->opts.breaks[CONTROL_BREAK_FORGET_REQUESTS]) {
+        anew.request_id.lo ^= e->index;
+        anew.base_version = c->fsm.version;
+    }
+    o = fsm_publish(&c->fsm, e->index, e->term, &anew);
+    if (o.result == CONTROL_OK && !o.resend) {
+        c->counters.published++;
+        control_log(c, LOG_NOTICE, CONTROL_REASON_PUBLISHED, p->publisher,
+                    "version %llu: %s", (unsigned long long)c->fsm.version,
+                    p->summary != NULL ? p->summary->data : "");
+    }
+    else if (o.result != CONTROL_OK) {
+        c->counters.refused++;
+        control_log(c, LOG_NOTICE, CONTROL_REASON_REFUSED, p->publisher,
+                    "base version %llu: %s",
+                    (unsigned long long)p->base_version,
+                    control_result_slug(o.result));
+    }
+    serve_applied(c, e->index, e->term, &o);
+}
+
+static void
+apply_entry(struct control *c, const struct rec_log_entry *e)
+{
+    struct fsm_outcome o = {.result = CONTROL_OK};
+    struct msg m = {0};
+    bool sound = e->data != NULL &&
+                 wire_decode(e->data->data, e->data->size, &m) == WIRE_OK;
+
+    if (e->kind == LOG_KIND_NOOP) {
+        return;
+    }
+    if (sound && e->kind == LOG_KIND_PUBLISH && m.kind == MSG_PUBLISH) {
+        apply_publish(c, e, &m.u.publish);
+    }
+    else if (sound && e->kind == LOG_KIND_MEMBERS &&
+             m.kind == MSG_MEMBERSHIP) {
+        fsm_set_members(&c->fsm, &m.u.membership);
+        control_log(c, LOG_NOTICE, CONTROL_REASON_MEMBERS, c->opts.self,
+                    "%zu members", m.u.membership.n_members);
+        serve_applied(c, e->index, e->term, &o);
+    }
+    else {
+        control_log(c, LOG_ERR, CONTROL_REASON_BAD_ENTRY, c->opts.self,
+                    "entry %llu is ignored", (unsigned long long)e->index);
+    }
+    msg_free(&m);
+}
+
+static void
+make_snapshot(struct control *c)
+{
+    bool due = c->applied - c->snapshot_index >= c->opts.snapshot_entries ||
+               c->bytes_since >= c->opts.snapshot_bytes;
+    uint64_t term = clog_term(&c->log, c->applied);
+    struct blob *state;
+
+    if (!due || c->snapshot_seq > c->saved) {
+        return;
+    }
+    state = fsm_encode(&c->fsm, c->applied, term);
+    apply_save_snapshot(c, state, c->applied, term, false);
+    control_log(c, LOG_INFO, CONTROL_REASON_SNAPSHOT, c->opts.self,
+                "at %llu, %zu bytes", (unsigned long long)c->applied,
+                state->size);
+}
+
+void
+apply_committed(struct control *c)
+{
+    while (c->applied < c->commit) {
+        const struct rec_log_entry *e = clog_at(&c->log, c->applied + 1);
+
+        c->applied++;
+        c->bytes_since += e->data != NULL ? e->data->size : 0;
+        apply_entry(c, e);
+    }
+    if ((c->role == CONTROL_LEADER && c->applied >= c->first_of_term) ||
+        (c->serve_index > 0 && c->applied >= c->serve_index) ||
+        c->opts.breaks[CONTROL_BREAK_SERVE_AFTER_RESTART]) {
+        c->serving = true;
+    }
+    make_snapshot(c);
+}
+
+void
+apply_saved(struct control *c)
+{
+    if (c->snapshot_seq <= c->saved &&
+        c->snapshot_index > c->log.base + c->opts.trail) {
+        clog_drop(&c->log, c->snapshot_index - c->opts.trail);
+    }
+}
--- a/src/control.c
+++ b/src/control.c
@@ -295,13 +295,13 @@
         election_on_hand_over(c, from, &m->u.hand_over);
         break;
     case MSG_APPEND:
-        replicate_on_append(c, from, &m->u.append);
+        receive_append(c, from, &m->u.append);
         break;
     case MSG_APPEND_REPLY:
         replicate_on_reply(c, from, &m->u.append_reply);
         break;
     case MSG_SNAPSHOT:
-        replicate_on_snapshot(c, from, &m->u.snapshot);
+        receive_snapshot(c, from, &m->u.snapshot);
         break;
     case MSG_SNAPSHOT_REPLY:
         replicate_on_snapshot_reply(c, from, &m->u.snapshot_reply);
@@ -313,7 +313,7 @@
         serve_on_read_reply(c, from, &m->u.read_reply);
         break;
     case MSG_FOLLOWERS:
-        serve_on_followers(c, from, &m->u.followers);
+        followers_on_report(c, from, &m->u.followers);
         break;
     default:
         break;
@@ -333,7 +333,7 @@
     const char *fault = "has no business here";
 
     if (m->kind == MSG_CONFIG_REQUEST) {
-        serve_on_config_request(c, from, &m->u.config_request);
+        followers_on_request(c, from, &m->u.config_request);
         return;
     }
     if (between_members(m->kind)) {
@@ -359,7 +359,7 @@
     release_held(c);
     election_count(c);
     replicate_advance(c);
-    replicate_saved(c);
+    apply_saved(c);
 }
 
 static struct progress *
@@ -440,7 +440,7 @@
         replicate_heartbeat(c);
         leave_lead(c);
     }
-    serve_tick(c);
+    followers_tick(c);
 }
 
 static void
@@ -541,9 +541,9 @@
         start(c);
     }
     route(c, ev);
-    replicate_apply(c);
+    apply_committed(c);
     serve_reads(c);
-    serve_followers(c);
+    followers_serve(c);
     tell_stopped(c);
     if (c->dirty) {
         c->seq++;
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -2,8 +2,10 @@
  * DOC: control_state - what the parts of the control reducer share
  *
  * control.c routes events; election.c decides who leads; replicate.c carries
- * the log and snapshots; quorum.c knows the members and counts them; serve.c
- * answers operators and followers; control_dump.c shows it all.
+ * the log and snapshots to the others, receive.c takes them from the leader;
+ * apply.c applies what is committed; quorum.c knows the members and counts
+ * them; serve.c answers operators, followers.c entry instances; control_dump.c
+ * shows it all.
  */
 #ifndef BM_CONTROL_STATE_H
 #define BM_CONTROL_STATE_H
@@ -249,23 +251,37 @@
 /** replicate_heartbeat() - a new round to all */
 void replicate_heartbeat(struct control *c);
 void replicate_start_leading(struct control *c);
-void replicate_on_append(struct control *c, struct name from,
-                         const struct rec_append *a);
 void replicate_on_reply(struct control *c, struct name from,
                         const struct rec_append_reply *r);
-void replicate_on_snapshot(struct control *c, struct name from,
-                           const struct rec_snapshot *s);
 void replicate_on_snapshot_reply(struct control *c, struct name from,
                                  const struct rec_snapshot_reply *r);
 
 /** replicate_advance() - the leader looks for newly committed entries */
 void replicate_advance(struct control *c);
 
-/** replicate_apply() - applies what is committed; makes snapshots */
-void replicate_apply(struct control *c);
+/** replicate_add() - adds entries to the log, in memory and on the disk; takes
+ * no references */
+void replicate_add(struct control *c, const struct rec_log_entry *entries,
+                   size_t n);
 
-/** replicate_saved() - drops what a durable snapshot holds */
-void replicate_saved(struct control *c);
+/* receive.c */
+void receive_append(struct control *c, struct name from,
+                    const struct rec_append *a);
+void receive_snapshot(struct control *c, struct name from,
+                      const struct rec_snapshot *s);
+
+/* apply.c */
+
+/** apply_committed() - applies what is committed; makes snapshots */
+void apply_committed(struct control *c);
+
+/** apply_save_snapshot() - takes over @state, the state at that position;
+ * @discard: the log behind it goes, too */
+void apply_save_snapshot(struct control *c, struct blob *state, uint64_t index,
+                         uint64_t term, bool discard);
+
+/** apply_saved() - drops what a durable snapshot holds */
+void apply_saved(struct control *c);
 
 /* serve.c */
 void serve_publish(struct control *c, const struct cev_publish *p);
@@ -279,7 +295,6 @@
 
 /** serve_reads() - answers reads that are confirmed by now */
 void serve_reads(struct control *c);
-void serve_tick(struct control *c);
 
 /** serve_busy() - whether an operator still waits for an entry */
 bool serve_busy(const struct control *c);
@@ -288,13 +303,20 @@
                          const struct rec_read_index *r);
 void serve_on_read_reply(struct control *c, struct name from,
                          const struct rec_read_reply *r);
-void serve_on_config_request(struct control *c, struct name from,
-                             const struct rec_config_request *r);
-void serve_on_followers(struct control *c, struct name from,
-                        const struct rec_followers *f);
 
-/** serve_followers() - answers long polls that a newer version meets */
-void serve_followers(struct control *c);
+/* followers.c */
+
+void followers_on_request(struct control *c, struct name from,
+                          const struct rec_config_request *r);
+void followers_on_report(struct control *c, struct name from,
+                         const struct rec_followers *f);
+
+/** followers_serve() - answers long polls that a newer version meets */
+void followers_serve(struct control *c);
+
+/** followers_tick() - answers polls that are due, reports to the leader, asks
+ * it whether this member may serve */
+void followers_tick(struct control *c);
 
 /* control_dump.c */
 
--- /dev/null
+++ b/src/followers.c
@@ -0,0 +1,249 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_state.h"
+#include "delta.h"
+
+enum {
+    FOLLOWERS_MAX = 1024,         /* entry instances known */
+    REPORT_US = 10 * 1000 * 1000, /* between reports without any change */
+};
+
+/* The place of a follower that was only reported, by others.  Whatever they
+ * report, one that asks here itself must find room: it would not get any
+ * configuration otherwise. */
+static struct follower *
+place_of_reported(struct control *c)
+{
+    for (size_t i = 0; i < c->n_followers; i++) {
+        if (!c->followers[i].direct) {
+            return &c->followers[i];
+        }
+    }
+    return NULL;
+}
+
+static struct follower *
+add_follower(struct control *c)
+{
+    struct follower *f =
+        realloc(c->followers, (c->n_followers + 1) * sizeof(*f));
+
+    if (f == NULL) {
+        abort();
+    }
+    c->followers = f;
+    return &c->followers[c->n_followers++];
+}
+
+static struct follower *
+find_follower(struct control *c, struct name name, bool direct)
+{
+    struct follower *f = NULL;
+
+    for (size_t i = 0; i < c->n_followers; i++) {
+        if (name_equal(c->followers[i].info.instance, name)) {
+            c->followers[i].direct |= direct;
+            return &c->followers[i];
+        }
+    }
+    if (c->n_followers < FOLLOWERS_MAX) {
+        f = add_follower(c);
+    }
+    else if (direct) {
+        f = place_of_reported(c);
+    }
+    if (f != NULL) {
+        memset(f, 0, sizeof(*f));
+        f->info.instance = name;
+        f->heard_us = INT64_MIN;
+        f->direct = direct;
+    }
+    return f;
+}
+
+static struct follower *
+note_follower(struct control *c, const struct rec_follower *info,
+              struct name via, bool direct)
+{
+    struct follower *f = find_follower(c, info->instance, direct);
+    int64_t age = info->age_us < INT64_C(1) << 40 ? (int64_t)info->age_us
+                                                  : INT64_C(1) << 40;
+
+    if (f == NULL || f->heard_us > c->now.mono_us - age) {
+        return f;
+    }
+    if (f->info.version != info->version ||
+        f->info.incarnation != info->incarnation) {
+        c->followers_changed = true;
+    }
+    f->info = *info;
+    f->heard_us = c->now.mono_us - age;
+    f->via = via;
+    f->here = name_equal(via, c->opts.self);
+    return f;
+}
+
+void
+followers_on_request(struct control *c, struct name from,
+                     const struct rec_config_request *r)
+{
+    struct rec_follower info = {
+        .instance = from,
+        .zone = r->zone,
+        .incarnation = r->incarnation,
+        .version = r->have_version,
+    };
+    struct follower *f = note_follower(c, &info, c->opts.self, true);
+
+    if (f == NULL) {
+        return;
+    }
+    f->polling = true;
+    f->have = r->have_version;
+    f->takes_delta = r->takes_delta != 0;
+    f->poll_us = c->now.mono_us + c->opts.poll_us;
+    for (size_t i = 0; i < r->n_members && i < INSTANCES_MAX; i++) {
+        (void)note_follower(c, &r->members[i], c->opts.self, false);
+    }
+}
+
+void
+followers_on_report(struct control *c, struct name from,
+                    const struct rec_followers *list)
+{
+    if (quorum_member(c, from) == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < list->n_followers && i < FOLLOWERS_MAX; i++) {
+        (void)note_follower(c, &list->followers[i], from, false);
+    }
+}
+
+static void
+fill_delta(struct control *c, struct rec_config_reply *r,
+           const struct follower *f, struct blob *text_now)
+{
+    struct blob *old = fsm_text(&c->fsm, f->have);
+    struct delta d;
+
+    if (!f->takes_delta || f->have == 0 || old == NULL) {
+        r->config = blob_ref(text_now);
+        return;
+    }
+    d = delta_make(old, text_now);
+    r->from_version = f->have;
+    r->prefix = d.prefix;
+    r->suffix = d.suffix;
+    r->config = d.middle;
+    c->counters.deltas_sent++;
+}
+
+static void
+send_config(struct control *c, struct follower *f)
+{
+    struct msg m = {.kind = MSG_CONFIG_REPLY};
+    struct rec_config_reply *r = &m.u.config_reply;
+    const struct rec_publication *p = fsm_version(&c->fsm, c->fsm.version);
+
+    r->version = c->fsm.version;
+    r->term = p->term;
+    r->digest = p->digest;
+    fill_delta(c, r, f, fsm_text(&c->fsm, c->fsm.version));
+    f->polling = false;
+    c->counters.configs_sent++;
+    control_send(c, f->info.instance, &m, 0);
+}
+
+static void
+send_nothing_newer(struct control *c, struct follower *f)
+{
+    struct msg m = {.kind = MSG_CONFIG_REPLY};
+
+    m.u.config_reply.version = f->have;
+    f->polling = false;
+    control_send(c, f->info.instance, &m, 0);
+}
+
+/* After a restart the member knows what its disk holds, but not which of it is
+ * committed, and perhaps less than it served before.  Until it has applied
+ * what was committed when the leader answered it, it serves nobody: a follower
+ * that restarted too would otherwise get an older version than it had. */
+void
+followers_serve(struct control *c)
+{
+    if (!c->serving) {
+        return;
+    }
+    for (size_t i = 0; i < c->n_followers; i++) {
+        struct follower *f = &c->followers[i];
+
+        if (f->polling && f->have < c->fsm.version) {
+            send_config(c, f);
+        }
+    }
+}
+
+static void
+report_followers(struct control *c)
+{
+    struct msg m = {.kind = MSG_FOLLOWERS};
+    struct rec_followers *list = &m.u.followers;
+
+    if (name_empty(c->leader) || c->role == CONTROL_LEADER ||
+        (!c->followers_changed && c->now.mono_us < c->report_us)) {
+        return;
+    }
+    c->followers_changed = false;
+    c->report_us = c->now.mono_us + REPORT_US;
+    list->followers = calloc(c->n_followers + 1, sizeof(*list->followers));
+    if (list->followers == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < c->n_followers; i++) {
+        struct follower *f = &c->followers[i];
+
+        if (f->here) {
+            f->info.age_us = (uint64_t)(c->now.mono_us - f->heard_us);
+            list->followers[list->n_followers++] = f->info;
+        }
+    }
+    if (list->n_followers == 0) {
+        msg_free(&m);
+        return;
+    }
+    control_send(c, c->leader, &m, 0);
+}
+
+static void
+ask_to_serve(struct control *c)
+{
+    struct msg m = {.kind = MSG_READ_INDEX};
+
+    if (c->serving || c->serve_index > 0 || name_empty(c->leader) ||
+        c->role == CONTROL_LEADER) {
+        return;
+    }
+    m.u.read_index.nonce = c->serve_nonce;
+    control_send(c, c->leader, &m, c->hard_seq);
+}
+
+void
+followers_tick(struct control *c)
+{
+    for (size_t i = c->n_followers; i > 0; i--) {
+        struct follower *f = &c->followers[i - 1];
+
+        /* One that cannot serve yet stays silent: the follower asks another.
+         */
+        if (c->serving && f->polling && c->now.mono_us >= f->poll_us) {
+            send_nothing_newer(c, f);
+        }
+        if (c->now.mono_us - f->heard_us > c->opts.follower_us) {
+            c->n_followers--;
+            *f = c->followers[c->n_followers];
+        }
+    }
+    report_followers(c);
+    ask_to_serve(c);
+}
