Give no vote from a folder that was founded again

Change: a founded folder that never got an entry votes only for one like it, and says so in the log. Conclusion: narrower, not closed: two members that never got an entry could still elect each other. The price: a region that loses one of three members in its first seconds, before the third was reached, waits for it.

--- a/src/control_effect.h
+++ b/src/control_effect.h
@@ -84,6 +84,7 @@
     CONTROL_REASON(MEMBERS, "members-changed")                                \
     CONTROL_REASON(PROMOTED, "learner-promoted")                              \
     CONTROL_REASON(OTHER_DISK, "member-with-other-disk")                      \
+    CONTROL_REASON(FOUNDED, "founded-without-vote")                           \
     CONTROL_REASON(SNAPSHOT, "snapshot-made")                                 \
     CONTROL_REASON(INSTALLED, "snapshot-installed")                           \
     CONTROL_REASON(CUT, "log-tail-replaced")                                  \
--- a/src/election.c
+++ b/src/election.c
@@ -138,6 +138,25 @@
     campaign(c, false, true, term + 1);
 }
 
+/* A folder founded just now has nothing in it.  All founders' first logs are
+ * alike; a candidate with more shows that the region has lived already, and
+ * that this folder may stand for a disk that was lost and founded again by
+ * mistake.  It then waits for a leader that was elected without it. */
+static bool
+founded_late(struct control *c, struct name from, const struct rec_vote *v)
+{
+    bool empty = clog_last(&c->log) == CONTROL_FOUNDING_INDEX &&
+                 clog_last_term(&c->log) == CONTROL_FOUNDING_TERM;
+    bool late = empty && v->last_index > CONTROL_FOUNDING_INDEX &&
+                !c->opts.breaks[CONTROL_BREAK_COUNT_ANY_DISK];
+
+    if (late) {
+        control_log(c, LOG_WARNING, CONTROL_REASON_FOUNDED, from,
+                    "no vote from an empty folder; was its disk lost?");
+    }
+    return late;
+}
+
 static bool
 up_to_date(const struct control *c, const struct rec_vote *v)
 {
@@ -196,7 +215,7 @@
 void
 election_on_vote(struct control *c, struct name from, const struct rec_vote *v)
 {
-    if (leader_is_there(c, v)) {
+    if (leader_is_there(c, v) || founded_late(c, from, v)) {
         return;
     }
     if (v->pre != 0) {
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -464,6 +464,47 @@
     storage_close(s);
 }
 
+static struct blob *
+founding(const struct cluster *cl)
+{
+    struct rec_control_member members[CLUSTER_NODES] = {0};
+    struct rec_membership m = {members, (size_t)cl->n};
+
+    for (int i = 0; i < cl->n; i++) {
+        members[i].name = node_name(i);
+        members[i].address = address_of("127.0.0.1:1");
+        members[i].http = address_of("127.0.0.1:2");
+        members[i].voter = 1;
+        members[i].disk =
+            control_founding_disk(name_of(REGION), members[i].name);
+    }
+    return control_founding_state(&m);
+}
+
+static void
+format(struct cluster *cl, int i)
+{
+    struct blob *state = founding(cl);
+    struct storage_options o;
+    char detail[DETAIL_SIZE];
+
+    cl->nodes[i].disk_id =
+        control_founding_disk(name_of(REGION), node_name(i));
+    o = disk_options(cl, i);
+    if (storage_format(&o, CONTROL_FOUNDING_INDEX, CONTROL_FOUNDING_TERM,
+                       state, detail) != STORAGE_OK) {
+        abort();
+    }
+    blob_unref(state);
+}
+
+void
+cluster_found_again(struct cluster *cl, int i)
+{
+    cluster_wipe(cl, i);
+    format(cl, i);
+}
+
 /* Time. */
 static size_t
 next_flight(const struct cluster *cl)
@@ -706,29 +747,10 @@
 }
 
 /* Construction. */
-static struct blob *
-founding(const struct cluster *cl)
-{
-    struct rec_control_member members[CLUSTER_NODES] = {0};
-    struct rec_membership m = {members, (size_t)cl->n};
-
-    for (int i = 0; i < cl->n; i++) {
-        members[i].name = node_name(i);
-        members[i].address = address_of("127.0.0.1:1");
-        members[i].http = address_of("127.0.0.1:2");
-        members[i].voter = 1;
-        members[i].disk =
-            control_founding_disk(name_of(REGION), members[i].name);
-    }
-    return control_founding_state(&m);
-}
-
 struct cluster *
 cluster_new(int n, uint64_t seed, const bool *breaks)
 {
     struct cluster *cl = calloc(1, sizeof(*cl));
-    struct blob *state;
-    char detail[DETAIL_SIZE];
 
     if (cl == NULL) {
         abort();
@@ -745,27 +767,17 @@
     if (breaks != NULL) {
         memcpy(cl->options.breaks, breaks, sizeof(cl->options.breaks));
     }
-    state = founding(cl);
     cl->options.n_known = (size_t)n;
     for (int i = 0; i < n; i++) {
         cl->options.known[i] = node_name(i);
     }
     for (int i = 0; i < n; i++) {
-        struct storage_options o;
-
         cl->nodes[i].name = node_name(i);
         cl->nodes[i].deaf_to = CLUSTER_NODES;
         cl->nodes[i].disk = fault_disk_new();
-        cl->nodes[i].disk_id =
-            control_founding_disk(name_of(REGION), node_name(i));
-        o = disk_options(cl, i);
-        if (storage_format(&o, CONTROL_FOUNDING_INDEX, CONTROL_FOUNDING_TERM,
-                           state, detail) != STORAGE_OK) {
-            abort();
-        }
+        format(cl, i);
         cluster_start(cl, i);
     }
-    blob_unref(state);
     return cl;
 }
 
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -103,6 +103,9 @@
 /** cluster_wipe() - its disk is replaced by an empty one, while it is down */
 void cluster_wipe(struct cluster *cl, int node);
 
+/** cluster_found_again() - its empty disk is made a founder's, by mistake */
+void cluster_found_again(struct cluster *cl, int node);
+
 /** cluster_recover() - makes a member that is down the only one */
 void cluster_recover(struct cluster *cl, int node);
 
--- a/tests/control_test.c
+++ b/tests/control_test.c
@@ -499,6 +499,36 @@
     cluster_free(cl);
 }
 
+/* After a disk was lost, somebody founds the empty folder as on the first day.
+ * It then has the identity that the members know.  It must not elect the
+ * member that was cut off, and still be filled by the others' leader. */
+static void
+founded_again_by_mistake(void)
+{
+    struct cluster *cl = cluster_new(3, 11, NULL);
+    int a = cluster_await_leader(cl);
+    int b = (a + 1) % 3;
+    int c = (a + 2) % 3;
+
+    cluster_run(cl, 5 * SEC);
+    cl->nodes[c].cut = true;
+    for (uint64_t r = 1; r <= 3; r++) {
+        publish_until_accepted(cl, r);
+    }
+    cluster_crash(cl, a);
+    cluster_found_again(cl, a);
+    cl->nodes[b].cut = true;
+    cl->nodes[c].cut = false;
+    cluster_start(cl, a);
+    cluster_run(cl, 60 * SEC);
+    CU_ASSERT_TRUE(cluster_leader(cl) < 0);
+    cl->nodes[b].cut = false;
+    check_recovers(cl, 100);
+    CU_ASSERT_EQUAL(version_of(cl, a), 4);
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* Two of three disks are lost, the second right after the first was replaced.
  * No majority is left that knows what was confirmed.  From the member that is
  * left, operators go on; its versions must be above all that instances have,
@@ -1100,6 +1130,7 @@
     check_add("control", "deaf_member_does_not_disturb",
               deaf_member_does_not_disturb);
     check_add("control", "lost_disk_does_not_vote", lost_disk_does_not_vote);
+    check_add("control", "founded_again_by_mistake", founded_again_by_mistake);
     check_add("control", "majority_lost_and_recovered",
               majority_lost_and_recovered);
     check_add("control", "members_join_by_snapshot", members_join_by_snapshot);
