--- a/src/jobs.c
+++ b/src/jobs.c
@@ -314,9 +314,11 @@
         job_answer_begin(job->n_tasks, JOB_COMPLETE, REASON_COMPLETED);
 
     for (uint32_t i = 0; i < job->n_tasks; i++) {
+        uint32_t from = MUTANT(e, MIX_RESULTS) ? job->n_tasks - 1 - i : i;
+
         a->tasks[i].state = TASK_RAN;
         a->tasks[i].ok = job->tasks[i].ok;
-        a->tasks[i].result = blob_ref(job->tasks[i].result);
+        a->tasks[i].result = blob_ref(job->tasks[from].result);
     }
     dispatch_forget(e, job);
     job_end(e, job, a);
@@ -333,9 +335,6 @@
         e->counters.outcomes_dropped++;
         return;
     }
-    if (MUTANT(e, IN_ORDER) && index > 0) {
-        index = job->n_ended; /* as if outcomes came in order */
-    }
     t = &job->tasks[index];
     t->phase = TASK_ENDED;
     t->ok = ok;
--- a/src/kind.h
+++ b/src/kind.h
@@ -32,7 +32,7 @@
     MUTANT_KIND(RESTART_LOST, START_ONCE, "start again what went silent")     \
     MUTANT_KIND(VOTE_AT_ONCE, START_ONCE, "vote with claims forgotten")       \
     MUTANT_KIND(ANSWER_EARLY, WHOLE, "answer with the first outcome")         \
-    MUTANT_KIND(IN_ORDER, OWN_ANSWER, "take outcomes as they come")           \
+    MUTANT_KIND(MIX_RESULTS, OWN_ANSWER, "mix the results of a job's tasks")  \
     MUTANT_KIND(FIRST_WAITER, OWN_ANSWER, "answer one of those who wait")     \
     MUTANT_KIND(SENT_NOT_RUN, NOT_RUN, "tell sent tasks as not run")          \
     MUTANT_KIND(UNCLAIMED_NOT_RUN, NOT_RUN, "tell unclaimed jobs as not run") \
