--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -30,6 +30,7 @@
     struct control *control; /* NULL while it is down */
     bool cut;                /* reaches nobody */
     int deaf_to; /* hears nothing from that one; CLUSTER_NODES: none */
+    bool paused; /* stopped, with all it has still before it */
     struct control_effect work[CLUSTER_OPERATIONS]; /* for the disk */
     size_t n_work;
     int64_t work_us; /* when the first of it is done */
@@ -65,6 +66,7 @@
     unsigned int loss;    /* of 1000 messages */
     unsigned int doubled; /* of 1000 messages */
     int64_t delay_us;     /* most a message takes */
+    int64_t sync_us;      /* most a sync takes */
     uint64_t steps;       /* steps of reducers and operations of disks */
     uint64_t kill_at;     /* crash whoever takes that step; 0 never */
     struct answer answers[CLUSTER_REQUESTS];
@@ -101,6 +103,9 @@
 /** cluster_wipe() - its disk is replaced by an empty one, while it is down */
 void cluster_wipe(struct cluster *cl, int node);
 
+/** cluster_recover() - makes a member that is down the only one */
+void cluster_recover(struct cluster *cl, int node);
+
 /** cluster_publish() - request @r, with the request id of that number and a
  * text made of it */
 void cluster_publish(struct cluster *cl, int node, uint64_t r, uint64_t base,
