Split holders out of upstream.c

Change: they move to holder.c/.h as struct holders, unchanged but for names; upstreams_wake_at() becomes public for the timer both share.

--- a/src/entry.c
+++ b/src/entry.c
@@ -11,6 +11,7 @@
 #include "entry_state.h"
 #include "explain.h"
 #include "follow.h"
+#include "holder.h"
 #include "jobs.h"
 #include "member.h"
 #include "slot.h"
@@ -170,6 +171,7 @@
     e->claims = claims_new(e);
     e->jobs = jobs_new(e);
     e->upstreams = upstreams_new(e);
+    e->holders = holders_new();
     e->slots = slots_new(e);
     e->dispatch = dispatch_new(e);
     e->follow = follow_new(e);
@@ -200,6 +202,7 @@
     dispatch_free(e->dispatch);
     slots_free(e->slots);
     upstreams_free(e->upstreams);
+    holders_free(e->holders);
     jobs_free(e->jobs);
     claims_free(e->claims);
     members_free(e->members);
@@ -236,7 +239,7 @@
     if (gap >= e->opts.claim_window_us / WINDOW_SHARE) {
         e->wary_until_us = e->now.mono_us + STALE_REQUESTS_US;
     }
-    upstreams_let_go(e);
+    holders_let_go(e);
     members_paused(e);
 }
 
@@ -339,7 +342,7 @@
         return;
     }
     e->stopped_told = true;
-    upstreams_let_go(e);
+    holders_let_go(e);
     (void)effects_add(e->fx, EF_STOPPED);
 }
 
@@ -375,7 +378,7 @@
         upstreams_on_leave(e, &ev->u.announce);
         break;
     case EV_FENCED:
-        upstreams_on_fenced(e, &ev->u.fenced);
+        holders_on_fenced(e, &ev->u.fenced);
         break;
     case EV_TASK_ENDED:
         dispatch_on_ended(e, &ev->u.ended);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -33,6 +33,7 @@
 struct claims;
 struct jobs;
 struct upstreams;
+struct holders;
 struct slots;
 struct dispatch;
 struct follow;
@@ -55,6 +56,7 @@
     struct claims *claims;
     struct jobs *jobs;
     struct upstreams *upstreams;
+    struct holders *holders;
     struct slots *slots;
     struct dispatch *dispatch;
     struct follow *follow;
--- /dev/null
+++ b/src/holder.c
@@ -0,0 +1,294 @@
+#include "holder.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+#include <xxhash.h>
+
+#include "dispatch.h"
+#include "health.h"
+#include "map.h"
+#include "member.h"
+#include "table.h"
+
+enum {
+    EPOCH_HOLDER_BITS = 8,  /* low bits of an epoch name its holder */
+    FENCE_BACKOFF_MAX = 16, /* times the first backoff */
+};
+
+#define FENCE_BACKOFF_US (250 * USEC_PER_MSEC)
+
+/** struct fence_call - a fence on its way */
+struct fence_call {
+    uint64_t call; /* first: looked up by it */
+    struct handle self;
+    struct handle upstream;
+    uint64_t epoch;
+};
+
+struct holders {
+    struct table fences;
+    struct map fence_by_call;
+};
+
+struct holders *
+holders_new(void)
+{
+    struct holders *hs = calloc(1, sizeof(*hs));
+
+    if (hs == NULL) {
+        abort();
+    }
+    table_init(&hs->fences, sizeof(struct fence_call));
+    map_init(&hs->fence_by_call, MAP_U64);
+    return hs;
+}
+
+void
+holders_free(struct holders *hs)
+{
+    if (hs == NULL) {
+        return;
+    }
+    map_clear(&hs->fence_by_call);
+    table_clear(&hs->fences);
+    free(hs);
+}
+
+/* Picking */
+
+static bool
+may_hold(const struct entry *e, const struct member *m)
+{
+    if (m->self) {
+        return !e->stopping;
+    }
+    return m->up && !m->stopping && name_equal(m->zone, e->zone);
+}
+
+static uint64_t
+rendezvous_weight(struct name upstream, struct name member)
+{
+    uint64_t seed = XXH3_64bits(member.s, strlen(member.s));
+
+    return XXH3_64bits_withSeed(upstream.s, strlen(upstream.s), seed);
+}
+
+/** pick_holder() - the member of the zone that should hold an upstream: the
+ * one with the highest weight among those that may; NULL if none may */
+static const struct member *
+pick_holder(const struct entry *e, struct name upstream)
+{
+    const struct member *best = NULL;
+    const struct member *m;
+    uint64_t best_weight = 0;
+    size_t at = 0;
+
+    while ((m = members_next(e, &at)) != NULL) {
+        uint64_t weight;
+
+        if (!may_hold(e, m)) {
+            continue;
+        }
+        weight = rendezvous_weight(upstream, m->name);
+        if (best == NULL || weight > best_weight) {
+            best = m;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+static uint64_t
+self_number(const struct entry *e)
+{
+    uint64_t number = 0;
+
+    for (size_t i = 0; i < e->opts.n_peers; i++) {
+        if (strcmp(e->opts.peers[i].name.s, e->opts.self.s) < 0) {
+            number++;
+        }
+    }
+    return number;
+}
+
+/** next_epoch() - above every epoch known; its low bits are the number of
+ * this instance, so two instances that fence at once never use the same one
+ * and the upstream can tell which is the later */
+static uint64_t
+next_epoch(const struct entry *e, uint64_t known)
+{
+    uint64_t count = (known >> EPOCH_HOLDER_BITS) + 1;
+
+    return (count << EPOCH_HOLDER_BITS) | self_number(e);
+}
+
+static void
+send_fence(struct entry *e, struct upstream *u)
+{
+    struct holders *hs = e->holders;
+    struct handle h;
+    struct fence_call *c = table_add(&hs->fences, &h);
+    struct ef_fence *f = &effects_add(e->fx, EF_FENCE)->u.fence;
+
+    c->self = h;
+    c->call = entry_new_call(e);
+    c->upstream = u->self;
+    c->epoch = next_epoch(e, u->info.epoch);
+    map_put(&hs->fence_by_call, c);
+    u->fencing = true;
+    f->call = c->call;
+    f->upstream = u->name;
+    f->address = u->info.address;
+    f->incarnation = u->info.incarnation;
+    f->epoch = c->epoch;
+    e->counters.fences_sent++;
+}
+
+void
+holders_pick(struct entry *e, struct upstream *u)
+{
+    const struct member *picked;
+
+    if (u->held || u->fencing || u->info.leaving ||
+        e->opts.placement != PLACE_HOLDER) {
+        return;
+    }
+    picked = pick_holder(e, u->name);
+    if (picked == NULL || !picked->self) {
+        return;
+    }
+    if (u->fence_retry_us > e->now.mono_us) {
+        upstreams_wake_at(e, u->fence_retry_us);
+        return;
+    }
+    send_fence(e, u);
+}
+
+void
+holders_drop(struct entry *e, struct upstream *u)
+{
+    if (!u->held) {
+        return;
+    }
+    u->held = false;
+    entry_log(e, LOG_INFO, REASON_HOLDER_LOST, NULL, -1, u->name,
+              "epoch %llu, now %s", (unsigned long long)u->info.epoch,
+              name_empty(u->info.holder) ? "nobody" : u->info.holder.s);
+}
+
+/** back_off() - two instances that each believe the other is down would take
+ * an upstream from one another without end, each time with starts refused
+ * that had been sent under the older epoch.  Growing, jittered pauses leave
+ * the later one in peace for longer each time. */
+static void
+back_off(struct entry *e, struct upstream *u)
+{
+    int64_t us;
+
+    if (u->fence_failures < FENCE_BACKOFF_MAX) {
+        u->fence_failures++;
+    }
+    us = FENCE_BACKOFF_US * u->fence_failures;
+    u->fence_retry_us = e->now.mono_us + entry_jitter(e, us);
+    upstreams_wake_at(e, u->fence_retry_us);
+}
+
+static void
+on_held(struct entry *e, struct upstream *u, const struct ev_fenced *ev,
+        uint64_t epoch)
+{
+    uint32_t known = u->running;
+
+    u->held = true;
+    u->fence_failures = 0;
+    u->info.epoch = epoch;
+    u->info.holder = e->opts.self;
+    u->foreign = ev->running > known ? ev->running - known : 0;
+    health_taken(e, u);
+    entry_log(e, LOG_INFO, REASON_HOLDER_TAKEN, NULL, -1, u->name,
+              "epoch %llu, %u running there", (unsigned long long)epoch,
+              ev->running);
+    upstreams_tell(e, u);
+    dispatch_upstream_changed(e, u);
+}
+
+void
+holders_on_fenced(struct entry *e, const struct ev_fenced *ev)
+{
+    struct holders *hs = e->holders;
+    struct fence_call *c = map_remove(&hs->fence_by_call, &ev->call);
+    struct upstream *u;
+    uint64_t epoch;
+
+    if (c == NULL) {
+        return;
+    }
+    u = upstreams_of(e, c->upstream);
+    epoch = c->epoch;
+    table_remove(&hs->fences, c->self);
+    if (u == NULL) {
+        return;
+    }
+    u->fencing = false;
+    if (ev->outcome == FENCE_OK && epoch > u->info.epoch) {
+        on_held(e, u, ev, epoch);
+        return;
+    }
+    if (ev->outcome == FENCE_STALE && ev->epoch > u->info.epoch) {
+        u->info.epoch = ev->epoch;
+        u->info.holder = name_of("");
+    }
+    back_off(e, u);
+}
+
+/* What others say and do */
+
+void
+holders_stale(struct entry *e, struct upstream *u)
+{
+    if (!u->held) {
+        return;
+    }
+    holders_drop(e, u);
+    u->info.holder = name_of("");
+    dispatch_upstream_changed(e, u);
+    back_off(e, u);
+}
+
+void
+holders_let_go(struct entry *e)
+{
+    struct upstream *u;
+    uint32_t at = 0;
+
+    while ((u = upstreams_next(e, &at)) != NULL) {
+        if (!u->held) {
+            continue;
+        }
+        u->info.holder = name_of("");
+        holders_drop(e, u);
+        dispatch_upstream_changed(e, u);
+        upstreams_tell(e, u);
+        u->fence_retry_us = e->now.mono_us + FENCE_BACKOFF_US;
+        upstreams_wake_at(e, u->fence_retry_us);
+    }
+}
+
+void
+holders_learn(struct entry *e, struct upstream *u,
+              const struct rec_upstream_info *info)
+{
+    if (info->epoch > u->info.epoch) {
+        u->info.epoch = info->epoch;
+        u->info.holder = info->holder;
+        if (u->held) {
+            holders_drop(e, u);
+            back_off(e, u);
+        }
+        dispatch_upstream_changed(e, u);
+    }
+    else if (info->epoch == u->info.epoch && !u->held) {
+        u->info.holder = info->holder;
+    }
+}
--- a/src/start.c
+++ b/src/start.c
@@ -6,6 +6,7 @@
 
 #include "explain.h"
 #include "health.h"
+#include "holder.h"
 #include "quota.h"
 #include "slot.h"
 #include "timers.h"
@@ -375,7 +376,7 @@
         slots_close(e, p);
     }
     else if (u != NULL && u->held && u->info.epoch == s->epoch) {
-        upstreams_stale(e, u);
+        holders_stale(e, u);
     }
 }
 
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -1,10 +1,5 @@
 /**
- * DOC: upstream - announced upstreams, their holders and their slots
- *
- * Within a zone each upstream has one holder: the up, non-stopping member that
- * rendezvous hashing picks.  It takes over with a fence: a PUT to the upstream
- * with an epoch above every one seen, after which the upstream refuses starts
- * under lower ones.  The fence, not a clock, keeps a paused old holder out.
+ * DOC: upstream - announced upstreams and their slots
  */
 #ifndef BM_UPSTREAM_H
 #define BM_UPSTREAM_H
@@ -39,23 +34,15 @@
 
 void upstreams_on_announce(struct entry *e, const struct ev_announce *ev);
 void upstreams_on_leave(struct entry *e, const struct ev_announce *ev);
-void upstreams_on_fenced(struct entry *e, const struct ev_fenced *ev);
 void upstreams_on_drain(struct entry *e, const struct ev_drain *ev);
 void upstreams_on_news(struct entry *e, struct name from,
                        const struct rec_upstream_news *news);
 void upstreams_on_renewed(struct entry *e, const struct rec_upstream_ref *refs,
                           size_t n);
 
-/** upstreams_stale() - a start was refused under this epoch: the hold and
- * what was lent under it are over */
-void upstreams_stale(struct entry *e, struct upstream *u);
-
 /** upstreams_members_changed() - holders are picked anew */
 void upstreams_members_changed(struct entry *e);
 
-/** upstreams_let_go() - drops every hold at once, after a pause or on stop */
-void upstreams_let_go(struct entry *e);
-
 /** upstreams_free_slots() - free slots for the service on held upstreams */
 uint32_t upstreams_free_slots(const struct entry *e, struct name service);
 
@@ -69,6 +56,9 @@
 /** upstreams_tell() - passes what is known of it to the zone */
 void upstreams_tell(struct entry *e, const struct upstream *u);
 
+/** upstreams_wake_at() - upstreams_tick() has work at that monotonic time */
+void upstreams_wake_at(struct entry *e, int64_t us);
+
 void upstreams_tick(struct entry *e);
 int64_t upstreams_next_us(const struct entry *e);
 
