Drop services that nobody offers or uses, and bound unknown ones

Cause: dispatch made a record for every service name an upstream or another instance ever named, and freed none before its end. An upstream that names another service at each restart, or a hostile one, made an instance grow without bound.

Change: a record lives while it has a configuration, upstreams, jobs in the queue's books, tasks in flight, places (holds and loans) or open requests for slots. The rest are dropped at the end of a step once there are twice as many as last kept, so the cost per record is constant and no timer is needed. Announcements may name at most 1024 services without a configuration; past that they get 503 with Retry-After, while a configured service or one with upstreams is always taken. News from other instances is not bounded: each instance bounds what it takes itself, and skipping an upstream of which the holder must know would leave it without one.

Not measured: memory of a process under such an upstream.

Conclusion: the number of records is bounded. The number of upstreams that announce themselves is not; that is left.

Ruled out: dropping at the moment an upstream goes (the queue or a task in flight may outlive it, and each such end would need its own check).

--- a/src/borrow.c
+++ b/src/borrow.c
@@ -403,6 +403,28 @@
     return s->borrowing->next_us;
 }
 
+bool
+borrow_busy(const struct entry *e, const struct service_state *s)
+{
+    const struct borrowing *b = s->borrowing;
+    int64_t now = e->now.mono_us;
+
+    for (size_t i = 0; b != NULL && i < b->n_lenders; i++) {
+        const struct lender *l = &b->lenders[i];
+
+        if (l->waits_us > now ||
+            (l->request != 0 && l->asked_us + REPLY_US > now)) {
+            return true;
+        }
+    }
+    for (size_t i = 0; b != NULL && i < b->n_waits; i++) {
+        if (b->waits[i].ends_us > now) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Being asked */
 
 static struct slot_wait *
--- a/src/borrow.h
+++ b/src/borrow.h
@@ -53,4 +53,7 @@
 /** borrow_next_us() - when to ask again */
 int64_t borrow_next_us(const struct service_state *s);
 
+/** borrow_busy() - whether a request of ours or another's is still open */
+bool borrow_busy(const struct entry *e, const struct service_state *s);
+
 #endif
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -36,6 +36,7 @@
     d->lends = lends_new();
     d->unblock_us = INT64_MAX;
     d->retry_tokens = TOKENS_START;
+    d->sweep_at = SERVICES_START;
     return d;
 }
 
@@ -106,6 +107,59 @@
     return s;
 }
 
+static bool
+in_use(const struct entry *e, const struct service_state *s)
+{
+    return s->conf != NULL || s->upstreams > 0 || s->jobs > 0 ||
+           s->running > 0 || s->pool.n > 0 || borrow_busy(e, s);
+}
+
+/** sweep() - upstreams and other instances name services as they like, and
+ * each name leaves a record: without this an instance would grow until it is
+ * killed.  Doubling the bound each time keeps the cost of a record constant.
+ * Called where nothing but records in use points to a service. */
+static void
+sweep(struct entry *e)
+{
+    struct dispatch *d = e->dispatch;
+    size_t kept = 0;
+
+    if (d->n_services < d->sweep_at) {
+        return;
+    }
+    for (size_t i = 0; i < d->n_services; i++) {
+        struct service_state *s = d->services[i];
+
+        if (in_use(e, s)) {
+            d->services[kept++] = s;
+        }
+        else {
+            (void)map_remove(&d->by_name, &s->name);
+            free_service(s);
+        }
+    }
+    d->n_services = kept;
+    d->sweep_at = kept > SERVICES_START / 2 ? 2 * kept : SERVICES_START;
+}
+
+bool
+dispatch_room_for(const struct entry *e, struct name service)
+{
+    const struct dispatch *d = e->dispatch;
+    const struct service_state *s = dispatch_find(e, service);
+    size_t unknown = 0;
+
+    if ((s != NULL && s->upstreams > 0) ||
+        config_service(e->config, service) != NULL) {
+        return true;
+    }
+    for (size_t i = 0; i < d->n_services; i++) {
+        s = d->services[i];
+        unknown += s->conf == NULL && s->upstreams > 0 ? 1 : 0;
+    }
+    return unknown < UNKNOWN_SERVICES_MAX;
+}
+
 void
 dispatch_wake(struct entry *e, struct service_state *s)
 {
@@ -199,6 +253,7 @@
     q->class =
         admit_class(learn_sum_us(&s->learned, job->n_tasks, declared_us));
     job->queue_place = q;
+    s->jobs++;
     (void)e;
     return q;
 }
@@ -210,6 +265,7 @@
 
     if (q != NULL) {
         queue_remove(&q->service->queue, q);
+        q->service->jobs--;
         free(q);
         job->queue_place = NULL;
     }
@@ -414,6 +470,7 @@
 {
     struct dispatch *d = e->dispatch;
 
+    sweep(e);
     if (!d->dirty) {
         return;
     }
@@ -469,7 +526,11 @@
         if (u->place != NULL) {
             slots_close(e, u->place);
         }
+        if (u->service != NULL) {
+            u->service->upstreams--;
+        }
         u->service = s;
+        s->upstreams++;
     }
     if (!ours(e, u) && u->place != NULL) {
         slots_close(e, u->place);
@@ -495,6 +556,8 @@
     slots_upstream_gone(e, u);
     if (u->service != NULL) {
         u->service->capacity = 0;
+        u->service->upstreams--;
+        u->service = NULL;
     }
 }
 
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -56,6 +56,11 @@
 /** dispatch_run() - places what can be placed; called at the end of a step */
 void dispatch_run(struct entry *e);
 
+/** dispatch_room_for() - whether an upstream of that service may be announced:
+ * one that has a configuration or other upstreams, or there are not too many
+ * without */
+bool dispatch_room_for(const struct entry *e, struct name service);
+
 /** dispatch_loads() - fills @loads for a heartbeat; returns their number */
 size_t dispatch_loads(const struct entry *e, struct rec_load **loads);
 
--- a/src/dispatch_state.h
+++ b/src/dispatch_state.h
@@ -23,8 +23,9 @@
 struct borrowing;
 
 enum {
-    WORK_CLASSES = 48
-}; /* of queued jobs, by powers of two of their work */
+    WORK_CLASSES = 48, /* of queued jobs, by powers of two of their work */
+    UNKNOWN_SERVICES_MAX = 1024, /* announced without a configuration */
+};
 
 /** struct class_work - queued tasks and what they were declared to take */
 struct class_work {
@@ -43,6 +44,8 @@
  * @learned: run times
  * @pool: where tasks may be started
  * @borrowing: of borrow.c
+ * @upstreams: whose record points here
+ * @jobs: with an entry in the queue's books
  * @queued: tasks
  * @classes: what is queued, by class of the job's work
  * @running: tasks in flight from here
@@ -60,6 +63,8 @@
     struct learned learned;
     struct pool pool;
     struct borrowing *borrowing;
+    uint32_t upstreams;
+    uint32_t jobs;
     uint32_t queued;
     struct class_work classes[WORK_CLASSES];
     uint32_t running;
@@ -73,6 +78,7 @@
     struct service_state **services;
     size_t n_services;
     size_t room;
+    size_t sweep_at; /* services, at which unused ones are dropped */
     struct starts *starts;
     struct quotas *quotas;
     struct lends *lends;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -287,6 +287,11 @@
         entry_refuse(e, ev->request, PROBLEM_BAD_ANNOUNCE, 0, error);
         return;
     }
+    if (!dispatch_room_for(e, info.service)) {
+        entry_refuse(e, ev->request, PROBLEM_OVERLOADED, e->opts.renew_us,
+                     "too many services without a configuration");
+        return;
+    }
     info.epoch = 0;
     info.holder = name_of("");
     info.quarantined = 0;
--- a/tests/upstream_test.c
+++ b/tests/upstream_test.c
@@ -1,5 +1,8 @@
 /* Announcements, holders, fences, and slots lent between instances. */
+#include <stdio.h>
+
 #include "check.h"
+#include "dispatch_state.h"
 #include "one_entry.h"
 
 #define RUN_US (100 * USEC_PER_MSEC)
@@ -459,6 +462,99 @@
     one_free(o);
 }
 
+static struct rec_upstream_info
+upstream_of_service(const char *name, int service)
+{
+    struct rec_upstream_info info = one_upstream(name);
+    char text[NAME_SIZE];
+
+    (void)snprintf(text, sizeof(text), "s%d", service);
+    info.service = name_of(text);
+    return info;
+}
+
+/* An upstream with a faulty start script announces another service each time
+ * it restarts, say one with the process id in its name.  Each left a record
+ * behind, and after weeks the instance was out of memory. */
+static void
+services_nobody_offers_are_forgotten(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+
+    for (int i = 0; i < 2000; i++) {
+        struct rec_upstream_info info = upstream_of_service("u", i);
+
+        info.incarnation = (uint64_t)(i + 1) / 2 + 1; /* each twice */
+        one_announce(o, info);
+        one_clear(o);
+    }
+    CU_ASSERT(o->e->dispatch->n_services < 50);
+    CU_ASSERT_EQUAL(map_count(&o->e->dispatch->by_name),
+                    o->e->dispatch->n_services);
+    one_free(o);
+}
+
+/* The same while a task of a service runs on: its upstream is gone and
+ * control has removed it, but the end of the task is still to be counted.
+ * The record would be read after it was freed. */
+static void
+service_with_a_running_task_is_kept(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+    struct event ev = {.kind = EV_CONFIG};
+    struct rec_upstream_info info = one_upstream("u");
+    uint64_t call;
+
+    one_announce(o, info);
+    (void)one_submit(o, "a", 1, RUN_US);
+    call = one_get(o, EF_START, 0)->u.start.call;
+    o->config.version = 2;
+    o->config.services = &o->services[1];
+    o->config.n_services = 1;
+    ev.u.config = &o->config;
+    one_step(o, &ev);
+    for (int i = 0; i < 100; i++) {
+        info = upstream_of_service("u", i);
+        info.incarnation = (uint64_t)i + 2;
+        one_announce(o, info);
+    }
+    CU_ASSERT(dispatch_find(o->e, name_of("camp")) != NULL);
+    one_end(o, call, START_DONE, true);
+    CU_ASSERT_EQUAL(entry_gauges(o->e).tasks_running, 0);
+    for (int i = 100; i < 200; i++) {
+        info = upstream_of_service("u", i);
+        info.incarnation = (uint64_t)i + 2;
+        one_announce(o, info);
+    }
+    CU_ASSERT(dispatch_find(o->e, name_of("camp")) == NULL);
+    one_free(o);
+}
+
+/* A hostile process announces one upstream after another, each with a service
+ * of its own, and keeps them all alive.  The instance grew until it was killed
+ * for memory, with all its jobs.  Services that control knows are not held up
+ * by it. */
+static void
+unknown_services_are_bounded(void)
+{
+    struct one *o = one_new(&(struct one_options){0});
+    const struct effect *f;
+    char name[NAME_SIZE];
+
+    for (int i = 0; i < UNKNOWN_SERVICES_MAX + 100; i++) {
+        (void)snprintf(name, sizeof(name), "u%d", i);
+        one_clear(o);
+        one_announce(o, upstream_of_service(name, i));
+    }
+    f = one_get(o, EF_PROBLEM, 0);
+    CU_ASSERT(f != NULL && f->u.problem.problem == PROBLEM_OVERLOADED &&
+              f->u.problem.retry_after_us > 0);
+    CU_ASSERT(o->e->dispatch->n_services <= UNKNOWN_SERVICES_MAX + 2);
+    CU_ASSERT(last_announced(o, upstream_of_service("v", 0)) == NULL);
+    CU_ASSERT(last_announced(o, one_upstream("w")) == NULL);
+    one_free(o);
+}
+
 #define ADD(test) check_add("upstream", #test, test)
 
 void
@@ -481,4 +577,7 @@
     ADD(borrowed_slots_are_used_and_returned);
     ADD(recalled_slots_return_at_once);
     ADD(stale_grant_is_dropped);
+    ADD(services_nobody_offers_are_forgotten);
+    ADD(service_with_a_running_task_is_kept);
+    ADD(unknown_services_are_bounded);
 }
