--- a/src/job_caller.c
+++ b/src/job_caller.c
@@ -123,14 +123,16 @@
  * costs four to seven messages just then.  A key issued a moment ago was not
  * submitted before, so its job can be refused without asking; an older or a
  * bare key may have a job running elsewhere, whose answer its caller shall
- * get however full this instance is. */
+ * get however full this instance is.  With direct placement more jobs missed
+ * their deadlines this way (docs/design/claims.md). */
 static bool
 refuse_early(struct entry *e, struct job *job)
 {
     struct ef_problem p = {.problem = PROBLEM_OVERLOADED, .not_by_this = true};
     struct admission a;
 
-    if (job->key.issued_us + FRESH_US < e->now.wall_us) {
+    if (e->opts.placement != PLACE_HOLDER ||
+        job->key.issued_us + FRESH_US < e->now.wall_us) {
         return false;
     }
     a = dispatch_admit(e, job);
