Read address lists and sleep in one place

Cause: caller.c and opclient.c read lists of addresses with the same code, and four files slept each in its own way; opclient's pause ended early on a signal.

Change: fetch_add_urls() and clock_sleep() serve all of them. Without memory for a list the process ends, as elsewhere; before, it said so.

--- a/src/bm_demo.c
+++ b/src/bm_demo.c
@@ -72,10 +72,7 @@
 static void
 sleep_ms(int64_t ms)
 {
-    struct timespec t = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000};
-
-    while (nanosleep(&t, &t) != 0 && errno == EINTR) {
-    }
+    clock_sleep(ms * USEC_PER_MSEC);
 }
 
 static int64_t
--- a/src/caller.c
+++ b/src/caller.c
@@ -1,11 +1,11 @@
 #include "caller.h"
 
-#include <errno.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
+
+#include "clock.h"
 
 struct caller {
     struct caller_options o;
@@ -14,16 +14,6 @@
     uint64_t random;
 };
 
-static void
-sleep_us(int64_t us)
-{
-    struct timespec t = {.tv_sec = us / USEC_PER_SEC,
-                         .tv_nsec = us % USEC_PER_SEC * 1000};
-
-    while (nanosleep(&t, &t) != 0 && errno == EINTR) {
-    }
-}
-
 struct caller *
 caller_new(const struct caller_options *o)
 {
@@ -39,7 +29,7 @@
     c->o = *o;
     c->random = o->seed | 1;
     if (c->o.wait == NULL) {
-        c->o.wait = sleep_us;
+        c->o.wait = clock_sleep;
     }
     c->fetch = fetch_new();
     if (c->fetch == NULL) {
@@ -180,20 +170,7 @@
 const char *
 caller_add_entries(struct caller_options *o, const char *list)
 {
-    char *copy = strdup(list);
-    char *save = NULL;
-    const char *wrong = copy != NULL ? NULL : "out of memory";
-
-    for (char *word = copy != NULL ? strtok_r(copy, ", ", &save) : NULL;
-         word != NULL && wrong == NULL; word = strtok_r(NULL, ", ", &save)) {
-        if (o->n_entries == CALLER_ENTRIES_MAX ||
-            !fetch_base_url(word, o->entries[o->n_entries], ADDRESS_SIZE)) {
-            wrong = "at most 32 entry addresses of at most 63 bytes";
-        }
-        else {
-            o->n_entries++;
-        }
-    }
-    free(copy);
-    return wrong;
+    return fetch_add_urls(o->entries, &o->n_entries, CALLER_ENTRIES_MAX, list)
+               ? NULL
+               : "at most 32 entry addresses of at most 63 bytes";
 }
--- a/src/clock.c
+++ b/src/clock.c
@@ -1,5 +1,6 @@
 #include "clock.h"
 
+#include <errno.h>
 #include <time.h>
 
 static int64_t
@@ -28,6 +29,16 @@
     return &real;
 }
 
+void
+clock_sleep(int64_t us)
+{
+    struct timespec t = {.tv_sec = us / USEC_PER_SEC,
+                         .tv_nsec = us % USEC_PER_SEC * 1000};
+
+    while (nanosleep(&t, &t) != 0 && errno == EINTR) {
+    }
+}
+
 struct moment
 clock_now(const struct clock *c)
 {
--- a/src/clock.h
+++ b/src/clock.h
@@ -36,6 +36,9 @@
  * leases still run. */
 const struct clock *clock_real(void);
 
+/** clock_sleep() - by the machine's clock, for at least @us */
+void clock_sleep(int64_t us);
+
 /** clock_now() - the time by that clock */
 struct moment clock_now(const struct clock *c);
 
--- a/src/fake_server.c
+++ b/src/fake_server.c
@@ -12,6 +12,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "clock.h"
 #include "fake_record.h"
 #include "log.h"
 
@@ -48,16 +49,6 @@
                              const char *rest, const struct incoming *in);
 };
 
-static void
-sleep_us(int64_t us)
-{
-    struct timespec t = {.tv_sec = us / USEC_PER_SEC,
-                         .tv_nsec = us % USEC_PER_SEC * 1000};
-
-    while (nanosleep(&t, &t) != 0 && errno == EINTR) {
-    }
-}
-
 static void
 record(struct fake_server *s, enum fake_event event, const char *task,
        uint64_t epoch, const char *detail)
@@ -213,7 +204,7 @@
 {
     count_silent(s, true);
     for (int ms = 0; ms < SILENCE_MS && !stopping(s); ms += WAIT_STEP_MS) {
-        sleep_us(WAIT_STEP_MS * USEC_PER_MSEC);
+        clock_sleep(WAIT_STEP_MS * USEC_PER_MSEC);
     }
     count_silent(s, false);
 }
@@ -294,7 +285,7 @@
     json_t *result;
     char *text;
 
-    sleep_us(work->run_us);
+    clock_sleep(work->run_us);
     result = json_pack("{s:o, s:s}", "echo", work->echo, "upstream", name->s);
     text = json_dumps(result, JSON_COMPACT);
     pthread_mutex_lock(&s->lock);
@@ -654,7 +645,7 @@
 fake_server_drain(struct fake_server *s, int64_t quiet_us)
 {
     while (!quiet(s, quiet_us)) {
-        sleep_us(WAIT_STEP_MS * USEC_PER_MSEC);
+        clock_sleep(WAIT_STEP_MS * USEC_PER_MSEC);
     }
 }
 
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -229,6 +229,26 @@
     return n > 0 && (size_t)n < size;
 }
 
+bool
+fetch_add_urls(char (*urls)[ADDRESS_SIZE], size_t *n, size_t max,
+               const char *list)
+{
+    char *copy = strdup(list);
+    char *save = NULL;
+    bool fits = true;
+
+    if (copy == NULL) {
+        abort();
+    }
+    for (char *word = strtok_r(copy, ", ", &save); word != NULL && fits;
+         word = strtok_r(NULL, ", ", &save)) {
+        fits = *n < max && fetch_base_url(word, urls[*n], ADDRESS_SIZE);
+        *n += fits ? 1 : 0;
+    }
+    free(copy);
+    return fits;
+}
+
 static bool
 unreserved(char c)
 {
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -91,6 +91,12 @@
  * it is.  Returns false when it does not fit. */
 bool fetch_base_url(const char *address, char *out, size_t size);
 
+/** fetch_add_urls() - appends the addresses of a list with commas between
+ * them, as base URLs, to the @n that @urls has.  Returns false when there are
+ * more than @max or one does not fit; @urls then has those before. */
+bool fetch_add_urls(char (*urls)[ADDRESS_SIZE], size_t *n, size_t max,
+                    const char *list);
+
 /** fetch_escape() - writes a text as a segment of a path (RFC 3986), cut where
  * it does not fit */
 void fetch_escape(const char *text, char *out, size_t size);
--- a/src/opclient.c
+++ b/src/opclient.c
@@ -3,7 +3,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "clock.h"
 
@@ -138,14 +137,6 @@
              reply->status != 503));
 }
 
-static void
-pause_ms(int64_t ms)
-{
-    struct timespec t = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000};
-
-    (void)nanosleep(&t, NULL);
-}
-
 static int64_t
 pause_after(const struct fetch_reply *reply)
 {
@@ -177,28 +168,15 @@
         }
         fetch_reply_clear(reply);
         c->at = (c->at + 1) % c->o.n_addresses;
-        pause_ms(wait_ms);
+        clock_sleep(wait_ms * USEC_PER_MSEC);
     }
 }
 
 const char *
 opclient_add_addresses(struct opclient_options *o, const char *list)
 {
-    char *copy = strdup(list);
-    char *save = NULL;
-    const char *wrong = copy != NULL ? NULL : "out of memory";
-
-    for (char *word = copy != NULL ? strtok_r(copy, ", ", &save) : NULL;
-         word != NULL && wrong == NULL; word = strtok_r(NULL, ", ", &save)) {
-        if (o->n_addresses == OPCLIENT_ADDRESSES_MAX ||
-            !fetch_base_url(word, o->addresses[o->n_addresses],
-                            ADDRESS_SIZE)) {
-            wrong = "at most 16 addresses of at most 63 bytes";
-        }
-        else {
-            o->n_addresses++;
-        }
-    }
-    free(copy);
-    return wrong;
+    return fetch_add_urls(o->addresses, &o->n_addresses,
+                          OPCLIENT_ADDRESSES_MAX, list)
+               ? NULL
+               : "at most 16 addresses of at most 63 bytes";
 }
