Grow arrays in one place

Cause: effect.c, dispatch.c and slot.c (and control_effect.c) each double an array and end the process without memory.

Left: vnet_grow() and some fifteen other realloc() calls, most of which grow by one or turn a failure into an error of their own.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -5,6 +5,7 @@
 #include <syslog.h>
 
 #include "admit.h"
+#include "array.h"
 #include "borrow.h"
 #include "dispatch_state.h"
 #include "lend.h"
@@ -91,12 +92,9 @@
         return s;
     }
     s = calloc(1, sizeof(*s));
-    if (d->n_services == d->room) {
-        d->room = d->room == 0 ? SERVICES_START : 2 * d->room;
-        d->services = realloc((void *)d->services,
-                              d->room * sizeof(struct service_state *));
-    }
-    if (s == NULL || d->services == NULL) {
+    d->services = array_grow((void *)d->services, d->n_services, &d->room,
+                             sizeof(struct service_state *));
+    if (s == NULL) {
         abort();
     }
     s->name = name;
--- a/src/effect.c
+++ b/src/effect.c
@@ -3,23 +3,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { EFFECTS_START = 16 };
+#include "array.h"
 
 struct effect *
 effects_add(struct effects *fx, enum effect_kind kind)
 {
     struct effect *f;
 
-    if (fx->n == fx->room) {
-        size_t room = fx->room == 0 ? EFFECTS_START : fx->room * 2;
-        struct effect *items = realloc(fx->items, room * sizeof(*items));
-
-        if (items == NULL) {
-            abort();
-        }
-        fx->items = items;
-        fx->room = room;
-    }
+    fx->items = array_grow(fx->items, fx->n, &fx->room, sizeof(*f));
     f = &fx->items[fx->n++];
     memset(f, 0, sizeof(*f));
     f->kind = kind;
--- a/src/slot.c
+++ b/src/slot.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "array.h"
 #include "borrow.h"
 #include "dispatch.h"
 #include "lend.h"
@@ -120,13 +121,7 @@
 {
     struct backs *b = backs_of(e->slots, p->lender);
 
-    if (b->n == b->room) {
-        b->room = b->room == 0 ? 8 : 2 * b->room;
-        b->items = realloc(b->items, b->room * sizeof(*b->items));
-        if (b->items == NULL) {
-            abort();
-        }
-    }
+    b->items = array_grow(b->items, b->n, &b->room, sizeof(*b->items));
     b->items[b->n++] = (struct rec_slot_back){.grant = p->grant,
                                               .slots = slots,
                                               .failed = p->failures,
