Share the command line, signals and settings reading of daemons

Cause: bm_entry.c and bm_control.c, and the two settings modules, hold the same code for arguments, signals, the main thread's wait and the reading of their file. None of the signal handling had a test.

A new suite tests the wait: a dump and a stop, a further signal during a stop, an end by itself.

Not run: bm-entry as a whole process under signals.

--- a/src/bm_entry.c
+++ b/src/bm_entry.c
@@ -3,73 +3,58 @@
  * that --check finds right), 1 when it can't start, 2 for a mistake on the
  * command line, 3 for a mistake in the settings or the service files.
  */
-#include <popt.h>
-#include <signal.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <time.h>
 
+#include "daemon.h"
 #include "entry_settings.h"
 #include "log.h"
 #include "servicefile.h"
 
 enum {
-    EXIT_USAGE = 2,
-    EXIT_SETTINGS = 3,
     LOOK_MS = 10, /* between looks whether a stop is complete */
 };
 
 struct arguments {
-    int version;
-    int check;
-    int settings;
+    struct daemon_arguments common;
     int new_region;
-    const char *file;
 };
 
-/* Every thread inherits the mask; the main thread takes them one by one. */
-static sigset_t
-block_signals(void)
+/** struct serving - what runs, and since when it stops */
+struct serving {
+    struct runtime *runtime;
+    int64_t grace_us;
+    int64_t since_us;
+};
+
+static void
+dump(void *user)
 {
-    sigset_t set;
-
-    (void)sigemptyset(&set);
-    (void)sigaddset(&set, SIGTERM);
-    (void)sigaddset(&set, SIGINT);
-    (void)sigaddset(&set, SIGUSR1);
-    (void)pthread_sigmask(SIG_BLOCK, &set, NULL);
-    (void)signal(SIGPIPE, SIG_IGN);
-    return set;
+    const struct serving *v = user;
+
+    runtime_dump(v->runtime);
 }
 
-static void
-serve(struct runtime *r, const sigset_t *set)
+static bool
+stopped(void *user)
 {
-    for (;;) {
-        int number = sigwaitinfo(set, NULL);
-
-        if (number == SIGUSR1) {
-            runtime_dump(r);
-        }
-        else if (number > 0) {
-            return;
-        }
-    }
+    const struct serving *v = user;
+
+    return runtime_stopped(v->runtime) &&
+           clock_now(clock_real()).mono_us >= v->since_us + v->grace_us;
 }
 
 static void
-stop(struct runtime *r, const sigset_t *set, int64_t grace_ms)
+serve(struct serving *v)
 {
-    const struct timespec look = {.tv_nsec = LOOK_MS * 1000000L};
-    int64_t since_us = clock_now(clock_real()).mono_us;
-
-    runtime_stop(r);
-    while (!runtime_stopped(r) || clock_now(clock_real()).mono_us <
-                                      since_us + grace_ms * USEC_PER_MSEC) {
-        if (sigtimedwait(set, NULL, &look) == SIGUSR1) {
-            runtime_dump(r);
-        }
-    }
+    struct daemon_wait w = {.dump = dump, .user = v};
+
+    daemon_wait(&w);
+    v->since_us = clock_now(clock_real()).mono_us;
+    runtime_stop(v->runtime);
+    w.over = stopped;
+    w.look_ms = LOOK_MS;
+    w.stopping = true;
+    daemon_wait(&w);
 }
 
 static struct config *
@@ -93,50 +78,50 @@
 run(struct entry_settings *s, struct config *config)
 {
     struct runtime_options *o = &s->runtime;
-    sigset_t set = block_signals();
-    struct runtime *r;
+    struct serving v = {.grace_us = s->stop_grace_ms * USEC_PER_MSEC};
 
+    daemon_block_signals();
     o->clock = clock_real();
     o->entry.incarnation = (uint64_t)clock_now(o->clock).wall_us;
     o->entry.seed = o->entry.incarnation ^ key_id_of(o->entry.self.s).lo;
     o->peers.incarnation = o->entry.incarnation;
     log_setup(o->entry.self.s, s->log_level, o->clock);
-    r = runtime_new(o);
-    if (r == NULL) {
+    v.runtime = runtime_new(o);
+    if (v.runtime == NULL) {
         config_free(config);
         return EXIT_FAILURE;
     }
     if (config != NULL) {
-        runtime_configure(r, config);
+        runtime_configure(v.runtime, config);
     }
     log_event(LOG_NOTICE, "serving", o->http.listen.s, "version %s",
               BM_VERSION);
-    serve(r, &set);
-    stop(r, &set, s->stop_grace_ms);
-    runtime_free(r);
+    serve(&v);
+    runtime_free(v.runtime);
     log_event(LOG_NOTICE, "stopped", NULL, "nothing was in progress");
     return EXIT_SUCCESS;
 }
 
 static int
-read_and_run(const struct arguments *a)
+read_and_run(void *user)
 {
-    struct entry_settings *s = entry_settings_read(a->file, stderr);
+    const struct arguments *a = user;
+    struct entry_settings *s = entry_settings_read(a->common.file, stderr);
     struct config *config = NULL;
     int code = EXIT_SUCCESS;
 
     if (s == NULL) {
-        return EXIT_SETTINGS;
+        return DAEMON_EXIT_SETTINGS;
     }
     if (s->services != NULL) {
         config = load_services(s->services);
     }
     if (s->services != NULL && config == NULL) {
-        code = EXIT_SETTINGS;
+        code = DAEMON_EXIT_SETTINGS;
     }
-    else if (a->check) {
+    else if (a->common.check) {
         config_free(config);
-        (void)printf("%s: right\n", a->file);
+        (void)printf("%s: right\n", a->common.file);
     }
     else {
         s->runtime.entry.new_region = a->new_region != 0;
@@ -146,54 +131,22 @@
     return code;
 }
 
-static int
-act(const struct arguments *a, poptContext popt)
-{
-    if (a->version) {
-        (void)printf("bm-entry %s\n", BM_VERSION);
-        return EXIT_SUCCESS;
-    }
-    if (a->settings) {
-        entry_settings_help(stdout);
-        return EXIT_SUCCESS;
-    }
-    if (a->file == NULL || poptPeekArg(popt) != NULL) {
-        poptPrintUsage(popt, stderr, 0);
-        return EXIT_USAGE;
-    }
-    return read_and_run(a);
-}
-
 int
 main(int argc, char **argv)
 {
     struct arguments a = {0};
     const struct poptOption options[] = {
-        {"version", 'V', POPT_ARG_NONE, &a.version, 0, "print the version",
-         NULL},
-        {"check", 'c', POPT_ARG_NONE, &a.check, 0,
-         "only say whether FILE is right", NULL},
-        {"settings", 0, POPT_ARG_NONE, &a.settings, 0,
-         "list every key of FILE with its range and default", NULL},
+        DAEMON_OPTIONS(&a.common),
         {"new-region", 0, POPT_ARG_NONE, &a.new_region, 0,
          "nothing was ever submitted in this region", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
-    poptContext popt =
-        poptGetContext("bm-entry", argc, (const char **)argv, options, 0);
-    int code = EXIT_USAGE;
-    int rc;
-
-    poptSetOtherOptionHelp(popt, "[--check] [--new-region] FILE");
-    rc = poptGetNextOpt(popt);
-    if (rc < -1) {
-        (void)fprintf(stderr, "bm-entry: %s: %s\n",
-                      poptBadOption(popt, POPT_BADOPTION_NOALIAS),
-                      poptStrerror(rc));
-    }
-    else {
-        a.file = poptGetArg(popt);
-        code = act(&a, popt);
-    }
-    poptFreeContext(popt);
-    return code;
+    const struct daemon_program program = {.name = "bm-entry",
+                                           .usage =
+                                               "[--check] [--new-region] FILE",
+                                           .options = options,
+                                           .help = entry_settings_help,
+                                           .run = read_and_run,
+                                           .user = &a};
+
+    return daemon_main(&program, &a.common, argc, argv);
 }
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -223,8 +223,9 @@
 }
 
 static void
-read_values(struct entry_settings *s)
+read_values(void *user)
 {
+    struct entry_settings *s = user;
     struct runtime_options *o = &s->runtime;
     const struct settings *f = s->file;
 
@@ -255,25 +256,13 @@
 entry_settings_read(const char *path, FILE *errors)
 {
     struct entry_settings *s = calloc(1, sizeof(*s));
-    size_t n;
 
-    if (s == NULL) {
-        return NULL;
-    }
-    s->file = settings_read_file(table, TABLE, path);
-    if (s->file == NULL) {
-        free(s);
-        return NULL;
-    }
-    (void)settings_errors(s->file, &n);
-    if (n == 0) {
-        read_values(s);
-        (void)settings_errors(s->file, &n);
-    }
-    if (n > 0) {
-        settings_print_errors(s->file, errors);
+    if (s != NULL &&
+        !settings_load(&s->file,
+                       &(struct settings_load){table, TABLE, read_values, s},
+                       path, errors)) {
         entry_settings_free(s);
-        return NULL;
+        s = NULL;
     }
     return s;
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -588,6 +588,25 @@
     return r.s;
 }
 
+bool
+settings_load(struct settings **file, const struct settings_load *l,
+              const char *path, FILE *errors)
+{
+    size_t n;
+
+    *file = settings_read_file(l->table, l->n, path);
+    if (*file == NULL) {
+        return false;
+    }
+    (void)settings_errors(*file, &n);
+    if (n == 0) {
+        l->take(l->user);
+        (void)settings_errors(*file, &n);
+    }
+    settings_print_errors(*file, errors);
+    return n == 0;
+}
+
 void
 settings_free(struct settings *s)
 {
--- a/src/settings.h
+++ b/src/settings.h
@@ -67,6 +67,23 @@
 struct settings *settings_read_text(const struct setting *table, size_t n,
                                     const char *name, const char *text);
 
+/**
+ * struct settings_load - how a program takes its values
+ * @table: of @n keys
+ * @take: called when the file is right; may add errors
+ */
+struct settings_load {
+    const struct setting *table;
+    size_t n;
+    void (*take)(void *user);
+    void *user;
+};
+
+/** settings_load() - reads a file into *@file and takes its values; returns
+ * false, with every error printed to @errors, where something is wrong */
+bool settings_load(struct settings **file, const struct settings_load *l,
+                   const char *path, FILE *errors);
+
 /** settings_free() - NULL is allowed */
 void settings_free(struct settings *s);
 
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -25,5 +25,6 @@
 SUITE(storage)
 SUITE(control)
 SUITE(operator)
+SUITE(daemon)
 SUITE(matrix)
 /* clang-format on */
