--- a/src/httpd.c
+++ b/src/httpd.c
@@ -1,6 +1,5 @@
 #include "httpd.h"
 
-#include <errno.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,8 +8,8 @@
 
 #include "httpreply.h"
 #include "httprequest.h"
+#include "httpserver.h"
 #include "log.h"
-#include "netaddr.h"
 #include "stats.h"
 
 enum {
@@ -21,14 +20,12 @@
 
 struct httpd {
     struct httpd_options opts;
-    struct MHD_Daemon *daemon;
-    struct netaddr address;
+    struct httpserver server;
     pthread_t watcher;
     atomic_bool stopping;
     atomic_bool ended;
-    atomic_uint in_progress; /* requests whose headers arrived */
-    pthread_mutex_t lock;    /* for what follows */
-    struct table waiting;    /* struct httprequest *, by request number */
+    pthread_mutex_t lock; /* for what follows */
+    struct table waiting; /* struct httprequest *, by request number */
     TAILQ_HEAD(, httprequest) reading; /* bodies on their way, oldest first */
     bool closed; /* no request waits for a reply any more */
 };
@@ -219,7 +216,7 @@
         return MHD_NO;
     }
     *ctx = r;
-    (void)atomic_fetch_add(&h->in_progress, 1);
+    (void)atomic_fetch_add(&h->server.in_progress, 1);
     stats_add(&stats.http_requests, 1);
     r->connection = connection;
     r->begun_us = clock_now(h->opts.clock).mono_us;
@@ -393,28 +390,24 @@
     *ctx = NULL;
     (void)reading_end(h, r);
     httprequest_free(r);
-    (void)atomic_fetch_sub(&h->in_progress, 1);
+    (void)atomic_fetch_sub(&h->server.in_progress, 1);
 }
 
 static bool
-start_daemon(struct httpd *h)
+start_server(struct httpd *h)
 {
     const struct httpd_options *o = &h->opts;
-    unsigned int flags =
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
-
-    if (h->address.sa.ss_family == AF_INET6) {
-        flags |= MHD_USE_IPv6;
-    }
-    errno = 0;
-    h->daemon = MHD_start_daemon(
-        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR,
-        (struct sockaddr *)&h->address.sa, MHD_OPTION_THREAD_POOL_SIZE,
-        o->threads, MHD_OPTION_CONNECTION_LIMIT, o->connections,
-        MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-    return h->daemon != NULL;
+    const struct httpserver_options server = {
+        .listen = o->listen.s,
+        .threads = o->threads,
+        .connections = o->connections,
+        .idle_timeout_s = o->idle_timeout_s,
+        .on_request = on_request,
+        .on_completed = on_completed,
+        .cls = h,
+    };
+
+    return httpserver_start(&h->server, &server);
 }
 
 struct httpd *
@@ -429,15 +422,11 @@
     (void)pthread_mutex_init(&h->lock, NULL);
     table_init(&h->waiting, sizeof(struct httprequest *));
     TAILQ_INIT(&h->reading);
-    if (!netaddr_parse(o->listen.s, &h->address)) {
-        errno = EINVAL;
-        goto fail;
-    }
-    if (!start_daemon(h)) {
+    if (!start_server(h)) {
         goto fail;
     }
     if (pthread_create(&h->watcher, NULL, watcher_run, h) != 0) {
-        MHD_stop_daemon(h->daemon);
+        MHD_stop_daemon(h->server.daemon);
         goto fail;
     }
     return h;
@@ -452,7 +441,7 @@
 httpd_port(const struct httpd *h)
 {
     const union MHD_DaemonInfo *info =
-        MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_BIND_PORT);
+        MHD_get_daemon_info(h->server.daemon, MHD_DAEMON_INFO_BIND_PORT);
 
     return info != NULL ? info->port : 0;
 }
@@ -466,18 +455,7 @@
 bool
 httpd_drain(struct httpd *h, int64_t timeout_ms)
 {
-    MHD_socket listener = MHD_quiesce_daemon(h->daemon);
-
-    for (int64_t waited = 0; waited < timeout_ms; waited++) {
-        if (atomic_load(&h->in_progress) == 0) {
-            break;
-        }
-        (void)usleep(USEC_PER_MSEC);
-    }
-    if (listener != MHD_INVALID_SOCKET) {
-        (void)close(listener);
-    }
-    return atomic_load(&h->in_progress) == 0;
+    return httpserver_drain(&h->server, timeout_ms);
 }
 
 /* A request that waits, whose connection is suspended; NULL when there is
@@ -534,7 +512,7 @@
     refuse_waiting(h);
     atomic_store(&h->ended, true);
     (void)pthread_join(h->watcher, NULL);
-    MHD_stop_daemon(h->daemon);
+    MHD_stop_daemon(h->server.daemon);
     table_clear(&h->waiting);
     (void)pthread_mutex_destroy(&h->lock);
     free(h);
