Keep waiting HTTP requests in one place

Cause: httpd.c and control_http.c number requests that wait for a reply, take them out again and refuse them at the end, each by itself. httpd's copy refuses new ones while it closes and waits for a connection to be suspended before it resumes it; control_http's does neither, so a request that arrives as bm-control ends could leave a connection suspended, for which libmicrohttpd ends the process.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -13,8 +13,7 @@
 #include "stats.h"
 
 enum {
-    LOOK_US = 50 * 1000,   /* between looks at slow bodies */
-    LOOK_SUSPEND_US = 100, /* until a connection is suspended */
+    LOOK_US = 50 * 1000, /* between looks at slow bodies */
     RAW_SIZE = 1024,
 };
 
@@ -24,10 +23,8 @@
     pthread_t watcher;
     atomic_bool stopping;
     atomic_bool ended;
-    pthread_mutex_t lock; /* for what follows */
-    struct table waiting; /* struct httprequest *, by request number */
+    pthread_mutex_t lock;              /* for what follows */
     TAILQ_HEAD(, httprequest) reading; /* bodies on their way, oldest first */
-    bool closed; /* no request waits for a reply any more */
 };
 
 struct httpd_options
@@ -42,19 +39,6 @@
     };
 }
 
-static uint64_t
-id_of(struct handle h)
-{
-    return (uint64_t)h.generation << 32 | h.index;
-}
-
-static struct handle
-handle_of(uint64_t id)
-{
-    return (struct handle){.index = (uint32_t)id,
-                           .generation = (uint32_t)(id >> 32)};
-}
-
 static enum MHD_Result
 queue_reply(struct httpd *h, struct httprequest *r, struct httpreply *reply)
 {
@@ -257,69 +241,24 @@
     return queue_reply(h, r, &reply);
 }
 
-/* False once the server is closing. */
-static bool
-waiting_add(struct httpd *h, struct httprequest *r)
-{
-    struct httprequest **place;
-    bool open;
-
-    (void)pthread_mutex_lock(&h->lock);
-    open = !h->closed;
-    if (open) {
-        place = table_add(&h->waiting, &r->self);
-        *place = r;
-    }
-    (void)pthread_mutex_unlock(&h->lock);
-    return open;
-}
-
-static void
-suspend(struct httpd *h, struct httprequest *r)
-{
-    MHD_suspend_connection(r->connection);
-    (void)pthread_mutex_lock(&h->lock);
-    r->suspended = true;
-    (void)pthread_mutex_unlock(&h->lock);
-}
-
-static struct httprequest *
-waiting_take(struct httpd *h, uint64_t id)
-{
-    struct httprequest **place;
-    struct httprequest *r = NULL;
-
-    (void)pthread_mutex_lock(&h->lock);
-    place = table_get(&h->waiting, handle_of(id));
-    if (place != NULL) {
-        r = *place;
-        table_remove(&h->waiting, handle_of(id));
-    }
-    (void)pthread_mutex_unlock(&h->lock);
-    return r;
-}
-
-/* The connection is suspended before the event is offered: the reply may come
- * before this returns. */
 static enum MHD_Result
 offer_request(struct httpd *h, struct httprequest *r)
 {
     struct httprefusal why = {.problem = PROBLEM_STOPPING};
     struct envelope *e;
-    uint64_t id;
+    uint64_t id = httpserver_wait(&h->server, &r->wait_for_reply, r);
 
-    if (!waiting_add(h, r)) {
+    if (id == 0) {
         return queue_refusal(h, r, &why);
     }
-    id = id_of(r->self);
     e = httprequest_event(r, id, &why);
     if (e == NULL) {
-        (void)waiting_take(h, id);
+        (void)httpserver_take(&h->server, id);
         return queue_refusal(h, r, &why);
     }
     free(r->body);
     r->body = NULL;
-    suspend(h, r);
+    httpserver_suspend(&h->server, &r->wait_for_reply, r->connection);
     if (!h->opts.offer(h->opts.ctx, e)) {
         struct effect full = {.kind = EF_PROBLEM};
 
@@ -364,7 +303,7 @@
 void
 httpd_reply(struct httpd *h, uint64_t request, struct effect *reply)
 {
-    struct httprequest *r = waiting_take(h, request);
+    struct httprequest *r = httpserver_take(&h->server, request);
 
     if (r == NULL) {
         return;
@@ -420,19 +359,18 @@
     }
     h->opts = *o;
     (void)pthread_mutex_init(&h->lock, NULL);
-    table_init(&h->waiting, sizeof(struct httprequest *));
     TAILQ_INIT(&h->reading);
     if (!start_server(h)) {
         goto fail;
     }
     if (pthread_create(&h->watcher, NULL, watcher_run, h) != 0) {
-        MHD_stop_daemon(h->server.daemon);
+        httpserver_stop(&h->server);
         goto fail;
     }
     return h;
 
 fail:
-    table_clear(&h->waiting);
+    (void)pthread_mutex_destroy(&h->lock);
     free(h);
     return NULL;
 }
@@ -458,49 +396,14 @@
     return httpserver_drain(&h->server, timeout_ms);
 }
 
-/* A request that waits, whose connection is suspended; NULL when there is
- * none or it is only just being suspended (@any tells these apart). */
-static const struct httprequest *
-next_suspended(struct httpd *h, bool *any, struct handle *self)
-{
-    uint32_t at = 0;
-    struct httprequest **place;
-    struct httprequest *r;
-
-    (void)pthread_mutex_lock(&h->lock);
-    h->closed = true;
-    place = table_next(&h->waiting, &at, self);
-    r = place != NULL && (*place)->suspended ? *place : NULL;
-    *any = place != NULL;
-    (void)pthread_mutex_unlock(&h->lock);
-    return r;
-}
-
-/* Kept connections go on bringing requests when the reducer has ended.  One
- * that waits for a reply then keeps its connection suspended, and
- * libmicrohttpd aborts the process for it: the planned stop would end as a
- * crash.  So none is let in any more, and each is answered. */
 static void
-refuse_waiting(struct httpd *h)
+refuse_one(void *cls, uint64_t request)
 {
-    struct handle self;
-    struct effect stop;
-    bool any;
-
-    for (;;) {
-        if (next_suspended(h, &any, &self) == NULL) {
-            if (!any) {
-                return;
-            }
-            (void)usleep(LOOK_SUSPEND_US);
-            continue;
-        }
-        memset(&stop, 0, sizeof(stop));
-        stop.kind = EF_PROBLEM;
-        stop.u.problem.problem = PROBLEM_STOPPING;
-        stop.u.problem.not_by_this = true;
-        httpd_reply(h, id_of(self), &stop);
-    }
+    struct effect stop = {.kind = EF_PROBLEM};
+
+    stop.u.problem.problem = PROBLEM_STOPPING;
+    stop.u.problem.not_by_this = true;
+    httpd_reply(cls, request, &stop);
 }
 
 void
@@ -509,11 +412,10 @@
     if (h == NULL) {
         return;
     }
-    refuse_waiting(h);
+    httpserver_close(&h->server, refuse_one, h);
     atomic_store(&h->ended, true);
     (void)pthread_join(h->watcher, NULL);
-    MHD_stop_daemon(h->server.daemon);
-    table_clear(&h->waiting);
+    httpserver_stop(&h->server);
     (void)pthread_mutex_destroy(&h->lock);
     free(h);
 }
--- a/src/httprequest.h
+++ b/src/httprequest.h
@@ -11,8 +11,8 @@
 
 #include "effect.h"
 #include "envelope.h"
+#include "httpserver.h"
 #include "route.h"
-#include "table.h"
 
 /**
  * struct httprequest - a request
@@ -22,12 +22,11 @@
  * @body_due_us: monotonic time by which the body must be there
  * @reading: it is in the list of those whose body is on its way
  * @cut_off: it was refused before its body was whole
- * @suspended: its connection is, until the reply is there
  * @replied: @reply is there
  */
 struct httprequest {
     struct MHD_Connection *connection;
-    struct handle self;
+    struct httpwait wait_for_reply;
     struct route_match route;
     char key[KEY_TEXT_SIZE]; /* of a submission */
     bool respond_async;
@@ -42,7 +41,6 @@
     int64_t body_due_us;
     bool reading;
     bool cut_off;
-    bool suspended;
     bool replied;
     struct effect reply;
     TAILQ_ENTRY(httprequest) reading_link;
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -6,6 +6,8 @@
 #include "base.h"
 #include "netaddr.h"
 
+enum { LOOK_SUSPEND_US = 100 }; /* until a connection is suspended */
+
 bool
 httpserver_start(struct httpserver *s, const struct httpserver_options *o)
 {
@@ -20,6 +22,8 @@
     if (address.sa.ss_family == AF_INET6) {
         flags |= MHD_USE_IPv6;
     }
+    (void)pthread_mutex_init(&s->lock, NULL);
+    table_init(&s->waiting, sizeof(struct httpwait *));
     errno = 0;
     s->daemon = MHD_start_daemon(
         flags, 0, NULL, NULL, o->on_request, o->cls, MHD_OPTION_SOCK_ADDR,
@@ -28,6 +32,10 @@
         MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
         MHD_OPTION_NOTIFY_COMPLETED, o->on_completed, o->cls,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    if (s->daemon == NULL) {
+        table_clear(&s->waiting);
+        (void)pthread_mutex_destroy(&s->lock);
+    }
     return s->daemon != NULL;
 }
 
@@ -47,3 +55,121 @@
     }
     return atomic_load(&s->in_progress) == 0;
 }
+
+/* Waiting */
+
+static uint64_t
+number_of(struct handle h)
+{
+    return (uint64_t)h.generation << 32 | h.index;
+}
+
+static struct handle
+handle_of(uint64_t number)
+{
+    return (struct handle){.index = (uint32_t)number,
+                           .generation = (uint32_t)(number >> 32)};
+}
+
+uint64_t
+httpserver_number(const struct httpwait *w)
+{
+    return number_of(w->self);
+}
+
+uint64_t
+httpserver_wait(struct httpserver *s, struct httpwait *w, void *request)
+{
+    uint64_t number = 0;
+
+    (void)pthread_mutex_lock(&s->lock);
+    if (!s->closed) {
+        struct httpwait **place = table_add(&s->waiting, &w->self);
+
+        *place = w;
+        w->request = request;
+        number = number_of(w->self);
+    }
+    (void)pthread_mutex_unlock(&s->lock);
+    return number;
+}
+
+void
+httpserver_suspend(struct httpserver *s, struct httpwait *w,
+                   struct MHD_Connection *connection)
+{
+    MHD_suspend_connection(connection);
+    (void)pthread_mutex_lock(&s->lock);
+    w->suspended = true;
+    (void)pthread_mutex_unlock(&s->lock);
+}
+
+void *
+httpserver_take(struct httpserver *s, uint64_t number)
+{
+    struct httpwait **place;
+    void *request = NULL;
+
+    (void)pthread_mutex_lock(&s->lock);
+    place = table_get(&s->waiting, handle_of(number));
+    if (place != NULL) {
+        request = (*place)->request;
+        table_remove(&s->waiting, handle_of(number));
+    }
+    (void)pthread_mutex_unlock(&s->lock);
+    return request;
+}
+
+/** next_suspended() - a request that waits, whose connection is suspended; 0
+ * when there is none or it is only just being suspended (@any tells these
+ * apart) */
+static uint64_t
+next_suspended(struct httpserver *s, bool *any)
+{
+    uint32_t at = 0;
+    struct handle self = {0};
+    struct httpwait **place;
+    uint64_t number = 0;
+
+    (void)pthread_mutex_lock(&s->lock);
+    s->closed = true;
+    place = table_next(&s->waiting, &at, &self);
+    if (place != NULL && (*place)->suspended) {
+        number = number_of(self);
+    }
+    *any = place != NULL;
+    (void)pthread_mutex_unlock(&s->lock);
+    return number;
+}
+
+/* Kept connections go on bringing requests when the reducer has ended.  One
+ * that waits for a reply then keeps its connection suspended, and
+ * libmicrohttpd aborts the process for it: the planned stop would end as a
+ * crash.  So none is let in any more, and each is answered. */
+void
+httpserver_close(struct httpserver *s,
+                 void (*refuse)(void *cls, uint64_t number), void *cls)
+{
+    for (;;) {
+        bool any;
+        uint64_t number = next_suspended(s, &any);
+
+        if (number != 0) {
+            refuse(cls, number);
+        }
+        else if (any) {
+            (void)usleep(LOOK_SUSPEND_US);
+        }
+        else {
+            return;
+        }
+    }
+}
+
+void
+httpserver_stop(struct httpserver *s)
+{
+    MHD_stop_daemon(s->daemon);
+    table_clear(&s->waiting);
+    (void)pthread_mutex_destroy(&s->lock);
+}
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -1,16 +1,21 @@
 /**
- * DOC: httpserver - starting and draining an HTTP server (libmicrohttpd)
+ * DOC: httpserver - the HTTP server under httpd and control_http
+ * (libmicrohttpd)
  *
- * What httpd and control_http share; each has its own requests.
+ * Starting, draining, and requests that wait, their connections suspended, for
+ * a reply from another thread.  Each of the two has its own kind of request.
  */
 #ifndef BM_HTTPSERVER_H
 #define BM_HTTPSERVER_H
 
 #include <microhttpd.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "table.h"
+
 /**
  * struct httpserver - one server
  * @in_progress: requests whose headers arrived; its owner counts them
@@ -18,6 +23,16 @@
 struct httpserver {
     struct MHD_Daemon *daemon;
     atomic_uint in_progress;
+    pthread_mutex_t lock; /* for what follows */
+    struct table waiting; /* struct httpwait *, by request number */
+    bool closed;          /* no request waits any more */
+};
+
+/** struct httpwait - part of a request that may wait; zeroed at first */
+struct httpwait {
+    void *request;
+    struct handle self;
+    bool suspended;
 };
 
 /**
@@ -49,4 +64,29 @@
  * request is in progress; false when the time was over first */
 bool httpserver_drain(struct httpserver *s, int64_t timeout_ms);
 
+/** httpserver_wait() - numbers a request, for httpserver_take(); 0 once the
+ * server is closed */
+uint64_t httpserver_wait(struct httpserver *s, struct httpwait *w,
+                         void *request);
+
+/** httpserver_suspend() - before the request is given away: its reply may come
+ * before the caller goes on */
+void httpserver_suspend(struct httpserver *s, struct httpwait *w,
+                        struct MHD_Connection *connection);
+
+/** httpserver_take() - the request with that number, which waits no longer;
+ * NULL if it does not.  Its connection is to be resumed. */
+void *httpserver_take(struct httpserver *s, uint64_t number);
+
+/** httpserver_number() - what httpserver_wait() gave; 0 before that */
+uint64_t httpserver_number(const struct httpwait *w);
+
+/** httpserver_close() - lets no request wait any more and has @refuse answer
+ * each that does, as the process ends */
+void httpserver_close(struct httpserver *s,
+                      void (*refuse)(void *cls, uint64_t number), void *cls);
+
+/** httpserver_stop() - after httpserver_close() */
+void httpserver_stop(struct httpserver *s);
+
 #endif
