Ask for a silent task while its answer is still of use

Cause: a connection to a healthy upstream went silent under a task of 0.9 s; the question came after 10.35 s, four times the learned tail, when the job's deadline had passed, and the caller was told 'unknown' of a task that ran. Change: the question goes out at the latest when a quarter of the time to the job's deadline is left, though never before a second. Ruled out: a smaller multiple of the tail for all tasks: it asks about every slow task of a service whose declared times are far off.

--- a/src/start.c
+++ b/src/start.c
@@ -14,6 +14,7 @@
 enum {
     SILENT_TIMES = 4,   /* 95th percentiles after which a start is silent */
     SILENT_LONGEST = 2, /* the same with 99th percentiles */
+    ASK_SHARE = 4,      /* of the time to the deadline, left for questions */
     ASK_TRIES = 6,      /* questions that reached nobody, before giving up */
     ASK_DOUBLINGS = 4,
 };
@@ -164,18 +165,31 @@
     return a > b ? a : b;
 }
 
+/* A silent connection hides an outcome that the upstream knows.  Asked for
+ * after the job's deadline it is of no use: the caller was told "unknown" of a
+ * task that ran.  So the question goes out while some of the time is left. */
+static int64_t
+before_deadline(const struct entry *e, const struct start *s)
+{
+    int64_t left = s->deadline_us - e->now.mono_us;
+
+    return longer(left - left / ASK_SHARE, SILENT_MIN_US);
+}
+
 /** silent_after() - a question too early costs a message, one too late costs
  * the caller's time */
 static int64_t
-silent_after(const struct start *s)
+silent_after(const struct entry *e, const struct start *s)
 {
+    int64_t latest = before_deadline(e, s);
     const struct learned *l = &s->service->learned;
     int64_t us = SILENT_TIMES * learn_tail_us(l, s->declared_us);
 
     us = longer(us, SILENT_LONGEST *
                         learn_longest_us(l, JOB_TASKS_MAX, s->declared_us));
     us = longer(us, s->declared_us);
-    return longer(us, SILENT_MIN_US);
+    us = longer(us, SILENT_MIN_US);
+    return us < latest ? us : latest;
 }
 
 static void
@@ -191,7 +205,7 @@
     f->key = s->key;
     f->index = s->index;
     f->payload = blob_ref(payload);
-    f->silent_us = silent_after(s);
+    f->silent_us = silent_after(e, s);
     e->counters.tasks_started++;
 }
 
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -171,6 +171,25 @@
     one_free(o);
 }
 
+/* Declared and learned run times are long, the job's deadline is near, and the
+ * connection goes silent under a task that is soon done.  Asked for only after
+ * the deadline, the upstream's result comes too late, and the caller is told
+ * that the outcome of a finished task is unknown. */
+static void
+silence_is_questioned_before_the_deadline(void)
+{
+    struct one *o =
+        one_with(1, &(struct one_options){.deadline_us = 4 * USEC_PER_SEC});
+    const struct effect *start;
+
+    (void)one_submit(o, "a", 1, 2 * USEC_PER_SEC);
+    start = one_get(o, EF_START, 0);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(start);
+    CU_ASSERT(start->u.start.silent_us <= 3 * USEC_PER_SEC);
+    CU_ASSERT(start->u.start.silent_us >= USEC_PER_SEC);
+    one_free(o);
+}
+
 /* The same, found out by the new incarnation's announcement under the old
  * name, while the old connection is still silent. */
 static void
@@ -442,6 +461,7 @@
     ADD(retries_have_a_budget);
     ADD(lost_start_needs_proof);
     ADD(lost_start_that_runs_is_asked_again);
+    ADD(silence_is_questioned_before_the_deadline);
     ADD(other_incarnation_leaves_it_unknown);
     ADD(replaced_upstream_is_asked);
     ADD(unreachable_ends_at_the_deadline);
