Count references with atomics that ThreadSanitizer sees

Cause: under ThreadSanitizer a whole demo's instances reported races of blob_unref() against readers of the blob: Concurrency Kit's counters are inline assembly, which it does not see into. Change: the compiler's atomics, with acquire and release on the last drop.

--- a/src/blob.c
+++ b/src/blob.c
@@ -1,6 +1,5 @@
 #include "blob.h"
 
-#include <ck_pr.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -25,7 +24,7 @@
 blob_ref(struct blob *b)
 {
     if (b != NULL) {
-        ck_pr_inc_uint(&b->refs);
+        (void)__atomic_add_fetch(&b->refs, 1, __ATOMIC_RELAXED);
     }
     return b;
 }
@@ -33,13 +32,10 @@
 void
 blob_unref(struct blob *b)
 {
-    bool last = false;
-
     if (b == NULL) {
         return;
     }
-    last = ck_pr_dec_uint_is_zero(&b->refs);
-    if (last) {
+    if (__atomic_sub_fetch(&b->refs, 1, __ATOMIC_ACQ_REL) == 0) {
         free(b);
     }
 }
--- a/src/blob.h
+++ b/src/blob.h
@@ -2,7 +2,9 @@
  * DOC: blob - immutable bytes with a reference count
  *
  * Payloads and results pass between threads without copying.  The count is
- * atomic; the bytes never change after blob_new().
+ * atomic; the bytes never change after blob_new().  The compiler's atomics are
+ * used instead of Concurrency Kit's: ThreadSanitizer does not see into inline
+ * assembly and would report every last release as a race.
  */
 #ifndef BM_BLOB_H
 #define BM_BLOB_H
