Let the last HTTP replies be written before the server stops

Cause: at its end the server answers requests that still wait, and stopped libmicrohttpd at once: connections were closed before the answers were written, against what httpd.h and control_http.h say. A caller saw a broken connection instead of a 503 and could not tell what became of its request.

Change: httpserver_close() waits until no request is in progress, at most 200 ms.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -378,10 +378,7 @@
 uint16_t
 httpd_port(const struct httpd *h)
 {
-    const union MHD_DaemonInfo *info =
-        MHD_get_daemon_info(h->server.daemon, MHD_DAEMON_INFO_BIND_PORT);
-
-    return info != NULL ? info->port : 0;
+    return httpserver_port(&h->server);
 }
 
 void
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -6,7 +6,10 @@
 #include "base.h"
 #include "netaddr.h"
 
-enum { LOOK_SUSPEND_US = 100 }; /* until a connection is suspended */
+enum {
+    LOOK_SUSPEND_US = 100, /* until a connection is suspended */
+    LAST_MS = 200,         /* to write the last replies */
+};
 
 bool
 httpserver_start(struct httpserver *s, const struct httpserver_options *o)
@@ -39,17 +42,32 @@
     return s->daemon != NULL;
 }
 
-bool
-httpserver_drain(struct httpserver *s, int64_t timeout_ms)
+static void
+await_none(struct httpserver *s, int64_t timeout_ms)
 {
-    MHD_socket listener = MHD_quiesce_daemon(s->daemon);
-
     for (int64_t waited = 0; waited < timeout_ms; waited++) {
         if (atomic_load(&s->in_progress) == 0) {
-            break;
+            return;
         }
         (void)usleep(USEC_PER_MSEC);
     }
+}
+
+uint16_t
+httpserver_port(const struct httpserver *s)
+{
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_BIND_PORT);
+
+    return info != NULL ? info->port : 0;
+}
+
+bool
+httpserver_drain(struct httpserver *s, int64_t timeout_ms)
+{
+    MHD_socket listener = MHD_quiesce_daemon(s->daemon);
+
+    await_none(s, timeout_ms);
     if (listener != MHD_INVALID_SOCKET) {
         (void)close(listener);
     }
@@ -145,7 +163,9 @@
 /* Kept connections go on bringing requests when the reducer has ended.  One
  * that waits for a reply then keeps its connection suspended, and
  * libmicrohttpd aborts the process for it: the planned stop would end as a
- * crash.  So none is let in any more, and each is answered. */
+ * crash.  So none is let in any more, and each is answered.  Stopped at once,
+ * libmicrohttpd would close connections before it has written these answers:
+ * so there is a moment for that. */
 void
 httpserver_close(struct httpserver *s,
                  void (*refuse)(void *cls, uint64_t number), void *cls)
@@ -161,9 +181,10 @@
             (void)usleep(LOOK_SUSPEND_US);
         }
         else {
-            return;
+            break;
         }
     }
+    await_none(s, LAST_MS);
 }
 
 void
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -60,6 +60,9 @@
 bool httpserver_start(struct httpserver *s,
                       const struct httpserver_options *o);
 
+/** httpserver_port() - that it listens on */
+uint16_t httpserver_port(const struct httpserver *s);
+
 /** httpserver_drain() - takes no connection any more and waits until no
  * request is in progress; false when the time was over first */
 bool httpserver_drain(struct httpserver *s, int64_t timeout_ms);
