Move bm-control to the shared daemon, settings and array code

Cause: bm_control.c, control_settings.c and control_effect.c still held copies of what daemon.c, settings_load() and array_grow() do for bm-entry.

Change: they use these. Where libsodium can't be set up, bm-control ends with 1 (can't start) instead of 2 and the usage text.

Output and exit codes of bm-control are the same as before for eleven command lines. Not run: bm-control as a whole process under signals.

--- a/src/bm_control.c
+++ b/src/bm_control.c
@@ -4,86 +4,65 @@
  * the command line, 3 for one in the settings, 4 when the disk failed while it
  * ran.
  */
-#include <popt.h>
-#include <pthread.h>
 #include <signal.h>
 #include <stdlib.h>
-#include <time.h>
 
 #include "control_settings.h"
+#include "daemon.h"
 #include "log.h"
 
 enum {
-    EXIT_USAGE = 2,
-    EXIT_SETTINGS = 3,
     EXIT_DISK = 4,
     LOOK_MS = 50, /* between looks at the runtime */
 };
 
 struct arguments {
-    int version;
-    int check;
-    int settings;
+    struct daemon_arguments common;
     int found;
     int recover;
-    const char *file;
 };
 
-/* Every thread inherits the mask; the main thread takes them one by one. */
-static sigset_t
-block_signals(void)
+static void
+dump(void *user)
 {
-    sigset_t set;
-
-    (void)sigemptyset(&set);
-    (void)sigaddset(&set, SIGTERM);
-    (void)sigaddset(&set, SIGINT);
-    (void)sigaddset(&set, SIGUSR1);
-    (void)pthread_sigmask(SIG_BLOCK, &set, NULL);
-    (void)signal(SIGPIPE, SIG_IGN);
-    (void)signal(SIGXFSZ, SIG_IGN); /* a limit reads as a full disk */
-    return set;
+    control_runtime_dump(user);
 }
 
-/* Until there is a signal to stop, or the disk failed. */
-static void
-serve(struct control_runtime *r, const sigset_t *set)
+static bool
+failed(void *user)
 {
-    const struct timespec look = {.tv_nsec = LOOK_MS * 1000000L};
-
-    while (!control_runtime_failed(r)) {
-        int number = sigtimedwait(set, NULL, &look);
+    return control_runtime_failed(user);
+}
 
-        if (number == SIGUSR1) {
-            control_runtime_dump(r);
-        }
-        else if (number > 0) {
-            return;
-        }
-    }
+static bool
+stopped(void *user)
+{
+    return control_runtime_stopped(user) || control_runtime_failed(user);
 }
 
+/* Until there was a signal to stop and it has, or the disk failed. */
 static void
-stop(struct control_runtime *r, const sigset_t *set)
+serve(struct control_runtime *r)
 {
-    const struct timespec look = {.tv_nsec = LOOK_MS * 1000000L};
+    struct daemon_wait w = {
+        .dump = dump, .over = failed, .user = r, .look_ms = LOOK_MS};
 
+    daemon_wait(&w);
     control_runtime_stop(r);
-    while (!control_runtime_stopped(r) && !control_runtime_failed(r)) {
-        if (sigtimedwait(set, NULL, &look) == SIGUSR1) {
-            control_runtime_dump(r);
-        }
-    }
+    w.over = stopped;
+    w.stopping = true;
+    daemon_wait(&w);
 }
 
 static int
 run(struct control_settings *s)
 {
     struct control_runtime_options *o = &s->runtime;
-    sigset_t set = block_signals();
     struct control_runtime *r;
-    bool failed;
+    bool lost;
 
+    daemon_block_signals();
+    (void)signal(SIGXFSZ, SIG_IGN); /* a limit reads as a full disk */
     o->peers.incarnation = (uint64_t)clock_now(o->clock).wall_us;
     o->control.seed = o->peers.incarnation ^ key_id_of(o->control.self.s).lo;
     o->http.auth = opauth_new(&s->operators, s->auth_window_us);
@@ -94,14 +73,13 @@
     }
     log_event(LOG_NOTICE, "serving", o->http.listen.s, "version %s",
               BM_VERSION);
-    serve(r, &set);
-    stop(r, &set);
-    failed = control_runtime_failed(r);
+    serve(r);
+    lost = control_runtime_failed(r);
     control_runtime_free(r);
     opauth_free(o->http.auth);
     log_event(LOG_NOTICE, "stopped", NULL, "%s",
-              failed ? "the disk failed" : "nothing was in progress");
-    return failed ? EXIT_DISK : EXIT_SUCCESS;
+              lost ? "the disk failed" : "nothing was in progress");
+    return lost ? EXIT_DISK : EXIT_SUCCESS;
 }
 
 static int
@@ -119,18 +97,23 @@
 }
 
 static int
-read_and_run(const struct arguments *a)
+read_and_run(void *user)
 {
-    struct control_settings *s = control_settings_read(a->file, stderr);
+    const struct arguments *a = user;
+    struct control_settings *s;
     int code = EXIT_SUCCESS;
 
+    if (!opsign_setup()) {
+        return EXIT_FAILURE;
+    }
+    s = control_settings_read(a->common.file, stderr);
     if (s == NULL) {
-        return EXIT_SETTINGS;
+        return DAEMON_EXIT_SETTINGS;
     }
     s->runtime.clock = clock_real();
     log_setup(s->runtime.control.self.s, s->log_level, s->runtime.clock);
-    if (a->check) {
-        (void)printf("%s: right\n", a->file);
+    if (a->common.check) {
+        (void)printf("%s: right\n", a->common.file);
     }
     else if (a->found) {
         code = control_runtime_found(&s->runtime, &s->founding) ? EXIT_SUCCESS
@@ -146,35 +129,12 @@
     return code;
 }
 
-static int
-act(const struct arguments *a, poptContext popt)
-{
-    if (a->version) {
-        (void)printf("bm-control %s\n", BM_VERSION);
-        return EXIT_SUCCESS;
-    }
-    if (a->settings) {
-        control_settings_help(stdout);
-        return EXIT_SUCCESS;
-    }
-    if (a->file == NULL || poptPeekArg(popt) != NULL || !opsign_setup()) {
-        poptPrintUsage(popt, stderr, 0);
-        return EXIT_USAGE;
-    }
-    return read_and_run(a);
-}
-
 int
 main(int argc, char **argv)
 {
     struct arguments a = {0};
     const struct poptOption options[] = {
-        {"version", 'V', POPT_ARG_NONE, &a.version, 0, "print the version",
-         NULL},
-        {"check", 'c', POPT_ARG_NONE, &a.check, 0,
-         "only say whether FILE is right", NULL},
-        {"settings", 0, POPT_ARG_NONE, &a.settings, 0,
-         "list every key of FILE with its range and default", NULL},
+        DAEMON_OPTIONS(&a.common),
         {"found", 0, POPT_ARG_NONE, &a.found, 0,
          "make the empty data folder that of a founding member, and end; once "
          "in the life of a region",
@@ -184,22 +144,13 @@
          "what its own holds, the only one, and end",
          NULL},
         POPT_AUTOHELP POPT_TABLEEND};
-    poptContext popt =
-        poptGetContext("bm-control", argc, (const char **)argv, options, 0);
-    int code = EXIT_USAGE;
-    int rc;
-
-    poptSetOtherOptionHelp(popt, "[--check] [--found] [--recover] FILE");
-    rc = poptGetNextOpt(popt);
-    if (rc < -1) {
-        (void)fprintf(stderr, "bm-control: %s: %s\n",
-                      poptBadOption(popt, POPT_BADOPTION_NOALIAS),
-                      poptStrerror(rc));
-    }
-    else {
-        a.file = poptGetArg(popt);
-        code = act(&a, popt);
-    }
-    poptFreeContext(popt);
-    return code;
+    const struct daemon_program program = {
+        .name = "bm-control",
+        .usage = "[--check] [--found] [--recover] FILE",
+        .options = options,
+        .help = control_settings_help,
+        .run = read_and_run,
+        .user = &a};
+
+    return daemon_main(&program, &a.common, argc, argv);
 }
--- a/src/control_effect.c
+++ b/src/control_effect.c
@@ -3,26 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "array.h"
 #include "control_event.h"
 
-enum { EFFECTS_START = 16 };
-
 struct control_effect *
 control_effects_add(struct control_effects *fx, enum control_effect_kind kind)
 {
     struct control_effect *f;
 
-    if (fx->n == fx->room) {
-        size_t room = fx->room == 0 ? EFFECTS_START : fx->room * 2;
-        struct control_effect *items =
-            realloc(fx->items, room * sizeof(*items));
-
-        if (items == NULL) {
-            abort();
-        }
-        fx->items = items;
-        fx->room = room;
-    }
+    fx->items = array_grow(fx->items, fx->n, &fx->room, sizeof(*f));
     f = &fx->items[fx->n++];
     memset(f, 0, sizeof(*f));
     f->kind = kind;
--- a/src/control_settings.c
+++ b/src/control_settings.c
@@ -177,8 +177,9 @@
 }
 
 static void
-read_values(struct control_settings *s)
+read_values(void *user)
 {
+    struct control_settings *s = user;
     struct control_runtime_options *o = &s->runtime;
     const struct settings *f = s->file;
 
@@ -207,25 +208,13 @@
 control_settings_read(const char *path, FILE *errors)
 {
     struct control_settings *s = calloc(1, sizeof(*s));
-    size_t n;
 
-    if (s == NULL) {
-        return NULL;
-    }
-    s->file = settings_read_file(table, TABLE, path);
-    if (s->file == NULL) {
-        free(s);
-        return NULL;
-    }
-    (void)settings_errors(s->file, &n);
-    if (n == 0) {
-        read_values(s);
-        (void)settings_errors(s->file, &n);
-    }
-    if (n > 0) {
-        settings_print_errors(s->file, errors);
+    if (s != NULL &&
+        !settings_load(&s->file,
+                       &(struct settings_load){table, TABLE, read_values, s},
+                       path, errors)) {
         control_settings_free(s);
-        return NULL;
+        s = NULL;
     }
     return s;
 }
