Move control_http to the shared HTTP server

Cause: its copy of the waiting requests lacked what httpd's has: while it closed, a further request could be suspended and never answered, for which libmicrohttpd ends the process; and it had no test of its own.

Change: it uses httpserver. A request that arrives as the server closes is refused with 503 no-leader, nothing changed. New suite control_http over real sockets: a request that waits at the end gets its 503, a full inbox is told.

The race itself is closed by construction and has no test of its own.

Conclusion: both servers end the same way.

--- a/src/control_http.c
+++ b/src/control_http.c
@@ -1,18 +1,14 @@
 #include "control_http.h"
 
-#include <errno.h>
 #include <microhttpd.h>
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "control_request.h"
 #include "fsm.h"
+#include "httpserver.h"
 #include "log.h"
-#include "netaddr.h"
 #include "stats.h"
-#include "table.h"
 
 enum {
     /* A configuration in JSON: each character may take up to two. */
@@ -27,7 +23,7 @@
 /* One request, from its headers to its reply. */
 struct request {
     struct MHD_Connection *connection;
-    struct handle self;
+    struct httpwait wait;
     enum control_route route;
     char path[PATH_MAX_SIZE];
     char query_text[QUERY_SIZE];
@@ -36,33 +32,15 @@
     size_t size;
     size_t room;
     bool too_large;
-    bool waiting;
     bool replied;
     struct control_effect reply;
 };
 
 struct control_http {
     struct control_http_options opts;
-    struct MHD_Daemon *daemon;
-    struct netaddr address;
-    atomic_uint in_progress;
-    pthread_mutex_t lock; /* for @waiting */
-    struct table waiting; /* struct request *, by request number */
+    struct httpserver server;
 };
 
-static uint64_t
-id_of(struct handle h)
-{
-    return (uint64_t)h.generation << 32 | h.index;
-}
-
-static struct handle
-handle_of(uint64_t id)
-{
-    return (struct handle){.index = (uint32_t)id,
-                           .generation = (uint32_t)(id >> 32)};
-}
-
 static enum MHD_Result
 queue(struct request *r, struct control_response *out)
 {
@@ -154,7 +132,7 @@
         return MHD_NO;
     }
     *ctx = r;
-    (void)atomic_fetch_add(&h->in_progress, 1);
+    (void)atomic_fetch_add(&h->server.in_progress, 1);
     stats_add(&stats.http_requests, 1);
     r->connection = connection;
     r->route = control_route_of(method, url);
@@ -256,51 +234,23 @@
     return queue(r, &out);
 }
 
-static uint64_t
-waiting_add(struct control_http *h, struct request *r)
-{
-    struct request **place;
-
-    (void)pthread_mutex_lock(&h->lock);
-    place = table_add(&h->waiting, &r->self);
-    *place = r;
-    r->waiting = true;
-    (void)pthread_mutex_unlock(&h->lock);
-    return id_of(r->self);
-}
-
-static struct request *
-waiting_take(struct control_http *h, uint64_t id)
-{
-    struct request **place;
-    struct request *r = NULL;
-
-    (void)pthread_mutex_lock(&h->lock);
-    place = table_get(&h->waiting, handle_of(id));
-    if (place != NULL) {
-        r = *place;
-        r->waiting = false;
-        table_remove(&h->waiting, handle_of(id));
-    }
-    (void)pthread_mutex_unlock(&h->lock);
-    return r;
-}
-
-/* The connection is suspended before the event is offered: the reply may come
- * before this returns. */
 static enum MHD_Result
 offer(struct control_http *h, struct request *r, struct name publisher)
 {
     struct control_refusal why = {0};
-    uint64_t id = waiting_add(h, r);
-    struct control_mail *m = control_request_mail(
-        r->route, &r->query, publisher, r->body, r->size, id, &why);
+    uint64_t id = httpserver_wait(&h->server, &r->wait, r);
+    struct control_mail *m;
 
+    if (id == 0) {
+        return queue_refusal(r, CONTROL_NO_LEADER, "this member is stopping");
+    }
+    m = control_request_mail(r->route, &r->query, publisher, r->body, r->size,
+                             id, &why);
     if (m == NULL) {
-        (void)waiting_take(h, id);
+        (void)httpserver_take(&h->server, id);
         return queue_refusal(r, why.result, why.detail);
     }
-    MHD_suspend_connection(r->connection);
+    httpserver_suspend(&h->server, &r->wait, r->connection);
     if (!h->opts.offer(h->opts.ctx, m)) {
         struct control_effect full = {.kind = CE_REPLY};
 
@@ -361,7 +311,7 @@
 control_http_reply(struct control_http *h, uint64_t request,
                    struct control_effect *f)
 {
-    struct request *r = waiting_take(h, request);
+    struct request *r = httpserver_take(&h->server, request);
 
     if (r == NULL) {
         return;
@@ -386,36 +336,32 @@
         return;
     }
     *ctx = NULL;
-    if (r->waiting && waiting_take(h, id_of(r->self)) != NULL) {
-        h->opts.gone(h->opts.ctx, id_of(r->self));
+    if (httpserver_take(&h->server, httpserver_number(&r->wait)) != NULL) {
+        h->opts.gone(h->opts.ctx, httpserver_number(&r->wait));
     }
     if (r->replied) {
         control_effect_clear(&r->reply);
     }
     free(r->body);
     free(r);
-    (void)atomic_fetch_sub(&h->in_progress, 1);
+    (void)atomic_fetch_sub(&h->server.in_progress, 1);
 }
 
 static bool
-start_daemon(struct control_http *h)
+start_server(struct control_http *h)
 {
     const struct control_http_options *o = &h->opts;
-    unsigned int flags =
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
-
-    if (h->address.sa.ss_family == AF_INET6) {
-        flags |= MHD_USE_IPv6;
-    }
-    errno = 0;
-    h->daemon = MHD_start_daemon(
-        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR,
-        (struct sockaddr *)&h->address.sa, MHD_OPTION_THREAD_POOL_SIZE,
-        o->threads, MHD_OPTION_CONNECTION_LIMIT, o->connections,
-        MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-    return h->daemon != NULL;
+    const struct httpserver_options server = {
+        .listen = o->listen.s,
+        .threads = o->threads,
+        .connections = o->connections,
+        .idle_timeout_s = o->idle_timeout_s,
+        .on_request = on_request,
+        .on_completed = on_completed,
+        .cls = h,
+    };
+
+    return httpserver_start(&h->server, &server);
 }
 
 struct control_http *
@@ -427,52 +373,32 @@
         return NULL;
     }
     h->opts = *o;
-    (void)pthread_mutex_init(&h->lock, NULL);
-    table_init(&h->waiting, sizeof(struct request *));
-    if (!netaddr_parse(o->listen.s, &h->address)) {
-        errno = EINVAL;
-    }
-    else if (start_daemon(h)) {
+    if (start_server(h)) {
         return h;
     }
-    table_clear(&h->waiting);
-    (void)pthread_mutex_destroy(&h->lock);
     free(h);
     return NULL;
 }
 
+uint16_t
+control_http_port(const struct control_http *h)
+{
+    return httpserver_port(&h->server);
+}
+
 void
 control_http_drain(struct control_http *h, int64_t timeout_ms)
 {
-    MHD_socket listener = MHD_quiesce_daemon(h->daemon);
-
-    for (int64_t waited = 0; waited < timeout_ms; waited++) {
-        if (atomic_load(&h->in_progress) == 0) {
-            break;
-        }
-        (void)usleep(USEC_PER_MSEC);
-    }
-    if (listener != MHD_INVALID_SOCKET) {
-        (void)close(listener);
-    }
+    (void)httpserver_drain(&h->server, timeout_ms);
 }
 
-static bool
-refuse_one(struct control_http *h)
+static void
+refuse_one(void *cls, uint64_t request)
 {
     struct control_effect stop = {.kind = CE_REPLY};
-    struct handle self = {0};
-    uint32_t at = 0;
-    bool found;
-
-    (void)pthread_mutex_lock(&h->lock);
-    found = table_next(&h->waiting, &at, &self) != NULL;
-    (void)pthread_mutex_unlock(&h->lock);
-    if (found) {
-        stop.u.reply.result = CONTROL_UNKNOWN;
-        control_http_reply(h, id_of(self), &stop);
-    }
-    return found;
+
+    stop.u.reply.result = CONTROL_UNKNOWN;
+    control_http_reply(cls, request, &stop);
 }
 
 void
@@ -481,10 +407,7 @@
     if (h == NULL) {
         return;
     }
-    while (refuse_one(h)) {
-    }
-    MHD_stop_daemon(h->daemon);
-    table_clear(&h->waiting);
-    (void)pthread_mutex_destroy(&h->lock);
+    httpserver_close(&h->server, refuse_one, h);
+    httpserver_stop(&h->server);
     free(h);
 }
--- a/src/control_http.h
+++ b/src/control_http.h
@@ -49,6 +49,9 @@
 void control_http_reply(struct control_http *h, uint64_t request,
                         struct control_effect *f);
 
+/** control_http_port() - that it listens on */
+uint16_t control_http_port(const struct control_http *h);
+
 /** control_http_drain() - accepts no more and waits until no request is in
  * progress, at most @timeout_ms */
 void control_http_drain(struct control_http *h, int64_t timeout_ms);
--- /dev/null
+++ b/tests/control_http_test.c
@@ -0,0 +1,121 @@
+/* The HTTP server of control: requests that wait for the reducer. */
+#include "control_http.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "check.h"
+#include "net.h"
+
+struct server {
+    struct control_http *http;
+    atomic_uint offered;
+    atomic_bool full;
+    struct control_mail *mail;
+};
+
+static bool
+on_offer(void *ctx, struct control_mail *m)
+{
+    struct server *s = ctx;
+
+    if (atomic_load(&s->full)) {
+        return false;
+    }
+    s->mail = m;
+    (void)atomic_fetch_add(&s->offered, 1);
+    return true;
+}
+
+static void
+on_gone(void *ctx, uint64_t request)
+{
+    (void)ctx;
+    (void)request;
+}
+
+static bool
+is_healthy(void *ctx)
+{
+    (void)ctx;
+    return true;
+}
+
+static bool
+was_offered(void *ctx)
+{
+    struct server *s = ctx;
+
+    return atomic_load(&s->offered) > 0;
+}
+
+static void
+server_start(struct server *s)
+{
+    const struct control_http_options o = {
+        .listen = address_of("127.0.0.1:0"),
+        .threads = 1,
+        .connections = 8,
+        .idle_timeout_s = 30,
+        .clock = clock_real(),
+        .offer = on_offer,
+        .gone = on_gone,
+        .healthy = is_healthy,
+        .ctx = s,
+    };
+
+    memset(s, 0, sizeof(*s));
+    s->http = control_http_new(&o);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s->http);
+}
+
+static const char ask[] = "GET /v1/status HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/* A member is stopped while an operator waits for its answer, and the
+ * reducer, which would give it, has ended.  The operator's tool would wait
+ * for its own timeout, and the process crash over the open request. */
+static void
+requests_that_wait_at_the_end_are_answered(void)
+{
+    struct server s;
+    char out[NET_TEXT_SIZE];
+    int fd;
+
+    server_start(&s);
+    fd = net_connect(control_http_port(s.http));
+    CU_ASSERT(net_send_text(fd, ask));
+    CU_ASSERT_FATAL(net_await(was_offered, &s));
+    control_http_free(s.http);
+    CU_ASSERT(net_read_http(fd, out));
+    CU_ASSERT(strstr(out, " 503 ") != NULL);
+    CU_ASSERT(strstr(out, "outcome-unknown") != NULL);
+    control_mail_free(s.mail);
+    (void)close(fd);
+}
+
+/* The reducer is so far behind that its inbox is full. */
+static void
+full_inbox_is_told(void)
+{
+    struct server s;
+    char out[NET_TEXT_SIZE];
+    int fd;
+
+    server_start(&s);
+    atomic_store(&s.full, true);
+    fd = net_connect(control_http_port(s.http));
+    CU_ASSERT(net_send_text(fd, ask) && net_read_http(fd, out));
+    CU_ASSERT(strstr(out, " 503 ") != NULL);
+    CU_ASSERT(strstr(out, "no-leader") != NULL);
+    (void)close(fd);
+    control_http_free(s.http);
+}
+
+#define ADD(test) check_add("control_http", #test, test)
+
+void
+suite_control_http(void)
+{
+    ADD(requests_that_wait_at_the_end_are_answered);
+    ADD(full_inbox_is_told);
+}
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -26,5 +26,6 @@
 SUITE(control)
 SUITE(operator)
 SUITE(daemon)
+SUITE(control_http)
 SUITE(matrix)
 /* clang-format on */
