Run every step in make matrix; install packages before the bench

Cause: make matrix tried at most a few steps of a label, and make bench and its kin failed on a machine without the packages. Change: make matrix tries all steps and 10,000 pairs; bench, report, slopes and matrix depend on deps; the job count is set at the top level only.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # boragemoor: make [all|deps|format|lint|check|demo|bench|matrix|slopes]
+ifeq ($(MAKELEVEL),0)
 MAKEFLAGS += -j$(shell nproc) --no-print-directory
+endif
 
 PACKAGES := libmsgpack-dev libck-dev libmicrohttpd-dev libcurl4-openssl-dev \
 	libpopt-dev libcunit1-dev libinih-dev libjansson-dev libxxhash-dev \
@@ -104,23 +106,28 @@
 
 WORKLOADS := $(sort $(wildcard bench/workloads/*.ini))
 
-bench: $(BUILD)/bm-bench
-	@$< --bounds bench/bounds.ini $(WORKLOADS)
+bench: deps
+	@$(MAKE) $(BUILD)/bm-bench
+	@$(BUILD)/bm-bench --bounds bench/bounds.ini $(WORKLOADS)
 
-bench-update: $(BUILD)/bm-bench
-	@$< --bounds bench/bounds.ini --update $(WORKLOADS)
+bench-update: deps
+	@$(MAKE) $(BUILD)/bm-bench
+	@$(BUILD)/bm-bench --bounds bench/bounds.ini --update $(WORKLOADS)
 
 # Plots of response and wasted messages against load, policy and baselines.
-report: $(BUILD)/bm-bench
+report: deps
+	@$(MAKE) $(BUILD)/bm-bench
 	@mkdir -p $(BUILD)/report
-	@$< --report $(BUILD)/report bench/workloads/tatranska-80.ini
+	@$(BUILD)/bm-bench --report $(BUILD)/report bench/workloads/tatranska-80.ini
 	@cd $(BUILD)/report && gnuplot *.gp && ls *.png
 
-slopes: $(BUILD)/bm-bench
-	@$< --slopes
+slopes: deps
+	@$(MAKE) $(BUILD)/bm-bench
+	@$(BUILD)/bm-bench --slopes
 
-matrix: $(BUILD)/mutant/bm-bench
-	@$< --matrix --mutants
+matrix: deps
+	@$(MAKE) $(BUILD)/mutant/bm-bench
+	@$(BUILD)/mutant/bm-bench --matrix --mutants --per-label 0 --pairs 10000
 
 clean:
 	rm -rf build build-address build-thread
