--- a/src/httpd.c
+++ b/src/httpd.c
@@ -1,6 +1,5 @@
 #include "httpd.h"
 
-#include <errno.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,28 +8,23 @@
 
 #include "httpreply.h"
 #include "httprequest.h"
+#include "httpserver.h"
 #include "log.h"
-#include "netaddr.h"
 #include "stats.h"
 
 enum {
-    LOOK_US = 50 * 1000,   /* between looks at slow bodies */
-    LOOK_SUSPEND_US = 100, /* until a connection is suspended */
+    LOOK_US = 50 * 1000, /* between looks at slow bodies */
     RAW_SIZE = 1024,
 };
 
 struct httpd {
     struct httpd_options opts;
-    struct MHD_Daemon *daemon;
-    struct netaddr address;
+    struct httpserver server;
     pthread_t watcher;
     atomic_bool stopping;
     atomic_bool ended;
-    atomic_uint in_progress; /* requests whose headers arrived */
-    pthread_mutex_t lock;    /* for what follows */
-    struct table waiting;    /* struct httprequest *, by request number */
+    pthread_mutex_t lock;              /* for what follows */
     TAILQ_HEAD(, httprequest) reading; /* bodies on their way, oldest first */
-    bool closed; /* no request waits for a reply any more */
 };
 
 struct httpd_options
@@ -45,19 +39,6 @@
     };
 }
 
-static uint64_t
-id_of(struct handle h)
-{
-    return (uint64_t)h.generation << 32 | h.index;
-}
-
-static struct handle
-handle_of(uint64_t id)
-{
-    return (struct handle){.index = (uint32_t)id,
-                           .generation = (uint32_t)(id >> 32)};
-}
-
 static enum MHD_Result
 queue_reply(struct httpd *h, struct httprequest *r, struct httpreply *reply)
 {
@@ -219,7 +200,7 @@
         return MHD_NO;
     }
     *ctx = r;
-    (void)atomic_fetch_add(&h->in_progress, 1);
+    (void)atomic_fetch_add(&h->server.in_progress, 1);
     stats_add(&stats.http_requests, 1);
     r->connection = connection;
     r->begun_us = clock_now(h->opts.clock).mono_us;
@@ -260,69 +241,24 @@
     return queue_reply(h, r, &reply);
 }
 
-/* False once the server is closing. */
-static bool
-waiting_add(struct httpd *h, struct httprequest *r)
-{
-    struct httprequest **place;
-    bool open;
-
-    (void)pthread_mutex_lock(&h->lock);
-    open = !h->closed;
-    if (open) {
-        place = table_add(&h->waiting, &r->self);
-        *place = r;
-    }
-    (void)pthread_mutex_unlock(&h->lock);
-    return open;
-}
-
-static void
-suspend(struct httpd *h, struct httprequest *r)
-{
-    MHD_suspend_connection(r->connection);
-    (void)pthread_mutex_lock(&h->lock);
-    r->suspended = true;
-    (void)pthread_mutex_unlock(&h->lock);
-}
-
-static struct httprequest *
-waiting_take(struct httpd *h, uint64_t id)
-{
-    struct httprequest **place;
-    struct httprequest *r = NULL;
-
-    (void)pthread_mutex_lock(&h->lock);
-    place = table_get(&h->waiting, handle_of(id));
-    if (place != NULL) {
-        r = *place;
-        table_remove(&h->waiting, handle_of(id));
-    }
-    (void)pthread_mutex_unlock(&h->lock);
-    return r;
-}
-
-/* The connection is suspended before the event is offered: the reply may come
- * before this returns. */
 static enum MHD_Result
 offer_request(struct httpd *h, struct httprequest *r)
 {
     struct httprefusal why = {.problem = PROBLEM_STOPPING};
     struct envelope *e;
-    uint64_t id;
+    uint64_t id = httpserver_wait(&h->server, &r->wait_for_reply, r);
 
-    if (!waiting_add(h, r)) {
+    if (id == 0) {
         return queue_refusal(h, r, &why);
     }
-    id = id_of(r->self);
     e = httprequest_event(r, id, &why);
     if (e == NULL) {
-        (void)waiting_take(h, id);
+        (void)httpserver_take(&h->server, id);
         return queue_refusal(h, r, &why);
     }
     free(r->body);
     r->body = NULL;
-    suspend(h, r);
+    httpserver_suspend(&h->server, &r->wait_for_reply, r->connection);
     if (!h->opts.offer(h->opts.ctx, e)) {
         struct effect full = {.kind = EF_PROBLEM};
 
@@ -367,7 +303,7 @@
 void
 httpd_reply(struct httpd *h, uint64_t request, struct effect *reply)
 {
-    struct httprequest *r = waiting_take(h, request);
+    struct httprequest *r = httpserver_take(&h->server, request);
 
     if (r == NULL) {
         return;
@@ -393,28 +329,24 @@
     *ctx = NULL;
     (void)reading_end(h, r);
     httprequest_free(r);
-    (void)atomic_fetch_sub(&h->in_progress, 1);
+    (void)atomic_fetch_sub(&h->server.in_progress, 1);
 }
 
 static bool
-start_daemon(struct httpd *h)
+start_server(struct httpd *h)
 {
     const struct httpd_options *o = &h->opts;
-    unsigned int flags =
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+    const struct httpserver_options server = {
+        .listen = o->listen.s,
+        .threads = o->threads,
+        .connections = o->connections,
+        .idle_timeout_s = o->idle_timeout_s,
+        .on_request = on_request,
+        .on_completed = on_completed,
+        .cls = h,
+    };
 
-    if (h->address.sa.ss_family == AF_INET6) {
-        flags |= MHD_USE_IPv6;
-    }
-    errno = 0;
-    h->daemon = MHD_start_daemon(
-        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR,
-        (struct sockaddr *)&h->address.sa, MHD_OPTION_THREAD_POOL_SIZE,
-        o->threads, MHD_OPTION_CONNECTION_LIMIT, o->connections,
-        MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-    return h->daemon != NULL;
+    return httpserver_start(&h->server, &server);
 }
 
 struct httpd *
@@ -427,23 +359,18 @@
     }
     h->opts = *o;
     (void)pthread_mutex_init(&h->lock, NULL);
-    table_init(&h->waiting, sizeof(struct httprequest *));
     TAILQ_INIT(&h->reading);
-    if (!netaddr_parse(o->listen.s, &h->address)) {
-        errno = EINVAL;
-        goto fail;
-    }
-    if (!start_daemon(h)) {
+    if (!start_server(h)) {
         goto fail;
     }
     if (pthread_create(&h->watcher, NULL, watcher_run, h) != 0) {
-        MHD_stop_daemon(h->daemon);
+        httpserver_stop(&h->server);
         goto fail;
     }
     return h;
 
 fail:
-    table_clear(&h->waiting);
+    (void)pthread_mutex_destroy(&h->lock);
     free(h);
     return NULL;
 }
@@ -451,10 +378,7 @@
 uint16_t
 httpd_port(const struct httpd *h)
 {
-    const union MHD_DaemonInfo *info =
-        MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_BIND_PORT);
-
-    return info != NULL ? info->port : 0;
+    return httpserver_port(&h->server);
 }
 
 void
@@ -466,63 +390,17 @@
 bool
 httpd_drain(struct httpd *h, int64_t timeout_ms)
 {
-    MHD_socket listener = MHD_quiesce_daemon(h->daemon);
-
-    for (int64_t waited = 0; waited < timeout_ms; waited++) {
-        if (atomic_load(&h->in_progress) == 0) {
-            break;
-        }
-        (void)usleep(USEC_PER_MSEC);
-    }
-    if (listener != MHD_INVALID_SOCKET) {
-        (void)close(listener);
-    }
-    return atomic_load(&h->in_progress) == 0;
+    return httpserver_drain(&h->server, timeout_ms);
 }
 
-/* A request that waits, whose connection is suspended; NULL when there is
- * none or it is only just being suspended (@any tells these apart). */
-static const struct httprequest *
-next_suspended(struct httpd *h, bool *any, struct handle *self)
-{
-    uint32_t at = 0;
-    struct httprequest **place;
-    struct httprequest *r;
-
-    (void)pthread_mutex_lock(&h->lock);
-    h->closed = true;
-    place = table_next(&h->waiting, &at, self);
-    r = place != NULL && (*place)->suspended ? *place : NULL;
-    *any = place != NULL;
-    (void)pthread_mutex_unlock(&h->lock);
-    return r;
-}
-
-/* Kept connections go on bringing requests when the reducer has ended.  One
- * that waits for a reply then keeps its connection suspended, and
- * libmicrohttpd aborts the process for it: the planned stop would end as a
- * crash.  So none is let in any more, and each is answered. */
 static void
-refuse_waiting(struct httpd *h)
+refuse_one(void *cls, uint64_t request)
 {
-    struct handle self;
-    struct effect stop;
-    bool any;
-
-    for (;;) {
-        if (next_suspended(h, &any, &self) == NULL) {
-            if (!any) {
-                return;
-            }
-            (void)usleep(LOOK_SUSPEND_US);
-            continue;
-        }
-        memset(&stop, 0, sizeof(stop));
-        stop.kind = EF_PROBLEM;
-        stop.u.problem.problem = PROBLEM_STOPPING;
-        stop.u.problem.not_by_this = true;
-        httpd_reply(h, id_of(self), &stop);
-    }
+    struct effect stop = {.kind = EF_PROBLEM};
+
+    stop.u.problem.problem = PROBLEM_STOPPING;
+    stop.u.problem.not_by_this = true;
+    httpd_reply(cls, request, &stop);
 }
 
 void
@@ -531,11 +409,10 @@
     if (h == NULL) {
         return;
     }
-    refuse_waiting(h);
+    httpserver_close(&h->server, refuse_one, h);
     atomic_store(&h->ended, true);
     (void)pthread_join(h->watcher, NULL);
-    MHD_stop_daemon(h->daemon);
-    table_clear(&h->waiting);
+    httpserver_stop(&h->server);
     (void)pthread_mutex_destroy(&h->lock);
     free(h);
 }
