Say what a second start means in the usual terms

Cause: a test's comment spoke in the users' own example. Change: the comment names the request that must run once.

--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -115,9 +115,9 @@
 }
 
 /* A connection goes silent after the start was sent.  The task may have been
- * started or not; if it were simply sent again, two families could get one
- * plot.  It is asked for by its identity, and only the upstream's word that
- * it never started lets it be placed again. */
+ * started or not; if it were simply sent again, a request that must run once
+ * could run twice.  It is asked for by its identity, and only the upstream's
+ * word that it never started lets it be placed again. */
 static void
 lost_start_needs_proof(void)
 {
