Run the control reducer in the virtual net

Cause: the fault matrix took the log of control as given, so no fault reached it and the promise about configuration was judged against a stand-in. Change: three control processes, each the shipped reducer with a disk in memory whose crash loses what was not synced; their messages, publications and answers are hops like all others. Faults strike them, too; a new one restarts all of them at once. Operators resend with request ids; two publish from one base. Judged: each publication accepted in the end, the last accepted version in force everywhere, equal versions with equal texts. Two mutants of control: accept before the sync, forget request ids. Messages of control count as upkeep.

--- a/src/entry.c
+++ b/src/entry.c
@@ -452,6 +452,12 @@
     return e->config != NULL ? e->config->version : 0;
 }
 
+const struct config *
+entry_config(const struct entry *e)
+{
+    return e->config;
+}
+
 struct entry_counters
 entry_counters(const struct entry *e)
 {
--- a/src/entry.h
+++ b/src/entry.h
@@ -90,6 +90,9 @@
 /** entry_config_version() - the version in force here; 0 is none */
 uint64_t entry_config_version(const struct entry *e);
 
+/** entry_config() - the configuration in force, or NULL; for checks */
+const struct config *entry_config(const struct entry *e);
+
 /* Counters: COUNTER(name, help).  All only rise. */
 /* clang-format off */
 #define COUNTER_LIST(COUNTER)                                                 \
--- a/src/figures.c
+++ b/src/figures.c
@@ -180,6 +180,16 @@
     case MSG_SYNC_REPLY:
     case MSG_CONFIG_REQUEST:
     case MSG_CONFIG_REPLY:
+    case MSG_VOTE:
+    case MSG_VOTE_REPLY:
+    case MSG_APPEND:
+    case MSG_APPEND_REPLY:
+    case MSG_SNAPSHOT:
+    case MSG_SNAPSHOT_REPLY:
+    case MSG_READ_INDEX:
+    case MSG_READ_REPLY:
+    case MSG_HAND_OVER:
+    case MSG_FOLLOWERS:
         return true;
     default:
         return false;
--- a/src/kind.h
+++ b/src/kind.h
@@ -39,7 +39,9 @@
     MUTANT_KIND(RENAMED_NOT_RUN, NON_IDEMPOTENT, "start again after a restart") \
     MUTANT_KIND(STAY, LEAVING, "go on with what is leaving")                  \
     MUTANT_KIND(STOP_AT_ONCE, STOP, "stop with jobs in progress")             \
-    MUTANT_KIND(ANY_VERSION, CONFIG, "apply what is not newer")
+    MUTANT_KIND(ANY_VERSION, CONFIG, "apply what is not newer")               \
+    MUTANT_KIND(ACK_BEFORE_SYNC, CONFIG, "accept what is not durable")        \
+    MUTANT_KIND(FORGET_REQUESTS, CONFIG, "take a resend for a new request")
 /* clang-format on */
 
 enum mutant {
--- a/src/matrix.c
+++ b/src/matrix.c
@@ -256,6 +256,49 @@
     }
 }
 
+static void
+strike_control(struct vnet *n, enum fault fault, uint32_t i)
+{
+    switch (fault) {
+    case FAULT_KILL_SENDER:
+    case FAULT_KILL_RECEIVER:
+    case FAULT_KILL_READER:
+        vcontrol_kill(n, i);
+        return_later(n, SCENARIO_CONTROL_BACK, i, RETURN_US);
+        break;
+    case FAULT_RESTART_SENDER:
+    case FAULT_RESTART_RECEIVER:
+    case FAULT_RESTART_READER:
+        vcontrol_restart(n, i);
+        break;
+    case FAULT_PAUSE_SENDER:
+    case FAULT_PAUSE_RECEIVER:
+        vcontrol_pause(n, i, PAUSE_US);
+        break;
+    default:
+        return_later(n, SCENARIO_CONTROL_STOP, i, 0);
+        return_later(n, SCENARIO_CONTROL_BACK, i, 2 * RETURN_US);
+        break;
+    }
+}
+
+static void
+strike_process(struct vnet *n, enum fault fault, struct end end)
+{
+    if (end.role == END_CONTROL) {
+        strike_control(n, fault, end.index);
+    }
+    else {
+        strike_instance(n, fault, end.index);
+    }
+}
+
+static bool
+is_process(struct end end)
+{
+    return end.role == END_INSTANCE || end.role == END_CONTROL;
+}
+
 static enum hop_point
 point_of(enum fault fault)
 {
@@ -305,6 +348,11 @@
     case FAULT_ZONE_CUT:
         cut_zone(n, h);
         return FATE_PASS;
+    case FAULT_CONTROL_RESTARTED:
+        for (uint32_t i = 0; i < VCONTROLS; i++) {
+            vcontrol_restart(n, i);
+        }
+        return FATE_PASS;
     default:
         break;
     }
@@ -312,10 +360,10 @@
         strike_upstream(n, fault, upstream_near(n, h));
     }
     else if (faults[fault].need == NEED_SENDER) {
-        strike_instance(n, fault, h->from.index);
+        strike_process(n, fault, h->from);
     }
     else {
-        strike_instance(n, fault, h->to.index);
+        strike_process(n, fault, h->to);
     }
     return FATE_PASS;
 }
@@ -336,8 +384,8 @@
 
         if (c->struck[i] || f->step != h->number ||
             point != point_of(f->fault) ||
-            (need == NEED_SENDER && h->from.role != END_INSTANCE) ||
-            (need == NEED_RECEIVER && h->to.role != END_INSTANCE)) {
+            (need == NEED_SENDER && !is_process(h->from)) ||
+            (need == NEED_RECEIVER && !is_process(h->to))) {
             continue;
         }
         c->struck[i] = true;
@@ -408,9 +456,9 @@
 {
     switch (faults[fault].need) {
     case NEED_SENDER:
-        return s->from.role == END_INSTANCE;
+        return is_process(s->from);
     case NEED_RECEIVER:
-        return s->to.role == END_INSTANCE;
+        return is_process(s->to);
     default:
         break;
     }
--- a/src/matrix.h
+++ b/src/matrix.h
@@ -35,6 +35,7 @@
     FAULT(STOP_SENDER, SENDER)                                                \
     FAULT(STOP_RECEIVER, RECEIVER)                                            \
     FAULT(ZONE_CUT, HOP)                                                      \
+    FAULT(CONTROL_RESTARTED, HOP) /* all control processes at once */         \
     FAULT(UPSTREAM_DEAD, HOP)                                                 \
     FAULT(UPSTREAM_HUNG, HOP)                                                 \
     FAULT(UPSTREAM_SLOW, HOP)                                                 \
--- a/src/scenario.c
+++ b/src/scenario.c
@@ -5,6 +5,9 @@
 
 #include "key.h"
 
+/* So few entries that control makes snapshots. */
+enum { SNAPSHOT_ENTRIES = 4 };
+
 enum { PROBES_SEC = 50, END_SEC = 60, RETRIES = 40, SPREAD_MS = 30 };
 
 #define MSEC USEC_PER_MSEC
@@ -116,6 +119,14 @@
             vnet_restart(n, i);
         }
         break;
+    case SCENARIO_CONTROL_STOP:
+        vcontrol_stop(n, i);
+        break;
+    case SCENARIO_CONTROL_BACK:
+        if (n->controls[i].control == NULL) {
+            vcontrol_restart(n, i);
+        }
+        break;
     default:
         n->upstreams[i].slow = 1;
         n->upstreams[i].failing = false;
@@ -154,6 +165,9 @@
     o.entry.claim_window_us = CLAIM_WINDOW_US;
     o.entry.clock_skew_us = 1 * USEC_PER_SEC;
     o.entry.answer_keep_us = 10 * USEC_PER_SEC;
+    o.control.request_us = 1 * USEC_PER_SEC;
+    o.control.snapshot_entries = SNAPSHOT_ENTRIES;
+    o.control.trail = 1;
     o.service.deadline_us = 5 * USEC_PER_SEC;
     o.service.deadline_max_us = 6 * USEC_PER_SEC;
     if (mutant >= 0) {
@@ -169,6 +183,7 @@
     add_probes(n);
     add_script(n, SCENARIO_PUBLISH, 0, 2200 * MSEC);
     add_script(n, SCENARIO_PUBLISH, 0, 2230 * MSEC);
+    add_script(n, SCENARIO_PUBLISH, 0, 2230 * MSEC); /* from the same base */
     add_script(n, SCENARIO_LEAVE, 1, 2600 * MSEC);
     add_script(n, SCENARIO_UPSTREAM_BACK, 1, 14000 * MSEC);
     add_script(n, SCENARIO_INSTANCE_STOP, 1, 3000 * MSEC);
--- a/src/vcarry.c
+++ b/src/vcarry.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "servicefile.h"
 #include "vnet.h"
 
 #define HTTP_PATIENCE_US (1 * USEC_PER_SEC) /* of fences and questions */
@@ -46,8 +47,8 @@
 
 /* ---- effects ---- */
 
-static struct end
-instance_of(const struct vnet *n, struct name name)
+struct end
+vcarry_process(const struct vnet *n, struct name name)
 {
     for (uint32_t i = 0; i < n->n_instances; i++) {
         if (name_equal(n->instances[i].name, name)) {
@@ -74,7 +75,7 @@
 {
     struct hop h = {.kind = HOP_MESSAGE, .from = self};
 
-    h.to = instance_of(n, f->to);
+    h.to = vcarry_process(n, f->to);
     if (h.to.role == END_NONE) {
         return;
     }
@@ -214,6 +215,14 @@
                    v->name.s, (unsigned long long)v->version,
                    (unsigned long long)version);
     }
+    if (version != v->version) {
+        char *text = servicefile_canonical(entry_config(v->entry));
+        struct blob *b = text != NULL ? blob_new(text, strlen(text)) : NULL;
+
+        voperator_note(n, version, delta_digest(b), v->name.s);
+        blob_unref(b);
+        free(text);
+    }
     v->version = version;
     if (version > v->version_known) {
         v->version_known = version;
--- a/src/vcheck.c
+++ b/src/vcheck.c
@@ -65,11 +65,15 @@
 static void
 check_config(struct vnet *n)
 {
+    for (size_t i = 0; i < n->n_operators; i++) {
+        if (n->operators[i].version == 0) {
+            vnet_break(n, PROMISE_CONFIG, "publication %zu got no answer", i);
+        }
+    }
     for (uint32_t i = 0; i < n->n_instances; i++) {
         const struct vinstance *v = &n->instances[i];
 
-        if (v->entry != NULL && !v->stopping &&
-            v->version != n->config.version) {
+        if (v->entry != NULL && !v->stopping && v->version != n->accepted) {
             vnet_break(n, PROMISE_CONFIG, "%s ended with version %llu",
                        v->name.s, (unsigned long long)v->version);
         }
--- a/src/vnet.c
+++ b/src/vnet.c
@@ -25,9 +25,12 @@
         .client_us = 1000,
         .services = 1,
         .entry = entry_options_default(),
+        .control = control_options_default(),
     };
 
     o.entry.new_region = true;
+    o.control.election_us = 300 * USEC_PER_MSEC;
+    o.control.heartbeat_us = 100 * USEC_PER_MSEC;
     o.service = (struct service_conf){
         .name = name_of("allocation"),
         .team = name_of("camps"),
@@ -122,12 +125,10 @@
         }
         break;
     case END_CONTROL:
-        if (h->kind == HOP_ALARM) {
-            vcontrol_alarm(n, h);
-        }
-        else {
-            vcontrol_arrives(n, h);
-        }
+        vcontrol_arrives(n, h);
+        break;
+    case END_OPERATOR:
+        voperator_arrives(n, h);
         break;
     case END_CALLER:
         if (h->kind == HOP_ALARM) {
@@ -180,18 +181,25 @@
     for (;;) {
         int64_t tick_us;
         struct vinstance *v = next_tick(n, &tick_us);
+        uint32_t control = 0;
+        int64_t control_us = vcontrol_next_us(n, &control);
         int64_t hop_us = n->n_heap > 0 ? n->heap[0].at_us : INT64_MAX;
 
-        if (tick_us >= until_us && hop_us >= until_us) {
+        if (tick_us >= until_us && control_us >= until_us &&
+            hop_us >= until_us) {
             break;
         }
-        if (hop_us <= tick_us) {
+        if (hop_us <= tick_us && hop_us <= control_us) {
             struct hop h = vhop_pop(n);
 
             n->now_us = h.at_us > n->now_us ? h.at_us : n->now_us;
             arrive(n, &h);
             vhop_clear(&h);
         }
+        else if (control_us <= tick_us) {
+            n->now_us = control_us > n->now_us ? control_us : n->now_us;
+            vcontrol_tick(n, control);
+        }
         else {
             struct event ev = {.kind = EV_TICK};
 
@@ -393,7 +401,8 @@
         vhop_clear(&n->heap[i]);
     }
     free_calls(n);
-    blob_unref(n->text);
+    vcontrol_end(n);
+    voperator_end(n);
     free(n->heap);
     free(n->peers);
     free(n->instances);
--- a/src/vnet.h
+++ b/src/vnet.h
@@ -13,9 +13,11 @@
 
 #include <gsl/gsl_rng.h>
 
+#include "delta.h"
 #include "entry.h"
 #include "map.h"
 #include "table.h"
+#include "vdisk.h"
 
 /* HOP(NAME, whether it crosses the network) */
 /* clang-format off */
@@ -34,12 +36,13 @@
     HOP(ANNOUNCE, 1)                                                          \
     HOP(LEAVE, 1)                                                             \
     HOP(ANNOUNCED, 1)                                                         \
-    HOP(ACCEPTED, 1) /* a publication reaches a control process */            \
+    HOP(PUBLISH, 1)                                                           \
+    HOP(PUBLISHED, 1)                                                         \
     HOP(RESET, 0)    /* a caller's connection breaks */                       \
     HOP(PEER, 0)     /* an instance's connection comes or goes */             \
     HOP(RUN_END, 0)  /* a task ends on its upstream */                        \
     HOP(SILENCE, 0)  /* a call's patience is over */                          \
-    HOP(ALARM, 0)    /* a caller's or upstream's own timer */                 \
+    HOP(ALARM, 0)    /* a process's own timer */                              \
     HOP(SCRIPT, 0)   /* a step of the scenario */
 /* clang-format on */
 
@@ -57,6 +60,7 @@
     END_UPSTREAM,
     END_CALLER,
     END_CONTROL,
+    END_OPERATOR,
     END_NONE,
 };
 
@@ -161,14 +165,29 @@
     size_t n_tombstones;
 };
 
-/** struct vcontrol - a control process that followers poll; it may lag */
+/** struct vcontrol - a control process */
 struct vcontrol {
-    struct name name;
+    struct control *control; /* NULL while it is dead */
+    struct vdisk disk;
+    uint64_t life;
+    int64_t paused_until_us;
+    int64_t tick_us;
+};
+
+/** struct voperator - one publication, over all its requests */
+struct voperator {
+    uint64_t request; /* its request id */
+    uint64_t base;
+    uint64_t version; /* 0: not accepted yet, as far as it knows */
+    uint64_t ask;     /* number of the request under way */
+    uint32_t member;  /* asked */
+    struct blob *text;
+};
+
+/** struct vversion - a version and its text, as first seen anywhere */
+struct vversion {
     uint64_t version;
-    bool dead;
-    /* each instance's poll that waits: */
-    uint64_t have[INSTANCES_MAX];
-    int64_t until_us[INSTANCES_MAX]; /* 0: none */
+    uint64_t digest;
 };
 
 /** struct vtask - one task of a caller's job and what truly became of it */
@@ -243,11 +262,12 @@
     uint32_t connections; /* an upstream */
     uint32_t rack;        /* upstreams a rack */
     uint64_t seed;
-    int64_t zone_us;            /* one way inside a zone */
-    int64_t far_us;             /* one way between zones */
-    int64_t client_us;          /* one way to callers */
-    bool bytes;                 /* also count bytes of messages (slow) */
-    struct entry_options entry; /* identity is filled in */
+    int64_t zone_us;                /* one way inside a zone */
+    int64_t far_us;                 /* one way between zones */
+    int64_t client_us;              /* one way to callers */
+    bool bytes;                     /* also count bytes of messages (slow) */
+    struct entry_options entry;     /* identity is filled in */
+    struct control_options control; /* identity is filled in */
     struct service_conf service;
     uint32_t services; /* in the configuration; the others get no jobs */
 };
@@ -282,13 +302,19 @@
     struct table keys;
     struct map keys_by_id;
     struct hop *current;  /* the one being read */
-    struct config config; /* last accepted */
+    struct config config; /* last published */
     struct service_conf *services;
     struct team_conf team;
-    struct blob *text; /* of it */
     struct name control_names[VCONTROLS];
     struct vcontrol controls[VCONTROLS];
-    int64_t published_us;
+    struct voperator *operators;
+    size_t n_operators;
+    size_t operators_room;
+    uint64_t requests; /* request ids used */
+    struct vversion *versions;
+    size_t n_versions;
+    size_t versions_room;
+    uint64_t accepted; /* the highest version acknowledged */
     int64_t cut_until_us[ZONES_MAX];
     struct effects fx;
     uint64_t hop_count[HOP_KINDS];
@@ -330,6 +356,9 @@
  * when it had before */
 bool vcarry_close(struct vnet *n, const struct hop *h);
 
+/** vcarry_process() - the instance or control process of that name */
+struct end vcarry_process(const struct vnet *n, struct name name);
+
 /* varrive.c */
 void varrive_at_instance(struct vnet *n, struct hop *h);
 
@@ -361,8 +390,7 @@
 void vnet_break(struct vnet *n, enum promise p, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
-/** vnet_publish() - the next version is accepted and reaches all but the last
- * control process at once, that one some seconds later */
+/** vnet_publish() - an operator begins to publish a new text */
 void vnet_publish(struct vnet *n);
 
 /* Faults */
@@ -403,8 +431,31 @@
 
 /* vcontrol.c */
 void vcontrol_begin(struct vnet *n);
+void vcontrol_end(struct vnet *n);
 void vcontrol_arrives(struct vnet *n, struct hop *h);
-void vcontrol_alarm(struct vnet *n, const struct hop *h);
+void vcontrol_kill(struct vnet *n, uint32_t control);
+void vcontrol_restart(struct vnet *n, uint32_t control); /* with its disk */
+void vcontrol_pause(struct vnet *n, uint32_t control, int64_t us);
+void vcontrol_stop(struct vnet *n, uint32_t control);
+
+/** vcontrol_next_us() - when a tick is due, and where */
+int64_t vcontrol_next_us(struct vnet *n, uint32_t *control);
+void vcontrol_tick(struct vnet *n, uint32_t control);
+
+/* voperator.c */
+void voperator_arrives(struct vnet *n, const struct hop *h);
+void voperator_end(struct vnet *n);
+
+/** voperator_text() - canonical text of the configuration last published */
+struct blob *voperator_text(const struct vnet *n);
+
+/** voperator_note() - equal versions must have equal texts */
+void voperator_note(struct vnet *n, uint64_t version, uint64_t digest,
+                    const char *whose);
+
+/** voperator_accepted() - an operator was told that it is accepted */
+void voperator_accepted(struct vnet *n, uint64_t version,
+                        const struct blob *text);
 
 /* vcheck.c */
 
