Hand kept answers over at a planned stop

Cause: the whole answers that an instance keeps for callers who submit again went with it when it stopped as planned. Such a caller heard claimer-lost and every task unknown at any other instance, though its job had completed.

Which incarnation's answers went where is told with the heartbeats and repeated by whoever heard it, so that an instance that restarted learns it again. Whoever finds a claimer gone asks the last successor of the chain before it says that it is lost. Held upstreams are let go before the handover begins, not after it. Claims and voters are as they were; what is handed over are ended jobs.

Conclusion: answers outlive planned stops, also several in a row. They do not outlive a death, of the instance or of the successor. Ruled out: handing over voting records (a copy is no vote), copying each answer as it is given (a message a job).

--- a/src/entry.c
+++ b/src/entry.c
@@ -11,9 +11,11 @@
 #include "entry_state.h"
 #include "explain.h"
 #include "follow.h"
+#include "handover.h"
 #include "holder.h"
 #include "jobs.h"
 #include "member.h"
+#include "moved.h"
 #include "slot.h"
 #include "upstream.h"
 
@@ -168,6 +170,8 @@
     e->random = o->seed;
     e->explain = explain_new();
     e->members = members_new(e);
+    e->moved = moved_new();
+    e->handover = handover_new();
     e->claims = claims_new(e);
     e->jobs = jobs_new(e);
     e->upstreams = upstreams_new(e);
@@ -205,6 +209,8 @@
     holders_free(e->holders);
     jobs_free(e->jobs);
     claims_free(e->claims);
+    handover_free(e->handover);
+    moved_free(e->moved);
     members_free(e->members);
     explain_free(e->explain);
     config_free(e->config);
@@ -288,6 +294,13 @@
     case MSG_JOB_ANSWER:
         jobs_on_message(e, from, m);
         break;
+    case MSG_ANSWER_HANDOVER:
+    case MSG_ANSWER_TAKEN:
+        handover_on_message(e, from, m);
+        break;
+    case MSG_MOVES:
+        moved_on_message(e, from, &m->u.moves);
+        break;
     case MSG_UPSTREAM_NEWS:
         upstreams_on_news(e, from, &m->u.upstream_news);
         break;
@@ -341,8 +354,10 @@
         (busy && !MUTANT(e, STOP_AT_ONCE))) {
         return;
     }
+    if (!handover_done(e)) {
+        return;
+    }
     e->stopped_told = true;
-    holders_let_go(e);
     (void)effects_add(e->fx, EF_STOPPED);
 }
 
@@ -439,6 +454,7 @@
     next = earlier(next, claims_next_us(e));
     next = earlier(next, jobs_next_us(e));
     next = earlier(next, upstreams_next_us(e));
+    next = earlier(next, handover_next_us(e));
     next = earlier(next, dispatch_next_us(e));
     return earlier(next, follow_next_us(e));
 }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -38,6 +38,8 @@
 struct dispatch;
 struct follow;
 struct explain;
+struct moved;
+struct handover;
 
 struct entry {
     struct entry_options opts; /* opts.peers is the entry's own copy */
@@ -61,6 +63,8 @@
     struct dispatch *dispatch;
     struct follow *follow;
     struct explain *explain;
+    struct moved *moved;
+    struct handover *handover;
 };
 
 /** entry_random() - next number of the seeded generator (splitmix64) */
--- a/src/figures.c
+++ b/src/figures.c
@@ -190,6 +190,7 @@
     case MSG_READ_REPLY:
     case MSG_HAND_OVER:
     case MSG_FOLLOWERS:
+    case MSG_MOVES:
         return true;
     default:
         return false;
--- /dev/null
+++ b/src/handover.c
@@ -0,0 +1,336 @@
+#include "handover.h"
+
+#include <stdlib.h>
+#include <syslog.h>
+
+#include "holder.h"
+#include "job_state.h"
+#include "member.h"
+#include "moved.h"
+
+#define AGAIN_US (200 * USEC_PER_MSEC) /* until a batch is sent again */
+
+enum {
+    BATCH_ANSWERS = 256,
+    BATCH_BYTES = 1 << 20, /* a single answer may have more */
+};
+
+enum handover_phase { HANDOVER_NONE, HANDOVER_SENDING, HANDOVER_OVER };
+
+struct handover {
+    enum handover_phase phase;
+    struct name successor;
+    uint64_t successor_incarnation;
+    int64_t end_us;
+    int64_t again_us;
+    uint64_t batch;
+    uint32_t at;      /* where the batch in flight begins, see table_next() */
+    uint32_t next;    /* and where the one after it does */
+    size_t in_flight; /* answers of the batch */
+    size_t given;     /* acknowledged */
+};
+
+struct handover *
+handover_new(void)
+{
+    struct handover *h = calloc(1, sizeof(*h));
+
+    if (h == NULL) {
+        abort();
+    }
+    return h;
+}
+
+void
+handover_free(struct handover *h)
+{
+    free(h);
+}
+
+static size_t
+answers_kept(const struct entry *e)
+{
+    uint32_t at = 0;
+    size_t n = 0;
+    const struct job *job;
+
+    while ((job = jobs_next(e, &at)) != NULL) {
+        n += job->phase == JOB_ENDED ? 1 : 0;
+    }
+    return n;
+}
+
+/* The next name after our own, in our zone if there is one. */
+static const struct member *
+choose(const struct entry *e)
+{
+    const struct member *far = NULL;
+    size_t n = e->opts.n_peers;
+    size_t own = members_index(e, members_of(e, e->opts.self));
+
+    for (size_t i = 1; i < n; i++) {
+        const struct member *m = members_at(e, (uint16_t)((own + i) % n));
+
+        if (!m->up || m->stopping) {
+            continue;
+        }
+        if (name_equal(m->zone, e->zone)) {
+            return m;
+        }
+        far = far != NULL ? far : m;
+    }
+    return far;
+}
+
+static void
+fill_answer(const struct entry *e, const struct job *job,
+            struct rec_kept_answer *to)
+{
+    int64_t left = job->ended_us + e->opts.answer_keep_us - e->now.mono_us;
+
+    to->key = job->id;
+    to->digest = job->digest;
+    to->status = job->answer->status;
+    to->reason = job->answer->reason;
+    to->left_us = left > 0 ? (uint64_t)left : 0;
+    to->n_tasks = waiter_tasks(job->answer, &to->tasks);
+}
+
+/* Sends what follows h->at; false where nothing does. */
+static bool
+send_batch(struct entry *e)
+{
+    struct handover *h = e->handover;
+    struct msg m = {.kind = MSG_ANSWER_HANDOVER};
+    struct rec_answer_handover *r = &m.u.answer_handover;
+    uint32_t at = h->at;
+    size_t bytes = 0;
+    struct job *job;
+
+    r->answers = calloc(BATCH_ANSWERS, sizeof(*r->answers));
+    if (r->answers == NULL) {
+        abort();
+    }
+    h->next = h->at;
+    while (r->n_answers < BATCH_ANSWERS && (job = jobs_next(e, &at)) != NULL) {
+        if (job->phase == JOB_ENDED) {
+            bytes += job->kept_bytes;
+            if (bytes > BATCH_BYTES && r->n_answers > 0) {
+                break;
+            }
+            fill_answer(e, job, &r->answers[r->n_answers++]);
+        }
+        h->next = at;
+    }
+    if (r->n_answers == 0) {
+        msg_free(&m);
+        return false;
+    }
+    r->incarnation = e->opts.incarnation;
+    r->batch = h->batch;
+    h->in_flight = r->n_answers;
+    h->again_us = e->now.mono_us + AGAIN_US;
+    entry_send(e, h->successor, &m);
+    return true;
+}
+
+static void
+finish(struct entry *e, size_t left)
+{
+    struct handover *h = e->handover;
+
+    h->phase = HANDOVER_OVER;
+    entry_log(e, left > 0 ? LOG_WARNING : LOG_NOTICE, REASON_STOPPING, NULL,
+              -1, h->successor, "kept answers: %zu handed over, %zu left",
+              h->given, left);
+}
+
+static size_t
+answers_left(const struct entry *e)
+{
+    size_t kept = answers_kept(e);
+
+    return kept > e->handover->given ? kept - e->handover->given : 0;
+}
+
+/* With a successor that came to nothing everything is sent again to the next;
+ * the time for all of them together is bounded. */
+static void
+begin_with(struct entry *e, const struct member *m)
+{
+    struct handover *h = e->handover;
+
+    h->given = 0;
+    if (m == NULL) {
+        finish(e, answers_kept(e));
+        return;
+    }
+    h->successor = m->name;
+    h->successor_incarnation = m->incarnation;
+    h->at = 0;
+    h->batch++;
+    moved_set(e, e->opts.self, e->opts.incarnation, m->name, m->incarnation,
+              e->opts.answer_keep_us);
+    members_stopping(e);
+    if (!send_batch(e)) {
+        finish(e, 0);
+    }
+}
+
+static void
+begin(struct entry *e)
+{
+    struct handover *h = e->handover;
+
+    holders_let_go(e);
+    h->end_us = e->now.mono_us + HANDOVER_US;
+    h->phase = HANDOVER_SENDING;
+    if (answers_kept(e) == 0) {
+        h->phase = HANDOVER_OVER;
+        return;
+    }
+    begin_with(e, choose(e));
+}
+
+static void
+go_on(struct entry *e)
+{
+    struct handover *h = e->handover;
+    const struct member *m = members_of(e, h->successor);
+
+    if (e->now.mono_us >= h->end_us) {
+        finish(e, answers_left(e));
+    }
+    else if (!m->up || m->stopping ||
+             m->incarnation != h->successor_incarnation) {
+        begin_with(e, choose(e));
+    }
+    else if (e->now.mono_us >= h->again_us) {
+        if (!send_batch(e)) {
+            finish(e, 0);
+        }
+    }
+}
+
+bool
+handover_done(struct entry *e)
+{
+    struct handover *h = e->handover;
+
+    if (h->phase == HANDOVER_NONE) {
+        begin(e);
+    }
+    else if (h->phase == HANDOVER_SENDING) {
+        go_on(e);
+    }
+    return h->phase == HANDOVER_OVER;
+}
+
+int64_t
+handover_next_us(const struct entry *e)
+{
+    const struct handover *h = e->handover;
+
+    if (h->phase != HANDOVER_SENDING) {
+        return INT64_MAX;
+    }
+    return h->again_us < h->end_us ? h->again_us : h->end_us;
+}
+
+static void
+on_taken(struct entry *e, struct name from, const struct rec_answer_taken *m)
+{
+    struct handover *h = e->handover;
+
+    if (h->phase != HANDOVER_SENDING || !name_equal(from, h->successor) ||
+        m->batch != h->batch) {
+        return; /* late or doubled */
+    }
+    if (m->refused != 0) {
+        members_of(e, from)->stopping = true;
+        begin_with(e, choose(e));
+        return;
+    }
+    h->given += h->in_flight;
+    h->at = h->next;
+    h->batch++;
+    if (!send_batch(e)) {
+        finish(e, 0);
+    }
+}
+
+/* Whoever waits here for that very job gets the answer now; what this
+ * instance knows of the key itself stands. */
+static void
+take_one(struct entry *e, const struct rec_kept_answer *r)
+{
+    struct job *job = jobs_by_key(e, r->key);
+    int64_t left = e->opts.answer_keep_us;
+    struct job_answer *a;
+
+    if (job_past(e, r->key) != NULL ||
+        (job != NULL && job->phase != JOB_JOINED &&
+         job->phase != JOB_CLAIMING)) {
+        return;
+    }
+    a = job_answer_read(r->status, r->reason, r->tasks, r->n_tasks);
+    if (job != NULL && job_digest_differs(job, r->digest)) {
+        job_refuse_plain(e, job, PROBLEM_CONFLICT, 0, WAIT_CONFLICT,
+                         "the key was used with another body");
+    }
+    else if (job != NULL) {
+        waiters_answer(e, &e->jobs->requests, job, a);
+        job_remove(e, job);
+    }
+    left = r->left_us < (uint64_t)left ? (int64_t)r->left_us : left;
+    job_add_ended(e, r->key, r->digest, a, left);
+}
+
+static bool
+on_handover(struct entry *e, struct name from,
+            const struct rec_answer_handover *m)
+{
+    const struct member *sender = members_of(e, from);
+    struct msg reply = {.kind = MSG_ANSWER_TAKEN};
+
+    if (sender == NULL || sender->self ||
+        m->incarnation < sender->incarnation) {
+        return false;
+    }
+    for (size_t i = 0; i < m->n_answers; i++) {
+        const struct rec_kept_answer *r = &m->answers[i];
+
+        if (!job_answer_sound(r->status, r->reason, r->tasks, r->n_tasks)) {
+            return false;
+        }
+    }
+    reply.u.answer_taken.batch = m->batch;
+    reply.u.answer_taken.refused = e->stopping ? 1 : 0;
+    if (!e->stopping) {
+        moved_set(e, from, m->incarnation, e->opts.self, e->opts.incarnation,
+                  e->opts.answer_keep_us);
+        for (size_t i = 0; i < m->n_answers; i++) {
+            take_one(e, &m->answers[i]);
+        }
+    }
+    entry_send(e, from, &reply);
+    return true;
+}
+
+void
+handover_on_message(struct entry *e, struct name from, const struct msg *m)
+{
+    bool sense = true;
+
+    if (m->kind == MSG_ANSWER_HANDOVER) {
+        sense = on_handover(e, from, &m->u.answer_handover);
+    }
+    else {
+        on_taken(e, from, &m->u.answer_taken);
+    }
+    if (!sense) {
+        e->counters.messages_bad++;
+        entry_log(e, LOG_WARNING, REASON_BAD_MESSAGE, NULL, -1, from, "%s",
+                  msg_name(m->kind));
+    }
+}
--- a/src/job_peer.c
+++ b/src/job_peer.c
@@ -2,6 +2,7 @@
 
 #include "job_state.h"
 #include "member.h"
+#include "moved.h"
 
 static uint64_t
 wait_number(struct handle h)
@@ -29,7 +30,8 @@
     w->wait = wait_number(job->self);
     w->cancel = job->cancel ? 1 : 0;
     w->peek = job->peek ? 1 : 0;
-    w->incarnation = job->claimer_incarnation;
+    /* No incarnation is 0: who does not know the answer says it is lost. */
+    w->incarnation = job->moved ? 0 : job->claimer_incarnation;
     entry_send(e, job->claimer, &m);
 }
 
@@ -44,10 +46,9 @@
     return !m->up && (m->incarnation != 0 || e->now.mono_us >= job->lost_us);
 }
 
-/* The instance that runs the job is gone or another incarnation of it is
- * there.  What it started, nobody can tell. */
+/* What the claimer started, nobody can tell. */
 static void
-claimer_lost(struct entry *e, struct job *job)
+give_up_claimer(struct entry *e, struct job *job)
 {
     entry_log(e, LOG_WARNING, REASON_CLAIMER_LOST, &job->id, -1, job->claimer,
               "incarnation %llu",
@@ -60,6 +61,58 @@
                      WAIT_RELEASED, "the instance that took the key is gone");
 }
 
+/* This instance is the successor itself.  A submission would have found the
+ * answer under its key; a question by key alone finds it here. */
+static void
+look_here(struct entry *e, struct job *job)
+{
+    struct job *kept = jobs_by_key(e, job->id);
+
+    if (kept != NULL && kept->phase == JOB_ENDED) {
+        waiters_answer(e, &e->jobs->requests, job, kept->answer);
+        job_remove(e, job);
+        return;
+    }
+    if (job_past(e, job->id) != NULL) {
+        job_refuse_plain(e, job, PROBLEM_FORGOTTEN, 0, WAIT_RELEASED,
+                         "the job ended; its answer is no longer kept");
+        return;
+    }
+    give_up_claimer(e, job);
+}
+
+/* The instance that ran the job is gone or another incarnation of it is
+ * there.  If it stopped as planned, its successor keeps its answers: without
+ * asking there, every planned stop would turn complete jobs into unknown
+ * ones for callers that lost their connection. */
+static void
+claimer_lost(struct entry *e, struct job *job)
+{
+    struct name at = job->claimer;
+    uint64_t incarnation = job->claimer_incarnation;
+
+    if (!moved_find(e, &at, &incarnation)) {
+        give_up_claimer(e, job);
+        return;
+    }
+    if (name_equal(at, e->opts.self) && incarnation == e->opts.incarnation) {
+        look_here(e, job);
+        return;
+    }
+    entry_log(e, LOG_INFO, REASON_CLAIM_ELSEWHERE, &job->id, -1, at,
+              "its claimer %s stopped; asks its successor", job->claimer.s);
+    job->claimer = at;
+    job->claimer_incarnation = incarnation;
+    job->moved = true;
+    job->lost_us = e->now.mono_us + e->opts.member_timeout_us;
+    if (claimer_gone(e, job)) {
+        give_up_claimer(e, job);
+        return;
+    }
+    job_send_wait(e, job);
+    job_due(e, job, job->lost_us);
+}
+
 static void
 take_running(struct entry *e, struct job *job)
 {
@@ -160,6 +213,10 @@
         waiter_reply(e, from, m->wait, m->key, WAIT_CONFLICT, NULL);
         return;
     }
+    if (m->incarnation == 0 && job->phase != JOB_ENDED) {
+        waiter_reply(e, from, m->wait, m->key, WAIT_LOST, NULL);
+        return;
+    }
     if (job->phase == JOB_JOINED) {
         waiter_reply(e, from, m->wait, m->key, WAIT_RELEASED, NULL);
         return;
@@ -193,23 +250,46 @@
 
 /* An answer is whole or it is none: a wrong number of tasks, a state or a
  * reason nobody knows, or a complete job with a task that did not run. */
-static bool
-answer_sound(const struct job *job, const struct rec_job_answer *m)
+bool
+job_answer_sound(uint64_t status, uint64_t reason,
+                 const struct rec_task_answer *tasks, size_t n_tasks)
 {
-    bool cancelled = m->n_tasks == 0 && m->status == JOB_FAILED &&
-                     m->reason == REASON_CANCELLED;
-
-    if ((m->status != JOB_COMPLETE && m->status != JOB_FAILED) ||
-        m->reason >= REASONS || m->n_tasks > JOB_TASKS_MAX) {
+    if ((status != JOB_COMPLETE && status != JOB_FAILED) ||
+        reason >= REASONS || n_tasks > JOB_TASKS_MAX) {
         return false;
     }
-    for (size_t i = 0; i < m->n_tasks; i++) {
-        if (m->tasks[i].state > TASK_UNKNOWN ||
-            (m->status == JOB_COMPLETE && m->tasks[i].state != TASK_RAN)) {
+    for (size_t i = 0; i < n_tasks; i++) {
+        if (tasks[i].state > TASK_UNKNOWN ||
+            (status == JOB_COMPLETE && tasks[i].state != TASK_RAN)) {
             return false;
         }
     }
-    return job->n_tasks == 0 || m->n_tasks == job->n_tasks || cancelled;
+    return true;
+}
+
+struct job_answer *
+job_answer_read(uint64_t status, uint64_t reason,
+                const struct rec_task_answer *tasks, size_t n_tasks)
+{
+    struct job_answer *a = job_answer_begin(n_tasks, (enum job_status)status,
+                                            (enum reason)reason);
+
+    for (size_t i = 0; i < n_tasks; i++) {
+        a->tasks[i].state = (enum task_state)tasks[i].state;
+        a->tasks[i].ok = tasks[i].ok != 0;
+        a->tasks[i].result = blob_ref(tasks[i].result);
+    }
+    return a;
+}
+
+static bool
+answer_fits(const struct job *job, const struct rec_job_answer *m)
+{
+    bool cancelled = m->n_tasks == 0 && m->status == JOB_FAILED &&
+                     m->reason == REASON_CANCELLED;
+
+    return job_answer_sound(m->status, m->reason, m->tasks, m->n_tasks) &&
+           (job->n_tasks == 0 || m->n_tasks == job->n_tasks || cancelled);
 }
 
 static bool
@@ -217,16 +297,10 @@
 {
     struct job_answer *a;
 
-    if (!answer_sound(job, m)) {
+    if (!answer_fits(job, m)) {
         return false;
     }
-    a = job_answer_begin(m->n_tasks, (enum job_status)m->status,
-                         (enum reason)m->reason);
-    for (size_t i = 0; i < m->n_tasks; i++) {
-        a->tasks[i].state = (enum task_state)m->tasks[i].state;
-        a->tasks[i].ok = m->tasks[i].ok != 0;
-        a->tasks[i].result = blob_ref(m->tasks[i].result);
-    }
+    a = job_answer_read(m->status, m->reason, m->tasks, m->n_tasks);
     entry_log(e, LOG_DEBUG, a->reason, &job->id, -1, job->claimer,
               "answered there");
     waiters_answer(e, &e->jobs->requests, job, a);
--- a/src/job_state.h
+++ b/src/job_state.h
@@ -60,6 +60,20 @@
 /** job_end() - takes over the answer and gives it to everybody who waits */
 void job_end(struct entry *e, struct job *job, struct job_answer *answer);
 
+/** job_add_ended() - an ended job of another instance, whose answer it takes
+ * over to keep it for @left_us */
+void job_add_ended(struct entry *e, struct key_id id, uint64_t digest,
+                   struct job_answer *answer, int64_t left_us);
+
+/** job_answer_sound() - whether an answer that came in a message is whole */
+bool job_answer_sound(uint64_t status, uint64_t reason,
+                      const struct rec_task_answer *tasks, size_t n_tasks);
+
+/** job_answer_read() - the answer of a message */
+struct job_answer *job_answer_read(uint64_t status, uint64_t reason,
+                                   const struct rec_task_answer *tasks,
+                                   size_t n_tasks);
+
 /** job_refuse() - refuses everybody who waits and forgets the job */
 void job_refuse(struct entry *e, struct job *job, const struct ef_problem *p,
                 enum wait_outcome outcome);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -213,6 +213,18 @@
     }
 }
 
+/* May forget the answer at once. */
+static void
+keep_answer(struct entry *e, struct job *job)
+{
+    struct jobs *j = e->jobs;
+
+    job->kept_bytes = kept_size(job);
+    j->answer_bytes += job->kept_bytes;
+    timers_add(&j->kept, job->ended_us + e->opts.answer_keep_us, job->self);
+    bound_answers(e);
+}
+
 static void
 count_end(struct entry *e, const struct job_answer *a)
 {
@@ -229,7 +241,6 @@
 job_end(struct entry *e, struct job *job, struct job_answer *answer)
 {
     struct jobs *j = e->jobs;
-    struct handle self = job->self;
 
     job->phase = JOB_ENDED;
     job->status = answer->status;
@@ -245,10 +256,24 @@
               answer->status == JOB_COMPLETE ? "complete" : "failed",
               (long long)(job->ended_us - job->submitted_us), answer->n_tasks);
     waiters_answer(e, &j->requests, job, answer);
-    job->kept_bytes = kept_size(job);
-    j->answer_bytes += job->kept_bytes;
-    timers_add(&j->kept, job->ended_us + e->opts.answer_keep_us, self);
-    bound_answers(e);
+    keep_answer(e, job);
+}
+
+void
+job_add_ended(struct entry *e, struct key_id id, uint64_t digest,
+              struct job_answer *answer, int64_t left_us)
+{
+    struct key_ref key = {.id = id};
+    struct job *job = job_add(e, &key, false);
+
+    job->phase = JOB_ENDED;
+    job->digest = digest;
+    job->status = answer->status;
+    job->reason = answer->reason;
+    job->answer = answer;
+    job->ended_us = e->now.mono_us + left_us - e->opts.answer_keep_us;
+    e->jobs->n_active--;
+    keep_answer(e, job);
 }
 
 struct job_answer *
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -63,6 +63,7 @@
     struct waiter *waiters; /* of jobs.c: callers and instances */
     struct name claimer;    /* JOB_JOINED */
     uint64_t claimer_incarnation;
+    bool moved; /* the claimer named is a successor that keeps its answers */
     int64_t due_us;  /* monotonic: its next timer */
     int64_t lost_us; /* JOB_JOINED: when a claimer never met is lost */
     bool query;      /* asks for a key without submitting; not in the map */
--- a/src/member.c
+++ b/src/member.c
@@ -7,6 +7,7 @@
 #include "claim.h"
 #include "dispatch.h"
 #include "jobs.h"
+#include "moved.h"
 #include "upstream.h"
 
 enum {
@@ -257,6 +258,7 @@
         }
         copy = msg_copy(name_equal(to->zone, e->zone) ? &near : &far);
         entry_send(e, to->name, &copy);
+        moved_send(e, to->name);
     }
     msg_free(&near);
     msg_free(&far);
@@ -370,6 +372,7 @@
     }
     hb = make_heartbeat(e, true, false);
     entry_send(e, peer, &hb);
+    moved_send(e, peer);
     if (m->up) {
         claims_member_up(e, peer);
     }
--- /dev/null
+++ b/src/moved.c
@@ -0,0 +1,185 @@
+#include "moved.h"
+
+#include <stdlib.h>
+#include <syslog.h>
+
+#include "member.h"
+
+enum { MOVED_MAX = 32 };
+
+struct move {
+    struct name member;
+    uint64_t incarnation;
+    struct name successor;
+    uint64_t successor_incarnation;
+    int64_t until_us; /* monotonic */
+};
+
+struct moved {
+    struct move items[MOVED_MAX];
+    size_t n;
+};
+
+struct moved *
+moved_new(void)
+{
+    struct moved *m = calloc(1, sizeof(*m));
+
+    if (m == NULL) {
+        abort();
+    }
+    return m;
+}
+
+void
+moved_free(struct moved *m)
+{
+    free(m);
+}
+
+static struct move *
+move_of(const struct entry *e, struct name member, uint64_t incarnation)
+{
+    struct moved *m = e->moved;
+
+    for (size_t i = 0; i < m->n; i++) {
+        if (m->items[i].incarnation == incarnation &&
+            name_equal(m->items[i].member, member)) {
+            return &m->items[i];
+        }
+    }
+    return NULL;
+}
+
+/* A free place, or that of the one to be forgotten first. */
+static struct move *
+move_place(const struct entry *e)
+{
+    struct moved *m = e->moved;
+    struct move *first = &m->items[0];
+
+    for (size_t i = 0; i < m->n; i++) {
+        if (m->items[i].until_us < first->until_us) {
+            first = &m->items[i];
+        }
+    }
+    if (m->n < MOVED_MAX && (m->n == 0 || first->until_us > e->now.mono_us)) {
+        return &m->items[m->n++];
+    }
+    return first;
+}
+
+void
+moved_set(struct entry *e, struct name member, uint64_t incarnation,
+          struct name successor, uint64_t successor_incarnation,
+          int64_t left_us)
+{
+    struct move *to = move_of(e, member, incarnation);
+
+    if (to == NULL) {
+        to = move_place(e);
+    }
+    to->member = member;
+    to->incarnation = incarnation;
+    to->successor = successor;
+    to->successor_incarnation = successor_incarnation;
+    to->until_us = e->now.mono_us + left_us;
+}
+
+/* Each incarnation stops once, so a chain has no rings unless somebody lies;
+ * the count keeps even those from hanging the process. */
+bool
+moved_find(const struct entry *e, struct name *at, uint64_t *incarnation)
+{
+    bool found = false;
+
+    for (size_t hops = 0; hops < MOVED_MAX; hops++) {
+        const struct move *m = move_of(e, *at, *incarnation);
+
+        if (m == NULL || m->until_us <= e->now.mono_us) {
+            break;
+        }
+        *at = m->successor;
+        *incarnation = m->successor_incarnation;
+        found = true;
+    }
+    return found;
+}
+
+/* A heartbeat is taken off each time it is told: otherwise two instances
+ * could remind each other for ever. */
+size_t
+moved_tell(const struct entry *e, struct rec_moved **out)
+{
+    const struct moved *m = e->moved;
+    size_t n = 0;
+
+    if (m->n == 0) {
+        return 0;
+    }
+    *out = calloc(m->n, sizeof(**out));
+    if (*out == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < m->n; i++) {
+        const struct move *from = &m->items[i];
+        int64_t left = from->until_us - e->now.mono_us - e->opts.heartbeat_us;
+
+        if (left > 0) {
+            (*out)[n++] = (struct rec_moved){.member = from->member,
+                                             .incarnation = from->incarnation,
+                                             .successor = from->successor,
+                                             .successor_incarnation =
+                                                 from->successor_incarnation,
+                                             .left_us = (uint64_t)left};
+        }
+    }
+    return n;
+}
+
+/* A message of its own: instances of an earlier version refuse a heartbeat
+ * with a field more and would take this one for dead, but they pass over a
+ * kind that they do not know. */
+void
+moved_send(struct entry *e, struct name to)
+{
+    struct msg m = {.kind = MSG_MOVES};
+
+    m.u.moves.n_moves = moved_tell(e, &m.u.moves.moves);
+    if (m.u.moves.n_moves > 0) {
+        entry_send(e, to, &m);
+    }
+    else {
+        msg_free(&m);
+    }
+}
+
+/* Who moved its own answers knows best; others only tell what is new. */
+static void
+hear(struct entry *e, struct name from, const struct rec_moved *r)
+{
+    int64_t left = e->opts.answer_keep_us;
+
+    if (members_of(e, r->member) == NULL ||
+        members_of(e, r->successor) == NULL ||
+        (!name_equal(r->member, from) &&
+         move_of(e, r->member, r->incarnation) != NULL)) {
+        return;
+    }
+    left = r->left_us < (uint64_t)left ? (int64_t)r->left_us : left;
+    moved_set(e, r->member, r->incarnation, r->successor,
+              r->successor_incarnation, left);
+}
+
+void
+moved_on_message(struct entry *e, struct name from, const struct rec_moves *m)
+{
+    if (members_of(e, from) == NULL) {
+        e->counters.messages_bad++;
+        entry_log(e, LOG_WARNING, REASON_BAD_MESSAGE, NULL, -1, from, "moves");
+        return;
+    }
+    for (size_t i = 0; i < m->n_moves && i < MOVED_MAX; i++) {
+        hear(e, from, &m->moves[i]);
+    }
+}
--- a/src/msg_list.h
+++ b/src/msg_list.h
@@ -38,4 +38,7 @@
 MSG(SAVED_STATE, saved_state)
 MSG(PUBLICATION, publication)
 MSG(HELLO, hello)
+MSG(ANSWER_HANDOVER, answer_handover)
+MSG(ANSWER_TAKEN, answer_taken)
+MSG(MOVES, moves)
 /* clang-format on */
--- a/src/waiter.c
+++ b/src/waiter.c
@@ -99,24 +99,23 @@
     f->answer = copy;
 }
 
-static void
-fill_tasks(struct rec_job_answer *to, const struct job_answer *answer)
+size_t
+waiter_tasks(const struct job_answer *answer, struct rec_task_answer **tasks)
 {
-    to->status = answer->status;
-    to->reason = answer->reason;
+    *tasks = NULL;
     if (answer->n_tasks == 0) {
-        return;
+        return 0;
     }
-    to->tasks = calloc(answer->n_tasks, sizeof(*to->tasks));
-    if (to->tasks == NULL) {
+    *tasks = calloc(answer->n_tasks, sizeof(**tasks));
+    if (*tasks == NULL) {
         abort();
     }
-    to->n_tasks = answer->n_tasks;
     for (size_t i = 0; i < answer->n_tasks; i++) {
-        to->tasks[i].state = answer->tasks[i].state;
-        to->tasks[i].ok = answer->tasks[i].ok ? 1 : 0;
-        to->tasks[i].result = blob_ref(answer->tasks[i].result);
+        (*tasks)[i].state = answer->tasks[i].state;
+        (*tasks)[i].ok = answer->tasks[i].ok ? 1 : 0;
+        (*tasks)[i].result = blob_ref(answer->tasks[i].result);
     }
+    return answer->n_tasks;
 }
 
 void
@@ -130,7 +129,9 @@
     m.u.job_answer.wait = wait;
     m.u.job_answer.outcome = outcome;
     if (answer != NULL) {
-        fill_tasks(&m.u.job_answer, answer);
+        m.u.job_answer.status = answer->status;
+        m.u.job_answer.reason = answer->reason;
+        m.u.job_answer.n_tasks = waiter_tasks(answer, &m.u.job_answer.tasks);
     }
     entry_send(e, instance, &m);
 }
--- a/src/waiter.h
+++ b/src/waiter.h
@@ -54,4 +54,9 @@
                   struct key_id key, enum wait_outcome outcome,
                   const struct job_answer *answer);
 
+/** waiter_tasks() - the tasks of an answer as a message carries them; returns
+ * how many */
+size_t waiter_tasks(const struct job_answer *answer,
+                    struct rec_task_answer **tasks);
+
 #endif
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -376,4 +376,36 @@
     U64(incarnation)
     U64(heartbeat_us)   /* at least a frame in each such time */
 END(hello)
+
+RECORD(moved)           /* where the kept answers of a stopped instance are */
+    NAME(member)
+    U64(incarnation)
+    NAME(successor)
+    U64(successor_incarnation)
+    U64(left_us)        /* as long as that is worth knowing */
+END(moved)
+
+RECORD(moves)           /* goes with a heartbeat while there is any */
+    ARRAY(moved, moves)
+END(moves)
+
+RECORD(kept_answer)     /* of an ended job; starts nothing */
+    KEY(key)
+    U64(digest)
+    U64(status)         /* enum job_status */
+    U64(reason)         /* enum reason */
+    U64(left_us)        /* that it is still to be kept */
+    ARRAY(task_answer, tasks)
+END(kept_answer)
+
+RECORD(answer_handover) /* from an instance that stops to its successor */
+    U64(incarnation)    /* of the sender */
+    U64(batch)
+    ARRAY(kept_answer, answers)
+END(answer_handover)
+
+RECORD(answer_taken)    /* the reply */
+    U64(batch)
+    U64(refused)        /* the successor is stopping itself */
+END(answer_taken)
 /* clang-format on */
