Sharpen two tests of the handover

Cause: with the expiry of moved answers or the refusal by a stopping successor switched off, no test failed. Change: moves_are_forgotten also looks the move up; stopping_successor_refuses gives answers to an instance that is stopping itself. Conclusion: both checks can fail now.

--- a/tests/handover_test.c
+++ b/tests/handover_test.c
@@ -292,13 +292,51 @@
     free(moved);
     enet_run(n, 130 * SEC);
     for (int i = 2; i < NODES; i++) {
+        struct name at = n->nodes[1].name;
+        uint64_t incarnation = n->nodes[1].incarnation;
+
         moved = NULL;
         CU_ASSERT_EQUAL(moved_tell(n->nodes[i].e, &moved), 0);
+        CU_ASSERT_FALSE(moved_find(n->nodes[i].e, &at, &incarnation));
         free(moved);
     }
     enet_free(n);
 }
 
+/* Two neighbours stop together, and the one does not know of the other yet.
+ * Answers given to an instance that is about to go would be gone with it, so
+ * it refuses them, and the giver looks for another. */
+static void
+stopping_successor_refuses(void)
+{
+    struct enet *n = new_net(1, PER_ZONE);
+    struct effects fx = {0};
+    struct msg m = {.kind = MSG_ANSWER_HANDOVER};
+    struct event ev = {.kind = EV_MESSAGE};
+    int refused = 0;
+
+    enet_run(n, SEC);
+    enet_stop(n, 2);
+    m.u.answer_handover.incarnation = n->nodes[1].incarnation;
+    m.u.answer_handover.batch = 1;
+    ev.now.mono_us = n->now_us;
+    ev.u.message.from = n->nodes[1].name;
+    ev.u.message.msg = &m;
+    entry_step(n->nodes[2].e, &ev, &fx);
+    for (size_t i = 0; i < fx.n; i++) {
+        const struct effect *f = &fx.items[i];
+
+        if (f->kind == EF_SEND && f->u.send.msg.kind == MSG_ANSWER_TAKEN) {
+            CU_ASSERT_EQUAL(f->u.send.msg.u.answer_taken.batch, 1);
+            CU_ASSERT_EQUAL(f->u.send.msg.u.answer_taken.refused, 1);
+            refused++;
+        }
+    }
+    CU_ASSERT_EQUAL(refused, 1);
+    effects_free(&fx);
+    enet_free(n);
+}
+
 void
 suite_handover(void)
 {
@@ -311,4 +349,6 @@
     check_add("handover", "silent_successor", silent_successor);
     check_add("handover", "poor_network", poor_network);
     check_add("handover", "moves_are_forgotten", moves_are_forgotten);
+    check_add("handover", "stopping_successor_refuses",
+              stopping_successor_refuses);
 }
