Remove four functions that nobody calls

Cause: slots_give_back(), storage_log_bytes(), log_severity_parse() and explain_bytes() had neither a caller nor a test. Change: they are gone; look_at_all() in slot.c had a parameter for the first alone. Conclusion: no behaviour changed. The names of events and effects stay: they are for whoever drives a reducer.

--- a/src/explain.c
+++ b/src/explain.c
@@ -68,12 +68,6 @@
     }
 }
 
-size_t
-explain_bytes(void)
-{
-    return RING_SIZE * sizeof(struct decision);
-}
-
 size_t
 explain_size(const struct job *job)
 {
--- a/src/explain.h
+++ b/src/explain.h
@@ -30,7 +30,4 @@
 /** explain_query() - answers with what was decided for a key, and why */
 void explain_query(struct entry *e, const struct ev_query *q);
 
-/** explain_bytes() - memory of the ring, for capacity figures */
-size_t explain_bytes(void);
-
 #endif
--- a/src/log.c
+++ b/src/log.c
@@ -47,17 +47,6 @@
                                                   : "unknown";
 }
 
-int
-log_severity_parse(const char *name)
-{
-    for (int i = 0; i < SEVERITIES; i++) {
-        if (strcmp(name, severities[i]) == 0) {
-            return i;
-        }
-    }
-    return -1;
-}
-
 static void
 format_time(char out[TIME_SIZE])
 {
--- a/src/log.h
+++ b/src/log.h
@@ -53,7 +53,4 @@
 /** log_severity_name() - syslog's word for a severity */
 const char *log_severity_name(int severity);
 
-/** log_severity_parse() - the severity of a word; -1 where it is none */
-int log_severity_parse(const char *name);
-
 #endif
--- a/src/slot.c
+++ b/src/slot.c
@@ -269,7 +269,7 @@
 }
 
 static void
-look_at_all(struct entry *e, int64_t idle_us)
+look_at_all(struct entry *e)
 {
     struct slots *sl = e->slots;
     struct handle h;
@@ -279,18 +279,12 @@
     sl->idle_us = INT64_MAX;
     while ((p = table_next(&sl->places, &at, &h)) != NULL) {
         if (!place_own(p)) {
-            wake_by(e, look_at_borrowed(e, p, idle_us));
+            wake_by(e, look_at_borrowed(e, p, IDLE_US));
         }
     }
     flush_backs(e);
 }
 
-void
-slots_give_back(struct entry *e)
-{
-    look_at_all(e, 0);
-}
-
 static void
 add_grant(struct entry *e, struct name from, struct service_state *s,
           const struct rec_grant *g)
@@ -440,7 +434,7 @@
 
     lends_tick(e);
     if (sl->idle_us <= e->now.mono_us) {
-        look_at_all(e, IDLE_US);
+        look_at_all(e);
     }
     if (sl->flush_us <= e->now.mono_us) {
         flush_backs(e);
--- a/src/slot.h
+++ b/src/slot.h
@@ -48,9 +48,6 @@
 /** slots_on_message() - SLOT_REQUEST, SLOT_GRANT, SLOT_RETURN, SLOT_RECALL */
 void slots_on_message(struct entry *e, struct name from, const struct msg *m);
 
-/** slots_give_back() - returns everything that is idle at once */
-void slots_give_back(struct entry *e);
-
 void slots_tick(struct entry *e);
 int64_t slots_next_us(const struct entry *e);
 
--- a/src/storage.c
+++ b/src/storage.c
@@ -523,12 +523,6 @@
     return s->detail;
 }
 
-uint64_t
-storage_log_bytes(const struct storage *s)
-{
-    return s->size;
-}
-
 void
 storage_close(struct storage *s)
 {
--- a/src/storage.h
+++ b/src/storage.h
@@ -120,7 +120,4 @@
 /** storage_detail() - of the first error: file, offset, cause */
 const char *storage_detail(const struct storage *s);
 
-/** storage_log_bytes() - size of the log file */
-uint64_t storage_log_bytes(const struct storage *s);
-
 #endif
