Let the control tests write through the daemon's own mapping

Cause: which effect becomes which call of the storage stood twice, in the disk thread and in the tests' cluster; a slip in the daemon's copy would have passed every test. Change: control_disk_write() serves both; syncs stay with their callers, since the thread groups them. Conclusion: the mapping that runs is the one under test.

--- a/src/control_disk.c
+++ b/src/control_disk.c
@@ -23,8 +23,8 @@
     bool broken;
 };
 
-static enum storage_error
-carry_out(struct storage *s, const struct control_effect *f)
+enum storage_error
+control_disk_write(struct storage *s, const struct control_effect *f)
 {
     switch (f->kind) {
     case CE_APPEND:
@@ -62,7 +62,7 @@
         struct work *w = (struct work *)mail;
 
         if (!d->broken && err == STORAGE_OK) {
-            err = carry_out(d->opts.storage, &w->effect);
+            err = control_disk_write(d->opts.storage, &w->effect);
             seq = w->effect.kind == CE_SYNC ? w->effect.u.sync.seq : seq;
         }
         control_effect_clear(&w->effect);
--- a/src/control_disk.h
+++ b/src/control_disk.h
@@ -28,6 +28,10 @@
 
 struct control_disk;
 
+/** control_disk_write() - carries one effect out, without any sync */
+enum storage_error control_disk_write(struct storage *s,
+                                      const struct control_effect *f);
+
 /** control_disk_new() - starts the thread; NULL when it can't */
 struct control_disk *control_disk_new(const struct control_disk_options *o);
 
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "control_disk.h"
 #include "delta.h"
 
 static const char REGION[] = "sk-east";
@@ -338,25 +339,6 @@
 }
 
 /* The disk's thread: one effect at a time. */
-static enum storage_error
-carry_out(struct storage *s, const struct control_effect *f)
-{
-    switch (f->kind) {
-    case CE_APPEND:
-        return storage_append(s, f->u.append.entries, f->u.append.n);
-    case CE_TRUNCATE:
-        return storage_truncate(s, f->u.truncate.index);
-    case CE_SAVE_VOTE:
-        return storage_save_vote(s, f->u.vote.term, f->u.vote.vote);
-    case CE_SNAPSHOT:
-        return storage_save_snapshot(s, f->u.snapshot.index,
-                                     f->u.snapshot.term, f->u.snapshot.state,
-                                     f->u.snapshot.discard);
-    default:
-        return storage_sync(s);
-    }
-}
-
 static void
 work(struct cluster *cl, int i)
 {
@@ -370,7 +352,8 @@
     }
     n->n_work--;
     memmove(n->work, n->work + 1, n->n_work * sizeof(n->work[0]));
-    err = carry_out(n->storage, &f);
+    err = f.kind == CE_SYNC ? storage_sync(n->storage)
+                            : control_disk_write(n->storage, &f);
     ev.u.saved.seq = f.u.sync.seq;
     n->work_us = cl->now_us +
                  (n->work[0].kind == CE_SYNC
