Read the keys of named sections in one place

Cause: bm-entry's and bm-control's settings each put the name of a section like [peer e2] together. Change: settings_named_text(). Conclusion: no behaviour changed.

--- a/src/control_settings.c
+++ b/src/control_settings.c
@@ -86,15 +86,6 @@
 #undef LIMIT
 }
 
-static const char *
-member_text(const struct settings *file, const char *name, const char *key)
-{
-    char section[2 * NAME_SIZE];
-
-    (void)snprintf(section, sizeof(section), "member %s", name);
-    return settings_text(file, section, key);
-}
-
 static void
 read_members(struct control_settings *s)
 {
@@ -112,8 +103,10 @@
         struct rec_control_member *m = &s->founders[i];
 
         m->name = name_of(name);
-        m->address = address_of(member_text(s->file, name, "address"));
-        m->http = address_of(member_text(s->file, name, "http"));
+        m->address = address_of(
+            settings_named_text(s->file, "member", name, "address"));
+        m->http =
+            address_of(settings_named_text(s->file, "member", name, "http"));
         m->voter = 1;
         m->disk = control_founding_disk(s->runtime.region, m->name);
         s->remotes[p->n_remotes].name = m->name;
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -116,16 +116,6 @@
 #undef LIMIT
 }
 
-static const char *
-section_text(const struct settings *file, const char *kind, const char *name,
-             const char *key)
-{
-    char section[2 * NAME_SIZE];
-
-    (void)snprintf(section, sizeof(section), "%s %s", kind, name);
-    return settings_text(file, section, key);
-}
-
 static void
 add_remote(struct entry_settings *s, const char *kind, const char *name)
 {
@@ -133,7 +123,8 @@
     struct peer_remote *r = &s->remotes[p->n_remotes++];
 
     r->name = name_of(name);
-    r->address = address_of(section_text(s->file, kind, name, "address"));
+    r->address =
+        address_of(settings_named_text(s->file, kind, name, "address"));
 }
 
 static void
@@ -150,7 +141,7 @@
 
         s->peers[i].name = name_of(name);
         s->peers[i].zone =
-            name_of(section_text(s->file, "peer", name, "zone"));
+            name_of(settings_named_text(s->file, "peer", name, "zone"));
         add_remote(s, "peer", name);
     }
     s->runtime.entry.peers = s->peers;
@@ -184,7 +175,7 @@
 {
     struct settings *f = s->file;
     const char *name = settings_text(f, "instance", "name");
-    const char *zone = section_text(f, "peer", name, "zone");
+    const char *zone = settings_named_text(f, "peer", name, "zone");
     int line = settings_line(f, "instance", "name");
 
     if (zone == NULL) {
--- a/src/settings.c
+++ b/src/settings.c
@@ -685,6 +685,16 @@
     return d != NULL ? d->fallback : NULL;
 }
 
+const char *
+settings_named_text(const struct settings *s, const char *kind,
+                    const char *name, const char *key)
+{
+    char section[2 * NAME_SIZE];
+
+    (void)snprintf(section, sizeof(section), "%s %s", kind, name);
+    return settings_text(s, section, key);
+}
+
 int64_t
 settings_int(const struct settings *s, const char *section, const char *key)
 {
--- a/src/settings.h
+++ b/src/settings.h
@@ -112,6 +112,10 @@
 const char *settings_text(const struct settings *s, const char *section,
                           const char *key);
 
+/** settings_named_text() - the same of a section [@kind @name] */
+const char *settings_named_text(const struct settings *s, const char *kind,
+                                const char *name, const char *key);
+
 /** settings_int() - value of a SETTING_INT; 0 where there is none */
 int64_t settings_int(const struct settings *s, const char *section,
                      const char *key);
