Let connections come from processes that nobody listed

Cause: peer knew its remotes from the settings alone and had room for 32 more; on the platform nobody is told who is there. A connection that closed while a second one with the same remote stayed open was told to nobody, though what was under way on it was lost. Change: remotes are a list that grows; open lets any name say HELLO, tell_gaps tells a closed connection as down and up, peer_forget() drops a remote, the longest pause between dials is an option. Defaults are as before. Ruled out: one connection a pair, dialed by the lower name: the side that must dial may not know of the other yet. Conclusion: membership can be found at run time.

--- a/src/peer.c
+++ b/src/peer.c
@@ -24,7 +24,6 @@
     READS_MAX = 16,       /* of one connection in a row */
     TIMER_US = 20 * 1000, /* between looks at the timers */
     BACKOFF_MIN_US = 50 * 1000,
-    BACKOFF_MAX_US = 2 * 1000 * 1000,
     SILENCE_MAX_US = 60 * 1000 * 1000,
 };
 
@@ -38,6 +37,7 @@
     int64_t dial_due_us;
     int64_t backoff_us;
     bool up;
+    TAILQ_ENTRY(remote) link;
 };
 
 /* A message on its way to the thread, or a new remote. */
@@ -45,8 +45,8 @@
     struct mail mail;
     struct name to;
     struct msg msg;
-    bool add;
-    struct address address; /* of the new remote */
+    enum { OUT_MESSAGE, OUT_ADD, OUT_FORGET } what;
+    struct address address; /* of OUT_ADD */
 };
 
 struct peer {
@@ -57,7 +57,7 @@
     int epoll;
     int listener; /* -1 for none */
     bool listening;
-    struct remote *remotes;
+    TAILQ_HEAD(remote_list, remote) remotes;
     size_t n_remotes;
     struct map by_name;
     TAILQ_HEAD(conn_list, conn) conns;
@@ -75,6 +75,7 @@
         .heartbeat_us = 500 * USEC_PER_MSEC,
         .send_max = (size_t)32 << 20,
         .frame_max = WIRE_FRAME_MAX,
+        .backoff_max_us = 2 * USEC_PER_SEC,
     };
 }
 
@@ -125,8 +126,8 @@
     r->dial_due_us = p->now_us + r->backoff_us / 2 +
                      (int64_t)(next_random(p) % (uint64_t)(r->backoff_us + 1));
     r->backoff_us = 2 * r->backoff_us;
-    if (r->backoff_us > BACKOFF_MAX_US) {
-        r->backoff_us = BACKOFF_MAX_US;
+    if (r->backoff_us > p->opts.backoff_max_us) {
+        r->backoff_us = p->opts.backoff_max_us;
     }
 }
 
@@ -162,11 +163,23 @@
     return true;
 }
 
+/* What was under way on a closed connection is lost, also where another one
+ * with the same remote is left. */
+static void
+tell_gap(struct peer *p, struct remote *r)
+{
+    if (p->opts.tell_gaps && r->up) {
+        p->opts.on_peer(p->opts.ctx, r->name, false);
+        p->opts.on_peer(p->opts.ctx, r->name, true);
+    }
+}
+
 /* Events of this round may still point to it: freed at the round's end. */
 static void
 conn_close(struct peer *p, struct conn *c, int severity, const char *why)
 {
     struct remote *r = c->remote;
+    bool was_open = c->state == CONN_OPEN;
 
     if (c->state == CONN_CLOSED) {
         return;
@@ -190,6 +203,9 @@
         r->accepted = NULL;
     }
     remote_changed(p, r);
+    if (was_open) {
+        tell_gap(p, r);
+    }
 }
 
 static void
@@ -318,14 +334,49 @@
     if (old != NULL) {
         old->remote = NULL;
         conn_close(p, old, LOG_INFO, "replaced by a newer one");
+        tell_gap(p, r);
     }
     conn_hello(p, c);
 }
 
+static struct remote *
+add_remote(struct peer *p, const struct peer_remote *from)
+{
+    struct remote *r = calloc(1, sizeof(*r));
+
+    if (r == NULL) {
+        return NULL;
+    }
+    r->name = from->name;
+    r->backoff_us = BACKOFF_MIN_US;
+    r->has_address = from->address.s[0] != '\0';
+    if (r->has_address && !netaddr_parse(from->address.s, &r->address)) {
+        free(r);
+        return NULL;
+    }
+    map_put(&p->by_name, r);
+    TAILQ_INSERT_TAIL(&p->remotes, r, link);
+    p->n_remotes++;
+    return r;
+}
+
+static struct remote *
+remote_of(struct peer *p, const struct rec_hello *hello)
+{
+    struct remote *r = map_get(&p->by_name, &hello->sender);
+    struct peer_remote stranger = {.name = hello->sender};
+
+    if (r == NULL && p->opts.open && p->n_remotes < PEER_REMOTES_MAX &&
+        !name_equal(hello->sender, p->opts.self)) {
+        r = add_remote(p, &stranger);
+    }
+    return r;
+}
+
 static void
 on_hello(struct peer *p, struct conn *c, const struct rec_hello *hello)
 {
-    struct remote *r = map_get(&p->by_name, &hello->sender);
+    struct remote *r = remote_of(p, hello);
 
     if (r == NULL || (c->dialed && c->remote != r)) {
         stats_add(&stats.peer_refused, 1);
@@ -470,35 +521,65 @@
     }
 }
 
-static bool
-add_remote(struct peer *p, const struct peer_remote *from)
+static void
+add_late(struct peer *p, const struct outgoing *o)
 {
-    struct remote *r = &p->remotes[p->n_remotes];
+    struct peer_remote remote = {.name = o->to, .address = o->address};
+    struct remote *known = map_get(&p->by_name, &o->to);
 
-    r->name = from->name;
-    r->backoff_us = BACKOFF_MIN_US;
-    r->has_address = from->address.s[0] != '\0';
-    if (r->has_address && !netaddr_parse(from->address.s, &r->address)) {
-        return false;
+    if (name_equal(o->to, p->opts.self) ||
+        (known == NULL && p->n_remotes >= PEER_REMOTES_MAX)) {
+        return;
+    }
+    if (known != NULL) {
+        /* It spoke before anybody told its address. */
+        known->has_address = known->has_address ||
+                             netaddr_parse(remote.address.s, &known->address);
+        return;
+    }
+    if (add_remote(p, &remote) == NULL) {
+        log_event(LOG_WARNING, "peer-refused", o->to.s,
+                  "its address is not IP:PORT: %s", o->address.s);
     }
-    map_put(&p->by_name, r);
-    p->n_remotes++;
-    return true;
 }
 
 static void
-add_late(struct peer *p, const struct outgoing *o)
+forget(struct peer *p, struct name name)
 {
-    struct peer_remote remote = {.name = o->to, .address = o->address};
+    struct remote *r = map_get(&p->by_name, &name);
+    struct conn *c;
+    struct conn *next;
 
-    if (p->n_remotes >= p->opts.n_remotes + PEER_SPARE ||
-        name_equal(o->to, p->opts.self) ||
-        map_get(&p->by_name, &o->to) != NULL) {
+    if (r == NULL) {
         return;
     }
-    if (!add_remote(p, &remote)) {
-        log_event(LOG_WARNING, "peer-refused", o->to.s,
-                  "its address is not IP:PORT: %s", o->address.s);
+    r->has_address = false;
+    for (c = TAILQ_FIRST(&p->conns); c != NULL; c = next) {
+        next = TAILQ_NEXT(c, link);
+        if (c->remote == r) {
+            conn_close(p, c, LOG_INFO, "forgotten");
+            c->remote = NULL;
+        }
+    }
+    (void)map_remove(&p->by_name, &name);
+    TAILQ_REMOVE(&p->remotes, r, link);
+    p->n_remotes--;
+    free(r);
+}
+
+static void
+carry_out(struct peer *p, struct outgoing *o)
+{
+    switch (o->what) {
+    case OUT_ADD:
+        add_late(p, o);
+        break;
+    case OUT_FORGET:
+        forget(p, o->to);
+        break;
+    default:
+        send_one(p, o);
+        break;
     }
 }
 
@@ -514,12 +595,7 @@
     while ((mail = mailbox_take(&p->mailbox)) != NULL) {
         struct outgoing *o = (struct outgoing *)mail;
 
-        if (o->add) {
-            add_late(p, o);
-        }
-        else {
-            send_one(p, o);
-        }
+        carry_out(p, o);
         msg_free(&o->msg);
         free(o);
     }
@@ -550,6 +626,7 @@
 static void
 run_timers(struct peer *p)
 {
+    struct remote *r;
     struct conn *c;
     struct conn *next;
 
@@ -561,9 +638,8 @@
         next = TAILQ_NEXT(c, link);
         check_conn(p, c);
     }
-    for (size_t i = 0; i < p->n_remotes; i++) {
-        struct remote *r = &p->remotes[i];
-
+    TAILQ_FOREACH(r, &p->remotes, link)
+    {
         if (r->has_address && r->dialed == NULL &&
             p->now_us >= r->dial_due_us) {
             dial(p, r);
@@ -635,16 +711,11 @@
 static bool
 add_remotes(struct peer *p, const struct peer_options *o)
 {
-    /* Connections point into the array, so it must not move later. */
-    p->remotes = calloc(o->n_remotes + PEER_SPARE, sizeof(*p->remotes));
-    if (p->remotes == NULL) {
-        return false;
-    }
     for (size_t i = 0; i < o->n_remotes; i++) {
         if (name_equal(o->remotes[i].name, o->self)) {
             continue;
         }
-        if (!add_remote(p, &o->remotes[i])) {
+        if (add_remote(p, &o->remotes[i]) == NULL) {
             errno = EINVAL;
             return false;
         }
@@ -679,6 +750,7 @@
 release(struct peer *p)
 {
     int err = errno;
+    struct remote *r;
 
     if (p->listener >= 0) {
         (void)close(p->listener);
@@ -688,7 +760,10 @@
     }
     mailbox_destroy(&p->mailbox);
     map_clear(&p->by_name);
-    free(p->remotes);
+    while ((r = TAILQ_FIRST(&p->remotes)) != NULL) {
+        TAILQ_REMOVE(&p->remotes, r, link);
+        free(r);
+    }
     free(p);
     errno = err;
 }
@@ -709,6 +784,7 @@
     p->random = o->incarnation | 1;
     TAILQ_INIT(&p->conns);
     TAILQ_INIT(&p->closed);
+    TAILQ_INIT(&p->remotes);
     map_init(&p->by_name, MAP_NAME);
     if (!add_remotes(p, o) || !open_sockets(p)) {
         release(p);
@@ -756,11 +832,24 @@
         abort();
     }
     o->to = remote->name;
-    o->add = true;
+    o->what = OUT_ADD;
     o->address = remote->address;
     mailbox_post(&p->mailbox, &o->mail);
 }
 
+void
+peer_forget(struct peer *p, struct name remote)
+{
+    struct outgoing *o = calloc(1, sizeof(*o));
+
+    if (o == NULL) {
+        abort();
+    }
+    o->to = remote;
+    o->what = OUT_FORGET;
+    mailbox_post(&p->mailbox, &o->mail);
+}
+
 void
 peer_poke(struct peer *p)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -41,6 +41,11 @@
  *            is cut off there
  * @frame_max: bytes of a frame
  * @clock: for all its timers
+ * @open: whoever says HELLO may speak, not only @remotes
+ * @tell_gaps: a connection that closes is told as down and up again, though
+ *             another with the same remote is left: what was under way on it
+ * is lost
+ * @backoff_max_us: longest pause between two attempts to dial
  * @on_message: takes over what the message owns; may block, which holds the
  *              senders back
  * @on_peer: a remote has its first connection, or has lost its last
@@ -55,6 +60,9 @@
     int64_t heartbeat_us;
     size_t send_max;
     size_t frame_max;
+    bool open;
+    bool tell_gaps;
+    int64_t backoff_max_us;
     const struct clock *clock;
     void (*on_message)(void *ctx, struct name from, struct msg *m);
     void (*on_peer)(void *ctx, struct name remote, bool up);
@@ -63,7 +71,7 @@
 
 struct peer;
 
-enum { PEER_SPARE = 32 };
+enum { PEER_REMOTES_MAX = 1024 };
 
 /** peer_options_default() - heartbeat and bounds */
 struct peer_options peer_options_default(void);
@@ -79,10 +87,14 @@
 void peer_send(struct peer *p, struct name to, struct msg *m);
 
 /** peer_add() - one more remote may speak and is dialed; one that is known
- * already, or the PEER_SPARE-th after the start, is ignored.  From any thread.
- */
+ * already, or is one too many (PEER_REMOTES_MAX), is ignored.  From any
+ * thread. */
 void peer_add(struct peer *p, const struct peer_remote *remote);
 
+/** peer_forget() - a remote is gone for good: its connections are closed and
+ * it is not dialed any more.  From any thread. */
+void peer_forget(struct peer *p, struct name remote);
+
 /** peer_poke() - makes the thread look at its clock, for tests */
 void peer_poke(struct peer *p);
 
