Keep whole configurations by rank, and members that come by themselves

Cause: control took changes against a base version from listed operators, and members from an operator's hand. The platform sends whole configurations of which the highest number wins, and starts, replaces and wipes machines without telling anybody. Change: a publication may carry a rank; one that is not above the newest is confirmed and changes nothing, by any member, since only committed entries are applied. enroll.c: who hears no leader asks to become a member; the leader adds it as a learner, takes the vote of a member with another disk away and lets it learn anew, and removes who is silent while three voters are up. Each step is a committed change of one member, as an operator's. Ruled out: a register by quorum without a log: two operators may use one number for different contents, and then the order must be agreed. Conclusion: the log serves both modes.

--- a/src/control.c
+++ b/src/control.c
@@ -22,6 +22,7 @@
         .follower_us = 60 * USEC_PER_SEC,
         .request_us = 10 * USEC_PER_SEC,
         .stop_us = 5 * USEC_PER_SEC,
+        .gone_us = 3500 * USEC_PER_MSEC,
         .snapshot_entries = 256,
         .snapshot_bytes = (size_t)8 << 20,
         .trail = 64,
@@ -241,7 +242,7 @@
             return true;
         }
     }
-    return quorum_member(c, from) != NULL;
+    return quorum_member(c, from) != NULL || enroll_knows(c, from);
 }
 
 /* The term a message claims; 0 where it has none. */
@@ -315,6 +316,9 @@
     case MSG_FOLLOWERS:
         followers_on_report(c, from, &m->u.followers);
         break;
+    case MSG_MEMBERSHIP:
+        enroll_on_members(c, &m->u.membership);
+        break;
     default:
         break;
     }
@@ -324,7 +328,7 @@
 between_members(enum msg_kind kind)
 {
     return (kind >= MSG_VOTE && kind <= MSG_HAND_OVER) ||
-           kind == MSG_FOLLOWERS;
+           kind == MSG_FOLLOWERS || kind == MSG_MEMBERSHIP;
 }
 
 static void
@@ -336,6 +340,10 @@
         followers_on_request(c, from, &m->u.config_request);
         return;
     }
+    if (m->kind == MSG_JOIN && c->opts.enroll) {
+        enroll_on_join(c, from, &m->u.join);
+        return;
+    }
     if (between_members(m->kind)) {
         fault = member_fault(c, from, m);
     }
@@ -440,6 +448,9 @@
         replicate_heartbeat(c);
         leave_lead(c);
     }
+    if (c->opts.enroll) {
+        enroll_tick(c);
+    }
     followers_tick(c);
 }
 
@@ -497,6 +508,9 @@
     case CEV_GONE:
         serve_gone(c, ev->u.gone.request);
         break;
+    case CEV_CONTACT:
+        enroll_contact(c, ev->u.contact.name);
+        break;
     case CEV_STOP:
         begin_stop(c);
         break;
--- a/src/control.h
+++ b/src/control.h
@@ -49,6 +49,10 @@
  * @follower_us: a follower not heard for so long is forgotten
  * @request_us: a publication not committed by then is answered as unknown
  * @stop_us: a planned stop takes no longer
+ * @enroll: members come and go by themselves, see enroll.c; else by CHANGE
+ * @address: with @enroll, where other members reach this one
+ * @http: with @enroll, where operators reach it
+ * @gone_us: with @enroll, a member silent for so long may be removed
  * @snapshot_entries: entries applied since the last snapshot that make one
  * @snapshot_bytes: or their bytes
  * @trail: entries kept in memory behind a snapshot for slow members
@@ -68,6 +72,10 @@
     int64_t follower_us;
     int64_t request_us;
     int64_t stop_us;
+    bool enroll;
+    struct address address;
+    struct address http;
+    int64_t gone_us;
     uint32_t snapshot_entries;
     size_t snapshot_bytes;
     uint32_t trail;
--- a/src/control_effect.h
+++ b/src/control_effect.h
@@ -91,6 +91,10 @@
     CONTROL_REASON(HANDED_OVER, "leadership-handed-over")                     \
     CONTROL_REASON(BAD_MESSAGE, "bad-message")                                \
     CONTROL_REASON(BAD_ENTRY, "bad-log-entry")                                \
+    CONTROL_REASON(ENROLLED, "member-enrolled")                               \
+    CONTROL_REASON(DISK_REPLACED, "member-disk-replaced")                     \
+    CONTROL_REASON(REMOVED, "member-removed")                                 \
+    CONTROL_REASON(JOINING, "asks-to-become-member")                          \
     CONTROL_REASON(STARTED, "member-started")                                 \
     CONTROL_REASON(STOPPING, "stopping")
 
--- a/src/control_event.h
+++ b/src/control_event.h
@@ -20,6 +20,7 @@
     CONTROL_EVENT(CHANGE, change, "an operator changes the members")          \
     CONTROL_EVENT(READ, read, "somebody reads")                               \
     CONTROL_EVENT(GONE, gone, "an HTTP request ended early")                  \
+    CONTROL_EVENT(CONTACT, contact, "a process that may be a member is named")\
     CONTROL_EVENT(STOP, none, "a planned stop begins")
 /* clang-format on */
 
@@ -50,6 +51,7 @@
     struct name publisher;
     const char *request_id;
     uint64_t base_version;
+    uint64_t rank; /* see struct rec_publish */
     const char *summary;
     struct blob *config;
 };
@@ -74,6 +76,10 @@
     uint64_t request;
 };
 
+struct cev_contact {
+    struct name name;
+};
+
 struct control_event {
     enum control_event_kind kind;
     struct moment now;
@@ -85,6 +91,7 @@
         struct cev_change change;
         struct cev_read read;
         struct cev_gone gone;
+        struct cev_contact contact;
     } u;
 };
 
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -4,8 +4,8 @@
  * control.c routes events; election.c decides who leads; replicate.c carries
  * the log and snapshots to the others, receive.c takes them from the leader;
  * apply.c applies what is committed; quorum.c knows the members and counts
- * them; serve.c answers operators, followers.c entry instances; control_dump.c
- * shows it all.
+ * them; enroll.c lets them come and go by themselves; serve.c answers
+ * operators, followers.c entry instances; control_dump.c shows it all.
  */
 #ifndef BM_CONTROL_STATE_H
 #define BM_CONTROL_STATE_H
@@ -140,6 +140,11 @@
     size_t n_followers;
     int64_t report_us; /* next report of them to the leader */
 
+    struct name contacts[CONTROL_MEMBERS_MAX]; /* see enroll.c */
+    size_t n_contacts;
+    int64_t join_us; /* next request to become a member */
+    int64_t lead_us; /* when this member began to lead */
+
     uint64_t serve_nonce; /* of the question that decides it */
     uint64_t serve_index; /* its answer; 0: none yet */
 
@@ -304,6 +309,21 @@
 void serve_on_read_reply(struct control *c, struct name from,
                          const struct rec_read_reply *r);
 
+/* enroll.c: with opts.enroll, members come and go without an operator */
+
+/** enroll_tick() - asks to become a member where no leader is heard; as the
+ * leader, replaces lost disks and removes who is gone */
+void enroll_tick(struct control *c);
+void enroll_on_join(struct control *c, struct name from,
+                    const struct rec_join *j);
+void enroll_on_members(struct control *c, const struct rec_membership *m);
+
+/** enroll_contact() - a process that may be a member */
+void enroll_contact(struct control *c, struct name name);
+
+/** enroll_knows() - whether that process was named as a member by another */
+bool enroll_knows(const struct control *c, struct name from);
+
 /* followers.c */
 
 void followers_on_request(struct control *c, struct name from,
--- a/src/election.c
+++ b/src/election.c
@@ -63,6 +63,7 @@
     c->leader = c->opts.self;
     c->quorum_us = c->now.mono_us + c->opts.election_us;
     c->handing_over = false;
+    c->lead_us = c->now.mono_us;
     c->counters.led++;
     control_log(c, LOG_NOTICE, CONTROL_REASON_LEADING, c->opts.self,
                 "term %llu", (unsigned long long)c->term);
--- /dev/null
+++ b/src/enroll.c
@@ -0,0 +1,219 @@
+/*
+ * Members that come and go by themselves.
+ *
+ * Nobody lists them.  A process that hears no leader asks whoever it knows to
+ * become a member; the leader adds it as a learner, and it gets a vote once it
+ * has caught up.  A member that came back with another disk has forgotten what
+ * it confirmed: the leader takes its vote away first and lets it learn anew.
+ * One that is silent for long is removed while enough others have votes.
+ * Every such step is a change of one member, committed like an operator's.
+ */
+#include <syslog.h>
+
+#include "control_state.h"
+
+enum {
+    JOIN_US = 400 * 1000, /* between requests; a few fit into a start */
+    VOTERS_KEPT = 3,      /* that must be up before one is removed: below
+                           * that, the next loss would stop the log */
+};
+
+bool
+enroll_knows(const struct control *c, struct name from)
+{
+    if (!c->opts.enroll) {
+        return false;
+    }
+    /* Without members of its own, a new process listens to any leader. */
+    if (c->members.n_members == 0) {
+        return true;
+    }
+    for (size_t i = 0; i < c->n_contacts; i++) {
+        if (name_equal(c->contacts[i], from)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+ask(struct control *c, struct name to)
+{
+    struct msg m = {.kind = MSG_JOIN};
+
+    if (name_equal(to, c->opts.self)) {
+        return;
+    }
+    m.u.join.address = c->opts.address;
+    m.u.join.http = c->opts.http;
+    m.u.join.disk = c->opts.disk;
+    control_send(c, to, &m, 0);
+}
+
+static void
+ask_all(struct control *c)
+{
+    for (size_t i = 0; i < c->opts.n_known; i++) {
+        ask(c, c->opts.known[i]);
+    }
+    for (size_t i = 0; i < c->members.n_members; i++) {
+        ask(c, c->members.members[i].name);
+    }
+    for (size_t i = 0; i < c->n_contacts; i++) {
+        ask(c, c->contacts[i]);
+    }
+}
+
+/* A member that was removed while it was cut off does not know it: it has the
+ * old members in its log and would wait for votes for ever.  So whoever hears
+ * no leader asks, member or not. */
+static void
+seek_leader(struct control *c)
+{
+    int64_t silent = c->now.mono_us - c->heard_leader_us;
+
+    if (c->stopping || c->now.mono_us < c->join_us ||
+        (c->members.n_members > 0 && silent < 2 * c->opts.election_us)) {
+        return;
+    }
+    c->join_us = c->now.mono_us + JOIN_US;
+    ask_all(c);
+}
+
+static void
+propose(struct control *c, enum change_action action, struct name member,
+        const struct rec_join *j, enum control_reason reason)
+{
+    struct msg m = {.kind = MSG_MEMBERSHIP};
+    struct cev_change change = {.action = action, .member = member};
+    const char *detail = "";
+
+    if (j != NULL) {
+        change.address = j->address;
+        change.http = j->http;
+    }
+    if (quorum_change(c, &change, &m.u.membership, &detail) != CONTROL_OK) {
+        return; /* it is tried again at the next tick or request */
+    }
+    control_log(c, LOG_NOTICE, reason, member, "%zu members",
+                m.u.membership.n_members);
+    (void)replicate_propose(c, LOG_KIND_MEMBERS, &m);
+    msg_free(&m);
+}
+
+static void
+tell_members(struct control *c, struct name to)
+{
+    struct msg m = {.kind = MSG_MEMBERSHIP};
+
+    if (c->members.n_members == 0) {
+        return;
+    }
+    m.u.membership = membership_copy(&c->members);
+    control_send(c, to, &m, 0);
+}
+
+void
+enroll_on_join(struct control *c, struct name from, const struct rec_join *j)
+{
+    if (c->role != CONTROL_LEADER) {
+        tell_members(c, from);
+        return;
+    }
+    if (quorum_member(c, from) == NULL) {
+        propose(c, CHANGE_ADD, from, j, CONTROL_REASON_ENROLLED);
+    }
+}
+
+void
+enroll_contact(struct control *c, struct name name)
+{
+    if (!enroll_knows(c, name) && c->n_contacts < CONTROL_MEMBERS_MAX) {
+        c->contacts[c->n_contacts++] = name;
+    }
+}
+
+void
+enroll_on_members(struct control *c, const struct rec_membership *m)
+{
+    struct msg *told;
+
+    if (!c->opts.enroll) {
+        return;
+    }
+    c->n_contacts = 0;
+    for (size_t i = 0; i < m->n_members && i < CONTROL_MEMBERS_MAX; i++) {
+        c->contacts[c->n_contacts++] = m->members[i].name;
+    }
+    told = &control_effects_add(c->fx, CE_MEMBERS)->u.members.msg;
+    told->kind = MSG_MEMBERSHIP;
+    told->u.membership = membership_copy(m);
+}
+
+/* Since when the leader has heard nothing of a member; a new leader gives all
+ * of them the same time. */
+static int64_t
+silent_us(const struct control *c, const struct progress *p)
+{
+    int64_t since = p->heard_us > c->lead_us ? p->heard_us : c->lead_us;
+
+    return c->now.mono_us - since;
+}
+
+static size_t
+voters_heard(struct control *c)
+{
+    size_t n = quorum_self_votes(c) ? 1 : 0;
+
+    for (size_t i = 0; i < c->members.n_members; i++) {
+        struct progress *p = quorum_peer(c, c->members.members[i].name);
+
+        n += p != NULL && quorum_counts(c, p) &&
+             silent_us(c, p) < c->opts.election_us;
+    }
+    return n;
+}
+
+static bool
+lost_its_disk(const struct rec_control_member *m, const struct progress *p)
+{
+    return m->voter != 0 && p->disk != 0 && p->disk != m->disk;
+}
+
+/* One change at a time: the first that is due. */
+static void
+keep_members(struct control *c)
+{
+    bool spare = voters_heard(c) >= VOTERS_KEPT;
+
+    for (size_t i = 0; i < c->members.n_members; i++) {
+        struct rec_control_member m = c->members.members[i];
+        struct progress *p = quorum_peer(c, m.name);
+
+        if (p == NULL) {
+            continue;
+        }
+        if (lost_its_disk(&m, p)) {
+            propose(c, CHANGE_REPLACE, m.name, NULL,
+                    CONTROL_REASON_DISK_REPLACED);
+            return;
+        }
+        if (spare && silent_us(c, p) > c->opts.gone_us) {
+            propose(c, CHANGE_REMOVE, m.name, NULL, CONTROL_REASON_REMOVED);
+            return;
+        }
+    }
+}
+
+void
+enroll_tick(struct control *c)
+{
+    if (c->role != CONTROL_LEADER) {
+        seek_leader(c);
+        return;
+    }
+    if (c->members_index <= c->commit && c->first_of_term <= c->commit &&
+        !c->stopping) {
+        keep_members(c);
+    }
+}
--- a/src/fsm.c
+++ b/src/fsm.c
@@ -103,12 +103,33 @@
     return NULL;
 }
 
+/* A ranked publication is a whole configuration that its operator has
+ * numbered. The highest number wins.  One that is not higher changes nothing
+ * and is confirmed all the same: it may be the resend of one whose
+ * confirmation was lost, and refusing that would tell its operator that it
+ * never counted. */
+static struct fsm_outcome
+judge_ranked(const struct fsm *f, const struct rec_publish *p)
+{
+    struct fsm_outcome o = {.result = CONTROL_OK};
+
+    if (p->rank <= f->rank) {
+        o.of = fsm_version(f, f->version);
+        o.resend = true;
+    }
+    return o;
+}
+
 struct fsm_outcome
 fsm_judge(const struct fsm *f, const struct rec_publish *p)
 {
     struct fsm_outcome o = {.result = CONTROL_OK};
-    const struct rec_publication *first = find_request(f, p->request_id);
+    const struct rec_publication *first;
 
+    if (p->rank != 0) {
+        return judge_ranked(f, p);
+    }
+    first = find_request(f, p->request_id);
     if (first != NULL) {
         bool same = first->digest == p->digest &&
                     first->version == p->base_version + 1;
@@ -223,6 +244,7 @@
         return o;
     }
     f->version++;
+    f->rank = p->rank != 0 ? p->rank : f->rank;
     add_text(f, f->version, text);
     o.of = add_publication(f, index, term, p, text->size);
     return o;
@@ -278,6 +300,7 @@
     s->members = f->members.members;
     s->n_members = f->members.n_members;
     s->version = f->version;
+    s->rank = f->rank;
     s->history = f->history;
     s->n_history = f->n_history;
     s->texts = f->texts;
@@ -330,6 +353,7 @@
     *index = s->index;
     *term = s->term;
     f->version = s->version;
+    f->rank = s->rank;
     f->members.members = s->members;
     f->members.n_members = s->n_members;
     f->history = s->history;
--- a/src/fsm.h
+++ b/src/fsm.h
@@ -33,6 +33,7 @@
 struct fsm {
     struct fsm_limits limits;
     uint64_t version;                /* in force; 0 before the first */
+    uint64_t rank;                   /* of the newest ranked publication */
     struct rec_publication *history; /* by version, the newest last */
     size_t n_history;
     struct rec_config_text *texts; /* by version, the newest last */
--- a/src/serve.c
+++ b/src/serve.c
@@ -165,9 +165,14 @@
 {
     struct msg m = {.kind = MSG_PUBLISH};
     struct rec_publish *r = &m.u.publish;
-    struct delta d = delta_make(fsm_text(&c->fsm, p->base_version), p->config);
+    /* A ranked one may be applied behind others that are not known yet, so it
+     * can't build on any text. */
+    struct blob *base =
+        p->rank == 0 ? fsm_text(&c->fsm, p->base_version) : NULL;
+    struct delta d = delta_make(base, p->config);
 
     r->base_version = p->base_version;
+    r->rank = p->rank;
     r->request_id = request_key(p->publisher, p->request_id);
     r->request_text = blob_new(p->request_id, strlen(p->request_id));
     r->publisher = p->publisher;
@@ -192,6 +197,12 @@
     struct fsm_outcome o;
     struct msg m;
 
+    if (p->rank != 0 && p->rank <= c->fsm.rank) {
+        /* Committed entries alone are applied: any member may say so. */
+        (void)reply(c, p->request, CONTROL_OK, "not above the newest");
+        c->counters.resent++;
+        return;
+    }
     if (!takes_changes(c, p->request)) {
         return;
     }
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -333,6 +333,7 @@
 
 RECORD(publish)
     U64(base_version)
+    U64(rank)           /* 0: compare-and-set; else taken if above the newest */
     KEY(request_id)     /* hash of operator and request id */
     BLOB(request_text)
     NAME(publisher)
@@ -367,6 +368,7 @@
     U64(term)
     ARRAY(control_member, members)
     U64(version)
+    U64(rank)           /* of the newest publication that had one */
     ARRAY(publication, history)
     ARRAY(config_text, texts)
 END(control_state)
@@ -408,4 +410,118 @@
     U64(batch)
     U64(refused)        /* the successor is stopping itself */
 END(answer_taken)
+
+/* Between control members and processes that ask to become one. */
+RECORD(join)            /* from a process that hears no leader */
+    ADDR(address)
+    ADDR(http)
+    U64(disk)
+END(join)
+
+/* Between brokers and registries. */
+RECORD(introduction)    /* first words of a broker to a registry or broker */
+    NAME(zone)
+    ADDR(address)       /* where other processes connect */
+    U64(incarnation)
+    U64(stopping)
+    U64(holds)          /* takes upstreams when it is its turn */
+END(introduction)
+
+RECORD(instance)        /* a process, as a registry tells of it */
+    NAME(name)
+    NAME(zone)
+    ADDR(address)
+END(instance)
+
+RECORD(roster)          /* who is there, as far as the sender knows */
+    ARRAY(instance, brokers)
+    ARRAY(instance, registries)
+END(roster)
+
+RECORD(label)
+    NAME(text)
+END(label)
+
+RECORD(leased_upstream)
+    NAME(upstream)
+    U64(born_ms)        /* wall time of its start; tells its lives apart */
+    U64(sequence)       /* of its announcement, rising within a life */
+    NAME(service)
+    NAME(zone)
+    ADDR(address)
+    U64(slots)
+    U64(leaving)
+    U64(gone)           /* it said goodbye */
+    U64(cpu_milli)
+    U64(memory_mb)
+    U64(accelerators)
+    ARRAY(label, labels)
+END(leased_upstream)
+
+RECORD(upstream_report)
+    ARRAY(leased_upstream, upstreams)
+END(upstream_report)
+
+/* Between the broker that has a caller's job and the one that runs it. */
+RECORD(task_group)      /* alike tasks of one step */
+    U64(count)
+    U64(cpu_milli)
+    U64(memory_mb)
+    U64(accelerators)
+    U64(declared_us)    /* run time as the caller expects it */
+    U64(after)          /* bit N: group N must have ended well before */
+    U64(spread)         /* most of them on one upstream; 0 is no limit */
+    NAME(requirement)   /* label that the upstream must have; may be empty */
+    NAME(affinity)      /* label of where the data is; may be empty */
+END(task_group)
+
+RECORD(job_offer)
+    U64(number)         /* chosen by the sender */
+    U64(id)             /* chosen by the caller */
+    NAME(queue)
+    NAME(service)
+    U64(priority)       /* 0 goes first */
+    U64(attempts)       /* failed runs that a task may have */
+    U64(stretch_milli)  /* objective: thousandths of the longest chain of work */
+    U64(target_us)      /* and so much more, since it was handed in */
+    U64(age_us)         /* since then */
+    U64(deadline_us)    /* left until the caller leaves */
+    BLOB(spec)
+    ARRAY(task_group, groups)
+END(job_offer)
+
+RECORD(job_end)         /* the reply */
+    U64(number)
+    U64(outcome)        /* enum job_outcome */
+    U64(reason)         /* enum broker_reason */
+    U64(retry_after_us) /* of a refusal */
+END(job_end)
+
+RECORD(job_drop)        /* the caller has left */
+    U64(number)
+END(job_drop)
+
+RECORD(service_load)    /* of what the sender holds */
+    NAME(service)
+    U64(cpu_milli)      /* of upstreams that take work */
+    U64(free_milli)
+    U64(wait0_us)       /* a job of that priority would wait */
+    U64(wait1_us)
+    U64(wait2_us)
+END(service_load)
+
+RECORD(broker_load)
+    U64(stopping)
+    ARRAY(service_load, services)
+END(broker_load)
+
+RECORD(held_upstream)   /* who holds it, as the holder tells its zone */
+    NAME(upstream)
+    U64(held)           /* the sender holds it; else it does no longer */
+    U64(fence)          /* the highest that it used */
+END(held_upstream)
+
+RECORD(upstream_holds)
+    ARRAY(held_upstream, upstreams)
+END(upstream_holds)
 /* clang-format on */
