Serve as a registry of upstreams beside the replicated log

Cause: upstreams announce themselves to whoever serves the control plane, and brokers need to hear of all of them, also while the log has no leader. Change: registry.c, soft state without quorum: announcements by life and sequence, told to every connected broker when something changed, all of it at the start and every 20 s. control_runtime takes its HTTP interface from a table of functions. SIGHUP is a reload, and nothing where a program has none. Log lines can go to standard output. Conclusion: a zone that is cut off goes on with its own registry.

--- a/src/control_http.c
+++ b/src/control_http.c
@@ -411,3 +411,40 @@
     httpserver_stop(&h->server);
     free(h);
 }
+
+static void *
+ops_new(const struct control_http_options *o)
+{
+    return control_http_new(o);
+}
+
+static void
+ops_reply(void *http, uint64_t request, struct control_effect *f)
+{
+    control_http_reply(http, request, f);
+}
+
+static void
+ops_drain(void *http, int64_t timeout_ms)
+{
+    control_http_drain(http, timeout_ms);
+}
+
+static void
+ops_free(void *http)
+{
+    control_http_free(http);
+}
+
+const struct control_http_ops *
+control_http_ops(void)
+{
+    static const struct control_http_ops ops = {
+        .new = ops_new,
+        .reply = ops_reply,
+        .drain = ops_drain,
+        .free = ops_free,
+    };
+
+    return &ops;
+}
--- a/src/control_http.h
+++ b/src/control_http.h
@@ -23,6 +23,7 @@
  * @offer: takes an event over; false when it can't, and then it is not taken
  * @gone: the request's client closed its connection
  * @healthy: whether there is a leader and no stop
+ * @metrics: IP:PORT for metrics apart from the API; empty for none
  * @ctx: for the callbacks
  */
 struct control_http_options {
@@ -35,11 +36,31 @@
     bool (*offer)(void *ctx, struct control_mail *m);
     void (*gone)(void *ctx, uint64_t request);
     bool (*healthy)(void *ctx);
+    struct address metrics;
     void *ctx;
 };
 
 struct control_http;
 
+/**
+ * struct control_http_ops - an HTTP interface of control members: ours, or one
+ * that speaks a platform's own API
+ * @new: starts it; NULL with errno when it can't
+ * @reply: answers a request with CE_REPLY or CE_TEXT and takes over what the
+ *         effect owns; from any thread
+ * @drain: accepts no more, waits until no request is in progress
+ * @free: NULL is allowed
+ */
+struct control_http_ops {
+    void *(*new)(const struct control_http_options *o);
+    void (*reply)(void *http, uint64_t request, struct control_effect *f);
+    void (*drain)(void *http, int64_t timeout_ms);
+    void (*free)(void *http);
+};
+
+/** control_http_ops() - ours, docs/control-api.md */
+const struct control_http_ops *control_http_ops(void);
+
 /** control_http_new() - starts the server; NULL with errno when it can't */
 struct control_http *control_http_new(const struct control_http_options *o);
 
--- a/src/control_mail.c
+++ b/src/control_mail.c
@@ -46,3 +46,32 @@
     m->event.u.message.msg = m->msg;
     return m;
 }
+
+struct control_mail *
+control_mail_announce(struct rec_leased_upstream *u)
+{
+    struct msg report = {.kind = MSG_UPSTREAM_REPORT};
+    struct control_mail *m;
+
+    report.u.upstream_report.upstreams = malloc(sizeof(*u));
+    if (report.u.upstream_report.upstreams == NULL) {
+        abort();
+    }
+    report.u.upstream_report.upstreams[0] = *u;
+    report.u.upstream_report.n_upstreams = 1;
+    memset(u, 0, sizeof(*u));
+    m = control_mail_message(name_of(""), &report);
+    m->kind = CONTROL_MAIL_ANNOUNCE;
+    return m;
+}
+
+struct control_mail *
+control_mail_peer(struct name peer, bool up)
+{
+    struct control_mail *m = control_mail_new(CEV_TICK);
+
+    m->kind = CONTROL_MAIL_PEER;
+    m->peer = peer;
+    m->peer_up = up;
+    return m;
+}
--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -9,6 +9,7 @@
 
 #include "control_disk.h"
 #include "log.h"
+#include "registry.h"
 #include "stats.h"
 
 enum {
@@ -27,8 +28,10 @@
     struct control *control;
     struct control_effects effects;
     struct control_disk *disk;
-    struct control_http *http;
+    const struct control_http_ops *http_ops;
+    void *http;
     struct peer *peers;
+    struct registry *registry; /* NULL where it serves as none */
     pthread_t thread;
     bool running;
     atomic_bool healthy;
@@ -69,14 +72,14 @@
         peer_send(r->peers, f->u.send.to, &f->u.send.msg);
         break;
     case CE_REPLY:
-        control_http_reply(r->http, f->u.reply.request, f);
+        r->http_ops->reply(r->http, f->u.reply.request, f);
         break;
     case CE_TEXT:
         if (f->u.text.request == STATE_REQUEST_DUMP) {
             log_json(LOG_NOTICE, "dump", "state", f->u.text.json);
         }
         else {
-            control_http_reply(r->http, f->u.text.request, f);
+            r->http_ops->reply(r->http, f->u.text.request, f);
         }
         break;
     case CE_MEMBERS:
@@ -91,17 +94,44 @@
     }
 }
 
+/* The registry learns of members as connections are made to them. */
 static void
-step(struct control_runtime *r, struct control_event *ev)
+tell_registry(struct control_runtime *r)
 {
-    struct control_view v;
+    size_t n = r->effects.n;
 
-    ev->now = clock_now(r->opts.clock);
-    control_step(r->control, ev, &r->effects);
+    for (size_t i = 0; i < n && r->registry != NULL; i++) {
+        struct control_effect *f = &r->effects.items[i];
+
+        if (f->kind == CE_MEMBERS) {
+            struct rec_membership m = f->u.members.msg.u.membership;
+
+            registry_members(r->registry, &m, &r->effects);
+        }
+    }
+}
+
+static void
+carry_out_all(struct control_runtime *r)
+{
     for (size_t i = 0; i < r->effects.n; i++) {
         carry_out(r, &r->effects.items[i]);
     }
     control_effects_clear(&r->effects);
+}
+
+static void
+step(struct control_runtime *r, struct control_event *ev)
+{
+    struct control_view v;
+
+    ev->now = clock_now(r->opts.clock);
+    if (ev->kind == CEV_TICK && r->registry != NULL) {
+        registry_tick(r->registry, ev->now, &r->effects);
+    }
+    control_step(r->control, ev, &r->effects);
+    tell_registry(r);
+    carry_out_all(r);
     v = control_view(r->control);
     atomic_store(&r->healthy, !name_empty(v.leader));
     stats_add(&stats.steps, 1);
@@ -133,6 +163,17 @@
                     v->followers);
 }
 
+static void
+print_registry(FILE *out, const struct registry *registry)
+{
+    struct registry_gauges g = registry_gauges(registry);
+
+    stats_print_one(out, "registry_upstreams", "gauge",
+                    "upstreams that announced themselves here", g.upstreams);
+    stats_print_one(out, "registry_brokers_up", "gauge", "brokers connected",
+                    g.brokers_up);
+}
+
 static void
 reply_metrics(struct control_runtime *r, uint64_t request)
 {
@@ -145,12 +186,78 @@
         abort();
     }
     print_metrics(out, &v);
+    if (r->registry != NULL) {
+        print_registry(out, r->registry);
+    }
     stats_print(out);
     (void)fclose(out);
-    control_http_reply(r->http, request, &f);
+    r->http_ops->reply(r->http, request, &f);
     control_effect_clear(&f);
 }
 
+static void
+take_announcement(struct control_runtime *r, const struct control_mail *m)
+{
+    const struct rec_leased_upstream *u =
+        &m->msg->u.upstream_report.upstreams[0];
+    struct moment now = clock_now(r->opts.clock);
+
+    switch (registry_announce(r->registry, u, now, &r->effects)) {
+    case REGISTRY_CHANGED:
+        log_event(LOG_INFO, "upstream-announced", u->upstream.s,
+                  "%s in %s at %s, life %llu, sequence %llu%s%s", u->service.s,
+                  u->zone.s, u->address.s, (unsigned long long)u->born_ms,
+                  (unsigned long long)u->sequence,
+                  u->leaving ? ", leaving" : "", u->gone ? ", gone" : "");
+        break;
+    case REGISTRY_STALE:
+        log_event(LOG_INFO, "announcement-stale", u->upstream.s,
+                  "life %llu, sequence %llu", (unsigned long long)u->born_ms,
+                  (unsigned long long)u->sequence);
+        break;
+    default:
+        break;
+    }
+    carry_out_all(r);
+}
+
+/* Whether the registry has taken it. */
+static bool
+take_for_registry(struct control_runtime *r, const struct control_mail *m)
+{
+    struct moment now = clock_now(r->opts.clock);
+
+    if (r->registry == NULL) {
+        return m->kind != CONTROL_MAIL_EVENT;
+    }
+    if (m->kind == CONTROL_MAIL_ANNOUNCE) {
+        take_announcement(r, m);
+        return true;
+    }
+    if (m->kind == CONTROL_MAIL_PEER) {
+        registry_peer(r->registry, m->peer, m->peer_up, now);
+        return true;
+    }
+    if (m->event.kind == CEV_MESSAGE &&
+        registry_message(r->registry, m->event.u.message.from, m->msg, now,
+                         &r->effects)) {
+        carry_out_all(r);
+        return true;
+    }
+    return false;
+}
+
+static void
+take(struct control_runtime *r, struct control_mail *m)
+{
+    if (m->kind == CONTROL_MAIL_METRICS) {
+        reply_metrics(r, m->event.u.read.request);
+    }
+    else if (!take_for_registry(r, m)) {
+        step(r, &m->event);
+    }
+}
+
 static void
 take_batch(struct control_runtime *r)
 {
@@ -164,12 +271,7 @@
             return;
         }
         m = (struct control_mail *)mail;
-        if (m->kind == CONTROL_MAIL_METRICS) {
-            reply_metrics(r, m->event.u.read.request);
-        }
-        else {
-            step(r, &m->event);
-        }
+        take(r, m);
         control_mail_free(m);
     }
 }
@@ -240,9 +342,9 @@
 static void
 on_peer(void *ctx, struct name remote, bool up)
 {
-    (void)ctx;
-    (void)remote;
-    (void)up;
+    struct control_runtime *r = ctx;
+
+    mailbox_post(&r->inbox, &control_mail_peer(remote, up)->mail);
 }
 
 static void
@@ -293,18 +395,18 @@
     return true;
 }
 
-bool
-control_runtime_found(const struct control_runtime_options *o,
-                      const struct rec_membership *members)
+static enum storage_error
+found_folder(const struct control_runtime_options *o,
+             const struct rec_membership *members, char *detail)
 {
     struct storage_options s = {0};
     struct disk *disk = NULL;
     struct blob *state;
     enum storage_error err;
-    char detail[DETAIL_SIZE];
 
+    detail[0] = '\0';
     if (!open_folder(o, &disk, &s)) {
-        return false;
+        return STORAGE_IO;
     }
     state = control_founding_state(members);
     s.new_disk = control_founding_disk(o->region, o->control.self);
@@ -312,6 +414,13 @@
                          state, detail);
     blob_unref(state);
     disk_files_close(disk);
+    return err;
+}
+
+static bool
+log_founding(const struct control_runtime_options *o, enum storage_error err,
+             const char *detail)
+{
     if (err != STORAGE_OK) {
         log_event(LOG_ERR, "not-founded", o->data, "%s: %s",
                   storage_error_text(err), detail);
@@ -319,6 +428,25 @@
     return err == STORAGE_OK;
 }
 
+bool
+control_runtime_found(const struct control_runtime_options *o,
+                      const struct rec_membership *members)
+{
+    char detail[DETAIL_SIZE];
+
+    return log_founding(o, found_folder(o, members, detail), detail);
+}
+
+bool
+control_runtime_found_once(const struct control_runtime_options *o,
+                           const struct rec_membership *members)
+{
+    char detail[DETAIL_SIZE];
+    enum storage_error err = found_folder(o, members, detail);
+
+    return err == STORAGE_EXISTS || log_founding(o, err, detail);
+}
+
 static enum storage_error
 save_recovered(struct storage *s, const struct control_recovered *r,
                char *detail)
@@ -461,7 +589,7 @@
     http.healthy = is_healthy;
     http.ctx = r;
     http.clock = r->opts.clock;
-    r->http = control_http_new(&http);
+    r->http = r->http_ops->new (&http);
     if (r->http == NULL) {
         log_event(LOG_ERR, "not-started", http.listen.s, "HTTP server: %s",
                   strerror(errno));
@@ -479,6 +607,10 @@
         return NULL;
     }
     r->opts = *o;
+    r->http_ops = o->http_ops != NULL ? o->http_ops : control_http_ops();
+    if (o->registry) {
+        r->registry = registry_new(o->control.self, o->zone);
+    }
     if (!open_control(r) || !start_modules(r)) {
         control_runtime_free(r);
         return NULL;
@@ -492,6 +624,18 @@
     return r;
 }
 
+void
+control_runtime_contact(struct control_runtime *r, struct name name,
+                        struct address address)
+{
+    struct peer_remote remote = {.name = name, .address = address};
+    struct control_mail *m = control_mail_new(CEV_CONTACT);
+
+    peer_add(r->peers, &remote);
+    m->event.u.contact.name = name;
+    mailbox_post(&r->inbox, &m->mail);
+}
+
 void
 control_runtime_dump(struct control_runtime *r)
 {
@@ -543,17 +687,20 @@
         return;
     }
     if (r->running && !control_runtime_failed(r)) {
-        control_http_drain(r->http, DRAIN_MS);
+        r->http_ops->drain(r->http, DRAIN_MS);
     }
     atomic_store(&r->ended, true);
     if (r->running) {
         mailbox_wake(&r->inbox);
         (void)pthread_join(r->thread, NULL);
     }
-    control_http_free(r->http);
+    if (r->http_ops != NULL) {
+        r->http_ops->free(r->http);
+    }
     peer_free(r->peers);
     control_disk_free(r->disk);
     control_free(r->control);
+    registry_free(r->registry);
     control_effects_free(&r->effects);
     storage_close(r->storage);
     disk_files_close(r->folder);
--- a/src/control_runtime.h
+++ b/src/control_runtime.h
@@ -20,6 +20,9 @@
  * @region: of this member
  * @data: folder of its own
  * @inbox: events that may wait, a power of two
+ * @registry: serves as a registry of upstreams, too
+ * @zone: with @registry, of this process
+ * @http_ops: the HTTP interface; NULL for ours
  */
 struct control_runtime_options {
     struct control_options control;
@@ -29,6 +32,9 @@
     struct name region;
     const char *data;
     unsigned int inbox;
+    bool registry;
+    struct name zone;
+    const struct control_http_ops *http_ops;
 };
 
 struct control_runtime;
@@ -38,6 +44,16 @@
 bool control_runtime_found(const struct control_runtime_options *o,
                            const struct rec_membership *members);
 
+/** control_runtime_found_once() - the same, where the folder is not in use
+ * yet; true where it is */
+bool control_runtime_found_once(const struct control_runtime_options *o,
+                                const struct rec_membership *members);
+
+/** control_runtime_contact() - a process that may be a member: it is connected
+ * to, and asked where a leader is not heard */
+void control_runtime_contact(struct control_runtime *r, struct name name,
+                             struct address address);
+
 /** control_runtime_recover() - makes this member, with what its data folder
  * holds, the only one of its region; false with the reason logged */
 bool control_runtime_recover(const struct control_runtime_options *o,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -63,6 +63,7 @@
     (void)sigaddset(&set, SIGTERM);
     (void)sigaddset(&set, SIGINT);
     (void)sigaddset(&set, SIGUSR1);
+    (void)sigaddset(&set, SIGHUP);
     return set;
 }
 
@@ -89,6 +90,11 @@
         if (number == SIGUSR1) {
             w->dump(w->user);
         }
+        else if (number == SIGHUP) {
+            if (w->reload != NULL) {
+                w->reload(w->user);
+            }
+        }
         else if (number > 0 && !w->stopping) {
             return;
         }
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -2,7 +2,8 @@
  * DOC: daemon - what the main files of bm-entry and bm-control share
  *
  * The command line, signals and the main thread's waiting.  SIGTERM and SIGINT
- * ask for a planned stop, SIGUSR1 for a dump of the state.
+ * ask for a planned stop, SIGUSR1 for a dump of the state, SIGHUP for reading
+ * the settings anew.
  */
 #ifndef BM_DAEMON_H
 #define BM_DAEMON_H
@@ -65,11 +66,13 @@
 /**
  * struct daemon_wait - what the main thread waits for
  * @dump: for SIGUSR1
+ * @reload: for SIGHUP; NULL: it changes nothing
  * @over: looked at every @look_ms; NULL: a signal to stop alone ends it
  * @stopping: further signals to stop change nothing
  */
 struct daemon_wait {
     void (*dump)(void *user);
+    void (*reload)(void *user);
     bool (*over)(void *user);
     void *user;
     int64_t look_ms;
--- a/src/log.c
+++ b/src/log.c
@@ -17,8 +17,10 @@
     pthread_mutex_t lock; /* held while a line is written */
     char instance[NAME_SIZE];
     int level;
+    int fd;
     const struct clock *clock;
-} logger = {.lock = PTHREAD_MUTEX_INITIALIZER, .level = LOG_INFO};
+} logger = {
+    .lock = PTHREAD_MUTEX_INITIALIZER, .level = LOG_INFO, .fd = STDERR_FILENO};
 
 static const char *const severities[] = {
     "emerg", "alert", "crit", "err", "warning", "notice", "info", "debug",
@@ -34,6 +36,12 @@
     logger.clock = clock;
 }
 
+void
+log_output(int fd)
+{
+    logger.fd = fd;
+}
+
 bool
 log_enabled(int severity)
 {
@@ -74,7 +82,7 @@
 write_all(const char *data, size_t size)
 {
     while (size > 0) {
-        ssize_t n = write(STDERR_FILENO, data, size);
+        ssize_t n = write(logger.fd, data, size);
 
         if (n < 0 && errno == EINTR) {
             continue;
--- a/src/log.h
+++ b/src/log.h
@@ -35,6 +35,9 @@
  * carry no instance, and LOG_INFO is the level. */
 void log_setup(const char *instance, int level, const struct clock *clock);
 
+/** log_output() - where lines go; standard error before it is called */
+void log_output(int fd);
+
 /** log_enabled() - whether a line of that severity would be written */
 bool log_enabled(int severity);
 
--- /dev/null
+++ b/src/registry.c
@@ -0,0 +1,430 @@
+#include "registry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "map.h"
+
+/* A life that was replaced by one with an earlier time of birth (its machine's
+ * clock was set back in between) is believed gone after this silence: more
+ * than two announcements are missing then. */
+#define LIFE_SILENT_US (4 * USEC_PER_SEC)
+/* Announced again after such a gap, an upstream is told to the brokers as if
+ * it were new: they may have forgotten it. */
+#define GAP_US (5 * USEC_PER_SEC)
+/* Ten announcements missing: it speaks elsewhere now, or not at all. */
+#define FORGET_US (15 * USEC_PER_SEC)
+/* Between reports of everything; costs 150 bytes an upstream and broker. */
+#define REPEAT_US (20 * USEC_PER_SEC)
+/* A broker gone for so long leaves the roster. */
+#define BROKER_GONE_US (30 * USEC_PER_SEC)
+
+/* An upstream, as it announced itself last. */
+struct announced {
+    struct name name; /* first: looked up by it */
+    struct rec_leased_upstream info;
+    int64_t heard_us;
+    struct announced *next;
+};
+
+/* A broker that wants to know. */
+struct listener {
+    struct name name;
+    struct rec_introduction info;
+    bool up;
+    int64_t changed_us; /* when it came or went */
+    struct listener *next;
+};
+
+struct registry {
+    struct rec_instance self;
+    struct map by_name;
+    struct announced *upstreams;
+    size_t n_upstreams;
+    struct listener *brokers;
+    struct rec_instance *registries; /* others than @self */
+    size_t n_registries;
+    int64_t repeat_us;
+};
+
+struct registry *
+registry_new(struct name self, struct name zone)
+{
+    struct registry *r = calloc(1, sizeof(*r));
+
+    if (r == NULL) {
+        abort();
+    }
+    r->self.name = self;
+    r->self.zone = zone;
+    map_init(&r->by_name, MAP_NAME);
+    return r;
+}
+
+static struct rec_leased_upstream
+copy_info(const struct rec_leased_upstream *u)
+{
+    struct msg m = {.kind = MSG_UPSTREAM_REPORT};
+    struct msg copy;
+    struct rec_leased_upstream one = *u;
+    struct rec_leased_upstream out;
+
+    m.u.upstream_report.upstreams = &one;
+    m.u.upstream_report.n_upstreams = 1;
+    copy = msg_copy(&m);
+    out = copy.u.upstream_report.upstreams[0];
+    free(copy.u.upstream_report.upstreams);
+    return out;
+}
+
+static void
+free_upstream(struct announced *u)
+{
+    free(u->info.labels);
+    free(u);
+}
+
+void
+registry_free(struct registry *r)
+{
+    if (r == NULL) {
+        return;
+    }
+    while (r->upstreams != NULL) {
+        struct announced *u = r->upstreams;
+
+        r->upstreams = u->next;
+        free_upstream(u);
+    }
+    while (r->brokers != NULL) {
+        struct listener *b = r->brokers;
+
+        r->brokers = b->next;
+        free(b);
+    }
+    map_clear(&r->by_name);
+    free(r->registries);
+    free(r);
+}
+
+/* Sending */
+
+static void
+send_to(struct control_effects *fx, struct name to, const struct msg *m)
+{
+    struct ce_send *s = &control_effects_add(fx, CE_SEND)->u.send;
+
+    s->to = to;
+    s->msg = msg_copy(m);
+}
+
+static void
+send_brokers(const struct registry *r, struct control_effects *fx,
+             const struct msg *m)
+{
+    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
+        if (b->up) {
+            send_to(fx, b->name, m);
+        }
+    }
+}
+
+static void
+report_one(const struct registry *r, struct control_effects *fx,
+           struct rec_leased_upstream info)
+{
+    struct msg m = {.kind = MSG_UPSTREAM_REPORT};
+
+    m.u.upstream_report.upstreams = &info;
+    m.u.upstream_report.n_upstreams = 1;
+    send_brokers(r, fx, &m);
+}
+
+/* All that is known; the message points into @items, which the caller frees.
+ */
+static struct msg
+whole_report(const struct registry *r, struct rec_leased_upstream **items)
+{
+    struct msg m = {.kind = MSG_UPSTREAM_REPORT};
+    size_t n = 0;
+
+    *items = calloc(r->n_upstreams + 1, sizeof(**items));
+    if (*items == NULL) {
+        abort();
+    }
+    for (const struct announced *u = r->upstreams; u != NULL; u = u->next) {
+        (*items)[n++] = u->info;
+    }
+    m.u.upstream_report.upstreams = *items;
+    m.u.upstream_report.n_upstreams = n;
+    return m;
+}
+
+static struct msg
+roster(const struct registry *r)
+{
+    struct msg m = {.kind = MSG_ROSTER};
+    struct rec_roster *list = &m.u.roster;
+    size_t n = 0;
+
+    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
+        n++;
+    }
+    list->brokers = calloc(n + 1, sizeof(*list->brokers));
+    list->registries = calloc(r->n_registries + 1, sizeof(*list->registries));
+    if (list->brokers == NULL || list->registries == NULL) {
+        abort();
+    }
+    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
+        struct rec_instance *i = &list->brokers[list->n_brokers++];
+
+        i->name = b->name;
+        i->zone = b->info.zone;
+        i->address = b->info.address;
+    }
+    memcpy(list->registries, r->registries,
+           r->n_registries * sizeof(*r->registries));
+    list->n_registries = r->n_registries;
+    return m;
+}
+
+static void
+send_roster(const struct registry *r, struct control_effects *fx)
+{
+    struct msg m = roster(r);
+
+    send_brokers(r, fx, &m);
+    msg_free(&m);
+}
+
+/* Upstreams */
+
+static bool
+overtaken(const struct announced *known, const struct rec_leased_upstream *u,
+          struct moment now)
+{
+    if (u->born_ms == known->info.born_ms) {
+        return u->sequence <= known->info.sequence;
+    }
+    return u->born_ms < known->info.born_ms &&
+           now.mono_us - known->heard_us < LIFE_SILENT_US;
+}
+
+static bool
+news(const struct announced *known, const struct rec_leased_upstream *u,
+     struct moment now)
+{
+    const struct rec_leased_upstream *k = &known->info;
+
+    return k->born_ms != u->born_ms || k->leaving != u->leaving ||
+           k->gone != u->gone || k->slots != u->slots ||
+           k->cpu_milli != u->cpu_milli || k->memory_mb != u->memory_mb ||
+           k->accelerators != u->accelerators ||
+           !name_equal(k->service, u->service) ||
+           strcmp(k->address.s, u->address.s) != 0 ||
+           now.mono_us - known->heard_us > GAP_US;
+}
+
+static struct announced *
+add_upstream(struct registry *r, struct name name)
+{
+    struct announced *u = calloc(1, sizeof(*u));
+
+    if (u == NULL) {
+        abort();
+    }
+    u->name = name;
+    u->next = r->upstreams;
+    r->upstreams = u;
+    r->n_upstreams++;
+    map_put(&r->by_name, u);
+    return u;
+}
+
+/* A goodbye says no more than that: the rest stays as it was. */
+static enum registry_result
+take_goodbye(struct registry *r, struct announced *known,
+             const struct rec_leased_upstream *u, struct control_effects *fx)
+{
+    if (known == NULL ||
+        (u->born_ms != 0 && u->born_ms != known->info.born_ms)) {
+        return REGISTRY_STALE;
+    }
+    known->info.leaving = 1;
+    known->info.gone = 1;
+    known->info.sequence++;
+    report_one(r, fx, known->info);
+    return REGISTRY_CHANGED;
+}
+
+enum registry_result
+registry_announce(struct registry *r, const struct rec_leased_upstream *u,
+                  struct moment now, struct control_effects *fx)
+{
+    struct announced *known = map_get(&r->by_name, &u->upstream);
+    bool changed = known == NULL || news(known, u, now);
+
+    if (u->gone != 0) {
+        return take_goodbye(r, known, u, fx);
+    }
+    if (known != NULL && overtaken(known, u, now)) {
+        return REGISTRY_STALE;
+    }
+    if (known == NULL) {
+        known = add_upstream(r, u->upstream);
+    }
+    free(known->info.labels);
+    known->info = copy_info(u);
+    known->heard_us = now.mono_us;
+    if (changed) {
+        report_one(r, fx, known->info);
+    }
+    return changed ? REGISTRY_CHANGED : REGISTRY_UNCHANGED;
+}
+
+static void
+forget_silent(struct registry *r, struct moment now)
+{
+    struct announced **at = &r->upstreams;
+
+    while (*at != NULL) {
+        struct announced *u = *at;
+
+        if (now.mono_us - u->heard_us < FORGET_US) {
+            at = &u->next;
+            continue;
+        }
+        *at = u->next;
+        r->n_upstreams--;
+        (void)map_remove(&r->by_name, &u->name);
+        free_upstream(u);
+    }
+}
+
+/* Brokers */
+
+static struct listener *
+find_broker(const struct registry *r, struct name name)
+{
+    struct listener *b = r->brokers;
+
+    while (b != NULL && !name_equal(b->name, name)) {
+        b = b->next;
+    }
+    return b;
+}
+
+static void
+on_introduction(struct registry *r, struct name from,
+                const struct rec_introduction *i, struct moment now,
+                struct control_effects *fx)
+{
+    struct listener *b = find_broker(r, from);
+    struct rec_leased_upstream *items;
+    struct msg m;
+
+    if (b == NULL) {
+        b = calloc(1, sizeof(*b));
+        if (b == NULL) {
+            abort();
+        }
+        b->name = from;
+        b->next = r->brokers;
+        r->brokers = b;
+    }
+    b->info = *i;
+    b->up = true;
+    b->changed_us = now.mono_us;
+    send_roster(r, fx);
+    m = whole_report(r, &items);
+    send_to(fx, from, &m);
+    free(items);
+}
+
+bool
+registry_message(struct registry *r, struct name from, const struct msg *m,
+                 struct moment now, struct control_effects *fx)
+{
+    if (m->kind != MSG_INTRODUCTION) {
+        return false;
+    }
+    on_introduction(r, from, &m->u.introduction, now, fx);
+    return true;
+}
+
+void
+registry_members(struct registry *r, const struct rec_membership *m,
+                 struct control_effects *fx)
+{
+    free(r->registries);
+    r->registries = calloc(m->n_members + 1, sizeof(*r->registries));
+    if (r->registries == NULL) {
+        abort();
+    }
+    r->n_registries = 0;
+    for (size_t i = 0; i < m->n_members; i++) {
+        struct rec_instance *other = &r->registries[r->n_registries++];
+
+        other->name = m->members[i].name;
+        other->address = m->members[i].address;
+    }
+    send_roster(r, fx);
+}
+
+void
+registry_peer(struct registry *r, struct name peer, bool up, struct moment now)
+{
+    struct listener *b = find_broker(r, peer);
+
+    if (b != NULL && !up) {
+        b->up = false;
+        b->changed_us = now.mono_us;
+    }
+}
+
+static void
+forget_brokers(struct registry *r, struct moment now)
+{
+    struct listener **at = &r->brokers;
+
+    while (*at != NULL) {
+        struct listener *b = *at;
+
+        if (b->up || now.mono_us - b->changed_us < BROKER_GONE_US) {
+            at = &b->next;
+            continue;
+        }
+        *at = b->next;
+        free(b);
+    }
+}
+
+void
+registry_tick(struct registry *r, struct moment now,
+              struct control_effects *fx)
+{
+    struct rec_leased_upstream *items;
+    struct msg m;
+
+    if (now.mono_us < r->repeat_us) {
+        return;
+    }
+    r->repeat_us = now.mono_us + REPEAT_US;
+    forget_silent(r, now);
+    forget_brokers(r, now);
+    send_roster(r, fx);
+    m = whole_report(r, &items);
+    send_brokers(r, fx, &m);
+    free(items);
+}
+
+struct registry_gauges
+registry_gauges(const struct registry *r)
+{
+    struct registry_gauges g = {.upstreams = r->n_upstreams};
+
+    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
+        g.brokers_up += b->up ? 1 : 0;
+    }
+    return g;
+}
--- /dev/null
+++ b/src/registry.h
@@ -0,0 +1,67 @@
+/**
+ * DOC: registry - the soft state of a registry: which upstreams announced
+ * themselves here, and which brokers want to know
+ *
+ * A reducer without a clock or I/O of its own.  Nothing of it is on a disk and
+ * no quorum is asked: upstreams announce themselves again and again, at any
+ * registry, and each broker listens to all it can reach.  So a zone that is
+ * cut off goes on with its own registry, and one that restarts is whole again
+ * when each upstream has spoken once.
+ *
+ * Brokers are told what changed at once, everything when they connect, and
+ * everything again now and then, so that one that forgot an upstream learns of
+ * it anew.
+ */
+#ifndef BM_REGISTRY_H
+#define BM_REGISTRY_H
+
+#include "control_effect.h"
+
+struct registry;
+
+/** enum registry_result - what became of an announcement */
+enum registry_result {
+    REGISTRY_CHANGED,   /* taken, and news to the brokers */
+    REGISTRY_UNCHANGED, /* taken, nothing new */
+    REGISTRY_STALE,     /* of an earlier life, or overtaken: not taken */
+};
+
+/** registry_new() - @self and its @zone stand in the roster */
+struct registry *registry_new(struct name self, struct name zone);
+
+/** registry_free() - NULL is allowed */
+void registry_free(struct registry *r);
+
+/** registry_announce() - an upstream says how it is; @u is copied.  Of one
+ * that is gone only its name and life count. */
+enum registry_result registry_announce(struct registry *r,
+                                       const struct rec_leased_upstream *u,
+                                       struct moment now,
+                                       struct control_effects *fx);
+
+/** registry_message() - whether the message was one for the registry */
+bool registry_message(struct registry *r, struct name from,
+                      const struct msg *m, struct moment now,
+                      struct control_effects *fx);
+
+/** registry_members() - the processes that serve as registries */
+void registry_members(struct registry *r, const struct rec_membership *m,
+                      struct control_effects *fx);
+
+/** registry_peer() - the connection to a process is there, or is gone */
+void registry_peer(struct registry *r, struct name peer, bool up,
+                   struct moment now);
+
+/** registry_tick() - repeats and forgets; at least once a second */
+void registry_tick(struct registry *r, struct moment now,
+                   struct control_effects *fx);
+
+/** struct registry_gauges - sizes, for metrics */
+struct registry_gauges {
+    uint64_t upstreams;
+    uint64_t brokers_up;
+};
+
+struct registry_gauges registry_gauges(const struct registry *r);
+
+#endif
