--- /dev/null
+++ b/src/broker.c
@@ -0,0 +1,435 @@
+#include "broker.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "array.h"
+#include "broker_state.h"
+
+enum {
+    TICK_MAX_US = 500 * 1000, /* between ticks at most */
+    /* A step so long after the last one means that the process stood still:
+     * ticks come ten times as often as a lease is long. */
+    PAUSE_LEASES = 1,
+};
+
+struct broker_options
+broker_options_default(void)
+{
+    return (struct broker_options){
+        .seed = 1,
+        .lease_us = USEC_PER_SEC,
+        .look_us = 250 * USEC_PER_MSEC,
+        .call_timeout_us = 150 * USEC_PER_MSEC,
+        .settle_us = 1500 * USEC_PER_MSEC,
+        .load_us = 100 * USEC_PER_MSEC,
+        .stop_us = 5400 * USEC_PER_MSEC,
+        .quit_us = 2600 * USEC_PER_MSEC,
+        .upstreams_each = 32,
+        .clock_drift = 0.02,
+    };
+}
+
+struct broker *
+broker_new(const struct broker_options *o)
+{
+    struct broker *b = calloc(1, sizeof(*b));
+
+    if (b == NULL) {
+        abort();
+    }
+    b->opts = *o;
+    b->random = o->seed;
+    b->view = 1;
+    map_init(&b->peers_by_name, MAP_NAME);
+    map_init(&b->upstreams_by_name, MAP_NAME);
+    table_init(&b->caller_jobs, sizeof(struct caller_job));
+    table_init(&b->run_jobs, sizeof(struct run_job));
+    table_init(&b->upstreams, sizeof(struct broker_upstream));
+    table_init(&b->calls, sizeof(struct broker_call));
+    peers_init(b);
+    return b;
+}
+
+static void
+free_services(struct broker *b)
+{
+    while (b->services != NULL) {
+        struct broker_service *s = b->services;
+
+        b->services = s->next;
+        free(s->history);
+        free(s);
+    }
+}
+
+static void
+free_jobs(struct broker *b)
+{
+    struct caller_job *c;
+    struct run_job *r;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
+        msg_free(&c->offer);
+    }
+    at = 0;
+    while ((r = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        blob_unref(r->spec);
+        free(r->groups);
+        free(r->tasks);
+    }
+}
+
+void
+broker_free(struct broker *b)
+{
+    struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    if (b == NULL) {
+        return;
+    }
+    free_jobs(b);
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        free(u->tasks);
+    }
+    for (size_t i = 0; i < b->n_local; i++) {
+        msg_free(&b->local[i]);
+    }
+    free(b->local);
+    free(b->holders);
+    free_services(b);
+    peers_free(b);
+    table_clear(&b->caller_jobs);
+    table_clear(&b->run_jobs);
+    table_clear(&b->upstreams);
+    table_clear(&b->calls);
+    timers_clear(&b->caller_timers);
+    map_clear(&b->peers_by_name);
+    map_clear(&b->upstreams_by_name);
+    queueconf_free(b->queues);
+    blob_unref(b->config_text);
+    free(b);
+}
+
+/* splitmix64 */
+uint64_t
+broker_random(struct broker *b, uint64_t n)
+{
+    uint64_t z = (b->random += UINT64_C(0x9e3779b97f4a7c15));
+
+    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return (z ^ (z >> 31)) % n;
+}
+
+void
+broker_send(struct broker *b, struct name to, struct msg *m)
+{
+    struct be_send *s;
+
+    if (name_equal(to, b->opts.self)) {
+        b->local = array_grow(b->local, b->n_local, &b->local_room,
+                              sizeof(*b->local));
+        b->local[b->n_local++] = *m;
+    }
+    else {
+        s = &broker_effects_add(b->fx, BE_SEND)->u.send;
+        s->to = to;
+        s->msg = *m;
+    }
+    memset(m, 0, sizeof(*m));
+}
+
+void
+broker_log(struct broker *b, int severity, enum broker_reason reason,
+           uint64_t job, int32_t task, struct name subject, const char *format,
+           ...)
+{
+    struct be_log *l = &broker_effects_add(b->fx, BE_LOG)->u.log;
+    va_list args;
+
+    l->severity = severity;
+    l->reason = reason;
+    l->job = job;
+    l->task = task;
+    l->subject = subject;
+    va_start(args, format);
+    (void)vsnprintf(l->detail, sizeof(l->detail), format, args);
+    va_end(args);
+}
+
+static void
+on_message(struct broker *b, struct name from, const struct msg *m)
+{
+    switch (m->kind) {
+    case MSG_INTRODUCTION:
+        peers_on_introduction(b, from, &m->u.introduction);
+        break;
+    case MSG_ROSTER:
+        peers_on_roster(b, &m->u.roster);
+        break;
+    case MSG_CONFIG_REPLY:
+        peers_on_config(b, from, &m->u.config_reply);
+        break;
+    case MSG_UPSTREAM_REPORT:
+        hold_on_report(b, &m->u.upstream_report);
+        break;
+    case MSG_UPSTREAM_HOLDS:
+        hold_on_holds(b, from, &m->u.upstream_holds);
+        break;
+    case MSG_BROKER_LOAD:
+        peers_on_load(b, from, &m->u.broker_load);
+        break;
+    case MSG_JOB_OFFER:
+        runs_on_offer(b, from, &m->u.job_offer);
+        break;
+    case MSG_JOB_DROP:
+        runs_on_drop(b, from, m->u.job_drop.number);
+        break;
+    case MSG_JOB_END:
+        callers_on_end(b, from, &m->u.job_end);
+        break;
+    default:
+        break; /* control's own, or of a later version */
+    }
+}
+
+static void
+take_local(struct broker *b)
+{
+    for (size_t i = 0; i < b->n_local; i++) {
+        struct msg m = b->local[i];
+
+        on_message(b, b->opts.self, &m);
+        msg_free(&m);
+    }
+    b->n_local = 0;
+}
+
+/* A process that stood still (a paused machine) may wake as what it no longer
+ * is.  Its steady clock may have stood still too, so the time compared here
+ * must be one that goes on (see clock.h).  By then other brokers have taken
+ * its upstreams over and its callers' jobs may run elsewhere: everything that
+ * rested on a lease is given up before anything is sent. */
+static void
+check_pause(struct broker *b)
+{
+    int64_t gap = b->now.mono_us - b->last_us;
+
+    if (b->last_us == 0 || gap < PAUSE_LEASES * b->opts.lease_us) {
+        return;
+    }
+    b->counters.pauses++;
+    broker_log(b, LOG_WARNING, BROKER_PAUSED, 0, -1, b->opts.self,
+               "%lld ms without a step", (long long)(gap / USEC_PER_MSEC));
+    b->started_us = b->now.mono_us;
+    runs_paused(b);
+    hold_paused(b);
+}
+
+static void
+begin_stop(struct broker *b)
+{
+    if (b->stopping) {
+        return;
+    }
+    b->stopping = true;
+    b->stop_us = b->now.mono_us;
+    broker_log(b, LOG_NOTICE, BROKER_STOP_BEGUN, 0, -1, b->opts.self,
+               "%zu jobs of callers, %zu run here", b->caller_jobs.n,
+               b->run_jobs.n);
+    peers_stopping(b);
+    runs_return(b);
+    b->review = true;
+}
+
+static void
+route(struct broker *b, const struct broker_event *ev)
+{
+    switch (ev->kind) {
+    case BEV_SUBMIT:
+        callers_submit(b, &ev->u.submit);
+        break;
+    case BEV_CANCEL:
+        callers_cancel(b, &ev->u.cancel);
+        break;
+    case BEV_GONE:
+        callers_gone(b, ev->u.gone.request);
+        break;
+    case BEV_CALLED:
+        lease_on_called(b, &ev->u.called);
+        break;
+    case BEV_MESSAGE:
+        on_message(b, ev->u.message.from, ev->u.message.msg);
+        break;
+    case BEV_PEER:
+        peers_on_peer(b, ev->u.peer.peer, ev->u.peer.up);
+        break;
+    case BEV_STOP:
+        begin_stop(b);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Done when no caller waits and nothing is held; callers that the platform
+ * still sends are served until quit_us. */
+static void
+tell_stopped(struct broker *b)
+{
+    int64_t since = b->now.mono_us - b->stop_us;
+    bool idle = b->caller_jobs.n == 0 && b->run_jobs.n == 0 && !hold_any(b);
+
+    if (!b->stopping || b->stopped_told ||
+        (since < b->opts.stop_us && (!idle || since < b->opts.quit_us))) {
+        return;
+    }
+    b->stopped_told = true;
+    (void)broker_effects_add(b->fx, BE_STOPPED);
+}
+
+static void
+tick(struct broker *b)
+{
+    peers_tick(b);
+    callers_tick(b);
+    hold_tick(b);
+    if (b->review) {
+        b->review = false;
+        hold_review(b);
+    }
+    runs_tick(b);
+}
+
+void
+broker_step(struct broker *b, const struct broker_event *ev,
+            struct broker_effects *fx)
+{
+    b->now = ev->now;
+    b->fx = fx;
+    if (b->started_us == 0) {
+        b->started_us = b->now.mono_us;
+        b->review = true;
+    }
+    check_pause(b);
+    b->last_us = b->now.mono_us;
+    route(b, ev);
+    take_local(b);
+    tick(b);
+    take_local(b);
+    runs_tick(b);
+    take_local(b);
+    tell_stopped(b);
+    b->fx = NULL;
+}
+
+static int64_t
+least(int64_t a, int64_t b)
+{
+    return a < b ? a : b;
+}
+
+int64_t
+broker_next_us(const struct broker *b)
+{
+    int64_t at = b->now.mono_us + TICK_MAX_US;
+
+    at = least(at, b->load_us);
+    at = least(at, peers_next_us(b));
+    at = least(at, callers_next_us(b));
+    at = least(at, hold_next_us(b));
+    at = least(at, runs_next_us(b));
+    if (b->stopping && !b->stopped_told) {
+        at = least(at, b->stop_us + b->opts.stop_us);
+        if (b->stop_us + b->opts.quit_us > b->now.mono_us) {
+            at = least(at, b->stop_us + b->opts.quit_us);
+        }
+    }
+    return at;
+}
+
+bool
+broker_ready(const struct broker *b)
+{
+    if (b->queues == NULL || b->stopping) {
+        return false;
+    }
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if ((p->up || p->self) && !p->stopping && p->n_loads > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+const struct queueconf *
+broker_queues(const struct broker *b)
+{
+    return b->queues;
+}
+
+uint32_t
+broker_waiting(const struct broker *b, struct name queue)
+{
+    const struct caller_job *c;
+    struct handle h;
+    uint32_t at = 0;
+    uint32_t n = 0;
+
+    while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
+        n += name_equal(c->offer.u.job_offer.queue, queue) ? 1 : 0;
+    }
+    return n;
+}
+
+struct broker_counters
+broker_counters(const struct broker *b)
+{
+    return b->counters;
+}
+
+static void
+count_upstreams(const struct broker *b, struct broker_gauges *g)
+{
+    const struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        g->upstreams_known++;
+        g->upstreams_held += u->state != HOLD_NONE ? 1 : 0;
+        g->upstreams_open += u->state == HOLD_OPEN ? 1 : 0;
+        g->upstreams_quarantined += u->until_us > b->now.mono_us ? 1 : 0;
+        g->tasks_running += u->n_tasks;
+    }
+}
+
+struct broker_gauges
+broker_gauges(const struct broker *b)
+{
+    struct broker_gauges g = {
+        .callers_jobs = b->caller_jobs.n,
+        .runner_jobs = b->run_jobs.n,
+        .config_rank = b->queues != NULL ? b->queues->rank : 0,
+    };
+    const struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    count_upstreams(b, &g);
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        g.tasks_queued += job->n_ready;
+    }
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        g.brokers_up += p->up && p->broker ? 1 : 0;
+        g.registries_up += p->up && p->registry ? 1 : 0;
+    }
+    return g;
+}
--- /dev/null
+++ b/src/broker.h
@@ -0,0 +1,166 @@
+/**
+ * DOC: broker - the reducer of a broker
+ *
+ * A broker takes jobs from callers and has them run on upstreams that work
+ * under leases.  Each upstream is held by one broker of its availability zone;
+ * a job is run as a whole by one broker, its runner, which need not be the one
+ * that its caller reached.  broker_step() takes one event and appends effects;
+ * it reads no clock, does no I/O and draws no randomness but from its seed.
+ *
+ * Jobs here are best effort: nothing of them is stored, and one whose answer
+ * is lost may run again from the start when its caller hands it in anew.  What
+ * must not happen is that two runs of one task overlap.
+ */
+#ifndef BM_BROKER_H
+#define BM_BROKER_H
+
+#include "broker_effect.h"
+#include "broker_event.h"
+
+struct broker;
+
+/** broker_read_config - reads the text of a configuration: NULL with
+ * *@fault where it can't be in force */
+typedef struct queueconf *broker_read_config(const char *text, size_t size,
+                                             enum queueconf_fault *fault);
+
+/**
+ * struct broker_options - how to construct a broker
+ * @self: name of this instance
+ * @zone: its availability zone
+ * @address: where other processes connect to it
+ * @incarnation: rises with every start of any broker; wall time in us.  The
+ *               broker that started first holds upstreams first, so that one
+ *               that restarts takes none away from those that went on.
+ * @registries: to connect to at first
+ * @n_registries: of them
+ * @seed: for jitter
+ * @read_config: reads the text that control publishes
+ * @lease_us: longest lease that upstreams grant
+ * @look_us: an answer to a look without an end comes after this
+ * @call_timeout_us: without an answer a call is given up
+ * @settle_us: after the start, until other brokers had time to show up, no
+ *             upstream is taken
+ * @load_us: between reports of the load to other brokers
+ * @stop_us: a planned stop takes no longer
+ * @quit_us: after a planned stop began, callers' new jobs are still taken for
+ *           so long: that is how long the platform may go on sending them
+ * @upstreams_each: upstreams of a zone for each broker that holds any
+ * @clock_drift: an upstream's clock may be slower by that share
+ */
+struct broker_options {
+    struct name self;
+    struct name zone;
+    struct address address;
+    uint64_t incarnation;
+    const struct rec_instance *registries;
+    size_t n_registries;
+    uint64_t seed;
+    broker_read_config *read_config;
+    int64_t lease_us;
+    int64_t look_us;
+    int64_t call_timeout_us;
+    int64_t settle_us;
+    int64_t load_us;
+    int64_t stop_us;
+    int64_t quit_us;
+    uint32_t upstreams_each;
+    double clock_drift;
+};
+
+/** broker_options_default() - every field but names, addresses, incarnation
+ * and read_config */
+struct broker_options broker_options_default(void);
+
+/** broker_new() - ends the process when memory is out */
+struct broker *broker_new(const struct broker_options *o);
+
+/** broker_free() - NULL is allowed */
+void broker_free(struct broker *b);
+
+/** broker_step() - applies one event; effects are appended to @fx */
+void broker_step(struct broker *b, const struct broker_event *ev,
+                 struct broker_effects *fx);
+
+/** broker_next_us() - monotonic time of the next timer; a TICK is due then */
+int64_t broker_next_us(const struct broker *b);
+
+/** broker_ready() - takes new callers: it has a configuration and knows a
+ * broker that holds upstreams, and is not stopping */
+bool broker_ready(const struct broker *b);
+
+/** broker_queues() - the configuration in force, or NULL */
+const struct queueconf *broker_queues(const struct broker *b);
+
+/** broker_waiting() - jobs of a queue that were taken here and of which
+ * nothing is known to have started */
+uint32_t broker_waiting(const struct broker *b, struct name queue);
+
+/* Counters: BROKER_COUNTER(name, help).  All only rise. */
+/* clang-format off */
+#define BROKER_COUNTER_LIST(BROKER_COUNTER)                                   \
+    BROKER_COUNTER(jobs_submitted, "jobs handed in here")                     \
+    BROKER_COUNTER(jobs_completed, "jobs answered as completed")              \
+    BROKER_COUNTER(jobs_failed, "jobs answered as failed")                    \
+    BROKER_COUNTER(jobs_refused, "jobs refused; nothing of them ran")         \
+    BROKER_COUNTER(jobs_unknown, "jobs given up whose runner was lost")       \
+    BROKER_COUNTER(jobs_abandoned, "jobs whose caller left")                  \
+    BROKER_COUNTER(jobs_expired, "jobs not ended by their deadline")          \
+    BROKER_COUNTER(jobs_moved, "jobs offered to a second runner")             \
+    BROKER_COUNTER(offers_taken, "jobs taken to run here")                    \
+    BROKER_COUNTER(offers_refused, "jobs refused as a runner")                \
+    BROKER_COUNTER(tasks_started, "starts sent to upstreams")                 \
+    BROKER_COUNTER(tasks_done, "runs that ended well")                        \
+    BROKER_COUNTER(tasks_failed, "runs that failed")                          \
+    BROKER_COUNTER(tasks_lapsed, "runs whose lease passed")                   \
+    BROKER_COUNTER(tasks_stopped, "runs stopped on request")                  \
+    BROKER_COUNTER(tasks_stalled, "runs stopped because they stood still")    \
+    BROKER_COUNTER(starts_refused, "starts that upstreams refused")           \
+    BROKER_COUNTER(starts_lost, "starts without an answer")                   \
+    BROKER_COUNTER(strangers_stopped, "runs of lost brokers stopped")         \
+    BROKER_COUNTER(looks, "looks at upstreams")                               \
+    BROKER_COUNTER(upstreams_taken, "upstreams taken over")                   \
+    BROKER_COUNTER(upstreams_released, "upstreams given to another broker")   \
+    BROKER_COUNTER(upstreams_muted, "upstreams that stopped answering")       \
+    BROKER_COUNTER(upstreams_fenced, "upstreams lost to a higher fence")      \
+    BROKER_COUNTER(quarantines, "upstreams quarantined")                      \
+    BROKER_COUNTER(configs_applied, "configurations applied")                 \
+    BROKER_COUNTER(configs_ignored, "configurations that were not newer")     \
+    BROKER_COUNTER(pauses, "times this process was paused")
+/* clang-format on */
+
+struct broker_counters {
+#define BROKER_COUNTER(name, help) uint64_t name;
+    BROKER_COUNTER_LIST(BROKER_COUNTER)
+#undef BROKER_COUNTER
+};
+
+/** broker_counters() - a copy of the counters */
+struct broker_counters broker_counters(const struct broker *b);
+
+/* Gauges: BROKER_GAUGE(name, help). */
+/* clang-format off */
+#define BROKER_GAUGE_LIST(BROKER_GAUGE)                                       \
+    BROKER_GAUGE(callers_jobs, "jobs taken from callers and not answered")    \
+    BROKER_GAUGE(runner_jobs, "jobs being run here")                          \
+    BROKER_GAUGE(tasks_queued, "tasks waiting for room")                      \
+    BROKER_GAUGE(tasks_running, "tasks on upstreams")                         \
+    BROKER_GAUGE(upstreams_known, "upstreams known")                          \
+    BROKER_GAUGE(upstreams_held, "upstreams held")                            \
+    BROKER_GAUGE(upstreams_open, "held ones that take work")                  \
+    BROKER_GAUGE(upstreams_quarantined, "held ones in quarantine")            \
+    BROKER_GAUGE(brokers_up, "other brokers connected")                       \
+    BROKER_GAUGE(registries_up, "registries connected")                       \
+    BROKER_GAUGE(config_rank, "rank of the configuration in force")
+/* clang-format on */
+
+struct broker_gauges {
+#define BROKER_GAUGE(name, help) uint64_t name;
+    BROKER_GAUGE_LIST(BROKER_GAUGE)
+#undef BROKER_GAUGE
+};
+
+/** broker_gauges() - counted now */
+struct broker_gauges broker_gauges(const struct broker *b);
+
+#endif
--- /dev/null
+++ b/src/broker_caller.c
@@ -0,0 +1,383 @@
+/*
+ * Jobs that callers handed in here: each is offered to the runner that will
+ * have room for it first, and its caller is answered with what becomes of it.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "broker_state.h"
+
+enum {
+    MOVES_MAX = 3, /* runners that a job is offered to */
+};
+
+/* What a job loses by going to another zone: a round trip there, and the
+ * bytes.  Smaller differences in waiting are not worth it. */
+#define OTHER_ZONE_US (8 * USEC_PER_MSEC)
+/* A refusal for want of a runner: about as long as brokers need to take over
+ * what a lost one held. */
+#define NO_RUNNER_RETRY_US (1 * USEC_PER_SEC)
+/* Callers that are told to come back at the same time would come back as one
+ * burst; they are spread by up to half the time. */
+enum { RETRY_SPREAD = 2 };
+
+static uint64_t
+number_of(struct handle h)
+{
+    return (uint64_t)h.generation << 32 | h.index;
+}
+
+static struct handle
+handle_of(uint64_t number)
+{
+    return (struct handle){.index = (uint32_t)number,
+                           .generation = (uint32_t)(number >> 32)};
+}
+
+static int64_t
+spread_retry(struct broker *b, int64_t us)
+{
+    if (us <= 0) {
+        return 0;
+    }
+    return us + (int64_t)broker_random(b, (uint64_t)us / RETRY_SPREAD + 1);
+}
+
+static void
+count_outcome(struct broker *b, enum job_outcome outcome)
+{
+    struct broker_counters *c = &b->counters;
+
+    switch (outcome) {
+    case JOB_COMPLETED_OUTCOME:
+        c->jobs_completed++;
+        break;
+    case JOB_FAILED_OUTCOME:
+    case JOB_CANCELLED_OUTCOME:
+        c->jobs_failed++;
+        break;
+    case JOB_EXPIRED_OUTCOME:
+        c->jobs_expired++;
+        break;
+    case JOB_LOST_OUTCOME:
+        c->jobs_unknown++;
+        break;
+    default:
+        c->jobs_refused++;
+        break;
+    }
+}
+
+static void
+answer(struct broker *b, uint64_t request, uint64_t id,
+       enum job_outcome outcome, enum broker_reason reason, int64_t retry_us,
+       const char *detail)
+{
+    struct be_answer *a = &broker_effects_add(b->fx, BE_ANSWER)->u.answer;
+    bool well = outcome == JOB_COMPLETED_OUTCOME;
+
+    a->request = request;
+    a->outcome = outcome;
+    a->reason = reason;
+    a->retry_after_us = spread_retry(b, retry_us);
+    count_outcome(b, outcome);
+    broker_log(b, well ? LOG_DEBUG : LOG_NOTICE, reason, id, -1, name_of(""),
+               "%s; %s", job_outcome_text(outcome), detail);
+}
+
+static void
+drop_job(struct broker *b, struct caller_job *c)
+{
+    msg_free(&c->offer);
+    table_remove(&b->caller_jobs, c->self);
+}
+
+static void
+answer_job(struct broker *b, struct caller_job *c, enum job_outcome outcome,
+           enum broker_reason reason, int64_t retry_us)
+{
+    char detail[DETAIL_SIZE];
+
+    (void)snprintf(
+        detail, sizeof(detail), "queue %s, runner %s, after %lld ms, %u moves",
+        c->offer.u.job_offer.queue.s, c->runner.s,
+        (long long)((b->now.mono_us - c->taken_us) / USEC_PER_MSEC), c->moves);
+    answer(b, c->request, c->offer.u.job_offer.id, outcome, reason, retry_us,
+           detail);
+    drop_job(b, c);
+}
+
+/* Choosing a runner */
+
+static int64_t
+told_wait_us(const struct broker_load *l, uint64_t priority)
+{
+    uint64_t us = priority == 0   ? l->told.wait0_us
+                  : priority == 1 ? l->told.wait1_us
+                                  : l->told.wait2_us;
+
+    return (int64_t)us + l->added_us;
+}
+
+static struct broker_load *
+load_of(const struct broker_peer *p, struct name service)
+{
+    for (size_t i = 0; i < p->n_loads; i++) {
+        if (name_equal(p->loads[i].told.service, service)) {
+            return &p->loads[i];
+        }
+    }
+    return NULL;
+}
+
+/* Brokers that were tried are not tried again: they returned it for a reason
+ * that still holds. */
+static struct broker_peer *
+choose_runner(struct broker *b, const struct rec_job_offer *o,
+              struct name except)
+{
+    struct broker_peer *best = NULL;
+    int64_t best_us = INT64_MAX;
+
+    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        struct broker_load *l = load_of(p, o->service);
+        int64_t us;
+
+        if (l == NULL || p->stopping || (!p->up && !p->self) ||
+            name_equal(p->name, except)) {
+            continue;
+        }
+        us = told_wait_us(l, o->priority);
+        us += name_equal(p->zone, b->opts.zone) ? 0 : OTHER_ZONE_US;
+        if (us < best_us) {
+            best = p;
+            best_us = us;
+        }
+    }
+    return best;
+}
+
+/* Between two reports every job would go to the same runner, the one that was
+ * idle last: what is sent there counts at once. */
+static void
+note_sent(struct broker_peer *p, const struct rec_job_offer *o)
+{
+    struct broker_load *l = load_of(p, o->service);
+    double work = 0;
+
+    for (size_t i = 0; i < o->n_groups; i++) {
+        const struct rec_task_group *g = &o->groups[i];
+
+        work +=
+            (double)g->count * (double)g->cpu_milli * (double)g->declared_us;
+    }
+    if (l->told.cpu_milli > 0) {
+        l->added_us += (int64_t)(work / (double)l->told.cpu_milli);
+    }
+}
+
+static bool
+offer(struct broker *b, struct caller_job *c, struct name except)
+{
+    struct rec_job_offer *o = &c->offer.u.job_offer;
+    struct broker_peer *p = choose_runner(b, o, except);
+    struct msg copy;
+
+    if (p == NULL) {
+        return false;
+    }
+    note_sent(p, o);
+    c->runner = p->name;
+    o->age_us = (uint64_t)(b->now.mono_us - c->taken_us);
+    o->deadline_us = (uint64_t)(c->deadline_us - b->now.mono_us);
+    copy = msg_copy(&c->offer);
+    broker_send(b, p->name, &copy);
+    broker_log(b, LOG_DEBUG, BROKER_OFFERED, o->id, -1, p->name,
+               "queue %s, %zu groups, move %u", o->queue.s, o->n_groups,
+               c->moves);
+    return true;
+}
+
+/* Events */
+
+static void
+fill_offer(struct caller_job *c, const struct bev_submit *s)
+{
+    struct rec_job_offer *o = &c->offer.u.job_offer;
+
+    c->offer.kind = MSG_JOB_OFFER;
+    o->number = number_of(c->self);
+    o->id = s->id;
+    o->queue = s->queue->name;
+    o->service = s->queue->service;
+    o->priority = s->queue->priority;
+    o->attempts = s->queue->attempts;
+    o->stretch_milli = (uint64_t)(s->queue->stretch * 1000.0);
+    o->target_us = (uint64_t)s->queue->target_us;
+    o->spec = blob_ref(s->spec);
+    o->groups = calloc(s->n_groups + 1, sizeof(*o->groups));
+    if (o->groups == NULL) {
+        abort();
+    }
+    memcpy(o->groups, s->groups, s->n_groups * sizeof(*s->groups));
+    o->n_groups = s->n_groups;
+}
+
+static enum broker_reason
+refuse_at_once(const struct broker *b)
+{
+    int64_t since = b->now.mono_us - b->stop_us;
+
+    if (b->stopping && since >= b->opts.quit_us) {
+        return BROKER_STOPPING;
+    }
+    return b->queues == NULL ? BROKER_NO_CONFIG : BROKER_NONE;
+}
+
+void
+callers_submit(struct broker *b, const struct bev_submit *s)
+{
+    enum broker_reason reason = refuse_at_once(b);
+    struct handle h;
+    struct caller_job *c;
+    int64_t timeout_us;
+
+    b->counters.jobs_submitted++;
+    if (reason != BROKER_NONE) {
+        answer(b, s->request, s->id, JOB_REFUSED_OUTCOME, reason,
+               NO_RUNNER_RETRY_US, "at once");
+        return;
+    }
+    timeout_us = s->queue->timeout_us;
+    if (s->timeout_us > 0 && s->timeout_us < timeout_us) {
+        timeout_us = s->timeout_us;
+    }
+    c = table_add(&b->caller_jobs, &h);
+    c->self = h;
+    c->request = s->request;
+    c->taken_us = b->now.mono_us;
+    c->deadline_us = b->now.mono_us + timeout_us;
+    fill_offer(c, s);
+    timers_add(&b->caller_timers, c->deadline_us, h);
+    if (!offer(b, c, name_of(""))) {
+        answer_job(b, c, JOB_REFUSED_OUTCOME, BROKER_NO_RUNNER,
+                   NO_RUNNER_RETRY_US);
+    }
+}
+
+static void
+tell_drop(struct broker *b, const struct caller_job *c)
+{
+    struct msg m = {.kind = MSG_JOB_DROP};
+
+    m.u.job_drop.number = number_of(c->self);
+    broker_send(b, c->runner, &m);
+}
+
+void
+callers_gone(struct broker *b, uint64_t request)
+{
+    struct caller_job *c;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
+        if (c->request == request) {
+            b->counters.jobs_abandoned++;
+            broker_log(
+                b, LOG_INFO, BROKER_CALLER_LEFT, c->offer.u.job_offer.id, -1,
+                c->runner, "after %lld ms",
+                (long long)((b->now.mono_us - c->taken_us) / USEC_PER_MSEC));
+            tell_drop(b, c);
+            drop_job(b, c);
+            return;
+        }
+    }
+}
+
+void
+callers_cancel(struct broker *b, const struct bev_cancel *cancel)
+{
+    struct be_answer *a;
+    struct caller_job *c;
+    struct handle h;
+    uint32_t at = 0;
+    bool found = false;
+
+    while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
+        if (c->offer.u.job_offer.id == cancel->id) {
+            tell_drop(b, c);
+            answer_job(b, c, JOB_CANCELLED_OUTCOME, BROKER_CANCELLED, 0);
+            found = true;
+        }
+    }
+    a = &broker_effects_add(b->fx, BE_ANSWER)->u.answer;
+    a->request = cancel->request;
+    a->outcome = JOB_CANCELLED_OUTCOME;
+    a->unknown = !found;
+}
+
+void
+callers_on_end(struct broker *b, struct name from, const struct rec_job_end *e)
+{
+    struct caller_job *c = table_get(&b->caller_jobs, handle_of(e->number));
+    enum broker_reason reason;
+
+    if (c == NULL || !name_equal(c->runner, from) ||
+        e->outcome >= JOB_OUTCOMES || e->reason >= BROKER_REASONS) {
+        return;
+    }
+    reason = (enum broker_reason)e->reason;
+    if (e->outcome == JOB_RETURNED_OUTCOME && c->moves < MOVES_MAX) {
+        c->moves++;
+        b->counters.jobs_moved++;
+        if (offer(b, c, from)) {
+            return;
+        }
+    }
+    if (e->outcome == JOB_RETURNED_OUTCOME) {
+        answer_job(b, c, JOB_REFUSED_OUTCOME, reason, NO_RUNNER_RETRY_US);
+        return;
+    }
+    answer_job(b, c, (enum job_outcome)e->outcome, reason,
+               (int64_t)e->retry_after_us);
+}
+
+/* Its runs go on until the upstreams' leases pass, or until another broker has
+ * taken the upstreams over.  So the job can't be said not to have run, and is
+ * not offered to anybody else: its caller hears at once that the outcome is
+ * not known and hands it in again when that time is over. */
+void
+callers_runner_lost(struct broker *b, struct name runner)
+{
+    struct caller_job *c;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
+        if (name_equal(c->runner, runner)) {
+            answer_job(b, c, JOB_LOST_OUTCOME, BROKER_RUNNER_LOST, 0);
+        }
+    }
+}
+
+void
+callers_tick(struct broker *b)
+{
+    struct handle h;
+
+    while (timers_pop(&b->caller_timers, b->now.mono_us, &h)) {
+        struct caller_job *c = table_get(&b->caller_jobs, h);
+
+        if (c != NULL) {
+            tell_drop(b, c);
+            answer_job(b, c, JOB_EXPIRED_OUTCOME, BROKER_DEADLINE, 0);
+        }
+    }
+}
+
+int64_t
+callers_next_us(const struct broker *b)
+{
+    return timers_next_us(&b->caller_timers);
+}
--- /dev/null
+++ b/src/broker_hold.c
@@ -0,0 +1,542 @@
+/*
+ * Who holds an upstream.
+ *
+ * All brokers of a zone know each other and work out alike who should hold
+ * what.  One that should and does not yet waits until the holder it knows of
+ * has let go or is gone; then it takes the upstream under a higher fence,
+ * looks, and stops whatever runs there that it did not start.  One that
+ * should not any more starts nothing there and lets go when all has ended.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "array.h"
+#include "broker_state.h"
+
+/* An upstream that has not answered for so long, and that no registry tells of
+ * any more, is forgotten. */
+#define FORGET_US (60 * USEC_PER_SEC)
+/* Between looks at an upstream that does not answer. */
+#define MUTE_LOOK_US (300 * USEC_PER_MSEC)
+/* Looks in a row without answer after which an upstream counts as mute. */
+enum { MISSES_MAX = 2 };
+/* A fence is refused when a clock was set back, or when another broker is
+ * taking the upstream too.  It is raised by that much and tried again so many
+ * times; the clocks of machines differ by seconds. */
+#define FENCE_STEP UINT64_C(20000)
+enum { FENCED_MAX = 4 };
+
+static struct broker_upstream *
+find(const struct broker *b, struct name name)
+{
+    return map_get(&b->upstreams_by_name, &name);
+}
+
+static struct broker_upstream *
+add(struct broker *b, struct name name)
+{
+    struct handle h;
+    struct broker_upstream *u = table_add(&b->upstreams, &h);
+
+    u->name = name;
+    u->self = h;
+    u->look_us = INT64_MAX;
+    u->slowness = 1.0;
+    map_put(&b->upstreams_by_name, u);
+    b->review = true;
+    return u;
+}
+
+/* Holders telling each other */
+
+static void
+tell_hold(struct broker *b, const struct broker_upstream *u)
+{
+    struct msg m = {.kind = MSG_UPSTREAM_HOLDS};
+    struct rec_held_upstream *one = calloc(1, sizeof(*one));
+
+    if (one == NULL) {
+        abort();
+    }
+    one->upstream = u->name;
+    one->held = u->state != HOLD_NONE && u->state != HOLD_LOST ? 1 : 0;
+    one->fence = u->fence;
+    m.u.upstream_holds.upstreams = one;
+    m.u.upstream_holds.n_upstreams = 1;
+    peers_send_zone(b, &m);
+}
+
+void
+hold_tell(struct broker *b, struct name to)
+{
+    struct msg m = {.kind = MSG_UPSTREAM_HOLDS};
+    struct rec_upstream_holds *list = &m.u.upstream_holds;
+    const struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    list->upstreams = calloc(b->upstreams.n + 1, sizeof(*list->upstreams));
+    if (list->upstreams == NULL) {
+        abort();
+    }
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        if (u->state != HOLD_NONE && u->state != HOLD_LOST) {
+            struct rec_held_upstream *one =
+                &list->upstreams[list->n_upstreams++];
+
+            one->upstream = u->name;
+            one->held = 1;
+            one->fence = u->fence;
+        }
+    }
+    broker_send(b, to, &m);
+}
+
+void
+hold_on_holds(struct broker *b, struct name from,
+              const struct rec_upstream_holds *h)
+{
+    for (size_t i = 0; i < h->n_upstreams; i++) {
+        const struct rec_held_upstream *r = &h->upstreams[i];
+        struct broker_upstream *u = find(b, r->upstream);
+
+        if (u == NULL) {
+            u = add(b, r->upstream);
+        }
+        if (r->held != 0) {
+            u->holder = from;
+        }
+        else if (name_equal(u->holder, from)) {
+            u->holder = name_of("");
+        }
+        if (r->fence > u->fence && u->state == HOLD_NONE) {
+            u->fence = r->fence;
+        }
+        b->review = true;
+    }
+}
+
+void
+hold_broker_lost(struct broker *b, struct name name)
+{
+    struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        if (name_equal(u->holder, name)) {
+            u->holder = name_of("");
+        }
+    }
+}
+
+/* Taking */
+
+static uint64_t
+next_fence(const struct broker *b, const struct broker_upstream *u)
+{
+    uint64_t wall_ms = (uint64_t)(b->now.wall_us / USEC_PER_MSEC);
+
+    return wall_ms > u->fence ? wall_ms : u->fence + 1;
+}
+
+void
+hold_take(struct broker *b, struct broker_upstream *u)
+{
+    u->fence = next_fence(b, u) + (uint64_t)u->fenced * FENCE_STEP;
+    u->state = HOLD_TAKING;
+    u->holder = b->opts.self;
+    u->noted = 0;
+    u->unnoted = false;
+    u->misses = 0;
+    u->look_us = b->now.mono_us;
+    b->counters.upstreams_taken++;
+    broker_log(b, LOG_INFO, BROKER_UPSTREAM_TAKEN, 0, -1, u->name,
+               "fence %llu, life %llu", (unsigned long long)u->fence,
+               (unsigned long long)u->born_ms);
+    tell_hold(b, u);
+}
+
+void
+hold_drop_tasks(struct broker *b, struct broker_upstream *u,
+                enum broker_reason why)
+{
+    while (u->n_tasks > 0) {
+        struct placed_task p = u->tasks[u->n_tasks - 1];
+        struct run_job *job;
+        struct run_task *t = runs_task(b, &p, &job);
+
+        broker_log(b, LOG_NOTICE, why, job->id, runs_label(job, t), u->name,
+                   "run %llu, sent %lld ms ago", (unsigned long long)t->run,
+                   (long long)((b->now.mono_us - t->sent_us) / USEC_PER_MSEC));
+        b->counters.tasks_lapsed++;
+        runs_ready(b, job, t);
+    }
+}
+
+static void
+let_go(struct broker *b, struct broker_upstream *u)
+{
+    u->state = HOLD_NONE;
+    u->holder = name_of("");
+    u->look_us = INT64_MAX;
+    b->counters.upstreams_released++;
+    broker_log(b, LOG_INFO, BROKER_UPSTREAM_RELEASED, 0, -1, u->name,
+               "fence %llu", (unsigned long long)u->fence);
+    tell_hold(b, u);
+}
+
+/* Whoever has the higher fence may have been right, or may be a broker that
+ * was cut off and knows no better.  Fighting for the upstream would only kill
+ * the runs of both, so it is not taken back until the view has changed. */
+void
+hold_fenced(struct broker *b, struct broker_upstream *u)
+{
+    if (u->state == HOLD_TAKING && u->fenced < FENCED_MAX) {
+        u->fenced++;
+        hold_take(b, u);
+        return;
+    }
+    b->counters.upstreams_fenced++;
+    broker_log(b, LOG_WARNING, BROKER_UPSTREAM_FENCED, 0, -1, u->name,
+               "our fence %llu", (unsigned long long)u->fence);
+    u->state = HOLD_LOST;
+    u->holder = name_of("");
+    u->fenced = 0;
+    u->fenced_view = b->view;
+    u->look_us = INT64_MAX;
+    tell_hold(b, u);
+}
+
+/* The new life knows nothing of the runs before, nor of the fence: a start of
+ * the old life that is still under way must meet a higher one. */
+void
+hold_reborn(struct broker *b, struct broker_upstream *u, uint64_t born_ms)
+{
+    broker_log(b, LOG_NOTICE, BROKER_UPSTREAM_REBORN, 0, -1, u->name,
+               "life %llu after %llu, %zu tasks were there",
+               (unsigned long long)born_ms, (unsigned long long)u->born_ms,
+               u->n_tasks);
+    u->born_ms = born_ms;
+    u->sequence = 0;
+    u->leaving = false;
+    u->gone = false;
+    u->clock_ms = 0;
+    u->failures = 0;
+    u->until_us = 0;
+    u->backoff_us = 0;
+    u->slowness = 1.0;
+    if (u->state != HOLD_NONE && u->state != HOLD_LOST) {
+        hold_take(b, u);
+    }
+}
+
+/* Looks */
+
+static void
+open_upstream(struct broker *b, struct broker_upstream *u)
+{
+    /* A task from before the look that it does not list is surely over: its
+     * start would meet a higher fence. */
+    hold_drop_tasks(b, u, BROKER_RUN_LAPSED);
+    u->state = HOLD_OPEN;
+    u->fenced = 0;
+    u->service->place = true;
+    broker_log(b, LOG_INFO, BROKER_UPSTREAM_OPEN, 0, -1, u->name,
+               "%u milli-cores, %u MB, life %llu", u->capacity.cpu_milli,
+               u->capacity.memory_mb, (unsigned long long)u->born_ms);
+}
+
+void
+hold_answered(struct broker *b, struct broker_upstream *u, bool strangers)
+{
+    u->misses = 0;
+    if (u->state == HOLD_TAKING && !strangers) {
+        open_upstream(b, u);
+    }
+    else if (u->state == HOLD_MUTE) {
+        u->state = HOLD_OPEN;
+        u->service->place = true;
+        broker_log(b, LOG_NOTICE, BROKER_UPSTREAM_BACK, 0, -1, u->name,
+                   "%zu tasks there", u->n_tasks);
+    }
+    if (u->n_tasks > 0 || u->unnoted || u->state == HOLD_TAKING) {
+        u->look_us = b->now.mono_us;
+    }
+    else {
+        u->look_us = INT64_MAX;
+    }
+}
+
+void
+hold_missed(struct broker *b, struct broker_upstream *u)
+{
+    u->misses++;
+    if (u->state == HOLD_OPEN && u->misses >= MISSES_MAX) {
+        u->state = HOLD_MUTE;
+        b->counters.upstreams_muted++;
+        broker_log(b, LOG_WARNING, BROKER_UPSTREAM_MUTE, 0, -1, u->name,
+                   "%u looks without answer, %zu tasks there", u->misses,
+                   u->n_tasks);
+    }
+    u->look_us = b->now.mono_us;
+    if (u->state == HOLD_MUTE || u->misses >= MISSES_MAX) {
+        u->look_us += MUTE_LOOK_US;
+    }
+}
+
+/* Reports of registries */
+
+static bool
+overtaken(const struct broker_upstream *u, const struct rec_leased_upstream *r)
+{
+    return r->born_ms < u->born_ms ||
+           (r->born_ms == u->born_ms && r->sequence <= u->sequence);
+}
+
+static void
+take_labels(struct broker_upstream *u, const struct rec_leased_upstream *r)
+{
+    u->n_labels = 0;
+    for (size_t i = 0; i < r->n_labels && i < UPSTREAM_LABELS_MAX; i++) {
+        u->labels[u->n_labels++] = r->labels[i].text;
+    }
+}
+
+static void
+take_report(struct broker *b, struct broker_upstream *u,
+            const struct rec_leased_upstream *r)
+{
+    bool leaving = r->leaving != 0 || r->gone != 0;
+
+    u->sequence = r->sequence;
+    u->service = runs_service(b, r->service);
+    u->zone = r->zone;
+    u->address = r->address;
+    u->slots = (uint32_t)r->slots;
+    u->capacity =
+        (struct resources){.cpu_milli = (uint32_t)r->cpu_milli,
+                           .memory_mb = (uint32_t)r->memory_mb,
+                           .accelerators = (uint32_t)r->accelerators};
+    take_labels(u, r);
+    if (leaving && !u->leaving) {
+        broker_log(b, LOG_NOTICE, BROKER_UPSTREAM_LEAVING, 0, -1, u->name,
+                   "%zu tasks there%s", u->n_tasks,
+                   r->gone ? ", it said goodbye" : "");
+    }
+    u->leaving = leaving;
+    u->gone = r->gone != 0;
+    u->service->place = true;
+}
+
+void
+hold_on_report(struct broker *b, const struct rec_upstream_report *r)
+{
+    for (size_t i = 0; i < r->n_upstreams; i++) {
+        const struct rec_leased_upstream *one = &r->upstreams[i];
+        struct broker_upstream *u = find(b, one->upstream);
+        bool known = u != NULL && u->born_ms != 0;
+
+        if (u == NULL) {
+            u = add(b, one->upstream);
+        }
+        if (known && overtaken(u, one)) {
+            continue;
+        }
+        if (known && one->born_ms != u->born_ms) {
+            hold_reborn(b, u, one->born_ms);
+        }
+        if (!known) {
+            u->born_ms = one->born_ms;
+            broker_log(b, LOG_INFO, BROKER_UPSTREAM_SEEN, 0, -1, u->name,
+                       "%s in %s at %s", one->service.s, one->zone.s,
+                       one->address.s);
+        }
+        take_report(b, u, one);
+        b->review = true;
+    }
+}
+
+/* The view */
+
+static bool
+settled(const struct broker *b)
+{
+    return b->now.mono_us - b->started_us >= b->opts.settle_us;
+}
+
+static bool
+held_by_another(const struct broker *b, const struct broker_upstream *u)
+{
+    const struct broker_peer *p;
+
+    if (name_empty(u->holder) || name_equal(u->holder, b->opts.self)) {
+        return false;
+    }
+    p = peers_find(b, u->holder);
+    return p != NULL && p->up;
+}
+
+/* While a started job has tasks left to start, its upstreams are kept, though
+ * they are idle just now. */
+static bool
+needed_by_started(struct broker *b, const struct broker_upstream *u)
+{
+    const struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (job->service == u->service && !job->told && job->started &&
+            job->n_left > job->n_placed) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+review_one(struct broker *b, struct broker_upstream *u)
+{
+    struct name holder = peers_holder(b, u);
+    bool ours = name_equal(holder, b->opts.self);
+    bool held = u->state == HOLD_OPEN || u->state == HOLD_TAKING ||
+                u->state == HOLD_MUTE;
+
+    if (ours && u->state == HOLD_NONE && u->born_ms != 0 && !u->gone &&
+        settled(b) && !held_by_another(b, u) && u->fenced_view != b->view) {
+        hold_take(b, u);
+    }
+    else if (!ours && held && u->n_tasks == 0 && !u->unnoted &&
+             !needed_by_started(b, u)) {
+        let_go(b, u);
+    }
+}
+
+void
+hold_review(struct broker *b)
+{
+    struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    peers_rank(b);
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        if (u->service != NULL) {
+            review_one(b, u);
+        }
+    }
+}
+
+void
+hold_paused(struct broker *b)
+{
+    struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        if (u->state != HOLD_NONE) {
+            hold_drop_tasks(b, u, BROKER_RUN_LAPSED);
+            let_go(b, u);
+        }
+    }
+}
+
+bool
+hold_any(const struct broker *b)
+{
+    const struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        if (u->state != HOLD_NONE && u->state != HOLD_LOST) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Time */
+
+static void
+forget(struct broker *b, struct broker_upstream *u)
+{
+    (void)map_remove(&b->upstreams_by_name, &u->name);
+    free(u->tasks);
+    table_remove(&b->upstreams, u->self);
+}
+
+static void
+check_lapse(struct broker *b, struct broker_upstream *u)
+{
+    bool silent = u->state == HOLD_MUTE || u->state == HOLD_LOST ||
+                  (u->state == HOLD_TAKING && u->misses > 0);
+
+    if (!silent || b->now.mono_us < u->lapse_us) {
+        return;
+    }
+    hold_drop_tasks(b, u, BROKER_RUN_LAPSED);
+    if (u->state == HOLD_LOST) {
+        u->state = HOLD_NONE;
+        b->review = true;
+    }
+}
+
+static bool
+forgettable(const struct broker *b, const struct broker_upstream *u)
+{
+    int64_t silent = b->now.mono_us - u->clock_us;
+
+    return u->n_tasks == 0 && u->look == 0 &&
+           ((u->gone && u->misses > 0) ||
+            (u->misses > 0 && u->clock_us > 0 && silent > FORGET_US));
+}
+
+void
+hold_tick(struct broker *b)
+{
+    struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        check_lapse(b, u);
+        if (forgettable(b, u)) {
+            forget(b, u);
+            continue;
+        }
+        if (u->look == 0 && b->now.mono_us >= u->look_us) {
+            lease_look(b, u);
+        }
+    }
+    if (!settled(b) || b->stopping) {
+        b->review = true;
+    }
+}
+
+int64_t
+hold_next_us(const struct broker *b)
+{
+    const struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+    int64_t next = INT64_MAX;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        if (u->look == 0 && u->look_us < next) {
+            next = u->look_us;
+        }
+        if (u->n_tasks > 0 && u->state != HOLD_OPEN && u->lapse_us < next) {
+            next = u->lapse_us;
+        }
+        if (u->state == HOLD_LOST && u->lapse_us < next) {
+            next = u->lapse_us;
+        }
+    }
+    if (!settled(b) && b->started_us + b->opts.settle_us < next) {
+        next = b->started_us + b->opts.settle_us;
+    }
+    return next > b->now.mono_us ? next : b->now.mono_us + 1000;
+}
--- /dev/null
+++ b/src/broker_lease.c
@@ -0,0 +1,641 @@
+/*
+ * Speaking with upstreams: starts, stops and looks, and what their answers
+ * mean.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "array.h"
+#include "broker_state.h"
+
+/* A run that has not moved on for so long, and for that multiple of the time
+ * it should take in all, stands still. */
+#define STALL_MIN_US (150 * USEC_PER_MSEC)
+static const double STALL_RUNS = 0.6;
+/* A look at upstreams where a run may stand still, or where one is being
+ * stopped, is answered after this at the latest. */
+#define QUICK_LOOK_US (50 * USEC_PER_MSEC)
+/* Until a stop without answer is sent again. */
+#define STOP_AGAIN_US (120 * USEC_PER_MSEC)
+/* For what the lease's time does not cover: delays on the way, coarse clocks.
+ */
+#define LAPSE_SLACK_US (50 * USEC_PER_MSEC)
+/* An upstream without room is not asked again before this; its next end is
+ * seen sooner, by the look. */
+#define NO_ROOM_US (30 * USEC_PER_MSEC)
+enum { PERCENT_FULL = 100, PERCENT_TELLS = 10 };
+
+static uint64_t
+number_of(struct handle h)
+{
+    return (uint64_t)h.generation << 32 | h.index;
+}
+
+static struct handle
+handle_of(uint64_t number)
+{
+    return (struct handle){.index = (uint32_t)number,
+                           .generation = (uint32_t)(number >> 32)};
+}
+
+static struct task_ref
+ref_of(const struct run_job *job, const struct run_task *t)
+{
+    return (struct task_ref){
+        .job = job->id, .group = t->group, .index = t->index, .run = t->run};
+}
+
+static bool
+same_run(struct task_ref a, struct task_ref b)
+{
+    return a.job == b.job && a.group == b.group && a.index == b.index &&
+           a.run == b.run;
+}
+
+/* Sending */
+
+static struct lease_request *
+call(struct broker *b, struct broker_upstream *u, enum lease_call kind,
+     struct broker_call **out)
+{
+    struct handle h;
+    struct broker_call *c = table_add(&b->calls, &h);
+    struct be_call *e = &broker_effects_add(b->fx, BE_CALL)->u.call;
+
+    c->self = h;
+    c->kind = kind;
+    c->upstream = u->self;
+    c->born_ms = u->born_ms;
+    c->fence = u->fence;
+    c->sent_us = b->now.mono_us;
+    e->call = number_of(h);
+    e->request.call = kind;
+    e->request.upstream = u->name;
+    e->request.address = u->address;
+    e->request.fence = u->fence;
+    e->request.timeout_us = b->opts.call_timeout_us;
+    *out = c;
+    return &e->request;
+}
+
+/* The upstream's clock now, as far as can be told; slow ones are behind it. */
+static int64_t
+clock_now_ms(const struct broker *b, const struct broker_upstream *u)
+{
+    return u->clock_ms + (b->now.mono_us - u->clock_us) / USEC_PER_MSEC;
+}
+
+/* The latest time by which a deadline that is sent now has passed there: its
+ * clock may be slow, and ours was ahead of it when the deadline was made. */
+static void
+extend_lapse(const struct broker *b, struct broker_upstream *u)
+{
+    double slow = 1.0 + 2.0 * b->opts.clock_drift;
+    int64_t at = b->now.mono_us + (int64_t)((double)b->opts.lease_us * slow) +
+                 LAPSE_SLACK_US;
+
+    u->lapse_us = at > u->lapse_us ? at : u->lapse_us;
+}
+
+static int64_t
+deadline_ms(const struct broker *b, struct broker_upstream *u)
+{
+    extend_lapse(b, u);
+    return clock_now_ms(b, u) + b->opts.lease_us / USEC_PER_MSEC;
+}
+
+static void
+place(struct broker_upstream *u, const struct run_job *job,
+      const struct run_task *t)
+{
+    const struct rec_task_group *g = &job->groups[t->group];
+    struct placed_task *p;
+
+    u->tasks =
+        array_grow(u->tasks, u->n_tasks, &u->tasks_room, sizeof(*u->tasks));
+    p = &u->tasks[u->n_tasks++];
+    p->job = job->self;
+    p->task = (uint32_t)(t - job->tasks);
+    u->used.cpu_milli += (uint32_t)g->cpu_milli;
+    u->used.memory_mb += (uint32_t)g->memory_mb;
+    u->used.accelerators += (uint32_t)g->accelerators;
+}
+
+void
+lease_unplace(struct broker *b, struct broker_upstream *u,
+              const struct run_job *job, const struct run_task *t)
+{
+    const struct rec_task_group *g = &job->groups[t->group];
+    uint32_t task = (uint32_t)(t - job->tasks);
+
+    (void)b;
+    for (size_t i = 0; i < u->n_tasks; i++) {
+        if (handle_equal(u->tasks[i].job, job->self) &&
+            u->tasks[i].task == task) {
+            u->tasks[i] = u->tasks[--u->n_tasks];
+            u->used.cpu_milli -= (uint32_t)g->cpu_milli;
+            u->used.memory_mb -= (uint32_t)g->memory_mb;
+            u->used.accelerators -= (uint32_t)g->accelerators;
+            return;
+        }
+    }
+}
+
+void
+lease_start(struct broker *b, struct broker_upstream *u, struct run_job *job,
+            struct run_task *t)
+{
+    struct lease_request *r;
+    struct broker_call *c;
+
+    runs_started(b, job, t, u);
+    place(u, job, t);
+    r = call(b, u, LEASE_START, &c);
+    c->job = job->self;
+    c->task = (uint32_t)(t - job->tasks);
+    c->run = t->run;
+    r->task = ref_of(job, t);
+    r->spec = blob_ref(job->spec);
+    r->deadline_ms = deadline_ms(b, u);
+    if (u->look == 0 && u->look_us > b->now.mono_us) {
+        u->look_us = b->now.mono_us;
+    }
+}
+
+static void
+send_stop(struct broker *b, struct broker_upstream *u, struct task_ref task,
+          struct handle job, uint32_t number)
+{
+    struct broker_call *c;
+    struct lease_request *r = call(b, u, LEASE_STOP, &c);
+
+    c->job = job;
+    c->task = number;
+    c->run = task.run;
+    r->task = task;
+}
+
+void
+lease_stop(struct broker *b, struct broker_upstream *u, struct run_job *job,
+           struct run_task *t)
+{
+    t->state = RUN_STOPPING;
+    t->settle_us = INT64_MAX;
+    t->stop_us = b->now.mono_us;
+    if (u != NULL && u->state != HOLD_LOST) {
+        send_stop(b, u, ref_of(job, t), job->self, (uint32_t)(t - job->tasks));
+    }
+}
+
+static bool
+extends(const struct broker_upstream *u)
+{
+    return u->state == HOLD_OPEN && u->n_tasks > 0 && u->clock_ms > 0;
+}
+
+static int64_t
+look_wait_us(const struct broker *b, const struct broker_upstream *u)
+{
+    bool running = false;
+
+    if (u->state != HOLD_OPEN || u->n_tasks == 0 || u->misses > 0) {
+        return u->state == HOLD_TAKING && u->clock_ms > 0 ? QUICK_LOOK_US : 0;
+    }
+    for (size_t i = 0; i < u->n_tasks; i++) {
+        const struct run_job *job = table_get(&b->run_jobs, u->tasks[i].job);
+        const struct run_task *t = &job->tasks[u->tasks[i].task];
+
+        if (t->state == RUN_UNSETTLED || t->state == RUN_STOPPING) {
+            return QUICK_LOOK_US;
+        }
+        running = running || t->state == RUN_RUNNING;
+    }
+    return running ? b->opts.look_us : QUICK_LOOK_US;
+}
+
+void
+lease_look(struct broker *b, struct broker_upstream *u)
+{
+    int64_t wait_us = look_wait_us(b, u);
+    struct broker_call *c;
+    struct lease_request *r = call(b, u, LEASE_LOOK, &c);
+
+    u->look = number_of(c->self);
+    u->look_us = INT64_MAX;
+    r->noted = u->noted;
+    r->wait_ms = wait_us / USEC_PER_MSEC;
+    r->timeout_us += wait_us;
+    r->deadline_ms = extends(u) ? deadline_ms(b, u) : 0;
+    u->unnoted = false;
+    b->counters.looks++;
+}
+
+/* Answers to looks */
+
+static struct run_task *
+placed_run(struct broker *b, const struct broker_upstream *u,
+           struct task_ref ref, struct run_job **job)
+{
+    for (size_t i = 0; i < u->n_tasks; i++) {
+        struct run_task *t = runs_task(b, &u->tasks[i], job);
+
+        if (same_run(ref_of(*job, t), ref)) {
+            return t;
+        }
+    }
+    return NULL;
+}
+
+static void
+ended_well(struct broker *b, struct broker_upstream *u, struct run_job *job,
+           struct run_task *t)
+{
+    const struct rec_task_group *g = &job->groups[t->group];
+    int64_t ran_us = b->now.mono_us - t->sent_us;
+    double usual = t->expected_us > 0 ? (double)t->expected_us : 1.0;
+    double over = (double)ran_us / usual;
+    double slowness = u->slowness * over;
+
+    /* What it took there, on an upstream of usual speed. */
+    order_learn(
+        job, g,
+        (int64_t)((double)ran_us * (double)order_expected_us(job, g) / usual));
+    trust_ok(b, u, slowness);
+    runs_done(b, job, t);
+}
+
+static void
+take_end(struct broker *b, struct broker_upstream *u,
+         const struct lease_ended *e)
+{
+    struct run_job *job;
+    struct run_task *t = placed_run(b, u, e->task, &job);
+
+    if (t == NULL) {
+        return; /* of a broker before us, or settled otherwise */
+    }
+    if (e->how != LEASE_DONE) {
+        broker_log(b, LOG_INFO, BROKER_RUN_ENDED, job->id, runs_label(job, t),
+                   u->name, "%s, run %llu, after %lld ms",
+                   e->how == LEASE_FAILED    ? "failed"
+                   : e->how == LEASE_STOPPED ? "stopped"
+                   : e->how == LEASE_LAPSED  ? "lapsed"
+                                             : "broken",
+                   (unsigned long long)t->run,
+                   (long long)((b->now.mono_us - t->sent_us) / USEC_PER_MSEC));
+    }
+    switch (e->how) {
+    case LEASE_DONE:
+        ended_well(b, u, job, t);
+        break;
+    case LEASE_FAILED:
+        runs_failed(b, job, t);
+        break;
+    case LEASE_STOPPED:
+        b->counters.tasks_stopped++;
+        runs_ready(b, job, t);
+        break;
+    default:
+        b->counters.tasks_lapsed++;
+        runs_ready(b, job, t);
+        break;
+    }
+}
+
+static void
+take_ends(struct broker *b, struct broker_upstream *u,
+          const struct lease_answer *a)
+{
+    for (size_t i = 0; i < a->n_ended; i++) {
+        if (a->ended[i].number <= u->noted) {
+            continue;
+        }
+        u->noted = a->ended[i].number;
+        u->unnoted = true;
+        if (u->state != HOLD_TAKING) {
+            take_end(b, u, &a->ended[i]);
+        }
+    }
+}
+
+/* What the share of the work done by now says of the whole. */
+static void
+judge_pace(struct broker_upstream *u, const struct run_task *t, int64_t ran_us)
+{
+    double usual;
+    double pace;
+
+    if (t->percent < PERCENT_TELLS || t->percent >= PERCENT_FULL ||
+        t->expected_us <= 0) {
+        return;
+    }
+    usual = (double)t->expected_us / u->slowness;
+    pace = (double)ran_us * PERCENT_FULL / (double)t->percent / usual;
+    if (pace > 2.0 * u->slowness) {
+        u->slowness = pace;
+    }
+}
+
+static void
+seen_running(struct broker *b, struct broker_upstream *u, struct run_job *job,
+             struct run_task *t, uint32_t percent)
+{
+    int64_t still_us;
+    double allowed = STALL_RUNS * (double)t->expected_us;
+
+    if (t->state == RUN_STARTING || t->state == RUN_UNSETTLED) {
+        t->state = RUN_RUNNING;
+        t->percent_us = b->now.mono_us;
+    }
+    if (t->state != RUN_RUNNING) {
+        return;
+    }
+    if (percent > t->percent) {
+        t->percent = percent;
+        t->percent_us = b->now.mono_us;
+        judge_pace(u, t, b->now.mono_us - t->sent_us);
+        return;
+    }
+    still_us = b->now.mono_us - t->percent_us;
+    if (still_us > STALL_MIN_US && (double)still_us > allowed) {
+        b->counters.tasks_stalled++;
+        broker_log(b, LOG_NOTICE, BROKER_RUN_STALLED, job->id,
+                   runs_label(job, t), u->name,
+                   "run %llu at %u %% for %lld ms", (unsigned long long)t->run,
+                   percent, (long long)(still_us / USEC_PER_MSEC));
+        trust_failed(b, u);
+        t->avoid = u->name;
+        lease_stop(b, u, job, t);
+    }
+}
+
+/* Whether something runs there that is not ours; it is stopped. */
+static bool
+take_running(struct broker *b, struct broker_upstream *u,
+             const struct lease_answer *a)
+{
+    bool strangers = false;
+
+    for (size_t i = 0; i < a->n_running; i++) {
+        const struct lease_running *r = &a->running[i];
+        struct run_job *job;
+        struct run_task *t =
+            u->state == HOLD_TAKING ? NULL : placed_run(b, u, r->task, &job);
+
+        if (t != NULL) {
+            seen_running(b, u, job, t, r->percent);
+            continue;
+        }
+        strangers = true;
+        b->counters.strangers_stopped++;
+        broker_log(b, LOG_NOTICE, BROKER_STRANGER, r->task.job, -1, u->name,
+                   "group %u, task %u, run %llu", r->task.group, r->task.index,
+                   (unsigned long long)r->task.run);
+        send_stop(b, u, r->task, (struct handle){0}, 0);
+    }
+    return strangers;
+}
+
+static bool
+is_running(const struct lease_answer *a, struct task_ref ref)
+{
+    for (size_t i = 0; i < a->n_running; i++) {
+        if (same_run(a->running[i].task, ref)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Of the tasks that are not listed as running or ended: those whose stop was
+ * confirmed before the look was sent, or whose start is refused as late by
+ * now, will never run. */
+static void
+settle(struct broker *b, struct broker_upstream *u,
+       const struct lease_answer *a, int64_t sent_us)
+{
+    int64_t late_us =
+        b->opts.lease_us +
+        (int64_t)((double)b->opts.lease_us * 2.0 * b->opts.clock_drift) +
+        LAPSE_SLACK_US;
+
+    for (size_t i = u->n_tasks; i > 0; i--) {
+        struct run_job *job;
+        struct run_task *t;
+        bool over;
+
+        if (i > u->n_tasks) {
+            continue; /* settling one may have ended its job */
+        }
+        t = runs_task(b, &u->tasks[i - 1], &job);
+        if (is_running(a, ref_of(job, t))) {
+            continue;
+        }
+        over = t->settle_us < sent_us || t->sent_us + late_us < sent_us;
+        /* Seen running before, and now gone without an end: the list of ends
+         * is cut off at some length; it is in the next one. */
+        if (!over || (t->state == RUN_RUNNING && a->n_ended > 0)) {
+            continue;
+        }
+        broker_log(b, LOG_INFO, BROKER_RUN_SETTLED, job->id,
+                   runs_label(job, t), u->name, "run %llu",
+                   (unsigned long long)t->run);
+        runs_ready(b, job, t);
+    }
+}
+
+static void
+stop_again(struct broker *b, struct broker_upstream *u)
+{
+    for (size_t i = 0; i < u->n_tasks; i++) {
+        struct run_job *job;
+        struct run_task *t = runs_task(b, &u->tasks[i], &job);
+
+        if (t->state == RUN_STOPPING && t->settle_us == INT64_MAX &&
+            b->now.mono_us - t->stop_us >= STOP_AGAIN_US) {
+            lease_stop(b, u, job, t);
+        }
+    }
+}
+
+static void
+on_look(struct broker *b, struct broker_upstream *u,
+        const struct lease_answer *a, int64_t sent_us)
+{
+    bool strangers;
+
+    if (a->result != LEASE_OK) {
+        hold_missed(b, u);
+        return;
+    }
+    take_ends(b, u, a);
+    strangers = take_running(b, u, a);
+    if (u->state != HOLD_TAKING) {
+        settle(b, u, a, sent_us);
+        stop_again(b, u);
+    }
+    hold_answered(b, u, strangers);
+}
+
+/* Answers to starts and stops */
+
+static void
+start_refused(struct broker *b, struct broker_upstream *u, struct run_job *job,
+              struct run_task *t, enum lease_result result)
+{
+    b->counters.starts_refused++;
+    broker_log(b, LOG_INFO, BROKER_START_REFUSED, job->id, runs_label(job, t),
+               u->name, "run %llu: %s", (unsigned long long)t->run,
+               lease_result_text(result));
+    if (result == LEASE_NO_ROOM) {
+        u->room_us = b->now.mono_us + NO_ROOM_US;
+        u->look_us = u->look == 0 ? b->now.mono_us : u->look_us;
+    }
+    else if (result == LEASE_UNHEALTHY || result == LEASE_UNSENT ||
+             result == LEASE_OTHER_LIFE) {
+        trust_failed(b, u);
+        t->avoid = u->name;
+    }
+    if (result == LEASE_BAD) {
+        runs_failed(b, job, t);
+        return;
+    }
+    runs_ready(b, job, t);
+}
+
+static void
+on_start(struct broker *b, struct broker_upstream *u, struct run_job *job,
+         struct run_task *t, enum lease_result result)
+{
+    if (t->state != RUN_STARTING && t->state != RUN_STOPPING) {
+        return; /* a look told more already */
+    }
+    switch (result) {
+    case LEASE_OK:
+        if (t->state == RUN_STARTING) {
+            t->state = RUN_RUNNING;
+            t->percent_us = b->now.mono_us;
+        }
+        break;
+    case LEASE_LOST:
+        b->counters.starts_lost++;
+        broker_log(b, LOG_INFO, BROKER_START_LOST, job->id, runs_label(job, t),
+                   u->name, "run %llu", (unsigned long long)t->run);
+        lease_stop(b, u, job, t);
+        break;
+    default:
+        start_refused(b, u, job, t, result);
+        break;
+    }
+}
+
+static void
+on_stop(struct broker *b, struct run_task *t, enum lease_result result)
+{
+    if (t->state == RUN_STOPPING && result == LEASE_OK) {
+        t->settle_us = b->now.mono_us;
+    }
+}
+
+/* The task a call was about, if it is still about that run. */
+static struct run_task *
+task_of(struct broker *b, const struct broker_call *c, struct run_job **job)
+{
+    struct run_task *t;
+
+    *job = table_get(&b->run_jobs, c->job);
+    if (*job == NULL) {
+        return NULL;
+    }
+    t = &(*job)->tasks[c->task];
+    return t->run == c->run && handle_equal(t->upstream, c->upstream) ? t
+                                                                      : NULL;
+}
+
+static void
+on_task_call(struct broker *b, struct broker_upstream *u,
+             const struct broker_call *c, enum lease_result result)
+{
+    struct run_job *job;
+    struct run_task *t = task_of(b, c, &job);
+
+    if (t == NULL) {
+        return;
+    }
+    if (c->kind == LEASE_START) {
+        on_start(b, u, job, t, result);
+    }
+    else {
+        on_stop(b, t, result);
+    }
+}
+
+static void
+sync_clock(struct broker *b, struct broker_upstream *u,
+           const struct lease_answer *a)
+{
+    if (a->clock_ms > 0) {
+        u->clock_ms = a->clock_ms;
+        u->clock_us = b->now.mono_us;
+    }
+}
+
+/* True when the answer is of another life than the one we hold. */
+static bool
+other_life(struct broker *b, struct broker_upstream *u,
+           const struct lease_answer *a)
+{
+    if (a->born_ms == 0 || a->born_ms == u->born_ms) {
+        return false;
+    }
+    if (a->born_ms > u->born_ms) {
+        hold_reborn(b, u, a->born_ms);
+    }
+    return true;
+}
+
+void
+lease_on_called(struct broker *b, const struct bev_called *called)
+{
+    struct broker_call *found = table_get(&b->calls, handle_of(called->call));
+    const struct lease_answer *a = &called->answer;
+    struct broker_upstream *u;
+    struct broker_call c;
+
+    if (found == NULL) {
+        return;
+    }
+    c = *found;
+    table_remove(&b->calls, c.self);
+    u = table_get(&b->upstreams, c.upstream);
+    if (u == NULL) {
+        return;
+    }
+    if (u->look == called->call) {
+        u->look = 0;
+    }
+    /* Of before it was taken anew: its clock and lists are another's. */
+    if (c.born_ms != u->born_ms || c.fence != u->fence) {
+        if (u->state == HOLD_TAKING && u->look == 0 &&
+            u->look_us == INT64_MAX) {
+            u->look_us = b->now.mono_us;
+        }
+        return;
+    }
+    if (other_life(b, u, a)) {
+        return;
+    }
+    if (a->result == LEASE_FENCED && u->state != HOLD_NONE &&
+        u->state != HOLD_LOST) {
+        hold_fenced(b, u);
+        return;
+    }
+    sync_clock(b, u, a);
+    if (c.kind == LEASE_LOOK) {
+        if (u->state != HOLD_NONE && u->state != HOLD_LOST) {
+            on_look(b, u, a, c.sent_us);
+        }
+        return;
+    }
+    on_task_call(b, u, &c, a->result);
+}
--- /dev/null
+++ b/src/broker_peer.c
@@ -0,0 +1,488 @@
+/*
+ * The other processes: who is there, who should hold which upstream, and the
+ * configuration that registries publish.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "array.h"
+#include "broker_state.h"
+#include "delta.h"
+
+/* A process that no registry names and that is silent for so long is dialed no
+ * more. */
+#define FORGET_US (30 * USEC_PER_SEC)
+/* Between two questions for the configuration that were not answered: longer
+ * than control keeps a poll open. */
+#define POLL_AGAIN_US (5 * USEC_PER_SEC)
+
+struct broker_peer *
+peers_find(const struct broker *b, struct name name)
+{
+    return map_get(&b->peers_by_name, &name);
+}
+
+static struct broker_peer *
+add_peer(struct broker *b, struct name name)
+{
+    struct broker_peer *p = calloc(1, sizeof(*p));
+
+    if (p == NULL) {
+        abort();
+    }
+    p->name = name;
+    p->poll_us = INT64_MAX;
+    p->down_us = b->now.mono_us;
+    p->next = b->peers;
+    b->peers = p;
+    map_put(&b->peers_by_name, p);
+    return p;
+}
+
+static struct broker_peer *
+find_or_add(struct broker *b, struct name name)
+{
+    struct broker_peer *p = peers_find(b, name);
+
+    return p != NULL ? p : add_peer(b, name);
+}
+
+static void
+free_peer(struct broker_peer *p)
+{
+    free(p->loads);
+    free(p);
+}
+
+void
+peers_init(struct broker *b)
+{
+    struct broker_peer *p = add_peer(b, b->opts.self);
+
+    p->self = true;
+    p->broker = true;
+    p->zone = b->opts.zone;
+    p->address = b->opts.address;
+    p->incarnation = b->opts.incarnation;
+    b->self = p;
+    for (size_t i = 0; i < b->opts.n_registries; i++) {
+        const struct rec_instance *r = &b->opts.registries[i];
+
+        p = find_or_add(b, r->name);
+        p->registry = true;
+        p->address = r->address;
+    }
+}
+
+void
+peers_free(struct broker *b)
+{
+    while (b->peers != NULL) {
+        struct broker_peer *p = b->peers;
+
+        b->peers = p->next;
+        free_peer(p);
+    }
+}
+
+static void
+view_changed(struct broker *b)
+{
+    b->view++;
+    b->review = true;
+}
+
+static void
+introduce(struct broker *b, struct name to)
+{
+    struct msg m = {.kind = MSG_INTRODUCTION};
+    struct rec_introduction *i = &m.u.introduction;
+
+    i->zone = b->opts.zone;
+    i->address = b->opts.address;
+    i->incarnation = b->opts.incarnation;
+    i->stopping = b->stopping ? 1 : 0;
+    i->holds = 1;
+    broker_send(b, to, &m);
+}
+
+static void
+forget_loads(struct broker_peer *p)
+{
+    free(p->loads);
+    p->loads = NULL;
+    p->n_loads = 0;
+}
+
+static void
+peer_lost(struct broker *b, struct broker_peer *p)
+{
+    p->up = false;
+    p->down_us = b->now.mono_us;
+    p->poll_us = INT64_MAX;
+    forget_loads(p);
+    broker_log(b, LOG_NOTICE, BROKER_PEER_DOWN, 0, -1, p->name, "%s",
+               p->registry ? "registry" : "broker");
+    callers_runner_lost(b, p->name);
+    runs_taker_lost(b, p->name);
+    hold_broker_lost(b, p->name);
+    view_changed(b);
+}
+
+void
+peers_on_peer(struct broker *b, struct name name, bool up)
+{
+    struct broker_peer *p = find_or_add(b, name);
+
+    if (!up) {
+        peer_lost(b, p);
+        return;
+    }
+    p->up = true;
+    p->stopping = false;
+    p->poll_us = p->registry ? b->now.mono_us : INT64_MAX;
+    introduce(b, name);
+    broker_log(b, LOG_NOTICE, BROKER_PEER_UP, 0, -1, name, "%s",
+               p->registry ? "registry" : "broker");
+}
+
+void
+peers_on_introduction(struct broker *b, struct name from,
+                      const struct rec_introduction *i)
+{
+    struct broker_peer *p = find_or_add(b, from);
+
+    if (!p->stopping && i->stopping != 0) {
+        broker_log(b, LOG_NOTICE, BROKER_PEER_STOPPING, 0, -1, from, "%s",
+                   i->zone.s);
+    }
+    p->broker = true;
+    p->up = true;
+    p->zone = i->zone;
+    p->address = i->address;
+    p->incarnation = i->incarnation;
+    p->stopping = i->stopping != 0;
+    if (name_equal(p->zone, b->opts.zone)) {
+        hold_tell(b, from);
+    }
+    b->load_us = b->now.mono_us; /* it knows no load of ours yet */
+    view_changed(b);
+}
+
+static void
+connect_peer(struct broker *b, struct broker_peer *p, struct address address)
+{
+    struct be_connect *c;
+
+    if (p->self || strcmp(p->address.s, address.s) == 0) {
+        return;
+    }
+    p->address = address;
+    c = &broker_effects_add(b->fx, BE_CONNECT)->u.connect;
+    c->name = p->name;
+    c->address = address;
+}
+
+void
+peers_on_roster(struct broker *b, const struct rec_roster *r)
+{
+    for (size_t i = 0; i < r->n_brokers; i++) {
+        struct broker_peer *p = find_or_add(b, r->brokers[i].name);
+
+        connect_peer(b, p, r->brokers[i].address);
+        p->down_us = p->up ? p->down_us : b->now.mono_us;
+    }
+    for (size_t i = 0; i < r->n_registries; i++) {
+        struct broker_peer *p = find_or_add(b, r->registries[i].name);
+
+        if (!p->registry) {
+            p->registry = true;
+            p->poll_us = p->up ? b->now.mono_us : INT64_MAX;
+        }
+        connect_peer(b, p, r->registries[i].address);
+    }
+}
+
+/* Load */
+
+void
+peers_on_load(struct broker *b, struct name from,
+              const struct rec_broker_load *l)
+{
+    struct broker_peer *p = find_or_add(b, from);
+    size_t n = l->n_services;
+
+    forget_loads(p);
+    p->loads = calloc(n + 1, sizeof(*p->loads));
+    if (p->loads == NULL) {
+        abort();
+    }
+    p->n_loads = n;
+    for (size_t i = 0; i < n; i++) {
+        p->loads[i].told = l->services[i];
+    }
+    if (p->stopping != (l->stopping != 0)) {
+        p->stopping = l->stopping != 0;
+        view_changed(b);
+    }
+}
+
+static void
+send_load(struct broker *b)
+{
+    struct msg m = {.kind = MSG_BROKER_LOAD};
+    struct rec_broker_load *l = &m.u.broker_load;
+    size_t n = 0;
+
+    for (const struct broker_service *s = b->services; s != NULL;
+         s = s->next) {
+        n++;
+    }
+    l->stopping = b->stopping ? 1 : 0;
+    l->services = calloc(n + 1, sizeof(*l->services));
+    if (l->services == NULL) {
+        abort();
+    }
+    for (const struct broker_service *s = b->services; s != NULL;
+         s = s->next) {
+        struct rec_service_load one = order_load(b, s);
+
+        if (one.cpu_milli > 0) {
+            l->services[l->n_services++] = one;
+        }
+    }
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->broker && p->up) {
+            struct msg copy = msg_copy(&m);
+
+            broker_send(b, p->name, &copy);
+        }
+    }
+    peers_on_load(b, b->opts.self, l);
+    msg_free(&m);
+}
+
+void
+peers_stopping(struct broker *b)
+{
+    b->self->stopping = true;
+    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->up) {
+            introduce(b, p->name);
+        }
+    }
+    view_changed(b);
+}
+
+/* Configuration: every registry is asked.  One that is cut off from the others
+ * keeps its poll open and has nothing newer to tell, so asking one alone could
+ * leave an old configuration in force here. */
+
+static void
+ask_config(struct broker *b, struct broker_peer *p)
+{
+    struct msg m = {.kind = MSG_CONFIG_REQUEST};
+
+    m.u.config_request.have_version = b->config_version;
+    m.u.config_request.incarnation = b->opts.incarnation;
+    m.u.config_request.zone = b->opts.zone;
+    m.u.config_request.takes_delta = b->config_text != NULL ? 1 : 0;
+    p->poll_us = b->now.mono_us + POLL_AGAIN_US;
+    broker_send(b, p->name, &m);
+}
+
+static struct blob *
+reply_text(struct broker *b, const struct rec_config_reply *r)
+{
+    struct delta d = {.prefix = r->prefix,
+                      .suffix = r->suffix,
+                      .middle = r->config,
+                      .digest = r->digest};
+
+    if (r->from_version == 0) {
+        return blob_ref(r->config);
+    }
+    return r->from_version == b->config_version
+               ? delta_apply(b->config_text, &d)
+               : NULL;
+}
+
+static void
+apply_config(struct broker *b, struct name from,
+             const struct rec_config_reply *r, struct blob *text)
+{
+    enum queueconf_fault fault = QUEUECONF_OK;
+    struct queueconf *queues =
+        b->opts.read_config(text->data, text->size, &fault);
+
+    if (queues == NULL) {
+        broker_log(b, LOG_ERR, BROKER_CONFIG_BAD, 0, -1, from,
+                   "version %llu: %s", (unsigned long long)r->version,
+                   queueconf_fault_text(fault));
+        return;
+    }
+    queueconf_free(b->queues);
+    b->queues = queues;
+    blob_unref(b->config_text);
+    b->config_text = blob_ref(text);
+    b->config_version = r->version;
+    b->counters.configs_applied++;
+    broker_log(b, LOG_NOTICE, BROKER_CONFIG_APPLIED, 0, -1, from,
+               "version %llu, rank %llu, %zu queues",
+               (unsigned long long)r->version,
+               (unsigned long long)queues->rank, queues->n_queues);
+}
+
+void
+peers_on_config(struct broker *b, struct name from,
+                const struct rec_config_reply *r)
+{
+    struct broker_peer *p = peers_find(b, from);
+    struct blob *text;
+
+    if (p != NULL) {
+        p->poll_us = b->now.mono_us;
+    }
+    if (r->config == NULL || r->version <= b->config_version) {
+        b->counters.configs_ignored += r->config != NULL ? 1 : 0;
+        return;
+    }
+    text = reply_text(b, r);
+    if (text != NULL) {
+        apply_config(b, from, r, text);
+    }
+    blob_unref(text);
+}
+
+/* Time */
+
+static void
+forget_gone(struct broker *b)
+{
+    struct broker_peer **at = &b->peers;
+
+    while (*at != NULL) {
+        struct broker_peer *p = *at;
+
+        if (p->up || p->self || b->now.mono_us - p->down_us < FORGET_US ||
+            p->registry) {
+            at = &p->next;
+            continue;
+        }
+        broker_effects_add(b->fx, BE_FORGET)->u.connect.name = p->name;
+        *at = p->next;
+        (void)map_remove(&b->peers_by_name, &p->name);
+        free_peer(p);
+    }
+}
+
+void
+peers_tick(struct broker *b)
+{
+    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->registry && p->up && b->now.mono_us >= p->poll_us) {
+            ask_config(b, p);
+        }
+    }
+    if (b->now.mono_us >= b->load_us) {
+        b->load_us = b->now.mono_us + b->opts.load_us;
+        send_load(b);
+        forget_gone(b);
+    }
+}
+
+int64_t
+peers_next_us(const struct broker *b)
+{
+    int64_t at = b->load_us;
+
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->registry && p->up && p->poll_us < at) {
+            at = p->poll_us;
+        }
+    }
+    return at;
+}
+
+/* Holders */
+
+static bool
+may_hold(const struct broker *b, const struct broker_peer *p)
+{
+    return p->broker && (p->up || p->self) && !p->stopping &&
+           name_equal(p->zone, b->opts.zone);
+}
+
+/* By age, the first started first. */
+static int
+compare_age(const void *x, const void *y)
+{
+    const struct broker_peer *a = ((const struct holder_ref *)x)->peer;
+    const struct broker_peer *b = ((const struct holder_ref *)y)->peer;
+
+    if (a->incarnation != b->incarnation) {
+        return a->incarnation < b->incarnation ? -1 : 1;
+    }
+    return strcmp(a->name.s, b->name.s);
+}
+
+static size_t
+count_zone_upstreams(const struct broker *b)
+{
+    const struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+    size_t n = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        n += name_equal(u->zone, b->opts.zone) ? 1 : 0;
+    }
+    return n;
+}
+
+/* The oldest brokers of the zone hold all its upstreams, as few of them as
+ * can.  One queue for many upstreams leaves fewer idle than one queue each,
+ * and the oldest keep what they have when others restart. */
+void
+peers_rank(struct broker *b)
+{
+    size_t upstreams = count_zone_upstreams(b);
+    size_t wanted =
+        (upstreams + b->opts.upstreams_each - 1) / b->opts.upstreams_each;
+
+    b->n_holders = 0;
+    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (may_hold(b, p)) {
+            b->holders = array_grow(b->holders, b->n_holders, &b->holders_room,
+                                    sizeof(*b->holders));
+            b->holders[b->n_holders++].peer = p;
+        }
+    }
+    if (b->n_holders > 1) {
+        qsort(b->holders, b->n_holders, sizeof(*b->holders), compare_age);
+    }
+    wanted = wanted > 0 ? wanted : 1;
+    b->n_holders = wanted < b->n_holders ? wanted : b->n_holders;
+}
+
+struct name
+peers_holder(const struct broker *b, const struct broker_upstream *u)
+{
+    if (b->n_holders == 0 || !name_equal(u->zone, b->opts.zone)) {
+        return name_of("");
+    }
+    return b->holders[key_id_of(u->name.s).lo % b->n_holders].peer->name;
+}
+
+void
+peers_send_zone(struct broker *b, struct msg *m)
+{
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->broker && p->up && name_equal(p->zone, b->opts.zone)) {
+            struct msg copy = msg_copy(m);
+
+            broker_send(b, p->name, &copy);
+        }
+    }
+    msg_free(m);
+}
--- /dev/null
+++ b/src/broker_place.c
@@ -0,0 +1,151 @@
+/*
+ * Where a task goes: the upstream where it should end first, and among equals
+ * the one that is left with least unused room, so that large tasks find room
+ * elsewhere.
+ */
+#include "broker_state.h"
+
+/* A task away from its data takes about that much longer. */
+static const double REMOTE_FACTOR = 1.5;
+/* An upstream this much slower than usual gets work only to see whether it has
+ * recovered. */
+static const double TOO_SLOW = 2.5;
+/* Run times closer than this share are taken as equal. */
+static const double EQUAL_SHARE = 0.1;
+
+static bool
+has_label(const struct broker_upstream *u, struct name label)
+{
+    for (size_t i = 0; i < u->n_labels; i++) {
+        if (name_equal(u->labels[i], label)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static struct resources
+need_of(const struct rec_task_group *g)
+{
+    return (struct resources){.cpu_milli = (uint32_t)g->cpu_milli,
+                              .memory_mb = (uint32_t)g->memory_mb,
+                              .accelerators = (uint32_t)g->accelerators};
+}
+
+static struct resources
+room_of(const struct broker_upstream *u)
+{
+    return (struct resources){
+        .cpu_milli = u->capacity.cpu_milli - u->used.cpu_milli,
+        .memory_mb = u->capacity.memory_mb - u->used.memory_mb,
+        .accelerators = u->capacity.accelerators - u->used.accelerators};
+}
+
+static bool
+suits(const struct rec_task_group *g, const struct broker_upstream *u)
+{
+    return name_empty(g->requirement) || has_label(u, g->requirement);
+}
+
+int64_t
+place_expected_us(const struct run_job *job, const struct rec_task_group *g,
+                  const struct broker_upstream *u)
+{
+    double us = (double)order_expected_us(job, g) * u->slowness;
+
+    if (!name_empty(g->affinity) && !has_label(u, g->affinity)) {
+        us *= REMOTE_FACTOR;
+    }
+    return (int64_t)us;
+}
+
+/* Tasks of the same group of the job that are there already. */
+static uint32_t
+same_group(const struct run_job *job, const struct run_task *t,
+           const struct broker_upstream *u)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        const struct run_task *other = &job->tasks[i];
+
+        n += other->group == t->group && other->state >= RUN_STARTING &&
+             other->state <= RUN_STOPPING &&
+             handle_equal(other->upstream, u->self);
+    }
+    return n;
+}
+
+static bool
+takes(const struct broker *b, const struct run_job *job,
+      const struct run_task *t, const struct broker_upstream *u)
+{
+    const struct rec_task_group *g = &job->groups[t->group];
+
+    return u->state == HOLD_OPEN && !u->leaving && !u->gone &&
+           u->room_us <= b->now.mono_us && u->n_tasks < u->slots &&
+           resources_fit(need_of(g), room_of(u)) && suits(g, u) &&
+           trust_allows(b, u) &&
+           (g->spread == 0 || same_group(job, t, u) < g->spread);
+}
+
+static bool
+better(int64_t us, uint32_t left, int64_t best_us, uint32_t best_left)
+{
+    if ((double)us < (double)best_us * (1.0 - EQUAL_SHARE)) {
+        return true;
+    }
+    return (double)us <= (double)best_us * (1.0 + EQUAL_SHARE) &&
+           left < best_left;
+}
+
+struct broker_upstream *
+place_choose(struct broker *b, const struct run_job *job,
+             const struct run_task *t)
+{
+    const struct rec_task_group *g = &job->groups[t->group];
+    struct broker_upstream *best = NULL;
+    struct broker_upstream *u;
+    int64_t best_us = INT64_MAX;
+    uint32_t best_left = UINT32_MAX;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        int64_t us;
+        uint32_t left;
+
+        if (u->service != job->service || !takes(b, job, t, u) ||
+            name_equal(t->avoid, u->name)) {
+            continue;
+        }
+        us = place_expected_us(job, g, u);
+        left = room_of(u).cpu_milli - (uint32_t)g->cpu_milli;
+        if (u->slowness > TOO_SLOW && u->n_tasks > 0) {
+            continue;
+        }
+        if (best == NULL || better(us, left, best_us, best_left)) {
+            best = u;
+            best_us = us;
+            best_left = left;
+        }
+    }
+    return best;
+}
+
+bool
+place_ever(struct broker *b, const struct broker_service *s,
+           const struct rec_task_group *g)
+{
+    const struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        if (u->service == s && u->state != HOLD_NONE && suits(g, u) &&
+            resources_fit(need_of(g), u->capacity)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/src/broker_run.c
@@ -0,0 +1,581 @@
+/*
+ * Jobs that are run here, for callers of this broker and of others.
+ *
+ * A task is started again only when it surely does not run any more: its end
+ * was told, a stop of it was confirmed, or the lease under which it ran has
+ * passed.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "broker_state.h"
+
+/* A waiting job is looked at so often to see whether it is hopeless by now. */
+#define WAITING_LOOK_US (20 * USEC_PER_MSEC)
+
+struct broker_service *
+runs_service(struct broker *b, struct name name)
+{
+    struct broker_service *s = b->services;
+
+    while (s != NULL && !name_equal(s->name, name)) {
+        s = s->next;
+    }
+    if (s != NULL) {
+        return s;
+    }
+    s = calloc(1, sizeof(*s));
+    if (s == NULL) {
+        abort();
+    }
+    s->name = name;
+    TAILQ_INIT(&s->queue);
+    s->next = b->services;
+    b->services = s;
+    return s;
+}
+
+int32_t
+runs_label(const struct run_job *job, const struct run_task *t)
+{
+    return (int32_t)(t - job->tasks);
+}
+
+struct run_task *
+runs_task(struct broker *b, const struct placed_task *p, struct run_job **job)
+{
+    *job = table_get(&b->run_jobs, p->job);
+    return *job != NULL ? &(*job)->tasks[p->task] : NULL;
+}
+
+static struct run_job *
+find_by_id(struct broker *b, uint64_t id)
+{
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (job->id == id && !job->superseded) {
+            return job;
+        }
+    }
+    return NULL;
+}
+
+/* Telling the taker */
+
+static void
+tell(struct broker *b, struct name taker, uint64_t number,
+     enum job_outcome outcome, enum broker_reason reason, int64_t retry_us)
+{
+    struct msg m = {.kind = MSG_JOB_END};
+
+    m.u.job_end.number = number;
+    m.u.job_end.outcome = outcome;
+    m.u.job_end.reason = reason;
+    m.u.job_end.retry_after_us = (uint64_t)retry_us;
+    broker_send(b, taker, &m);
+}
+
+static void
+wake_successor(struct broker *b, const struct run_job *ended)
+{
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (handle_equal(job->waits, ended->self)) {
+            job->waits = (struct handle){0};
+            order_insert(job);
+        }
+    }
+}
+
+/* Removed once nothing of it can be at an upstream any more. */
+static void
+remove_settled(struct broker *b, struct run_job *job)
+{
+    if (!job->told || job->n_placed > 0) {
+        return;
+    }
+    order_remove(job);
+    wake_successor(b, job);
+    blob_unref(job->spec);
+    free(job->groups);
+    free(job->tasks);
+    table_remove(&b->run_jobs, job->self);
+}
+
+static void
+stop_placed(struct broker *b, struct run_job *job)
+{
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        struct run_task *t = &job->tasks[i];
+
+        if (t->state >= RUN_STARTING && t->state <= RUN_UNSETTLED) {
+            lease_stop(b, table_get(&b->upstreams, t->upstream), job, t);
+        }
+    }
+}
+
+/* The outcome is decided: its taker hears it at once, what still runs is
+ * stopped and settled. */
+static void
+end_job(struct broker *b, struct run_job *job, enum job_outcome outcome,
+        enum broker_reason reason, int64_t retry_us)
+{
+    if (job->told) {
+        return;
+    }
+    job->told = true;
+    order_remove(job);
+    tell(b, job->taker, job->number, outcome, reason, retry_us);
+    broker_log(
+        b, LOG_DEBUG, BROKER_ENDED, job->id, -1, job->taker,
+        "%s, %s; %u of %u tasks left, %u at upstreams, after %lld ms",
+        job_outcome_text(outcome), broker_reason_text(reason), job->n_left,
+        job->n_tasks, job->n_placed,
+        (long long)((b->now.mono_us - job->arrived_us) / USEC_PER_MSEC));
+    stop_placed(b, job);
+    remove_settled(b, job);
+}
+
+static void
+drop_job(struct broker *b, struct run_job *job, enum broker_reason reason)
+{
+    if (job->told) {
+        return;
+    }
+    job->told = true;
+    order_remove(job);
+    broker_log(b, LOG_INFO, reason, job->id, -1, job->taker,
+               "%u of %u tasks left, %u at upstreams", job->n_left,
+               job->n_tasks, job->n_placed);
+    stop_placed(b, job);
+    remove_settled(b, job);
+}
+
+/* Taking a job */
+
+static bool
+group_may_start(const struct run_job *job, uint32_t group)
+{
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        const struct run_task *t = &job->tasks[i];
+
+        if ((job->groups[group].after >> t->group & 1) != 0 &&
+            t->state != RUN_ENDED) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+unblock(struct run_job *job)
+{
+    for (uint32_t g = 0; g < job->n_groups; g++) {
+        if (job->groups[g].after != 0 && !group_may_start(job, g)) {
+            continue;
+        }
+        for (uint32_t i = 0; i < job->n_tasks; i++) {
+            if (job->tasks[i].group == g &&
+                job->tasks[i].state == RUN_BLOCKED) {
+                job->tasks[i].state = RUN_READY;
+                job->n_ready++;
+            }
+        }
+    }
+}
+
+static bool
+make_tasks(struct run_job *job)
+{
+    uint64_t total = 0;
+    uint32_t n = 0;
+
+    for (size_t i = 0; i < job->n_groups; i++) {
+        uint64_t later = ~((UINT64_C(1) << i) - 1);
+
+        if (job->groups[i].count == 0 ||
+            job->groups[i].count > BROKER_TASKS_MAX ||
+            (job->groups[i].after & later) != 0) {
+            return false;
+        }
+        total += job->groups[i].count;
+    }
+    if (total == 0 || total > BROKER_TASKS_MAX) {
+        return false;
+    }
+    job->tasks = calloc(total, sizeof(*job->tasks));
+    if (job->tasks == NULL) {
+        abort();
+    }
+    for (uint32_t g = 0; g < job->n_groups; g++) {
+        for (uint32_t i = 0; i < job->groups[g].count; i++) {
+            job->tasks[n].group = g;
+            job->tasks[n].index = i;
+            n++;
+        }
+    }
+    job->n_tasks = n;
+    job->n_left = n;
+    return true;
+}
+
+static bool
+fits_here(struct broker *b, const struct run_job *job)
+{
+    for (size_t i = 0; i < job->n_groups; i++) {
+        if (!place_ever(b, job->service, &job->groups[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static enum broker_reason
+judge(struct broker *b, struct run_job *job, int64_t *retry_us,
+      enum job_outcome *outcome)
+{
+    enum broker_reason reason;
+
+    *retry_us = 0;
+    *outcome = JOB_RETURNED_OUTCOME;
+    if (b->stopping) {
+        return BROKER_STOPPING;
+    }
+    if (!fits_here(b, job)) {
+        return BROKER_NEVER_FITS;
+    }
+    reason = order_admit(b, job, retry_us);
+    *outcome = JOB_REFUSED_OUTCOME;
+    return reason;
+}
+
+/* It was handed in again while the first is here: the caller was told nothing,
+ * or what it was told was lost.  The one that runs serves both; one that is
+ * being stopped has to be over before the next begins. */
+static bool
+join_earlier(struct broker *b, struct name from, const struct rec_job_offer *o,
+             struct handle *waits)
+{
+    struct run_job *earlier = find_by_id(b, o->id);
+
+    *waits = (struct handle){0};
+    if (earlier == NULL) {
+        return false;
+    }
+    if (earlier->told) {
+        *waits = earlier->self;
+        earlier->superseded = true;
+        return false;
+    }
+    broker_log(b, LOG_INFO, BROKER_HANDED_IN_AGAIN, o->id, -1, from,
+               "was %s's", earlier->taker.s);
+    tell(b, earlier->taker, earlier->number, JOB_LOST_OUTCOME,
+         BROKER_HANDED_IN_AGAIN, 0);
+    earlier->taker = from;
+    earlier->number = o->number;
+    earlier->deadline_us = b->now.mono_us + (int64_t)o->deadline_us;
+    return true;
+}
+
+static struct run_job *
+new_job(struct broker *b, struct name from, const struct rec_job_offer *o)
+{
+    struct handle h;
+    struct run_job *job = table_add(&b->run_jobs, &h);
+
+    job->self = h;
+    job->taker = from;
+    job->number = o->number;
+    job->id = o->id;
+    job->queue = o->queue;
+    job->service = runs_service(b, o->service);
+    job->priority = (uint32_t)o->priority;
+    job->attempts = o->attempts > 0 ? (uint32_t)o->attempts : 1;
+    job->arrived_us = b->now.mono_us - (int64_t)o->age_us;
+    job->spec = blob_ref(o->spec);
+    job->groups = calloc(o->n_groups + 1, sizeof(*job->groups));
+    if (job->groups == NULL) {
+        abort();
+    }
+    memcpy(job->groups, o->groups, o->n_groups * sizeof(*o->groups));
+    job->n_groups = o->n_groups;
+    return job;
+}
+
+void
+runs_on_offer(struct broker *b, struct name from,
+              const struct rec_job_offer *o)
+{
+    enum broker_reason reason = BROKER_NEVER_FITS;
+    enum job_outcome outcome = JOB_REFUSED_OUTCOME;
+    int64_t retry_us = 0;
+    struct handle waits;
+    struct run_job *job;
+
+    if (o->n_groups == 0 || o->n_groups > TASK_GROUPS_MAX ||
+        join_earlier(b, from, o, &waits)) {
+        return;
+    }
+    job = new_job(b, from, o);
+    if (make_tasks(job)) {
+        order_plan(b, job, o);
+        reason = judge(b, job, &retry_us, &outcome);
+    }
+    if (reason != BROKER_NONE) {
+        b->counters.offers_refused++;
+        end_job(b, job, outcome, reason, retry_us);
+        return;
+    }
+    b->counters.offers_taken++;
+    broker_log(
+        b, LOG_DEBUG, BROKER_ACCEPTED, job->id, -1, from,
+        "queue %s, %u tasks, starts in %lld ms, %u jobs wait", job->queue.s,
+        job->n_tasks,
+        (long long)((job->start_by_us - b->now.mono_us) / USEC_PER_MSEC),
+        job->service->n_queued);
+    job->waits = waits;
+    unblock(job);
+    if (handle_none(waits)) {
+        order_insert(job);
+    }
+}
+
+static struct run_job *
+find_taken(struct broker *b, struct name taker, uint64_t number)
+{
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (job->number == number && name_equal(job->taker, taker)) {
+            return job;
+        }
+    }
+    return NULL;
+}
+
+void
+runs_on_drop(struct broker *b, struct name from, uint64_t number)
+{
+    struct run_job *job = find_taken(b, from, number);
+
+    if (job != NULL) {
+        drop_job(b, job, BROKER_CALLER_LEFT);
+    }
+}
+
+void
+runs_taker_lost(struct broker *b, struct name taker)
+{
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (name_equal(job->taker, taker)) {
+            drop_job(b, job, BROKER_TAKER_LOST);
+        }
+    }
+}
+
+void
+runs_paused(struct broker *b)
+{
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        end_job(b, job, JOB_LOST_OUTCOME, BROKER_PAUSED, 0);
+    }
+}
+
+void
+runs_return(struct broker *b)
+{
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (!job->started && !job->told) {
+            end_job(b, job, JOB_RETURNED_OUTCOME, BROKER_STOPPING, 0);
+        }
+    }
+}
+
+/* Tasks */
+
+void
+runs_started(struct broker *b, struct run_job *job, struct run_task *t,
+             struct broker_upstream *u)
+{
+    t->state = RUN_STARTING;
+    t->upstream = u->self;
+    t->run++;
+    t->sent_us = b->now.mono_us;
+    t->expected_us = place_expected_us(job, &job->groups[t->group], u);
+    t->percent = 0;
+    t->percent_us = b->now.mono_us;
+    t->settle_us = INT64_MAX;
+    job->started = true;
+    job->n_ready--;
+    job->n_placed++;
+    b->counters.tasks_started++;
+    broker_log(b, LOG_DEBUG, BROKER_STARTED, job->id, runs_label(job, t),
+               u->name, "run %llu, expected %lld ms",
+               (unsigned long long)t->run,
+               (long long)(t->expected_us / USEC_PER_MSEC));
+}
+
+static void
+taken_off(struct broker *b, struct run_job *job, struct run_task *t)
+{
+    struct broker_upstream *u = table_get(&b->upstreams, t->upstream);
+
+    if (u != NULL) {
+        lease_unplace(b, u, job, t);
+    }
+    t->upstream = (struct handle){0};
+    job->n_placed--;
+    job->service->place = true;
+}
+
+void
+runs_ready(struct broker *b, struct run_job *job, struct run_task *t)
+{
+    taken_off(b, job, t);
+    t->state = RUN_READY;
+    job->n_ready++;
+    if (job->told) {
+        remove_settled(b, job);
+    }
+    else if (!job->queued) {
+        order_insert(job);
+    }
+}
+
+void
+runs_done(struct broker *b, struct run_job *job, struct run_task *t)
+{
+    taken_off(b, job, t);
+    t->state = RUN_ENDED;
+    job->n_left--;
+    b->counters.tasks_done++;
+    if (job->told) {
+        remove_settled(b, job);
+    }
+    else if (job->n_left == 0) {
+        end_job(b, job, JOB_COMPLETED_OUTCOME, BROKER_ENDED, 0);
+    }
+    else {
+        unblock(job);
+        if (job->n_ready > 0 && !job->queued) {
+            order_insert(job);
+        }
+    }
+}
+
+/* A task that fails everywhere is its job's fault: only its first failure
+ * counts against the upstream. */
+void
+runs_failed(struct broker *b, struct run_job *job, struct run_task *t)
+{
+    struct broker_upstream *u = table_get(&b->upstreams, t->upstream);
+
+    b->counters.tasks_failed++;
+    if (job->told) {
+        runs_ready(b, job, t); /* may free the job */
+        return;
+    }
+    if (u != NULL && t->failures == 0) {
+        trust_failed(b, u);
+    }
+    if (u != NULL) {
+        t->avoid = u->name;
+    }
+    t->failures++;
+    runs_ready(b, job, t);
+    if (t->failures >= job->attempts) {
+        end_job(b, job, JOB_FAILED_OUTCOME, BROKER_TASK_FAILED, 0);
+    }
+}
+
+/* Placing */
+
+/* False when a task found no room. */
+static bool
+place_job(struct broker *b, struct run_job *job)
+{
+    for (uint32_t i = 0; i < job->n_tasks && job->n_ready > 0; i++) {
+        struct run_task *t = &job->tasks[i];
+        struct broker_upstream *u;
+
+        if (t->state != RUN_READY) {
+            continue;
+        }
+        u = place_choose(b, job, t);
+        if (u == NULL && !name_empty(t->avoid)) {
+            /* Better where it failed than nowhere. */
+            t->avoid = name_of("");
+            u = place_choose(b, job, t);
+        }
+        if (u == NULL) {
+            return false;
+        }
+        lease_start(b, u, job, t);
+    }
+    return true;
+}
+
+static void
+place_all(struct broker *b, struct broker_service *s)
+{
+    struct run_job *job = TAILQ_FIRST(&s->queue);
+
+    s->place = false;
+    while (job != NULL) {
+        struct run_job *next = TAILQ_NEXT(job, link);
+
+        if (order_hopeless(b, job)) {
+            end_job(b, job, JOB_REFUSED_OUTCOME, BROKER_TOO_LATE,
+                    job->objective_us - job->start_by_us);
+        }
+        else if (place_job(b, job)) {
+            order_remove(job);
+        }
+        job = next;
+    }
+}
+
+void
+runs_tick(struct broker *b)
+{
+    for (struct broker_service *s = b->services; s != NULL; s = s->next) {
+        if (s->place || b->now.mono_us >= s->look_us) {
+            s->look_us = b->now.mono_us + WAITING_LOOK_US;
+            place_all(b, s);
+        }
+    }
+}
+
+int64_t
+runs_next_us(const struct broker *b)
+{
+    int64_t at = INT64_MAX;
+
+    for (const struct broker_service *s = b->services; s != NULL;
+         s = s->next) {
+        if (s->n_queued > 0 && s->look_us < at) {
+            at = s->look_us;
+        }
+    }
+    return at;
+}
--- /dev/null
+++ b/src/broker_state.h
@@ -0,0 +1,526 @@
+/**
+ * DOC: broker_state - what the parts of the broker reducer share
+ *
+ * broker.c routes events; broker_peer.c knows the other processes and follows
+ * the configuration; broker_caller.c has the jobs that callers handed in here;
+ * broker_run.c runs jobs; broker_order.c decides which are let in and which go
+ * first, broker_place.c where a task goes; broker_hold.c holds upstreams,
+ * broker_lease.c speaks with them, broker_trust.c judges them.  A part calls
+ * those that stand behind it in this list, and those before it only through
+ * the functions below.
+ */
+#ifndef BM_BROKER_STATE_H
+#define BM_BROKER_STATE_H
+
+#include <sys/queue.h>
+#include <syslog.h>
+
+#include "broker.h"
+#include "learn.h"
+#include "map.h"
+#include "table.h"
+#include "timers.h"
+
+enum { UPSTREAM_LABELS_MAX = 4 };
+
+/** struct broker_load - a service's load at a peer, as it told last */
+struct broker_load {
+    struct rec_service_load told;
+    int64_t added_us; /* wait that was caused from here since then */
+};
+
+/**
+ * struct broker_peer - another process, or this one
+ * @name: first: looked up by it
+ * @registry: serves as a registry
+ * @broker: introduced itself as a broker
+ * @up: there is a connection
+ * @stopping: takes no new duties
+ * @loads: of its services
+ * @poll_us: ask it for a newer configuration then; INT64_MAX while it is asked
+ */
+struct broker_peer {
+    struct name name;
+    struct address address;
+    struct name zone;
+    uint64_t incarnation;
+    bool self;
+    bool registry;
+    bool broker;
+    bool up;
+    bool stopping;
+    struct broker_load *loads;
+    size_t n_loads;
+    int64_t poll_us;
+    int64_t down_us;
+    struct broker_peer *next;
+};
+
+/** struct holder_ref - a broker that holds upstreams of this zone */
+struct holder_ref {
+    struct broker_peer *peer;
+};
+
+/** struct caller_job - a job that a caller handed in here */
+struct caller_job {
+    struct handle self;
+    uint64_t request;
+    struct msg offer; /* JOB_OFFER; kept, to be offered to another runner */
+    struct name runner;
+    uint32_t moves;
+    int64_t taken_us;
+    int64_t deadline_us;
+    bool known_started;
+};
+
+enum run_state {
+    RUN_BLOCKED,   /* groups before it have not ended */
+    RUN_READY,     /* waits for room */
+    RUN_STARTING,  /* the start is not answered */
+    RUN_RUNNING,   /* acknowledged, or seen there */
+    RUN_UNSETTLED, /* the start was lost; it may run, or still start */
+    RUN_STOPPING,  /* asked to stop */
+    RUN_ENDED,     /* well, or not needed any more */
+};
+
+/**
+ * struct run_task - a task of a job that runs here
+ * @run: of its last start
+ * @failures: runs that failed
+ * @upstream: where it is, from RUN_STARTING to RUN_STOPPING
+ * @sent_us: when the start was sent
+ * @expected_us: how long it should run there
+ * @percent: of its work, as last seen
+ * @percent_us: since when it has not risen
+ * @settle_us: a look sent after this time tells whether it is there; INT64_MAX
+ *             while a stop is not confirmed
+ * @stop_us: when a stop was sent last
+ * @avoid: the upstream where it failed last
+ */
+struct run_task {
+    enum run_state state;
+    uint32_t group;
+    uint32_t index;
+    uint64_t run;
+    uint32_t failures;
+    struct handle upstream;
+    int64_t sent_us;
+    int64_t expected_us;
+    uint32_t percent;
+    int64_t percent_us;
+    int64_t settle_us;
+    int64_t stop_us;
+    struct name avoid;
+};
+
+/**
+ * struct run_job - a job that is run here
+ * @taker: the broker that has its caller
+ * @number: of the job at @taker
+ * @id: the caller's
+ * @objective_us: an answer after it is late
+ * @deadline_us: nobody waits for one after that
+ * @start_by_us: started by then, it can be in time
+ * @ahead_us: orders the queue, see broker_order.c
+ * @work: expected processor time left to start, in milli-core microseconds
+ * @n_left: tasks that have not ended well
+ * @n_ready: tasks that wait for room
+ * @n_placed: tasks that are, or may be, at an upstream
+ * @told: its taker knows the outcome; what is left only has to be settled
+ * @started: a start was sent
+ * @superseded: it was handed in again meanwhile
+ * @waits: an earlier life of the job must be settled first
+ * @queued: in the service's queue
+ */
+struct run_job {
+    struct handle self;
+    struct name taker;
+    uint64_t number;
+    uint64_t id;
+    struct name queue;
+    struct broker_service *service;
+    uint32_t priority;
+    uint32_t attempts;
+    int64_t arrived_us;
+    int64_t objective_us;
+    int64_t deadline_us;
+    int64_t start_by_us;
+    int64_t ahead_us;
+    double work;
+    struct blob *spec;
+    struct rec_task_group *groups;
+    size_t n_groups;
+    struct run_task *tasks;
+    uint32_t n_tasks;
+    uint32_t n_left;
+    uint32_t n_ready;
+    uint32_t n_placed;
+    bool told;
+    bool started;
+    bool queued;
+    bool superseded;
+    struct handle waits;
+    TAILQ_ENTRY(run_job) link;
+};
+
+TAILQ_HEAD(run_queue, run_job);
+
+/** struct queue_history - what is learned of a queue's run times */
+struct queue_history {
+    struct name queue;
+    struct learned learned;
+};
+
+/** struct broker_service - a service whose upstreams are known here */
+struct broker_service {
+    struct name name;
+    struct run_queue queue;
+    uint32_t n_queued; /* jobs */
+    double work;       /* of the queued ones, as in struct run_job */
+    struct queue_history *history;
+    size_t n_history;
+    bool place;      /* room or work has come: look again */
+    int64_t look_us; /* or then */
+    struct broker_service *next;
+};
+
+enum hold_state {
+    HOLD_NONE,   /* another broker's, or nobody's */
+    HOLD_TAKING, /* what runs there is looked at and stopped */
+    HOLD_OPEN,
+    HOLD_MUTE, /* held, but it does not answer */
+    HOLD_LOST, /* another's; our runs there may not have ended */
+};
+
+/** struct placed_task - a task that is, or may be, at an upstream */
+struct placed_task {
+    struct handle job;
+    uint32_t task;
+};
+
+/**
+ * struct broker_upstream - an upstream
+ * @name: first: looked up by it
+ * @born_ms: its life
+ * @sequence: of its last announcement
+ * @holder: the broker that said that it holds it; empty for nobody
+ * @fence: with which it is held, or the highest known
+ * @noted: ends up to this number were taken
+ * @unnoted: the upstream has not been told so yet
+ * @clock_ms: its clock when it last answered, at @clock_us here
+ * @lapse_us: whatever runs there on our leases is over by then
+ * @look: number of the look that is under way; 0 for none
+ * @look_us: when the next one is due; INT64_MAX for none
+ * @misses: looks in a row without answer
+ * @fenced_view: the view of the brokers when it was lost to a higher fence
+ * @used: by the placed tasks
+ * @room_us: not before that, after it had no room
+ * @failures: runs in a row that failed
+ * @until_us: in quarantine until then; 0 for not
+ * @backoff_us: of the quarantine, doubles
+ * @slowness: run times over the expected ones, moving mean
+ */
+struct broker_upstream {
+    struct name name;
+    struct handle self;
+    uint64_t born_ms;
+    uint64_t sequence;
+    struct broker_service *service;
+    struct name zone;
+    struct address address;
+    uint32_t slots;
+    bool leaving;
+    bool gone;
+    struct resources capacity;
+    struct name labels[UPSTREAM_LABELS_MAX];
+    size_t n_labels;
+
+    enum hold_state state;
+    struct name holder;
+    uint64_t fence;
+    uint64_t noted;
+    bool unnoted;
+    int64_t clock_ms;
+    int64_t clock_us;
+    int64_t lapse_us;
+    uint64_t look;
+    int64_t look_us;
+    uint32_t misses;
+    uint32_t fenced;
+    uint64_t fenced_view;
+
+    struct placed_task *tasks;
+    size_t n_tasks;
+    size_t tasks_room;
+    struct resources used;
+    int64_t room_us;
+
+    uint32_t failures;
+    int64_t until_us;
+    int64_t backoff_us;
+    double slowness;
+};
+
+/** struct broker_call - a call to an upstream that is under way */
+struct broker_call {
+    struct handle self;
+    enum lease_call kind;
+    struct handle upstream;
+    uint64_t born_ms;
+    uint64_t fence;
+    struct handle job; /* none where a stranger is stopped */
+    uint32_t task;
+    uint64_t run;
+    int64_t sent_us;
+};
+
+struct broker {
+    struct broker_options opts;
+    struct moment now;
+    struct broker_effects *fx;
+    uint64_t random;
+    int64_t started_us;
+    int64_t last_us; /* of the last step */
+
+    struct queueconf *queues;
+    struct blob *config_text;
+    uint64_t config_version;
+
+    struct map peers_by_name;
+    struct broker_peer *peers;
+    struct broker_peer *self;
+    uint64_t view; /* rises with each change of who may hold upstreams */
+    struct holder_ref *holders; /* as peers_rank() found */
+    size_t n_holders;
+    size_t holders_room;
+    int64_t load_us;
+
+    struct table caller_jobs;
+    struct timers caller_timers;
+
+    struct table run_jobs;
+    struct broker_service *services;
+
+    struct table upstreams;
+    struct map upstreams_by_name;
+    struct table calls;
+    bool review;       /* who holds what has to be decided again */
+    struct msg *local; /* to this process itself, taken before the step ends */
+    size_t n_local;
+    size_t local_room;
+
+    bool stopping;
+    bool stopped_told;
+    int64_t stop_us;
+    struct broker_counters counters;
+};
+
+/* broker.c */
+
+/** broker_random() - next number of the seeded generator, below @n */
+uint64_t broker_random(struct broker *b, uint64_t n);
+
+/** broker_send() - a message to a process; takes over @m.  What it sends to
+ * itself it takes at the end of the step. */
+void broker_send(struct broker *b, struct name to, struct msg *m);
+
+/** broker_log() - a decision; @job 0 and @task -1 where it is about none */
+void broker_log(struct broker *b, int severity, enum broker_reason reason,
+                uint64_t job, int32_t task, struct name subject,
+                const char *format, ...) __attribute__((format(printf, 7, 8)));
+
+/* broker_peer.c */
+
+/** peers_init() - this process and the registries of the options */
+void peers_init(struct broker *b);
+void peers_free(struct broker *b);
+
+/** peers_find() - the process of that name, or NULL */
+struct broker_peer *peers_find(const struct broker *b, struct name name);
+void peers_on_peer(struct broker *b, struct name name, bool up);
+void peers_on_introduction(struct broker *b, struct name from,
+                           const struct rec_introduction *i);
+void peers_on_roster(struct broker *b, const struct rec_roster *r);
+void peers_on_load(struct broker *b, struct name from,
+                   const struct rec_broker_load *l);
+void peers_on_config(struct broker *b, struct name from,
+                     const struct rec_config_reply *r);
+
+/** peers_stopping() - says at once that this broker is stopping */
+void peers_stopping(struct broker *b);
+void peers_tick(struct broker *b);
+int64_t peers_next_us(const struct broker *b);
+
+/** peers_rank() - works out anew which brokers hold upstreams */
+void peers_rank(struct broker *b);
+
+/** peers_holder() - which of them should hold that one; empty for none */
+struct name peers_holder(const struct broker *b,
+                         const struct broker_upstream *u);
+
+/** peers_send_zone() - copies to the other brokers of this zone; frees @m */
+void peers_send_zone(struct broker *b, struct msg *m);
+
+/* broker_caller.c */
+void callers_submit(struct broker *b, const struct bev_submit *s);
+void callers_cancel(struct broker *b, const struct bev_cancel *c);
+void callers_gone(struct broker *b, uint64_t request);
+void callers_on_end(struct broker *b, struct name from,
+                    const struct rec_job_end *e);
+
+/** callers_runner_lost() - what was offered to that broker is unknown */
+void callers_runner_lost(struct broker *b, struct name runner);
+void callers_tick(struct broker *b);
+int64_t callers_next_us(const struct broker *b);
+
+/* broker_run.c */
+void runs_on_offer(struct broker *b, struct name from,
+                   const struct rec_job_offer *o);
+void runs_on_drop(struct broker *b, struct name from, uint64_t number);
+
+/** runs_taker_lost() - nobody waits for that broker's jobs any more */
+void runs_taker_lost(struct broker *b, struct name taker);
+
+/** runs_task() - the task a placed one refers to, or NULL */
+struct run_task *runs_task(struct broker *b, const struct placed_task *p,
+                           struct run_job **job);
+
+/** runs_started() - a start is sent */
+void runs_started(struct broker *b, struct run_job *job, struct run_task *t,
+                  struct broker_upstream *u);
+
+/** runs_ready() - a placed task is surely not at its upstream any more and
+ * may be started again */
+void runs_ready(struct broker *b, struct run_job *job, struct run_task *t);
+
+/** runs_done() - a run ended well */
+void runs_done(struct broker *b, struct run_job *job, struct run_task *t);
+
+/** runs_failed() - a run failed, by its own fault or its upstream's */
+void runs_failed(struct broker *b, struct run_job *job, struct run_task *t);
+
+/** runs_tick() - places what waits, gives up what is hopeless */
+void runs_tick(struct broker *b);
+int64_t runs_next_us(const struct broker *b);
+
+/** runs_paused() - what ran here is over, and its outcome not known */
+void runs_paused(struct broker *b);
+
+/** runs_return() - a stop began: what has not started goes elsewhere */
+void runs_return(struct broker *b);
+
+/** runs_service() - of that name; made where there is none */
+struct broker_service *runs_service(struct broker *b, struct name name);
+
+/** runs_label() - number of a task in its job, for logs */
+int32_t runs_label(const struct run_job *job, const struct run_task *t);
+
+/* broker_order.c */
+
+/** order_plan() - sets objective, latest start and place of a new job */
+void order_plan(struct broker *b, struct run_job *job,
+                const struct rec_job_offer *o);
+
+/** order_admit() - BROKER_NONE, or why the job is refused; *@retry_us is when
+ * it would have a chance */
+enum broker_reason order_admit(struct broker *b, const struct run_job *job,
+                               int64_t *retry_us);
+
+/** order_insert() - into the service's queue */
+void order_insert(struct run_job *job);
+void order_remove(struct run_job *job);
+
+/** order_hopeless() - a waiting job that nobody gains by any more */
+bool order_hopeless(const struct broker *b, const struct run_job *job);
+
+/** order_load() - what a new job would wait, by priority */
+struct rec_service_load order_load(struct broker *b,
+                                   const struct broker_service *s);
+
+/** order_expected_us() - run time of a task of that group, on an upstream of
+ * usual speed where its data is */
+int64_t order_expected_us(const struct run_job *job,
+                          const struct rec_task_group *g);
+
+/** order_learn() - a task ran for so long on an upstream of usual speed */
+void order_learn(struct run_job *job, const struct rec_task_group *g,
+                 int64_t ran_us);
+
+/* broker_place.c */
+
+/** place_choose() - the best upstream for a task now, or NULL */
+struct broker_upstream *place_choose(struct broker *b,
+                                     const struct run_job *job,
+                                     const struct run_task *t);
+
+/** place_ever() - whether any known upstream could ever run such a task */
+bool place_ever(struct broker *b, const struct broker_service *s,
+                const struct rec_task_group *g);
+
+/** place_expected_us() - run time of such a task there */
+int64_t place_expected_us(const struct run_job *job,
+                          const struct rec_task_group *g,
+                          const struct broker_upstream *u);
+
+/* broker_hold.c */
+void hold_on_report(struct broker *b, const struct rec_upstream_report *r);
+void hold_on_holds(struct broker *b, struct name from,
+                   const struct rec_upstream_holds *h);
+
+/** hold_review() - takes and gives away upstreams as the view says */
+void hold_review(struct broker *b);
+
+/** hold_broker_lost() - a broker holds nothing any more */
+void hold_broker_lost(struct broker *b, struct name name);
+
+/** hold_tell() - tells a broker of the zone what is held here */
+void hold_tell(struct broker *b, struct name to);
+
+/** hold_paused() - this process stood still: nothing is held any more */
+void hold_paused(struct broker *b);
+bool hold_any(const struct broker *b);
+void hold_tick(struct broker *b);
+int64_t hold_next_us(const struct broker *b);
+
+/** hold_take() - begins to take an upstream, or takes it anew */
+void hold_take(struct broker *b, struct broker_upstream *u);
+
+/** hold_drop_tasks() - all that was placed there is over */
+void hold_drop_tasks(struct broker *b, struct broker_upstream *u,
+                     enum broker_reason why);
+
+/** hold_fenced() - another broker has a higher fence */
+void hold_fenced(struct broker *b, struct broker_upstream *u);
+
+/** hold_reborn() - the upstream has another life */
+void hold_reborn(struct broker *b, struct broker_upstream *u,
+                 uint64_t born_ms);
+
+/** hold_answered() - a look was answered: it is there, and nothing that we
+ * did not start runs there where @strangers is false */
+void hold_answered(struct broker *b, struct broker_upstream *u,
+                   bool strangers);
+
+/** hold_missed() - a look was not answered */
+void hold_missed(struct broker *b, struct broker_upstream *u);
+
+/* broker_lease.c */
+void lease_start(struct broker *b, struct broker_upstream *u,
+                 struct run_job *job, struct run_task *t);
+void lease_stop(struct broker *b, struct broker_upstream *u,
+                struct run_job *job, struct run_task *t);
+void lease_look(struct broker *b, struct broker_upstream *u);
+void lease_on_called(struct broker *b, const struct bev_called *c);
+
+/** lease_unplace() - a task is no longer at its upstream */
+void lease_unplace(struct broker *b, struct broker_upstream *u,
+                   const struct run_job *job, const struct run_task *t);
+
+/* broker_trust.c */
+void trust_ok(struct broker *b, struct broker_upstream *u, double slowness);
+void trust_failed(struct broker *b, struct broker_upstream *u);
+
+/** trust_allows() - whether the upstream may be given a task now */
+bool trust_allows(const struct broker *b, const struct broker_upstream *u);
+
+#endif
--- /dev/null
+++ b/src/broker_trust.c
@@ -0,0 +1,78 @@
+/*
+ * Upstreams that fail what they are given, and slow ones.
+ *
+ * One that fails everything at once is always idle and would draw all work to
+ * itself.  After a few failures in a row it gets nothing for a while, then one
+ * task at a time until one succeeds.  Jobs that fail everywhere must not put
+ * sound upstreams out: a job counts against an upstream only by its first
+ * failure (see runs_failed()), and at most half of the upstreams that are held
+ * may be out at once.
+ */
+#include "broker_state.h"
+
+enum {
+    FAILURES_MAX = 2
+}; /* in a row; one of 500 sound runs fails, so two in
+    * a row by chance come once in 250,000 */
+#define BACKOFF_MIN_US (500 * USEC_PER_MSEC)
+#define BACKOFF_MAX_US (8 * USEC_PER_SEC)
+/* Weight of a sample of the slowness: three or four tell. */
+static const double SLOWNESS_WEIGHT = 0.3;
+
+static bool
+half_are_out(const struct broker *b)
+{
+    const struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+    size_t held = 0;
+    size_t out = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        held += u->state == HOLD_OPEN ? 1 : 0;
+        out += u->state == HOLD_OPEN && u->until_us > 0 ? 1 : 0;
+    }
+    return 2 * (out + 1) > held;
+}
+
+void
+trust_ok(struct broker *b, struct broker_upstream *u, double slowness)
+{
+    u->failures = 0;
+    if (u->until_us > 0) {
+        broker_log(b, LOG_NOTICE, BROKER_RESTORED, 0, -1, u->name,
+                   "a task succeeded");
+    }
+    u->until_us = 0;
+    u->backoff_us = 0;
+    if (slowness > 0) {
+        u->slowness += SLOWNESS_WEIGHT * (slowness - u->slowness);
+    }
+}
+
+void
+trust_failed(struct broker *b, struct broker_upstream *u)
+{
+    u->failures++;
+    if (u->failures < FAILURES_MAX || (u->until_us == 0 && half_are_out(b))) {
+        return;
+    }
+    u->backoff_us = u->backoff_us == 0 ? BACKOFF_MIN_US : 2 * u->backoff_us;
+    if (u->backoff_us > BACKOFF_MAX_US) {
+        u->backoff_us = BACKOFF_MAX_US;
+    }
+    u->until_us = b->now.mono_us + u->backoff_us;
+    b->counters.quarantines++;
+    broker_log(b, LOG_WARNING, BROKER_QUARANTINED, 0, -1, u->name,
+               "%u failures in a row, for %lld ms", u->failures,
+               (long long)(u->backoff_us / USEC_PER_MSEC));
+}
+
+bool
+trust_allows(const struct broker *b, const struct broker_upstream *u)
+{
+    if (u->until_us == 0) {
+        return true;
+    }
+    return b->now.mono_us >= u->until_us && u->n_tasks == 0;
+}
