Put one thread around the broker

Cause: on a quarter of a core a hand-over between threads costs more than the decisions. Change: httpapi hands over whole requests, with or without a thread, and tells when a waiting client has left; leaseclient drives libcurl by its sockets; broker_runtime has callers, upstreams and the reducer in one loop and takes messages of other processes from a mailbox, in the order of the connection. Ruled out: curl_multi_perform(), which looks at each waiting call in turn.

--- /dev/null
+++ b/src/broker_runtime.c
@@ -0,0 +1,626 @@
+#include "broker_runtime.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "log.h"
+#include "mailbox.h"
+#include "stats.h"
+
+enum {
+    RING_ROOM = 4, /* unused: messages and connections must keep their order,
+                    * so all of them are posted */
+    EVENTS_MAX = 16,
+    WAIT_MAX_MS = 500,
+    LAST_MS = 300, /* for the last answers to go out */
+    METRICS_CONNECTIONS = 8,
+};
+
+enum mail_kind { MAIL_MESSAGE, MAIL_PEER, MAIL_STOP, MAIL_REGISTRY };
+
+/* What other threads hand over. */
+struct broker_mail {
+    struct mail mail;
+    enum mail_kind kind;
+    struct name from;
+    struct msg msg;
+    bool up;
+    struct address address;
+};
+
+struct broker_runtime {
+    struct broker_runtime_options opts;
+    struct mailbox inbox;
+    struct broker *broker;
+    struct broker_effects effects;
+    struct httpapi *callers;
+    struct httpapi *ready;
+    struct httpapi *metrics;
+    struct leaseclient *upstreams;
+    struct peer *peers;
+    int epoll;
+    pthread_t thread;
+    bool running;
+    bool healthy;
+    atomic_bool stopped;
+    atomic_bool ended;
+};
+
+static void step(struct broker_runtime *r, struct broker_event *ev);
+
+/* Effects */
+
+static void
+log_decision(const struct be_log *l)
+{
+    struct log_record record = {
+        .severity = l->severity,
+        .reason = broker_reason_text(l->reason),
+        .task = l->task,
+        .subject = l->subject.s,
+        .detail = l->detail,
+    };
+    char id[20];
+
+    if (!log_enabled(l->severity)) {
+        return;
+    }
+    if (l->job != 0) {
+        (void)snprintf(id, sizeof(id), "%016" PRIx64, l->job);
+        record.key = id;
+    }
+    log_write(&record);
+}
+
+static void
+answer_caller(struct broker_runtime *r, const struct be_answer *a)
+{
+    struct httpapi_response response = {0};
+
+    r->opts.callers->answer(a, &response);
+    response.retry_after_us = a->retry_after_us;
+    httpapi_reply(r->callers, a->request, &response);
+}
+
+static void
+carry_out(struct broker_runtime *r, struct broker_effect *f)
+{
+    struct peer_remote remote;
+
+    switch (f->kind) {
+    case BE_ANSWER:
+        answer_caller(r, &f->u.answer);
+        break;
+    case BE_CALL:
+        leaseclient_begin(r->upstreams, &f->u.call);
+        break;
+    case BE_SEND:
+        peer_send(r->peers, f->u.send.to, &f->u.send.msg);
+        break;
+    case BE_CONNECT:
+        remote.name = f->u.connect.name;
+        remote.address = f->u.connect.address;
+        peer_add(r->peers, &remote);
+        break;
+    case BE_FORGET:
+        peer_forget(r->peers, f->u.connect.name);
+        break;
+    case BE_LOG:
+        log_decision(&f->u.log);
+        break;
+    default:
+        atomic_store(&r->stopped, true);
+        break;
+    }
+}
+
+static void
+step(struct broker_runtime *r, struct broker_event *ev)
+{
+    ev->now = clock_now(r->opts.clock);
+    broker_step(r->broker, ev, &r->effects);
+    for (size_t i = 0; i < r->effects.n; i++) {
+        carry_out(r, &r->effects.items[i]);
+    }
+    broker_effects_clear(&r->effects);
+    r->healthy = broker_ready(r->broker);
+    stats_add(&stats.steps, 1);
+}
+
+/* Callers */
+
+static void
+submit(struct broker_runtime *r, struct caller_request *c, uint64_t number)
+{
+    struct broker_event ev = {.kind = BEV_SUBMIT};
+
+    ev.u.submit = c->submit;
+    ev.u.submit.request = number;
+    step(r, &ev);
+    blob_unref(c->submit.spec);
+    free((void *)c->submit.groups);
+}
+
+static void
+on_caller(void *ctx, const struct httpapi_request *request)
+{
+    struct broker_runtime *r = ctx;
+    struct caller_request c = {.kind = CALLER_REPLY};
+    struct broker_event ev = {.kind = BEV_CANCEL};
+
+    r->opts.callers->decode(request, broker_queues(r->broker), &c);
+    switch (c.kind) {
+    case CALLER_SUBMIT:
+        submit(r, &c, request->number);
+        break;
+    case CALLER_CANCEL:
+        ev.u.cancel = c.cancel;
+        ev.u.cancel.request = request->number;
+        step(r, &ev);
+        break;
+    case CALLER_COUNT:
+        r->opts.callers->count(broker_waiting(r->broker, c.queue->name),
+                               &c.response);
+        httpapi_reply(r->callers, request->number, &c.response);
+        break;
+    default:
+        httpapi_reply(r->callers, request->number, &c.response);
+        break;
+    }
+}
+
+static void
+on_caller_gone(void *ctx, uint64_t number)
+{
+    struct broker_event ev = {.kind = BEV_GONE};
+
+    ev.u.gone.request = number;
+    step(ctx, &ev);
+}
+
+static void
+on_ready(void *ctx, const struct httpapi_request *request)
+{
+    struct broker_runtime *r = ctx;
+    struct httpapi_response response = {.status = 404};
+
+    if (strcmp(request->path, r->opts.callers->ready_path) == 0) {
+        response.status = r->healthy ? 200 : 503;
+    }
+    httpapi_reply(r->ready, request->number, &response);
+}
+
+static void
+no_one_gone(void *ctx, uint64_t number)
+{
+    (void)ctx;
+    (void)number;
+}
+
+static void
+print_metrics(FILE *out, const struct broker *b)
+{
+    struct broker_counters c = broker_counters(b);
+    struct broker_gauges g = broker_gauges(b);
+
+#define BROKER_COUNTER(name, help)                                            \
+    stats_print_one(out, "broker_" #name "_total", "counter", help, c.name);
+    BROKER_COUNTER_LIST(BROKER_COUNTER)
+#undef BROKER_COUNTER
+#define BROKER_GAUGE(name, help)                                              \
+    stats_print_one(out, "broker_" #name, "gauge", help, g.name);
+    BROKER_GAUGE_LIST(BROKER_GAUGE)
+#undef BROKER_GAUGE
+}
+
+static void
+on_metrics(void *ctx, const struct httpapi_request *request)
+{
+    struct broker_runtime *r = ctx;
+    struct httpapi_response response = {.status = 200,
+                                        .type = "text/plain; version=0.0.4"};
+    size_t size;
+    FILE *out = open_memstream(&response.body, &size);
+
+    if (out == NULL) {
+        abort();
+    }
+    print_metrics(out, r->broker);
+    stats_print(out);
+    (void)fclose(out);
+    httpapi_reply(r->metrics, request->number, &response);
+}
+
+/* Upstreams */
+
+static void
+on_called(void *ctx, uint64_t call, struct lease_answer *answer)
+{
+    struct broker_event ev = {.kind = BEV_CALLED};
+
+    ev.u.called.call = call;
+    ev.u.called.answer = *answer;
+    step(ctx, &ev);
+    lease_answer_clear(answer);
+}
+
+/* Other processes */
+
+static struct broker_mail *
+new_mail(enum mail_kind kind, struct name from)
+{
+    struct broker_mail *m = calloc(1, sizeof(*m));
+
+    if (m == NULL) {
+        abort();
+    }
+    m->kind = kind;
+    m->from = from;
+    return m;
+}
+
+static void
+on_message(void *ctx, struct name from, struct msg *msg)
+{
+    struct broker_runtime *r = ctx;
+    struct broker_mail *m = new_mail(MAIL_MESSAGE, from);
+
+    m->msg = *msg;
+    memset(msg, 0, sizeof(*msg));
+    mailbox_post(&r->inbox, &m->mail);
+}
+
+static void
+on_peer(void *ctx, struct name remote, bool up)
+{
+    struct broker_runtime *r = ctx;
+    struct broker_mail *m = new_mail(MAIL_PEER, remote);
+
+    m->up = up;
+    mailbox_post(&r->inbox, &m->mail);
+}
+
+static void
+add_registry(struct broker_runtime *r, const struct broker_mail *m)
+{
+    struct rec_instance one = {.name = m->from, .address = m->address};
+    struct msg roster = {.kind = MSG_ROSTER};
+    struct broker_event ev = {.kind = BEV_MESSAGE};
+
+    roster.u.roster.registries = &one;
+    roster.u.roster.n_registries = 1;
+    ev.u.message.from = m->from;
+    ev.u.message.msg = &roster;
+    step(r, &ev);
+}
+
+static void
+take(struct broker_runtime *r, struct broker_mail *m)
+{
+    struct broker_event ev = {.kind = BEV_MESSAGE};
+
+    switch (m->kind) {
+    case MAIL_MESSAGE:
+        ev.u.message.from = m->from;
+        ev.u.message.msg = &m->msg;
+        break;
+    case MAIL_PEER:
+        ev.kind = BEV_PEER;
+        ev.u.peer.peer = m->from;
+        ev.u.peer.up = m->up;
+        break;
+    case MAIL_STOP:
+        ev.kind = BEV_STOP;
+        break;
+    default:
+        add_registry(r, m);
+        return;
+    }
+    step(r, &ev);
+}
+
+static void
+take_mail(struct broker_runtime *r)
+{
+    struct mail *mail;
+
+    while ((mail = mailbox_take(&r->inbox)) != NULL) {
+        struct broker_mail *m = (struct broker_mail *)mail;
+
+        take(r, m);
+        if (m->kind == MAIL_MESSAGE) {
+            msg_free(&m->msg);
+        }
+        free(m);
+    }
+}
+
+/* The loop */
+
+static int64_t
+sooner(int64_t a_ms, int64_t b_ms)
+{
+    if (a_ms < 0 || b_ms < 0) {
+        return a_ms < 0 ? b_ms : a_ms;
+    }
+    return a_ms < b_ms ? a_ms : b_ms;
+}
+
+static int
+wait_ms(struct broker_runtime *r)
+{
+    int64_t now_us = clock_now(r->opts.clock).mono_us;
+    int64_t left_us = broker_next_us(r->broker) - now_us;
+    int64_t ms = left_us <= 0 ? 0 : (left_us + 999) / USEC_PER_MSEC;
+
+    ms = sooner(ms, leaseclient_next_ms(r->upstreams, now_us));
+    ms = sooner(ms, httpapi_next_ms(r->callers));
+    if (r->ready != NULL) {
+        ms = sooner(ms, httpapi_next_ms(r->ready));
+    }
+    return ms < WAIT_MAX_MS ? (int)ms : WAIT_MAX_MS;
+}
+
+/* Which module an event belongs to: the loop's epoll holds their epolls. */
+static void
+run_ready(struct broker_runtime *r, struct epoll_event *events, int n)
+{
+    bool callers = false;
+    bool ready = false;
+    bool metrics = false;
+
+    for (int i = 0; i < n; i++) {
+        callers = callers || events[i].data.ptr == r->callers;
+        ready = ready || events[i].data.ptr == r->ready;
+        metrics = metrics || events[i].data.ptr == r->metrics;
+    }
+    leaseclient_run(r->upstreams, clock_now(r->opts.clock).mono_us);
+    if (callers || httpapi_next_ms(r->callers) == 0) {
+        httpapi_run(r->callers);
+    }
+    if (r->ready != NULL && (ready || httpapi_next_ms(r->ready) == 0)) {
+        httpapi_run(r->ready);
+    }
+    if (r->metrics != NULL && metrics) {
+        httpapi_run(r->metrics);
+    }
+}
+
+static void
+run_round(struct broker_runtime *r)
+{
+    struct epoll_event events[EVENTS_MAX];
+    int n = 0;
+
+    if (mailbox_doze(&r->inbox)) {
+        n = epoll_wait(r->epoll, events, EVENTS_MAX, wait_ms(r));
+    }
+    mailbox_rouse(&r->inbox);
+    take_mail(r);
+    run_ready(r, events, n > 0 ? n : 0);
+    if (clock_now(r->opts.clock).mono_us >= broker_next_us(r->broker)) {
+        step(r, &(struct broker_event){.kind = BEV_TICK});
+    }
+}
+
+/* Answers that are queued when the reducer is done still have to be written.
+ */
+static void
+write_last(struct broker_runtime *r)
+{
+    int64_t until_us =
+        clock_now(r->opts.clock).mono_us + LAST_MS * USEC_PER_MSEC;
+
+    while (httpapi_busy(r->callers) > 0 &&
+           clock_now(r->opts.clock).mono_us < until_us) {
+        httpapi_run(r->callers);
+        clock_sleep(USEC_PER_MSEC);
+    }
+}
+
+static void *
+runtime_run(void *arg)
+{
+    struct broker_runtime *r = arg;
+
+    while (!atomic_load(&r->ended)) {
+        run_round(r);
+    }
+    write_last(r);
+    return NULL;
+}
+
+/* Construction */
+
+static bool
+watch(struct broker_runtime *r, int fd, void *owner)
+{
+    struct epoll_event e = {.events = EPOLLIN, .data.ptr = owner};
+
+    return epoll_ctl(r->epoll, EPOLL_CTL_ADD, fd, &e) == 0;
+}
+
+static struct httpapi *
+serve(struct broker_runtime *r, const char *listen, unsigned int connections,
+      void (*handle)(void *ctx, const struct httpapi_request *request),
+      void (*gone)(void *ctx, uint64_t number))
+{
+    const struct httpapi_options o = {
+        .listen = listen,
+        .connections = connections,
+        .idle_timeout_s = r->opts.idle_timeout_s,
+        .body_max = r->opts.body_max,
+        .external = true,
+        .handle = handle,
+        .gone = gone,
+        .ctx = r,
+    };
+    struct httpapi *h = httpapi_new(&o);
+    int fds[HTTPAPI_FDS];
+    int n;
+
+    if (h == NULL) {
+        log_event(LOG_ERR, "not-started", listen, "HTTP server: %s",
+                  strerror(errno));
+        return NULL;
+    }
+    n = httpapi_fds(h, fds);
+    for (int i = 0; i < n; i++) {
+        if (!watch(r, fds[i], h)) {
+            log_event(LOG_ERR, "not-started", listen, "epoll: %s",
+                      strerror(errno));
+            httpapi_free(h);
+            return NULL;
+        }
+    }
+    return h;
+}
+
+static bool
+start_servers(struct broker_runtime *r)
+{
+    const struct broker_runtime_options *o = &r->opts;
+
+    r->callers = serve(r, o->listen_callers.s, o->connections, on_caller,
+                       on_caller_gone);
+    if (r->callers == NULL) {
+        return false;
+    }
+    if (o->listen_ready.s[0] != '\0') {
+        r->ready = serve(r, o->listen_ready.s, METRICS_CONNECTIONS, on_ready,
+                         no_one_gone);
+        if (r->ready == NULL) {
+            return false;
+        }
+    }
+    if (o->listen_metrics.s[0] != '\0') {
+        r->metrics = serve(r, o->listen_metrics.s, METRICS_CONNECTIONS,
+                           on_metrics, no_one_gone);
+        if (r->metrics == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+start_clients(struct broker_runtime *r)
+{
+    struct leaseclient_options upstreams = r->opts.upstreams;
+    struct peer_options peers = r->opts.peers;
+
+    upstreams.done = on_called;
+    upstreams.ctx = r;
+    r->upstreams = leaseclient_new(&upstreams);
+    if (r->upstreams == NULL ||
+        !watch(r, leaseclient_fd(r->upstreams), r->upstreams)) {
+        log_event(LOG_ERR, "not-started", NULL, "libcurl");
+        return false;
+    }
+    peers.on_message = on_message;
+    peers.on_peer = on_peer;
+    peers.ctx = r;
+    peers.clock = r->opts.clock;
+    r->peers = peer_new(&peers);
+    if (r->peers == NULL) {
+        log_event(LOG_ERR, "not-started", peers.listen.s, "connections: %s",
+                  strerror(errno));
+        return false;
+    }
+    return true;
+}
+
+struct broker_runtime *
+broker_runtime_new(const struct broker_runtime_options *o)
+{
+    struct broker_runtime *r = calloc(1, sizeof(*r));
+
+    if (r == NULL || mailbox_init(&r->inbox, RING_ROOM) != 0) {
+        free(r);
+        return NULL;
+    }
+    r->opts = *o;
+    r->broker = broker_new(&o->broker);
+    r->epoll = epoll_create1(EPOLL_CLOEXEC);
+    if (r->epoll < 0 || !watch(r, r->inbox.fd, &r->inbox) ||
+        !start_servers(r) || !start_clients(r)) {
+        broker_runtime_free(r);
+        return NULL;
+    }
+    r->running = pthread_create(&r->thread, NULL, runtime_run, r) == 0;
+    if (!r->running) {
+        log_event(LOG_ERR, "not-started", NULL, "no thread");
+        broker_runtime_free(r);
+        return NULL;
+    }
+    return r;
+}
+
+void
+broker_runtime_registry(struct broker_runtime *r, struct name name,
+                        struct address address)
+{
+    struct broker_mail *m = new_mail(MAIL_REGISTRY, name);
+
+    m->address = address;
+    mailbox_post(&r->inbox, &m->mail);
+}
+
+void
+broker_runtime_stop(struct broker_runtime *r)
+{
+    httpapi_closing(r->callers);
+    mailbox_post(&r->inbox, &new_mail(MAIL_STOP, name_of(""))->mail);
+}
+
+bool
+broker_runtime_stopped(const struct broker_runtime *r)
+{
+    return atomic_load(&r->stopped);
+}
+
+static void
+drop_mail(struct broker_runtime *r)
+{
+    struct mail *mail;
+
+    while ((mail = mailbox_take(&r->inbox)) != NULL) {
+        struct broker_mail *m = (struct broker_mail *)mail;
+
+        if (m->kind == MAIL_MESSAGE) {
+            msg_free(&m->msg);
+        }
+        free(m);
+    }
+    mailbox_destroy(&r->inbox);
+}
+
+void
+broker_runtime_free(struct broker_runtime *r)
+{
+    if (r == NULL) {
+        return;
+    }
+    atomic_store(&r->ended, true);
+    if (r->running) {
+        mailbox_wake(&r->inbox);
+        (void)pthread_join(r->thread, NULL);
+    }
+    peer_free(r->peers);
+    httpapi_free(r->callers);
+    httpapi_free(r->ready);
+    httpapi_free(r->metrics);
+    leaseclient_free(r->upstreams);
+    broker_free(r->broker);
+    broker_effects_free(&r->effects);
+    drop_mail(r);
+    if (r->epoll >= 0) {
+        (void)close(r->epoll);
+    }
+    free(r);
+}
--- /dev/null
+++ b/src/httpapi.c
@@ -0,0 +1,380 @@
+#include "httpapi.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "base.h"
+#include "httpserver.h"
+#include "stats.h"
+
+enum {
+    BODY_START = 1024,
+    GONE_EVENTS = 32,
+    /* Headers, the path, and a read buffer: ours are short, and a thousand
+     * idle connections must fit into a small machine. */
+    CONNECTION_MEMORY = 12 * 1024,
+};
+
+struct request {
+    struct httpapi *api;
+    struct MHD_Connection *connection;
+    struct httpwait wait;
+    char *path;
+    char *body;
+    size_t size;
+    size_t room;
+    int fd; /* watched for the client's leaving; -1 for not */
+    bool too_large;
+    bool replied;
+    struct httpapi_response reply;
+};
+
+struct httpapi {
+    struct httpapi_options opts;
+    struct httpserver server;
+    int gone; /* epoll of the connections of waiting requests; -1 for none */
+    atomic_bool closing;
+    bool resumed; /* external: a connection has an answer to write */
+};
+
+const char *
+httpapi_header(const struct httpapi_request *r, const char *name)
+{
+    return MHD_lookup_connection_value(r->connection, MHD_HEADER_KIND, name);
+}
+
+static void
+add_headers(struct httpapi *h, struct MHD_Response *response,
+            const struct httpapi_response *r)
+{
+    char seconds[24];
+
+    (void)MHD_add_response_header(response, "Content-Type",
+                                  r->type != NULL ? r->type
+                                                  : "application/json");
+    if (r->retry_after_us > 0) {
+        (void)snprintf(seconds, sizeof(seconds), "%lld",
+                       (long long)((r->retry_after_us + USEC_PER_SEC - 1) /
+                                   USEC_PER_SEC));
+        (void)MHD_add_response_header(response, "Retry-After", seconds);
+    }
+    if (r->location[0] != '\0') {
+        (void)MHD_add_response_header(response, "Location", r->location);
+    }
+    if (r->close || atomic_load(&h->closing)) {
+        (void)MHD_add_response_header(response, "Connection", "close");
+    }
+}
+
+static enum MHD_Result
+queue(struct httpapi *h, struct request *r)
+{
+    struct MHD_Response *response;
+    enum MHD_Result queued;
+    char *body = r->reply.body;
+
+    r->reply.body = NULL;
+    response =
+        body != NULL
+            ? MHD_create_response_from_buffer(strlen(body), body,
+                                              MHD_RESPMEM_MUST_FREE)
+            : MHD_create_response_from_buffer(0, "", MHD_RESPMEM_PERSISTENT);
+    if (response == NULL) {
+        free(body);
+        return MHD_NO;
+    }
+    add_headers(h, response, &r->reply);
+    queued = MHD_queue_response(r->connection, (unsigned int)r->reply.status,
+                                response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+static enum MHD_Result
+begin(struct httpapi *h, struct MHD_Connection *connection, const char *url,
+      void **ctx)
+{
+    struct request *r = calloc(1, sizeof(*r));
+
+    if (r == NULL) {
+        return MHD_NO;
+    }
+    *ctx = r;
+    (void)atomic_fetch_add(&h->server.in_progress, 1);
+    stats_add(&stats.http_requests, 1);
+    r->api = h;
+    r->connection = connection;
+    r->fd = -1;
+    r->path = strdup(url);
+    return r->path != NULL ? MHD_YES : MHD_NO;
+}
+
+/* A body that is too long is read to its end and thrown away: the client would
+ * not read an answer before. */
+static enum MHD_Result
+take_body(struct httpapi *h, struct request *r, const char *data, size_t *n)
+{
+    size_t room = r->room > 0 ? r->room : BODY_START;
+
+    if (r->too_large || r->size + *n > h->opts.body_max) {
+        r->too_large = true;
+        *n = 0;
+        return MHD_YES;
+    }
+    while (room < r->size + *n + 1) {
+        room *= 2;
+    }
+    if (room != r->room) {
+        char *body = realloc(r->body, room);
+
+        if (body == NULL) {
+            return MHD_NO;
+        }
+        r->body = body;
+        r->room = room;
+    }
+    memcpy(r->body + r->size, data, *n);
+    r->size += *n;
+    r->body[r->size] = '\0';
+    *n = 0;
+    return MHD_YES;
+}
+
+/* A suspended connection is not watched by libmicrohttpd: its client may leave
+ * unseen, and the work for it would go on for nobody. */
+static void
+watch(struct httpapi *h, struct request *r, uint64_t number)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct epoll_event e = {.events = EPOLLRDHUP | EPOLLET,
+                            .data.u64 = number};
+
+    if (h->gone >= 0 && info != NULL &&
+        epoll_ctl(h->gone, EPOLL_CTL_ADD, info->connect_fd, &e) == 0) {
+        r->fd = info->connect_fd;
+    }
+}
+
+static void
+unwatch(struct httpapi *h, struct request *r)
+{
+    if (r->fd >= 0) {
+        (void)epoll_ctl(h->gone, EPOLL_CTL_DEL, r->fd, NULL);
+        r->fd = -1;
+    }
+}
+
+static enum MHD_Result
+hand_over(struct httpapi *h, struct request *r, const char *method)
+{
+    struct httpapi_request whole = {
+        .number = httpserver_wait(&h->server, &r->wait, r),
+        .method = method,
+        .path = r->path,
+        .body = r->body != NULL ? r->body : "",
+        .size = r->size,
+        .too_large = r->too_large,
+        .connection = r->connection,
+    };
+
+    if (whole.number == 0) {
+        r->reply.status = 503;
+        r->reply.close = true;
+        return queue(h, r);
+    }
+    watch(h, r, whole.number);
+    httpserver_suspend(&h->server, &r->wait, r->connection);
+    h->opts.handle(h->opts.ctx, &whole);
+    return MHD_YES;
+}
+
+static enum MHD_Result
+on_request(void *cls, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *upload_data,
+           size_t *upload_data_size, void **ctx)
+{
+    struct httpapi *h = cls;
+    struct request *r = *ctx;
+
+    (void)version;
+    if (r == NULL) {
+        return begin(h, connection, url, ctx);
+    }
+    if (r->replied) {
+        return queue(h, r);
+    }
+    if (*upload_data_size > 0) {
+        return take_body(h, r, upload_data, upload_data_size);
+    }
+    return hand_over(h, r, method);
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *connection, void **ctx,
+             enum MHD_RequestTerminationCode how)
+{
+    struct httpapi *h = cls;
+    struct request *r = *ctx;
+
+    (void)connection;
+    (void)how;
+    if (r == NULL) {
+        return;
+    }
+    *ctx = NULL;
+    unwatch(h, r);
+    free(r->reply.body);
+    free(r->path);
+    free(r->body);
+    free(r);
+    (void)atomic_fetch_sub(&h->server.in_progress, 1);
+}
+
+void
+httpapi_reply(struct httpapi *h, uint64_t number,
+              struct httpapi_response *response)
+{
+    struct request *r = httpserver_take(&h->server, number);
+
+    if (r == NULL) {
+        free(response->body);
+        response->body = NULL;
+        return;
+    }
+    unwatch(h, r);
+    r->reply = *response;
+    response->body = NULL;
+    r->replied = true;
+    /* Without a thread of its own libmicrohttpd wakes nobody for this. */
+    h->resumed = h->opts.external;
+    MHD_resume_connection(r->connection);
+}
+
+void
+httpapi_closing(struct httpapi *h)
+{
+    atomic_store(&h->closing, true);
+}
+
+unsigned int
+httpapi_busy(const struct httpapi *h)
+{
+    return atomic_load(&h->server.in_progress);
+}
+
+struct httpapi *
+httpapi_new(const struct httpapi_options *o)
+{
+    struct httpapi *h = calloc(1, sizeof(*h));
+    const struct httpserver_options server = {
+        .listen = o->listen,
+        .threads = 1,
+        .connections = o->connections,
+        .idle_timeout_s = o->idle_timeout_s,
+        .external = o->external,
+        .memory = CONNECTION_MEMORY,
+        .on_request = on_request,
+        .on_completed = on_completed,
+        .cls = h,
+    };
+
+    if (h == NULL) {
+        return NULL;
+    }
+    h->opts = *o;
+    h->gone = o->external ? epoll_create1(EPOLL_CLOEXEC) : -1;
+    if (!httpserver_start(&h->server, &server)) {
+        int err = errno;
+
+        if (h->gone >= 0) {
+            (void)close(h->gone);
+        }
+        free(h);
+        errno = err;
+        return NULL;
+    }
+    return h;
+}
+
+int
+httpapi_fds(const struct httpapi *h, int fds[HTTPAPI_FDS])
+{
+    fds[0] = httpserver_fd(&h->server);
+    fds[1] = h->gone;
+    return HTTPAPI_FDS;
+}
+
+static void
+take_gone(struct httpapi *h)
+{
+    struct epoll_event events[GONE_EVENTS];
+    int n = epoll_wait(h->gone, events, GONE_EVENTS, 0);
+
+    for (int i = 0; i < n; i++) {
+        struct httpapi_response nobody = {.status = 503, .close = true};
+
+        h->opts.gone(h->opts.ctx, events[i].data.u64);
+        httpapi_reply(h, events[i].data.u64, &nobody);
+    }
+}
+
+void
+httpapi_run(struct httpapi *h)
+{
+    h->resumed = false;
+    take_gone(h);
+    httpserver_run(&h->server);
+}
+
+int64_t
+httpapi_next_ms(struct httpapi *h)
+{
+    return h->resumed ? 0 : httpserver_next_ms(&h->server);
+}
+
+uint16_t
+httpapi_port(const struct httpapi *h)
+{
+    return httpserver_port(&h->server);
+}
+
+void
+httpapi_drain(struct httpapi *h, int64_t timeout_ms)
+{
+    if (h->opts.external) {
+        MHD_socket listener = MHD_quiesce_daemon(h->server.daemon);
+
+        if (listener != MHD_INVALID_SOCKET) {
+            (void)close(listener);
+        }
+        return;
+    }
+    (void)httpserver_drain(&h->server, timeout_ms);
+}
+
+static void
+refuse_one(void *cls, uint64_t number)
+{
+    struct httpapi_response stopping = {.status = 503, .close = true};
+
+    httpapi_reply(cls, number, &stopping);
+}
+
+void
+httpapi_free(struct httpapi *h)
+{
+    if (h == NULL) {
+        return;
+    }
+    httpserver_close(&h->server, refuse_one, h);
+    httpserver_stop(&h->server);
+    if (h->gone >= 0) {
+        (void)close(h->gone);
+    }
+    free(h);
+}
--- /dev/null
+++ b/src/httpapi.h
@@ -0,0 +1,122 @@
+/**
+ * DOC: httpapi - an HTTP server that hands over whole requests
+ *
+ * For servers whose paths and bodies are decided elsewhere: a request is given
+ * to a handler when its body is there, and waits, its connection suspended,
+ * until it is answered.  With @external it has no thread: the owner polls it,
+ * and learns when the client of a waiting request has left.
+ */
+#ifndef BM_HTTPAPI_H
+#define BM_HTTPAPI_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct httpapi;
+
+/**
+ * struct httpapi_request - a whole request; its pointers hold until the
+ * handler returns
+ * @number: for httpapi_reply()
+ * @method: "GET"
+ * @path: of the URL, without its query
+ * @body: followed by a terminator
+ * @size: of @body
+ * @too_large: the body was longer than allowed and is not here
+ * @connection: for httpapi_header()
+ */
+struct httpapi_request {
+    uint64_t number;
+    const char *method;
+    const char *path;
+    const char *body;
+    size_t size;
+    bool too_large;
+    void *connection;
+};
+
+/** httpapi_header() - the value of a request's header, or NULL */
+const char *httpapi_header(const struct httpapi_request *r, const char *name);
+
+enum { HTTPAPI_LOCATION_SIZE = 192 };
+
+/**
+ * struct httpapi_response - an answer
+ * @status: of HTTP
+ * @body: owned, from malloc(); NULL for none
+ * @type: of the body; NULL for application/json
+ * @retry_after_us: told in whole seconds, rounded up; 0 for not
+ * @location: of a redirection; may be empty
+ * @close: the connection ends with it
+ */
+struct httpapi_response {
+    int status;
+    char *body;
+    const char *type;
+    int64_t retry_after_us;
+    char location[HTTPAPI_LOCATION_SIZE];
+    bool close;
+};
+
+/**
+ * struct httpapi_options - how to construct one
+ * @listen: IP:PORT
+ * @connections: at a time
+ * @idle_timeout_s: of a silent connection
+ * @body_max: bytes
+ * @external: see above
+ * @handle: takes a request; answers it now or later
+ * @gone: with @external: the client of a waiting request has left; it need not
+ *        be answered any more
+ * @ctx: for both
+ */
+struct httpapi_options {
+    const char *listen;
+    unsigned int connections;
+    unsigned int idle_timeout_s;
+    size_t body_max;
+    bool external;
+    void (*handle)(void *ctx, const struct httpapi_request *r);
+    void (*gone)(void *ctx, uint64_t number);
+    void *ctx;
+};
+
+/** httpapi_new() - NULL with errno where it can't listen */
+struct httpapi *httpapi_new(const struct httpapi_options *o);
+
+/** httpapi_reply() - answers a request and takes over the body; one that is
+ * gone is no error.  From any thread. */
+void httpapi_reply(struct httpapi *h, uint64_t number,
+                   struct httpapi_response *response);
+
+/** httpapi_closing() - from now on every answer ends its connection */
+void httpapi_closing(struct httpapi *h);
+
+/** httpapi_busy() - requests in progress */
+unsigned int httpapi_busy(const struct httpapi *h);
+
+/* With @external. */
+
+enum { HTTPAPI_FDS = 2 };
+
+/** httpapi_fds() - readable when httpapi_run() has work; returns how many */
+int httpapi_fds(const struct httpapi *h, int fds[HTTPAPI_FDS]);
+
+/** httpapi_run() - calls the handlers */
+void httpapi_run(struct httpapi *h);
+
+/** httpapi_next_ms() - it has work after that time; -1 for none */
+int64_t httpapi_next_ms(struct httpapi *h);
+
+/** httpapi_port() - that it listens on */
+uint16_t httpapi_port(const struct httpapi *h);
+
+/** httpapi_drain() - accepts no more; without @external waits until nothing
+ * is in progress, at most @timeout_ms */
+void httpapi_drain(struct httpapi *h, int64_t timeout_ms);
+
+/** httpapi_free() - requests that still wait get a 503; NULL is allowed */
+void httpapi_free(struct httpapi *h);
+
+#endif
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -15,7 +15,22 @@
 httpserver_start(struct httpserver *s, const struct httpserver_options *o)
 {
     unsigned int flags =
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+        MHD_ALLOW_SUSPEND_RESUME |
+        (o->external ? MHD_USE_EPOLL : MHD_USE_EPOLL_INTERNAL_THREAD);
+    const struct MHD_OptionItem none = {MHD_OPTION_END, 0, NULL};
+    const struct MHD_OptionItem extra[] = {
+        o->external ? none
+                    : (struct MHD_OptionItem){MHD_OPTION_THREAD_POOL_SIZE,
+                                              o->threads, NULL},
+        none,
+    };
+    const struct MHD_OptionItem memory[] = {
+        o->memory == 0
+            ? none
+            : (struct MHD_OptionItem){MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                                      (intptr_t)o->memory, NULL},
+        none,
+    };
     struct netaddr address;
 
     if (!netaddr_parse(o->listen, &address)) {
@@ -30,8 +45,8 @@
     errno = 0;
     s->daemon = MHD_start_daemon(
         flags, 0, NULL, NULL, o->on_request, o->cls, MHD_OPTION_SOCK_ADDR,
-        (struct sockaddr *)&address.sa, MHD_OPTION_THREAD_POOL_SIZE,
-        o->threads, MHD_OPTION_CONNECTION_LIMIT, o->connections,
+        (struct sockaddr *)&address.sa, MHD_OPTION_ARRAY, extra,
+        MHD_OPTION_ARRAY, memory, MHD_OPTION_CONNECTION_LIMIT, o->connections,
         MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
         MHD_OPTION_NOTIFY_COMPLETED, o->on_completed, o->cls,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
@@ -53,6 +68,29 @@
     }
 }
 
+int
+httpserver_fd(const struct httpserver *s)
+{
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+
+    return info != NULL ? info->epoll_fd : -1;
+}
+
+void
+httpserver_run(struct httpserver *s)
+{
+    (void)MHD_run(s->daemon);
+}
+
+int64_t
+httpserver_next_ms(struct httpserver *s)
+{
+    MHD_UNSIGNED_LONG_LONG ms = 0;
+
+    return MHD_get_timeout(s->daemon, &ms) == MHD_YES ? (int64_t)ms : -1;
+}
+
 uint16_t
 httpserver_port(const struct httpserver *s)
 {
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -41,6 +41,9 @@
  * @threads: of the server
  * @connections: at a time
  * @idle_timeout_s: of a silent connection
+ * @external: no threads: the owner watches httpserver_fd() and calls
+ *            httpserver_run()
+ * @memory: bytes a connection may take; 0 leaves it to libmicrohttpd
  * @on_request: see libmicrohttpd
  * @on_completed: the same
  * @cls: handed to both
@@ -50,6 +53,8 @@
     unsigned int threads;
     unsigned int connections;
     unsigned int idle_timeout_s;
+    bool external;
+    size_t memory;
     MHD_AccessHandlerCallback on_request;
     MHD_RequestCompletedCallback on_completed;
     void *cls;
@@ -60,6 +65,16 @@
 bool httpserver_start(struct httpserver *s,
                       const struct httpserver_options *o);
 
+/** httpserver_fd() - of an external server: readable when it has work */
+int httpserver_fd(const struct httpserver *s);
+
+/** httpserver_run() - of an external server: does what there is to do */
+void httpserver_run(struct httpserver *s);
+
+/** httpserver_next_ms() - of an external server: it has work after so many
+ * milliseconds; -1 for no such time */
+int64_t httpserver_next_ms(struct httpserver *s);
+
 /** httpserver_port() - that it listens on */
 uint16_t httpserver_port(const struct httpserver *s);
 
--- /dev/null
+++ b/src/leaseclient.c
@@ -0,0 +1,376 @@
+#include "leaseclient.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/queue.h>
+#include <unistd.h>
+
+#include "stats.h"
+
+enum {
+    EVENTS_MAX = 64,
+    IDLE_EASY_MAX = 64,     /* easy handles kept for later calls */
+    READ_BUFFER = 4 * 1024, /* answers are short; libcurl's own is 16 KiB */
+    URL_SIZE = ADDRESS_SIZE + LEASE_PATH_SIZE + 8,
+    NEVER = -1,
+};
+
+/* A call on its way. */
+struct call {
+    uint64_t number;
+    struct lease_request request;
+    CURL *easy;
+    struct curl_slist *headers;
+    char *body;
+    bool sent; /* an attempt had a connection */
+    char *answer;
+    size_t size;
+    size_t room;
+    struct leaseclient *client;
+    LIST_ENTRY(call) link;
+};
+
+struct leaseclient {
+    struct leaseclient_options opts;
+    CURLM *multi;
+    int epoll;
+    int64_t due_us; /* libcurl wants to be called then; NEVER for not */
+    bool due_now;
+    int64_t now_us;
+    LIST_HEAD(, call) calls;
+    CURL *idle[IDLE_EASY_MAX];
+    size_t n_idle;
+};
+
+struct leaseclient_options
+leaseclient_options_default(void)
+{
+    return (struct leaseclient_options){
+        .connections_kept = 512,
+        .idle_s = 15,
+        .answer_max = (size_t)1 << 20,
+    };
+}
+
+/* libcurl tells which sockets to watch for what. */
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *user, void *socket)
+{
+    struct leaseclient *c = user;
+    struct epoll_event e = {.data.fd = fd};
+
+    (void)easy;
+    if (what == CURL_POLL_REMOVE) {
+        (void)epoll_ctl(c->epoll, EPOLL_CTL_DEL, fd, NULL);
+        (void)curl_multi_assign(c->multi, fd, NULL);
+        return 0;
+    }
+    e.events |= (what & CURL_POLL_IN) != 0 ? EPOLLIN : 0;
+    e.events |= (what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0;
+    if (socket == NULL) {
+        (void)epoll_ctl(c->epoll, EPOLL_CTL_ADD, fd, &e);
+        (void)curl_multi_assign(c->multi, fd, c);
+    }
+    else {
+        (void)epoll_ctl(c->epoll, EPOLL_CTL_MOD, fd, &e);
+    }
+    return 0;
+}
+
+static int
+on_timer(CURLM *multi, long ms, void *user)
+{
+    struct leaseclient *c = user;
+
+    (void)multi;
+    c->due_now = ms == 0;
+    c->due_us = ms < 0 ? NEVER : c->now_us + ms * USEC_PER_MSEC;
+    return 0;
+}
+
+struct leaseclient *
+leaseclient_new(const struct leaseclient_options *o)
+{
+    struct leaseclient *c = calloc(1, sizeof(*c));
+
+    if (c == NULL || curl_global_init(CURL_GLOBAL_ALL) != CURLE_OK) {
+        free(c);
+        return NULL;
+    }
+    c->opts = *o;
+    c->due_us = NEVER;
+    LIST_INIT(&c->calls);
+    c->epoll = epoll_create1(EPOLL_CLOEXEC);
+    c->multi = curl_multi_init();
+    if (c->epoll < 0 || c->multi == NULL) {
+        leaseclient_free(c);
+        return NULL;
+    }
+    curl_multi_setopt(c->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    curl_multi_setopt(c->multi, CURLMOPT_SOCKETDATA, c);
+    curl_multi_setopt(c->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+    curl_multi_setopt(c->multi, CURLMOPT_TIMERDATA, c);
+    curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS, o->connections_kept);
+    curl_multi_setopt(c->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+    return c;
+}
+
+static void
+call_free(struct call *call)
+{
+    LIST_REMOVE(call, link);
+    blob_unref(call->request.spec);
+    curl_slist_free_all(call->headers);
+    free(call->body);
+    free(call->answer);
+    free(call);
+}
+
+void
+leaseclient_free(struct leaseclient *c)
+{
+    struct call *call;
+
+    if (c == NULL) {
+        return;
+    }
+    while ((call = LIST_FIRST(&c->calls)) != NULL) {
+        curl_multi_remove_handle(c->multi, call->easy);
+        curl_easy_cleanup(call->easy);
+        call_free(call);
+    }
+    while (c->n_idle > 0) {
+        curl_easy_cleanup(c->idle[--c->n_idle]);
+    }
+    if (c->multi != NULL) {
+        curl_multi_cleanup(c->multi);
+    }
+    if (c->epoll >= 0) {
+        (void)close(c->epoll);
+    }
+    free(c);
+    curl_global_cleanup();
+}
+
+static size_t
+take_answer(const char *data, size_t size, size_t n, void *user)
+{
+    struct call *call = user;
+    size_t bytes = size * n;
+
+    if (call->size + bytes > call->client->opts.answer_max) {
+        return 0;
+    }
+    if (call->size + bytes > call->room) {
+        size_t room = 2 * (call->size + bytes);
+        char *grown = realloc(call->answer, room);
+
+        if (grown == NULL) {
+            return 0;
+        }
+        call->answer = grown;
+        call->room = room;
+    }
+    memcpy(call->answer + call->size, data, bytes);
+    call->size += bytes;
+    return bytes;
+}
+
+/* The parameters are libcurl's. */
+/* NOLINTBEGIN(readability-non-const-parameter) */
+static int
+before_request(void *user, char *remote, char *local, int remote_port,
+               int local_port)
+{
+    struct call *call = user;
+
+    (void)remote;
+    (void)local;
+    (void)remote_port;
+    (void)local_port;
+    call->sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+/* NOLINTEND(readability-non-const-parameter) */
+
+static CURL *
+easy_take(struct leaseclient *c)
+{
+    CURL *easy = c->n_idle > 0 ? c->idle[--c->n_idle] : curl_easy_init();
+
+    if (easy == NULL) {
+        abort();
+    }
+    return easy;
+}
+
+static void
+easy_give_back(struct leaseclient *c, CURL *easy)
+{
+    if (c->n_idle == IDLE_EASY_MAX) {
+        curl_easy_cleanup(easy);
+        return;
+    }
+    curl_easy_reset(easy);
+    c->idle[c->n_idle++] = easy;
+}
+
+static void
+add_headers(struct call *call, const struct lease_wire *wire)
+{
+    call->headers =
+        curl_slist_append(call->headers, "Content-Type: application/json");
+    for (size_t i = 0; i < LEASE_HEADERS_MAX; i++) {
+        if (wire->headers[i][0] != '\0') {
+            call->headers = curl_slist_append(call->headers, wire->headers[i]);
+        }
+    }
+}
+
+static void
+prepare(struct call *call, const struct leaseclient_options *o)
+{
+    CURL *easy = call->easy;
+    struct lease_wire wire = {0};
+    char url[URL_SIZE];
+
+    o->codec->encode(&call->request, &wire);
+    (void)snprintf(url, sizeof(url), "http://%s%s", call->request.address.s,
+                   wire.path);
+    call->body = wire.body;
+    add_headers(call, &wire);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)strlen(call->body));
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)READ_BUFFER);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, o->idle_s);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     (long)(call->request.timeout_us / USEC_PER_MSEC));
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_answer);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+}
+
+void
+leaseclient_begin(struct leaseclient *c, struct be_call *from)
+{
+    struct call *call = calloc(1, sizeof(*call));
+
+    if (call == NULL) {
+        abort();
+    }
+    call->number = from->call;
+    call->request = from->request;
+    from->request.spec = NULL;
+    call->client = c;
+    call->easy = easy_take(c);
+    LIST_INSERT_HEAD(&c->calls, call, link);
+    prepare(call, &c->opts);
+    stats_add(&stats.calls_begun, 1);
+    if (curl_multi_add_handle(c->multi, call->easy) != CURLM_OK) {
+        abort(); /* only when memory is out */
+    }
+}
+
+static void
+finish(struct leaseclient *c, struct call *call, CURLcode result)
+{
+    struct lease_answer answer = {.result = LEASE_LOST};
+    long status = 0;
+
+    if (result == CURLE_OK) {
+        curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+        c->opts.codec->decode(&call->request, status,
+                              call->answer != NULL ? call->answer : "",
+                              call->size, &answer);
+    }
+    else if (!call->sent) {
+        answer.result = LEASE_UNSENT;
+    }
+    c->opts.done(c->opts.ctx, call->number, &answer);
+}
+
+static void
+end_finished(struct leaseclient *c)
+{
+    CURLMsg *msg;
+    int left;
+
+    while ((msg = curl_multi_info_read(c->multi, &left)) != NULL) {
+        CURL *easy = msg->easy_handle;
+        CURLcode result = msg->data.result;
+        struct call *call = NULL;
+
+        if (msg->msg != CURLMSG_DONE) {
+            continue;
+        }
+        curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
+        finish(c, call, result);
+        curl_multi_remove_handle(c->multi, easy);
+        easy_give_back(c, easy);
+        call_free(call);
+    }
+}
+
+int
+leaseclient_fd(const struct leaseclient *c)
+{
+    return c->epoll;
+}
+
+int64_t
+leaseclient_next_ms(const struct leaseclient *c, int64_t now_us)
+{
+    if (c->due_now) {
+        return 0;
+    }
+    if (c->due_us == NEVER) {
+        return -1;
+    }
+    return c->due_us > now_us ? (c->due_us - now_us) / USEC_PER_MSEC + 1 : 0;
+}
+
+static void
+run_sockets(struct leaseclient *c)
+{
+    struct epoll_event events[EVENTS_MAX];
+    int n = epoll_wait(c->epoll, events, EVENTS_MAX, 0);
+    int running;
+
+    for (int i = 0; i < n; i++) {
+        int what = 0;
+
+        what |= (events[i].events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+        what |= (events[i].events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+        what |= (events[i].events & (EPOLLERR | EPOLLHUP)) != 0
+                    ? CURL_CSELECT_ERR
+                    : 0;
+        (void)curl_multi_socket_action(c->multi, events[i].data.fd, what,
+                                       &running);
+    }
+}
+
+void
+leaseclient_run(struct leaseclient *c, int64_t now_us)
+{
+    int running;
+
+    c->now_us = now_us;
+    run_sockets(c);
+    if (c->due_now || (c->due_us != NEVER && now_us >= c->due_us)) {
+        c->due_now = false;
+        c->due_us = NEVER;
+        (void)curl_multi_socket_action(c->multi, CURL_SOCKET_TIMEOUT, 0,
+                                       &running);
+    }
+    end_finished(c);
+}
