Speak with the users' platform in one folder

Cause: the platform has its own names, formats and calls. Change: platform/ decodes settings, configurations, jobs, heartbeats and lists of runs once into the product's types and encodes its calls; two mains put the product's parts together; deploy/system.toml builds and places them.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 endif
 
 CFLAGS ?= -O2 -g
-CPPFLAGS += -D_GNU_SOURCE -Isrc
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Iplatform
 ALL_CFLAGS := -std=gnu11 -Wall -Wextra -Werror -pthread $(CFLAGS) $(SANFLAGS)
 LDLIBS := -lmicrohttpd -lcurl -lmsgpackc -lck -linih -ljansson -lxxhash \
 	-lpopt -lsodium -lgsl -lgslcblas -lm
@@ -32,17 +32,25 @@
 LIB_OBJ := $(LIB_SRC:src/%.c=$(BUILD)/%.o)
 PROGRAMS := $(patsubst src/bm_%.c,$(BUILD)/bm-%,$(wildcard src/bm_*.c))
 PROGRAMS := $(subst _,-,$(PROGRAMS)) $(BUILD)/bmctl
+PLATFORM_MAINS := $(wildcard platform/bm_*.c)
+PLATFORM_SRC := $(filter-out $(PLATFORM_MAINS),$(wildcard platform/*.c))
+PLATFORM_OBJ := $(PLATFORM_SRC:platform/%.c=$(BUILD)/platform/%.o)
+PLATFORM_PROGRAMS := $(subst _,-,$(patsubst platform/bm_%.c,$(BUILD)/bm-%,$(PLATFORM_MAINS)))
+PROGRAMS += $(PLATFORM_PROGRAMS)
 TEST_SRC := $(wildcard tests/*.c)
 TEST_OBJ := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%.o)
-HEADERS := $(wildcard src/*.h tests/*.h)
-FORMATTED := $(wildcard src/*.[ch] tests/*.[ch])
-LINTED := $(LIB_SRC) $(MAINS) $(TEST_SRC)
+HEADERS := $(wildcard src/*.h platform/*.h tests/*.h)
+FORMATTED := $(wildcard src/*.[ch] platform/*.[ch] tests/*.[ch])
+LINTED := $(LIB_SRC) $(MAINS) $(PLATFORM_SRC) $(PLATFORM_MAINS) $(TEST_SRC)
 
-.PHONY: all deps format format-check lint check demo bench bench-update matrix slopes report clean
+.PHONY: all platform deps format format-check lint check demo bench bench-update matrix slopes report clean
 .SECONDARY:
 
 all: $(BUILD)/libboragemoor.a $(PROGRAMS)
 
+# What deploy/system.toml runs, without the tests.
+platform: $(PLATFORM_PROGRAMS)
+
 deps:
 	@sh .ci/deps $(PACKAGES)
 
@@ -50,6 +58,10 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) $(ALL_CFLAGS) -c $< -o $@
 
+$(BUILD)/platform/%.o: platform/%.c $(HEADERS)
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(ALL_CFLAGS) -c $< -o $@
+
 $(BUILD)/tests/%.o: tests/%.c $(HEADERS)
 	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) -Itests $(ALL_CFLAGS) -c $< -o $@
@@ -72,13 +84,16 @@
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
 .SECONDEXPANSION:
+$(PLATFORM_PROGRAMS): $(BUILD)/bm-platform-%: $(BUILD)/platform/bm_platform_%.o $(PLATFORM_OBJ) $(BUILD)/libboragemoor.a
+	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
+
 $(BUILD)/bm-%: $(BUILD)/bm_$$(subst -,_,$$*).o $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
 $(BUILD)/bmctl: $(BUILD)/bmctl.o $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
-$(BUILD)/check: $(TEST_OBJ) $(BUILD)/libboragemoor-mutant.a
+$(BUILD)/check: $(TEST_OBJ) $(PLATFORM_OBJ) $(BUILD)/libboragemoor-mutant.a
 	$(CC) $(ALL_CFLAGS) $^ -lcunit $(LDLIBS) -o $@
 
 format:
@@ -130,4 +145,4 @@
 	@$(BUILD)/mutant/bm-bench --matrix --mutants --per-label 0 --pairs 10000
 
 clean:
-	rm -rf build build-address build-thread
+	rm -rf build build-address build-thread target
