--- a/src/broker.c
+++ b/src/broker.c
@@ -24,7 +24,7 @@
         .look_us = 250 * USEC_PER_MSEC,
         .call_timeout_us = 150 * USEC_PER_MSEC,
         .settle_us = 1500 * USEC_PER_MSEC,
-        .load_us = 100 * USEC_PER_MSEC,
+        .load_us = 50 * USEC_PER_MSEC,
         .stop_us = 5400 * USEC_PER_MSEC,
         .quit_us = 2600 * USEC_PER_MSEC,
         .upstreams_each = 32,
@@ -229,6 +229,7 @@
     broker_log(b, LOG_WARNING, BROKER_PAUSED, 0, -1, b->opts.self,
                "%lld ms without a step", (long long)(gap / USEC_PER_MSEC));
     b->started_us = b->now.mono_us;
+    b->settled = false;
     runs_paused(b);
     hold_paused(b);
 }
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -14,6 +14,8 @@
 /* What a job loses by going to another zone: a round trip there, and the
  * bytes.  Smaller differences in waiting are not worth it. */
 #define OTHER_ZONE_US (8 * USEC_PER_MSEC)
+/* Nothing runs where room should come free: wait for others rather. */
+#define LOST_RUNNER_US (10 * USEC_PER_SEC)
 /* A refusal for want of a runner: about as long as brokers need to take over
  * what a lost one held. */
 #define NO_RUNNER_RETRY_US (1 * USEC_PER_SEC)
@@ -109,16 +111,6 @@
 
 /* Choosing a runner */
 
-static int64_t
-told_wait_us(const struct broker_load *l, uint64_t priority)
-{
-    uint64_t us = priority == 0   ? l->told.wait0_us
-                  : priority == 1 ? l->told.wait1_us
-                                  : l->told.wait2_us;
-
-    return (int64_t)us + l->added_us;
-}
-
 static struct broker_load *
 load_of(const struct broker_peer *p, struct name service)
 {
@@ -130,6 +122,38 @@
     return NULL;
 }
 
+static uint64_t
+cpu_of(const struct rec_job_offer *o)
+{
+    uint64_t cpu = 0;
+
+    for (size_t i = 0; i < o->n_groups; i++) {
+        cpu += o->groups[i].after == 0
+                   ? o->groups[i].count * o->groups[i].cpu_milli
+                   : 0;
+    }
+    return cpu;
+}
+
+/* Until all tasks of the job's first groups have room there: what is free now,
+ * less what waits before them, and then as room comes free. */
+static int64_t
+wait_there_us(const struct broker_load *l, const struct rec_job_offer *o)
+{
+    uint64_t ahead = o->priority == 0   ? l->told.queued0_milli
+                     : o->priority == 1 ? l->told.queued1_milli
+                                        : l->told.queued2_milli;
+    uint64_t wanted = ahead + l->added_milli + cpu_of(o);
+
+    if (wanted <= l->told.free_milli) {
+        return 0;
+    }
+    if (l->told.rate == 0) {
+        return LOST_RUNNER_US;
+    }
+    return (int64_t)((wanted - l->told.free_milli) * 1000 / l->told.rate);
+}
+
 /* Brokers that were tried are not tried again: they returned it for a reason
  * that still holds. */
 static struct broker_peer *
@@ -147,7 +171,7 @@
             name_equal(p->name, except)) {
             continue;
         }
-        us = told_wait_us(l, o->priority);
+        us = wait_there_us(l, o);
         us += name_equal(p->zone, b->opts.zone) ? 0 : OTHER_ZONE_US;
         if (us < best_us) {
             best = p;
@@ -163,17 +187,8 @@
 note_sent(struct broker_peer *p, const struct rec_job_offer *o)
 {
     struct broker_load *l = load_of(p, o->service);
-    double work = 0;
-
-    for (size_t i = 0; i < o->n_groups; i++) {
-        const struct rec_task_group *g = &o->groups[i];
 
-        work +=
-            (double)g->count * (double)g->cpu_milli * (double)g->declared_us;
-    }
-    if (l->told.cpu_milli > 0) {
-        l->added_us += (int64_t)(work / (double)l->told.cpu_milli);
-    }
+    l->added_milli += cpu_of(o);
 }
 
 static bool
@@ -248,10 +263,9 @@
                NO_RUNNER_RETRY_US, "at once");
         return;
     }
-    timeout_us = s->queue->timeout_us;
-    if (s->timeout_us > 0 && s->timeout_us < timeout_us) {
-        timeout_us = s->timeout_us;
-    }
+    /* The queue's timeout is for callers that don't tell how long they wait:
+     * applied to the others it would cut off long jobs that they wait for. */
+    timeout_us = s->timeout_us > 0 ? s->timeout_us : s->queue->timeout_us;
     c = table_add(&b->caller_jobs, &h);
     c->self = h;
     c->request = s->request;
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -511,7 +511,9 @@
             lease_look(b, u);
         }
     }
-    if (!settled(b) || b->stopping) {
+    /* Nothing else may happen when the time to settle is over. */
+    if (!b->settled || b->stopping) {
+        b->settled = settled(b);
         b->review = true;
     }
 }
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -23,6 +23,10 @@
 /* An upstream without room is not asked again before this; its next end is
  * seen sooner, by the look. */
 #define NO_ROOM_US (30 * USEC_PER_MSEC)
+/* Weight of a sample against the job's other tasks, which differ little; and
+ * against what was declared, which says hardly anything of one upstream. */
+static const double SIBLINGS_WEIGHT = 0.3;
+static const double DECLARED_WEIGHT = 0.03;
 enum { PERCENT_FULL = 100, PERCENT_TELLS = 10 };
 
 static uint64_t
@@ -246,21 +250,37 @@
     return NULL;
 }
 
+/* How slow an upstream is shows best against the other tasks of the job: what
+ * callers declare is off by half and more, and alike for all of them. */
+static void
+judge_speed(struct broker *b, struct broker_upstream *u,
+            const struct run_job *job, const struct run_task *t, double ran_us)
+{
+    double usual = (double)t->expected_us / u->slowness /
+                   place_remote(&job->groups[t->group], u);
+
+    if (job->n_done > 0 && job->n_groups == 1) {
+        trust_ok(b, u, ran_us * job->n_done / (double)job->done_us,
+                 SIBLINGS_WEIGHT);
+    }
+    else if (usual > 0) {
+        trust_ok(b, u, ran_us / usual, DECLARED_WEIGHT);
+    }
+}
+
 static void
 ended_well(struct broker *b, struct broker_upstream *u, struct run_job *job,
            struct run_task *t)
 {
     const struct rec_task_group *g = &job->groups[t->group];
-    int64_t ran_us = b->now.mono_us - t->sent_us;
-    double usual = t->expected_us > 0 ? (double)t->expected_us : 1.0;
-    double over = (double)ran_us / usual;
-    double slowness = u->slowness * over;
-
-    /* What it took there, on an upstream of usual speed. */
-    order_learn(
-        job, g,
-        (int64_t)((double)ran_us * (double)order_expected_us(job, g) / usual));
-    trust_ok(b, u, slowness);
+    double ran_us = (double)(b->now.mono_us - t->sent_us) / place_remote(g, u);
+
+    /* Not divided by the upstream's slowness: what is learned of one would
+     * then rest on the other, and both could drift off together. */
+    order_learn(job, g, (int64_t)ran_us + 1);
+    judge_speed(b, u, job, t, ran_us);
+    job->n_done++;
+    job->done_us += (int64_t)ran_us + 1;
     runs_done(b, job, t);
 }
 
@@ -318,19 +338,22 @@
     }
 }
 
-/* What the share of the work done by now says of the whole. */
+/* What the share of its work that is done by now says of the upstream, against
+ * the job's other tasks. */
 static void
-judge_pace(struct broker_upstream *u, const struct run_task *t, int64_t ran_us)
+judge_pace(struct broker_upstream *u, const struct run_job *job,
+           const struct run_task *t, int64_t ran_us)
 {
-    double usual;
+    double whole;
     double pace;
 
     if (t->percent < PERCENT_TELLS || t->percent >= PERCENT_FULL ||
-        t->expected_us <= 0) {
+        job->n_done < 2 || job->n_groups != 1) {
         return;
     }
-    usual = (double)t->expected_us / u->slowness;
-    pace = (double)ran_us * PERCENT_FULL / (double)t->percent / usual;
+    whole = (double)ran_us * PERCENT_FULL / (double)t->percent /
+            place_remote(&job->groups[t->group], u);
+    pace = whole * job->n_done / (double)job->done_us;
     if (pace > 2.0 * u->slowness) {
         u->slowness = pace;
     }
@@ -353,7 +376,7 @@
     if (percent > t->percent) {
         t->percent = percent;
         t->percent_us = b->now.mono_us;
-        judge_pace(u, t, b->now.mono_us - t->sent_us);
+        judge_pace(u, job, t, b->now.mono_us - t->sent_us);
         return;
     }
     still_us = b->now.mono_us - t->percent_us;
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -6,10 +6,12 @@
  * order of arrival, a burst makes every job wait behind all of it, and nearly
  * all answers come late though most of the work is done.  So jobs are ordered
  * by the time at which they must start to be answered in time, urgent queues a
- * little before that, and a job that could not be in time behind those before
- * it is refused when it comes: it costs nothing then, and its caller learns at
- * once when to come back.
+ * little before that.  A job that can't be in time any more is served from
+ * what the others leave.  One that would not even get that while its answer is
+ * of use is refused when it comes: it costs nothing then, and its caller
+ * learns at once when to come back.
  */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -27,11 +29,15 @@
 /* Jobs that may wait at one broker: several seconds of a zone's usual demand;
  * more can't be in time anyway. */
 enum { QUEUE_JOBS_MAX = 1024 };
-/* A usual job takes a tenth of a zone's processors at a time: with less than
- * that unused a new one is likely to wait. */
-enum { USUAL_JOB = 10 };
-/* Under pressure a late job is given up after a quarter of its objective. */
-enum { LATE_SHARE = 4 };
+/* Late jobs stand behind all others: farther than any time reaches. */
+#define LATE_LANE_US (INT64_C(1) << 56)
+/* Time over which demand is averaged: several runs of the longest tasks. */
+#define DEMAND_US (2 * USEC_PER_SEC)
+/* However full it is, some jobs in time end early. */
+static const double LEFT_MIN = 0.02;
+/* Late jobs leave that share of the room to those that come next and can be in
+ * time: a usual job takes as much. */
+static const double SPARE_SHARE = 0.08;
 #define MIN_RETRY_US (200 * USEC_PER_MSEC)
 
 static struct learned *
@@ -153,147 +159,240 @@
     }
 }
 
-/* Processors of upstreams that take work from here, and what is free there. */
+/* Room: processors of upstreams that take work from here, what is free there,
+ * and how fast it comes free. */
+struct room {
+    double cpu;    /* milli-cores */
+    double unused; /* milli-cores */
+    double held;   /* by tasks that run or wait, milli-cores */
+    double ends;   /* of it, in a microsecond */
+};
+
+/* Tasks that wait or run take @cpu for about @us. */
+static void
+add_held(struct room *r, double cpu, int64_t us)
+{
+    r->held += cpu;
+    r->ends += cpu / (double)(us > 0 ? us : 1);
+}
+
 static void
-count_room(struct broker *b, const struct broker_service *s, double *cpu,
-           double *unused)
+add_upstream(struct broker *b, struct room *r, const struct broker_upstream *u)
 {
+    r->cpu += u->capacity.cpu_milli;
+    r->unused += u->capacity.cpu_milli - u->used.cpu_milli;
+    for (size_t i = 0; i < u->n_tasks; i++) {
+        struct run_job *job;
+        const struct run_task *t = runs_task(b, &u->tasks[i], &job);
+
+        add_held(r, (double)job->groups[t->group].cpu_milli, t->expected_us);
+    }
+}
+
+static struct room
+room_of(struct broker *b, const struct broker_service *s)
+{
+    struct room r = {0};
     const struct broker_upstream *u;
     struct handle h;
     uint32_t at = 0;
 
-    *cpu = 0;
-    *unused = 0;
     while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
         if (u->service == s && u->state == HOLD_OPEN && !u->leaving &&
             u->until_us <= b->now.mono_us) {
-            *cpu += u->capacity.cpu_milli;
-            *unused += u->capacity.cpu_milli - u->used.cpu_milli;
+            add_upstream(b, &r, u);
+        }
+    }
+    return r;
+}
+
+/* Milli-cores that a job's ready tasks take. */
+static double
+ready_cpu(const struct run_job *job)
+{
+    double cpu = 0;
+
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        if (job->tasks[i].state == RUN_READY) {
+            cpu += (double)job->groups[job->tasks[i].group].cpu_milli;
         }
     }
+    return cpu;
 }
 
-/* Work that still waits before a place in the queue. */
+/* What waits before a place in the queue counts as held, too: it is by the
+ * time that it is the turn of what comes behind it. */
 static double
-work_before(const struct broker_service *s, int64_t ahead_us)
+queued_before(const struct broker_service *s, int64_t ahead_us, struct room *r)
 {
     const struct run_job *job;
-    double work = 0;
+    double cpu = 0;
 
     TAILQ_FOREACH(job, &s->queue, link)
     {
+        double own;
+
         if (job->ahead_us > ahead_us) {
             break;
         }
-        work += job->work * job->n_ready / (job->n_left + 1.0);
+        own = ready_cpu(job);
+        cpu += own;
+        add_held(r, own, order_expected_us(job, &job->groups[0]));
     }
-    return work;
+    return cpu;
+}
+
+/* Milli-cores that come free in a microsecond when all are taken by what is
+ * held now. */
+static double
+release_rate(const struct room *r)
+{
+    return r->held > 0 ? r->cpu * FILL * r->ends / r->held : 0;
 }
 
 static int64_t
-wait_us(struct broker *b, const struct broker_service *s, double work,
-        double own_cpu)
+wait_us(const struct room *r, double queued, double own)
 {
-    double cpu;
-    double unused;
+    double wanted = queued + own - r->unused;
+    double rate = release_rate(r);
 
-    count_room(b, s, &cpu, &unused);
-    if (cpu <= 0) {
+    if (r->cpu <= 0) {
         return INT64_MAX / 4;
     }
-    if (work <= 0 && unused >= own_cpu) {
+    if (wanted <= 0 || rate <= 0) {
         return 0;
     }
-    return (int64_t)(work / (cpu * FILL));
+    return (int64_t)(wanted / rate);
+}
+
+/* Demand: work that was let in lately, as milli-cores that it keeps busy. */
+
+static void
+decay_demand(struct broker *b, struct broker_service *s)
+{
+    double passed = (double)(b->now.mono_us - s->demand_us);
+
+    s->demand *= exp(-passed / (double)DEMAND_US);
+    s->demand_us = b->now.mono_us;
+}
+
+static void
+add_demand(struct broker *b, struct run_job *job)
+{
+    decay_demand(b, job->service);
+    job->service->demand += job->work / (double)DEMAND_US;
 }
 
+/* Share of the room that jobs in time leave to late ones. */
 static double
-widest_cpu(const struct run_job *job)
+left_to_late(struct broker *b, struct broker_service *s, const struct room *r)
 {
-    double most = 0;
+    double left;
 
-    for (size_t i = 0; i < job->n_groups; i++) {
-        double cpu =
-            (double)job->groups[i].count * (double)job->groups[i].cpu_milli;
+    decay_demand(b, s);
+    left = 1.0 - s->demand / (r->cpu * FILL);
+    return left > LEFT_MIN ? left : LEFT_MIN;
+}
 
-        most = cpu > most ? cpu : most;
-    }
-    return most;
+/* Admission */
+
+/* An answer after that is of no use any more. */
+static int64_t
+last_start_us(const struct run_job *job)
+{
+    int64_t allowed = job->objective_us - job->arrived_us;
+    int64_t chain = job->objective_us - job->start_by_us;
+    int64_t last = job->arrived_us + LATE_OBJECTIVES * allowed - chain;
+    int64_t leaves = job->deadline_us - chain;
+
+    return last < leaves ? last : leaves;
+}
+
+static void
+set_late(struct run_job *job)
+{
+    job->late = true;
+    job->ahead_us = LATE_LANE_US + job->start_by_us;
 }
 
 enum broker_reason
-order_admit(struct broker *b, const struct run_job *job, int64_t *retry_us)
+order_admit(struct broker *b, struct run_job *job, int64_t *retry_us)
 {
-    const struct broker_service *s = job->service;
-    double before = work_before(s, job->ahead_us);
-    int64_t wait = wait_us(b, s, before, widest_cpu(job));
-    int64_t start = b->now.mono_us + wait;
+    struct broker_service *s = job->service;
+    struct room r = room_of(b, s);
+    double own = ready_cpu(job);
+    double queued = queued_before(s, job->ahead_us, &r);
+    int64_t start = b->now.mono_us + wait_us(&r, queued, own);
 
     *retry_us = 0;
-    if (s->n_queued >= QUEUE_JOBS_MAX) {
-        *retry_us = wait > MIN_RETRY_US ? wait : MIN_RETRY_US;
-        return BROKER_QUEUE_FULL;
+    if (start <= job->start_by_us) {
+        add_demand(b, job);
+        return BROKER_NONE;
     }
-    if (start > job->start_by_us || start > job->deadline_us) {
-        /* When the work that stands before it is done, it has a chance. */
-        *retry_us = start - job->start_by_us;
-        *retry_us = *retry_us > MIN_RETRY_US ? *retry_us : MIN_RETRY_US;
-        return BROKER_TOO_LATE;
+    set_late(job);
+    r = room_of(b, s);
+    queued = queued_before(s, INT64_MAX, &r);
+    start = b->now.mono_us + (int64_t)((double)wait_us(&r, queued, own) /
+                                       left_to_late(b, s, &r));
+    if (start <= last_start_us(job) && s->n_queued < QUEUE_JOBS_MAX) {
+        return BROKER_NONE;
     }
-    return BROKER_NONE;
+    /* When the work that stands before it is done, it has a chance. */
+    *retry_us = start - job->start_by_us;
+    *retry_us = *retry_us > MIN_RETRY_US ? *retry_us : MIN_RETRY_US;
+    return s->n_queued < QUEUE_JOBS_MAX ? BROKER_TOO_LATE : BROKER_QUEUE_FULL;
 }
 
-/* A job that has not started when it had to will be late.  While others wait
- * behind it, serving it makes the next one late too, and so on until nobody is
- * in time: it is given up a little later.  With nobody behind it, it is served
- * as long as its answer is worth anything. */
 bool
-order_hopeless(const struct broker *b, const struct run_job *job)
+order_overdue(struct broker *b, struct run_job *job)
 {
-    int64_t allowed = job->objective_us - job->arrived_us;
-    int64_t chain = job->objective_us - job->start_by_us;
-    int64_t last = job->arrived_us + LATE_OBJECTIVES * allowed - chain;
-    bool pressed = TAILQ_NEXT(job, link) != NULL;
-
-    if (job->started) {
+    if (job->late || job->started || b->now.mono_us <= job->start_by_us) {
         return false;
     }
-    if (pressed) {
-        last = job->start_by_us + allowed / LATE_SHARE;
-    }
-    return b->now.mono_us > last;
+    order_remove(job);
+    set_late(job);
+    order_insert(job);
+    return true;
+}
+
+bool
+order_hopeless(const struct broker *b, const struct run_job *job)
+{
+    return job->late && !job->started && b->now.mono_us > last_start_us(job);
+}
+
+bool
+order_spare(struct broker *b, const struct run_job *job)
+{
+    struct room r = room_of(b, job->service);
+
+    return r.unused - ready_cpu(job) >= r.cpu * SPARE_SHARE;
 }
 
 static double
-work_of_priority(const struct broker_service *s, uint32_t priority)
+queued_of_priority(const struct broker_service *s, uint32_t priority)
 {
     const struct run_job *job;
-    double work = 0;
+    double cpu = 0;
 
     TAILQ_FOREACH(job, &s->queue, link)
     {
-        if (job->priority <= priority) {
-            work += job->work * job->n_ready / (job->n_left + 1.0);
-        }
+        cpu += !job->late && job->priority <= priority ? ready_cpu(job) : 0;
     }
-    return work;
+    return cpu;
 }
 
 struct rec_service_load
 order_load(struct broker *b, const struct broker_service *s)
 {
     struct rec_service_load l = {.service = s->name};
-    double cpu;
-    double unused;
-    double usual;
-
-    count_room(b, s, &cpu, &unused);
-    usual = cpu / USUAL_JOB;
-    l.cpu_milli = (uint64_t)cpu;
-    l.free_milli = (uint64_t)unused;
-    l.wait0_us = (uint64_t)wait_us(b, s, work_of_priority(s, 0), usual);
-    l.wait1_us = (uint64_t)wait_us(b, s, work_of_priority(s, 1), usual);
-    l.wait2_us =
-        (uint64_t)wait_us(b, s, work_of_priority(s, UINT32_MAX), usual);
+    struct room r = room_of(b, s);
+
+    l.cpu_milli = (uint64_t)r.cpu;
+    l.free_milli = (uint64_t)r.unused;
+    l.rate = (uint64_t)(release_rate(&r) * (double)USEC_PER_MSEC);
+    l.queued0_milli = (uint64_t)queued_of_priority(s, 0);
+    l.queued1_milli = (uint64_t)queued_of_priority(s, 1);
+    l.queued2_milli = (uint64_t)queued_of_priority(s, UINT32_MAX);
     return l;
 }
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -252,12 +252,13 @@
         }
     }
     for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
-        if (p->broker && p->up) {
+        if (p->broker && p->up && (l->n_services > 0 || b->had_load)) {
             struct msg copy = msg_copy(&m);
 
             broker_send(b, p->name, &copy);
         }
     }
+    b->had_load = l->n_services > 0;
     peers_on_load(b, b->opts.self, l);
     msg_free(&m);
 }
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -47,16 +47,20 @@
     return name_empty(g->requirement) || has_label(u, g->requirement);
 }
 
+double
+place_remote(const struct rec_task_group *g, const struct broker_upstream *u)
+{
+    bool near = name_empty(g->affinity) || has_label(u, g->affinity);
+
+    return near ? 1.0 : REMOTE_FACTOR;
+}
+
 int64_t
 place_expected_us(const struct run_job *job, const struct rec_task_group *g,
                   const struct broker_upstream *u)
 {
-    double us = (double)order_expected_us(job, g) * u->slowness;
-
-    if (!name_empty(g->affinity) && !has_label(u, g->affinity)) {
-        us *= REMOTE_FACTOR;
-    }
-    return (int64_t)us;
+    return (int64_t)((double)order_expected_us(job, g) * u->slowness *
+                     place_remote(g, u));
 }
 
 /* Tasks of the same group of the job that are there already. */
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -325,6 +325,7 @@
     job = new_job(b, from, o);
     if (make_tasks(job)) {
         order_plan(b, job, o);
+        unblock(job);
         reason = judge(b, job, &retry_us, &outcome);
     }
     if (reason != BROKER_NONE) {
@@ -340,7 +341,6 @@
         (long long)((job->start_by_us - b->now.mono_us) / USEC_PER_MSEC),
         job->service->n_queued);
     job->waits = waits;
-    unblock(job);
     if (handle_none(waits)) {
         order_insert(job);
     }
@@ -535,6 +535,27 @@
     return true;
 }
 
+/* One job of the queue; false where no late job behind it has a chance. */
+static bool
+serve_queued(struct broker *b, struct run_job *job)
+{
+    if (order_hopeless(b, job)) {
+        end_job(b, job, JOB_REFUSED_OUTCOME, BROKER_TOO_LATE,
+                job->objective_us - job->start_by_us);
+        return true;
+    }
+    if (order_overdue(b, job)) {
+        return true; /* its turn comes again, among the late ones */
+    }
+    if (job->late && !job->started && !order_spare(b, job)) {
+        return false;
+    }
+    if (place_job(b, job)) {
+        order_remove(job);
+    }
+    return true;
+}
+
 static void
 place_all(struct broker *b, struct broker_service *s)
 {
@@ -544,12 +565,8 @@
     while (job != NULL) {
         struct run_job *next = TAILQ_NEXT(job, link);
 
-        if (order_hopeless(b, job)) {
-            end_job(b, job, JOB_REFUSED_OUTCOME, BROKER_TOO_LATE,
-                    job->objective_us - job->start_by_us);
-        }
-        else if (place_job(b, job)) {
-            order_remove(job);
+        if (!serve_queued(b, job)) {
+            break;
         }
         job = next;
     }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -26,7 +26,7 @@
 /** struct broker_load - a service's load at a peer, as it told last */
 struct broker_load {
     struct rec_service_load told;
-    int64_t added_us; /* wait that was caused from here since then */
+    uint64_t added_milli; /* sent there since then */
 };
 
 /**
@@ -123,6 +123,9 @@
  * @start_by_us: started by then, it can be in time
  * @ahead_us: orders the queue, see broker_order.c
  * @work: expected processor time left to start, in milli-core microseconds
+ * @late: can't be in time any more; served from what the others leave
+ * @n_done: tasks that ended well
+ * @done_us: how long they ran together, near their data
  * @n_left: tasks that have not ended well
  * @n_ready: tasks that wait for room
  * @n_placed: tasks that are, or may be, at an upstream
@@ -152,6 +155,9 @@
     size_t n_groups;
     struct run_task *tasks;
     uint32_t n_tasks;
+    bool late;
+    uint32_t n_done;
+    int64_t done_us;
     uint32_t n_left;
     uint32_t n_ready;
     uint32_t n_placed;
@@ -176,7 +182,8 @@
     struct name name;
     struct run_queue queue;
     uint32_t n_queued; /* jobs */
-    double work;       /* of the queued ones, as in struct run_job */
+    double demand;     /* work let in, in milli-cores: decays over time */
+    int64_t demand_us; /* when it was last brought up to date */
     struct queue_history *history;
     size_t n_history;
     bool place;      /* room or work has come: look again */
@@ -294,6 +301,7 @@
     size_t n_holders;
     size_t holders_room;
     int64_t load_us;
+    bool had_load; /* what the others were told last was not empty */
 
     struct table caller_jobs;
     struct timers caller_timers;
@@ -304,6 +312,7 @@
     struct table upstreams;
     struct map upstreams_by_name;
     struct table calls;
+    bool settled;      /* opts.settle_us have passed, as of the last step */
     bool review;       /* who holds what has to be decided again */
     struct msg *local; /* to this process itself, taken before the step ends */
     size_t n_local;
@@ -423,7 +432,7 @@
 
 /** order_admit() - BROKER_NONE, or why the job is refused; *@retry_us is when
  * it would have a chance */
-enum broker_reason order_admit(struct broker *b, const struct run_job *job,
+enum broker_reason order_admit(struct broker *b, struct run_job *job,
                                int64_t *retry_us);
 
 /** order_insert() - into the service's queue */
@@ -433,7 +442,14 @@
 /** order_hopeless() - a waiting job that nobody gains by any more */
 bool order_hopeless(const struct broker *b, const struct run_job *job);
 
-/** order_load() - what a new job would wait, by priority */
+/** order_overdue() - moves a job that can't be in time any more behind those
+ * that can; true when it did */
+bool order_overdue(struct broker *b, struct run_job *job);
+
+/** order_spare() - whether a late job may take room now */
+bool order_spare(struct broker *b, const struct run_job *job);
+
+/** order_load() - room, and what waits for it */
 struct rec_service_load order_load(struct broker *b,
                                    const struct broker_service *s);
 
@@ -457,6 +473,10 @@
 bool place_ever(struct broker *b, const struct broker_service *s,
                 const struct rec_task_group *g);
 
+/** place_remote() - how much longer such a task takes there for its data */
+double place_remote(const struct rec_task_group *g,
+                    const struct broker_upstream *u);
+
 /** place_expected_us() - run time of such a task there */
 int64_t place_expected_us(const struct run_job *job,
                           const struct rec_task_group *g,
@@ -517,7 +537,10 @@
                    const struct run_job *job, const struct run_task *t);
 
 /* broker_trust.c */
-void trust_ok(struct broker *b, struct broker_upstream *u, double slowness);
+/** trust_ok() - a task ended well; @sample is how slow the upstream was with
+ * it, and counts by @weight, 0 to 1 */
+void trust_ok(struct broker *b, struct broker_upstream *u, double sample,
+              double weight);
 void trust_failed(struct broker *b, struct broker_upstream *u);
 
 /** trust_allows() - whether the upstream may be given a task now */
--- a/src/broker_trust.c
+++ b/src/broker_trust.c
@@ -16,8 +16,9 @@
     * a row by chance come once in 250,000 */
 #define BACKOFF_MIN_US (500 * USEC_PER_MSEC)
 #define BACKOFF_MAX_US (8 * USEC_PER_SEC)
-/* Weight of a sample of the slowness: three or four tell. */
-static const double SLOWNESS_WEIGHT = 0.3;
+/* A sample beyond these says more of the task than of the upstream. */
+static const double SLOWNESS_MIN = 0.4;
+static const double SLOWNESS_MAX = 12.0;
 
 static bool
 half_are_out(const struct broker *b)
@@ -36,7 +37,8 @@
 }
 
 void
-trust_ok(struct broker *b, struct broker_upstream *u, double slowness)
+trust_ok(struct broker *b, struct broker_upstream *u, double sample,
+         double weight)
 {
     u->failures = 0;
     if (u->until_us > 0) {
@@ -45,9 +47,9 @@
     }
     u->until_us = 0;
     u->backoff_us = 0;
-    if (slowness > 0) {
-        u->slowness += SLOWNESS_WEIGHT * (slowness - u->slowness);
-    }
+    sample = sample < SLOWNESS_MIN ? SLOWNESS_MIN : sample;
+    sample = sample > SLOWNESS_MAX ? SLOWNESS_MAX : sample;
+    u->slowness += weight * (sample - u->slowness);
 }
 
 void
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -505,9 +505,10 @@
     NAME(service)
     U64(cpu_milli)      /* of upstreams that take work */
     U64(free_milli)
-    U64(wait0_us)       /* a job of that priority would wait */
-    U64(wait1_us)
-    U64(wait2_us)
+    U64(rate)           /* milli-cores that come free in a millisecond */
+    U64(queued0_milli)  /* that wait, of jobs that can be in time, of priority 0 */
+    U64(queued1_milli)  /* likewise, of 0 and 1 */
+    U64(queued2_milli)  /* likewise, of any */
 END(service_load)
 
 RECORD(broker_load)
