Drive brokers in virtual time under every trouble, and mend what it found

Change: vlease, brokers and registries against stand-ins of leased upstreams, with deaths, cuts, pauses, resets, clocks and eight troubles of upstreams; suite broker judges from outside (overlaps, room, truth of refusals). It found: (1) two brokers that took an upstream in the same millisecond had one fence and stopped each other's runs for ever: a fence now has bits of its broker's own; (2) a broker that came back saw itself as holder before it heard who held: holds are told before the introduction; (3) an upstream that was mute took work again while a stranger still ran there: it counts as full until it is gone.

--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -23,7 +23,10 @@
 /* A fence is refused when a clock was set back, or when another broker is
  * taking the upstream too.  It is raised by that much and tried again so many
  * times; the clocks of machines differ by seconds. */
-#define FENCE_STEP UINT64_C(20000)
+#define FENCE_STEP (UINT64_C(20000) * FENCE_OWN)
+/* A fence is a time in milliseconds and this many values for the brokers of a
+ * zone; it stays below 2^53, which JSON carries exactly. */
+#define FENCE_OWN UINT64_C(1024)
 enum { FENCED_MAX = 4 };
 
 static struct broker_upstream *
@@ -132,12 +135,17 @@
 
 /* Taking */
 
+/* Two brokers that take an upstream in the same millisecond must not come to
+ * the same fence: neither would be refused, and each would stop the other's
+ * runs as strangers, for ever.  So the lowest bits are the broker's own. */
 static uint64_t
 next_fence(const struct broker *b, const struct broker_upstream *u)
 {
-    uint64_t wall_ms = (uint64_t)(b->now.wall_us / USEC_PER_MSEC);
+    uint64_t own = key_id_of(b->opts.self.s).lo % FENCE_OWN;
+    uint64_t wall = (uint64_t)(b->now.wall_us / USEC_PER_MSEC);
+    uint64_t known = u->fence / FENCE_OWN;
 
-    return wall_ms > u->fence ? wall_ms : u->fence + 1;
+    return (wall > known ? wall : known + 1) * FENCE_OWN + own;
 }
 
 void
@@ -149,6 +157,7 @@
     u->noted = 0;
     u->unnoted = false;
     u->misses = 0;
+    u->strangers = false;
     u->look_us = b->now.mono_us;
     b->counters.upstreams_taken++;
     broker_log(b, LOG_INFO, BROKER_UPSTREAM_TAKEN, 0, -1, u->name,
@@ -251,6 +260,7 @@
 hold_answered(struct broker *b, struct broker_upstream *u, bool strangers)
 {
     u->misses = 0;
+    u->strangers = strangers;
     if (u->state == HOLD_TAKING && !strangers) {
         open_upstream(b, u);
     }
@@ -260,7 +270,8 @@
         broker_log(b, LOG_NOTICE, BROKER_UPSTREAM_BACK, 0, -1, u->name,
                    "%zu tasks there", u->n_tasks);
     }
-    if (u->n_tasks > 0 || u->unnoted || u->state == HOLD_TAKING) {
+    if (u->n_tasks > 0 || u->unnoted || u->state == HOLD_TAKING ||
+        u->strangers) {
         u->look_us = b->now.mono_us;
     }
     else {
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -203,13 +203,16 @@
     bool running = false;
 
     if (u->state != HOLD_OPEN || u->n_tasks == 0 || u->misses > 0) {
-        return u->state == HOLD_TAKING && u->clock_ms > 0 ? QUICK_LOOK_US : 0;
+        return (u->state == HOLD_TAKING && u->clock_ms > 0) || u->strangers
+                   ? QUICK_LOOK_US
+                   : 0;
     }
     for (size_t i = 0; i < u->n_tasks; i++) {
         const struct run_job *job = table_get(&b->run_jobs, u->tasks[i].job);
         const struct run_task *t = &job->tasks[u->tasks[i].task];
 
-        if (t->state == RUN_UNSETTLED || t->state == RUN_STOPPING) {
+        if (t->state == RUN_UNSETTLED || t->state == RUN_STOPPING ||
+            u->strangers) {
             return QUICK_LOOK_US;
         }
         running = running || t->state == RUN_RUNNING;
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -141,6 +141,11 @@
     p->up = true;
     p->stopping = false;
     p->poll_us = p->registry ? b->now.mono_us : INT64_MAX;
+    if (!p->registry) {
+        /* Before the introduction: it may make the other one think that it
+         * should hold them, and it would take them at once. */
+        hold_tell(b, name);
+    }
     introduce(b, name);
     broker_log(b, LOG_NOTICE, BROKER_PEER_UP, 0, -1, name, "%s",
                p->registry ? "registry" : "broker");
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -222,6 +222,7 @@
  * @fenced_view: the view of the brokers when it was lost to a higher fence
  * @used: by the placed tasks
  * @room_us: not before that, after it had no room
+ * @strangers: it runs what nobody here started, as last seen
  * @failures: runs in a row that failed
  * @until_us: in quarantine until then; 0 for not
  * @backoff_us: of the quarantine, doubles
@@ -261,6 +262,7 @@
     size_t tasks_room;
     struct resources used;
     int64_t room_us;
+    bool strangers;
 
     uint32_t failures;
     int64_t until_us;
--- /dev/null
+++ b/src/vlease.c
@@ -0,0 +1,827 @@
+#include "vlease.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "array.h"
+#include "vlease_state.h"
+
+/* One way within a zone, and between zones; each with some jitter. */
+#define NEAR_US 200
+#define FAR_US 1400
+#define JITTER_US 100
+/* Time of day at the start, and how far the processes' starts differ. */
+#define WALL_US (INT64_C(1700000000) * USEC_PER_SEC)
+#define STARTS_APART_US (20 * USEC_PER_MSEC)
+/* A silent connection is noticed after three heartbeats. */
+#define SILENCE_US (750 * USEC_PER_MSEC)
+#define CONNECT_US (50 * USEC_PER_MSEC)
+#define LOST_WALL_US (10 * USEC_PER_MSEC)
+
+struct vlease_options
+vlease_options_default(void)
+{
+    return (struct vlease_options){
+        .zones = 3,
+        .brokers = 2,
+        .upstreams = 8,
+        .cpu_milli = 32000,
+        .queues = {{.priority = 0,
+                    .tasks = 4,
+                    .cpu_milli = 14000,
+                    .run_us = 60 * USEC_PER_MSEC,
+                    .timeout_us = 2 * USEC_PER_SEC}},
+        .n_queues = 1,
+        .resend_us = 1300 * USEC_PER_MSEC,
+        .seed = 1,
+    };
+}
+
+uint64_t
+vlease_random(struct vlease *v, uint64_t n)
+{
+    uint64_t z = (v->random += UINT64_C(0x9e3779b97f4a7c15));
+
+    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return (z ^ (z >> 31)) % n;
+}
+
+/* The heap of events */
+
+static bool
+before(const struct vevent *a, const struct vevent *b)
+{
+    return a->at_us < b->at_us ||
+           (a->at_us == b->at_us && a->order < b->order);
+}
+
+static void
+swap(struct vlease *v, size_t i, size_t j)
+{
+    struct vevent e = v->heap[i];
+
+    v->heap[i] = v->heap[j];
+    v->heap[j] = e;
+}
+
+struct vevent *
+vlease_at(struct vlease *v, int64_t at_us, enum vevent_kind kind)
+{
+    struct vevent e = {.at_us = at_us, .order = v->order++, .kind = kind};
+    size_t i = v->n_heap;
+
+    v->heap = array_grow(v->heap, v->n_heap, &v->heap_room, sizeof(*v->heap));
+    v->heap[v->n_heap++] = e;
+    while (i > 0 && before(&v->heap[i], &v->heap[(i - 1) / 2])) {
+        swap(v, i, (i - 1) / 2);
+        i = (i - 1) / 2;
+    }
+    return &v->heap[i];
+}
+
+static struct vevent
+take_first(struct vlease *v)
+{
+    struct vevent first = v->heap[0];
+    size_t i = 0;
+
+    v->heap[0] = v->heap[--v->n_heap];
+    for (;;) {
+        size_t least = i;
+
+        for (size_t c = 2 * i + 1; c <= 2 * i + 2; c++) {
+            if (c < v->n_heap && before(&v->heap[c], &v->heap[least])) {
+                least = c;
+            }
+        }
+        if (least == i) {
+            return first;
+        }
+        swap(v, i, least);
+        i = least;
+    }
+}
+
+static void
+clear_event(struct vevent *e)
+{
+    msg_free(&e->msg);
+    blob_unref(e->request.spec);
+    lease_answer_clear(&e->answer);
+}
+
+int64_t
+vlease_delay_us(struct vlease *v, struct name a, struct name b)
+{
+    int64_t us = name_equal(a, b) ? NEAR_US : FAR_US;
+
+    return us + (int64_t)vlease_random(v, JITTER_US);
+}
+
+/* Configuration: a line a queue, "NAME PRIORITY TIMEOUT_US". */
+
+static struct queueconf *
+read_config(const char *text, size_t size, enum queueconf_fault *fault)
+{
+    struct queueconf *c = calloc(1, sizeof(*c));
+    int used = 0;
+
+    (void)size;
+    *fault = QUEUECONF_OK;
+    if (c == NULL) {
+        abort();
+    }
+    c->rank = 1;
+    c->queues = calloc(VLEASE_QUEUES_MAX, sizeof(*c->queues));
+    c->services = calloc(1, sizeof(*c->services));
+    if (c->queues == NULL || c->services == NULL) {
+        abort();
+    }
+    c->services[c->n_services++].name = name_of("service");
+    while (c->n_queues < VLEASE_QUEUES_MAX) {
+        struct queue_conf *q = &c->queues[c->n_queues];
+        long timeout_us;
+
+        if (sscanf(text, "%40s %u %ld%n", q->name.s, &q->priority, &timeout_us,
+                   &used) != 3) {
+            break;
+        }
+        text += used;
+        q->timeout_us = timeout_us;
+        q->service = name_of("service");
+        (void)snprintf(q->prefix, sizeof(q->prefix), "/%.40s/", q->name.s);
+        q->attempts = 3;
+        q->target_us = 60 * USEC_PER_MSEC;
+        q->stretch = 1.6;
+        c->n_queues++;
+    }
+    return c;
+}
+
+static struct blob *
+config_text(const struct vlease *v)
+{
+    char text[256];
+    size_t n = 0;
+
+    for (uint32_t i = 0; i < v->opts.n_queues; i++) {
+        n += (size_t)snprintf(text + n, sizeof(text) - n, "q%u %u %lld\n", i,
+                              v->opts.queues[i].priority,
+                              (long long)v->opts.queues[i].timeout_us);
+    }
+    return blob_new(text, n);
+}
+
+/* Processes */
+
+static struct vprocess *
+process_of(struct vlease *v, struct name name)
+{
+    for (uint32_t i = 0; i < v->n_processes; i++) {
+        if (name_equal(v->processes[i].name, name)) {
+            return &v->processes[i];
+        }
+    }
+    return NULL;
+}
+
+static bool
+connected(const struct vprocess *a, const struct vprocess *b)
+{
+    return !a->down && !b->down && (a == b || (!a->cut && !b->cut));
+}
+
+static struct moment
+moment_of(const struct vlease *v, const struct vprocess *p)
+{
+    return (struct moment){.mono_us = v->now_us,
+                           .wall_us = WALL_US + v->now_us + p->wall_off_us};
+}
+
+static void
+send_to(struct vlease *v, const struct vprocess *from, struct name to,
+        struct msg *m)
+{
+    struct vprocess *p = process_of(v, to);
+    struct vevent *e;
+
+    if (p == NULL || !connected(from, p)) {
+        msg_free(m);
+        return;
+    }
+    e = vlease_at(v, v->now_us + vlease_delay_us(v, from->zone, p->zone),
+                  VEV_MESSAGE);
+    e->from = from->number;
+    e->to = p->number;
+    e->life = p->life;
+    e->msg = *m;
+    memset(m, 0, sizeof(*m));
+}
+
+static void
+call(struct vlease *v, const struct vprocess *p, struct be_call *c)
+{
+    struct vevent *e;
+    uint32_t to = (uint32_t)strtoul(c->request.address.s, NULL, 10);
+
+    e = vlease_at(
+        v, v->now_us + vlease_delay_us(v, p->zone, v->upstreams[to].zone),
+        VEV_REQUEST);
+    e->from = p->number;
+    e->to = to;
+    e->life = p->life;
+    e->number = c->call;
+    e->request = c->request;
+    c->request.spec = NULL;
+    /* The caller gives up by itself; an answer that comes first is taken. */
+    e = vlease_at(v, v->now_us + c->request.timeout_us, VEV_ANSWER);
+    e->to = p->number;
+    e->life = p->life;
+    e->number = c->call;
+    e->answer.result = LEASE_LOST;
+}
+
+static void
+log_line(const struct vlease *v, const struct vprocess *p,
+         const struct be_log *l)
+{
+    if (v->log != NULL) {
+        (void)fprintf(
+            v->log, "%9.4f %s %s job %llu task %d %s: %s\n",
+            (double)v->now_us / 1e6, p->name.s, broker_reason_text(l->reason),
+            (unsigned long long)l->job, l->task, l->subject.s, l->detail);
+    }
+}
+
+void
+vlease_fault(struct vlease *v, uint32_t *counter, struct name where,
+             struct task_ref task)
+{
+    (*counter)++;
+    if (v->log != NULL) {
+        (void)fprintf(v->log,
+                      "%9.4f FAULT %td at %s: job %llu task %u run %llu\n",
+                      (double)v->now_us / 1e6, counter - &v->faults.overlaps,
+                      where.s, (unsigned long long)task.job, task.index,
+                      (unsigned long long)task.run);
+    }
+}
+
+static void
+connect_pair(struct vlease *v, struct vprocess *a, struct vprocess *b)
+{
+    struct vevent *e;
+
+    for (int i = 0; i < 2; i++) {
+        struct vprocess *to = i == 0 ? a : b;
+        struct vprocess *other = i == 0 ? b : a;
+
+        e = vlease_at(v, v->now_us + CONNECT_US, VEV_PEER);
+        e->to = to->number;
+        e->from = other->number;
+        e->life = to->life;
+        e->up = true;
+    }
+}
+
+static void
+carry_out(struct vlease *v, struct vprocess *p, struct broker_effect *f)
+{
+    switch (f->kind) {
+    case BE_ANSWER:
+        vcall_on_answer(v, p, &f->u.answer);
+        break;
+    case BE_CALL:
+        call(v, p, &f->u.call);
+        break;
+    case BE_SEND:
+        send_to(v, p, f->u.send.to, &f->u.send.msg);
+        break;
+    case BE_LOG:
+        log_line(v, p, &f->u.log);
+        break;
+    case BE_STOPPED:
+        p->stopped = true;
+        break;
+    default:
+        break; /* all are connected as soon as they run */
+    }
+}
+
+static void
+plan_tick(struct vlease *v, struct vprocess *p)
+{
+    int64_t at = broker_next_us(p->broker);
+    struct vevent *e;
+
+    at = at > v->now_us ? at : v->now_us + USEC_PER_MSEC;
+    if (p->tick_us > v->now_us && p->tick_us <= at) {
+        return;
+    }
+    p->tick_us = at;
+    e = vlease_at(v, at, VEV_TICK);
+    e->to = p->number;
+    e->life = p->life;
+}
+
+void
+vlease_step(struct vlease *v, struct vprocess *p, struct broker_event *ev)
+{
+    struct broker_effects fx = {0};
+
+    ev->now = moment_of(v, p);
+    broker_step(p->broker, ev, &fx);
+    for (size_t i = 0; i < fx.n; i++) {
+        carry_out(v, p, &fx.items[i]);
+    }
+    broker_effects_free(&fx);
+    if (p->broker != NULL && !p->stopped) {
+        plan_tick(v, p);
+    }
+}
+
+/* Registries */
+
+static void
+flush_registry(struct vlease *v, struct vprocess *p)
+{
+    for (size_t i = 0; i < v->registry_effects.n; i++) {
+        struct control_effect *f = &v->registry_effects.items[i];
+
+        if (f->kind == CE_SEND) {
+            send_to(v, p, f->u.send.to, &f->u.send.msg);
+        }
+    }
+    control_effects_clear(&v->registry_effects);
+}
+
+static void
+registry_takes(struct vlease *v, struct vprocess *p, const struct vevent *e)
+{
+    struct msg reply = {.kind = MSG_CONFIG_REPLY};
+    struct name from = v->processes[e->from].name;
+
+    if (e->msg.kind == MSG_CONFIG_REQUEST &&
+        e->msg.u.config_request.have_version == 0) {
+        reply.u.config_reply.version = 1;
+        reply.u.config_reply.config = config_text(v);
+        send_to(v, p, from, &reply);
+        return;
+    }
+    (void)registry_message(p->registry, from, &e->msg, moment_of(v, p),
+                           &v->registry_effects);
+    flush_registry(v, p);
+}
+
+/* What an upstream says reaches the registry of its zone. */
+void
+vlease_announce(struct vlease *v, const struct vupstream *u,
+                const struct rec_leased_upstream *info)
+{
+    struct vprocess *p = &v->processes[v->n_brokers + u->zone_number];
+
+    if (p->cut) {
+        return;
+    }
+    (void)registry_announce(p->registry, info, moment_of(v, p),
+                            &v->registry_effects);
+    flush_registry(v, p);
+}
+
+/* Events */
+
+static void
+on_message(struct vlease *v, const struct vevent *e)
+{
+    struct vprocess *p = &v->processes[e->to];
+    struct broker_event ev = {.kind = BEV_MESSAGE};
+
+    if (!connected(&v->processes[e->from], p)) {
+        return;
+    }
+    if (p->registry != NULL) {
+        registry_takes(v, p, e);
+        return;
+    }
+    ev.u.message.from = v->processes[e->from].name;
+    ev.u.message.msg = &e->msg;
+    vlease_step(v, p, &ev);
+}
+
+static void
+on_peer(struct vlease *v, const struct vevent *e)
+{
+    struct vprocess *p = &v->processes[e->to];
+    struct vprocess *from = &v->processes[e->from];
+    struct broker_event ev = {.kind = BEV_PEER};
+
+    if (e->up && !connected(from, p)) {
+        return;
+    }
+    if (p->registry != NULL) {
+        registry_peer(p->registry, from->name, e->up, moment_of(v, p));
+        return;
+    }
+    ev.u.peer.peer = from->name;
+    ev.u.peer.up = e->up;
+    vlease_step(v, p, &ev);
+}
+
+static void
+on_answer(struct vlease *v, const struct vevent *e)
+{
+    struct vprocess *p = &v->processes[e->to];
+    struct broker_event ev = {.kind = BEV_CALLED};
+
+    if (p->cut_upstreams && e->answer.result != LEASE_LOST) {
+        return;
+    }
+    ev.u.called.call = e->number;
+    ev.u.called.answer = e->answer;
+    vlease_step(v, p, &ev);
+}
+
+/* A paused process takes nothing until it wakes; then everything at once. */
+static bool
+put_off(struct vlease *v, struct vevent *e)
+{
+    const struct vprocess *p = &v->processes[e->to];
+    bool to_process = e->kind == VEV_MESSAGE || e->kind == VEV_PEER ||
+                      e->kind == VEV_TICK || e->kind == VEV_ANSWER;
+    struct vevent *later;
+    uint64_t order;
+
+    if (!to_process || p->paused_until_us <= v->now_us) {
+        return false;
+    }
+    later = vlease_at(v, p->paused_until_us, e->kind);
+    order = later->order;
+    *later = *e;
+    later->at_us = p->paused_until_us;
+    later->order = order;
+    return true;
+}
+
+static bool
+for_dead_life(const struct vlease *v, const struct vevent *e)
+{
+    bool to_process = e->kind <= VEV_TICK || e->kind == VEV_ANSWER;
+    const struct vprocess *p = &v->processes[e->to];
+
+    return to_process && (p->down || p->stopped || p->life != e->life);
+}
+
+static void
+dispatch(struct vlease *v, const struct vevent *e)
+{
+    switch (e->kind) {
+    case VEV_MESSAGE:
+        on_message(v, e);
+        break;
+    case VEV_PEER:
+        on_peer(v, e);
+        break;
+    case VEV_TICK:
+        vlease_step(v, &v->processes[e->to],
+                    &(struct broker_event){.kind = BEV_TICK});
+        break;
+    case VEV_ANSWER:
+        on_answer(v, e);
+        break;
+    case VEV_REQUEST:
+        vup_on_request(v, e);
+        break;
+    case VEV_LOOK_DUE:
+        vup_on_look_due(v, e);
+        break;
+    case VEV_RUN_END:
+        vup_on_run_end(v, e);
+        break;
+    case VEV_LAPSE:
+        vup_on_lapse(v, e);
+        break;
+    case VEV_ANNOUNCE:
+        vup_on_announce(v, e);
+        break;
+    case VEV_GONE:
+        vup_on_gone(v, e);
+        break;
+    case VEV_ARRIVE:
+        vcall_on_arrive(v, e);
+        break;
+    default:
+        vcall_on_resend(v, e);
+        break;
+    }
+}
+
+void
+vlease_run(struct vlease *v, int64_t until_us)
+{
+    while (v->n_heap > 0 && v->heap[0].at_us <= until_us) {
+        struct vevent e = take_first(v);
+
+        v->now_us = e.at_us;
+        if (for_dead_life(v, &e)) {
+            clear_event(&e);
+            continue;
+        }
+        if (put_off(v, &e)) {
+            continue;
+        }
+        dispatch(v, &e);
+        clear_event(&e);
+    }
+    v->now_us = until_us;
+}
+
+/* Faults of brokers */
+
+static void
+tell_down(struct vlease *v, struct vprocess *p, int64_t after_us)
+{
+    for (uint32_t i = 0; i < v->n_processes; i++) {
+        struct vprocess *other = &v->processes[i];
+        struct vevent *e;
+
+        if (other == p || other->down) {
+            continue;
+        }
+        e = vlease_at(v, v->now_us + after_us, VEV_PEER);
+        e->to = other->number;
+        e->from = p->number;
+        e->life = other->life;
+    }
+}
+
+static void
+begin_broker(struct vlease *v, struct vprocess *p)
+{
+    struct broker_options o = broker_options_default();
+    struct rec_instance registries[VLEASE_ZONES_MAX] = {0};
+
+    for (uint32_t i = 0; i < v->opts.zones; i++) {
+        registries[i].name = v->processes[v->n_brokers + i].name;
+    }
+    p->life++;
+    p->down = false;
+    p->stopped = false;
+    p->tick_us = 0;
+    p->paused_until_us = 0;
+    o.self = p->name;
+    o.zone = p->zone;
+    o.address = address_of(p->name.s);
+    o.incarnation = (uint64_t)(moment_of(v, p).wall_us + p->number);
+    o.registries = registries;
+    o.n_registries = v->opts.zones;
+    o.seed = v->opts.seed + p->number * 7919U + p->life;
+    o.read_config = read_config;
+    p->broker = broker_new(&o);
+    vlease_step(v, p, &(struct broker_event){.kind = BEV_TICK});
+    for (uint32_t i = 0; i < v->n_processes; i++) {
+        if (i != p->number && connected(p, &v->processes[i])) {
+            connect_pair(v, p, &v->processes[i]);
+        }
+    }
+}
+
+void
+vlease_kill(struct vlease *v, uint32_t broker)
+{
+    struct vprocess *p = &v->processes[broker];
+
+    if (p->down) {
+        return;
+    }
+    vcall_broken(v, p);
+    p->down = true;
+    broker_free(p->broker);
+    p->broker = NULL;
+    tell_down(v, p, NEAR_US);
+}
+
+void
+vlease_start(struct vlease *v, uint32_t broker)
+{
+    if (v->processes[broker].down) {
+        begin_broker(v, &v->processes[broker]);
+    }
+}
+
+void
+vlease_stop(struct vlease *v, uint32_t broker)
+{
+    vlease_step(v, &v->processes[broker],
+                &(struct broker_event){.kind = BEV_STOP});
+}
+
+bool
+vlease_stopped(const struct vlease *v, uint32_t broker)
+{
+    return v->processes[broker].stopped;
+}
+
+void
+vlease_pause(struct vlease *v, uint32_t broker, int64_t us)
+{
+    struct vprocess *p = &v->processes[broker];
+
+    p->paused_until_us = v->now_us + us;
+    if (us > SILENCE_US) {
+        tell_down(v, p, SILENCE_US);
+        for (uint32_t i = 0; i < v->n_processes; i++) {
+            struct vevent *e;
+
+            if (&v->processes[i] == p || v->processes[i].down) {
+                continue;
+            }
+            e = vlease_at(v, p->paused_until_us, VEV_PEER);
+            e->to = p->number;
+            e->from = i;
+            e->life = p->life;
+            e = vlease_at(v, p->paused_until_us + CONNECT_US, VEV_PEER);
+            e->to = p->number;
+            e->from = i;
+            e->life = p->life;
+            e->up = true;
+            e = vlease_at(v, p->paused_until_us + CONNECT_US, VEV_PEER);
+            e->to = i;
+            e->from = p->number;
+            e->life = v->processes[i].life;
+            e->up = true;
+        }
+    }
+}
+
+static void
+tell_pair(struct vlease *v, struct vprocess *a, struct vprocess *b, bool up,
+          int64_t after_us)
+{
+    struct vevent *e = vlease_at(v, v->now_us + after_us, VEV_PEER);
+
+    e->to = a->number;
+    e->from = b->number;
+    e->life = a->life;
+    e->up = up;
+}
+
+void
+vlease_cut(struct vlease *v, uint32_t broker, bool cut, bool upstreams)
+{
+    struct vprocess *p = &v->processes[broker];
+
+    p->cut = cut;
+    p->cut_upstreams = cut && upstreams;
+    for (uint32_t i = 0; i < v->n_processes; i++) {
+        struct vprocess *other = &v->processes[i];
+
+        if (other == p || other->down) {
+            continue;
+        }
+        if (cut) {
+            tell_pair(v, p, other, false, SILENCE_US);
+            tell_pair(v, other, p, false, SILENCE_US);
+        }
+        else {
+            connect_pair(v, p, other);
+        }
+    }
+}
+
+void
+vlease_gap(struct vlease *v, uint32_t a, uint32_t b)
+{
+    struct vprocess *p = &v->processes[a];
+    struct vprocess *q = &v->processes[b];
+
+    for (size_t i = 0; i < v->n_heap; i++) {
+        struct vevent *e = &v->heap[i];
+
+        if (e->kind == VEV_MESSAGE &&
+            ((e->from == a && e->to == b) || (e->from == b && e->to == a))) {
+            e->life = UINT64_MAX; /* it was under way */
+        }
+    }
+    tell_pair(v, p, q, false, 0);
+    tell_pair(v, q, p, false, 0);
+    connect_pair(v, p, q);
+}
+
+void
+vlease_clock(struct vlease *v, uint32_t broker, int64_t us)
+{
+    v->processes[broker].wall_off_us += us;
+}
+
+/* Construction */
+
+static void
+name_process(struct vprocess *p, const char *kind, uint32_t zone, uint32_t n)
+{
+    (void)snprintf(p->name.s, sizeof(p->name.s), "%s%u%c", kind, n,
+                   (char)('a' + zone));
+    (void)snprintf(p->zone.s, sizeof(p->zone.s), "zone-%c",
+                   (char)('a' + zone));
+}
+
+static void
+make_processes(struct vlease *v)
+{
+    const struct vlease_options *o = &v->opts;
+
+    v->n_brokers = o->zones * o->brokers;
+    v->n_processes = v->n_brokers + o->zones;
+    for (uint32_t i = 0; i < v->n_brokers; i++) {
+        v->processes[i].number = i;
+        v->processes[i].down = true;
+        name_process(&v->processes[i], "b", i / o->brokers, i % o->brokers);
+    }
+    for (uint32_t i = 0; i < o->zones; i++) {
+        struct vprocess *p = &v->processes[v->n_brokers + i];
+
+        p->number = v->n_brokers + i;
+        name_process(p, "r", i, 0);
+        p->registry = registry_new(p->name, p->zone);
+    }
+}
+
+struct vlease *
+vlease_new(const struct vlease_options *o)
+{
+    struct vlease *v = calloc(1, sizeof(*v));
+
+    if (v == NULL) {
+        abort();
+    }
+    v->opts = *o;
+    v->random = o->seed;
+    v->now_us = USEC_PER_SEC;
+    make_processes(v);
+    v->n_upstreams = o->zones * o->upstreams;
+    for (uint32_t i = 0; i < v->n_upstreams; i++) {
+        vup_init(v, i, i / o->upstreams);
+    }
+    for (uint32_t i = 0; i < v->n_brokers; i++) {
+        v->now_us += (int64_t)vlease_random(v, STARTS_APART_US);
+        begin_broker(v, &v->processes[i]);
+    }
+    return v;
+}
+
+void
+vlease_free(struct vlease *v)
+{
+    if (v == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < v->n_heap; i++) {
+        clear_event(&v->heap[i]);
+    }
+    for (uint32_t i = 0; i < v->n_processes; i++) {
+        broker_free(v->processes[i].broker);
+        registry_free(v->processes[i].registry);
+    }
+    for (uint32_t i = 0; i < v->n_upstreams; i++) {
+        vup_free(&v->upstreams[i]);
+    }
+    control_effects_free(&v->registry_effects);
+    free(v->heap);
+    free(v->jobs);
+    free(v);
+}
+
+const struct broker *
+vlease_broker(const struct vlease *v, uint32_t broker)
+{
+    return v->processes[broker].broker;
+}
+
+struct vlease_faults
+vlease_faults(const struct vlease *v)
+{
+    return v->faults;
+}
+
+uint64_t
+vlease_starts(const struct vlease *v)
+{
+    return v->starts;
+}
+
+uint32_t
+vlease_running(const struct vlease *v)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < v->n_upstreams; i++) {
+        n += (uint32_t)v->upstreams[i].n_runs;
+    }
+    return n;
+}
+
+void
+vlease_log(struct vlease *v, FILE *out)
+{
+    v->log = out;
+}
--- /dev/null
+++ b/src/vlease.h
@@ -0,0 +1,174 @@
+/**
+ * DOC: vlease - brokers, registries and leased upstreams in virtual time
+ *
+ * Drives the real broker and registry reducers against small stand-ins of
+ * upstreams that work under leases, with delays, deaths, cuts and faults that
+ * are switched on and off.  It judges from outside, from what upstreams and
+ * callers see: that no two runs of a task overlap, that no upstream is given
+ * more than it has, that a job told as not run had no start, that each request
+ * gets one answer.  It knows nothing of processors or disks.
+ */
+#ifndef BM_VLEASE_H
+#define BM_VLEASE_H
+
+#include "broker.h"
+
+enum {
+    VLEASE_ZONES_MAX = 4,
+    VLEASE_BROKERS_MAX = 16,
+    VLEASE_UPSTREAMS_MAX = 64,
+    VLEASE_QUEUES_MAX = 4,
+};
+
+/**
+ * struct vlease_queue - a queue and what its callers hand in
+ * @tasks: of a job
+ * @cpu_milli: of a task
+ * @run_us: of a task, in the mean
+ * @spread: of the run times between jobs, as a share of the mean
+ * @declared_off: how far the declared run time is off, likewise
+ * @per_s: jobs in a second, in the whole region
+ * @timeout_us: callers wait so long
+ */
+struct vlease_queue {
+    uint32_t priority;
+    uint32_t tasks;
+    uint32_t cpu_milli;
+    int64_t run_us;
+    double spread;
+    double declared_off;
+    double per_s;
+    int64_t timeout_us;
+};
+
+/**
+ * struct vlease_options - how to construct a region
+ * @zones: with one registry each
+ * @brokers: in each zone
+ * @upstreams: in each zone
+ * @cpu_milli: of an upstream
+ * @queues: what is asked for
+ * @n_queues: of them
+ * @resend_us: a caller hands a job in again, at any broker, so long after a
+ *             broken connection or an unknown outcome
+ * @seed: of all that is drawn
+ */
+struct vlease_options {
+    uint32_t zones;
+    uint32_t brokers;
+    uint32_t upstreams;
+    uint32_t cpu_milli;
+    struct vlease_queue queues[VLEASE_QUEUES_MAX];
+    uint32_t n_queues;
+    int64_t resend_us;
+    uint64_t seed;
+};
+
+/** vlease_options_default() - three zones with two brokers and eight upstreams
+ * each, one queue without load */
+struct vlease_options vlease_options_default(void);
+
+/** struct vlease_figures - what was seen of a queue */
+struct vlease_figures {
+    uint32_t asked;
+    uint32_t completed;
+    uint32_t in_time; /* of them */
+    uint32_t failed;
+    uint32_t refused;
+    uint32_t unknown;     /* lost or expired */
+    uint32_t open;        /* not answered yet */
+    int64_t refused_late; /* refusals that came after a quarter of the
+                           * objective */
+};
+
+/** struct vlease_faults - promises that were broken */
+struct vlease_faults {
+    uint32_t overlaps;       /* two runs of a task at one time */
+    uint32_t over_room;      /* an upstream was given more than it has */
+    uint32_t false_refusals; /* told as not run, and had started */
+    uint32_t leaving;        /* started where it was leaving for 2 s */
+    uint32_t answers_twice;
+    uint32_t unnoted; /* ends that nobody took note of for a second */
+};
+
+struct vlease;
+
+struct vlease *vlease_new(const struct vlease_options *o);
+void vlease_free(struct vlease *v);
+
+/** vlease_run() - until that time after the start */
+void vlease_run(struct vlease *v, int64_t until_us);
+
+/** vlease_load() - callers come from now on, at that multiple of the queues'
+ * rates; 0 stops them */
+void vlease_load(struct vlease *v, double factor);
+
+/** vlease_submit() - one job of a queue, at that broker; returns its number */
+uint64_t vlease_submit(struct vlease *v, uint32_t broker, uint32_t queue);
+
+/** vlease_resubmit() - the same job again, at that broker */
+void vlease_resubmit(struct vlease *v, uint64_t job, uint32_t broker);
+
+/** vlease_leave() - the job's caller closes its connection */
+void vlease_leave(struct vlease *v, uint64_t job);
+
+/* Faults of brokers; numbered zone by zone. */
+void vlease_kill(struct vlease *v, uint32_t broker);
+void vlease_start(struct vlease *v, uint32_t broker);
+void vlease_stop(struct vlease *v, uint32_t broker);
+bool vlease_stopped(const struct vlease *v, uint32_t broker);
+
+/** vlease_pause() - stands still for so long, while its clock goes on */
+void vlease_pause(struct vlease *v, uint32_t broker, int64_t us);
+
+/** vlease_cut() - no messages between it and all other processes; @upstreams:
+ * nor upstreams */
+void vlease_cut(struct vlease *v, uint32_t broker, bool cut, bool upstreams);
+
+/** vlease_gap() - connections between two brokers are reset */
+void vlease_gap(struct vlease *v, uint32_t a, uint32_t b);
+
+/** vlease_clock() - its time of day jumps */
+void vlease_clock(struct vlease *v, uint32_t broker, int64_t us);
+
+/** enum vlease_trouble - of an upstream */
+enum vlease_trouble {
+    VLEASE_SOUND,
+    VLEASE_DEAD,    /* nothing runs, nothing answers */
+    VLEASE_CUT,     /* runs on, nothing gets through */
+    VLEASE_FAILS,   /* all that starts fails at once */
+    VLEASE_HANGS,   /* what runs stands still */
+    VLEASE_SLOW,    /* six times slower */
+    VLEASE_MUTE,    /* carries out, answers nothing */
+    VLEASE_DELAYS,  /* a tenth of the calls is carried out 3 s later, without
+                     * an answer */
+    VLEASE_LEAVING, /* says that it leaves, and ends 4 s later */
+};
+
+/** vlease_trouble() - of an upstream, from now on; numbered zone by zone */
+void vlease_trouble(struct vlease *v, uint32_t upstream,
+                    enum vlease_trouble trouble);
+
+/** vlease_reborn() - an upstream starts anew under its name */
+void vlease_reborn(struct vlease *v, uint32_t upstream);
+
+/** vlease_outcome() - what the caller of a job was told; JOB_OUTCOMES while it
+ * was told nothing */
+enum job_outcome vlease_outcome(const struct vlease *v, uint64_t job);
+
+struct vlease_figures vlease_figures(const struct vlease *v, uint32_t queue);
+struct vlease_faults vlease_faults(const struct vlease *v);
+
+/** vlease_broker() - for checks; NULL while it is down */
+const struct broker *vlease_broker(const struct vlease *v, uint32_t broker);
+
+/** vlease_starts() - starts that upstreams carried out */
+uint64_t vlease_starts(const struct vlease *v);
+
+/** vlease_running() - what runs now, on all upstreams */
+uint32_t vlease_running(const struct vlease *v);
+
+/** vlease_log() - writes decisions to @out from now on; NULL for none */
+void vlease_log(struct vlease *v, FILE *out);
+
+#endif
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -28,5 +28,6 @@
 SUITE(operator)
 SUITE(daemon)
 SUITE(control_http)
+SUITE(broker)
 SUITE(matrix)
 /* clang-format on */
