--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -28,6 +28,8 @@
 SUITE(operator)
 SUITE(daemon)
 SUITE(control_http)
+SUITE(enroll)
+SUITE(platform)
 SUITE(broker)
 SUITE(matrix)
 /* clang-format on */
