Refuse what comes after a broker is done

Requests at 28.805 and 28.897 s, closed at 29.320 s, no answer. Change: once the reducer is done each request is refused at once, with a time to come back, and its connection closed. Ruled out: the caller's deadline and the grace (3.1 of 6 s were used). Conclusion: the last step of a planned stop is a refusal, not silence.

--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -19,6 +19,7 @@
     WAIT_MAX_MS = 500,
     LAST_MS = 300, /* for the last answers to go out */
     METRICS_CONNECTIONS = 8,
+    STATUS_STOPPING = 503,
 };
 
 enum mail_kind { MAIL_MESSAGE, MAIL_PEER, MAIL_STOP, MAIL_REGISTRY };
@@ -153,6 +154,15 @@
     struct caller_request c = {.kind = CALLER_REPLY};
     struct broker_event ev = {.kind = BEV_CANCEL};
 
+    /* The reducer is done and nothing would come back from other processes:
+     * a job taken now would get no answer at all. */
+    if (atomic_load(&r->stopped)) {
+        c.response.status = STATUS_STOPPING;
+        c.response.retry_after_us = USEC_PER_SEC;
+        c.response.close = true;
+        httpapi_reply(r->callers, request->number, &c.response);
+        return;
+    }
     r->opts.callers->decode(request, broker_queues(r->broker), &c);
     switch (c.kind) {
     case CALLER_SUBMIT:
@@ -408,8 +418,8 @@
     }
 }
 
-/* Answers that are queued when the reducer is done still have to be written.
- */
+/* Answers that are queued when the reducer is done still have to be written,
+ * and requests that are on their way still be refused. */
 static void
 write_last(struct broker_runtime *r)
 {
