Write logs through a bounded ring, and serve histograms

Cause: a line was written while whoever logged waited, to standard error; a reader that hangs would have stopped the dispatcher. Successful jobs left no line, and metrics had no latencies. A line at the runner that takes a job and at the broker that answers it. Histograms of requests by outcome, of the wait for the first start, of starts, of runs and of publications. Ruled out: writing without blocking from the caller: the descriptor is shared with whoever started the process.

--- a/src/bm_control.c
+++ b/src/bm_control.c
@@ -61,10 +61,10 @@
     struct control_runtime *r;
     bool lost;
 
-    daemon_block_signals();
     (void)signal(SIGXFSZ, SIG_IGN); /* a limit reads as a full disk */
     o->peers.incarnation = (uint64_t)clock_now(o->clock).wall_us;
     o->control.seed = o->peers.incarnation ^ key_id_of(o->control.self.s).lo;
+    daemon_start_logging(NULL, o->peers.incarnation);
     o->http.auth = opauth_new(&s->operators, s->auth_window_us);
     r = control_runtime_new(o);
     if (r == NULL) {
@@ -79,6 +79,7 @@
     opauth_free(o->http.auth);
     log_event(LOG_NOTICE, "stopped", NULL, "%s",
               lost ? "the disk failed" : "nothing was in progress");
+    daemon_stop_logging();
     return lost ? EXIT_DISK : EXIT_SUCCESS;
 }
 
--- a/src/bm_entry.c
+++ b/src/bm_entry.c
@@ -80,12 +80,13 @@
     struct runtime_options *o = &s->runtime;
     struct serving v = {.grace_us = s->stop_grace_ms * USEC_PER_MSEC};
 
-    daemon_block_signals();
     o->clock = clock_real();
     o->entry.incarnation = (uint64_t)clock_now(o->clock).wall_us;
     o->entry.seed = o->entry.incarnation ^ key_id_of(o->entry.self.s).lo;
     o->peers.incarnation = o->entry.incarnation;
     log_setup(o->entry.self.s, s->log_level, o->clock);
+    daemon_start_logging(settings_text(s->file, "instance", "zone"),
+                         o->entry.incarnation);
     v.runtime = runtime_new(o);
     if (v.runtime == NULL) {
         config_free(config);
@@ -99,6 +100,7 @@
     serve(&v);
     runtime_free(v.runtime);
     log_event(LOG_NOTICE, "stopped", NULL, "nothing was in progress");
+    daemon_stop_logging();
     return EXIT_SUCCESS;
 }
 
--- a/src/broker.c
+++ b/src/broker.c
@@ -398,6 +398,12 @@
     return b->counters;
 }
 
+const struct broker_histograms *
+broker_histograms(const struct broker *b)
+{
+    return &b->histograms;
+}
+
 static void
 count_upstreams(const struct broker *b, struct broker_gauges *g)
 {
--- a/src/broker.h
+++ b/src/broker.h
@@ -16,6 +16,7 @@
 
 #include "broker_effect.h"
 #include "broker_event.h"
+#include "histogram.h"
 
 struct broker;
 
@@ -163,6 +164,25 @@
 #undef BROKER_GAUGE
 };
 
+/* Histograms: BROKER_HISTOGRAM(name, help). */
+/* clang-format off */
+#define BROKER_HISTOGRAM_LIST(BROKER_HISTOGRAM)                               \
+    BROKER_HISTOGRAM(queue, "from a job's arrival at its runner to its first start") \
+    BROKER_HISTOGRAM(start, "from a start to its acknowledgement")            \
+    BROKER_HISTOGRAM(run, "from a start to the end of a run that ended well")
+/* clang-format on */
+
+/** struct broker_histograms - @request by outcome of the job */
+struct broker_histograms {
+    struct histogram request[JOB_OUTCOMES];
+#define BROKER_HISTOGRAM(name, help) struct histogram name;
+    BROKER_HISTOGRAM_LIST(BROKER_HISTOGRAM)
+#undef BROKER_HISTOGRAM
+};
+
+/** broker_histograms() - holds until the next step */
+const struct broker_histograms *broker_histograms(const struct broker *b);
+
 /** broker_gauges() - counted now */
 struct broker_gauges broker_gauges(const struct broker *b);
 
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -86,7 +86,7 @@
     a->reason = reason;
     a->retry_after_us = spread_retry(b, retry_us);
     count_outcome(b, outcome);
-    broker_log(b, well ? LOG_DEBUG : LOG_NOTICE, reason, id, -1, name_of(""),
+    broker_log(b, well ? LOG_INFO : LOG_NOTICE, reason, id, -1, name_of(""),
                "%s; %s", job_outcome_text(outcome), detail);
 }
 
@@ -103,6 +103,8 @@
 {
     char detail[DETAIL_SIZE];
 
+    histogram_add(&b->histograms.request[outcome],
+                  b->now.mono_us - c->taken_us);
     (void)snprintf(
         detail, sizeof(detail), "queue %s, runner %s, after %lld ms, %u moves",
         c->offer.u.job_offer.queue.s, c->runner.s,
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -280,6 +280,7 @@
 
     /* Not divided by the upstream's slowness: what is learned of one would
      * then rest on the other, and both could drift off together. */
+    histogram_add(&b->histograms.run, b->now.mono_us - t->sent_us);
     order_learn(job, g, (int64_t)ran_us + 1);
     judge_speed(b, u, job, t, ran_us);
     job->n_done++;
@@ -538,6 +539,7 @@
     }
     switch (result) {
     case LEASE_OK:
+        histogram_add(&b->histograms.start, b->now.mono_us - t->sent_us);
         if (t->state == RUN_STARTING) {
             t->state = RUN_RUNNING;
             t->percent_us = b->now.mono_us;
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -335,7 +335,7 @@
     }
     b->counters.offers_taken++;
     broker_log(
-        b, LOG_DEBUG, BROKER_ACCEPTED, job->id, -1, from,
+        b, LOG_INFO, BROKER_ACCEPTED, job->id, -1, from,
         "queue %s, %u tasks, starts in %lld ms, %u jobs wait", job->queue.s,
         job->n_tasks,
         (long long)((job->start_by_us - b->now.mono_us) / USEC_PER_MSEC),
@@ -425,6 +425,9 @@
     t->percent = 0;
     t->percent_us = b->now.mono_us;
     t->settle_us = INT64_MAX;
+    if (!job->started) {
+        histogram_add(&b->histograms.queue, b->now.mono_us - job->arrived_us);
+    }
     job->started = true;
     job->n_ready--;
     job->n_placed++;
--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -8,6 +8,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include "broker_metrics.h"
 #include "log.h"
 #include "mailbox.h"
 #include "stats.h"
@@ -212,22 +213,6 @@
     (void)number;
 }
 
-static void
-print_metrics(FILE *out, const struct broker *b)
-{
-    struct broker_counters c = broker_counters(b);
-    struct broker_gauges g = broker_gauges(b);
-
-#define BROKER_COUNTER(name, help)                                            \
-    stats_print_one(out, "broker_" #name "_total", "counter", help, c.name);
-    BROKER_COUNTER_LIST(BROKER_COUNTER)
-#undef BROKER_COUNTER
-#define BROKER_GAUGE(name, help)                                              \
-    stats_print_one(out, "broker_" #name, "gauge", help, g.name);
-    BROKER_GAUGE_LIST(BROKER_GAUGE)
-#undef BROKER_GAUGE
-}
-
 static void
 on_metrics(void *ctx, const struct httpapi_request *request)
 {
@@ -240,7 +225,7 @@
     if (out == NULL) {
         abort();
     }
-    print_metrics(out, r->broker);
+    broker_metrics_print(out, r->broker);
     stats_print(out);
     (void)fclose(out);
     httpapi_reply(r->metrics, request->number, &response);
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -325,6 +325,7 @@
     bool stopped_told;
     int64_t stop_us;
     struct broker_counters counters;
+    struct broker_histograms histograms;
 };
 
 /* broker.c */
--- a/src/control.c
+++ b/src/control.c
@@ -607,6 +607,7 @@
         .followers = c->n_followers,
         .serving = c->serving,
         .counters = c->counters,
+        .publish = c->publish,
     };
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -14,6 +14,7 @@
 #include "control_effect.h"
 #include "control_event.h"
 #include "fsm.h"
+#include "histogram.h"
 #include "storage.h"
 
 struct control;
@@ -163,6 +164,7 @@
 
 /** struct control_view - what can be seen of a member */
 struct control_view {
+    struct histogram publish; /* from an operator's change to its answer */
     enum control_role role;
     bool voter;
     struct name leader; /* empty: not known */
--- a/src/control_disk.c
+++ b/src/control_disk.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "mailbox.h"
+#include "clock.h"
 #include "stats.h"
 
 enum { RING_ROOM = 4, WAIT_US = 1000000 };
@@ -72,7 +73,11 @@
         return;
     }
     if (err == STORAGE_OK && seq > 0) {
+        int64_t begin_us = clock_now(clock_real()).mono_us;
+
         err = storage_sync(d->opts.storage);
+        stats_add(&stats.disk_sync_us,
+                  (uint64_t)(clock_now(clock_real()).mono_us - begin_us));
     }
     if (err != STORAGE_OK) {
         fail(d, err);
--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -146,6 +146,9 @@
     stats_print_one(out, "control_" #name "_total", "counter", help, c->name);
     CONTROL_COUNTER_LIST(CONTROL_COUNTER)
 #undef CONTROL_COUNTER
+    histogram_print(out, "control_publish",
+                    "from a change to its answer, at the leader", "",
+                    &v->publish);
     stats_print_one(out, "control_leader", "gauge", "this member leads",
                     v->role == CONTROL_LEADER);
     stats_print_one(out, "control_voter", "gauge", "this member has a vote",
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -159,6 +159,7 @@
     bool followers_changed;
     bool serving; /* applied as much as was committed at the start */
     struct control_counters counters;
+    struct histogram publish; /* from an operator's change to its answer */
 };
 
 /* control.c */
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -6,6 +6,9 @@
 #include <time.h>
 
 #include "base.h"
+#include "log.h"
+
+enum { LAST_LINES_MS = 200 };
 
 /* Command line */
 
@@ -67,6 +70,26 @@
     return set;
 }
 
+void
+daemon_start_logging(const char *zone, uint64_t incarnation)
+{
+    struct log_options o = log_options_default();
+
+    daemon_block_signals();
+    o.zone = zone;
+    o.incarnation = incarnation;
+    if (!log_start(&o)) {
+        log_event(LOG_WARNING, "log-without-thread", NULL,
+                  "lines are written at once, and may block");
+    }
+}
+
+void
+daemon_stop_logging(void)
+{
+    log_stop(LAST_LINES_MS);
+}
+
 void
 daemon_block_signals(void)
 {
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -59,6 +59,13 @@
 int daemon_main(const struct daemon_program *p, struct daemon_arguments *a,
                 int argc, char **argv);
 
+/** daemon_start_logging() - blocks signals, and from now on lines go to
+ * standard output through their own thread; before any other is started */
+void daemon_start_logging(const char *zone, uint64_t incarnation);
+
+/** daemon_stop_logging() - the last lines go out, if anybody reads them */
+void daemon_stop_logging(void);
+
 /** daemon_block_signals() - before any thread is started: each inherits the
  * mask, and the main thread takes signals one by one in daemon_wait() */
 void daemon_block_signals(void);
--- a/src/serve.c
+++ b/src/serve.c
@@ -257,6 +257,8 @@
         if (p->kind != PENDING_ENTRY || p->index != index) {
             continue;
         }
+        histogram_add(&c->publish,
+                      c->now.mono_us - p->deadline_us + c->opts.request_us);
         if (p->term == term) {
             reply_outcome(c, p->request, o);
         }
--- a/src/stats.h
+++ b/src/stats.h
@@ -35,7 +35,10 @@
     STAT(peer_bytes_in, "bytes received from other instances")                \
     STAT(peer_bytes_out, "bytes sent to other instances")                     \
     STAT(disk_syncs, "syncs of the disk")                                     \
+    STAT(disk_sync_us, "time they took, microseconds")                        \
     STAT(auth_refused, "changes refused: not signed, or stale")               \
+    STAT(log_lines, "log lines written, or handed to their writer")           \
+    STAT(log_dropped, "log lines dropped: too many, or nobody reads them")    \
     STAT(steps, "events the reducer took")                                    \
     STAT(step_ns, "time in the reducer, nanoseconds")                         \
     STAT(effect_ns, "time carrying out effects, nanoseconds")
