--- a/src/broker.c
+++ b/src/broker.c
@@ -24,7 +24,7 @@
         .look_us = 250 * USEC_PER_MSEC,
         .call_timeout_us = 150 * USEC_PER_MSEC,
         .settle_us = 1500 * USEC_PER_MSEC,
-        .settle_min_us = 250 * USEC_PER_MSEC,
+        .settle_min_us = 300 * USEC_PER_MSEC,
         .load_us = 50 * USEC_PER_MSEC,
         .stop_us = 5400 * USEC_PER_MSEC,
         .quit_us = 2600 * USEC_PER_MSEC,
@@ -231,7 +231,7 @@
                "%lld ms without a step", (long long)(gap / USEC_PER_MSEC));
     b->started_us = b->now.mono_us;
     b->settled = false;
-    b->had_roster = false;
+    b->roster_us = 0;
     runs_paused(b);
     hold_paused(b);
 }
--- a/src/broker.h
+++ b/src/broker.h
@@ -42,8 +42,9 @@
  * @call_timeout_us: without an answer a call is given up
  * @settle_us: after the start, until other brokers had time to show up, no
  *             upstream is taken
- * @settle_min_us: it need not be longer where a registry told who is there and
- *                 all brokers of the zone are connected
+ * @settle_min_us: from the first word of a registry, it need not be longer
+ *                 where all brokers of the zone that were named are connected;
+ *                 more than two attempts to dial are apart
  * @load_us: between reports of the load to other brokers
  * @stop_us: a planned stop takes no longer
  * @quit_us: after a planned stop began, callers' new jobs are still taken for
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -373,10 +373,11 @@
 static bool
 settled(const struct broker *b)
 {
-    int64_t since = b->now.mono_us - b->started_us;
-
-    return since >= b->opts.settle_us ||
-           (since >= b->opts.settle_min_us && peers_zone_is_here(b));
+    /* Not from the start: when everything starts at once, the first word of a
+     * registry names only those that found it before us. */
+    return b->now.mono_us - b->started_us >= b->opts.settle_us ||
+           (peers_zone_is_here(b) &&
+            b->now.mono_us - b->roster_us >= b->opts.settle_min_us);
 }
 
 static bool
@@ -552,7 +553,7 @@
         }
     }
     if (!b->settled) {
-        int64_t least = b->started_us + b->opts.settle_min_us;
+        int64_t least = b->roster_us + b->opts.settle_min_us;
         int64_t most = b->started_us + b->opts.settle_us;
 
         least = least > b->now.mono_us ? least : most;
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -197,13 +197,15 @@
             return false;
         }
     }
-    return b->had_roster;
+    return b->roster_us > 0;
 }
 
 void
 peers_on_roster(struct broker *b, const struct rec_roster *r)
 {
-    b->had_roster = b->had_roster || r->n_brokers > 0;
+    if (b->roster_us == 0 && r->n_brokers > 0) {
+        b->roster_us = b->now.mono_us;
+    }
     for (size_t i = 0; i < r->n_brokers; i++) {
         struct broker_peer *p = find_or_add(b, r->brokers[i].name);
 
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -303,8 +303,9 @@
     size_t n_holders;
     size_t holders_room;
     int64_t load_us;
-    bool had_roster; /* since the start */
-    bool had_load;   /* what the others were told last was not empty */
+    int64_t
+        roster_us; /* when a registry first told who is there; 0: not yet */
+    bool had_load; /* what the others were told last was not empty */
 
     struct table caller_jobs;
     struct timers caller_timers;
