Find lost starts sooner

Cause: with a sixteenth of the orders unanswered every fifth job loses a start; each cost 150 ms until it was given up, and up to 250 ms more until the look that waited came back and the next one could tell that it was gone. Change: an answer is waited for as TCP reckons its retransmission time, 40 to 150 ms; a stop that is confirmed is followed by a look that does not wait, beside the one that does. Lists older than the last answer count for ends alone.

--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -525,6 +525,9 @@
         if (u->look == 0 && b->now.mono_us >= u->look_us) {
             lease_look(b, u);
         }
+        else if (u->peek_due && u->peek == 0) {
+            lease_peek(b, u);
+        }
     }
     /* Nothing else may happen when the time to settle is over. */
     if (!b->settled || b->stopping) {
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -16,7 +16,11 @@
  * stopped, is answered after this at the latest. */
 #define QUICK_LOOK_US (50 * USEC_PER_MSEC)
 /* Until a stop without answer is sent again. */
-#define STOP_AGAIN_US (120 * USEC_PER_MSEC)
+#define STOP_AGAIN_US (60 * USEC_PER_MSEC)
+/* Shortest wait for an answer: some turns of a process that has a quarter of a
+ * core and other work. */
+#define ACK_MIN_US (40 * USEC_PER_MSEC)
+enum { ACK_DEVIATIONS = 8 };
 /* For what the lease's time does not cover: delays on the way, coarse clocks.
  */
 #define LAPSE_SLACK_US (50 * USEC_PER_MSEC)
@@ -58,6 +62,36 @@
 
 /* Sending */
 
+/* How long to wait for an answer that is given at once.  A start that is lost
+ * has to be stopped and placed anew while its job can still be in time, so as
+ * short as the answers allow: what TCP waits before it sends again (RFC 6298),
+ * with twice its allowance, since a false alarm stops a run. */
+static int64_t
+answer_timeout_us(const struct broker *b)
+{
+    int64_t us = b->ack_us + ACK_DEVIATIONS * b->ack_dev_us;
+
+    if (b->ack_us == 0 || us > b->opts.call_timeout_us) {
+        return b->opts.call_timeout_us;
+    }
+    return us > ACK_MIN_US ? us : ACK_MIN_US;
+}
+
+static void
+note_answer(struct broker *b, int64_t took_us)
+{
+    int64_t off =
+        took_us > b->ack_us ? took_us - b->ack_us : b->ack_us - took_us;
+
+    if (b->ack_us == 0) {
+        b->ack_us = took_us;
+        b->ack_dev_us = took_us / 2;
+        return;
+    }
+    b->ack_dev_us += (off - b->ack_dev_us) / 4;
+    b->ack_us += (took_us - b->ack_us) / 8;
+}
+
 static struct lease_request *
 call(struct broker *b, struct broker_upstream *u, enum lease_call kind,
      struct broker_call **out)
@@ -77,7 +111,7 @@
     e->request.upstream = u->name;
     e->request.address = u->address;
     e->request.fence = u->fence;
-    e->request.timeout_us = b->opts.call_timeout_us;
+    e->request.timeout_us = answer_timeout_us(b);
     *out = c;
     return &e->request;
 }
@@ -231,12 +265,25 @@
     u->look_us = INT64_MAX;
     r->noted = u->noted;
     r->wait_ms = wait_us / USEC_PER_MSEC;
-    r->timeout_us += wait_us;
+    r->timeout_us = b->opts.call_timeout_us + wait_us;
     r->deadline_ms = extends(u) ? deadline_ms(b, u) : 0;
     u->unnoted = false;
     b->counters.looks++;
 }
 
+void
+lease_peek(struct broker *b, struct broker_upstream *u)
+{
+    struct broker_call *c;
+    struct lease_request *r = call(b, u, LEASE_LOOK, &c);
+
+    u->peek = number_of(c->self);
+    u->peek_due = false;
+    r->noted = u->noted;
+    r->timeout_us = b->opts.call_timeout_us;
+    b->counters.looks++;
+}
+
 /* Answers to looks */
 
 static struct run_task *
@@ -458,7 +505,7 @@
         if (is_running(a, ref_of(job, t))) {
             continue;
         }
-        over = t->settle_us < sent_us || t->sent_us + late_us < sent_us;
+        over = t->settle_us <= sent_us || t->sent_us + late_us < sent_us;
         /* Seen running before, and now gone without an end: the list of ends
          * is cut off at some length; it is in the next one. */
         if (!over || (t->state == RUN_RUNNING && a->n_ended > 0)) {
@@ -486,8 +533,20 @@
 }
 
 static void
-on_look(struct broker *b, struct broker_upstream *u,
+on_peek(struct broker *b, struct broker_upstream *u,
         const struct lease_answer *a, int64_t sent_us)
+{
+    if (a->result != LEASE_OK || u->state != HOLD_OPEN) {
+        return;
+    }
+    take_ends(b, u, a);
+    settle(b, u, a, sent_us);
+    stop_again(b, u);
+}
+
+static void
+on_look(struct broker *b, struct broker_upstream *u,
+        const struct lease_answer *a, int64_t sent_us, bool stale)
 {
     bool strangers;
 
@@ -496,6 +555,11 @@
         return;
     }
     take_ends(b, u, a);
+    if (stale) {
+        /* A peek that was answered meanwhile knew better what runs. */
+        hold_answered(b, u, u->strangers);
+        return;
+    }
     strangers = take_running(b, u, a);
     if (u->state != HOLD_TAKING) {
         settle(b, u, a, sent_us);
@@ -560,8 +624,14 @@
 static void
 on_stop(struct broker *b, struct run_task *t, enum lease_result result)
 {
+    struct broker_upstream *u = table_get(&b->upstreams, t->upstream);
+
     if (t->state == RUN_STOPPING && result == LEASE_OK) {
         t->settle_us = b->now.mono_us;
+        u->peek_due = true;
+    }
+    else if (t->state == RUN_STOPPING && result == LEASE_LOST) {
+        u->peek_due = true; /* sends it again, if need be */
     }
 }
 
@@ -622,6 +692,22 @@
     return true;
 }
 
+static void
+on_any_look(struct broker *b, struct broker_upstream *u,
+            const struct lease_answer *a, const struct broker_call *c,
+            bool peek, bool stale)
+{
+    if (u->state == HOLD_NONE || u->state == HOLD_LOST) {
+        return;
+    }
+    if (peek) {
+        on_peek(b, u, a, c->sent_us);
+    }
+    else {
+        on_look(b, u, a, c->sent_us, stale);
+    }
+}
+
 void
 lease_on_called(struct broker *b, const struct bev_called *called)
 {
@@ -629,6 +715,8 @@
     const struct lease_answer *a = &called->answer;
     struct broker_upstream *u;
     struct broker_call c;
+    bool peek = false;
+    bool stale;
 
     if (found == NULL) {
         return;
@@ -642,6 +730,10 @@
     if (u->look == called->call) {
         u->look = 0;
     }
+    if (u->peek == called->call) {
+        u->peek = 0;
+        peek = true;
+    }
     /* Of before it was taken anew: its clock and lists are another's. */
     if (c.born_ms != u->born_ms || c.fence != u->fence) {
         if (u->state == HOLD_TAKING && u->look == 0 &&
@@ -658,12 +750,16 @@
         hold_fenced(b, u);
         return;
     }
-    sync_clock(b, u, a);
+    stale = a->clock_ms > 0 && a->clock_ms < u->clock_ms;
+    if (!stale) {
+        sync_clock(b, u, a);
+    }
     if (c.kind == LEASE_LOOK) {
-        if (u->state != HOLD_NONE && u->state != HOLD_LOST) {
-            on_look(b, u, a, c.sent_us);
-        }
+        on_any_look(b, u, a, &c, peek, stale);
         return;
     }
+    if (a->result != LEASE_LOST && a->result != LEASE_UNSENT) {
+        note_answer(b, b->now.mono_us - c.sent_us);
+    }
     on_task_call(b, u, &c, a->result);
 }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -218,6 +218,8 @@
  * @lapse_us: whatever runs there on our leases is over by then
  * @look: number of the look that is under way; 0 for none
  * @look_us: when the next one is due; INT64_MAX for none
+ * @peek: number of a look beside it that does not wait; 0 for none
+ * @peek_due: one is wanted
  * @misses: looks in a row without answer
  * @fenced_view: the view of the brokers when it was lost to a higher fence
  * @used: by the placed tasks
@@ -253,6 +255,8 @@
     int64_t lapse_us;
     uint64_t look;
     int64_t look_us;
+    uint64_t peek;
+    bool peek_due;
     uint32_t misses;
     uint32_t fenced;
     uint64_t fenced_view;
@@ -325,6 +329,9 @@
     bool stopping;
     bool stopped_told;
     int64_t stop_us;
+    int64_t ack_us;     /* mean time of an upstream's answer, as TCP reckons
+                         * its retransmission time */
+    int64_t ack_dev_us; /* mean deviation from it */
     struct broker_counters counters;
     struct broker_histograms histograms;
 };
@@ -539,6 +546,9 @@
 void lease_stop(struct broker *b, struct broker_upstream *u,
                 struct run_job *job, struct run_task *t);
 void lease_look(struct broker *b, struct broker_upstream *u);
+
+/** lease_peek() - looks without waiting, though another look waits */
+void lease_peek(struct broker *b, struct broker_upstream *u);
 void lease_on_called(struct broker *b, const struct bev_called *c);
 
 /** lease_unplace() - a task is no longer at its upstream */
