Tell one job's story from the logs of all processes

Cause: a request's lines are spread over the broker that answered its caller and the one that ran it, whose clocks differ, and what befell its upstreams and instances carries no id.

An empty data folder says whether an operator is needed.

--- a/Makefile
+++ b/Makefile
@@ -27,11 +27,11 @@
 LDLIBS := -lmicrohttpd -lcurl -lmsgpackc -lck -linih -ljansson -lxxhash \
 	-lpopt -lsodium -lgsl -lgslcblas -lm
 
-MAINS := $(wildcard src/bm_*.c) src/bmctl.c
+MAINS := $(wildcard src/bm_*.c) src/bmctl.c src/bmlog.c
 LIB_SRC := $(filter-out $(MAINS),$(wildcard src/*.c))
 LIB_OBJ := $(LIB_SRC:src/%.c=$(BUILD)/%.o)
 PROGRAMS := $(patsubst src/bm_%.c,$(BUILD)/bm-%,$(wildcard src/bm_*.c))
-PROGRAMS := $(subst _,-,$(PROGRAMS)) $(BUILD)/bmctl
+PROGRAMS := $(subst _,-,$(PROGRAMS)) $(BUILD)/bmctl $(BUILD)/bmlog
 PLATFORM_MAINS := $(wildcard platform/bm_*.c)
 PLATFORM_SRC := $(filter-out $(PLATFORM_MAINS),$(wildcard platform/*.c))
 PLATFORM_OBJ := $(PLATFORM_SRC:platform/%.c=$(BUILD)/platform/%.o)
@@ -102,7 +102,7 @@
 $(BUILD)/bm-%: $(BUILD)/bm_$$(subst -,_,$$*).o $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
-$(BUILD)/bmctl: $(BUILD)/bmctl.o $(BUILD)/libboragemoor.a
+$(BUILD)/bmctl $(BUILD)/bmlog: $(BUILD)/%: $(BUILD)/%.o $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
 $(BUILD)/check: $(TEST_OBJ) $(PLATFORM_OBJ) $(BUILD)/libboragemoor-mutant.a
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -613,7 +613,7 @@
         break;
     case LEASE_LOST:
         b->counters.starts_lost++;
-        broker_log(b, LOG_INFO, BROKER_START_LOST, job->id, runs_label(job, t),
+        broker_log(b, LOG_NOTICE, BROKER_START_LOST, job->id, runs_label(job, t),
                    u->name, "run %llu", (unsigned long long)t->run);
         lease_stop(b, u, job, t);
         break;
--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -536,7 +536,10 @@
     }
     if (found->made) {
         log_event(LOG_WARNING, "data-folder-empty", r->opts.data,
-                  "no vote until an operator adds or replaces this member");
+                  r->opts.control.enroll
+                      ? "no vote until the others have caught it up"
+                      : "no vote until an operator adds or replaces this "
+                        "member");
     }
     if (found->cut > 0) {
         log_event(LOG_NOTICE, "log-tail-cut", r->opts.data,
