Log what a refusal was decided by

Cause: a job refused as cannot-be-in-time left only 'refused; after 0 ms' in the logs; neither the queue nor the time that it had could be seen.

Change: the runner logs queue, tasks, jobs that wait, the time by which the job must start and how long after that there would be room.

--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -255,6 +255,21 @@
     return reason;
 }
 
+/* What the refusal was decided by. */
+static void
+log_refusal(struct broker *b, const struct run_job *job,
+            enum broker_reason reason, int64_t retry_us)
+{
+    int64_t must_us = job->start_by_us - b->now.mono_us;
+
+    broker_log(b, LOG_NOTICE, reason, job->id, -1, job->taker,
+               "queue %s, %u tasks, %u jobs wait, must start in %lld ms, "
+               "room %lld ms after that",
+               job->queue.s, job->n_tasks, job->service->n_queued,
+               (long long)(must_us / USEC_PER_MSEC),
+               (long long)(retry_us / USEC_PER_MSEC));
+}
+
 /* It was handed in again while the first is here: the caller was told nothing,
  * or what it was told was lost.  The one that runs serves both; one that is
  * being stopped has to be over before the next begins. */
@@ -330,6 +345,7 @@
     }
     if (reason != BROKER_NONE) {
         b->counters.offers_refused++;
+        log_refusal(b, job, reason, retry_us);
         end_job(b, job, outcome, reason, retry_us);
         return;
     }
