Log a lost connection once, not each try

Change: after the line of the loss and one of the first failed dial, further failed dials are debug until a connection opens.

--- a/src/peer.c
+++ b/src/peer.c
@@ -36,6 +36,7 @@
     struct conn *accepted;
     int64_t dial_due_us;
     int64_t backoff_us;
+    bool told_lost; /* that it can't be reached is in the log */
     bool up;
     TAILQ_ENTRY(remote) link;
 };
@@ -184,6 +185,11 @@
     if (c->state == CONN_CLOSED) {
         return;
     }
+    if (!was_open && r != NULL) {
+        /* Its loss was told; that it still can't be reached is no news. */
+        severity = r->told_lost ? LOG_DEBUG : severity;
+        r->told_lost = true;
+    }
     log_event(severity, "peer-closed", conn_name(c), "%s connection: %s",
               c->dialed ? "dialed" : "accepted", why);
     c->state = CONN_CLOSED;
@@ -387,6 +393,7 @@
         return;
     }
     c->state = CONN_OPEN;
+    r->told_lost = false;
     set_silence(p, c, hello->heartbeat_us);
     if (c->dialed) {
         r->backoff_us = BACKOFF_MIN_US;
