Keep handles as numbers in one place

Cause: number_of and handle_of stood in broker_caller, broker_lease and httpserver alike. Change: handle_number and handle_of_number in table.h; an unused field of the demo is gone.

--- a/demo/bm_platform_demo.c
+++ b/demo/bm_platform_demo.c
@@ -95,7 +95,6 @@
     int read;       /* highest version read */
     int reverts;    /* reads that were older than what was known before */
     bool read_right;
-    bool reborn;
 };
 
 static int64_t
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -26,19 +26,6 @@
  * burst; they are spread by up to half the time. */
 enum { RETRY_SPREAD = 2 };
 
-static uint64_t
-number_of(struct handle h)
-{
-    return (uint64_t)h.generation << 32 | h.index;
-}
-
-static struct handle
-handle_of(uint64_t number)
-{
-    return (struct handle){.index = (uint32_t)number,
-                           .generation = (uint32_t)(number >> 32)};
-}
-
 static int64_t
 spread_retry(struct broker *b, int64_t us)
 {
@@ -226,7 +213,7 @@
     struct rec_job_offer *o = &c->offer.u.job_offer;
 
     c->offer.kind = MSG_JOB_OFFER;
-    o->number = number_of(c->self);
+    o->number = handle_number(c->self);
     o->id = s->id;
     o->queue = s->queue->name;
     o->service = s->queue->service;
@@ -303,7 +290,7 @@
 {
     struct msg m = {.kind = MSG_JOB_DROP};
 
-    m.u.job_drop.number = number_of(c->self);
+    m.u.job_drop.number = handle_number(c->self);
     broker_send(b, c->runner, &m);
 }
 
@@ -353,7 +340,8 @@
 void
 callers_on_end(struct broker *b, struct name from, const struct rec_job_end *e)
 {
-    struct caller_job *c = table_get(&b->caller_jobs, handle_of(e->number));
+    struct caller_job *c =
+        table_get(&b->caller_jobs, handle_of_number(e->number));
     enum broker_reason reason;
 
     if (c == NULL || !name_equal(c->runner, from) ||
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -35,19 +35,6 @@
  * to the upstream and the look's own grain are most of the time. */
 enum { PERCENT_FULL = 100, PERCENT_TELLS = 40 };
 
-static uint64_t
-number_of(struct handle h)
-{
-    return (uint64_t)h.generation << 32 | h.index;
-}
-
-static struct handle
-handle_of(uint64_t number)
-{
-    return (struct handle){.index = (uint32_t)number,
-                           .generation = (uint32_t)(number >> 32)};
-}
-
 static struct task_ref
 ref_of(const struct run_job *job, const struct run_task *t)
 {
@@ -108,7 +95,7 @@
     c->born_ms = u->born_ms;
     c->fence = u->fence;
     c->sent_us = b->now.mono_us;
-    e->call = number_of(h);
+    e->call = handle_number(h);
     e->request.call = kind;
     e->request.upstream = u->name;
     e->request.address = u->address;
@@ -263,7 +250,7 @@
     struct broker_call *c;
     struct lease_request *r = call(b, u, LEASE_LOOK, &c);
 
-    u->look = number_of(c->self);
+    u->look = handle_number(c->self);
     u->look_us = INT64_MAX;
     r->noted = u->noted;
     r->wait_ms = wait_us / USEC_PER_MSEC;
@@ -279,7 +266,7 @@
     struct broker_call *c;
     struct lease_request *r = call(b, u, LEASE_LOOK, &c);
 
-    u->peek = number_of(c->self);
+    u->peek = handle_number(c->self);
     u->peek_due = false;
     r->noted = u->noted;
     r->timeout_us = b->opts.call_timeout_us;
@@ -613,8 +600,9 @@
         break;
     case LEASE_LOST:
         b->counters.starts_lost++;
-        broker_log(b, LOG_NOTICE, BROKER_START_LOST, job->id, runs_label(job, t),
-                   u->name, "run %llu", (unsigned long long)t->run);
+        broker_log(b, LOG_NOTICE, BROKER_START_LOST, job->id,
+                   runs_label(job, t), u->name, "run %llu",
+                   (unsigned long long)t->run);
         lease_stop(b, u, job, t);
         break;
     default:
@@ -713,7 +701,8 @@
 void
 lease_on_called(struct broker *b, const struct bev_called *called)
 {
-    struct broker_call *found = table_get(&b->calls, handle_of(called->call));
+    struct broker_call *found =
+        table_get(&b->calls, handle_of_number(called->call));
     const struct lease_answer *a = &called->answer;
     struct broker_upstream *u;
     struct broker_call c;
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -114,23 +114,10 @@
 
 /* Waiting */
 
-static uint64_t
-number_of(struct handle h)
-{
-    return (uint64_t)h.generation << 32 | h.index;
-}
-
-static struct handle
-handle_of(uint64_t number)
-{
-    return (struct handle){.index = (uint32_t)number,
-                           .generation = (uint32_t)(number >> 32)};
-}
-
 uint64_t
 httpserver_number(const struct httpwait *w)
 {
-    return number_of(w->self);
+    return handle_number(w->self);
 }
 
 uint64_t
@@ -144,7 +131,7 @@
 
         *place = w;
         w->request = request;
-        number = number_of(w->self);
+        number = handle_number(w->self);
     }
     (void)pthread_mutex_unlock(&s->lock);
     return number;
@@ -167,10 +154,10 @@
     void *request = NULL;
 
     (void)pthread_mutex_lock(&s->lock);
-    place = table_get(&s->waiting, handle_of(number));
+    place = table_get(&s->waiting, handle_of_number(number));
     if (place != NULL) {
         request = (*place)->request;
-        table_remove(&s->waiting, handle_of(number));
+        table_remove(&s->waiting, handle_of_number(number));
     }
     (void)pthread_mutex_unlock(&s->lock);
     return request;
@@ -191,7 +178,7 @@
     s->closed = true;
     place = table_next(&s->waiting, &at, &self);
     if (place != NULL && (*place)->suspended) {
-        number = number_of(self);
+        number = handle_number(self);
     }
     *any = place != NULL;
     (void)pthread_mutex_unlock(&s->lock);
--- a/src/table.c
+++ b/src/table.c
@@ -138,3 +138,16 @@
 {
     return a.index == b.index && a.generation == b.generation;
 }
+
+uint64_t
+handle_number(struct handle h)
+{
+    return (uint64_t)h.generation << 32 | h.index;
+}
+
+struct handle
+handle_of_number(uint64_t number)
+{
+    return (struct handle){.index = (uint32_t)number,
+                           .generation = (uint32_t)(number >> 32)};
+}
--- a/src/table.h
+++ b/src/table.h
@@ -58,4 +58,10 @@
 /** handle_equal() - whether two handles refer to the same element */
 bool handle_equal(struct handle a, struct handle b);
 
+/** handle_number() - a handle as a number, to be sent along */
+uint64_t handle_number(struct handle h);
+
+/** handle_of_number() - back from handle_number() */
+struct handle handle_of_number(uint64_t number);
+
 #endif
