Keep what answers mean apart from what is sent

Cause: broker_lease.c had grown to 756 lines with two subjects. Change: broker_answer.c has what answers to starts, stops and looks mean (529 lines), broker_lease.c what is sent (230). Moved, not rewritten.

--- a/src/broker.c
+++ b/src/broker.c
@@ -266,7 +266,7 @@
         callers_gone(b, ev->u.gone.request);
         break;
     case BEV_CALLED:
-        lease_on_called(b, &ev->u.called);
+        answer_on_called(b, &ev->u.called);
         break;
     case BEV_MESSAGE:
         on_message(b, ev->u.message.from, ev->u.message.msg);
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -1,6 +1,6 @@
 /*
- * Speaking with upstreams: starts, stops and looks, and what their answers
- * mean.
+ * Speaking with upstreams: starts, stops and looks.  What their answers mean
+ * is in broker_answer.c.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -8,49 +8,20 @@
 #include "array.h"
 #include "broker_state.h"
 
-/* A run that has not moved on for so long, and for that multiple of the time
- * it should take in all, stands still. */
-#define STALL_MIN_US (150 * USEC_PER_MSEC)
-static const double STALL_RUNS = 0.6;
 /* A look at upstreams where a run may stand still, or where one is being
  * stopped, is answered after this at the latest. */
 #define QUICK_LOOK_US (50 * USEC_PER_MSEC)
-/* Until a stop without answer is sent again. */
-#define STOP_AGAIN_US (60 * USEC_PER_MSEC)
 /* Shortest wait for an answer: some turns of a process that has a quarter of a
  * core and other work. */
 #define ACK_MIN_US (40 * USEC_PER_MSEC)
 enum { ACK_DEVIATIONS = 8 };
-/* For what the lease's time does not cover: delays on the way, coarse clocks.
- */
-#define LAPSE_SLACK_US (50 * USEC_PER_MSEC)
-/* An upstream without room is not asked again before this; its next end is
- * seen sooner, by the look. */
-#define NO_ROOM_US (30 * USEC_PER_MSEC)
-/* Weight of a sample against the job's other tasks, which differ little; and
- * against what was declared, which says hardly anything of one upstream. */
-static const double SIBLINGS_WEIGHT = 0.3;
-static const double DECLARED_WEIGHT = 0.03;
-/* Percents a run must have come to before its pace is judged: earlier the way
- * to the upstream and the look's own grain are most of the time. */
-enum { PERCENT_FULL = 100, PERCENT_TELLS = 40 };
-
-static struct task_ref
-ref_of(const struct run_job *job, const struct run_task *t)
+struct task_ref
+lease_ref(const struct run_job *job, const struct run_task *t)
 {
     return (struct task_ref){
         .job = job->id, .group = t->group, .index = t->index, .run = t->run};
 }
 
-static bool
-same_run(struct task_ref a, struct task_ref b)
-{
-    return a.job == b.job && a.group == b.group && a.index == b.index &&
-           a.run == b.run;
-}
-
-/* Sending */
-
 /* How long to wait for an answer that is given at once.  A start that is lost
  * has to be stopped and placed anew while its job can still be in time, so as
  * short as the answers allow: what TCP waits before it sends again (RFC 6298),
@@ -66,21 +37,6 @@
     return us > ACK_MIN_US ? us : ACK_MIN_US;
 }
 
-static void
-note_answer(struct broker *b, int64_t took_us)
-{
-    int64_t off =
-        took_us > b->ack_us ? took_us - b->ack_us : b->ack_us - took_us;
-
-    if (b->ack_us == 0) {
-        b->ack_us = took_us;
-        b->ack_dev_us = took_us / 2;
-        return;
-    }
-    b->ack_dev_us += (off - b->ack_dev_us) / 4;
-    b->ack_us += (took_us - b->ack_us) / 8;
-}
-
 static struct lease_request *
 call(struct broker *b, struct broker_upstream *u, enum lease_call kind,
      struct broker_call **out)
@@ -181,7 +137,7 @@
     c->job = job->self;
     c->task = (uint32_t)(t - job->tasks);
     c->run = t->run;
-    r->task = ref_of(job, t);
+    r->task = lease_ref(job, t);
     r->spec = blob_ref(job->spec);
     r->deadline_ms = deadline_ms(b, u);
     if (u->look == 0 && u->look_us > b->now.mono_us) {
@@ -189,9 +145,9 @@
     }
 }
 
-static void
-send_stop(struct broker *b, struct broker_upstream *u, struct task_ref task,
-          struct handle job, uint32_t number)
+void
+lease_send_stop(struct broker *b, struct broker_upstream *u,
+                struct task_ref task, struct handle job, uint32_t number)
 {
     struct broker_call *c;
     struct lease_request *r = call(b, u, LEASE_STOP, &c);
@@ -210,7 +166,8 @@
     t->settle_us = INT64_MAX;
     t->stop_us = b->now.mono_us;
     if (u != NULL && u->state != HOLD_LOST) {
-        send_stop(b, u, ref_of(job, t), job->self, (uint32_t)(t - job->tasks));
+        lease_send_stop(b, u, lease_ref(job, t), job->self,
+                        (uint32_t)(t - job->tasks));
     }
 }
 
@@ -272,485 +229,3 @@
     r->timeout_us = b->opts.call_timeout_us;
     b->counters.looks++;
 }
-
-/* Answers to looks */
-
-static struct run_task *
-placed_run(struct broker *b, const struct broker_upstream *u,
-           struct task_ref ref, struct run_job **job)
-{
-    for (size_t i = 0; i < u->n_tasks; i++) {
-        struct run_task *t = runs_task(b, &u->tasks[i], job);
-
-        if (same_run(ref_of(*job, t), ref)) {
-            return t;
-        }
-    }
-    return NULL;
-}
-
-/* How slow an upstream is shows best against the other tasks of the job: what
- * callers declare is off by half and more, and alike for all of them. */
-static void
-judge_speed(struct broker *b, struct broker_upstream *u,
-            const struct run_job *job, const struct run_task *t, double ran_us)
-{
-    double usual = (double)t->expected_us / u->slowness /
-                   place_remote(&job->groups[t->group], u);
-
-    if (job->n_done > 0 && job->n_groups == 1) {
-        trust_ok(b, u, ran_us * job->n_done / (double)job->done_us,
-                 SIBLINGS_WEIGHT);
-    }
-    else if (usual > 0) {
-        trust_ok(b, u, ran_us / usual, DECLARED_WEIGHT);
-    }
-}
-
-static void
-ended_well(struct broker *b, struct broker_upstream *u, struct run_job *job,
-           struct run_task *t)
-{
-    const struct rec_task_group *g = &job->groups[t->group];
-    double ran_us = (double)(b->now.mono_us - t->sent_us) / place_remote(g, u);
-
-    /* Not divided by the upstream's slowness: what is learned of one would
-     * then rest on the other, and both could drift off together. */
-    histogram_add(&b->histograms.run, b->now.mono_us - t->sent_us);
-    order_learn(job, g, (int64_t)ran_us + 1);
-    judge_speed(b, u, job, t, ran_us);
-    job->n_done++;
-    job->done_us += (int64_t)ran_us + 1;
-    runs_done(b, job, t);
-}
-
-static void
-take_end(struct broker *b, struct broker_upstream *u,
-         const struct lease_ended *e)
-{
-    struct run_job *job;
-    struct run_task *t = placed_run(b, u, e->task, &job);
-
-    if (t == NULL) {
-        return; /* of a broker before us, or settled otherwise */
-    }
-    if (e->how != LEASE_DONE) {
-        broker_log(b, LOG_INFO, BROKER_RUN_ENDED, job->id, runs_label(job, t),
-                   u->name, "%s, run %llu, after %lld ms",
-                   e->how == LEASE_FAILED    ? "failed"
-                   : e->how == LEASE_STOPPED ? "stopped"
-                   : e->how == LEASE_LAPSED  ? "lapsed"
-                                             : "broken",
-                   (unsigned long long)t->run,
-                   (long long)((b->now.mono_us - t->sent_us) / USEC_PER_MSEC));
-    }
-    switch (e->how) {
-    case LEASE_DONE:
-        ended_well(b, u, job, t);
-        break;
-    case LEASE_FAILED:
-        runs_failed(b, job, t);
-        break;
-    case LEASE_STOPPED:
-        b->counters.tasks_stopped++;
-        runs_ready(b, job, t);
-        break;
-    default:
-        b->counters.tasks_lapsed++;
-        runs_ready(b, job, t);
-        break;
-    }
-}
-
-static void
-take_ends(struct broker *b, struct broker_upstream *u,
-          const struct lease_answer *a)
-{
-    for (size_t i = 0; i < a->n_ended; i++) {
-        if (a->ended[i].number <= u->noted) {
-            continue;
-        }
-        u->noted = a->ended[i].number;
-        u->unnoted = true;
-        if (u->state != HOLD_TAKING) {
-            take_end(b, u, &a->ended[i]);
-        }
-    }
-}
-
-/* What the share of its work that is done by now says of the upstream, against
- * the job's other tasks. */
-static void
-judge_pace(struct broker_upstream *u, const struct run_job *job,
-           const struct run_task *t, int64_t ran_us)
-{
-    double whole;
-    double pace;
-
-    if (t->percent < PERCENT_TELLS || t->percent >= PERCENT_FULL ||
-        job->n_done < 2 || job->n_groups != 1) {
-        return;
-    }
-    whole = (double)ran_us * PERCENT_FULL / (double)t->percent /
-            place_remote(&job->groups[t->group], u);
-    pace = whole * job->n_done / (double)job->done_us;
-    if (pace > 2.0 * u->slowness) {
-        u->slowness = pace;
-    }
-}
-
-static void
-seen_running(struct broker *b, struct broker_upstream *u, struct run_job *job,
-             struct run_task *t, uint32_t percent)
-{
-    int64_t still_us;
-    double allowed = STALL_RUNS * (double)t->expected_us;
-
-    if (t->state == RUN_STARTING || t->state == RUN_UNSETTLED) {
-        t->state = RUN_RUNNING;
-        t->percent_us = b->now.mono_us;
-    }
-    if (t->state != RUN_RUNNING) {
-        return;
-    }
-    if (percent > t->percent) {
-        t->percent = percent;
-        t->percent_us = b->now.mono_us;
-        judge_pace(u, job, t, b->now.mono_us - t->sent_us);
-        return;
-    }
-    still_us = b->now.mono_us - t->percent_us;
-    if (still_us > STALL_MIN_US && (double)still_us > allowed) {
-        b->counters.tasks_stalled++;
-        broker_log(b, LOG_NOTICE, BROKER_RUN_STALLED, job->id,
-                   runs_label(job, t), u->name,
-                   "run %llu at %u %% for %lld ms", (unsigned long long)t->run,
-                   percent, (long long)(still_us / USEC_PER_MSEC));
-        trust_failed(b, u);
-        t->avoid = u->name;
-        lease_stop(b, u, job, t);
-    }
-}
-
-/* Whether something runs there that is not ours; it is stopped. */
-static bool
-take_running(struct broker *b, struct broker_upstream *u,
-             const struct lease_answer *a)
-{
-    bool strangers = false;
-
-    for (size_t i = 0; i < a->n_running; i++) {
-        const struct lease_running *r = &a->running[i];
-        struct run_job *job;
-        struct run_task *t =
-            u->state == HOLD_TAKING ? NULL : placed_run(b, u, r->task, &job);
-
-        if (t != NULL) {
-            seen_running(b, u, job, t, r->percent);
-            continue;
-        }
-        strangers = true;
-        b->counters.strangers_stopped++;
-        broker_log(b, LOG_NOTICE, BROKER_STRANGER, r->task.job, -1, u->name,
-                   "group %u, task %u, run %llu", r->task.group, r->task.index,
-                   (unsigned long long)r->task.run);
-        send_stop(b, u, r->task, (struct handle){0}, 0);
-    }
-    return strangers;
-}
-
-static bool
-is_running(const struct lease_answer *a, struct task_ref ref)
-{
-    for (size_t i = 0; i < a->n_running; i++) {
-        if (same_run(a->running[i].task, ref)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Of the tasks that are not listed as running or ended: those whose stop was
- * confirmed before the look was sent, or whose start is refused as late by
- * now, will never run. */
-static void
-settle(struct broker *b, struct broker_upstream *u,
-       const struct lease_answer *a, int64_t sent_us)
-{
-    int64_t late_us =
-        b->opts.lease_us +
-        (int64_t)((double)b->opts.lease_us * 2.0 * b->opts.clock_drift) +
-        LAPSE_SLACK_US;
-
-    for (size_t i = u->n_tasks; i > 0; i--) {
-        struct run_job *job;
-        struct run_task *t;
-        bool over;
-
-        if (i > u->n_tasks) {
-            continue; /* settling one may have ended its job */
-        }
-        t = runs_task(b, &u->tasks[i - 1], &job);
-        if (is_running(a, ref_of(job, t))) {
-            continue;
-        }
-        over = t->settle_us <= sent_us || t->sent_us + late_us < sent_us;
-        /* Seen running before, and now gone without an end: the list of ends
-         * is cut off at some length; it is in the next one. */
-        if (!over || (t->state == RUN_RUNNING && a->n_ended > 0)) {
-            continue;
-        }
-        broker_log(b, LOG_INFO, BROKER_RUN_SETTLED, job->id,
-                   runs_label(job, t), u->name, "run %llu",
-                   (unsigned long long)t->run);
-        runs_ready(b, job, t);
-    }
-}
-
-static void
-stop_again(struct broker *b, struct broker_upstream *u)
-{
-    for (size_t i = 0; i < u->n_tasks; i++) {
-        struct run_job *job;
-        struct run_task *t = runs_task(b, &u->tasks[i], &job);
-
-        if (t->state == RUN_STOPPING && t->settle_us == INT64_MAX &&
-            b->now.mono_us - t->stop_us >= STOP_AGAIN_US) {
-            lease_stop(b, u, job, t);
-        }
-    }
-}
-
-static void
-on_peek(struct broker *b, struct broker_upstream *u,
-        const struct lease_answer *a, int64_t sent_us)
-{
-    if (a->result != LEASE_OK || u->state != HOLD_OPEN) {
-        return;
-    }
-    take_ends(b, u, a);
-    settle(b, u, a, sent_us);
-    stop_again(b, u);
-}
-
-static void
-on_look(struct broker *b, struct broker_upstream *u,
-        const struct lease_answer *a, int64_t sent_us, bool stale)
-{
-    bool strangers;
-
-    if (a->result != LEASE_OK) {
-        hold_missed(b, u);
-        return;
-    }
-    take_ends(b, u, a);
-    if (stale) {
-        /* A peek that was answered meanwhile knew better what runs. */
-        hold_answered(b, u, u->strangers);
-        return;
-    }
-    strangers = take_running(b, u, a);
-    if (u->state != HOLD_TAKING) {
-        settle(b, u, a, sent_us);
-        stop_again(b, u);
-    }
-    hold_answered(b, u, strangers);
-}
-
-/* Answers to starts and stops */
-
-static void
-start_refused(struct broker *b, struct broker_upstream *u, struct run_job *job,
-              struct run_task *t, enum lease_result result)
-{
-    b->counters.starts_refused++;
-    broker_log(b, LOG_INFO, BROKER_START_REFUSED, job->id, runs_label(job, t),
-               u->name, "run %llu: %s", (unsigned long long)t->run,
-               lease_result_text(result));
-    if (result == LEASE_NO_ROOM) {
-        u->room_us = b->now.mono_us + NO_ROOM_US;
-        u->look_us = u->look == 0 ? b->now.mono_us : u->look_us;
-    }
-    else if (result == LEASE_UNHEALTHY || result == LEASE_UNSENT ||
-             result == LEASE_OTHER_LIFE) {
-        trust_failed(b, u);
-        t->avoid = u->name;
-    }
-    if (result == LEASE_BAD) {
-        runs_failed(b, job, t);
-        return;
-    }
-    runs_ready(b, job, t);
-}
-
-static void
-on_start(struct broker *b, struct broker_upstream *u, struct run_job *job,
-         struct run_task *t, enum lease_result result)
-{
-    if (t->state != RUN_STARTING && t->state != RUN_STOPPING) {
-        return; /* a look told more already */
-    }
-    switch (result) {
-    case LEASE_OK:
-        histogram_add(&b->histograms.start, b->now.mono_us - t->sent_us);
-        if (t->state == RUN_STARTING) {
-            t->state = RUN_RUNNING;
-            t->percent_us = b->now.mono_us;
-        }
-        break;
-    case LEASE_LOST:
-        b->counters.starts_lost++;
-        broker_log(b, LOG_NOTICE, BROKER_START_LOST, job->id,
-                   runs_label(job, t), u->name, "run %llu",
-                   (unsigned long long)t->run);
-        lease_stop(b, u, job, t);
-        break;
-    default:
-        start_refused(b, u, job, t, result);
-        break;
-    }
-}
-
-static void
-on_stop(struct broker *b, struct run_task *t, enum lease_result result)
-{
-    struct broker_upstream *u = table_get(&b->upstreams, t->upstream);
-
-    if (t->state == RUN_STOPPING && result == LEASE_OK) {
-        t->settle_us = b->now.mono_us;
-        u->peek_due = true;
-    }
-    else if (t->state == RUN_STOPPING && result == LEASE_LOST) {
-        u->peek_due = true; /* sends it again, if need be */
-    }
-}
-
-/* The task a call was about, if it is still about that run. */
-static struct run_task *
-task_of(struct broker *b, const struct broker_call *c, struct run_job **job)
-{
-    struct run_task *t;
-
-    *job = table_get(&b->run_jobs, c->job);
-    if (*job == NULL) {
-        return NULL;
-    }
-    t = &(*job)->tasks[c->task];
-    return t->run == c->run && handle_equal(t->upstream, c->upstream) ? t
-                                                                      : NULL;
-}
-
-static void
-on_task_call(struct broker *b, struct broker_upstream *u,
-             const struct broker_call *c, enum lease_result result)
-{
-    struct run_job *job;
-    struct run_task *t = task_of(b, c, &job);
-
-    if (t == NULL) {
-        return;
-    }
-    if (c->kind == LEASE_START) {
-        on_start(b, u, job, t, result);
-    }
-    else {
-        on_stop(b, t, result);
-    }
-}
-
-static void
-sync_clock(struct broker *b, struct broker_upstream *u,
-           const struct lease_answer *a)
-{
-    if (a->clock_ms > 0) {
-        u->clock_ms = a->clock_ms;
-        u->clock_us = b->now.mono_us;
-    }
-}
-
-/* True when the answer is of another life than the one we hold. */
-static bool
-other_life(struct broker *b, struct broker_upstream *u,
-           const struct lease_answer *a)
-{
-    if (a->born_ms == 0 || a->born_ms == u->born_ms) {
-        return false;
-    }
-    if (a->born_ms > u->born_ms) {
-        hold_reborn(b, u, a->born_ms);
-    }
-    return true;
-}
-
-static void
-on_any_look(struct broker *b, struct broker_upstream *u,
-            const struct lease_answer *a, const struct broker_call *c,
-            bool peek, bool stale)
-{
-    if (u->state == HOLD_NONE || u->state == HOLD_LOST) {
-        return;
-    }
-    if (peek) {
-        on_peek(b, u, a, c->sent_us);
-    }
-    else {
-        on_look(b, u, a, c->sent_us, stale);
-    }
-}
-
-void
-lease_on_called(struct broker *b, const struct bev_called *called)
-{
-    struct broker_call *found =
-        table_get(&b->calls, handle_of_number(called->call));
-    const struct lease_answer *a = &called->answer;
-    struct broker_upstream *u;
-    struct broker_call c;
-    bool peek = false;
-    bool stale;
-
-    if (found == NULL) {
-        return;
-    }
-    c = *found;
-    table_remove(&b->calls, c.self);
-    u = table_get(&b->upstreams, c.upstream);
-    if (u == NULL) {
-        return;
-    }
-    if (u->look == called->call) {
-        u->look = 0;
-    }
-    if (u->peek == called->call) {
-        u->peek = 0;
-        peek = true;
-    }
-    /* Of before it was taken anew: its clock and lists are another's. */
-    if (c.born_ms != u->born_ms || c.fence != u->fence) {
-        if (u->state == HOLD_TAKING && u->look == 0 &&
-            u->look_us == INT64_MAX) {
-            u->look_us = b->now.mono_us;
-        }
-        return;
-    }
-    if (other_life(b, u, a)) {
-        return;
-    }
-    if (a->result == LEASE_FENCED && u->state != HOLD_NONE &&
-        u->state != HOLD_LOST) {
-        hold_fenced(b, u);
-        return;
-    }
-    stale = a->clock_ms > 0 && a->clock_ms < u->clock_ms;
-    if (!stale) {
-        sync_clock(b, u, a);
-    }
-    if (c.kind == LEASE_LOOK) {
-        on_any_look(b, u, a, &c, peek, stale);
-        return;
-    }
-    if (a->result != LEASE_LOST && a->result != LEASE_UNSENT) {
-        note_answer(b, b->now.mono_us - c.sent_us);
-    }
-    on_task_call(b, u, &c, a->result);
-}
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -541,20 +541,34 @@
 void hold_missed(struct broker *b, struct broker_upstream *u);
 
 /* broker_lease.c */
+/* For what the lease's time does not cover: delays on the way, coarse clocks.
+ */
+#define LAPSE_SLACK_US (50 * USEC_PER_MSEC)
+
 void lease_start(struct broker *b, struct broker_upstream *u,
                  struct run_job *job, struct run_task *t);
 void lease_stop(struct broker *b, struct broker_upstream *u,
                 struct run_job *job, struct run_task *t);
 void lease_look(struct broker *b, struct broker_upstream *u);
 
+/** lease_ref() - how a run is named to an upstream */
+struct task_ref lease_ref(const struct run_job *job, const struct run_task *t);
+
+/** lease_send_stop() - of a run that may not be ours; @job and @number are
+ * the task that waits for it, or nothing */
+void lease_send_stop(struct broker *b, struct broker_upstream *u,
+                     struct task_ref task, struct handle job, uint32_t number);
+
 /** lease_peek() - looks without waiting, though another look waits */
 void lease_peek(struct broker *b, struct broker_upstream *u);
-void lease_on_called(struct broker *b, const struct bev_called *c);
 
 /** lease_unplace() - a task is no longer at its upstream */
 void lease_unplace(struct broker *b, struct broker_upstream *u,
                    const struct run_job *job, const struct run_task *t);
 
+/* broker_answer.c */
+void answer_on_called(struct broker *b, const struct bev_called *c);
+
 /* broker_trust.c */
 /** trust_ok() - a task ended well; @sample is how slow the upstream was with
  * it, and counts by @weight, 0 to 1 */
