Leave times out of refusals that time plays no part in

Cause: a refusal as stopping or never-fits was logged with 'room 0 ms after that', which says what is not so. Change: times are told only where the refusal has a time to retry after. Seen, and left: a refused job is told to come back when a late job would have room (21.8 s with 19 jobs waiting), which is later than one that comes in time needs.

--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -255,19 +255,24 @@
     return reason;
 }
 
-/* What the refusal was decided by. */
+/* What the refusal was decided by; where time plays no part (it never fits, or
+ * this broker is stopping) there is no time to retry after. */
 static void
 log_refusal(struct broker *b, const struct run_job *job,
             enum broker_reason reason, int64_t retry_us)
 {
     int64_t must_us = job->start_by_us - b->now.mono_us;
+    char times[DETAIL_SIZE] = "";
 
+    if (retry_us > 0) {
+        (void)snprintf(times, sizeof(times),
+                       ", must start in %lld ms, room %lld ms after that",
+                       (long long)(must_us / USEC_PER_MSEC),
+                       (long long)(retry_us / USEC_PER_MSEC));
+    }
     broker_log(b, LOG_NOTICE, reason, job->id, -1, job->taker,
-               "queue %s, %u tasks, %u jobs wait, must start in %lld ms, "
-               "room %lld ms after that",
-               job->queue.s, job->n_tasks, job->service->n_queued,
-               (long long)(must_us / USEC_PER_MSEC),
-               (long long)(retry_us / USEC_PER_MSEC));
+               "queue %s, %u tasks, %u jobs wait%s", job->queue.s,
+               job->n_tasks, job->service->n_queued, times);
 }
 
 /* It was handed in again while the first is here: the caller was told nothing,
