Mend what the address and undefined sanitizers found

Change: receiver_of gives no process for other events; nothing is copied where there is nothing; the test adds up all lines of drops, which must be exactly what the counter says, with the last of them only after the reader goes on. As strict: a drop untold or told twice fails it.

--- a/src/registry.c
+++ b/src/registry.c
@@ -182,8 +182,10 @@
         i->zone = b->info.zone;
         i->address = b->info.address;
     }
-    memcpy(list->registries, r->registries,
-           r->n_registries * sizeof(*r->registries));
+    if (r->n_registries > 0) {
+        memcpy(list->registries, r->registries,
+               r->n_registries * sizeof(*r->registries));
+    }
     list->n_registries = r->n_registries;
     return m;
 }
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -442,17 +442,26 @@
     vlease_step(v, p, &ev);
 }
 
+/* The process it goes to, or NULL: upstreams and callers are numbered on their
+ * own. */
+static struct vprocess *
+receiver_of(struct vlease *v, const struct vevent *e)
+{
+    bool to_process = e->kind == VEV_MESSAGE || e->kind == VEV_PEER ||
+                      e->kind == VEV_TICK || e->kind == VEV_ANSWER;
+
+    return to_process ? &v->processes[e->to] : NULL;
+}
+
 /* A paused process takes nothing until it wakes; then everything at once. */
 static bool
 put_off(struct vlease *v, struct vevent *e)
 {
-    const struct vprocess *p = &v->processes[e->to];
-    bool to_process = e->kind == VEV_MESSAGE || e->kind == VEV_PEER ||
-                      e->kind == VEV_TICK || e->kind == VEV_ANSWER;
+    const struct vprocess *p = receiver_of(v, e);
     struct vevent *later;
     uint64_t order;
 
-    if (!to_process || p->paused_until_us <= v->now_us) {
+    if (p == NULL || p->paused_until_us <= v->now_us) {
         return false;
     }
     later = vlease_at(v, p->paused_until_us, e->kind);
@@ -464,12 +473,11 @@
 }
 
 static bool
-for_dead_life(const struct vlease *v, const struct vevent *e)
+for_dead_life(struct vlease *v, const struct vevent *e)
 {
-    bool to_process = e->kind <= VEV_TICK || e->kind == VEV_ANSWER;
-    const struct vprocess *p = &v->processes[e->to];
+    const struct vprocess *p = receiver_of(v, e);
 
-    return to_process && (p->down || p->stopped || p->life != e->life);
+    return p != NULL && (p->down || p->stopped || p->life != e->life);
 }
 
 static void
--- a/tests/log_test.c
+++ b/tests/log_test.c
@@ -52,17 +52,32 @@
     return o;
 }
 
+/* How many lines of "flood" that line tells as dropped. */
+static uint64_t
+told_dropped(const char *line)
+{
+    json_t *fields = json_loads(line, 0, NULL);
+    json_int_t n = json_integer_value(
+        json_object_get(json_object_get(fields, "dropped"), "flood"));
+
+    json_decref(fields);
+    return (uint64_t)n;
+}
+
 /* Reads lines, waiting for them, until @wanted of them hold @text; the last of
- * these goes to @line. */
-static void
+ * these goes to @line.  Returns how many dropped ones they tell of. */
+static uint64_t
 read_lines(FILE *in, const char *text, uint64_t wanted, char *line)
 {
+    uint64_t told = 0;
     uint64_t n = 0;
 
     while (n < wanted) {
         CU_ASSERT_PTR_NOT_NULL_FATAL(fgets(line, LINE_ROOM, in));
         n += strstr(line, text) != NULL ? 1 : 0;
+        told += told_dropped(line);
     }
+    return told;
 }
 
 /* Standard output is a pipe whose reader hangs.  The process that logs must
@@ -74,8 +89,8 @@
     struct manual_clock clock;
     struct log_options o;
     uint64_t dropped = atomic_load(&stats.log_dropped);
+    uint64_t told;
     char line[LINE_ROOM];
-    char counts[64];
     FILE *in;
     int fds[2];
 
@@ -89,14 +104,15 @@
     log_many(LOG_NOTICE, "flood", LINES); /* more than a pipe holds */
     dropped = atomic_load(&stats.log_dropped) - dropped;
     CU_ASSERT_TRUE(dropped > 0 && dropped < LINES);
-    read_lines(in, "\"reason\":\"flood\"", LINES - dropped, line);
+    /* The writer may have fallen behind and caught up before the pipe was
+     * full: then some drops are told among the lines. */
+    told = read_lines(in, "\"reason\":\"flood\"", LINES - dropped, line);
+    CU_ASSERT_TRUE(told < dropped);
     manual_clock_advance(&clock, 2 * USEC_PER_SEC);
     log_event(LOG_NOTICE, "after", NULL, "it reads again");
-    read_lines(in, "\"reason\":\"lines-dropped\"", 1, line);
-    (void)snprintf(counts, sizeof(counts), "\"dropped\":{\"flood\":%llu}",
-                   (unsigned long long)dropped);
-    CU_ASSERT_PTR_NOT_NULL(strstr(line, counts));
-    read_lines(in, "\"reason\":\"after\"", 1, line);
+    told += read_lines(in, "\"reason\":\"lines-dropped\"", 1, line);
+    CU_ASSERT_EQUAL(told, dropped);
+    CU_ASSERT_EQUAL(read_lines(in, "\"reason\":\"after\"", 1, line), 0);
     log_stop(1000);
     log_setup("check", LOG_INFO, clock_real());
     (void)fclose(in);
