Move nothing where the virtual upstream has nothing

Cause: memmove and memcpy of no bytes from NULL, found by the undefined sanitizer. Change: no move where no end was noted; ends are copied one by one.

--- a/src/vleaseup.c
+++ b/src/vleaseup.c
@@ -168,6 +168,9 @@
             v->now_us - u->ended_at_us[n] > NOTED_BOUND_US ? 1 : 0;
         n++;
     }
+    if (n == 0) {
+        return;
+    }
     u->n_ended -= n;
     memmove(u->ended, u->ended + n, u->n_ended * sizeof(*u->ended));
     memmove(u->ended_at_us, u->ended_at_us + n,
@@ -197,7 +200,9 @@
             (uint32_t)(100 * (r->whole_us - r->left_us) / r->whole_us);
     }
     a.n_running = u->n_runs;
-    memcpy(a.ended, u->ended, u->n_ended * sizeof(*a.ended));
+    for (size_t i = 0; i < u->n_ended; i++) {
+        a.ended[i] = u->ended[i];
+    }
     a.n_ended = u->n_ended;
     answer(v, u, &to, &a);
 }
