Draw seeded numbers in one place

Cause: splitmix64 stood seven times: in broker, entry, control, the virtual region and three test files. Change: random_next in base.c. The sequences are the same.

--- a/src/base.c
+++ b/src/base.c
@@ -71,3 +71,13 @@
            need.memory_mb <= have.memory_mb &&
            need.accelerators <= have.accelerators;
 }
+
+uint64_t
+random_next(uint64_t *state)
+{
+    uint64_t z = (*state += UINT64_C(0x9e3779b97f4a7c15));
+
+    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return z ^ (z >> 31);
+}
--- a/src/base.h
+++ b/src/base.h
@@ -89,4 +89,9 @@
 /** resources_fit() - whether @need fits into @have in every dimension */
 bool resources_fit(struct resources need, struct resources have);
 
+/** random_next() - next number of a seeded generator (splitmix64), whose state
+ * may begin with any number; for what must come out the same again, not for
+ * secrets */
+uint64_t random_next(uint64_t *state);
+
 #endif
--- a/src/broker.c
+++ b/src/broker.c
@@ -118,15 +118,10 @@
     free(b);
 }
 
-/* splitmix64 */
 uint64_t
 broker_random(struct broker *b, uint64_t n)
 {
-    uint64_t z = (b->random += UINT64_C(0x9e3779b97f4a7c15));
-
-    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-    return (z ^ (z >> 31)) % n;
+    return random_next(&b->random) % n;
 }
 
 void
--- a/src/control.c
+++ b/src/control.c
@@ -59,11 +59,7 @@
 uint64_t
 control_random(struct control *c)
 {
-    uint64_t z = (c->random += UINT64_C(0x9e3779b97f4a7c15));
-
-    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-    return z ^ (z >> 31);
+    return random_next(&c->random);
 }
 
 void
--- a/src/entry.c
+++ b/src/entry.c
@@ -45,11 +45,7 @@
 uint64_t
 entry_random(struct entry *e)
 {
-    uint64_t z = (e->random += UINT64_C(0x9e3779b97f4a7c15));
-
-    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-    return z ^ (z >> 31);
+    return random_next(&e->random);
 }
 
 int64_t
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -40,11 +40,7 @@
 uint64_t
 vlease_random(struct vlease *v, uint64_t n)
 {
-    uint64_t z = (v->random += UINT64_C(0x9e3779b97f4a7c15));
-
-    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-    return (z ^ (z >> 31)) % n;
+    return random_next(&v->random) % n;
 }
 
 /* The heap of events */
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -14,11 +14,7 @@
 uint64_t
 cluster_draw(struct cluster *cl, uint64_t below)
 {
-    uint64_t z = (cl->random += UINT64_C(0x9e3779b97f4a7c15));
-
-    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-    return (z ^ (z >> 31)) % below;
+    return random_next(&cl->random) % below;
 }
 
 void
--- a/tests/entry_net.c
+++ b/tests/entry_net.c
@@ -22,11 +22,7 @@
 uint64_t
 enet_random(struct enet *n, uint64_t below)
 {
-    uint64_t z = (n->random += UINT64_C(0x9e3779b97f4a7c15));
-
-    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-    return (z ^ (z >> 31)) % below;
+    return random_next(&n->random) % below;
 }
 
 static struct moment
--- a/tests/fault_disk.c
+++ b/tests/fault_disk.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base.h"
+
 enum { NODES = 64, NAMES = 8, CHANGES = 64, FILE_NAME = 32 };
 
 struct bytes {
@@ -46,16 +48,6 @@
     bool dead;
 };
 
-static uint64_t
-draw(uint64_t *seed)
-{
-    uint64_t z = (*seed += UINT64_C(0x9e3779b97f4a7c15));
-
-    z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-    z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-    return z ^ (z >> 31);
-}
-
 static void
 bytes_set(struct bytes *b, const void *data, size_t size)
 {
@@ -421,7 +413,8 @@
 static void
 crash_node(struct node *n, uint64_t *seed)
 {
-    size_t whole = *seed == 0 || n->lost ? 0 : draw(seed) % (n->n_writes + 1);
+    size_t whole =
+        *seed == 0 || n->lost ? 0 : random_next(seed) % (n->n_writes + 1);
     bool cut = true;
 
     bytes_set(&n->now, n->durable.data != NULL ? n->durable.data : "",
@@ -429,14 +422,14 @@
     for (size_t i = 0; i < whole; i++) {
         struct write *w = &n->writes[i];
         size_t size = w->added.size;
-        uint64_t fate = draw(seed) % 4;
+        uint64_t fate = random_next(seed) % 4;
 
         if (size == 0 && fate == 0) {
             cut = false;
             continue;
         }
         if (size > 0 && fate == 1 && i + 1 == whole) {
-            size = draw(seed) % size;
+            size = random_next(seed) % size;
         }
         put_bytes(&n->now, w->keep, w->added.data, size, cut);
         if (size > 0 && fate == 2) {
@@ -454,7 +447,7 @@
 void
 fault_disk_crash(struct disk *d, uint64_t seed)
 {
-    size_t names = seed == 0 ? 0 : draw(&seed) % d->n_history;
+    size_t names = seed == 0 ? 0 : random_next(&seed) % d->n_history;
 
     d->now = d->history[names];
     d->history[0] = d->now;
