Estimate a run's usual time once a choice, not once an upstream

Cause: place_choose looked up the queue's learned run time for every upstream that could take the task, and weighed slow upstreams that it then left out.

Change: one look-up before the loop; the cheap question comes first.

--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -55,12 +55,18 @@
     return near ? 1.0 : REMOTE_FACTOR;
 }
 
+static int64_t
+expected_there_us(int64_t usual_us, const struct rec_task_group *g,
+                  const struct broker_upstream *u)
+{
+    return (int64_t)((double)usual_us * u->slowness * place_remote(g, u));
+}
+
 int64_t
 place_expected_us(const struct run_job *job, const struct rec_task_group *g,
                   const struct broker_upstream *u)
 {
-    return (int64_t)((double)order_expected_us(job, g) * u->slowness *
-                     place_remote(g, u));
+    return expected_there_us(order_expected_us(job, g), g, u);
 }
 
 /* Tasks of the same group of the job that are there already. */
@@ -111,6 +117,7 @@
     const struct rec_task_group *g = &job->groups[t->group];
     struct broker_upstream *best = NULL;
     struct broker_upstream *u;
+    int64_t usual_us = order_expected_us(job, g);
     int64_t best_us = INT64_MAX;
     uint32_t best_left = UINT32_MAX;
     struct handle h;
@@ -120,15 +127,13 @@
         int64_t us;
         uint32_t left;
 
-        if (u->service != job->service || !takes(b, job, t, u) ||
-            name_equal(t->avoid, u->name)) {
+        if (u->service != job->service ||
+            (u->slowness > TOO_SLOW && u->n_tasks > 0) ||
+            !takes(b, job, t, u) || name_equal(t->avoid, u->name)) {
             continue;
         }
-        us = place_expected_us(job, g, u);
+        us = expected_there_us(usual_us, g, u);
         left = room_of(u).cpu_milli - (uint32_t)g->cpu_milli;
-        if (u->slowness > TOO_SLOW && u->n_tasks > 0) {
-            continue;
-        }
         if (best == NULL || better(us, left, best_us, best_left)) {
             best = u;
             best_us = us;
