Take out what nothing calls

Cause: names of broker's and control's events and effects, the help text of reasons, a port and a settings type with its reader had no caller; brokers told each other a field that is always 1 and that nobody reads; three functions of one file each stood in a header.

Change: removed, or static. The field leaves the broker's introduction, which only brokers and registries of one version exchange so far.

--- a/src/broker_effect.c
+++ b/src/broker_effect.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "array.h"
-#include "broker_event.h"
 
 const char *
 broker_reason_text(enum broker_reason r)
@@ -18,18 +17,6 @@
     return texts[r];
 }
 
-const char *
-broker_reason_help(enum broker_reason r)
-{
-    static const char *const texts[] = {
-#define BROKER_REASON(NAME, text, help) help,
-        BROKER_REASON_LIST(BROKER_REASON)
-#undef BROKER_REASON
-    };
-
-    return texts[r];
-}
-
 const char *
 job_outcome_text(enum job_outcome o)
 {
@@ -42,30 +29,6 @@
     return texts[o];
 }
 
-const char *
-broker_effect_name(enum broker_effect_kind kind)
-{
-    static const char *const names[] = {
-#define BROKER_EFFECT(NAME, member, text) #NAME,
-        BROKER_EFFECT_LIST(BROKER_EFFECT)
-#undef BROKER_EFFECT
-    };
-
-    return names[kind];
-}
-
-const char *
-broker_event_name(enum broker_event_kind kind)
-{
-    static const char *const names[] = {
-#define BROKER_EVENT(NAME, member, text) #NAME,
-        BROKER_EVENT_LIST(BROKER_EVENT)
-#undef BROKER_EVENT
-    };
-
-    return names[kind];
-}
-
 struct broker_effect *
 broker_effects_add(struct broker_effects *fx, enum broker_effect_kind kind)
 {
@@ -78,8 +41,8 @@
     return f;
 }
 
-void
-broker_effect_clear(struct broker_effect *f)
+static void
+effect_clear(struct broker_effect *f)
 {
     if (f->kind == BE_SEND) {
         msg_free(&f->u.send.msg);
@@ -94,7 +57,7 @@
 broker_effects_clear(struct broker_effects *fx)
 {
     for (size_t i = 0; i < fx->n; i++) {
-        broker_effect_clear(&fx->items[i]);
+        effect_clear(&fx->items[i]);
     }
     fx->n = 0;
 }
--- a/src/broker_effect.h
+++ b/src/broker_effect.h
@@ -116,9 +116,6 @@
 /** broker_reason_text() - as it stands in logs */
 const char *broker_reason_text(enum broker_reason r);
 
-/** broker_reason_help() - for people */
-const char *broker_reason_help(enum broker_reason r);
-
 /** job_outcome_text() - as it stands in logs */
 const char *job_outcome_text(enum job_outcome o);
 
@@ -195,16 +192,10 @@
 struct broker_effect *broker_effects_add(struct broker_effects *fx,
                                          enum broker_effect_kind kind);
 
-/** broker_effect_clear() - releases what one effect owns */
-void broker_effect_clear(struct broker_effect *f);
-
 /** broker_effects_clear() - releases what the effects own; empties the list */
 void broker_effects_clear(struct broker_effects *fx);
 
 /** broker_effects_free() - broker_effects_clear() and the list itself */
 void broker_effects_free(struct broker_effects *fx);
 
-/** broker_effect_name() - the kind, for traces */
-const char *broker_effect_name(enum broker_effect_kind kind);
-
 #endif
--- a/src/broker_event.h
+++ b/src/broker_event.h
@@ -95,7 +95,4 @@
     } u;
 };
 
-/** broker_event_name() - the kind, for traces */
-const char *broker_event_name(enum broker_event_kind kind);
-
 #endif
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -149,8 +149,9 @@
     return (wall > known ? wall : known + 1) * FENCE_OWN + own;
 }
 
-void
-hold_take(struct broker *b, struct broker_upstream *u)
+/* Begins to take an upstream, or takes it anew. */
+static void
+take_upstream(struct broker *b, struct broker_upstream *u)
 {
     u->fence = next_fence(b, u) + (uint64_t)u->fenced * FENCE_STEP;
     u->state = HOLD_TAKING;
@@ -167,9 +168,9 @@
     tell_hold(b, u);
 }
 
-void
-hold_drop_tasks(struct broker *b, struct broker_upstream *u,
-                enum broker_reason why)
+/* All that was placed there is over. */
+static void
+drop_tasks(struct broker *b, struct broker_upstream *u, enum broker_reason why)
 {
     while (u->n_tasks > 0) {
         struct placed_task p = u->tasks[u->n_tasks - 1];
@@ -204,7 +205,7 @@
 {
     if (u->state == HOLD_TAKING && u->fenced < FENCED_MAX) {
         u->fenced++;
-        hold_take(b, u);
+        take_upstream(b, u);
         return;
     }
     b->counters.upstreams_fenced++;
@@ -237,7 +238,7 @@
     u->backoff_us = 0;
     u->slowness = 1.0;
     if (u->state != HOLD_NONE && u->state != HOLD_LOST) {
-        hold_take(b, u);
+        take_upstream(b, u);
     }
 }
 
@@ -248,7 +249,7 @@
 {
     /* A task from before the look that it does not list is surely over: its
      * start would meet a higher fence. */
-    hold_drop_tasks(b, u, BROKER_RUN_LAPSED);
+    drop_tasks(b, u, BROKER_RUN_LAPSED);
     u->state = HOLD_OPEN;
     u->fenced = 0;
     u->service->place = true;
@@ -421,7 +422,7 @@
 
     if (ours && u->state == HOLD_NONE && u->born_ms != 0 && !u->gone &&
         settled(b) && !held_by_another(b, u) && u->fenced_view != b->view) {
-        hold_take(b, u);
+        take_upstream(b, u);
     }
     else if (!ours && held && u->n_tasks == 0 && !u->unnoted &&
              !needed_by_started(b, u)) {
@@ -453,7 +454,7 @@
 
     while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
         if (u->state != HOLD_NONE) {
-            hold_drop_tasks(b, u, BROKER_RUN_LAPSED);
+            drop_tasks(b, u, BROKER_RUN_LAPSED);
             let_go(b, u);
         }
     }
@@ -493,7 +494,7 @@
     if (!silent || b->now.mono_us < u->lapse_us) {
         return;
     }
-    hold_drop_tasks(b, u, BROKER_RUN_LAPSED);
+    drop_tasks(b, u, BROKER_RUN_LAPSED);
     if (u->state == HOLD_LOST) {
         u->state = HOLD_NONE;
         b->review = true;
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -102,7 +102,6 @@
     i->address = b->opts.address;
     i->incarnation = b->opts.incarnation;
     i->stopping = b->stopping ? 1 : 0;
-    i->holds = 1;
     broker_send(b, to, &m);
 }
 
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -518,13 +518,6 @@
 void hold_tick(struct broker *b);
 int64_t hold_next_us(const struct broker *b);
 
-/** hold_take() - begins to take an upstream, or takes it anew */
-void hold_take(struct broker *b, struct broker_upstream *u);
-
-/** hold_drop_tasks() - all that was placed there is over */
-void hold_drop_tasks(struct broker *b, struct broker_upstream *u,
-                     enum broker_reason why);
-
 /** hold_fenced() - another broker has a higher fence */
 void hold_fenced(struct broker *b, struct broker_upstream *u);
 
--- a/src/control_effect.c
+++ b/src/control_effect.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "array.h"
-#include "control_event.h"
 
 struct control_effect *
 control_effects_add(struct control_effects *fx, enum control_effect_kind kind)
@@ -66,36 +65,12 @@
     memset(fx, 0, sizeof(*fx));
 }
 
-const char *
-control_effect_name(enum control_effect_kind kind)
-{
-    static const char *const names[] = {
-#define CONTROL_EFFECT(NAME, member, text) #NAME,
-        CONTROL_EFFECT_LIST(CONTROL_EFFECT)
-#undef CONTROL_EFFECT
-    };
-
-    return kind < CONTROL_EFFECT_KINDS ? names[kind] : "UNKNOWN";
-}
-
 bool
 control_effect_on_disk(enum control_effect_kind kind)
 {
     return kind <= CE_SYNC;
 }
 
-const char *
-control_event_name(enum control_event_kind kind)
-{
-    static const char *const names[] = {
-#define CONTROL_EVENT(NAME, member, text) #NAME,
-        CONTROL_EVENT_LIST(CONTROL_EVENT)
-#undef CONTROL_EVENT
-    };
-
-    return kind < CONTROL_EVENT_KINDS ? names[kind] : "UNKNOWN";
-}
-
 static const struct {
     int status;
     const char *slug;
--- a/src/control_effect.h
+++ b/src/control_effect.h
@@ -226,9 +226,6 @@
 /** control_effects_free() - control_effects_clear() and the list itself */
 void control_effects_free(struct control_effects *fx);
 
-/** control_effect_name() - the kind, for traces */
-const char *control_effect_name(enum control_effect_kind kind);
-
 /** control_effect_on_disk() - whether the disk's thread carries it out */
 bool control_effect_on_disk(enum control_effect_kind kind);
 
--- a/src/control_event.h
+++ b/src/control_event.h
@@ -95,7 +95,4 @@
     } u;
 };
 
-/** control_event_name() - the kind, for traces */
-const char *control_event_name(enum control_event_kind kind);
-
 #endif
--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -337,12 +337,6 @@
     return h->resumed ? 0 : httpserver_next_ms(&h->server);
 }
 
-uint16_t
-httpapi_port(const struct httpapi *h)
-{
-    return httpserver_port(&h->server);
-}
-
 void
 httpapi_drain(struct httpapi *h, int64_t timeout_ms)
 {
--- a/src/httpapi.h
+++ b/src/httpapi.h
@@ -109,9 +109,6 @@
 /** httpapi_next_ms() - it has work after that time; -1 for none */
 int64_t httpapi_next_ms(struct httpapi *h);
 
-/** httpapi_port() - that it listens on */
-uint16_t httpapi_port(const struct httpapi *h);
-
 /** httpapi_drain() - accepts no more; without @external waits until nothing
  * is in progress, at most @timeout_ms */
 void httpapi_drain(struct httpapi *h, int64_t timeout_ms);
--- a/src/settings.c
+++ b/src/settings.c
@@ -269,8 +269,6 @@
     case SETTING_INT:
         return parse_int(text, &number) && number >= d->min &&
                number <= d->max;
-    case SETTING_BOOL:
-        return strcmp(text, "true") == 0 || strcmp(text, "false") == 0;
     case SETTING_NAME:
         return is_name(text, strlen(text));
     case SETTING_NAMES:
@@ -299,9 +297,6 @@
                        "a whole number from %" PRId64 " to %" PRId64 "%s%s",
                        d->min, d->max, space, unit);
         break;
-    case SETTING_BOOL:
-        (void)snprintf(out, size, "true or false");
-        break;
     case SETTING_NAME:
         (void)snprintf(out, size,
                        "a name of 1 to %d letters, digits, '-', '_', '.'",
@@ -704,14 +699,6 @@
     return text != NULL && parse_int(text, &number) ? number : 0;
 }
 
-bool
-settings_bool(const struct settings *s, const char *section, const char *key)
-{
-    const char *text = settings_text(s, section, key);
-
-    return text != NULL && strcmp(text, "true") == 0;
-}
-
 int
 settings_choice(const struct settings *s, const char *section, const char *key)
 {
--- a/src/settings.h
+++ b/src/settings.h
@@ -14,7 +14,6 @@
 
 enum setting_type {
     SETTING_INT,     /* whole number, @min to @max */
-    SETTING_BOOL,    /* true or false */
     SETTING_NAME,    /* letters, digits, '-', '_' and '.' */
     SETTING_NAMES,   /* names with commas between them */
     SETTING_ADDRESS, /* IP:PORT, or [IP]:PORT for version 6 */
@@ -120,10 +119,6 @@
 int64_t settings_int(const struct settings *s, const char *section,
                      const char *key);
 
-/** settings_bool() - value of a SETTING_BOOL; false where there is none */
-bool settings_bool(const struct settings *s, const char *section,
-                   const char *key);
-
 /** settings_choice() - index of the value in the setting's choices; -1 where
  * there is none */
 int settings_choice(const struct settings *s, const char *section,
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -424,7 +424,6 @@
     ADDR(address)       /* where other processes connect */
     U64(incarnation)
     U64(stopping)
-    U64(holds)          /* takes upstreams when it is its turn */
 END(introduction)
 
 RECORD(instance)        /* a process, as a registry tells of it */
