Ask the cheap question first when lines are put in order

Cause: for each line of a story logjoin asked whether any other must precede it, also where it could not be the earliest. Change: only those that are earlier than the best so far are asked.

--- a/src/logjoin.c
+++ b/src/logjoin.c
@@ -153,13 +153,12 @@
     size_t best = n;
 
     for (size_t i = from; i < n; i++) {
-        bool free_to_go = true;
+        bool earlier = best == n || lines[i]->at_us < lines[best]->at_us;
 
-        for (size_t k = from; k < n && free_to_go; k++) {
-            free_to_go = k == i || !precedes(lines[k], lines[i]);
+        for (size_t k = from; k < n && earlier; k++) {
+            earlier = k == i || !precedes(lines[k], lines[i]);
         }
-        if (free_to_go &&
-            (best == n || lines[i]->at_us < lines[best]->at_us)) {
+        if (earlier) {
             best = i;
         }
     }
