--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -17,7 +17,7 @@
     WAIT_MAX_US = 1000000,  /* longest sleep of the reducer's thread */
     HOLD_BACK_US = 200,     /* between tries to hand over a message */
     DRAIN_MS = 2000,        /* for replies to go out at the end */
-    STATE_REQUEST_DUMP = 0, /* the state goes to standard error */
+    STATE_REQUEST_DUMP = 0, /* the state goes to the log */
 };
 
 struct control_runtime {
--- a/src/runtime.c
+++ b/src/runtime.c
@@ -19,7 +19,7 @@
     NANO = 1000000000,
 };
 
-/* The request number of a dump that goes to standard error. */
+/* The request number of a dump that goes to the log. */
 #define DUMP_REQUEST UINT64_MAX
 
 struct runtime {
