--- a/src/envelope.h
+++ b/src/envelope.h
@@ -11,7 +11,7 @@
 enum envelope_kind {
     ENVELOPE_EVENT,   /* gives it to the reducer */
     ENVELOPE_METRICS, /* answers request event.u.query with the counters */
-    ENVELOPE_DUMP,    /* has the state written to standard error */
+    ENVELOPE_DUMP,    /* has the state written to the log */
 };
 
 /**
