Tell brokers of upstreams and of each other where it matters

Read from the code: each introduction sent every broker the names of all brokers, so the words grew with the cube of their number in the first second; each announcement went to all brokers of the region, though only those of the upstream's zone hold it; and an upstream that chose another registry for each heartbeat was news there each time, having been silent for more than 5 s.

Change: reports go to the upstream's zone; a broker that comes is told at once of its zone and of at most eight brokers of each other zone, holders first; the others hear of those that came together, after 0.2 s; upstreams are asked to come back to the registry that heard them.

Ruled out: keeping full rosters and only sending them together: a registry would still send 270 x 270 rows in each round.

--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -93,7 +93,7 @@
 }
 
 static void
-introduce(struct broker *b, struct name to)
+introduce(struct broker *b, struct name to, bool again)
 {
     struct msg m = {.kind = MSG_INTRODUCTION};
     struct rec_introduction *i = &m.u.introduction;
@@ -102,6 +102,8 @@
     i->address = b->opts.address;
     i->incarnation = b->opts.incarnation;
     i->stopping = b->stopping ? 1 : 0;
+    i->holds = b->told_holds ? 1 : 0;
+    i->again = again ? 1 : 0;
     broker_send(b, to, &m);
 }
 
@@ -145,7 +147,7 @@
          * should hold them, and it would take them at once. */
         hold_tell(b, name);
     }
-    introduce(b, name);
+    introduce(b, name, false);
     broker_log(b, LOG_NOTICE, BROKER_PEER_UP, 0, -1, name, "%s",
                p->registry ? "registry" : "broker");
 }
@@ -290,7 +292,7 @@
     b->self->stopping = true;
     for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
         if (p->up) {
-            introduce(b, p->name);
+            introduce(b, p->name, true);
         }
     }
     view_changed(b);
@@ -376,6 +378,24 @@
     blob_unref(text);
 }
 
+/* Registries tell other zones of those that hold upstreams before all others,
+ * since only they run jobs. */
+static void
+tell_holds(struct broker *b)
+{
+    bool holds = hold_any(b);
+
+    if (holds == b->told_holds) {
+        return;
+    }
+    b->told_holds = holds;
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->registry && p->up) {
+            introduce(b, p->name, true);
+        }
+    }
+}
+
 /* Time */
 
 static void
@@ -407,6 +427,7 @@
         }
     }
     if (b->now.mono_us >= b->load_us) {
+        tell_holds(b);
         b->load_us = b->now.mono_us + b->opts.load_us;
         send_load(b);
         forget_gone(b);
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -308,8 +308,9 @@
     size_t holders_room;
     int64_t load_us;
     int64_t
-        roster_us; /* when a registry first told who is there; 0: not yet */
-    bool had_load; /* what the others were told last was not empty */
+        roster_us;   /* when a registry first told who is there; 0: not yet */
+    bool had_load;   /* what the others were told last was not empty */
+    bool told_holds; /* the registries know that this one holds upstreams */
 
     struct table caller_jobs;
     struct timers caller_timers;
--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -279,6 +279,17 @@
     }
 }
 
+static int64_t
+next_us(const struct control_runtime *r)
+{
+    int64_t at = control_next_us(r->control);
+
+    if (r->registry != NULL && registry_next_us(r->registry) < at) {
+        at = registry_next_us(r->registry);
+    }
+    return at;
+}
+
 static void *
 reducer_run(void *arg)
 {
@@ -288,8 +299,7 @@
         int64_t left_us;
 
         take_batch(r);
-        left_us =
-            control_next_us(r->control) - clock_now(r->opts.clock).mono_us;
+        left_us = next_us(r) - clock_now(r->opts.clock).mono_us;
         if (left_us <= 0) {
             step(r, &(struct control_event){.kind = CEV_TICK});
             continue;
--- a/src/registry.c
+++ b/src/registry.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "map.h"
+#include "roster.h"
 
 /* A life that was replaced by one with an earlier time of birth (its machine's
  * clock was set back in between) is believed gone after this silence: more
@@ -18,6 +19,10 @@
 #define REPEAT_US (20 * USEC_PER_SEC)
 /* A broker gone for so long leaves the roster. */
 #define BROKER_GONE_US (30 * USEC_PER_SEC)
+/* Brokers are told of others together, so long after the first of them came:
+ * all of a region start within 0.3 s.  One that comes is told of the others at
+ * once and connects to them by itself. */
+#define ROSTER_PAUSE_US (200 * USEC_PER_MSEC)
 
 /* An upstream, as it announced itself last. */
 struct announced {
@@ -27,24 +32,16 @@
     struct announced *next;
 };
 
-/* A broker that wants to know. */
-struct listener {
-    struct name name;
-    struct rec_introduction info;
-    bool up;
-    int64_t changed_us; /* when it came or went */
-    struct listener *next;
-};
-
 struct registry {
     struct rec_instance self;
     struct map by_name;
     struct announced *upstreams;
     size_t n_upstreams;
-    struct listener *brokers;
+    struct roster roster;
     struct rec_instance *registries; /* others than @self */
     size_t n_registries;
     int64_t repeat_us;
+    int64_t tell_us; /* of brokers that came; INT64_MAX for none */
 };
 
 struct registry *
@@ -57,6 +54,7 @@
     }
     r->self.name = self;
     r->self.zone = zone;
+    r->tell_us = INT64_MAX;
     map_init(&r->by_name, MAP_NAME);
     return r;
 }
@@ -96,12 +94,7 @@
         r->upstreams = u->next;
         free_upstream(u);
     }
-    while (r->brokers != NULL) {
-        struct listener *b = r->brokers;
-
-        r->brokers = b->next;
-        free(b);
-    }
+    roster_free(&r->roster);
     map_clear(&r->by_name);
     free(r->registries);
     free(r);
@@ -118,17 +111,7 @@
     s->msg = msg_copy(m);
 }
 
-static void
-send_brokers(const struct registry *r, struct control_effects *fx,
-             const struct msg *m)
-{
-    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
-        if (b->up) {
-            send_to(fx, b->name, m);
-        }
-    }
-}
-
+/* Brokers hold upstreams of their own zone alone; the others need not know. */
 static void
 report_one(const struct registry *r, struct control_effects *fx,
            struct rec_leased_upstream info)
@@ -137,66 +120,64 @@
 
     m.u.upstream_report.upstreams = &info;
     m.u.upstream_report.n_upstreams = 1;
-    send_brokers(r, fx, &m);
+    for (const struct listener *b = r->roster.brokers; b != NULL;
+         b = b->next) {
+        if (b->up && name_equal(b->info.zone, info.zone)) {
+            send_to(fx, b->name, &m);
+        }
+    }
 }
 
-/* All that is known; the message points into @items, which the caller frees.
- */
-static struct msg
-whole_report(const struct registry *r, struct rec_leased_upstream **items)
+/* All that is known of the broker's zone. */
+static void
+report_all(const struct registry *r, struct control_effects *fx,
+           const struct listener *to)
 {
     struct msg m = {.kind = MSG_UPSTREAM_REPORT};
+    struct rec_leased_upstream *items =
+        calloc(r->n_upstreams + 1, sizeof(*items));
     size_t n = 0;
 
-    *items = calloc(r->n_upstreams + 1, sizeof(**items));
-    if (*items == NULL) {
+    if (items == NULL) {
         abort();
     }
     for (const struct announced *u = r->upstreams; u != NULL; u = u->next) {
-        (*items)[n++] = u->info;
+        if (name_equal(u->info.zone, to->info.zone)) {
+            items[n++] = u->info;
+        }
     }
-    m.u.upstream_report.upstreams = *items;
+    m.u.upstream_report.upstreams = items;
     m.u.upstream_report.n_upstreams = n;
-    return m;
+    send_to(fx, to->name, &m);
+    free(items);
 }
 
-static struct msg
-roster(const struct registry *r)
+static void
+send_roster(const struct registry *r, struct control_effects *fx,
+            const struct listener *to, bool fresh_only)
 {
     struct msg m = {.kind = MSG_ROSTER};
     struct rec_roster *list = &m.u.roster;
-    size_t n = 0;
-
-    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
-        n++;
-    }
-    list->brokers = calloc(n + 1, sizeof(*list->brokers));
-    list->registries = calloc(r->n_registries + 1, sizeof(*list->registries));
-    if (list->brokers == NULL || list->registries == NULL) {
-        abort();
-    }
-    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
-        struct rec_instance *i = &list->brokers[list->n_brokers++];
 
-        i->name = b->name;
-        i->zone = b->info.zone;
-        i->address = b->info.address;
+    list->n_brokers = roster_for(&r->roster, to, fresh_only, &list->brokers);
+    if (!fresh_only || list->n_brokers > 0) {
+        list->registries = r->registries;
+        list->n_registries = r->n_registries;
+        send_to(fx, to->name, &m);
     }
-    if (r->n_registries > 0) {
-        memcpy(list->registries, r->registries,
-               r->n_registries * sizeof(*r->registries));
-    }
-    list->n_registries = r->n_registries;
-    return m;
+    free(list->brokers);
 }
 
 static void
-send_roster(const struct registry *r, struct control_effects *fx)
+send_rosters(const struct registry *r, struct control_effects *fx,
+             bool fresh_only)
 {
-    struct msg m = roster(r);
-
-    send_brokers(r, fx, &m);
-    msg_free(&m);
+    for (const struct listener *b = r->roster.brokers; b != NULL;
+         b = b->next) {
+        if (b->up) {
+            send_roster(r, fx, b, fresh_only);
+        }
+    }
 }
 
 /* Upstreams */
@@ -305,42 +286,20 @@
 
 /* Brokers */
 
-static struct listener *
-find_broker(const struct registry *r, struct name name)
-{
-    struct listener *b = r->brokers;
-
-    while (b != NULL && !name_equal(b->name, name)) {
-        b = b->next;
-    }
-    return b;
-}
-
 static void
 on_introduction(struct registry *r, struct name from,
                 const struct rec_introduction *i, struct moment now,
                 struct control_effects *fx)
 {
-    struct listener *b = find_broker(r, from);
-    struct rec_leased_upstream *items;
-    struct msg m;
-
-    if (b == NULL) {
-        b = calloc(1, sizeof(*b));
-        if (b == NULL) {
-            abort();
-        }
-        b->name = from;
-        b->next = r->brokers;
-        r->brokers = b;
+    struct listener *b = roster_met(&r->roster, from, i, now.mono_us);
+
+    if (b->fresh && r->tell_us == INT64_MAX) {
+        r->tell_us = now.mono_us + ROSTER_PAUSE_US;
+    }
+    if (i->again == 0) {
+        send_roster(r, fx, b, false);
+        report_all(r, fx, b);
     }
-    b->info = *i;
-    b->up = true;
-    b->changed_us = now.mono_us;
-    send_roster(r, fx);
-    m = whole_report(r, &items);
-    send_to(fx, from, &m);
-    free(items);
 }
 
 bool
@@ -370,13 +329,13 @@
         other->name = m->members[i].name;
         other->address = m->members[i].address;
     }
-    send_roster(r, fx);
+    send_rosters(r, fx, false);
 }
 
 void
 registry_peer(struct registry *r, struct name peer, bool up, struct moment now)
 {
-    struct listener *b = find_broker(r, peer);
+    struct listener *b = roster_find(&r->roster, peer);
 
     if (b != NULL && !up) {
         b->up = false;
@@ -385,19 +344,16 @@
 }
 
 static void
-forget_brokers(struct registry *r, struct moment now)
+repeat_all(struct registry *r, struct moment now, struct control_effects *fx)
 {
-    struct listener **at = &r->brokers;
-
-    while (*at != NULL) {
-        struct listener *b = *at;
-
-        if (b->up || now.mono_us - b->changed_us < BROKER_GONE_US) {
-            at = &b->next;
-            continue;
+    forget_silent(r, now);
+    roster_forget(&r->roster, now.mono_us - BROKER_GONE_US);
+    send_rosters(r, fx, false);
+    for (const struct listener *b = r->roster.brokers; b != NULL;
+         b = b->next) {
+        if (b->up) {
+            report_all(r, fx, b);
         }
-        *at = b->next;
-        free(b);
     }
 }
 
@@ -405,19 +361,21 @@
 registry_tick(struct registry *r, struct moment now,
               struct control_effects *fx)
 {
-    struct rec_leased_upstream *items;
-    struct msg m;
-
-    if (now.mono_us < r->repeat_us) {
-        return;
+    if (now.mono_us >= r->tell_us) {
+        r->tell_us = INT64_MAX;
+        send_rosters(r, fx, true);
+        roster_settled(&r->roster);
     }
-    r->repeat_us = now.mono_us + REPEAT_US;
-    forget_silent(r, now);
-    forget_brokers(r, now);
-    send_roster(r, fx);
-    m = whole_report(r, &items);
-    send_brokers(r, fx, &m);
-    free(items);
+    if (now.mono_us >= r->repeat_us) {
+        r->repeat_us = now.mono_us + REPEAT_US;
+        repeat_all(r, now, fx);
+    }
+}
+
+int64_t
+registry_next_us(const struct registry *r)
+{
+    return r->tell_us < r->repeat_us ? r->tell_us : r->repeat_us;
 }
 
 struct registry_gauges
@@ -425,7 +383,8 @@
 {
     struct registry_gauges g = {.upstreams = r->n_upstreams};
 
-    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
+    for (const struct listener *b = r->roster.brokers; b != NULL;
+         b = b->next) {
         g.brokers_up += b->up ? 1 : 0;
     }
     return g;
--- a/src/registry.h
+++ b/src/registry.h
@@ -8,9 +8,10 @@
  * cut off goes on with its own registry, and one that restarts is whole again
  * when each upstream has spoken once.
  *
- * Brokers are told what changed at once, everything when they connect, and
- * everything again now and then, so that one that forgot an upstream learns of
- * it anew.
+ * Brokers are told of upstreams of their own zone: what changed at once,
+ * everything when they connect, and everything again now and then, so that one
+ * that forgot an upstream learns of it anew.  Which other brokers each is told
+ * of is decided in roster.
  */
 #ifndef BM_REGISTRY_H
 #define BM_REGISTRY_H
@@ -52,10 +53,13 @@
 void registry_peer(struct registry *r, struct name peer, bool up,
                    struct moment now);
 
-/** registry_tick() - repeats and forgets; at least once a second */
+/** registry_tick() - repeats and forgets; at registry_next_us() */
 void registry_tick(struct registry *r, struct moment now,
                    struct control_effects *fx);
 
+/** registry_next_us() - when registry_tick() has work, monotonic */
+int64_t registry_next_us(const struct registry *r);
+
 /** struct registry_gauges - sizes, for metrics */
 struct registry_gauges {
     uint64_t upstreams;
--- /dev/null
+++ b/src/roster.c
@@ -0,0 +1,187 @@
+#include "roster.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+/* A broker that may be told of, with its place among those of its zone. */
+struct candidate {
+    const struct listener *broker;
+    uint64_t weight; /* differs between receivers */
+};
+
+void
+roster_free(struct roster *r)
+{
+    while (r->brokers != NULL) {
+        struct listener *b = r->brokers;
+
+        r->brokers = b->next;
+        free(b);
+    }
+}
+
+struct listener *
+roster_find(const struct roster *r, struct name name)
+{
+    struct listener *b = r->brokers;
+
+    while (b != NULL && !name_equal(b->name, name)) {
+        b = b->next;
+    }
+    return b;
+}
+
+static struct listener *
+add(struct roster *r, struct name name)
+{
+    struct listener *b = calloc(1, sizeof(*b));
+
+    if (b == NULL) {
+        abort();
+    }
+    b->name = name;
+    b->next = r->brokers;
+    r->brokers = b;
+    return b;
+}
+
+static bool
+same(const struct rec_introduction *a, const struct rec_introduction *b)
+{
+    return a->holds == b->holds && name_equal(a->zone, b->zone) &&
+           strcmp(a->address.s, b->address.s) == 0;
+}
+
+struct listener *
+roster_met(struct roster *r, struct name name,
+           const struct rec_introduction *i, int64_t now_us)
+{
+    struct listener *b = roster_find(r, name);
+
+    if (b == NULL) {
+        b = add(r, name);
+    }
+    b->fresh = b->fresh || !b->up || !same(&b->info, i);
+    b->info = *i;
+    b->up = true;
+    b->changed_us = now_us;
+    return b;
+}
+
+void
+roster_forget(struct roster *r, int64_t before_us)
+{
+    struct listener **at = &r->brokers;
+
+    while (*at != NULL) {
+        struct listener *b = *at;
+
+        if (b->up || b->changed_us > before_us) {
+            at = &b->next;
+            continue;
+        }
+        *at = b->next;
+        free(b);
+    }
+}
+
+bool
+roster_any_fresh(const struct roster *r)
+{
+    const struct listener *b = r->brokers;
+
+    while (b != NULL && !b->fresh) {
+        b = b->next;
+    }
+    return b != NULL;
+}
+
+void
+roster_settled(struct roster *r)
+{
+    for (struct listener *b = r->brokers; b != NULL; b = b->next) {
+        b->fresh = false;
+    }
+}
+
+/* Whom to tell */
+
+static int
+compare(const void *x, const void *y)
+{
+    const struct candidate *a = x;
+    const struct candidate *b = y;
+    int zone = strcmp(a->broker->info.zone.s, b->broker->info.zone.s);
+
+    if (zone != 0) {
+        return zone;
+    }
+    if ((a->broker->info.holds != 0) != (b->broker->info.holds != 0)) {
+        return a->broker->info.holds != 0 ? -1 : 1;
+    }
+    if (a->weight != b->weight) {
+        return a->weight < b->weight ? -1 : 1;
+    }
+    return strcmp(a->broker->name.s, b->broker->name.s);
+}
+
+/* Zone by zone, the best of each zone first. */
+static struct candidate *
+ranked(const struct roster *r, const struct listener *to, size_t *n)
+{
+    uint64_t seed = XXH3_64bits(to->name.s, strlen(to->name.s));
+    struct candidate *list;
+    size_t most = 0;
+
+    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
+        most++;
+    }
+    list = calloc(most + 1, sizeof(*list));
+    if (list == NULL) {
+        abort();
+    }
+    *n = 0;
+    for (const struct listener *b = r->brokers; b != NULL; b = b->next) {
+        list[*n].broker = b;
+        list[*n].weight =
+            XXH3_64bits_withSeed(b->name.s, strlen(b->name.s), seed);
+        (*n)++;
+    }
+    qsort(list, *n, sizeof(*list), compare);
+    return list;
+}
+
+size_t
+roster_for(const struct roster *r, const struct listener *to, bool fresh_only,
+           struct rec_instance **list)
+{
+    size_t n_ranked;
+    struct candidate *all = ranked(r, to, &n_ranked);
+    size_t in_zone = 0; /* place among those of the same zone */
+    size_t n = 0;
+
+    *list = calloc(n_ranked + 1, sizeof(**list));
+    if (*list == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < n_ranked; i++) {
+        const struct listener *b = all[i].broker;
+        bool another =
+            i == 0 || !name_equal(all[i - 1].broker->info.zone, b->info.zone);
+
+        in_zone = another ? 0 : in_zone + 1;
+        if ((fresh_only && (!b->fresh || b == to)) ||
+            (in_zone >= ROSTER_FAR_MAX &&
+             !name_equal(b->info.zone, to->info.zone))) {
+            continue;
+        }
+        (*list)[n].name = b->name;
+        (*list)[n].zone = b->info.zone;
+        (*list)[n].address = b->info.address;
+        n++;
+    }
+    free(all);
+    return n;
+}
--- /dev/null
+++ b/src/roster.h
@@ -0,0 +1,70 @@
+/**
+ * DOC: roster - which brokers a registry tells each broker of
+ *
+ * Brokers of a zone have to agree on who holds what, so each is told of all of
+ * its zone.  Of another zone a broker needs only a few that run jobs, to send
+ * what its own zone has no room for.  Were all told of all, connections would
+ * grow with the square of the brokers: with 270 of them each would keep 269
+ * connections, send a heartbeat on each four times a second, and be told of
+ * 270 others each time that one comes.
+ */
+#ifndef BM_ROSTER_H
+#define BM_ROSTER_H
+
+#include "wire.h"
+
+/* Brokers that one is told of in each other zone.  Four would do to find a
+ * short queue; twice as many, since some may be cut off.  A region with no
+ * more than that in a zone is connected in full. */
+enum { ROSTER_FAR_MAX = 8 };
+
+/**
+ * struct listener - a broker that wants to know
+ * @name: first: looked up by it
+ * @info: as it introduced itself last
+ * @up: there is a connection
+ * @fresh: the others have not been told of it as it is now
+ * @changed_us: when it came or went, monotonic
+ */
+struct listener {
+    struct name name;
+    struct rec_introduction info;
+    bool up;
+    bool fresh;
+    int64_t changed_us;
+    struct listener *next;
+};
+
+/** struct roster - all brokers that introduced themselves */
+struct roster {
+    struct listener *brokers;
+};
+
+void roster_free(struct roster *r);
+
+/** roster_find() - the broker of that name, or NULL */
+struct listener *roster_find(const struct roster *r, struct name name);
+
+/** roster_met() - a broker introduces itself; returns it, with @fresh set
+ * where the others should hear of it */
+struct listener *roster_met(struct roster *r, struct name name,
+                            const struct rec_introduction *i, int64_t now_us);
+
+/** roster_forget() - drops those that are down since before @before_us */
+void roster_forget(struct roster *r, int64_t before_us);
+
+/** roster_any_fresh() - whether somebody should be told of somebody */
+bool roster_any_fresh(const struct roster *r);
+
+/** roster_settled() - all have been told */
+void roster_settled(struct roster *r);
+
+/** roster_for() - whom @to is told of: all of its zone, itself too, and of
+ * each other zone at most ROSTER_FAR_MAX, those that hold upstreams first and
+ * among equals others for each receiver, so that their load is spread.  With
+ * @fresh_only just the fresh among the others.  Returns how many; *@list is
+ * the caller's to free. */
+size_t roster_for(const struct roster *r, const struct listener *to,
+                  bool fresh_only, struct rec_instance **list);
+
+#endif
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -352,6 +352,33 @@
     control_effects_clear(&v->registry_effects);
 }
 
+static void
+plan_registry(struct vlease *v, struct vprocess *p)
+{
+    int64_t at = registry_next_us(p->registry);
+    struct vevent *e;
+
+    if (p->tick_us > v->now_us && p->tick_us <= at) {
+        return;
+    }
+    p->tick_us = at > v->now_us ? at : v->now_us + USEC_PER_MSEC;
+    e = vlease_at(v, p->tick_us, VEV_TICK);
+    e->to = p->number;
+    e->life = p->life;
+}
+
+static void
+on_tick(struct vlease *v, struct vprocess *p)
+{
+    if (p->registry == NULL) {
+        vlease_step(v, p, &(struct broker_event){.kind = BEV_TICK});
+        return;
+    }
+    registry_tick(p->registry, moment_of(v, p), &v->registry_effects);
+    flush_registry(v, p);
+    plan_registry(v, p);
+}
+
 static void
 registry_takes(struct vlease *v, struct vprocess *p, const struct vevent *e)
 {
@@ -368,6 +395,7 @@
     (void)registry_message(p->registry, from, &e->msg, moment_of(v, p),
                            &v->registry_effects);
     flush_registry(v, p);
+    plan_registry(v, p);
 }
 
 /* What an upstream says reaches the registry of its zone. */
@@ -487,8 +515,7 @@
         on_peer(v, e);
         break;
     case VEV_TICK:
-        vlease_step(v, &v->processes[e->to],
-                    &(struct broker_event){.kind = BEV_TICK});
+        on_tick(v, &v->processes[e->to]);
         break;
     case VEV_ANSWER:
         on_answer(v, e);
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -424,6 +424,8 @@
     ADDR(address)       /* where other processes connect */
     U64(incarnation)
     U64(stopping)
+    U64(holds)          /* upstreams, none or some */
+    U64(again)          /* not the first words on this connection */
 END(introduction)
 
 RECORD(instance)        /* a process, as a registry tells of it */
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -302,6 +302,17 @@
     free(u.labels);
 }
 
+/* A worker that chose another registry for each heartbeat would be news to the
+ * brokers each time; with many workers and brokers that alone fills links. */
+static void
+workers_are_asked_to_come_back(void)
+{
+    char *text = platform_worker_heard("10.1.0.16:8166");
+
+    CU_ASSERT_STRING_EQUAL(text, "{\"heartbeat-url\":\"10.1.0.16:8166\"}");
+    free(text);
+}
+
 /* Calls to workers */
 
 static void
@@ -484,6 +495,7 @@
     TEST(answers_to_clients);
     TEST(heartbeats_of_workers);
     TEST(heartbeat_fields);
+    TEST(workers_are_asked_to_come_back);
     TEST(calls_to_workers);
     TEST(answers_of_workers);
     TEST(lists_of_workers);
--- /dev/null
+++ b/tests/registry_test.c
@@ -0,0 +1,315 @@
+/* What a registry tells brokers of upstreams and of each other. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "check.h"
+#include "registry.h"
+#include "roster.h"
+
+#define SEC USEC_PER_SEC
+
+enum { ZONES = 3, BROKERS_EACH = 90, UPSTREAMS_EACH = 1000 };
+
+/* What was sent to one broker. */
+struct told {
+    size_t messages;
+    size_t upstreams;
+    size_t others; /* zone's own upstreams are not counted here */
+    size_t brokers;
+};
+
+struct region {
+    struct registry *registry;
+    struct control_effects fx;
+    int64_t now_us;
+    struct told told[ZONES * BROKERS_EACH];
+};
+
+static struct name
+numbered(const char *kind, size_t n)
+{
+    struct name name = {0};
+
+    (void)snprintf(name.s, sizeof(name.s), "%s-%zu", kind, n);
+    return name;
+}
+
+static struct name
+zone_of(size_t broker)
+{
+    return numbered("zone", broker % ZONES);
+}
+
+static struct moment
+at(const struct region *r)
+{
+    return (struct moment){.mono_us = r->now_us, .wall_us = r->now_us};
+}
+
+static void
+count(struct region *r, const struct ce_send *s)
+{
+    size_t broker = strtoul(s->to.s + strlen("broker-"), NULL, 10);
+    struct told *t = &r->told[broker];
+    const struct rec_upstream_report *report = &s->msg.u.upstream_report;
+
+    t->messages++;
+    if (s->msg.kind == MSG_ROSTER) {
+        t->brokers += s->msg.u.roster.n_brokers;
+        return;
+    }
+    for (size_t i = 0; i < report->n_upstreams; i++) {
+        bool own = name_equal(report->upstreams[i].zone, zone_of(broker));
+
+        t->upstreams += own ? 1 : 0;
+        t->others += own ? 0 : 1;
+    }
+}
+
+static void
+take_effects(struct region *r)
+{
+    for (size_t i = 0; i < r->fx.n; i++) {
+        if (r->fx.items[i].kind == CE_SEND) {
+            count(r, &r->fx.items[i].u.send);
+        }
+    }
+    control_effects_clear(&r->fx);
+}
+
+static void
+introduce(struct region *r, size_t broker, bool holds, bool again)
+{
+    struct msg m = {.kind = MSG_INTRODUCTION};
+
+    m.u.introduction.zone = zone_of(broker);
+    m.u.introduction.address = address_of("127.0.0.1:1");
+    m.u.introduction.holds = holds ? 1 : 0;
+    m.u.introduction.again = again ? 1 : 0;
+    CU_ASSERT_TRUE(registry_message(r->registry, numbered("broker", broker),
+                                    &m, at(r), &r->fx));
+    take_effects(r);
+}
+
+static void
+announce(struct region *r, size_t upstream, uint64_t sequence)
+{
+    struct rec_leased_upstream u = {.born_ms = 1, .sequence = sequence};
+
+    u.upstream = numbered("upstream", upstream);
+    u.service = name_of("service");
+    u.zone = numbered("zone", upstream % ZONES);
+    u.address = address_of("127.0.0.1:2");
+    u.slots = 8;
+    (void)registry_announce(r->registry, &u, at(r), &r->fx);
+    take_effects(r);
+}
+
+static void
+run_until(struct region *r, int64_t us)
+{
+    while (registry_next_us(r->registry) <= us) {
+        int64_t next = registry_next_us(r->registry);
+
+        r->now_us = next > r->now_us ? next : r->now_us;
+        registry_tick(r->registry, at(r), &r->fx);
+        take_effects(r);
+    }
+    r->now_us = us;
+}
+
+/* All brokers come within 0.3 s of each other, as in a region that starts. */
+static struct region *
+started(size_t brokers)
+{
+    struct region *r = calloc(1, sizeof(*r));
+
+    if (r == NULL) {
+        abort();
+    }
+    r->registry = registry_new(name_of("registry"), zone_of(0));
+    r->now_us = SEC;
+    for (size_t i = 0; i < brokers; i++) {
+        run_until(r,
+                  SEC + (int64_t)i * 300 * USEC_PER_MSEC / (int64_t)brokers);
+        introduce(r, i, false, false);
+    }
+    run_until(r, 2 * SEC);
+    return r;
+}
+
+static void
+forget_told(struct region *r)
+{
+    memset(r->told, 0, sizeof(r->told));
+}
+
+static void
+region_free(struct region *r)
+{
+    registry_free(r->registry);
+    control_effects_free(&r->fx);
+    free(r);
+}
+
+/* 270 brokers start together.  Were each told of all 270 whenever another one
+ * comes, a registry would send 19 million rows in the first second and run out
+ * of memory before the slowest reader has taken them; a user would find the
+ * region without control. */
+static void
+many_brokers_start_together(void)
+{
+    struct region *r = started(ZONES * BROKERS_EACH);
+    size_t most = 0;
+
+    for (size_t i = 0; i < (size_t)ZONES * BROKERS_EACH; i++) {
+        most = r->told[i].brokers > most ? r->told[i].brokers : most;
+    }
+    /* Once all of its zone and the few of others, and once more those that
+     * came later, some of them twice. */
+    CU_ASSERT_TRUE(most <=
+                   3 * (BROKERS_EACH + (ZONES - 1) * (size_t)ROSTER_FAR_MAX));
+    region_free(r);
+}
+
+/* Every broker learns of all of its zone, by the first words of a registry or
+ * soon after; two that never heard of each other would both hold an upstream.
+ */
+static void
+all_of_a_zone_are_told_of(void)
+{
+    struct region *r = started(ZONES * BROKERS_EACH);
+    size_t last = (size_t)ZONES * BROKERS_EACH - 1;
+
+    CU_ASSERT_TRUE(r->told[0].brokers >= BROKERS_EACH);
+    CU_ASSERT_TRUE(r->told[last].brokers >= BROKERS_EACH);
+    region_free(r);
+}
+
+/* A region with few brokers is connected in full. */
+static void
+small_region_is_told_of_all(void)
+{
+    struct region *r = started(9);
+
+    for (size_t i = 0; i < 9; i++) {
+        CU_ASSERT_TRUE(r->told[i].brokers >= 9);
+    }
+    region_free(r);
+}
+
+/* Jobs that a zone has no room for go to brokers of other zones that hold
+ * upstreams.  Those that began to hold after all were told must become known,
+ * or such jobs are refused beside idle upstreams. */
+static void
+holders_of_other_zones_become_known(void)
+{
+    struct region *r = started(ZONES * BROKERS_EACH);
+    size_t heard = 0;
+
+    forget_told(r);
+    introduce(r, 1, true, true); /* of zone 1 */
+    CU_ASSERT_EQUAL(r->told[1].messages, 0);
+    run_until(r, 3 * SEC);
+    for (size_t i = 0; i < (size_t)ZONES * BROKERS_EACH; i++) {
+        heard += i % ZONES != 1 && r->told[i].brokers == 1 ? 1 : 0;
+    }
+    CU_ASSERT_EQUAL(heard, (ZONES - 1) * (size_t)BROKERS_EACH);
+    region_free(r);
+}
+
+/* Where a zone has more holders than a broker of another zone is told of, the
+ * others are spread over them: none is told to half of all brokers. */
+static void
+far_jobs_are_spread_over_holders(void)
+{
+    struct region *r = started(ZONES * BROKERS_EACH);
+    struct roster roster = {0};
+    size_t times[ZONES * BROKERS_EACH] = {0};
+
+    for (size_t i = 0; i < (size_t)ZONES * BROKERS_EACH; i++) {
+        struct rec_introduction one = {.zone = zone_of(i), .holds = i < 90};
+
+        one.address = address_of("127.0.0.1:1");
+        (void)roster_met(&roster, numbered("broker", i), &one, SEC);
+    }
+    for (const struct listener *to = roster.brokers; to != NULL;
+         to = to->next) {
+        struct rec_instance *list;
+        size_t n = roster_for(&roster, to, false, &list);
+
+        CU_ASSERT_EQUAL(n,
+                        BROKERS_EACH + (ZONES - 1) * (size_t)ROSTER_FAR_MAX);
+        for (size_t i = 0; i < n; i++) {
+            size_t other =
+                strtoul(list[i].name.s + strlen("broker-"), NULL, 10);
+
+            if (!name_equal(list[i].zone, to->info.zone)) {
+                CU_ASSERT_TRUE(other < 90);
+                times[other]++;
+            }
+        }
+        free(list);
+    }
+    for (size_t i = 0; i < 90; i++) {
+        CU_ASSERT_TRUE(times[i] < (size_t)(ZONES - 1) * BROKERS_EACH / 2);
+        CU_ASSERT_TRUE(times[i] > 0);
+    }
+    roster_free(&roster);
+    region_free(r);
+}
+
+/* 3,000 upstreams announce themselves.  A broker holds those of its own zone
+ * only; told of all, it would keep three times as many and a registry send
+ * three times as much. */
+static void
+upstreams_are_told_in_their_zone(void)
+{
+    struct region *r = started(ZONES * BROKERS_EACH);
+
+    forget_told(r);
+    for (size_t i = 0; i < (size_t)ZONES * UPSTREAMS_EACH; i++) {
+        announce(r, i, 1);
+    }
+    for (size_t i = 0; i < (size_t)ZONES * BROKERS_EACH; i++) {
+        CU_ASSERT_EQUAL(r->told[i].upstreams, UPSTREAMS_EACH);
+        CU_ASSERT_EQUAL(r->told[i].others, 0);
+    }
+    forget_told(r);
+    r->now_us += SEC;
+    announce(r, 0, 2);
+    CU_ASSERT_EQUAL(r->told[0].upstreams, 0);
+    run_until(r, 25 * SEC);
+    CU_ASSERT_EQUAL(r->told[1].others, 0);
+    region_free(r);
+}
+
+/* A connection was lost and is there again, which this registry may not have
+ * noticed; what was under way on it is gone, so everything is told anew. */
+static void
+first_words_are_answered_in_full(void)
+{
+    struct region *r = started(9);
+
+    announce(r, 0, 1);
+    forget_told(r);
+    introduce(r, 0, false, false);
+    CU_ASSERT_EQUAL(r->told[0].upstreams, 1);
+    CU_ASSERT_EQUAL(r->told[0].brokers, 9);
+    region_free(r);
+}
+
+void
+suite_registry(void)
+{
+#define TEST(name) check_add("registry", #name, name)
+    TEST(many_brokers_start_together);
+    TEST(all_of_a_zone_are_told_of);
+    TEST(small_region_is_told_of_all);
+    TEST(holders_of_other_zones_become_known);
+    TEST(far_jobs_are_spread_over_holders);
+    TEST(upstreams_are_told_in_their_zone);
+    TEST(first_words_are_answered_in_full);
+#undef TEST
+}
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -32,6 +32,7 @@
 SUITE(logjoin)
 SUITE(enroll)
 SUITE(platform)
+SUITE(registry)
 SUITE(broker)
 SUITE(matrix)
 /* clang-format on */
