Bound reports of load, and draw among runners that are alike

Cause: each broker that holds upstreams told all others its load twenty times a second; with a hundred others that is 2,000 messages a second from a quarter of a core. Between two reports every broker sent its jobs to the first of the runners with room.

Change: 400 such messages a second at most, the pause growing with the number of others; among runners where a job would wait alike one is drawn by the room left there.

Ruled out: telling only what changed (under load all of it changes at once); drawing two and taking the better, also where waits differ (not needed at the sizes measured).

--- a/src/broker.c
+++ b/src/broker.c
@@ -26,6 +26,7 @@
         .settle_us = 1500 * USEC_PER_MSEC,
         .settle_min_us = 300 * USEC_PER_MSEC,
         .load_us = 50 * USEC_PER_MSEC,
+        .loads_per_s = 400, /* twenty others every load_us */
         .stop_us = 5400 * USEC_PER_MSEC,
         .quit_us = 2600 * USEC_PER_MSEC,
         .upstreams_each = 32,
--- a/src/broker.h
+++ b/src/broker.h
@@ -45,7 +45,8 @@
  * @settle_min_us: from the first word of a registry, it need not be longer
  *                 where all brokers of the zone that were named are connected;
  *                 more than two attempts to dial are apart
- * @load_us: between reports of the load to other brokers
+ * @load_us: between reports of the load to other brokers, at least
+ * @loads_per_s: messages with such a report in a second, at most
  * @stop_us: a planned stop takes no longer
  * @quit_us: after a planned stop began, callers' new jobs are still taken for
  *           so long: that is how long the platform may go on sending them
@@ -67,6 +68,7 @@
     int64_t settle_us;
     int64_t settle_min_us;
     int64_t load_us;
+    uint32_t loads_per_s;
     int64_t stop_us;
     int64_t quit_us;
     uint32_t upstreams_each;
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -127,15 +127,23 @@
     return cpu;
 }
 
+/* What has to fit there before the job's first groups have all started. */
+static uint64_t
+wanted_there(const struct broker_load *l, const struct rec_job_offer *o)
+{
+    uint64_t ahead = o->priority == 0   ? l->told.queued0_milli
+                     : o->priority == 1 ? l->told.queued1_milli
+                                        : l->told.queued2_milli;
+
+    return ahead + l->added_milli + cpu_of(o);
+}
+
 /* Until all tasks of the job's first groups have room there: what is free now,
  * less what waits before them, and then as room comes free. */
 static int64_t
 wait_there_us(const struct broker_load *l, const struct rec_job_offer *o)
 {
-    uint64_t ahead = o->priority == 0   ? l->told.queued0_milli
-                     : o->priority == 1 ? l->told.queued1_milli
-                                        : l->told.queued2_milli;
-    uint64_t wanted = ahead + l->added_milli + cpu_of(o);
+    uint64_t wanted = wanted_there(l, o);
 
     if (wanted <= l->told.free_milli) {
         return 0;
@@ -146,14 +154,27 @@
     return (int64_t)((wanted - l->told.free_milli) * 1000 / l->told.rate);
 }
 
+/* Milli-cores that are left there when the job has started; at least one, so
+ * that the draw below has something to draw from. */
+static uint64_t
+left_there(const struct broker_load *l, const struct rec_job_offer *o)
+{
+    uint64_t wanted = wanted_there(l, o);
+
+    return wanted < l->told.free_milli ? l->told.free_milli - wanted + 1 : 1;
+}
+
 /* Brokers that were tried are not tried again: they returned it for a reason
- * that still holds. */
+ * that still holds.  Among runners where the job would wait alike one is
+ * drawn, those with more room more often: all brokers know the same reports,
+ * and would else send all jobs between two reports to the same runner. */
 static struct broker_peer *
 choose_runner(struct broker *b, const struct rec_job_offer *o,
               struct name except)
 {
     struct broker_peer *best = NULL;
     int64_t best_us = INT64_MAX;
+    uint64_t left = 0; /* at all that are as good as the best */
 
     for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
         struct broker_load *l = load_of(p, o->service);
@@ -165,10 +186,14 @@
         }
         us = wait_there_us(l, o);
         us += name_equal(p->zone, b->opts.zone) ? 0 : OTHER_ZONE_US;
-        if (us < best_us) {
+        if (us > best_us) {
+            continue;
+        }
+        left = left_there(l, o) + (us < best_us ? 0 : left);
+        if (us < best_us || broker_random(b, left) < left_there(l, o)) {
             best = p;
-            best_us = us;
         }
+        best_us = us;
     }
     return best;
 }
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -250,12 +250,14 @@
     }
 }
 
-static void
+/* Returns to how many. */
+static uint32_t
 send_load(struct broker *b)
 {
     struct msg m = {.kind = MSG_BROKER_LOAD};
     struct rec_broker_load *l = &m.u.broker_load;
     size_t n = 0;
+    uint32_t sent = 0;
 
     for (const struct broker_service *s = b->services; s != NULL;
          s = s->next) {
@@ -279,11 +281,23 @@
             struct msg copy = msg_copy(&m);
 
             broker_send(b, p->name, &copy);
+            sent++;
         }
     }
     b->had_load = l->n_services > 0;
     peers_on_load(b, b->opts.self, l);
     msg_free(&m);
+    return sent;
+}
+
+/* Until the next report: often enough for the others to see the queue move,
+ * and no more messages a second than are allowed, however many they are. */
+static int64_t
+load_pause_us(const struct broker *b, uint32_t sent)
+{
+    int64_t spread = sent * USEC_PER_SEC / b->opts.loads_per_s;
+
+    return spread > b->opts.load_us ? spread : b->opts.load_us;
 }
 
 void
@@ -428,8 +442,7 @@
     }
     if (b->now.mono_us >= b->load_us) {
         tell_holds(b);
-        b->load_us = b->now.mono_us + b->opts.load_us;
-        send_load(b);
+        b->load_us = b->now.mono_us + load_pause_us(b, send_load(b));
         forget_gone(b);
     }
 }
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -34,5 +34,6 @@
 SUITE(platform)
 SUITE(registry)
 SUITE(broker)
+SUITE(broker_scale)
 SUITE(matrix)
 /* clang-format on */
