Share the room between queues under overload, and refuse at once

Two reasons, traced in the virtual region: long jobs were let in as if nothing would overtake them and refused when their time was over; and late jobs behind one without room were not looked at, so that a quarter of the small ones waited until their deadline (expired, nothing of them had run). Late jobs of which one task had started stood behind these too.

Slow upstreams count for what they do.

--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -11,7 +11,6 @@
  * of use is refused when it comes: it costs nothing then, and its caller
  * learns at once when to come back.
  */
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -31,23 +30,24 @@
 enum { QUEUE_JOBS_MAX = 1024 };
 /* Late jobs stand behind all others: farther than any time reaches. */
 #define LATE_LANE_US (INT64_C(1) << 56)
-/* Time over which demand is averaged: several runs of the longest tasks. */
-#define DEMAND_US (2 * USEC_PER_SEC)
 /* However full it is, some jobs in time end early. */
-static const double LEFT_MIN = 0.02;
+static const double LEFT_MIN = 0.05;
 /* Late jobs leave that share of the room to those that come next and can be in
  * time: a usual job takes as much. */
 static const double SPARE_SHARE = 0.08;
+/* A late job is let in where it would start in time for that multiple of the
+ * estimated wait: what comes later may go before it. */
+enum { LATE_CAUTION = 2 };
 #define MIN_RETRY_US (200 * USEC_PER_MSEC)
 
-static struct learned *
+static struct queue_history *
 history_of(struct broker_service *s, struct name queue)
 {
     struct queue_history *more;
 
     for (size_t i = 0; i < s->n_history; i++) {
         if (name_equal(s->history[i].queue, queue)) {
-            return &s->history[i].learned;
+            return &s->history[i];
         }
     }
     more = realloc(s->history, (s->n_history + 1) * sizeof(*more));
@@ -57,13 +57,13 @@
     s->history = more;
     memset(&more[s->n_history], 0, sizeof(*more));
     more[s->n_history].queue = queue;
-    return &more[s->n_history++].learned;
+    return &s->history[s->n_history++];
 }
 
 int64_t
 order_expected_us(const struct run_job *job, const struct rec_task_group *g)
 {
-    return learn_expected_us(history_of(job->service, job->queue),
+    return learn_expected_us(&history_of(job->service, job->queue)->learned,
                              (int64_t)g->declared_us);
 }
 
@@ -71,8 +71,8 @@
 order_learn(struct run_job *job, const struct rec_task_group *g,
             int64_t ran_us)
 {
-    learn_sample(history_of(job->service, job->queue), (int64_t)g->declared_us,
-                 ran_us);
+    learn_sample(&history_of(job->service, job->queue)->learned,
+                 (int64_t)g->declared_us, ran_us);
 }
 
 /* The longest chain of groups that wait for each other.  A group waits only
@@ -132,6 +132,12 @@
     struct broker_service *s = job->service;
     struct run_job *other;
 
+    /* What was begun is ended first: among the late ones its last tasks would
+     * wait for ever behind jobs that find no spare room. */
+    if (job->started) {
+        job->ahead_us = job->start_by_us;
+    }
+
     TAILQ_FOREACH_REVERSE(other, &s->queue, run_queue, link)
     {
         if (other->ahead_us <= job->ahead_us) {
@@ -163,6 +169,7 @@
  * and how fast it comes free. */
 struct room {
     double cpu;    /* milli-cores */
+    double able;   /* of them, counted by how fast their upstreams are */
     double unused; /* milli-cores */
     double held;   /* by tasks that run or wait, milli-cores */
     double ends;   /* of it, in a microsecond */
@@ -180,6 +187,8 @@
 add_upstream(struct broker *b, struct room *r, const struct broker_upstream *u)
 {
     r->cpu += u->capacity.cpu_milli;
+    r->able +=
+        u->capacity.cpu_milli * FILL / (u->slowness > 1.0 ? u->slowness : 1.0);
     r->unused += u->capacity.cpu_milli - u->used.cpu_milli;
     for (size_t i = 0; i < u->n_tasks; i++) {
         struct run_job *job;
@@ -265,33 +274,44 @@
     return (int64_t)(wanted / rate);
 }
 
-/* Demand: work that was let in lately, as milli-cores that it keeps busy. */
+/* Late jobs: they get what the others leave.  How much that is shows in how
+ * much of their work was started lately; where none waited nothing was, so it
+ * is no less than the room that what comes in leaves. */
 
-static void
-decay_demand(struct broker *b, struct broker_service *s)
+static double
+late_rate(struct broker *b, struct broker_service *s, const struct room *r)
 {
-    double passed = (double)(b->now.mono_us - s->demand_us);
+    double left = r->able - share_offered(s);
+    double least_rate = r->able * LEFT_MIN;
 
-    s->demand *= exp(-passed / (double)DEMAND_US);
-    s->demand_us = b->now.mono_us;
+    share_decay(b, s, r->able);
+    left = left > s->late_started ? left : s->late_started;
+    return left > least_rate ? left : least_rate;
 }
 
-static void
-add_demand(struct broker *b, struct run_job *job)
+void
+order_late_started(struct broker *b, struct run_job *job)
 {
-    decay_demand(b, job->service);
-    job->service->demand += job->work / (double)DEMAND_US;
+    struct room r = room_of(b, job->service);
+
+    share_decay(b, job->service, r.able);
+    share_late_started(job->service, job->work);
 }
 
-/* Share of the room that jobs in time leave to late ones. */
+/* Work of late jobs that waits before one that must start by then. */
 static double
-left_to_late(struct broker *b, struct broker_service *s, const struct room *r)
+late_work_before(const struct broker_service *s, int64_t start_by_us)
 {
-    double left;
+    const struct run_job *job;
+    double work = 0;
 
-    decay_demand(b, s);
-    left = 1.0 - s->demand / (r->cpu * FILL);
-    return left > LEFT_MIN ? left : LEFT_MIN;
+    TAILQ_FOREACH(job, &s->queue, link)
+    {
+        work += job->late && !job->started && job->start_by_us < start_by_us
+                    ? job->work
+                    : 0;
+    }
+    return work;
 }
 
 /* Admission */
@@ -315,50 +335,91 @@
     job->ahead_us = LATE_LANE_US + job->start_by_us;
 }
 
+/* When it would have a chance: what stands before it is done by then. */
+static int64_t
+retry_after_us(const struct run_job *job, int64_t start_us)
+{
+    int64_t us = start_us - job->start_by_us;
+
+    return us > MIN_RETRY_US ? us : MIN_RETRY_US;
+}
+
+static bool
+can_be_in_time(struct broker *b, struct run_job *job, const struct room *free)
+{
+    struct broker_service *s = job->service;
+    struct queue_history *q = history_of(s, job->queue);
+    struct room r = *free;
+    int64_t spare = job->start_by_us - b->now.mono_us;
+    int64_t wait;
+
+    wait = wait_us(&r, queued_before(s, job->ahead_us, &r), ready_cpu(job));
+    spare = (int64_t)((double)spare * share_of_spare(s, q, free->able));
+    if (wait > spare) {
+        return false;
+    }
+    share_take(q, job->work);
+    return true;
+}
+
+/* When it would start behind all others. */
+static int64_t
+late_start_us(struct broker *b, const struct run_job *job,
+              const struct room *free)
+{
+    double work = late_work_before(job->service, job->start_by_us) + job->work;
+
+    return b->now.mono_us + (int64_t)(work / late_rate(b, job->service, free));
+}
+
 enum broker_reason
 order_admit(struct broker *b, struct run_job *job, int64_t *retry_us)
 {
     struct broker_service *s = job->service;
+    struct queue_history *q = history_of(s, job->queue);
     struct room r = room_of(b, s);
-    double own = ready_cpu(job);
-    double queued = queued_before(s, job->ahead_us, &r);
-    int64_t start = b->now.mono_us + wait_us(&r, queued, own);
+    int64_t start;
 
     *retry_us = 0;
-    if (start <= job->start_by_us) {
-        add_demand(b, job);
+    q->priority = job->priority;
+    share_offer(b, s, q, job->work, r.able);
+    if (can_be_in_time(b, job, &r)) {
         return BROKER_NONE;
     }
     set_late(job);
-    r = room_of(b, s);
-    queued = queued_before(s, INT64_MAX, &r);
-    start = b->now.mono_us + (int64_t)((double)wait_us(&r, queued, own) /
-                                       left_to_late(b, s, &r));
-    if (start <= last_start_us(job) && s->n_queued < QUEUE_JOBS_MAX) {
+    start = late_start_us(b, job, &r);
+    if (b->now.mono_us + LATE_CAUTION * (start - b->now.mono_us) <=
+            last_start_us(job) &&
+        s->n_queued < QUEUE_JOBS_MAX) {
         return BROKER_NONE;
     }
-    /* When the work that stands before it is done, it has a chance. */
-    *retry_us = start - job->start_by_us;
-    *retry_us = *retry_us > MIN_RETRY_US ? *retry_us : MIN_RETRY_US;
+    *retry_us = retry_after_us(job, start);
     return s->n_queued < QUEUE_JOBS_MAX ? BROKER_TOO_LATE : BROKER_QUEUE_FULL;
 }
 
-bool
+void
 order_overdue(struct broker *b, struct run_job *job)
 {
-    if (job->late || job->started || b->now.mono_us <= job->start_by_us) {
-        return false;
+    if (!job->late && !job->started && b->now.mono_us > job->start_by_us) {
+        order_remove(job);
+        set_late(job);
+        order_insert(job);
     }
-    order_remove(job);
-    set_late(job);
-    order_insert(job);
-    return true;
 }
 
 bool
-order_hopeless(const struct broker *b, const struct run_job *job)
+order_hopeless(struct broker *b, const struct run_job *job, int64_t *retry_us)
 {
-    return job->late && !job->started && b->now.mono_us > last_start_us(job);
+    struct room r;
+    int64_t start;
+
+    if (!job->late || job->started) {
+        return false;
+    }
+    r = room_of(b, job->service);
+    start = late_start_us(b, job, &r);
+    *retry_us = retry_after_us(job, start);
+    return start > last_start_us(job);
 }
 
 bool
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -448,6 +448,9 @@
     t->settle_us = INT64_MAX;
     if (!job->started) {
         histogram_add(&b->histograms.queue, b->now.mono_us - job->arrived_us);
+        if (job->late) {
+            order_late_started(b, job);
+        }
     }
     job->started = true;
     job->n_ready--;
@@ -559,24 +562,43 @@
     return true;
 }
 
+/* Every waiting job is judged, not only those whose turn may come: a late one
+ * behind others without room would keep its caller waiting for an answer that
+ * is known to be a refusal. */
+static void
+review_waiting(struct broker *b, struct broker_service *s)
+{
+    struct run_job *job = TAILQ_FIRST(&s->queue);
+
+    while (job != NULL) {
+        struct run_job *next = TAILQ_NEXT(job, link);
+
+        int64_t retry_us;
+
+        if (order_hopeless(b, job, &retry_us)) {
+            end_job(b, job, JOB_REFUSED_OUTCOME, BROKER_TOO_LATE, retry_us);
+        }
+        else {
+            order_overdue(b, job);
+        }
+        job = next;
+    }
+}
+
 /* One job of the queue; false where no late job behind it has a chance. */
 static bool
 serve_queued(struct broker *b, struct run_job *job)
 {
-    if (order_hopeless(b, job)) {
-        end_job(b, job, JOB_REFUSED_OUTCOME, BROKER_TOO_LATE,
-                job->objective_us - job->start_by_us);
-        return true;
-    }
-    if (order_overdue(b, job)) {
-        return true; /* its turn comes again, among the late ones */
-    }
     if (job->late && !job->started && !order_spare(b, job)) {
         return false;
     }
     if (place_job(b, job)) {
         order_remove(job);
     }
+    else if (job->late && job->started) {
+        order_remove(job);
+        order_insert(job); /* its place has changed, see there */
+    }
     return true;
 }
 
@@ -602,6 +624,7 @@
     for (struct broker_service *s = b->services; s != NULL; s = s->next) {
         if (s->place || b->now.mono_us >= s->look_us) {
             s->look_us = b->now.mono_us + WAITING_LOOK_US;
+            review_waiting(b, s);
             place_all(b, s);
         }
     }
--- /dev/null
+++ b/src/broker_share.c
@@ -0,0 +1,139 @@
+/*
+ * What part of the room each queue is entitled to while not all fits.
+ *
+ * The load it answers: demand above what the upstreams can do.  Ordered by
+ * their latest start alone, short jobs overtake long ones for as long as these
+ * have time left: long ones are let in, wait, and are refused when their time
+ * is over.  So what comes in is measured per queue; when all of it together is
+ * more than there is, each queue may use its share at once, and what is beyond
+ * that gets in only where there is hardly a wait.
+ */
+#include <math.h>
+
+#include "broker_state.h"
+
+/* Time over which demand is averaged: several runs of the longest tasks. */
+#define DEMAND_US (2 * USEC_PER_SEC)
+/* A queue may save up its share for so long: the longest jobs come about that
+ * far apart. */
+#define CREDIT_US (500 * USEC_PER_MSEC)
+
+/* Of its spare time a job beyond its queue's share may wait that much where
+ * demand is OVER_FULL above what there is, and more the less it is above:
+ * otherwise it would overtake those that are entitled to the room. */
+static const double BEYOND_SHARE = 0.1;
+static const double OVER_FULL = 0.4;
+
+/* Compared to what each asks for, a queue of the first priority gets twice as
+ * much room as one of the third, and each at least some. */
+static double
+weight(const struct queue_history *q)
+{
+    return 1.0 + 3.0 / (1.0 + (double)q->priority);
+}
+
+static double
+least(double a, double b)
+{
+    return a < b ? a : b;
+}
+
+double
+share_offered(const struct broker_service *s)
+{
+    double offered = 0;
+
+    for (size_t i = 0; i < s->n_history; i++) {
+        offered += s->history[i].offered;
+    }
+    return offered;
+}
+
+/* What all get together when each gets its weight times @level of what it asks
+ * for, and no more than that. */
+static double
+granted(const struct broker_service *s, double level)
+{
+    double sum = 0;
+
+    for (size_t i = 0; i < s->n_history; i++) {
+        const struct queue_history *q = &s->history[i];
+
+        sum += q->offered * least(1.0, weight(q) * level);
+    }
+    return sum;
+}
+
+/* The level at which all room is given out, by halving. */
+static double
+level_for(const struct broker_service *s, double able)
+{
+    enum { HALVINGS = 20 };
+    double low = 0.0;
+    double high = 1.0;
+
+    if (granted(s, high) <= able) {
+        return high;
+    }
+    for (int i = 0; i < HALVINGS; i++) {
+        double middle = (low + high) / 2.0;
+
+        if (granted(s, middle) <= able) {
+            low = middle;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+void
+share_decay(struct broker *b, struct broker_service *s, double able)
+{
+    double passed = (double)(b->now.mono_us - s->share_us);
+    double level = level_for(s, able);
+
+    for (size_t i = 0; i < s->n_history; i++) {
+        struct queue_history *q = &s->history[i];
+        double share = q->offered * least(1.0, weight(q) * level);
+
+        q->credit = least(q->credit + share * passed, share * CREDIT_US);
+        q->offered *= exp(-passed / (double)DEMAND_US);
+    }
+    s->late_started *= exp(-passed / (double)DEMAND_US);
+    s->share_us = b->now.mono_us;
+}
+
+void
+share_late_started(struct broker_service *s, double work)
+{
+    s->late_started += work / (double)DEMAND_US;
+}
+
+void
+share_offer(struct broker *b, struct broker_service *s,
+            struct queue_history *q, double work, double able)
+{
+    share_decay(b, s, able);
+    q->offered += work / (double)DEMAND_US;
+}
+
+double
+share_of_spare(const struct broker_service *s, const struct queue_history *q,
+               double able)
+{
+    double over = able > 0 ? share_offered(s) / able - 1.0 : OVER_FULL;
+    double left = 1.0 - over / OVER_FULL;
+
+    if (q->credit > 0 || left > 1.0) {
+        return 1.0;
+    }
+    return left > BEYOND_SHARE ? left : BEYOND_SHARE;
+}
+
+void
+share_take(struct queue_history *q, double work)
+{
+    q->credit -= work;
+}
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -171,19 +171,27 @@
 
 TAILQ_HEAD(run_queue, run_job);
 
-/** struct queue_history - what is learned of a queue's run times */
+/**
+ * struct queue_history - what is learned of a queue
+ * @learned: its run times
+ * @offered: work handed in lately, in milli-cores that it would keep busy
+ * @credit: of its share, work that may be let in, in milli-core microseconds
+ */
 struct queue_history {
     struct name queue;
+    uint32_t priority;
     struct learned learned;
+    double offered;
+    double credit;
 };
 
 /** struct broker_service - a service whose upstreams are known here */
 struct broker_service {
     struct name name;
     struct run_queue queue;
-    uint32_t n_queued; /* jobs */
-    double demand;     /* work let in, in milli-cores: decays over time */
-    int64_t demand_us; /* when it was last brought up to date */
+    uint32_t n_queued;   /* jobs */
+    double late_started; /* work of late jobs started lately, milli-cores */
+    int64_t share_us;    /* when offers and credits were brought up to date */
     struct queue_history *history;
     size_t n_history;
     bool place;      /* room or work has come: look again */
@@ -456,12 +464,17 @@
 void order_insert(struct run_job *job);
 void order_remove(struct run_job *job);
 
-/** order_hopeless() - a waiting job that nobody gains by any more */
-bool order_hopeless(const struct broker *b, const struct run_job *job);
+/** order_hopeless() - a waiting job that will not start while its answer is of
+ * use; *@retry_us is when it would have a chance */
+bool order_hopeless(struct broker *b, const struct run_job *job,
+                    int64_t *retry_us);
 
-/** order_overdue() - moves a job that can't be in time any more behind those
- * that can; true when it did */
-bool order_overdue(struct broker *b, struct run_job *job);
+/** order_late_started() - a late job's first start is sent */
+void order_late_started(struct broker *b, struct run_job *job);
+
+/** order_overdue() - moves a waiting job that can't be in time any more behind
+ * those that can */
+void order_overdue(struct broker *b, struct run_job *job);
 
 /** order_spare() - whether a late job may take room now */
 bool order_spare(struct broker *b, const struct run_job *job);
@@ -479,6 +492,30 @@
 void order_learn(struct run_job *job, const struct rec_task_group *g,
                  int64_t ran_us);
 
+/* broker_share.c: @able are milli-cores that all queues share */
+
+/** share_decay() - brings what is measured up to date */
+void share_decay(struct broker *b, struct broker_service *s, double able);
+
+/** share_late_started() - a late job with that much work was started */
+void share_late_started(struct broker_service *s, double work);
+
+/** share_offer() - a job with that much work came, whatever becomes of it */
+void share_offer(struct broker *b, struct broker_service *s,
+                 struct queue_history *q, double work, double able);
+
+/** share_offered() - milli-cores that what comes in would keep busy */
+double share_offered(const struct broker_service *s);
+
+/** share_of_spare() - how much of its spare time a job of the queue may wait:
+ * all of it while the queue has something left of its share, or all that comes
+ * in fits; 0 to 1 */
+double share_of_spare(const struct broker_service *s,
+                      const struct queue_history *q, double able);
+
+/** share_take() - a job of the queue is let in */
+void share_take(struct queue_history *q, double work);
+
 /* broker_place.c */
 
 /** place_choose() - the best upstream for a task now, or NULL */
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -26,6 +26,9 @@
  * @cpu_milli: of a task
  * @run_us: of a task, in the mean
  * @spread: of the run times between jobs, as a share of the mean
+ * @width_spread: of the number of tasks, likewise; some jobs are three times
+ * as wide as the mean
+ * @cpu_spread: of what a task takes, likewise
  * @declared_off: how far the declared run time is off, likewise
  * @per_s: jobs in a second, in the whole region
  * @timeout_us: callers wait so long
@@ -36,6 +39,8 @@
     uint32_t cpu_milli;
     int64_t run_us;
     double spread;
+    double width_spread;
+    double cpu_spread;
     double declared_off;
     double per_s;
     int64_t timeout_us;
@@ -47,6 +52,7 @@
  * @brokers: in each zone
  * @upstreams: in each zone
  * @cpu_milli: of an upstream
+ * @cpu_large_milli: of each third one; 0 for as the others
  * @queues: what is asked for
  * @n_queues: of them
  * @resend_us: a caller hands a job in again, at any broker, so long after a
@@ -58,6 +64,7 @@
     uint32_t brokers;
     uint32_t upstreams;
     uint32_t cpu_milli;
+    uint32_t cpu_large_milli;
     struct vlease_queue queues[VLEASE_QUEUES_MAX];
     uint32_t n_queues;
     int64_t resend_us;
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -84,6 +84,7 @@
     struct name zone;
     uint32_t number;
     uint32_t zone_number;
+    uint32_t cpu_milli;
     uint64_t born_ms;
     uint64_t life;
     uint64_t sequence;
@@ -107,6 +108,8 @@
 
 struct vjob {
     uint32_t queue;
+    uint32_t tasks;
+    uint32_t cpu_milli;
     uint32_t broker;
     uint64_t request; /* 0: not waiting */
     int64_t asked_us;
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -28,6 +28,21 @@
     return 1.0 + spread * (drawn(v) + drawn(v) - 1.0);
 }
 
+/* How wide a job is: most are near the mean, one of twenty is more than twice
+ * as wide where @spread is 0.4. */
+static uint32_t
+width_of(struct vlease *v, const struct vlease_queue *q)
+{
+    double wide;
+
+    if (q->width_spread <= 0) {
+        return q->tasks;
+    }
+    wide = (double)q->tasks *
+           exp(q->width_spread * 1.7 * (drawn(v) + drawn(v) + drawn(v) - 1.5));
+    return wide < 1.0 ? 1 : (uint32_t)(wide + 0.5);
+}
+
 /* The next broker of the same zone, as the platform's balancer would choose.
  */
 static uint32_t
@@ -59,8 +74,8 @@
     struct vprocess *p = &v->processes[job->broker];
     const struct queueconf *queues =
         p->broker != NULL ? broker_queues(p->broker) : NULL;
-    struct rec_task_group group = {.count = q->tasks,
-                                   .cpu_milli = q->cpu_milli,
+    struct rec_task_group group = {.count = job->tasks,
+                                   .cpu_milli = job->cpu_milli,
                                    .memory_mb = 64,
                                    .declared_us = (uint64_t)job->declared_us};
     struct broker_event ev = {.kind = BEV_SUBMIT};
@@ -103,6 +118,12 @@
     job->queue = queue;
     job->broker = broker;
     avoid_dead(v, job);
+    job->tasks = width_of(v, q);
+    job->cpu_milli = q->cpu_milli;
+    if (q->cpu_spread > 0) {
+        job->cpu_milli =
+            (uint32_t)((double)q->cpu_milli * factor(v, q->cpu_spread));
+    }
     job->asked_us = v->now_us;
     job->run_us = (int64_t)((double)q->run_us * factor(v, q->spread));
     job->declared_us =
--- a/src/vleaseup.c
+++ b/src/vleaseup.c
@@ -16,6 +16,7 @@
     RUNS_MAX = 16,
     STOPPED_MAX = 64,
     SLOW = 6,
+    LARGE_EACH = 3,
     DELAYED_IN = 10, /* one of so many calls */
     MISSED_IN = 500, /* one of so many runs fails anywhere */
 };
@@ -44,7 +45,7 @@
         .zone = u->zone,
         .slots = 8,
         .leaving = u->trouble == VLEASE_LEAVING,
-        .cpu_milli = v->opts.cpu_milli,
+        .cpu_milli = u->cpu_milli,
         .memory_mb = 65536,
         .labels = labels,
         .n_labels = 2,
@@ -77,6 +78,10 @@
     u->zone_number = zone;
     (void)snprintf(u->name.s, sizeof(u->name.s), "up%u", number);
     u->zone = v->processes[v->n_brokers + zone].zone;
+    u->cpu_milli = v->opts.cpu_milli;
+    if (v->opts.cpu_large_milli > 0 && number % LARGE_EACH == LARGE_EACH - 1) {
+        u->cpu_milli = v->opts.cpu_large_milli;
+    }
     u->born_us = v->now_us;
     u->born_ms = 1000 + number;
     u->life = 1;
@@ -335,7 +340,7 @@
     for (size_t i = 0; i < u->n_runs; i++) {
         used += u->runs[i].cpu_milli;
     }
-    if (used > v->opts.cpu_milli) {
+    if (used > u->cpu_milli) {
         vlease_fault(v, &v->faults.over_room, u->name, t);
     }
     if (leaving) {
@@ -366,14 +371,14 @@
         return LEASE_NO_ROOM;
     }
     judge_overlap(v, r->task);
-    judge_room(v, u, r->task, v->opts.queues[job->queue].cpu_milli);
+    judge_room(v, u, r->task, job->cpu_milli);
     vcall_started(v, r->task);
     v->starts++;
     run = &u->runs[u->n_runs++];
     memset(run, 0, sizeof(*run));
     run->task = r->task;
     run->number = ++v->runs;
-    run->cpu_milli = v->opts.queues[job->queue].cpu_milli;
+    run->cpu_milli = job->cpu_milli;
     run->begun_us = v->now_us;
     run->moved_us = v->now_us;
     run->whole_us = job->run_us;
--- /dev/null
+++ b/tests/broker_load_test.c
@@ -0,0 +1,245 @@
+/* Demand near and above what the upstreams can do, replayed in virtual time:
+ * three kinds of jobs, 8 tasks of 60 ms, 4 of 900 ms and 2 of 200 ms, each
+ * task on about half an upstream. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "check.h"
+#include "vlease.h"
+
+#define MSEC USEC_PER_MSEC
+#define SEC USEC_PER_SEC
+#define READY_US (6 * SEC) /* upstreams are known and held by then */
+
+enum { SHORT, LONG, SMALL, KINDS, UPSTREAMS = 48, SEEDS = 3 };
+
+static const struct vlease_queue kinds[KINDS] = {
+    [SHORT] = {.priority = 0,
+               .tasks = 8,
+               .cpu_milli = 14000,
+               .run_us = 60 * MSEC,
+               .spread = 0.4,
+               .width_spread = 0.4,
+               .cpu_spread = 0.4,
+               .declared_off = 0.4,
+               .per_s = 34.4,
+               .timeout_us = 1500 * MSEC},
+    [LONG] = {.priority = 2,
+              .tasks = 4,
+              .cpu_milli = 14000,
+              .run_us = 900 * MSEC,
+              .spread = 0.4,
+              .width_spread = 0.4,
+              .cpu_spread = 0.4,
+              .declared_off = 0.4,
+              .per_s = 6.25,
+              .timeout_us = 6000 * MSEC},
+    [SMALL] = {.priority = 1,
+               .tasks = 2,
+               .cpu_milli = 14000,
+               .run_us = 200 * MSEC,
+               .spread = 0.4,
+               .width_spread = 0.4,
+               .cpu_spread = 0.4,
+               .declared_off = 0.4,
+               .per_s = 100,
+               .timeout_us = 2500 * MSEC},
+};
+
+/* Shares of what was asked, over several seeds. */
+struct shares {
+    double asked;
+    double in_time;
+    double served;
+    double refused;
+    double refused_late;
+    double unanswered;
+};
+
+static struct vlease *
+region(uint64_t seed)
+{
+    struct vlease_options o = vlease_options_default();
+    struct vlease *v;
+
+    o.seed = seed;
+    o.upstreams = UPSTREAMS / o.zones;
+    o.cpu_large_milli = 48000;
+    o.n_queues = KINDS;
+    for (int k = 0; k < KINDS; k++) {
+        o.queues[k] = kinds[k];
+    }
+    v = vlease_new(&o);
+    vlease_run(v, READY_US);
+    return v;
+}
+
+static void
+add_shares(struct shares *s, const struct vlease *v, uint32_t kind)
+{
+    struct vlease_figures f = vlease_figures(v, kind);
+
+    s->asked += f.asked;
+    s->in_time += f.in_time;
+    s->served += f.completed;
+    s->refused += f.refused;
+    s->refused_late += f.refused_late;
+    s->unanswered += f.unknown + f.open;
+}
+
+static void
+finish(struct vlease *v, struct shares shares[KINDS], int64_t now_us)
+{
+    struct vlease_faults f;
+
+    vlease_load(v, 0);
+    vlease_run(v, now_us + 14 * SEC);
+    f = vlease_faults(v);
+    CU_ASSERT_EQUAL(f.overlaps, 0);
+    CU_ASSERT_EQUAL(f.over_room, 0);
+    CU_ASSERT_EQUAL(f.false_refusals, 0);
+    for (uint32_t k = 0; k < KINDS; k++) {
+        add_shares(&shares[k], v, k);
+    }
+    vlease_free(v);
+}
+
+static void
+divide(struct shares shares[KINDS])
+{
+    for (int k = 0; k < KINDS; k++) {
+        struct shares *s = &shares[k];
+
+        s->in_time /= s->asked;
+        s->served /= s->asked;
+        s->refused /= s->asked;
+        s->refused_late /= s->asked;
+        s->unanswered /= s->asked;
+    }
+}
+
+/* Ten seconds at that multiple of a usual load; some upstreams are in trouble
+ * for six of them. */
+static void
+play(double load, enum vlease_trouble trouble, uint32_t one_in,
+     struct shares shares[KINDS])
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease *v = region(seed);
+
+        vlease_load(v, load);
+        vlease_run(v, READY_US + 2 * SEC);
+        for (uint32_t i = 0; i < UPSTREAMS && one_in > 0; i++) {
+            vlease_trouble(
+                v, i, i % one_in == seed % one_in ? trouble : VLEASE_SOUND);
+        }
+        vlease_run(v, READY_US + 8 * SEC);
+        for (uint32_t i = 0; i < UPSTREAMS; i++) {
+            vlease_trouble(v, i, VLEASE_SOUND);
+        }
+        vlease_run(v, READY_US + 10 * SEC);
+        finish(v, shares, READY_US + 10 * SEC);
+    }
+    divide(shares);
+    for (int k = 0; getenv("BM_FIGURES") != NULL && k < KINDS; k++) {
+        (void)fprintf(stderr,
+                      "kind %d: in time %.3f served %.3f refused %.3f, late "
+                      "%.3f, unanswered %.3f\n",
+                      k, shares[k].in_time, shares[k].served,
+                      shares[k].refused, shares[k].refused_late,
+                      shares[k].unanswered);
+    }
+}
+
+/* Nothing is refused for want of room while there is enough. */
+static void
+usual_load_is_served_in_time(void)
+{
+    struct shares s[KINDS] = {0};
+
+    play(1.0, VLEASE_SOUND, 0, s);
+    for (int k = 0; k < KINDS; k++) {
+        CU_ASSERT_TRUE(s[k].in_time > 0.94);
+        CU_ASSERT_TRUE(s[k].served > 0.995);
+    }
+}
+
+/* Demand doubles.  Short jobs overtake long ones for as long as these have
+ * time left; let in regardless, the long ones wait until they are refused, and
+ * their callers, who could have gone elsewhere, have waited for nothing. */
+static void
+each_kind_keeps_its_part_under_overload(void)
+{
+    struct shares s[KINDS] = {0};
+
+    play(2.0, VLEASE_SOUND, 0, s);
+    CU_ASSERT_TRUE(s[SHORT].in_time > 0.60);
+    CU_ASSERT_TRUE(s[LONG].in_time > 0.58);
+    CU_ASSERT_TRUE(s[SMALL].in_time > 0.55);
+}
+
+/* What is refused is refused when it comes.  A caller that is held for seconds
+ * and then refused has lost the time in which it could have tried again. */
+static void
+refusals_come_at_once(void)
+{
+    struct shares s[KINDS] = {0};
+
+    play(2.0, VLEASE_SOUND, 0, s);
+    for (int k = 0; k < KINDS; k++) {
+        CU_ASSERT_TRUE(s[k].refused_late < 0.12);
+    }
+}
+
+/* A job that waits behind others without room is judged too: its caller gets
+ * a refusal, not silence until its deadline. */
+static void
+every_waiting_job_is_answered(void)
+{
+    struct shares s[KINDS] = {0};
+
+    play(2.5, VLEASE_SOUND, 0, s);
+    for (int k = 0; k < KINDS; k++) {
+        CU_ASSERT_TRUE(s[k].unanswered < 0.002);
+    }
+}
+
+/* A third of the upstreams turns six times slower under a usual load: what can
+ * be done falls by more than a quarter, though no processor is missing. */
+static void
+slow_upstreams_count_for_what_they_do(void)
+{
+    struct shares s[KINDS] = {0};
+
+    play(1.2, VLEASE_SLOW, 3, s);
+    for (int k = 0; k < KINDS; k++) {
+        CU_ASSERT_TRUE(s[k].in_time > 0.55);
+        CU_ASSERT_TRUE(s[k].refused_late < 0.10);
+    }
+}
+
+/* A quarter of the upstreams stops answering for six seconds. */
+static void
+mute_upstreams_are_done_without(void)
+{
+    struct shares s[KINDS] = {0};
+
+    play(1.4, VLEASE_MUTE, 4, s);
+    for (int k = 0; k < KINDS; k++) {
+        CU_ASSERT_TRUE(s[k].in_time > 0.62);
+        CU_ASSERT_TRUE(s[k].refused_late < 0.08);
+    }
+}
+
+void
+suite_broker_load(void)
+{
+#define TEST(name) check_add("broker_load", #name, name)
+    TEST(usual_load_is_served_in_time);
+    TEST(each_kind_keeps_its_part_under_overload);
+    TEST(refusals_come_at_once);
+    TEST(every_waiting_job_is_answered);
+    TEST(slow_upstreams_count_for_what_they_do);
+    TEST(mute_upstreams_are_done_without);
+#undef TEST
+}
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -35,5 +35,6 @@
 SUITE(registry)
 SUITE(broker)
 SUITE(broker_scale)
+SUITE(broker_load)
 SUITE(matrix)
 /* clang-format on */
