Tell what was taken and announced together, and review holders less often

One broker with 106 peers and 1,000 upstreams, measured alone: 59 us for a report of an upstream, 83 us for a word that one is held, since each went over all upstreams several times and hashed each name; and a message went out for each upstream to each of 90 brokers.

Change: reports of 30 ms and holds of one step travel together; who holds what is decided at most every 10 ms; the hash is kept with the upstream.

Ruled out: taking larger parts of a zone in one broker (its own load is what bounds that).

--- a/src/broker.c
+++ b/src/broker.c
@@ -14,6 +14,9 @@
      * ticks come ten times as often as a lease is long. */
     PAUSE_LEASES = 1,
 };
+/* Between decisions who holds what: each goes over all upstreams, and when a
+ * region starts something changes with every message. */
+#define REVIEW_PAUSE_US (10 * USEC_PER_MSEC)
 
 struct broker_options
 broker_options_default(void)
@@ -105,6 +108,7 @@
     }
     free(b->local);
     free(b->holders);
+    free(b->holds);
     free_services(b);
     peers_free(b);
     table_clear(&b->caller_jobs);
@@ -300,8 +304,9 @@
     peers_tick(b);
     callers_tick(b);
     hold_tick(b);
-    if (b->review) {
+    if (b->review && b->now.mono_us >= b->review_us) {
         b->review = false;
+        b->review_us = b->now.mono_us + REVIEW_PAUSE_US;
         hold_review(b);
     }
     runs_tick(b);
@@ -325,6 +330,7 @@
     take_local(b);
     runs_tick(b);
     take_local(b);
+    hold_flush(b);
     tell_stopped(b);
     b->fx = NULL;
 }
@@ -345,6 +351,7 @@
     at = least(at, callers_next_us(b));
     at = least(at, hold_next_us(b));
     at = least(at, runs_next_us(b));
+    at = b->review ? least(at, b->review_us) : at;
     if (b->stopping && !b->stopped_told) {
         at = least(at, b->stop_us + b->opts.stop_us);
         if (b->stop_us + b->opts.quit_us > b->now.mono_us) {
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -44,6 +44,7 @@
 
     u->name = name;
     u->self = h;
+    u->spread = key_id_of(name.s).lo;
     u->look_us = INT64_MAX;
     u->slowness = 1.0;
     map_put(&b->upstreams_by_name, u);
@@ -56,17 +57,34 @@
 static void
 tell_hold(struct broker *b, const struct broker_upstream *u)
 {
-    struct msg m = {.kind = MSG_UPSTREAM_HOLDS};
-    struct rec_held_upstream *one = calloc(1, sizeof(*one));
+    struct rec_held_upstream *one;
 
-    if (one == NULL) {
-        abort();
-    }
+    b->holds =
+        array_grow(b->holds, b->n_holds, &b->holds_room, sizeof(*b->holds));
+    one = &b->holds[b->n_holds++];
     one->upstream = u->name;
     one->held = u->state != HOLD_NONE && u->state != HOLD_LOST ? 1 : 0;
     one->fence = u->fence;
-    m.u.upstream_holds.upstreams = one;
-    m.u.upstream_holds.n_upstreams = 1;
+}
+
+/* Together: a broker that starts takes 32 upstreams in one step, and a message
+ * for each to ninety others would be most of what all of them receive. */
+void
+hold_flush(struct broker *b)
+{
+    struct msg m = {.kind = MSG_UPSTREAM_HOLDS};
+    struct rec_upstream_holds *list = &m.u.upstream_holds;
+
+    if (b->n_holds == 0) {
+        return;
+    }
+    list->upstreams = calloc(b->n_holds, sizeof(*list->upstreams));
+    if (list->upstreams == NULL) {
+        abort();
+    }
+    memcpy(list->upstreams, b->holds, b->n_holds * sizeof(*b->holds));
+    list->n_upstreams = b->n_holds;
+    b->n_holds = 0;
     peers_send_zone(b, &m);
 }
 
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -527,7 +527,7 @@
     if (b->n_holders == 0 || !name_equal(u->zone, b->opts.zone)) {
         return name_of("");
     }
-    return b->holders[key_id_of(u->name.s).lo % b->n_holders].peer->name;
+    return b->holders[u->spread % b->n_holders].peer->name;
 }
 
 void
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -216,6 +216,7 @@
 /**
  * struct broker_upstream - an upstream
  * @name: first: looked up by it
+ * @spread: a number drawn from its name, which spreads upstreams over holders
  * @born_ms: its life
  * @sequence: of its last announcement
  * @holder: the broker that said that it holds it; empty for nobody
@@ -241,6 +242,7 @@
 struct broker_upstream {
     struct name name;
     struct handle self;
+    uint64_t spread;
     uint64_t born_ms;
     uint64_t sequence;
     struct broker_service *service;
@@ -331,6 +333,10 @@
     struct table calls;
     bool settled;      /* opts.settle_us have passed, as of the last step */
     bool review;       /* who holds what has to be decided again */
+    int64_t review_us; /* not before that */
+    struct rec_held_upstream *holds; /* to be told at the end of the step */
+    size_t n_holds;
+    size_t holds_room;
     struct msg *local; /* to this process itself, taken before the step ends */
     size_t n_local;
     size_t local_room;
@@ -538,6 +544,8 @@
 
 /* broker_hold.c */
 void hold_on_report(struct broker *b, const struct rec_upstream_report *r);
+/** hold_flush() - tells the zone what was taken and let go in this step */
+void hold_flush(struct broker *b);
 void hold_on_holds(struct broker *b, struct name from,
                    const struct rec_upstream_holds *h);
 
--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -205,7 +205,7 @@
         &m->msg->u.upstream_report.upstreams[0];
     struct moment now = clock_now(r->opts.clock);
 
-    switch (registry_announce(r->registry, u, now, &r->effects)) {
+    switch (registry_announce(r->registry, u, now)) {
     case REGISTRY_CHANGED:
         log_event(LOG_INFO, "upstream-announced", u->upstream.s,
                   "%s in %s at %s, life %llu, sequence %llu%s%s", u->service.s,
--- a/src/registry.c
+++ b/src/registry.c
@@ -23,12 +23,17 @@
  * all of a region start within 0.3 s.  One that comes is told of the others at
  * once and connects to them by itself. */
 #define ROSTER_PAUSE_US (200 * USEC_PER_MSEC)
+/* Upstreams that changed are told of together, so long after the first: all of
+ * a region announce themselves within 1.5 s, and a message for each to every
+ * broker is most of what brokers take in that time. */
+#define REPORT_PAUSE_US (30 * USEC_PER_MSEC)
 
 /* An upstream, as it announced itself last. */
 struct announced {
     struct name name; /* first: looked up by it */
     struct rec_leased_upstream info;
     int64_t heard_us;
+    bool told; /* to the brokers, as it is now */
     struct announced *next;
 };
 
@@ -41,7 +46,8 @@
     struct rec_instance *registries; /* others than @self */
     size_t n_registries;
     int64_t repeat_us;
-    int64_t tell_us; /* of brokers that came; INT64_MAX for none */
+    int64_t tell_us;   /* of brokers that came; INT64_MAX for none */
+    int64_t report_us; /* of upstreams that changed; INT64_MAX for none */
 };
 
 struct registry *
@@ -55,6 +61,7 @@
     r->self.name = self;
     r->self.zone = zone;
     r->tell_us = INT64_MAX;
+    r->report_us = INT64_MAX;
     map_init(&r->by_name, MAP_NAME);
     return r;
 }
@@ -111,27 +118,11 @@
     s->msg = msg_copy(m);
 }
 
-/* Brokers hold upstreams of their own zone alone; the others need not know. */
+/* What is known of the broker's zone, all or what it was not told yet: brokers
+ * hold upstreams of their own zone alone. */
 static void
-report_one(const struct registry *r, struct control_effects *fx,
-           struct rec_leased_upstream info)
-{
-    struct msg m = {.kind = MSG_UPSTREAM_REPORT};
-
-    m.u.upstream_report.upstreams = &info;
-    m.u.upstream_report.n_upstreams = 1;
-    for (const struct listener *b = r->roster.brokers; b != NULL;
-         b = b->next) {
-        if (b->up && name_equal(b->info.zone, info.zone)) {
-            send_to(fx, b->name, &m);
-        }
-    }
-}
-
-/* All that is known of the broker's zone. */
-static void
-report_all(const struct registry *r, struct control_effects *fx,
-           const struct listener *to)
+report_to(const struct registry *r, struct control_effects *fx,
+          const struct listener *to, bool untold_only)
 {
     struct msg m = {.kind = MSG_UPSTREAM_REPORT};
     struct rec_leased_upstream *items =
@@ -142,16 +133,42 @@
         abort();
     }
     for (const struct announced *u = r->upstreams; u != NULL; u = u->next) {
-        if (name_equal(u->info.zone, to->info.zone)) {
+        if (name_equal(u->info.zone, to->info.zone) &&
+            !(untold_only && u->told)) {
             items[n++] = u->info;
         }
     }
     m.u.upstream_report.upstreams = items;
     m.u.upstream_report.n_upstreams = n;
-    send_to(fx, to->name, &m);
+    if (n > 0 || !untold_only) {
+        send_to(fx, to->name, &m);
+    }
     free(items);
 }
 
+static void
+report_changed(struct registry *r, struct control_effects *fx)
+{
+    for (const struct listener *b = r->roster.brokers; b != NULL;
+         b = b->next) {
+        if (b->up) {
+            report_to(r, fx, b, true);
+        }
+    }
+    for (struct announced *u = r->upstreams; u != NULL; u = u->next) {
+        u->told = true;
+    }
+}
+
+static void
+note_changed(struct registry *r, struct announced *u, struct moment now)
+{
+    u->told = false;
+    if (r->report_us == INT64_MAX) {
+        r->report_us = now.mono_us + REPORT_PAUSE_US;
+    }
+}
+
 static void
 send_roster(const struct registry *r, struct control_effects *fx,
             const struct listener *to, bool fresh_only)
@@ -227,7 +244,7 @@
 /* A goodbye says no more than that: the rest stays as it was. */
 static enum registry_result
 take_goodbye(struct registry *r, struct announced *known,
-             const struct rec_leased_upstream *u, struct control_effects *fx)
+             const struct rec_leased_upstream *u, struct moment now)
 {
     if (known == NULL ||
         (u->born_ms != 0 && u->born_ms != known->info.born_ms)) {
@@ -236,19 +253,19 @@
     known->info.leaving = 1;
     known->info.gone = 1;
     known->info.sequence++;
-    report_one(r, fx, known->info);
+    note_changed(r, known, now);
     return REGISTRY_CHANGED;
 }
 
 enum registry_result
 registry_announce(struct registry *r, const struct rec_leased_upstream *u,
-                  struct moment now, struct control_effects *fx)
+                  struct moment now)
 {
     struct announced *known = map_get(&r->by_name, &u->upstream);
     bool changed = known == NULL || news(known, u, now);
 
     if (u->gone != 0) {
-        return take_goodbye(r, known, u, fx);
+        return take_goodbye(r, known, u, now);
     }
     if (known != NULL && overtaken(known, u, now)) {
         return REGISTRY_STALE;
@@ -260,7 +277,7 @@
     known->info = copy_info(u);
     known->heard_us = now.mono_us;
     if (changed) {
-        report_one(r, fx, known->info);
+        note_changed(r, known, now);
     }
     return changed ? REGISTRY_CHANGED : REGISTRY_UNCHANGED;
 }
@@ -298,7 +315,7 @@
     }
     if (i->again == 0) {
         send_roster(r, fx, b, false);
-        report_all(r, fx, b);
+        report_to(r, fx, b, false);
     }
 }
 
@@ -352,7 +369,7 @@
     for (const struct listener *b = r->roster.brokers; b != NULL;
          b = b->next) {
         if (b->up) {
-            report_all(r, fx, b);
+            report_to(r, fx, b, false);
         }
     }
 }
@@ -361,6 +378,10 @@
 registry_tick(struct registry *r, struct moment now,
               struct control_effects *fx)
 {
+    if (now.mono_us >= r->report_us) {
+        r->report_us = INT64_MAX;
+        report_changed(r, fx);
+    }
     if (now.mono_us >= r->tell_us) {
         r->tell_us = INT64_MAX;
         send_rosters(r, fx, true);
@@ -375,7 +396,9 @@
 int64_t
 registry_next_us(const struct registry *r)
 {
-    return r->tell_us < r->repeat_us ? r->tell_us : r->repeat_us;
+    int64_t at = r->tell_us < r->repeat_us ? r->tell_us : r->repeat_us;
+
+    return r->report_us < at ? r->report_us : at;
 }
 
 struct registry_gauges
--- a/src/registry.h
+++ b/src/registry.h
@@ -8,7 +8,7 @@
  * cut off goes on with its own registry, and one that restarts is whole again
  * when each upstream has spoken once.
  *
- * Brokers are told of upstreams of their own zone: what changed at once,
+ * Brokers are told of upstreams of their own zone: what changed,
  * everything when they connect, and everything again now and then, so that one
  * that forgot an upstream learns of it anew.  Which other brokers each is told
  * of is decided in roster.
@@ -34,11 +34,11 @@
 void registry_free(struct registry *r);
 
 /** registry_announce() - an upstream says how it is; @u is copied.  Of one
- * that is gone only its name and life count. */
+ * that is gone only its name and life count.  Brokers are told by the next
+ * registry_tick(). */
 enum registry_result registry_announce(struct registry *r,
                                        const struct rec_leased_upstream *u,
-                                       struct moment now,
-                                       struct control_effects *fx);
+                                       struct moment now);
 
 /** registry_message() - whether the message was one for the registry */
 bool registry_message(struct registry *r, struct name from,
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -408,9 +408,8 @@
     if (p->cut) {
         return;
     }
-    (void)registry_announce(p->registry, info, moment_of(v, p),
-                            &v->registry_effects);
-    flush_registry(v, p);
+    (void)registry_announce(p->registry, info, moment_of(v, p));
+    plan_registry(v, p);
 }
 
 /* Events */
--- a/tests/broker_scale_test.c
+++ b/tests/broker_scale_test.c
@@ -39,10 +39,11 @@
 struct one {
     struct broker *broker;
     int64_t now_us;
-    size_t loads;  /* messages with its load */
-    size_t words;  /* introductions after the first */
-    bool holds;    /* as the last introduction said */
-    uint64_t look; /* number of the last look */
+    size_t loads;      /* messages with its load */
+    size_t words;      /* introductions after the first */
+    size_t holds_told; /* messages with what it took or let go */
+    bool holds;        /* as the last introduction said */
+    uint64_t look;     /* number of the last look */
     uint32_t
         *jobs; /* offered, by number of the broker; NULL for not counted */
 };
@@ -62,6 +63,9 @@
     if (s->msg.kind == MSG_BROKER_LOAD) {
         o->loads++;
     }
+    else if (s->msg.kind == MSG_UPSTREAM_HOLDS) {
+        o->holds_told++;
+    }
     else if (s->msg.kind == MSG_INTRODUCTION &&
              s->msg.u.introduction.again != 0) {
         o->words++;
@@ -230,6 +234,36 @@
     broker_free(o.broker);
 }
 
+/* A broker starts among a hundred others and takes 32 upstreams.  Told one by
+ * one that would be 3,200 messages, and 90 brokers do so at once when a region
+ * starts; callers would wait for seconds until it serves. */
+static void
+what_is_taken_is_told_together(void)
+{
+    enum { OTHERS = 100, TAKEN = 32 };
+    struct one o = among(OTHERS);
+    struct rec_leased_upstream u[TAKEN];
+    struct msg m = {.kind = MSG_UPSTREAM_REPORT};
+
+    memset(u, 0, sizeof(u));
+    for (size_t i = 0; i < TAKEN; i++) {
+        (void)snprintf(u[i].upstream.s, sizeof(u[i].upstream.s), "u-%zu", i);
+        u[i].born_ms = 1;
+        u[i].sequence = 1;
+        u[i].service = queue.service;
+        u[i].zone = name_of("zone");
+        u[i].address = address_of("127.0.0.1:1");
+    }
+    m.u.upstream_report.upstreams = u;
+    m.u.upstream_report.n_upstreams = TAKEN;
+    o.holds_told = 0;
+    message(&o, name_of("registry"), &m);
+    run_until(&o, o.now_us + 100 * MSEC);
+    CU_ASSERT_EQUAL(broker_gauges(o.broker).upstreams_held, TAKEN);
+    CU_ASSERT_EQUAL(o.holds_told, OTHERS);
+    broker_free(o.broker);
+}
+
 static void
 submit(struct one *o, uint64_t id)
 {
@@ -298,6 +332,7 @@
     TEST(reports_of_load_are_bounded);
     TEST(few_hear_of_load_often);
     TEST(registries_learn_who_holds);
+    TEST(what_is_taken_is_told_together);
     TEST(runners_with_room_share_jobs);
 #undef TEST
 }
