Let a holder notice that it was replaced while it was idle

A broker that holds a zone's upstreams and has nothing to do is cut off from the others; its successor takes the upstreams under a higher fence and gives them back when the cut heals. The first one has not looked meanwhile and believes that it holds them; its next starts are refused everywhere (fenced), and since the view does not change after that it never takes them again: the zone serves nothing until some broker comes or goes.

Change: the word that another held an upstream under a higher fence ends our hold at once; it is taken anew, under a fence above that, when the other has let go.

Ruled out: looking at idle upstreams now and then, each look being paid for.

--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -114,6 +114,22 @@
     broker_send(b, to, &m);
 }
 
+/* Another broker has taken it under a higher fence since, while this one was
+ * cut off and had no reason to look.  What it starts there would be refused;
+ * unnoticed, the upstream would stay idle until something runs into that. */
+static void
+replaced(struct broker *b, struct broker_upstream *u, struct name by,
+         uint64_t fence)
+{
+    b->counters.upstreams_fenced++;
+    broker_log(b, LOG_WARNING, BROKER_UPSTREAM_FENCED, 0, -1, u->name,
+               "our fence %llu, that of %s %llu", (unsigned long long)u->fence,
+               by.s, (unsigned long long)fence);
+    u->state = HOLD_LOST;
+    u->fence = fence;
+    u->look_us = INT64_MAX;
+}
+
 void
 hold_on_holds(struct broker *b, struct name from,
               const struct rec_upstream_holds *h)
@@ -134,6 +150,9 @@
         if (r->fence > u->fence && u->state == HOLD_NONE) {
             u->fence = r->fence;
         }
+        else if (r->fence > u->fence && u->state != HOLD_LOST) {
+            replaced(b, u, from, r->fence);
+        }
         b->review = true;
     }
 }
--- a/tests/broker_test.c
+++ b/tests/broker_test.c
@@ -358,6 +358,29 @@
     vlease_free(v);
 }
 
+/* The holder of a zone's upstreams has nothing to do while it is cut off from
+ * the others; its successor takes the upstreams and gives them back when the
+ * cut has healed.  The first one never noticed, and starts with a fence that
+ * every upstream refuses: a user's jobs fail at an idle zone. */
+static void
+idle_holder_notices_that_it_was_replaced(void)
+{
+    for (uint64_t seed = 170; seed < 176; seed++) {
+        struct vlease *v = calm_region(seed);
+        uint64_t job;
+
+        vlease_cut(v, 0, true, false);
+        vlease_run(v, READY_US + 3 * SEC);
+        vlease_cut(v, 0, false, false);
+        vlease_run(v, READY_US + 5 * SEC);
+        job = vlease_submit(v, 0, 0);
+        vlease_run(v, READY_US + 6 * SEC);
+        CU_ASSERT_EQUAL(vlease_outcome(v, job), JOB_COMPLETED_OUTCOME);
+        settle(v, READY_US + 6 * SEC);
+        vlease_free(v);
+    }
+}
+
 static void
 trouble_upstreams(struct vlease *v, uint64_t *random, uint32_t n)
 {
@@ -466,6 +489,7 @@
     TEST(planned_stop_cuts_nothing_off);
     TEST(job_handed_in_twice_runs_once);
     TEST(work_ends_when_its_caller_leaves);
+    TEST(idle_holder_notices_that_it_was_replaced);
     TEST(troubles_overlap);
 #undef TEST
 }
