Add a fault matrix of brokers and upstreams under leases

Cause: the steps of brokers had a soak and tests, but no cell for each step and fault, and nothing that proved the checks.

Change: leasematrix traces a run in the virtual region, strikes each kind of hop with eighteen faults, alone and two at a time, and judges from outside; seven wrong decisions (broker_break) prove it.

Ruled out: a run number that does not rise as a wrong decision: upstreams refuse it, the next start goes elsewhere, and nobody sees more than a few milliseconds.

--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "figures.h"
+#include "leasematrix.h"
 #include "matrix.h"
 #include "report.h"
 #include "slopes.h"
@@ -32,6 +33,7 @@
     int pairs;
     int seed;
     char *cell;
+    char *lease_cell;
     char *report;
     int version;
 };
@@ -166,6 +168,46 @@
                                                 : EXIT_SUCCESS;
 }
 
+static int
+run_leasematrix(const struct options *o)
+{
+    struct leasematrix_options m = {.seed = (uint64_t)o->seed};
+    struct leasematrix_result r;
+
+    m.per_label = (uint32_t)o->per_label;
+    m.pairs = (uint32_t)o->pairs;
+    m.threads = (uint32_t)o->threads + 1;
+    m.breaks = o->mutants;
+    r = leasematrix_run(&m, stdout);
+    printf("lease matrix: cells=%llu failed=%llu mutants=%u caught=%u\n",
+           (unsigned long long)r.cells, (unsigned long long)r.failed, r.breaks,
+           r.caught);
+    return r.failed > 0 || r.caught < r.breaks ? EXIT_OUT_OF_BOUNDS
+                                               : EXIT_SUCCESS;
+}
+
+static int
+run_both_matrices(const struct options *o)
+{
+    int entries = run_matrix(o);
+    int leases = run_leasematrix(o);
+
+    return entries != EXIT_SUCCESS ? entries : leases;
+}
+
+static int
+run_lease_cell(const struct options *o)
+{
+    bool ok = false;
+
+    if (!leasematrix_cell((uint64_t)o->seed, o->lease_cell, stdout, &ok)) {
+        (void)fprintf(stderr, "bm-bench: a cell is STEP:FAULT[,STEP:FAULT]\n");
+        return EXIT_USAGE;
+    }
+    printf("%s\n", ok ? "passed" : "failed");
+    return ok ? EXIT_SUCCESS : EXIT_OUT_OF_BOUNDS;
+}
+
 static int
 run_cell(const struct options *o)
 {
@@ -205,6 +247,9 @@
         {"seed", 's', POPT_ARG_INT, &o.seed, 0, "of the matrix", "N"},
         {"cell", 'c', POPT_ARG_STRING, &o.cell, 0, "repeat one cell",
          "STEP:FAULT[,STEP:FAULT]"},
+        {"lease-cell", 0, POPT_ARG_STRING, &o.lease_cell, 0,
+         "repeat one cell of brokers and upstreams",
+         "STEP:FAULT[,STEP:FAULT]"},
         {"report", 'r', POPT_ARG_STRING, &o.report, 0,
          "write plots of the first workload against load", "DIR"},
         {"slopes", 0, POPT_ARG_NONE, &o.slopes, 0,
@@ -245,7 +290,11 @@
         goto out;
     }
     if (o.matrix || o.cell != NULL) {
-        code = o.matrix ? run_matrix(&o) : run_cell(&o);
+        code = o.matrix ? run_both_matrices(&o) : run_cell(&o);
+        goto out;
+    }
+    if (o.lease_cell != NULL) {
+        code = run_lease_cell(&o);
         goto out;
     }
     files = poptGetArgs(context);
@@ -262,6 +311,7 @@
     free(o.bounds);
     free(o.policy);
     free(o.cell);
+    free(o.lease_cell);
     free(o.report);
     return code;
 }
--- a/src/broker.h
+++ b/src/broker.h
@@ -25,6 +25,26 @@
 typedef struct queueconf *broker_read_config(const char *text, size_t size,
                                              enum queueconf_fault *fault);
 
+/* Wrong decisions that prove the fault matrix of leases:
+ * BROKER_BREAK(NAME, what is decided).  Only tests set one. */
+/* clang-format off */
+#define BROKER_BREAK_LIST(BROKER_BREAK)                                       \
+    BROKER_BREAK(PLACE_LOST, "place a lost start again at once")              \
+    BROKER_BREAK(KEEP_STRANGERS, "extend what nobody owns")                   \
+    BROKER_BREAK(SAME_FENCE, "take an upstream with any holder's fence")      \
+    BROKER_BREAK(LAPSE_EARLY, "believe a lease over at half of its time")     \
+    BROKER_BREAK(LOST_NOT_RUN, "tell jobs of a lost runner as not run")       \
+    BROKER_BREAK(RETURN_STARTED, "hand on what has started at a stop")        \
+    BROKER_BREAK(START_LEAVING, "start at upstreams that leave")
+/* clang-format on */
+
+enum broker_break {
+#define BROKER_BREAK(NAME, text) BROKER_BREAK_##NAME,
+    BROKER_BREAK_LIST(BROKER_BREAK)
+#undef BROKER_BREAK
+        BROKER_BREAKS,
+};
+
 /**
  * struct broker_options - how to construct a broker
  * @self: name of this instance
@@ -52,6 +72,7 @@
  *           so long: that is how long the platform may go on sending them
  * @upstreams_each: upstreams of a zone for each broker that holds any
  * @clock_drift: an upstream's clock may be slower by that share
+ * @breaks: wrong decisions to make, for tests; all false
  */
 struct broker_options {
     struct name self;
@@ -73,6 +94,7 @@
     int64_t quit_us;
     uint32_t upstreams_each;
     double clock_drift;
+    bool breaks[BROKER_BREAKS];
 };
 
 /** broker_options_default() - every field but names, addresses, incarnation
--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -222,6 +222,9 @@
             seen_running(b, u, job, t, r->percent);
             continue;
         }
+        if (b->opts.breaks[BROKER_BREAK_KEEP_STRANGERS]) {
+            continue;
+        }
         strangers = true;
         b->counters.strangers_stopped++;
         broker_log(b, LOG_NOTICE, BROKER_STRANGER, r->task.job, -1, u->name,
@@ -376,6 +379,10 @@
         broker_log(b, LOG_NOTICE, BROKER_START_LOST, job->id,
                    runs_label(job, t), u->name, "run %llu",
                    (unsigned long long)t->run);
+        if (b->opts.breaks[BROKER_BREAK_PLACE_LOST]) {
+            runs_ready(b, job, t);
+            break;
+        }
         lease_stop(b, u, job, t);
         break;
     default:
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -402,7 +402,10 @@
 
     while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
         if (name_equal(c->runner, runner)) {
-            answer_job(b, c, JOB_LOST_OUTCOME, BROKER_RUNNER_LOST, 0);
+            bool wrong = b->opts.breaks[BROKER_BREAK_LOST_NOT_RUN];
+
+            answer_job(b, c, wrong ? JOB_REFUSED_OUTCOME : JOB_LOST_OUTCOME,
+                       BROKER_RUNNER_LOST, 0);
         }
     }
 }
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -183,6 +183,9 @@
     uint64_t wall = (uint64_t)(b->now.wall_us / USEC_PER_MSEC);
     uint64_t known = u->fence / FENCE_OWN;
 
+    if (b->opts.breaks[BROKER_BREAK_SAME_FENCE]) {
+        return FENCE_OWN;
+    }
     return (wall > known ? wall : known + 1) * FENCE_OWN + own;
 }
 
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -77,6 +77,9 @@
     int64_t at = b->now.mono_us + (int64_t)((double)b->opts.lease_us * slow) +
                  LAPSE_SLACK_US;
 
+    if (b->opts.breaks[BROKER_BREAK_LAPSE_EARLY]) {
+        at = b->now.mono_us + b->opts.lease_us / 2;
+    }
     u->lapse_us = at > u->lapse_us ? at : u->lapse_us;
 }
 
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -92,8 +92,10 @@
 {
     const struct rec_task_group *g = &job->groups[t->group];
 
+    bool leaving = u->leaving && !b->opts.breaks[BROKER_BREAK_START_LEAVING];
+
     /* A stranger that is being stopped takes room that nobody counts here. */
-    return u->state == HOLD_OPEN && !u->leaving && !u->gone && !u->strangers &&
+    return u->state == HOLD_OPEN && !leaving && !u->gone && !u->strangers &&
            u->room_us <= b->now.mono_us && u->n_tasks < u->slots &&
            resources_fit(need_of(g), room_of(u)) && suits(g, u) &&
            trust_allows(b, u) &&
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -426,7 +426,10 @@
     uint32_t at = 0;
 
     while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
-        if (!job->started && !job->told) {
+        bool unstarted =
+            !job->started || b->opts.breaks[BROKER_BREAK_RETURN_STARTED];
+
+        if (unstarted && !job->told) {
             end_job(b, job, JOB_RETURNED_OUTCOME, BROKER_STOPPING, 0);
         }
     }
--- /dev/null
+++ b/src/leasematrix.c
@@ -0,0 +1,545 @@
+#include "leasematrix.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "array.h"
+
+enum {
+    ZONES = 2,
+    BROKERS_EACH = 2,
+    UPSTREAMS_EACH = 2,
+    QUEUES = 2,
+    JOBS = 24,
+    FAULTS_PER_CELL = 2,
+    THREADS_MAX = 64,
+    NO_BREAK = -1,
+};
+
+#define MSEC USEC_PER_MSEC
+#define BEGIN_US (6 * USEC_PER_SEC) /* upstreams are held by then */
+#define JOB_EVERY_US (150 * MSEC)
+#define END_US (BEGIN_US + JOBS * JOB_EVERY_US + USEC_PER_SEC)
+#define PAUSE_US (4 * USEC_PER_SEC) /* several leases */
+#define RETURN_US                                                             \
+    (4 * USEC_PER_SEC) /* until what was struck is well again                 \
+                        */
+#define STOP_RETURN_US                                                        \
+    (7 * USEC_PER_SEC) /* a planned stop is over by then                      \
+                        */
+#define SETTLE_US (14 * USEC_PER_SEC)
+#define PROBE_US (4 * USEC_PER_SEC)
+
+enum need { NEED_HOP, NEED_SENDER, NEED_RECEIVER, NEED_UPSTREAM };
+
+static const struct {
+    const char *name;
+    enum need need;
+} faults[] = {
+#define LEASE_FAULT(NAME, need) {#NAME, NEED_##need},
+    LEASE_FAULT_LIST(LEASE_FAULT)
+#undef LEASE_FAULT
+};
+
+static const char *const break_texts[] = {
+#define BROKER_BREAK(NAME, text) text,
+    BROKER_BREAK_LIST(BROKER_BREAK)
+#undef BROKER_BREAK
+};
+
+struct step {
+    struct vlease_hop hop;
+};
+
+struct trace {
+    struct step *steps;
+    size_t n;
+    size_t room;
+};
+
+struct strike {
+    uint64_t step;
+    enum lease_fault fault;
+    bool done;
+    uint32_t broker;   /* struck, or VLEASE_NOBODY */
+    uint32_t upstream; /* likewise */
+    int64_t return_us;
+};
+
+struct cell {
+    struct strike strikes[FAULTS_PER_CELL];
+    size_t n_strikes;
+    int64_t now_us;
+    bool failed;
+    char text[200]; /* what broke */
+};
+
+struct cells {
+    struct cell *items;
+    size_t n;
+    size_t room;
+    atomic_size_t next;
+    uint64_t seed;
+    int wrong; /* enum broker_break, or NO_BREAK */
+    atomic_bool caught;
+};
+
+/* The scenario: short jobs and long ones, handed in at all brokers in turn. */
+
+static struct vlease *
+scenario(uint64_t seed, int wrong)
+{
+    struct vlease_options o = vlease_options_default();
+
+    o.zones = ZONES;
+    o.brokers = BROKERS_EACH;
+    o.upstreams = UPSTREAMS_EACH;
+    o.seed = seed;
+    o.queues[0].tasks = 3;
+    o.queues[0].run_us = 300 * MSEC;
+    o.queues[0].timeout_us = 6 * USEC_PER_SEC;
+    o.n_queues = QUEUES;
+    o.queues[1] = o.queues[0];
+    o.queues[1].tasks = 2;
+    o.queues[1].run_us = 2500 * MSEC;
+    o.queues[1].timeout_us = 10 * USEC_PER_SEC;
+    if (wrong != NO_BREAK) {
+        o.breaks[wrong] = true;
+    }
+    return vlease_new(&o);
+}
+
+static enum vlease_fate
+trace_hop(void *ctx, struct vlease *v, const struct vlease_hop *hop)
+{
+    struct trace *t = ctx;
+
+    (void)v;
+    t->steps = array_grow(t->steps, t->n, &t->room, sizeof(*t->steps));
+    t->steps[t->n++].hop = *hop;
+    return VLEASE_PASS;
+}
+
+static void
+hand_in(struct vlease *v, uint32_t i)
+{
+    (void)vlease_submit(v, i % (ZONES * BROKERS_EACH), i % 3 == 0 ? 1 : 0);
+}
+
+static struct trace
+trace_run(uint64_t seed)
+{
+    struct trace t = {0};
+    struct vlease *v = scenario(seed, NO_BREAK);
+
+    vlease_run(v, BEGIN_US);
+    vlease_set_hook(v, trace_hop, &t);
+    for (uint32_t i = 0; i < JOBS; i++) {
+        hand_in(v, i);
+        vlease_run(v, BEGIN_US + (i + 1) * JOB_EVERY_US);
+    }
+    vlease_run(v, END_US);
+    vlease_free(v);
+    return t;
+}
+
+/* Striking, and what was struck becomes well again */
+
+static void
+strike_broker(struct vlease *v, struct strike *s, uint32_t broker)
+{
+    if (vlease_broker(v, broker) == NULL) {
+        return; /* the other fault of the cell killed it */
+    }
+    s->broker = broker;
+    switch (s->fault) {
+    case LEASE_FAULT_KILL_SENDER:
+    case LEASE_FAULT_KILL_RECEIVER:
+        vlease_kill(v, broker);
+        break;
+    case LEASE_FAULT_PAUSE_SENDER:
+    case LEASE_FAULT_PAUSE_RECEIVER:
+        vlease_pause(v, broker, PAUSE_US);
+        break;
+    case LEASE_FAULT_STOP_SENDER:
+    case LEASE_FAULT_STOP_RECEIVER:
+        vlease_stop(v, broker);
+        break;
+    default:
+        vlease_cut(v, broker, true, false);
+        break;
+    }
+}
+
+static void
+strike_upstream(struct vlease *v, struct cell *c, struct strike *s,
+                uint32_t upstream)
+{
+    static const enum vlease_trouble troubles[LEASE_FAULTS] = {
+        [LEASE_FAULT_UPSTREAM_DEAD] = VLEASE_DEAD,
+        [LEASE_FAULT_UPSTREAM_CUT] = VLEASE_CUT,
+        [LEASE_FAULT_UPSTREAM_MUTE] = VLEASE_MUTE,
+        [LEASE_FAULT_UPSTREAM_HANGS] = VLEASE_HANGS,
+        [LEASE_FAULT_UPSTREAM_FAILS] = VLEASE_FAILS,
+        [LEASE_FAULT_UPSTREAM_DELAYS] = VLEASE_DELAYS,
+        [LEASE_FAULT_UPSTREAM_LEAVING] = VLEASE_LEAVING,
+    };
+
+    if (s->fault == LEASE_FAULT_UPSTREAM_REBORN) {
+        vlease_reborn(v, upstream);
+        return;
+    }
+    for (size_t i = 0; i < c->n_strikes; i++) {
+        if (c->strikes[i].upstream == upstream) {
+            return; /* it has its trouble already, and one at a time */
+        }
+    }
+    s->upstream = upstream;
+    vlease_trouble(v, upstream, troubles[s->fault]);
+}
+
+static bool
+applies(enum lease_fault fault, const struct vlease_hop *hop)
+{
+    switch (faults[fault].need) {
+    case NEED_SENDER:
+        return hop->from != VLEASE_NOBODY;
+    case NEED_RECEIVER:
+        return hop->to != VLEASE_NOBODY;
+    case NEED_UPSTREAM:
+        return hop->upstream != VLEASE_NOBODY;
+    default:
+        return true;
+    }
+}
+
+static enum vlease_fate
+cell_hop(void *ctx, struct vlease *v, const struct vlease_hop *hop)
+{
+    struct cell *c = ctx;
+    enum vlease_fate fate = VLEASE_PASS;
+
+    for (size_t i = 0; i < c->n_strikes; i++) {
+        struct strike *s = &c->strikes[i];
+
+        /* After another fault the number may be of another hop. */
+        if (s->done || s->step != hop->number || !applies(s->fault, hop)) {
+            continue;
+        }
+        s->done = true;
+        s->return_us =
+            c->now_us + (s->fault == LEASE_FAULT_STOP_SENDER ||
+                                 s->fault == LEASE_FAULT_STOP_RECEIVER
+                             ? STOP_RETURN_US
+                             : RETURN_US);
+        if (s->fault == LEASE_FAULT_LOST) {
+            fate = VLEASE_LOSE;
+        }
+        else if (s->fault == LEASE_FAULT_LATE) {
+            fate = VLEASE_DELAY;
+        }
+        else if (faults[s->fault].need == NEED_UPSTREAM) {
+            strike_upstream(v, c, s, hop->upstream);
+        }
+        else {
+            strike_broker(v, s,
+                          faults[s->fault].need == NEED_SENDER ? hop->from
+                                                               : hop->to);
+        }
+    }
+    return fate;
+}
+
+static void
+bring_back(struct vlease *v, struct cell *c)
+{
+    for (size_t i = 0; i < c->n_strikes; i++) {
+        struct strike *s = &c->strikes[i];
+
+        if (!s->done || s->return_us == 0 || c->now_us < s->return_us) {
+            continue;
+        }
+        s->return_us = 0;
+        if (s->upstream != VLEASE_NOBODY) {
+            vlease_trouble(v, s->upstream, VLEASE_SOUND);
+        }
+        if (s->broker != VLEASE_NOBODY) {
+            if (vlease_stopped(v, s->broker)) {
+                vlease_kill(v, s->broker);
+            }
+            vlease_start(v, s->broker);
+            vlease_cut(v, s->broker, false, false);
+        }
+    }
+}
+
+static void
+run_until(struct vlease *v, struct cell *c, int64_t us)
+{
+    while (c->now_us < us) {
+        c->now_us += JOB_EVERY_US;
+        vlease_run(v, c->now_us);
+        bring_back(v, c);
+    }
+}
+
+/* Judging */
+
+static void
+judge(struct vlease *v, struct cell *c, uint64_t probe)
+{
+    struct vlease_faults f = vlease_faults(v);
+    uint32_t open = vlease_figures(v, 0).open + vlease_figures(v, 1).open;
+    bool served = vlease_outcome(v, probe) == JOB_COMPLETED_OUTCOME;
+
+    c->failed = f.overlaps + f.over_room + f.false_refusals + f.leaving +
+                        f.answers_twice + open + vlease_running(v) >
+                    0 ||
+                !served;
+    (void)snprintf(c->text, sizeof(c->text),
+                   "overlaps %u, over room %u, false refusals %u, at leaving "
+                   "%u, answered twice %u, open %u, running %u%s",
+                   f.overlaps, f.over_room, f.false_refusals, f.leaving,
+                   f.answers_twice, open, vlease_running(v),
+                   served ? "" : ", not serving again");
+}
+
+static void
+cell_run(struct cell *c, uint64_t seed, int wrong, FILE *log)
+{
+    struct vlease *v = scenario(seed, wrong);
+    uint64_t probe;
+
+    for (size_t i = 0; i < c->n_strikes; i++) {
+        c->strikes[i].done = false;
+        c->strikes[i].return_us = 0;
+        c->strikes[i].broker = VLEASE_NOBODY;
+        c->strikes[i].upstream = VLEASE_NOBODY;
+    }
+    vlease_run(v, BEGIN_US);
+    c->now_us = BEGIN_US;
+    vlease_log(v, log);
+    vlease_set_hook(v, cell_hop, c);
+    for (uint32_t i = 0; i < JOBS; i++) {
+        hand_in(v, i);
+        run_until(v, c, BEGIN_US + (i + 1) * JOB_EVERY_US);
+    }
+    run_until(v, c, END_US + SETTLE_US);
+    probe = vlease_submit(v, 0, 0);
+    run_until(v, c, c->now_us + PROBE_US);
+    judge(v, c, probe);
+    vlease_free(v);
+}
+
+/* All cells */
+
+static void *
+cells_work(void *arg)
+{
+    struct cells *cs = arg;
+    size_t i;
+
+    while (!atomic_load(&cs->caught) &&
+           (i = atomic_fetch_add(&cs->next, 1)) < cs->n) {
+        cell_run(&cs->items[i], cs->seed, cs->wrong, NULL);
+        if (cs->wrong != NO_BREAK && cs->items[i].failed) {
+            atomic_store(&cs->caught, true);
+        }
+    }
+    return NULL;
+}
+
+static void
+cells_run(struct cells *cs, uint32_t threads, int wrong)
+{
+    pthread_t ids[THREADS_MAX];
+    uint32_t n = 0;
+
+    cs->wrong = wrong;
+    atomic_store(&cs->next, 0);
+    atomic_store(&cs->caught, false);
+    while (n + 1 < threads && n < THREADS_MAX &&
+           pthread_create(&ids[n], NULL, cells_work, cs) == 0) {
+        n++;
+    }
+    (void)cells_work(cs);
+    while (n > 0) {
+        (void)pthread_join(ids[--n], NULL);
+    }
+}
+
+static struct cell *
+cells_add(struct cells *cs)
+{
+    struct cell *c;
+
+    cs->items = array_grow(cs->items, cs->n, &cs->room, sizeof(*cs->items));
+    c = &cs->items[cs->n++];
+    memset(c, 0, sizeof(*c));
+    return c;
+}
+
+static void
+add_singles(struct cells *cs, const struct vlease_hop *hop)
+{
+    for (int f = 0; f < LEASE_FAULTS; f++) {
+        if (applies((enum lease_fault)f, hop)) {
+            struct cell *c = cells_add(cs);
+
+            c->strikes[0].step = hop->number;
+            c->strikes[0].fault = (enum lease_fault)f;
+            c->n_strikes = 1;
+        }
+    }
+}
+
+static int
+by_label(const void *a, const void *b)
+{
+    const struct vlease_hop *x = &((const struct step *)a)->hop;
+    const struct vlease_hop *y = &((const struct step *)b)->hop;
+    int order = strcmp(x->label, y->label);
+
+    return order != 0 ? order
+                      : (x->number > y->number) - (x->number < y->number);
+}
+
+/* Steps of one label are spread evenly, first and last among them. */
+static void
+add_label(struct cells *cs, const struct step *steps, size_t n, uint32_t most)
+{
+    size_t wanted = most == 0 || most > n ? n : most;
+
+    for (size_t i = 0; i < wanted; i++) {
+        size_t at = wanted > 1 ? i * (n - 1) / (wanted - 1) : 0;
+
+        add_singles(cs, &steps[at].hop);
+    }
+}
+
+static void
+add_all_singles(struct cells *cs, struct trace *t, uint32_t per_label)
+{
+    size_t first = 0;
+
+    qsort(t->steps, t->n, sizeof(*t->steps), by_label);
+    for (size_t i = 1; i <= t->n; i++) {
+        if (i == t->n ||
+            strcmp(t->steps[i].hop.label, t->steps[first].hop.label) != 0) {
+            add_label(cs, &t->steps[first], i - first, per_label);
+            first = i;
+        }
+    }
+}
+
+static void
+add_pairs(struct cells *cs, size_t singles, uint32_t pairs, uint64_t seed)
+{
+    for (uint32_t i = 0; i < pairs && singles > 0; i++) {
+        size_t a = random_next(&seed) % singles;
+        size_t b = random_next(&seed) % singles;
+        struct cell *c = cells_add(cs);
+
+        c->strikes[0] = cs->items[a].strikes[0];
+        c->strikes[1] = cs->items[b].strikes[0];
+        c->n_strikes = 2;
+    }
+}
+
+static void
+print_cell(const struct cell *c, uint64_t seed, FILE *out)
+{
+    (void)fprintf(out, "failed: bm-bench --seed %llu --lease-cell ",
+                  (unsigned long long)seed);
+    for (size_t i = 0; i < c->n_strikes; i++) {
+        (void)fprintf(out, "%s%llu:%s", i > 0 ? "," : "",
+                      (unsigned long long)c->strikes[i].step,
+                      faults[c->strikes[i].fault].name);
+    }
+    (void)fprintf(out, ": %s\n", c->text);
+}
+
+static void
+run_breaks(struct cells *cs, const struct leasematrix_options *o,
+           struct leasematrix_result *r, FILE *out)
+{
+    for (int i = 0; i < BROKER_BREAKS; i++) {
+        cells_run(cs, o->threads, i);
+        r->breaks++;
+        if (atomic_load(&cs->caught)) {
+            r->caught++;
+            continue;
+        }
+        (void)fprintf(out, "not caught: %s\n", break_texts[i]);
+    }
+}
+
+struct leasematrix_result
+leasematrix_run(const struct leasematrix_options *o, FILE *out)
+{
+    struct trace t = trace_run(o->seed);
+    struct cells cs = {.seed = o->seed};
+    struct leasematrix_result r = {0};
+
+    add_all_singles(&cs, &t, o->per_label);
+    add_pairs(&cs, cs.n, o->pairs, o->seed);
+    cells_run(&cs, o->threads, NO_BREAK);
+    r.cells = cs.n;
+    for (size_t i = 0; i < cs.n; i++) {
+        if (cs.items[i].failed) {
+            r.failed++;
+            print_cell(&cs.items[i], o->seed, out);
+        }
+    }
+    if (o->breaks) {
+        run_breaks(&cs, o, &r, out);
+    }
+    free(cs.items);
+    free(t.steps);
+    return r;
+}
+
+static bool
+parse_strike(const char **text, struct strike *s)
+{
+    char *at;
+
+    s->step = strtoull(*text, &at, 10);
+    if (at == *text || *at != ':') {
+        return false;
+    }
+    at++;
+    for (int i = 0; i < LEASE_FAULTS; i++) {
+        size_t n = strlen(faults[i].name);
+
+        if (strncmp(at, faults[i].name, n) == 0 &&
+            (at[n] == '\0' || at[n] == ',')) {
+            s->fault = (enum lease_fault)i;
+            *text = at + n + (at[n] == ',' ? 1 : 0);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+leasematrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok)
+{
+    struct cell c = {0};
+
+    while (*text != '\0') {
+        if (c.n_strikes == FAULTS_PER_CELL ||
+            !parse_strike(&text, &c.strikes[c.n_strikes])) {
+            return false;
+        }
+        c.n_strikes++;
+    }
+    cell_run(&c, seed, NO_BREAK, out);
+    *ok = !c.failed;
+    if (c.failed) {
+        print_cell(&c, seed, out);
+    }
+    return c.n_strikes > 0;
+}
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -16,7 +16,8 @@
 /* A silent connection is noticed after three heartbeats. */
 #define SILENCE_US (750 * USEC_PER_MSEC)
 #define CONNECT_US (50 * USEC_PER_MSEC)
-#define LOST_WALL_US (10 * USEC_PER_MSEC)
+/* A delayed hop arrives when every lease of before has passed. */
+#define STRUCK_LATE_US (3 * USEC_PER_SEC)
 
 struct vlease_options
 vlease_options_default(void)
@@ -201,13 +202,18 @@
 {
     struct vprocess *p = process_of(v, to);
     struct vevent *e;
+    int64_t *last;
+    int64_t at_us;
 
     if (p == NULL || !connected(from, p)) {
         msg_free(m);
         return;
     }
-    e = vlease_at(v, v->now_us + vlease_delay_us(v, from->zone, p->zone),
-                  VEV_MESSAGE);
+    last = &v->last_us[from->number][p->number];
+    at_us = v->now_us + vlease_delay_us(v, from->zone, p->zone);
+    at_us = at_us > *last ? at_us : *last; /* one connection keeps order */
+    *last = at_us;
+    e = vlease_at(v, at_us, VEV_MESSAGE);
     e->from = from->number;
     e->to = p->number;
     e->life = p->life;
@@ -546,6 +552,77 @@
     }
 }
 
+void
+vlease_set_hook(struct vlease *v, vlease_hook *hook, void *ctx)
+{
+    v->hook = hook;
+    v->hook_ctx = ctx;
+}
+
+static const char *
+call_label(enum lease_call call)
+{
+    static const char *const labels[] = {
+        [LEASE_START] = "start", [LEASE_STOP] = "stop", [LEASE_LOOK] = "look"};
+
+    return labels[call];
+}
+
+/* False for events that are no hop. */
+static bool
+hop_of(const struct vlease *v, const struct vevent *e, struct vlease_hop *hop)
+{
+    *hop = (struct vlease_hop){e->order, NULL, VLEASE_NOBODY, VLEASE_NOBODY,
+                               VLEASE_NOBODY};
+    switch (e->kind) {
+    case VEV_MESSAGE:
+        hop->label = msg_name(e->msg.kind);
+        hop->from = e->from < v->n_brokers ? e->from : VLEASE_NOBODY;
+        hop->to = e->to < v->n_brokers ? e->to : VLEASE_NOBODY;
+        return true;
+    case VEV_REQUEST:
+        hop->label = call_label(e->request.call);
+        hop->from = e->from;
+        hop->upstream = e->to;
+        return true;
+    case VEV_ANSWER:
+        hop->label = "answer";
+        hop->to = e->to;
+        return e->answer.result != LEASE_LOST;
+    default:
+        return false;
+    }
+}
+
+/* True where the hop does not arrive now. */
+static bool
+struck(struct vlease *v, struct vevent *e)
+{
+    struct vlease_hop hop;
+    enum vlease_fate fate;
+    struct vevent *later;
+    uint64_t order;
+
+    if (v->hook == NULL || !hop_of(v, e, &hop)) {
+        return false;
+    }
+    fate = v->hook(v->hook_ctx, v, &hop);
+    /* The hook may have killed or paused the receiver. */
+    if (fate == VLEASE_PASS && !for_dead_life(v, e)) {
+        return put_off(v, e);
+    }
+    if (fate != VLEASE_DELAY) {
+        clear_event(e);
+        return true;
+    }
+    later = vlease_at(v, v->now_us + STRUCK_LATE_US, e->kind);
+    order = later->order;
+    *later = *e;
+    later->at_us = v->now_us + STRUCK_LATE_US;
+    later->order = order;
+    return true;
+}
+
 void
 vlease_run(struct vlease *v, int64_t until_us)
 {
@@ -557,7 +634,7 @@
             clear_event(&e);
             continue;
         }
-        if (put_off(v, &e)) {
+        if (put_off(v, &e) || struck(v, &e)) {
             continue;
         }
         dispatch(v, &e);
@@ -607,6 +684,7 @@
     o.n_registries = v->opts.zones;
     o.seed = v->opts.seed + (uint64_t)p->number * 7919 + p->life;
     o.read_config = read_config;
+    memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
     p->broker = broker_new(&o);
     vlease_step(v, p, &(struct broker_event){.kind = BEV_TICK});
     for (uint32_t i = 0; i < v->n_processes; i++) {
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -58,6 +58,7 @@
  * @resend_us: a caller hands a job in again, at any broker, so long after a
  *             broken connection or an unknown outcome
  * @seed: of all that is drawn
+ * @breaks: wrong decisions that all brokers make
  */
 struct vlease_options {
     uint32_t zones;
@@ -69,6 +70,7 @@
     uint32_t n_queues;
     int64_t resend_us;
     uint64_t seed;
+    bool breaks[BROKER_BREAKS];
 };
 
 /** vlease_options_default() - three zones with two brokers and eight upstreams
@@ -98,8 +100,38 @@
     uint32_t unnoted; /* ends that nobody took note of for a second */
 };
 
+enum { VLEASE_NOBODY = UINT32_MAX };
+
+/**
+ * struct vlease_hop - something arrives: a message between processes, a call
+ * at an upstream, or its answer
+ * @number: the same in each run until something differs
+ * @label: what it is
+ * @from: broker that sent it, or VLEASE_NOBODY
+ * @to: broker that it reaches, or VLEASE_NOBODY
+ * @upstream: that is called or answers, or VLEASE_NOBODY
+ */
+struct vlease_hop {
+    uint64_t number;
+    const char *label;
+    uint32_t from;
+    uint32_t to;
+    uint32_t upstream;
+};
+
+/** enum vlease_fate - of a hop */
+enum vlease_fate { VLEASE_PASS, VLEASE_LOSE, VLEASE_DELAY };
+
 struct vlease;
 
+/** vlease_hook - decides on each hop; with VLEASE_DELAY it arrives 3 s later
+ */
+typedef enum vlease_fate vlease_hook(void *ctx, struct vlease *v,
+                                     const struct vlease_hop *hop);
+
+/** vlease_set_hook() - NULL for none */
+void vlease_set_hook(struct vlease *v, vlease_hook *hook, void *ctx);
+
 struct vlease *vlease_new(const struct vlease_options *o);
 void vlease_free(struct vlease *v);
 
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -134,6 +134,8 @@
     struct vprocess processes[VLEASE_BROKERS_MAX + VLEASE_ZONES_MAX];
     uint32_t n_brokers;
     uint32_t n_processes;
+    int64_t last_us[VLEASE_BROKERS_MAX + VLEASE_ZONES_MAX]
+                   [VLEASE_BROKERS_MAX + VLEASE_ZONES_MAX];
     struct vupstream upstreams[VLEASE_UPSTREAMS_MAX];
     uint32_t n_upstreams;
     struct vjob *jobs; /* job N is number N + 1 */
@@ -145,6 +147,8 @@
     struct vlease_faults faults;
     struct broker_effects effects;
     struct control_effects registry_effects;
+    vlease_hook *hook;
+    void *hook_ctx;
     FILE *log;
 };
 
--- a/tests/matrix_test.c
+++ b/tests/matrix_test.c
@@ -5,9 +5,11 @@
 
 #include "check.h"
 #include "figures.h"
+#include "leasematrix.h"
 #include "matrix.h"
 
 enum { SEED = 1, PAIRS = 300, THREADS = 4, LEAST_CELLS = 700 };
+enum { LEASE_SEEDS = 2, LEASE_PAIRS = 200 };
 
 /*
  * Messages are lost, doubled, late or out of order, connections go silent,
@@ -31,6 +33,31 @@
     CU_ASSERT_EQUAL(r.caught, r.mutants);
 }
 
+/*
+ * The same for brokers and upstreams under leases: messages, calls and answers
+ * are lost or come after every lease has passed, brokers die, stand still,
+ * stop or are cut off from the others but not from upstreams, and upstreams
+ * die, hang, fail, leave or start anew.  A user would notice a task that runs
+ * twice at one time, a refusal that is not true, or a zone that serves nothing
+ * any more.
+ */
+static void
+test_every_fault_under_leases(void)
+{
+    for (uint64_t seed = 1; seed <= LEASE_SEEDS; seed++) {
+        struct leasematrix_options o = {seed, 2, LEASE_PAIRS, THREADS, true};
+        struct leasematrix_result r = leasematrix_run(&o, stdout);
+
+        printf("lease matrix: cells=%llu failed=%llu mutants=%u caught=%u\n",
+               (unsigned long long)r.cells, (unsigned long long)r.failed,
+               r.breaks, r.caught);
+        CU_ASSERT_TRUE(r.cells >= LEASE_PAIRS);
+        CU_ASSERT_EQUAL(r.failed, 0);
+        CU_ASSERT_EQUAL(r.breaks, BROKER_BREAKS);
+        CU_ASSERT_EQUAL(r.caught, r.breaks);
+    }
+}
+
 /*
  * A caller submits under a bare key, believes the job lost and submits again
  * at another instance, which is paused just then and wakes when the voters
@@ -115,6 +142,8 @@
 {
     check_add("matrix", "every fault at every step",
               test_every_fault_at_every_step);
+    check_add("matrix", "every fault under leases",
+              test_every_fault_under_leases);
     check_add("matrix", "a bare key waits in a paused instance",
               test_bare_key_waits_in_paused_instance);
     check_add("matrix", "the same figures twice", test_same_figures_twice);
