Write what the metrics address answered at once

A request that is answered while it is taken is written by another run of its server; the loop made one for callers and for the readiness address, not for metrics, so the answer waited until another client called there.

Change: all three servers of a broker are run alike (run_server).

Ruled out: the port, the address and the handler (it had answered).

--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -358,9 +358,23 @@
     if (r->ready != NULL) {
         ms = sooner(ms, httpapi_next_ms(r->ready));
     }
+    if (r->metrics != NULL) {
+        ms = sooner(ms, httpapi_next_ms(r->metrics));
+    }
     return ms < WAIT_MAX_MS ? (int)ms : WAIT_MAX_MS;
 }
 
+/* A request that was answered while it was taken is written by another run, of
+ * which no event tells: without it a client waits for its answer until
+ * somebody else calls. */
+static void
+run_server(struct httpapi *h, bool woken)
+{
+    if (h != NULL && (woken || httpapi_next_ms(h) == 0)) {
+        httpapi_run(h);
+    }
+}
+
 /* Which module an event belongs to: the loop's epoll holds their epolls. */
 static void
 run_ready(struct broker_runtime *r, struct epoll_event *events, int n)
@@ -375,15 +389,9 @@
         metrics = metrics || events[i].data.ptr == r->metrics;
     }
     leaseclient_run(r->upstreams, clock_now(r->opts.clock).mono_us);
-    if (callers || httpapi_next_ms(r->callers) == 0) {
-        httpapi_run(r->callers);
-    }
-    if (r->ready != NULL && (ready || httpapi_next_ms(r->ready) == 0)) {
-        httpapi_run(r->ready);
-    }
-    if (r->metrics != NULL && metrics) {
-        httpapi_run(r->metrics);
-    }
+    run_server(r->callers, callers);
+    run_server(r->ready, ready);
+    run_server(r->metrics, metrics);
 }
 
 static void
