Lead from a failed job's number to its cause, in running programs

Change: make demo-failures hands in one job each that is refused, that is late because a worker hangs and that is lost with a killed broker; then bmlog with the number alone must name the cause, and a counter must show it.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 LINTED := $(LIB_SRC) $(MAINS) $(PLATFORM_SRC) $(PLATFORM_MAINS) $(DEMO_SRC) \
 	$(DEMO_MAINS) $(TEST_SRC)
 
-.PHONY: all platform deps format format-check lint check demo demo-platform bench bench-update matrix slopes report clean
+.PHONY: all platform deps format format-check lint check demo demo-platform demo-failures bench bench-update matrix slopes report clean
 .SECONDARY:
 
 all: $(BUILD)/libboragemoor.a $(PROGRAMS)
@@ -136,6 +136,11 @@
 	@$(MAKE) all $(BUILD)/bm-platform-demo
 	@sh demo/platform $(BUILD)
 
+# Three failed jobs, and the way from the number of each to its cause.
+demo-failures: deps
+	@$(MAKE) all $(BUILD)/bm-platform-demo
+	@sh demo/failures $(BUILD)
+
 WORKLOADS := $(sort $(wildcard bench/workloads/*.ini))
 
 bench: deps
--- a/demo/bm_platform_demo.c
+++ b/demo/bm_platform_demo.c
@@ -2,7 +2,8 @@
  * bm-platform-demo: workers, an operator and clients of the users' platform on
  * loopback, and the judge of what they saw.  It prints one line and exits with
  * 0 only where no promise was broken and enough of the jobs completed; 1
- * otherwise, 2 for a mistake on the command line.
+ * otherwise, 2 for a mistake on the command line.  With --failures it hands in
+ * one job each that is refused, that is late and that is lost, and says which.
  */
 #include <curl/curl.h>
 #include <jansson.h>
@@ -21,6 +22,7 @@
     URL_ROOM = 192,
     POLL_US = 1000,
     TASKS_MAX = 8,
+    KINDS = 5, /* of run times */
     TRIES_MAX = 6,
     DELAYING = 3,       /* number of the worker that carries orders out late */
     DELAYS_IN = 12,     /* one of so many */
@@ -63,6 +65,8 @@
     int64_t due_us; /* next try; 0: not planned */
     int tries;
     int tasks;
+    int run_ms;      /* of each task */
+    int declared_ms; /* what the client says of it */
     bool asked;
     long status; /* of the last answer; 0 for none */
     bool done;
@@ -76,6 +80,8 @@
     int n_jobs;
     int least_percent;
     int base_port;
+    int metrics_port; /* of brokers */
+    int failures;     /* play these */
     int per_s;
     const char *controls[ADDRESSES_MAX];
     size_t n_controls;
@@ -249,7 +255,7 @@
     (void)snprintf(body, sizeof(body),
                    "{\"spec\":\"%d\",\"steps\":[{\"count\":%d,\"cpu\":14000,"
                    "\"mem-mb\":64,\"estimated-ms\":%d}],\"best-effort\":true}",
-                   40 + (int)(i % 5) * 40, j->tasks, 60 + (int)(i % 5) * 30);
+                   j->run_ms, j->tasks, j->declared_ms);
     j->due_us = 0;
     j->tries++;
     j->asked = true;
@@ -545,6 +551,8 @@
     for (int i = 0; i < d->n_jobs; i++) {
         d->jobs[i].due_us = at_us + i * USEC_PER_SEC / d->per_s;
         d->jobs[i].tasks = 1 + i % TASKS_MAX;
+        d->jobs[i].run_ms = 40 + i % KINDS * 40;
+        d->jobs[i].declared_ms = 60 + i % KINDS * 30;
     }
 }
 
@@ -581,6 +589,98 @@
     return judge(d);
 }
 
+/* Three failures, for the way from a job's number to its cause */
+
+enum { FILLER, REFUSED, LATE, LOST, FAILURES };
+
+static int64_t
+hand_in_now(struct demo *d, size_t i, int tasks, int run_ms)
+{
+    struct job *j = &d->jobs[i];
+
+    j->tasks = tasks;
+    j->run_ms = run_ms;
+    j->declared_ms = run_ms;
+    j->tries = TRIES_MAX - 1; /* it is not handed in again */
+    hand_in(d, i);
+    return now_us();
+}
+
+static void
+await(struct demo *d, size_t i)
+{
+    while (!d->jobs[i].done) {
+        round_of(d);
+    }
+}
+
+static void
+tell(const struct demo *d, const char *what, size_t i, int64_t since_us)
+{
+    printf("%s %016zx status=%ld state=%s ms=%lld\n", what, i + 1,
+           d->jobs[i].status, d->jobs[i].state,
+           (long long)((now_us() - since_us) / USEC_PER_MSEC));
+    (void)fflush(stdout);
+}
+
+/* The counters of all brokers, as they are told. */
+static void
+print_metrics(const struct demo *d)
+{
+    for (size_t i = 0; i < d->n_entries; i++) {
+        CURL *easy = curl_easy_init();
+        char url[URL_ROOM];
+        size_t host = strcspn(d->entries[i], ":");
+        CURLcode result;
+
+        (void)snprintf(url, sizeof(url), "http://%.*s:%d/metrics", (int)host,
+                       d->entries[i], d->metrics_port);
+        curl_easy_setopt(easy, CURLOPT_URL, url);
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 1000L);
+        result = curl_easy_perform(easy);
+        if (result != CURLE_OK) {
+            printf("# %s: %s\n", url, curl_easy_strerror(result));
+        }
+        curl_easy_cleanup(easy);
+    }
+}
+
+/* All room is taken by one job while another comes; a worker hangs; and the
+ * broker that runs a job is killed by whoever reads "running". */
+static int
+play_failures(struct demo *d)
+{
+    int64_t since_us;
+
+    d->version = 1;
+    d->put_us = now_us();
+    while (d->acked != 1) {
+        round_of(d);
+    }
+    run_until(d, now_us() + 4 * USEC_PER_SEC);
+    (void)hand_in_now(d, FILLER, 2 * d->n_workers, 2000);
+    run_until(d, now_us() + 200 * USEC_PER_MSEC);
+    since_us = hand_in_now(d, REFUSED, 2 * d->n_workers, 50);
+    await(d, REFUSED);
+    tell(d, "refused", REFUSED, since_us);
+    await(d, FILLER);
+    fakeworker_hang(d->workers[0], true);
+    since_us = hand_in_now(d, LATE, 2 * d->n_workers, 200);
+    await(d, LATE);
+    tell(d, "late", LATE, since_us);
+    fakeworker_hang(d->workers[0], false);
+    run_until(d, now_us() + USEC_PER_SEC);
+    since_us = hand_in_now(d, LOST, d->n_workers, 3000);
+    run_until(d, now_us() + 300 * USEC_PER_MSEC);
+    printf("running\n");
+    (void)fflush(stdout);
+    await(d, LOST);
+    tell(d, "lost", LOST, since_us);
+    print_metrics(d);
+    return EXIT_SUCCESS;
+}
+
 static size_t
 split(char *list, const char *out[ADDRESSES_MAX])
 {
@@ -611,6 +711,10 @@
         {"workers", 0, POPT_ARG_INT, &d.n_workers, 0, "how many", "N"},
         {"jobs", 0, POPT_ARG_INT, &d.n_jobs, 0, "how many", "N"},
         {"rate", 0, POPT_ARG_INT, &d.per_s, 0, "jobs a second", "N"},
+        {"failures", 0, POPT_ARG_NONE, &d.failures, 0,
+         "one job that is refused, one that is late, one that is lost", NULL},
+        {"metrics-port", 0, POPT_ARG_INT, &d.metrics_port, 0, "of brokers",
+         "N"},
         {"least", 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT,
          &d.least_percent, 0, "percents of the jobs that must complete", "N"},
         POPT_AUTOHELP POPT_TABLEEND};
@@ -624,6 +728,7 @@
         poptPrintUsage(ctx, stderr, 0);
         return EXIT_USAGE;
     }
+    d.n_jobs = d.failures ? FAILURES : d.n_jobs;
     d.n_controls = split(d.control_list, d.controls);
     d.n_entries = split(d.entry_list, d.entries);
     if (d.n_controls == 0 || d.n_entries == 0) {
@@ -632,7 +737,10 @@
     d.jobs = calloc((size_t)d.n_jobs, sizeof(*d.jobs));
     (void)curl_global_init(CURL_GLOBAL_ALL);
     d.multi = curl_multi_init();
-    rc = start_workers(&d) ? play(&d) : EXIT_FAILURE;
+    rc = EXIT_FAILURE;
+    if (start_workers(&d)) {
+        rc = d.failures ? play_failures(&d) : play(&d);
+    }
     for (int i = 0; i < d.n_workers; i++) {
         fakeworker_free(d.workers[i]);
     }
--- a/demo/fakeworker.c
+++ b/demo/fakeworker.c
@@ -45,6 +45,7 @@
     uint64_t look; /* request that waits; 0 for none */
     int64_t look_due_us;
     unsigned int starts;
+    bool hangs;
     struct delayed *delayed;
     size_t n_delayed;
     size_t delayed_room;
@@ -222,7 +223,7 @@
     w->look = 0;
     for (size_t i = w->first; i < w->n_runs; i++) {
         const struct fakeworker_run *r = &w->runs[i];
-        int64_t ran = w->now_us - r->begun_us;
+        int64_t ran = r->whole_us - (r->due_us - w->now_us);
 
         if (r->ended_us == 0) {
             (void)json_array_append_new(
@@ -348,9 +349,29 @@
     }
 }
 
+void
+fakeworker_hang(struct fakeworker *w, bool hangs)
+{
+    w->hangs = hangs;
+}
+
+/* What hangs is due later by the time that it hung. */
+static void
+put_off(struct fakeworker *w, int64_t us)
+{
+    for (size_t i = w->first; i < w->n_runs; i++) {
+        if (w->runs[i].ended_us == 0) {
+            w->runs[i].due_us += us;
+        }
+    }
+}
+
 void
 fakeworker_poll(struct fakeworker *w, int64_t now_us)
 {
+    if (w->hangs) {
+        put_off(w, now_us - w->now_us);
+    }
     w->now_us = now_us;
     pass_runs(w);
     pass_delayed(w);
--- a/demo/fakeworker.h
+++ b/demo/fakeworker.h
@@ -57,6 +57,10 @@
 /** fakeworker_reborn() - ends all and starts anew under its name */
 void fakeworker_reborn(struct fakeworker *w, int64_t now_us);
 
+/** fakeworker_hang() - from now on what runs there makes no progress, though
+ * all calls are answered; or goes on again */
+void fakeworker_hang(struct fakeworker *w, bool hangs);
+
 /** fakeworker_beat() - the body of its next heartbeat; to be freed */
 char *fakeworker_beat(struct fakeworker *w, int64_t now_us);
 
