Let wide late jobs begin in part, and tell clusters from overload

Traced: a wide late job needed all its room free at once and 8 % besides, and a cluster of long jobs within 2 s was taken for overload.

Change: a late job that takes more than a quarter of the room begins with a part; while demand is below what there is, a late job is let in.

--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -35,6 +35,10 @@
 /* Late jobs leave that share of the room to those that come next and can be in
  * time: a usual job takes as much. */
 static const double SPARE_SHARE = 0.08;
+/* A late job that takes more than that of the room begins with a part of its
+ * tasks: so much as a wide one takes is hardly ever free at once, and it would
+ * be refused beside idle upstreams. */
+static const double WIDE_SHARE = 0.25;
 /* A late job is let in where it would start in time for that multiple of the
  * estimated wait: what comes later may go before it. */
 enum { LATE_CAUTION = 2 };
@@ -369,6 +373,10 @@
 {
     double work = late_work_before(job->service, job->start_by_us) + job->work;
 
+    /* A cluster of long jobs, not an overload: there will be room. */
+    if (share_offered(job->service) < free->able) {
+        return b->now.mono_us;
+    }
     return b->now.mono_us + (int64_t)(work / late_rate(b, job->service, free));
 }
 
@@ -426,8 +434,10 @@
 order_spare(struct broker *b, const struct run_job *job)
 {
     struct room r = room_of(b, job->service);
+    double wide = r.cpu * WIDE_SHARE;
+    double own = ready_cpu(job);
 
-    return r.unused - ready_cpu(job) >= r.cpu * SPARE_SHARE;
+    return r.unused - (own < wide ? own : wide) >= r.cpu * SPARE_SHARE;
 }
 
 static double
