Keep what both fault matrices do in one place

The choice of steps, the threads and the names of cells stood in matrix.c and leasematrix.c (found by a search for doubled code); now in cells.c.

--- a/src/leasematrix.c
+++ b/src/leasematrix.c
@@ -1,11 +1,10 @@
 #include "leasematrix.h"
 
-#include <pthread.h>
-#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "array.h"
+#include "cells.h"
 
 enum {
     ZONES = 2,
@@ -14,7 +13,6 @@
     QUEUES = 2,
     JOBS = 24,
     FAULTS_PER_CELL = 2,
-    THREADS_MAX = 64,
     NO_BREAK = -1,
 };
 
@@ -80,10 +78,9 @@
     struct cell *items;
     size_t n;
     size_t room;
-    atomic_size_t next;
     uint64_t seed;
     int wrong; /* enum broker_break, or NO_BREAK */
-    atomic_bool caught;
+    struct trace *trace;
 };
 
 /* The scenario: short jobs and long ones, handed in at all brokers in turn. */
@@ -335,39 +332,22 @@
 
 /* All cells */
 
-static void *
-cells_work(void *arg)
+/* With a wrong decision one cell that notices it is enough. */
+static bool
+run_one(void *ctx, size_t i)
 {
-    struct cells *cs = arg;
-    size_t i;
-
-    while (!atomic_load(&cs->caught) &&
-           (i = atomic_fetch_add(&cs->next, 1)) < cs->n) {
-        cell_run(&cs->items[i], cs->seed, cs->wrong, NULL);
-        if (cs->wrong != NO_BREAK && cs->items[i].failed) {
-            atomic_store(&cs->caught, true);
-        }
-    }
-    return NULL;
+    struct cells *cs = ctx;
+
+    cell_run(&cs->items[i], cs->seed, cs->wrong, NULL);
+    return cs->wrong != NO_BREAK && cs->items[i].failed;
 }
 
-static void
-cells_run(struct cells *cs, uint32_t threads, int wrong)
+/* Whether the wrong decision was noticed. */
+static bool
+run_all(struct cells *cs, uint32_t threads, int wrong)
 {
-    pthread_t ids[THREADS_MAX];
-    uint32_t n = 0;
-
     cs->wrong = wrong;
-    atomic_store(&cs->next, 0);
-    atomic_store(&cs->caught, false);
-    while (n + 1 < threads && n < THREADS_MAX &&
-           pthread_create(&ids[n], NULL, cells_work, cs) == 0) {
-        n++;
-    }
-    (void)cells_work(cs);
-    while (n > 0) {
-        (void)pthread_join(ids[--n], NULL);
-    }
+    return cells_run(cs->n, threads, run_one, cs);
 }
 
 static struct cell *
@@ -382,8 +362,11 @@
 }
 
 static void
-add_singles(struct cells *cs, const struct vlease_hop *hop)
+add_singles(void *ctx, size_t i)
 {
+    struct cells *cs = ctx;
+    const struct vlease_hop *hop = &cs->trace->steps[i].hop;
+
     for (int f = 0; f < LEASE_FAULTS; f++) {
         if (applies((enum lease_fault)f, hop)) {
             struct cell *c = cells_add(cs);
@@ -406,32 +389,26 @@
                       : (x->number > y->number) - (x->number < y->number);
 }
 
-/* Steps of one label are spread evenly, first and last among them. */
-static void
-add_label(struct cells *cs, const struct step *steps, size_t n, uint32_t most)
+static const char *
+label_of(void *ctx, size_t i)
 {
-    size_t wanted = most == 0 || most > n ? n : most;
-
-    for (size_t i = 0; i < wanted; i++) {
-        size_t at = wanted > 1 ? i * (n - 1) / (wanted - 1) : 0;
+    const struct cells *cs = ctx;
 
-        add_singles(cs, &steps[at].hop);
-    }
+    return cs->trace->steps[i].hop.label;
 }
 
 static void
 add_all_singles(struct cells *cs, struct trace *t, uint32_t per_label)
 {
-    size_t first = 0;
+    struct cells_labels l = {.n = t->n,
+                             .per_label = per_label,
+                             .label = label_of,
+                             .take = add_singles,
+                             .ctx = cs};
 
     qsort(t->steps, t->n, sizeof(*t->steps), by_label);
-    for (size_t i = 1; i <= t->n; i++) {
-        if (i == t->n ||
-            strcmp(t->steps[i].hop.label, t->steps[first].hop.label) != 0) {
-            add_label(cs, &t->steps[first], i - first, per_label);
-            first = i;
-        }
-    }
+    cs->trace = t;
+    (void)cells_choose(&l);
 }
 
 static void
@@ -466,13 +443,13 @@
            struct leasematrix_result *r, FILE *out)
 {
     for (int i = 0; i < BROKER_BREAKS; i++) {
-        cells_run(cs, o->threads, i);
         r->breaks++;
-        if (atomic_load(&cs->caught)) {
+        if (run_all(cs, o->threads, i)) {
             r->caught++;
-            continue;
         }
-        (void)fprintf(out, "not caught: %s\n", break_texts[i]);
+        else {
+            (void)fprintf(out, "not caught: %s\n", break_texts[i]);
+        }
     }
 }
 
@@ -485,7 +462,7 @@
 
     add_all_singles(&cs, &t, o->per_label);
     add_pairs(&cs, cs.n, o->pairs, o->seed);
-    cells_run(&cs, o->threads, NO_BREAK);
+    (void)run_all(&cs, o->threads, NO_BREAK);
     r.cells = cs.n;
     for (size_t i = 0; i < cs.n; i++) {
         if (cs.items[i].failed) {
@@ -501,27 +478,10 @@
     return r;
 }
 
-static bool
-parse_strike(const char **text, struct strike *s)
+static const char *
+fault_name(int fault)
 {
-    char *at;
-
-    s->step = strtoull(*text, &at, 10);
-    if (at == *text || *at != ':') {
-        return false;
-    }
-    at++;
-    for (int i = 0; i < LEASE_FAULTS; i++) {
-        size_t n = strlen(faults[i].name);
-
-        if (strncmp(at, faults[i].name, n) == 0 &&
-            (at[n] == '\0' || at[n] == ',')) {
-            s->fault = (enum lease_fault)i;
-            *text = at + n + (at[n] == ',' ? 1 : 0);
-            return true;
-        }
-    }
-    return false;
+    return faults[fault].name;
 }
 
 bool
@@ -530,10 +490,14 @@
     struct cell c = {0};
 
     while (*text != '\0') {
+        struct strike *s = &c.strikes[c.n_strikes];
+        int fault;
+
         if (c.n_strikes == FAULTS_PER_CELL ||
-            !parse_strike(&text, &c.strikes[c.n_strikes])) {
+            !cells_parse(&text, fault_name, LEASE_FAULTS, &s->step, &fault)) {
             return false;
         }
+        s->fault = (enum lease_fault)fault;
         c.n_strikes++;
     }
     cell_run(&c, seed, NO_BREAK, out);
--- a/src/matrix.c
+++ b/src/matrix.c
@@ -1,13 +1,12 @@
 #include "matrix.h"
 
-#include <pthread.h>
-#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "cells.h"
 #include "scenario.h"
 
-enum { LABEL_SIZE = 64, THREADS_MAX = 64, FAULTS_PER_CELL = 2 };
+enum { LABEL_SIZE = 64, FAULTS_PER_CELL = 2 };
 
 #define LATE_US (3 * USEC_PER_SEC)
 #define REORDER_US (3 * USEC_PER_MSEC)
@@ -68,10 +67,9 @@
     struct cell *items;
     size_t n;
     size_t room;
-    atomic_size_t next;
     uint64_t seed;
     int mutant; /* -1: none */
-    atomic_bool caught;
+    struct trace *trace;
 };
 
 /* ---- the trace ---- */
@@ -414,41 +412,23 @@
 
 /* ---- all cells ---- */
 
-static void *
-cells_work(void *arg)
+/* With a mutant one cell that notices it is enough. */
+static bool
+run_one(void *ctx, size_t i)
 {
-    struct cells *cs = arg;
-    size_t i;
-
-    while (!atomic_load(&cs->caught) &&
-           (i = atomic_fetch_add(&cs->next, 1)) < cs->n) {
-        struct cell *c = &cs->items[i];
+    struct cells *cs = ctx;
+    struct cell *c = &cs->items[i];
 
-        cell_run(c, cs->seed, cs->mutant, NULL);
-        if (cs->mutant >= 0 && c->broken[mutants[cs->mutant].promise]) {
-            atomic_store(&cs->caught, true);
-        }
-    }
-    return NULL;
+    cell_run(c, cs->seed, cs->mutant, NULL);
+    return cs->mutant >= 0 && c->broken[mutants[cs->mutant].promise];
 }
 
-static void
-cells_run(struct cells *cs, uint32_t threads, int mutant)
+/* Whether the mutant was noticed. */
+static bool
+run_all(struct cells *cs, uint32_t threads, int mutant)
 {
-    pthread_t ids[THREADS_MAX];
-    uint32_t n = 0;
-
     cs->mutant = mutant;
-    atomic_store(&cs->next, 0);
-    atomic_store(&cs->caught, false);
-    while (n + 1 < threads && n < THREADS_MAX &&
-           pthread_create(&ids[n], NULL, cells_work, cs) == 0) {
-        n++;
-    }
-    (void)cells_work(cs);
-    while (n > 0) {
-        (void)pthread_join(ids[--n], NULL);
-    }
+    return cells_run(cs->n, threads, run_one, cs);
 }
 
 static bool
@@ -493,8 +473,11 @@
 }
 
 static void
-add_singles(struct cells *cs, const struct step *s)
+add_singles(void *ctx, size_t i)
 {
+    struct cells *cs = ctx;
+    const struct step *s = &cs->trace->steps[i];
+
     for (int f = 0; f < FAULTS; f++) {
         if (applies((enum fault)f, s)) {
             struct cell *c = cells_add(cs);
@@ -505,35 +488,26 @@
     }
 }
 
-/* Steps of one label are spread evenly, first and last among them. */
-static void
-add_label(struct cells *cs, const struct step *steps, size_t n, uint32_t most)
+static const char *
+label_at(void *ctx, size_t i)
 {
-    size_t wanted = most == 0 || most > n ? n : most;
+    const struct cells *cs = ctx;
 
-    for (size_t i = 0; i < wanted; i++) {
-        size_t at = wanted > 1 ? i * (n - 1) / (wanted - 1) : 0;
-
-        add_singles(cs, &steps[at]);
-    }
+    return cs->trace->steps[i].label;
 }
 
 static size_t
 add_all_singles(struct cells *cs, struct trace *t, uint32_t per_label)
 {
-    size_t first = 0;
-    size_t labels = 0;
+    struct cells_labels l = {.n = t->n,
+                             .per_label = per_label,
+                             .label = label_at,
+                             .take = add_singles,
+                             .ctx = cs};
 
     qsort(t->steps, t->n, sizeof(*t->steps), by_label);
-    for (size_t i = 1; i <= t->n; i++) {
-        if (i == t->n ||
-            strcmp(t->steps[i].label, t->steps[first].label) != 0) {
-            add_label(cs, &t->steps[first], i - first, per_label);
-            first = i;
-            labels++;
-        }
-    }
-    return labels;
+    cs->trace = t;
+    return cells_choose(&l);
 }
 
 /* Pairs: two single cells drawn at random, of the same kind of fault or not;
@@ -610,10 +584,11 @@
 
     cs->n = singles;
     for (int m = 0; m < MUTANTS; m++) {
-        cells_run(cs, threads, m);
         r->mutants++;
-        r->caught += atomic_load(&cs->caught) ? 1 : 0;
-        if (!atomic_load(&cs->caught)) {
+        if (run_all(cs, threads, m)) {
+            r->caught++;
+        }
+        else {
             (void)fprintf(out, "not caught: mutant %d, %s\n", m,
                           mutants[m].text);
         }
@@ -637,7 +612,7 @@
     add_pairs(&cs, singles, o->pairs, rng);
     (void)fprintf(out, "matrix: %zu steps, %zu labels, %d faults\n", t.n,
                   labels, FAULTS);
-    cells_run(&cs, o->threads, -1);
+    (void)run_all(&cs, o->threads, -1);
     judge(&cs, &r, out);
     if (o->mutants) {
         run_mutants(&cs, singles, o->threads, &r, out);
@@ -648,27 +623,10 @@
     return r;
 }
 
-static bool
-parse_fault(const char *text, const char **end, struct matrix_fault *f)
+static const char *
+fault_name(int fault)
 {
-    char *at;
-
-    f->step = strtoull(text, &at, 10);
-    if (at == text || *at != ':') {
-        return false;
-    }
-    at++;
-    for (int i = 0; i < FAULTS; i++) {
-        size_t n = strlen(faults[i].name);
-
-        if (strncmp(at, faults[i].name, n) == 0 &&
-            (at[n] == '\0' || at[n] == ',')) {
-            f->fault = (enum fault)i;
-            *end = at + n;
-            return true;
-        }
-    }
-    return false;
+    return faults[fault].name;
 }
 
 bool
@@ -676,15 +634,19 @@
 {
     struct cell c = {0};
 
-    while (c.n_faults < FAULTS_PER_CELL) {
-        if (!parse_fault(text, &text, &c.faults[c.n_faults])) {
+    while (*text != '\0') {
+        struct matrix_fault *f = &c.faults[c.n_faults];
+        int fault;
+
+        if (c.n_faults == FAULTS_PER_CELL ||
+            !cells_parse(&text, fault_name, FAULTS, &f->step, &fault)) {
             return false;
         }
+        f->fault = (enum fault)fault;
         c.n_faults++;
-        if (*text == '\0') {
-            break;
-        }
-        text++;
+    }
+    if (c.n_faults == 0) {
+        return false;
     }
     cell_run(&c, seed, mutant, out);
     *ok = !c.failed;
