Bound the wait of late jobs and what refusals tell

Cause: UndefinedBehaviorSanitizer on suite broker: where no upstream took work, the wait of a late job was infinite and its double overflowed; as a number it could come out as the past. From the same figure came Retry-After: minutes under overload, and years where nothing takes work (read from the code).

--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -43,6 +43,11 @@
  * estimated wait: what comes later may go before it. */
 enum { LATE_CAUTION = 2 };
 #define MIN_RETRY_US (200 * USEC_PER_MSEC)
+/* Demand and room are measured over 2 s; what they say of a time much later is
+ * no reason to keep a caller away. */
+#define MAX_RETRY_US (5 * USEC_PER_SEC)
+/* Farther than any deadline, and small enough to be multiplied. */
+#define NEVER_US (INT64_C(1) << 50)
 
 static struct queue_history *
 history_of(struct broker_service *s, struct name queue)
@@ -270,7 +275,7 @@
     double rate = release_rate(r);
 
     if (r->cpu <= 0) {
-        return INT64_MAX / 4;
+        return NEVER_US;
     }
     if (wanted <= 0 || rate <= 0) {
         return 0;
@@ -345,7 +350,8 @@
 {
     int64_t us = start_us - job->start_by_us;
 
-    return us > MIN_RETRY_US ? us : MIN_RETRY_US;
+    us = us > MIN_RETRY_US ? us : MIN_RETRY_US;
+    return us < MAX_RETRY_US ? us : MAX_RETRY_US;
 }
 
 static bool
@@ -372,12 +378,17 @@
               const struct room *free)
 {
     double work = late_work_before(job->service, job->start_by_us) + job->work;
+    double rate;
 
     /* A cluster of long jobs, not an overload: there will be room. */
     if (share_offered(job->service) < free->able) {
         return b->now.mono_us;
     }
-    return b->now.mono_us + (int64_t)(work / late_rate(b, job->service, free));
+    rate = late_rate(b, job->service, free);
+    if (rate <= 0 || work / rate > (double)NEVER_US) {
+        return b->now.mono_us + NEVER_US; /* nothing takes work just now */
+    }
+    return b->now.mono_us + (int64_t)(work / rate);
 }
 
 enum broker_reason
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -86,6 +86,7 @@
     uint32_t refused;
     uint32_t unknown;     /* lost or expired */
     uint32_t open;        /* not answered yet */
+    int64_t retry_us;     /* the longest that a refusal told to wait */
     int64_t refused_late; /* refusals that came after a quarter of the
                            * objective */
 };
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -121,6 +121,7 @@
     bool left;
     enum job_outcome outcome;
     int64_t answered_us;
+    int64_t retry_us; /* told in a refusal */
 };
 
 struct vlease {
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -217,6 +217,7 @@
     job->answered = true;
     job->outcome = a->outcome;
     job->answered_us = v->now_us;
+    job->retry_us = a->retry_after_us;
     if (a->outcome == JOB_REFUSED_OUTCOME && job->started) {
         vlease_fault(v, &v->faults.false_refusals, p->name,
                      (struct task_ref){.job = a->request});
@@ -298,6 +299,8 @@
         break;
     case JOB_REFUSED_OUTCOME:
         f->refused++;
+        f->retry_us =
+            job->retry_us > f->retry_us ? job->retry_us : f->retry_us;
         f->refused_late += took_us > job->objective_us / JOB_LATE_SHARE;
         break;
     default:
--- a/tests/broker_load_test.c
+++ b/tests/broker_load_test.c
@@ -54,6 +54,7 @@
     double refused;
     double refused_late;
     double unanswered;
+    int64_t retry_us; /* the longest told */
 };
 
 static struct vlease *
@@ -85,6 +86,7 @@
     s->refused += f.refused;
     s->refused_late += f.refused_late;
     s->unanswered += f.unknown + f.open;
+    s->retry_us = f.retry_us > s->retry_us ? f.retry_us : s->retry_us;
 }
 
 static void
@@ -191,6 +193,21 @@
     }
 }
 
+/* Demand doubles for ten seconds.  What is measured says little of the time
+ * after the next few; callers that are told to come back in half a minute stay
+ * away long after the load has gone. */
+static void
+refusals_tell_when_to_come_back(void)
+{
+    struct shares s[KINDS] = {0};
+
+    play(2.0, VLEASE_SOUND, 0, s);
+    for (int k = 0; k < KINDS; k++) {
+        CU_ASSERT_TRUE(s[k].retry_us >= 200 * MSEC);
+        CU_ASSERT_TRUE(s[k].retry_us <= 7500 * MSEC);
+    }
+}
+
 /* A job that waits behind others without room is judged too: its caller gets
  * a refusal, not silence until its deadline. */
 static void
@@ -231,6 +248,27 @@
     }
 }
 
+/* No upstream answers any more.  A job that comes then can't be served in any
+ * time that is known; its caller is told so at once and does not wait for
+ * nothing until its deadline. */
+static void
+jobs_are_refused_where_nothing_answers(void)
+{
+    struct vlease *v = region(1);
+    uint64_t job;
+
+    for (uint32_t i = 0; i < UPSTREAMS; i++) {
+        vlease_trouble(v, i, VLEASE_MUTE);
+    }
+    vlease_load(v, 0.2); /* calls show that they are mute */
+    vlease_run(v, READY_US + 4 * SEC);
+    vlease_load(v, 0);
+    job = vlease_submit(v, 0, SHORT);
+    vlease_run(v, READY_US + 4 * SEC + 100 * MSEC);
+    CU_ASSERT_EQUAL(vlease_outcome(v, job), JOB_REFUSED_OUTCOME);
+    vlease_free(v);
+}
+
 void
 suite_broker_load(void)
 {
@@ -238,8 +276,10 @@
     TEST(usual_load_is_served_in_time);
     TEST(each_kind_keeps_its_part_under_overload);
     TEST(refusals_come_at_once);
+    TEST(refusals_tell_when_to_come_back);
     TEST(every_waiting_job_is_answered);
     TEST(slow_upstreams_count_for_what_they_do);
     TEST(mute_upstreams_are_done_without);
+    TEST(jobs_are_refused_where_nothing_answers);
 #undef TEST
 }
