Forget upstreams that no registry tells of any more

Cause: read from the code, shown by the new test: a broker that does not hold an upstream never looks at it and never forgot it. Where upstreams are replaced under new names it counts ever more, believes that the zone needs more holders than the others do, and takes upstreams that they should hold.

Change: what is not held is forgotten 60 s after a registry last told of it (they repeat all every 20 s); upstreams that said goodbye do not count.

Memory of such a broker grew without bound before.

--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -47,6 +47,7 @@
     u->spread = key_id_of(name.s).lo;
     u->look_us = INT64_MAX;
     u->slowness = 1.0;
+    u->told_us = b->now.mono_us;
     map_put(&b->upstreams_by_name, u);
     b->review = true;
     return u;
@@ -393,6 +394,7 @@
         if (u == NULL) {
             u = add(b, one->upstream);
         }
+        u->told_us = b->now.mono_us;
         if (known && overtaken(u, one)) {
             continue;
         }
@@ -545,7 +547,12 @@
 forgettable(const struct broker *b, const struct broker_upstream *u)
 {
     int64_t silent = b->now.mono_us - u->clock_us;
+    bool untold = b->now.mono_us - u->told_us > FORGET_US;
 
+    /* Of what others hold only registries tell, all of it every 20 s. */
+    if (u->state == HOLD_NONE && untold) {
+        return u->n_tasks == 0 && u->look == 0;
+    }
     return u->n_tasks == 0 && u->look == 0 &&
            ((u->gone && u->misses > 0) ||
             (u->misses > 0 && u->clock_us > 0 && silent > FORGET_US));
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -491,7 +491,7 @@
     size_t n = 0;
 
     while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
-        n += name_equal(u->zone, b->opts.zone) ? 1 : 0;
+        n += !u->gone && name_equal(u->zone, b->opts.zone) ? 1 : 0;
     }
     return n;
 }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -219,6 +219,7 @@
  * @spread: a number drawn from its name, which spreads upstreams over holders
  * @born_ms: its life
  * @sequence: of its last announcement
+ * @told_us: when a registry last told of it
  * @holder: the broker that said that it holds it; empty for nobody
  * @fence: with which it is held, or the highest known
  * @noted: ends up to this number were taken
@@ -245,6 +246,7 @@
     uint64_t spread;
     uint64_t born_ms;
     uint64_t sequence;
+    int64_t told_us;
     struct broker_service *service;
     struct name zone;
     struct address address;
--- a/tests/broker_scale_test.c
+++ b/tests/broker_scale_test.c
@@ -128,9 +128,9 @@
     step(o, &ev);
 }
 
-/* The oldest of its zone, with @others connected. */
+/* With @others of its zone connected, which started one by one from 2 on. */
 static struct one
-among(size_t others)
+started_at(uint64_t incarnation, size_t others)
 {
     struct broker_options opts = broker_options_default();
     struct rec_instance registry = {.name = name_of("registry")};
@@ -138,7 +138,7 @@
 
     opts.self = name_of("self");
     opts.zone = name_of("zone");
-    opts.incarnation = 1;
+    opts.incarnation = incarnation;
     opts.registries = &registry;
     opts.n_registries = 1;
     opts.read_config = one_queue;
@@ -156,6 +156,13 @@
     return o;
 }
 
+/* The oldest of its zone. */
+static struct one
+among(size_t others)
+{
+    return started_at(1, others);
+}
+
 /* An upstream announces itself, and answers the look with which it is taken.
  */
 static void
@@ -264,6 +271,33 @@
     broker_free(o.broker);
 }
 
+/* Upstreams are replaced again and again, each under a new name.  A broker
+ * that holds none of them and remembers all counts ever more, believes that
+ * the zone needs more holders than the others do, and begins to take upstreams
+ * that they hold; runs of both are stopped, and callers wait. */
+static void
+replaced_upstreams_are_forgotten(void)
+{
+    enum { REPLACED = 200 };
+    struct one o = started_at(100, 3);
+    struct rec_leased_upstream u = {.born_ms = 1, .sequence = 1};
+    struct msg m = {.kind = MSG_UPSTREAM_REPORT};
+
+    u.service = queue.service;
+    u.zone = name_of("zone");
+    u.address = address_of("127.0.0.1:1");
+    m.u.upstream_report.upstreams = &u;
+    m.u.upstream_report.n_upstreams = 1;
+    for (size_t i = 0; i < REPLACED; i++) {
+        (void)snprintf(u.upstream.s, sizeof(u.upstream.s), "u-%zu", i);
+        message(&o, name_of("registry"), &m);
+        run_until(&o, o.now_us + SEC);
+    }
+    CU_ASSERT_TRUE(broker_gauges(o.broker).upstreams_known < REPLACED / 2);
+    CU_ASSERT_EQUAL(broker_gauges(o.broker).upstreams_held, 0);
+    broker_free(o.broker);
+}
+
 static void
 submit(struct one *o, uint64_t id)
 {
@@ -333,6 +367,7 @@
     TEST(few_hear_of_load_often);
     TEST(registries_learn_who_holds);
     TEST(what_is_taken_is_told_together);
+    TEST(replaced_upstreams_are_forgotten);
     TEST(runners_with_room_share_jobs);
 #undef TEST
 }
