--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -289,12 +289,10 @@
         code = EXIT_SUCCESS;
         goto out;
     }
-    if (o.matrix || o.cell != NULL) {
-        code = o.matrix ? run_both_matrices(&o) : run_cell(&o);
-        goto out;
-    }
-    if (o.lease_cell != NULL) {
-        code = run_lease_cell(&o);
+    if (o.matrix || o.cell != NULL || o.lease_cell != NULL) {
+        code = o.matrix         ? run_both_matrices(&o)
+               : o.cell != NULL ? run_cell(&o)
+                                : run_lease_cell(&o);
         goto out;
     }
     files = poptGetArgs(context);
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -9,7 +9,8 @@
  * little before that.  A job that can't be in time any more is served from
  * what the others leave.  One that would not even get that while its answer is
  * of use is refused when it comes: it costs nothing then, and its caller
- * learns at once when to come back.
+ * learns at once when to come back.  While demand is above what there is, the
+ * room is shared between queues (broker_share.c).
  */
 #include <stdlib.h>
 #include <string.h>
@@ -146,7 +147,6 @@
     if (job->started) {
         job->ahead_us = job->start_by_us;
     }
-
     TAILQ_FOREACH_REVERSE(other, &s->queue, run_queue, link)
     {
         if (other->ahead_us <= job->ahead_us) {
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -105,6 +105,8 @@
     blob_unref(job->spec);
     free(job->groups);
     free(job->tasks);
+    job->tasks = NULL;
+    job->n_tasks = 0;
     table_remove(&b->run_jobs, job->self);
 }
 
@@ -575,7 +577,6 @@
 
     while (job != NULL) {
         struct run_job *next = TAILQ_NEXT(job, link);
-
         int64_t retry_us;
 
         if (order_hopeless(b, job, &retry_us)) {
--- a/tests/broker_load_test.c
+++ b/tests/broker_load_test.c
@@ -84,7 +84,7 @@
     s->in_time += f.in_time;
     s->served += f.completed;
     s->refused += f.refused;
-    s->refused_late += f.refused_late;
+    s->refused_late += (double)f.refused_late;
     s->unanswered += f.unknown + f.open;
     s->retry_us = f.retry_us > s->retry_us ? f.retry_us : s->retry_us;
 }
--- a/tests/broker_scale_test.c
+++ b/tests/broker_scale_test.c
@@ -222,7 +222,7 @@
     run_until(&o, 6 * SEC);
     o.loads = 0;
     run_until(&o, 16 * SEC);
-    CU_ASSERT_TRUE(o.loads >= 5 * 180);
+    CU_ASSERT_TRUE(o.loads >= 900); /* five others, 18 times a second */
     broker_free(o.broker);
 }
 
--- a/tests/registry_test.c
+++ b/tests/registry_test.c
@@ -9,7 +9,13 @@
 
 #define SEC USEC_PER_SEC
 
-enum { ZONES = 3, BROKERS_EACH = 90, UPSTREAMS_EACH = 1000 };
+enum {
+    ZONES = 3,
+    BROKERS_EACH = 90,
+    BROKERS = ZONES * BROKERS_EACH,
+    UPSTREAMS_EACH = 1000,
+    UPSTREAMS = ZONES * UPSTREAMS_EACH,
+};
 
 /* What was sent to one broker. */
 struct told {
@@ -23,7 +29,7 @@
     struct registry *registry;
     struct control_effects fx;
     int64_t now_us;
-    struct told told[ZONES * BROKERS_EACH];
+    struct told told[BROKERS];
 };
 
 static struct name
@@ -159,10 +165,10 @@
 static void
 many_brokers_start_together(void)
 {
-    struct region *r = started(ZONES * BROKERS_EACH);
+    struct region *r = started(BROKERS);
     size_t most = 0;
 
-    for (size_t i = 0; i < (size_t)ZONES * BROKERS_EACH; i++) {
+    for (size_t i = 0; i < BROKERS; i++) {
         most = r->told[i].brokers > most ? r->told[i].brokers : most;
     }
     /* Once all of its zone and the few of others, and once more those that
@@ -178,8 +184,8 @@
 static void
 all_of_a_zone_are_told_of(void)
 {
-    struct region *r = started(ZONES * BROKERS_EACH);
-    size_t last = (size_t)ZONES * BROKERS_EACH - 1;
+    struct region *r = started(BROKERS);
+    size_t last = BROKERS - 1;
 
     CU_ASSERT_TRUE(r->told[0].brokers >= BROKERS_EACH);
     CU_ASSERT_TRUE(r->told[last].brokers >= BROKERS_EACH);
@@ -204,14 +210,14 @@
 static void
 holders_of_other_zones_become_known(void)
 {
-    struct region *r = started(ZONES * BROKERS_EACH);
+    struct region *r = started(BROKERS);
     size_t heard = 0;
 
     forget_told(r);
     introduce(r, 1, true, true); /* of zone 1 */
     CU_ASSERT_EQUAL(r->told[1].messages, 0);
     run_until(r, 3 * SEC);
-    for (size_t i = 0; i < (size_t)ZONES * BROKERS_EACH; i++) {
+    for (size_t i = 0; i < BROKERS; i++) {
         heard += i % ZONES != 1 && r->told[i].brokers == 1 ? 1 : 0;
     }
     CU_ASSERT_EQUAL(heard, (ZONES - 1) * (size_t)BROKERS_EACH);
@@ -223,11 +229,11 @@
 static void
 far_jobs_are_spread_over_holders(void)
 {
-    struct region *r = started(ZONES * BROKERS_EACH);
+    struct region *r = started(BROKERS);
     struct roster roster = {0};
-    size_t times[ZONES * BROKERS_EACH] = {0};
+    size_t times[BROKERS] = {0};
 
-    for (size_t i = 0; i < (size_t)ZONES * BROKERS_EACH; i++) {
+    for (size_t i = 0; i < BROKERS; i++) {
         struct rec_introduction one = {.zone = zone_of(i), .holds = i < 90};
 
         one.address = address_of("127.0.0.1:1");
@@ -265,14 +271,14 @@
 static void
 upstreams_are_told_in_their_zone(void)
 {
-    struct region *r = started(ZONES * BROKERS_EACH);
+    struct region *r = started(BROKERS);
 
     forget_told(r);
-    for (size_t i = 0; i < (size_t)ZONES * UPSTREAMS_EACH; i++) {
+    for (size_t i = 0; i < UPSTREAMS; i++) {
         announce(r, i, 1);
     }
     run_until(r, r->now_us + 100 * USEC_PER_MSEC);
-    for (size_t i = 0; i < (size_t)ZONES * BROKERS_EACH; i++) {
+    for (size_t i = 0; i < BROKERS; i++) {
         CU_ASSERT_EQUAL(r->told[i].upstreams, UPSTREAMS_EACH);
         CU_ASSERT_EQUAL(r->told[i].messages, 1);
         CU_ASSERT_EQUAL(r->told[i].others, 0);
