Take out what the last changes left double or dead

Found on reading the whole change once more: roster_any_fresh and a registry's own name were used by nobody; the stand-in of a delay queued an event again in the same six lines as that of a pause; what is told of a hold, and what becomes of a lost one, stood twice; both plays of the demo began alike; a wrapper struct held one member. A waiting late job is no longer reckoned through the whole queue when neither the clock nor an overload can decide against it.

--- a/demo/bm_platform_demo.c
+++ b/demo/bm_platform_demo.c
@@ -556,19 +556,25 @@
     }
 }
 
-/* Ready: the configuration is acknowledged and workers are held. */
-static int
-play(struct demo *d)
+/* The configuration is acknowledged, and workers are held. */
+static void
+become_ready(struct demo *d)
 {
-    int64_t half_us = d->n_jobs * USEC_PER_SEC / d->per_s / 2;
-    int64_t begin_us;
-
     d->version = 1;
     d->put_us = now_us();
     while (d->acked != 1) {
         round_of(d);
     }
     run_until(d, now_us() + 4 * USEC_PER_SEC);
+}
+
+static int
+play(struct demo *d)
+{
+    int64_t half_us = d->n_jobs * USEC_PER_SEC / d->per_s / 2;
+    int64_t begin_us;
+
+    become_ready(d);
     begin_us = now_us();
     plan_jobs(d, begin_us);
     printf("demo-platform: ready\n");
@@ -653,12 +659,7 @@
 {
     int64_t since_us;
 
-    d->version = 1;
-    d->put_us = now_us();
-    while (d->acked != 1) {
-        round_of(d);
-    }
-    run_until(d, now_us() + 4 * USEC_PER_SEC);
+    become_ready(d);
     (void)hand_in_now(d, FILLER, 2 * d->n_workers, 2000);
     run_until(d, now_us() + 200 * USEC_PER_MSEC);
     since_us = hand_in_now(d, REFUSED, 2 * d->n_workers, 50);
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -55,17 +55,25 @@
 
 /* Holders telling each other */
 
+static bool
+is_held(const struct broker_upstream *u)
+{
+    return u->state != HOLD_NONE && u->state != HOLD_LOST;
+}
+
+static struct rec_held_upstream
+told_as(const struct broker_upstream *u)
+{
+    return (struct rec_held_upstream){
+        .upstream = u->name, .held = is_held(u) ? 1 : 0, .fence = u->fence};
+}
+
 static void
 tell_hold(struct broker *b, const struct broker_upstream *u)
 {
-    struct rec_held_upstream *one;
-
     b->holds =
         array_grow(b->holds, b->n_holds, &b->holds_room, sizeof(*b->holds));
-    one = &b->holds[b->n_holds++];
-    one->upstream = u->name;
-    one->held = u->state != HOLD_NONE && u->state != HOLD_LOST ? 1 : 0;
-    one->fence = u->fence;
+    b->holds[b->n_holds++] = told_as(u);
 }
 
 /* Together: a broker that starts takes 32 upstreams in one step, and a message
@@ -103,18 +111,22 @@
         abort();
     }
     while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
-        if (u->state != HOLD_NONE && u->state != HOLD_LOST) {
-            struct rec_held_upstream *one =
-                &list->upstreams[list->n_upstreams++];
-
-            one->upstream = u->name;
-            one->held = 1;
-            one->fence = u->fence;
+        if (is_held(u)) {
+            list->upstreams[list->n_upstreams++] = told_as(u);
         }
     }
     broker_send(b, to, &m);
 }
 
+/* Its runs may go on until their lease passes. */
+static void
+mark_lost(struct broker *b, struct broker_upstream *u)
+{
+    b->counters.upstreams_fenced++;
+    u->state = HOLD_LOST;
+    u->look_us = INT64_MAX;
+}
+
 /* Another broker has taken it under a higher fence since, while this one was
  * cut off and had no reason to look.  What it starts there would be refused;
  * unnoticed, the upstream would stay idle until something runs into that. */
@@ -122,13 +134,11 @@
 replaced(struct broker *b, struct broker_upstream *u, struct name by,
          uint64_t fence)
 {
-    b->counters.upstreams_fenced++;
     broker_log(b, LOG_WARNING, BROKER_UPSTREAM_FENCED, 0, -1, u->name,
                "our fence %llu, that of %s %llu", (unsigned long long)u->fence,
                by.s, (unsigned long long)fence);
-    u->state = HOLD_LOST;
     u->fence = fence;
-    u->look_us = INT64_MAX;
+    mark_lost(b, u);
 }
 
 void
@@ -249,14 +259,12 @@
         take_upstream(b, u);
         return;
     }
-    b->counters.upstreams_fenced++;
     broker_log(b, LOG_WARNING, BROKER_UPSTREAM_FENCED, 0, -1, u->name,
                "our fence %llu", (unsigned long long)u->fence);
-    u->state = HOLD_LOST;
+    mark_lost(b, u);
     u->holder = name_of("");
     u->fenced = 0;
     u->fenced_view = b->view;
-    u->look_us = INT64_MAX;
     tell_hold(b, u);
 }
 
@@ -278,7 +286,7 @@
     u->until_us = 0;
     u->backoff_us = 0;
     u->slowness = 1.0;
-    if (u->state != HOLD_NONE && u->state != HOLD_LOST) {
+    if (is_held(u)) {
         take_upstream(b, u);
     }
 }
@@ -510,7 +518,7 @@
     uint32_t at = 0;
 
     while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
-        if (u->state != HOLD_NONE && u->state != HOLD_LOST) {
+        if (is_held(u)) {
             return true;
         }
     }
@@ -549,13 +557,15 @@
     int64_t silent = b->now.mono_us - u->clock_us;
     bool untold = b->now.mono_us - u->told_us > FORGET_US;
 
+    if (u->n_tasks > 0 || u->look != 0) {
+        return false;
+    }
     /* Of what others hold only registries tell, all of it every 20 s. */
     if (u->state == HOLD_NONE && untold) {
-        return u->n_tasks == 0 && u->look == 0;
+        return true;
     }
-    return u->n_tasks == 0 && u->look == 0 &&
-           ((u->gone && u->misses > 0) ||
-            (u->misses > 0 && u->clock_us > 0 && silent > FORGET_US));
+    return (u->gone && u->misses > 0) ||
+           (u->misses > 0 && u->clock_us > 0 && silent > FORGET_US);
 }
 
 void
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -441,16 +441,22 @@
 {
     struct room r;
     int64_t start;
+    bool over;
 
     if (!job->late || job->started) {
         return false;
     }
     r = room_of(b, job->service);
+    over = b->now.mono_us > last_start_us(job);
+    /* A cluster of long jobs clears up sooner than it looks. */
+    if (!over && !overloaded(job->service, &r)) {
+        return false;
+    }
     start = late_start_us(b, job, &r);
     *retry_us = retry_after_us(job, start);
-    /* A cluster of long jobs clears up sooner than it looks. */
-    start = overloaded(job->service, &r) ? start : b->now.mono_us;
-    return start > last_start_us(job);
+    /* What comes in was brought up to date meanwhile. */
+    return over ||
+           (overloaded(job->service, &r) && start > last_start_us(job));
 }
 
 bool
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -4,7 +4,8 @@
  * broker.c routes events; broker_peer.c knows the other processes and follows
  * the configuration; broker_caller.c has the jobs that callers handed in here;
  * broker_run.c runs jobs; broker_order.c decides which are let in and which go
- * first, broker_place.c where a task goes; broker_hold.c holds upstreams,
+ * first, broker_share.c what part of the room each queue may have,
+ * broker_place.c where a task goes; broker_hold.c holds upstreams,
  * broker_lease.c speaks with them, broker_trust.c judges them.  A part calls
  * those that stand behind it in this list, and those before it only through
  * the functions below.
--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -625,7 +625,7 @@
     r->opts = *o;
     r->http_ops = o->http_ops != NULL ? o->http_ops : control_http_ops();
     if (o->registry) {
-        r->registry = registry_new(o->control.self, o->zone);
+        r->registry = registry_new();
     }
     if (!open_control(r) || !start_modules(r)) {
         control_runtime_free(r);
--- a/src/control_runtime.h
+++ b/src/control_runtime.h
@@ -21,7 +21,6 @@
  * @data: folder of its own
  * @inbox: events that may wait, a power of two
  * @registry: serves as a registry of upstreams, too
- * @zone: with @registry, of this process
  * @http_ops: the HTTP interface; NULL for ours
  */
 struct control_runtime_options {
@@ -33,7 +32,6 @@
     const char *data;
     unsigned int inbox;
     bool registry;
-    struct name zone;
     const struct control_http_ops *http_ops;
 };
 
--- a/src/leasematrix.c
+++ b/src/leasematrix.c
@@ -47,12 +47,8 @@
 #undef BROKER_BREAK
 };
 
-struct step {
-    struct vlease_hop hop;
-};
-
 struct trace {
-    struct step *steps;
+    struct vlease_hop *steps;
     size_t n;
     size_t room;
 };
@@ -115,7 +111,7 @@
 
     (void)v;
     t->steps = array_grow(t->steps, t->n, &t->room, sizeof(*t->steps));
-    t->steps[t->n++].hop = *hop;
+    t->steps[t->n++] = *hop;
     return VLEASE_PASS;
 }
 
@@ -365,7 +361,7 @@
 add_singles(void *ctx, size_t i)
 {
     struct cells *cs = ctx;
-    const struct vlease_hop *hop = &cs->trace->steps[i].hop;
+    const struct vlease_hop *hop = &cs->trace->steps[i];
 
     for (int f = 0; f < LEASE_FAULTS; f++) {
         if (applies((enum lease_fault)f, hop)) {
@@ -381,8 +377,8 @@
 static int
 by_label(const void *a, const void *b)
 {
-    const struct vlease_hop *x = &((const struct step *)a)->hop;
-    const struct vlease_hop *y = &((const struct step *)b)->hop;
+    const struct vlease_hop *x = a;
+    const struct vlease_hop *y = b;
     int order = strcmp(x->label, y->label);
 
     return order != 0 ? order
@@ -394,7 +390,7 @@
 {
     const struct cells *cs = ctx;
 
-    return cs->trace->steps[i].hop.label;
+    return cs->trace->steps[i].label;
 }
 
 static void
--- a/src/registry.c
+++ b/src/registry.c
@@ -38,12 +38,11 @@
 };
 
 struct registry {
-    struct rec_instance self;
     struct map by_name;
     struct announced *upstreams;
     size_t n_upstreams;
     struct roster roster;
-    struct rec_instance *registries; /* others than @self */
+    struct rec_instance *registries; /* as control knows them */
     size_t n_registries;
     int64_t repeat_us;
     int64_t tell_us;   /* of brokers that came; INT64_MAX for none */
@@ -51,15 +50,13 @@
 };
 
 struct registry *
-registry_new(struct name self, struct name zone)
+registry_new(void)
 {
     struct registry *r = calloc(1, sizeof(*r));
 
     if (r == NULL) {
         abort();
     }
-    r->self.name = self;
-    r->self.zone = zone;
     r->tell_us = INT64_MAX;
     r->report_us = INT64_MAX;
     map_init(&r->by_name, MAP_NAME);
--- a/src/registry.h
+++ b/src/registry.h
@@ -27,8 +27,8 @@
     REGISTRY_STALE,     /* of an earlier life, or overtaken: not taken */
 };
 
-/** registry_new() - @self and its @zone stand in the roster */
-struct registry *registry_new(struct name self, struct name zone);
+/** registry_new() - knows nobody */
+struct registry *registry_new(void);
 
 /** registry_free() - NULL is allowed */
 void registry_free(struct registry *r);
--- a/src/roster.c
+++ b/src/roster.c
@@ -87,17 +87,6 @@
     }
 }
 
-bool
-roster_any_fresh(const struct roster *r)
-{
-    const struct listener *b = r->brokers;
-
-    while (b != NULL && !b->fresh) {
-        b = b->next;
-    }
-    return b != NULL;
-}
-
 void
 roster_settled(struct roster *r)
 {
--- a/src/roster.h
+++ b/src/roster.h
@@ -53,9 +53,6 @@
 /** roster_forget() - drops those that are down since before @before_us */
 void roster_forget(struct roster *r, int64_t before_us);
 
-/** roster_any_fresh() - whether somebody should be told of somebody */
-bool roster_any_fresh(const struct roster *r);
-
 /** roster_settled() - all have been told */
 void roster_settled(struct roster *r);
 
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -482,22 +482,28 @@
     return to_process ? &v->processes[e->to] : NULL;
 }
 
+/* The same event once more, at @at_us; it takes over what @e owns. */
+static void
+again_at(struct vlease *v, const struct vevent *e, int64_t at_us)
+{
+    struct vevent *later = vlease_at(v, at_us, e->kind);
+    uint64_t order = later->order;
+
+    *later = *e;
+    later->at_us = at_us;
+    later->order = order;
+}
+
 /* A paused process takes nothing until it wakes; then everything at once. */
 static bool
 put_off(struct vlease *v, struct vevent *e)
 {
     const struct vprocess *p = receiver_of(v, e);
-    struct vevent *later;
-    uint64_t order;
 
     if (p == NULL || p->paused_until_us <= v->now_us) {
         return false;
     }
-    later = vlease_at(v, p->paused_until_us, e->kind);
-    order = later->order;
-    *later = *e;
-    later->at_us = p->paused_until_us;
-    later->order = order;
+    again_at(v, e, p->paused_until_us);
     return true;
 }
 
@@ -600,8 +606,6 @@
 {
     struct vlease_hop hop;
     enum vlease_fate fate;
-    struct vevent *later;
-    uint64_t order;
 
     if (v->hook == NULL || !hop_of(v, e, &hop)) {
         return false;
@@ -615,11 +619,7 @@
         clear_event(e);
         return true;
     }
-    later = vlease_at(v, v->now_us + STRUCK_LATE_US, e->kind);
-    order = later->order;
-    *later = *e;
-    later->at_us = v->now_us + STRUCK_LATE_US;
-    later->order = order;
+    again_at(v, e, v->now_us + STRUCK_LATE_US);
     return true;
 }
 
@@ -850,7 +850,7 @@
 
         p->number = v->n_brokers + i;
         name_process(p, "r", i, 0);
-        p->registry = registry_new(p->name, p->zone);
+        p->registry = registry_new();
     }
 }
 
--- a/tests/registry_test.c
+++ b/tests/registry_test.c
@@ -133,7 +133,7 @@
     if (r == NULL) {
         abort();
     }
-    r->registry = registry_new(name_of("registry"), zone_of(0));
+    r->registry = registry_new();
     r->now_us = SEC;
     for (size_t i = 0; i < brokers; i++) {
         run_until(r,
