End what a play started when its output is closed early

Cause: the plays' traps knew INT and TERM alone; with sh demo/failures build | head -1 the shell died of SIGPIPE and left three members of control and a broker behind (eight processes of two such calls were found after twenty minutes).

Change: the traps take PIPE and HUP as well.

--- a/demo/region.sh
+++ b/demo/region.sh
@@ -6,14 +6,14 @@
 PIDS=
 
 clean_up() {
-    trap - EXIT INT TERM
+    trap - EXIT INT TERM PIPE HUP
     for pid in $PIDS; do
         kill -KILL "$pid" 2>/dev/null || true
     done
     rm -rf "$DIR"
 }
 trap clean_up EXIT
-trap 'exit 1' INT TERM
+trap 'exit 1' INT TERM PIPE HUP
 
 # Each process has an address of its own on loopback: its name is its address.
 settings() { # NAME IP KIND
