Give up a dial that gets no answer before the kernel sends it again

Cause: after all power was lost, brokers are up 0.2 to 0.4 s before control. Their SYN to a machine that is still dark is lost; the kernel sends it again after a second, and the connection counted as silent only after three heartbeats (0.75 s on the platform). So brokers had no connection to control until 0.8 s after they were up, though control had answered for half a second.

Ruled out: election (leader 0.4 to 0.6 s after the first broker, so not what they waited for); the pause between dials (0.15 s at most).

Change: a dial waits 80 ms for the other kernel, half as much longer after each one without answer, a heartbeat at most. A counter tells them.

The test holds a dial without answer by a listener whose queue is full; it fails before the change.

--- a/src/peer.c
+++ b/src/peer.c
@@ -25,7 +25,13 @@
     TIMER_US = 20 * 1000, /* between looks at the timers */
     BACKOFF_MIN_US = 50 * 1000,
     SILENCE_MAX_US = 60 * 1000 * 1000,
+    /* The kernel sends a lost SYN again after a second.  Where the remote's
+     * machine comes up meanwhile, a fresh dial reaches it at once; the next
+     * one waits longer, for remotes that are far away. */
+    DIAL_MIN_US = 80 * 1000,
 };
+/* Each dial without any answer waits that much longer than the one before. */
+static const double DIAL_GROWTH = 1.5;
 
 /* A process that may speak. */
 struct remote {
@@ -36,7 +42,8 @@
     struct conn *accepted;
     int64_t dial_due_us;
     int64_t backoff_us;
-    bool told_lost; /* that it can't be reached is in the log */
+    int64_t dial_us; /* the next dial waits so long for the other kernel */
+    bool told_lost;  /* that it can't be reached is in the log */
     bool up;
     TAILQ_ENTRY(remote) link;
 };
@@ -264,6 +271,8 @@
         dial_later(p, r);
         return;
     }
+    c->silence_us =
+        r->dial_us < p->opts.heartbeat_us ? r->dial_us : p->opts.heartbeat_us;
     r->dialed = c;
 }
 
@@ -278,6 +287,8 @@
     }
     c->state = CONN_GREETING;
     c->last_in_us = p->now_us;
+    c->silence_us = SILENT_HEARTBEATS * p->opts.heartbeat_us;
+    c->remote->dial_us = DIAL_MIN_US;
     stats_add(&stats.peer_connects, 1);
     watch(p, c, false);
     conn_hello(p, c);
@@ -355,6 +366,7 @@
     }
     r->name = from->name;
     r->backoff_us = BACKOFF_MIN_US;
+    r->dial_us = DIAL_MIN_US;
     r->has_address = from->address.s[0] != '\0';
     if (r->has_address && !netaddr_parse(from->address.s, &r->address)) {
         free(r);
@@ -614,10 +626,26 @@
     }
 }
 
+static void
+give_up_dial(struct peer *p, struct conn *c)
+{
+    double longer = DIAL_GROWTH * (double)c->silence_us;
+
+    c->remote->dial_us = (int64_t)longer;
+    stats_add(&stats.peer_unanswered, 1);
+    conn_close(p, c, LOG_INFO, "no answer");
+}
+
 static void
 check_conn(struct peer *p, struct conn *c)
 {
-    if (p->now_us - c->last_in_us >= c->silence_us) {
+    bool silent = p->now_us - c->last_in_us >= c->silence_us;
+
+    if (silent && c->state == CONN_DIALING) {
+        give_up_dial(p, c);
+        return;
+    }
+    if (silent) {
         stats_add(&stats.peer_silent, 1);
         conn_close(p, c, LOG_WARNING, "nothing came for three heartbeats");
         return;
--- a/src/stats.h
+++ b/src/stats.h
@@ -27,6 +27,7 @@
     STAT(peer_accepts, "connections of other instances accepted")             \
     STAT(peer_refused, "connections refused: not a configured name")          \
     STAT(peer_silent, "connections closed because nothing came")              \
+    STAT(peer_unanswered, "dials given up without an answer")                 \
     STAT(peer_cut_off, "connections closed because nobody read")              \
     STAT(peer_bad_frames, "frames that made no sense")                        \
     STAT(peer_dropped, "messages dropped for want of a connection")           \
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -390,6 +390,46 @@
     end_stop(&a);
 }
 
+/* Time goes on until it has, whenever it began to dial. */
+static bool
+gave_up_dialing(void *ctx)
+{
+    end_advance(ctx, 10 * USEC_PER_MSEC);
+    return atomic_load(&stats.peer_unanswered) > 0;
+}
+
+/* All machines of a zone lose power and come back one after the other.  What a
+ * process dials before the other machine is up gets no answer, and the kernel
+ * sends it again only after a second: the other one is up long before that,
+ * and callers are refused meanwhile. */
+static void
+peer_dials_anew_where_nothing_answers(void)
+{
+    struct end a;
+    uint16_t port;
+    int listener = net_listen(&port);
+    int first;
+    int fd;
+
+    /* Room for one connection that nobody accepts: further ones get no
+     * answer, as from a machine that is down. */
+    CU_ASSERT_EQUAL(listen(listener, 0), 0);
+    first = net_connect(port);
+    atomic_store(&stats.peer_unanswered, 0);
+    end_start(&a, "a", "b", port);
+    CU_ASSERT(net_await(gave_up_dialing, &a));
+    (void)close(net_accept(listener));
+    /* Past the pause between two dials. */
+    end_advance(&a, HEARTBEAT_US / 4);
+    fd = net_accept(listener);
+    (void)put_hello(fd, "b");
+    CU_ASSERT(net_await(is_up, &a));
+    (void)close(first);
+    (void)close(fd);
+    (void)close(listener);
+    end_stop(&a);
+}
+
 void
 suite_peer(void)
 {
@@ -403,6 +443,8 @@
               peer_cuts_off_who_does_not_read);
     check_add("peer", "peer_refuses_wrong_name_at_address",
               peer_refuses_wrong_name_at_address);
+    check_add("peer", "peer_dials_anew_where_nothing_answers",
+              peer_dials_anew_where_nothing_answers);
     check_add("peer", "peer_takes_newest_connection",
               peer_takes_newest_connection);
 }
