Keep the upstreams that control knows on its disk, as a hint

Cause: after all power was lost, registries know nobody. Each upstream announces itself every 1.5 s, so brokers are connected and configured and turn callers away beside idle upstreams until it speaks.

Change: a registry writes the upstreams it knows to one more file of the data folder, a second after a change, those that leave left out. When it starts it tells of them as if they had just spoken; a broker looks at each under a fresh fence before it is used, as always, a newer announcement overrules it, and one that stays silent is forgotten after 15 s. A damaged, missing or old file costs time and nothing else: a start never fails for it, nor does the log.

An upstream that a broker never reached was called for ever, also before; it is forgotten now like one that fell silent.

Ruled out: brokers keep it (they have no disk); the replicated log (a quorum would be needed to say what an upstream says itself within a second).

Tests: power lost at each write of the hint, full disk, each bit flipped; a region whose power comes back with disks, without, and among upstreams that died, were reborn, were cut off or leave meanwhile.

--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -554,7 +554,9 @@
 static bool
 forgettable(const struct broker *b, const struct broker_upstream *u)
 {
-    int64_t silent = b->now.mono_us - u->clock_us;
+    /* One that a registry only remembered may never have answered. */
+    int64_t since_us = u->clock_us > 0 ? u->clock_us : u->told_us;
+    bool silent = b->now.mono_us - since_us > FORGET_US;
     bool untold = b->now.mono_us - u->told_us > FORGET_US;
 
     if (u->n_tasks > 0 || u->look != 0) {
@@ -564,8 +566,7 @@
     if (u->state == HOLD_NONE && untold) {
         return true;
     }
-    return (u->gone && u->misses > 0) ||
-           (u->misses > 0 && u->clock_us > 0 && silent > FORGET_US);
+    return u->misses > 0 && (u->gone || silent);
 }
 
 void
--- a/src/control_disk.c
+++ b/src/control_disk.c
@@ -38,6 +38,9 @@
         return storage_save_snapshot(s, f->u.snapshot.index,
                                      f->u.snapshot.term, f->u.snapshot.state,
                                      f->u.snapshot.discard);
+    case CE_SAVE_UPSTREAMS:
+        storage_save_upstreams(s, &f->u.upstreams.report);
+        return STORAGE_OK;
     default:
         return STORAGE_OK;
     }
--- a/src/control_effect.c
+++ b/src/control_effect.c
@@ -30,6 +30,9 @@
     case CE_SNAPSHOT:
         blob_unref(f->u.snapshot.state);
         break;
+    case CE_SAVE_UPSTREAMS:
+        msg_free(&f->u.upstreams.report);
+        break;
     case CE_SEND:
         msg_free(&f->u.send.msg);
         break;
--- a/src/control_effect.h
+++ b/src/control_effect.h
@@ -18,6 +18,7 @@
     CONTROL_EFFECT(TRUNCATE, truncate, "disk: drop the tail of the log")      \
     CONTROL_EFFECT(SAVE_VOTE, vote, "disk: term and vote")                    \
     CONTROL_EFFECT(SNAPSHOT, snapshot, "disk: a snapshot")                    \
+    CONTROL_EFFECT(SAVE_UPSTREAMS, upstreams, "disk: the upstreams known")    \
     CONTROL_EFFECT(SYNC, sync, "disk: make all before durable, then tell")    \
     CONTROL_EFFECT(SEND, send, "send a message to a process")                 \
     CONTROL_EFFECT(REPLY, reply, "answer an operator")                        \
@@ -139,6 +140,11 @@
     bool discard;       /* the log behind it goes, too */
 };
 
+/** struct ce_upstreams - a hint for the next start; nothing waits for it */
+struct ce_upstreams {
+    struct msg report; /* MSG_UPSTREAM_REPORT, owned */
+};
+
 struct ce_sync {
     uint64_t seq; /* comes back in SAVED */
 };
@@ -196,6 +202,7 @@
         struct ce_truncate truncate;
         struct ce_vote vote;
         struct ce_snapshot snapshot;
+        struct ce_upstreams upstreams;
         struct ce_sync sync;
         struct ce_send send;
         struct ce_reply reply;
--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -559,6 +559,24 @@
     return true;
 }
 
+static void
+recall_upstreams(struct control_runtime *r, const struct storage_found *found)
+{
+    const struct rec_upstream_report *kept =
+        &found->upstreams.u.upstream_report;
+
+    if (found->upstreams_bad) {
+        log_event(LOG_NOTICE, "upstreams-not-recalled", r->opts.data,
+                  "the file can't be read; each is known when it speaks");
+    }
+    if (r->registry == NULL || found->upstreams.kind != MSG_UPSTREAM_REPORT) {
+        return;
+    }
+    registry_recall(r->registry, kept, clock_now(r->opts.clock));
+    log_event(LOG_NOTICE, "upstreams-recalled", r->opts.data, "%zu",
+              kept->n_upstreams);
+}
+
 static bool
 open_control(struct control_runtime *r)
 {
@@ -569,6 +587,7 @@
     }
     r->opts.control.disk = found.disk;
     r->control = control_new(&r->opts.control, &found);
+    recall_upstreams(r, &found);
     storage_found_free(&found);
     if (r->control == NULL) {
         log_event(LOG_CRIT, "not-started", r->opts.data,
--- a/src/registry.c
+++ b/src/registry.c
@@ -28,6 +28,10 @@
  * broker is most of what brokers take in that time. */
 #define REPORT_PAUSE_US (30 * USEC_PER_MSEC)
 
+/* Changes are written to the disk together, so long after the first: a write
+ * takes three syncs, and publications wait behind it. */
+#define SAVE_PAUSE_US (1 * USEC_PER_SEC)
+
 /* An upstream, as it announced itself last. */
 struct announced {
     struct name name; /* first: looked up by it */
@@ -47,6 +51,7 @@
     int64_t repeat_us;
     int64_t tell_us;   /* of brokers that came; INT64_MAX for none */
     int64_t report_us; /* of upstreams that changed; INT64_MAX for none */
+    int64_t save_us;   /* those there are; INT64_MAX for no change */
 };
 
 struct registry *
@@ -59,6 +64,7 @@
     }
     r->tell_us = INT64_MAX;
     r->report_us = INT64_MAX;
+    r->save_us = INT64_MAX;
     map_init(&r->by_name, MAP_NAME);
     return r;
 }
@@ -164,6 +170,9 @@
     if (r->report_us == INT64_MAX) {
         r->report_us = now.mono_us + REPORT_PAUSE_US;
     }
+    if (r->save_us == INT64_MAX) {
+        r->save_us = now.mono_us + SAVE_PAUSE_US;
+    }
 }
 
 static void
@@ -279,6 +288,37 @@
     return changed ? REGISTRY_CHANGED : REGISTRY_UNCHANGED;
 }
 
+void
+registry_recall(struct registry *r, const struct rec_upstream_report *kept,
+                struct moment now)
+{
+    for (size_t i = 0; i < kept->n_upstreams; i++) {
+        (void)registry_announce(r, &kept->upstreams[i], now);
+    }
+}
+
+/* One that leaves is left out: a broker that starts would give it work until
+ * it says so again. */
+static void
+save(const struct registry *r, struct control_effects *fx)
+{
+    struct msg m = {.kind = MSG_UPSTREAM_REPORT};
+    struct rec_upstream_report *all = &m.u.upstream_report;
+
+    all->upstreams = calloc(r->n_upstreams + 1, sizeof(*all->upstreams));
+    if (all->upstreams == NULL) {
+        abort();
+    }
+    for (const struct announced *u = r->upstreams; u != NULL; u = u->next) {
+        if (u->info.leaving == 0 && u->info.gone == 0) {
+            all->upstreams[all->n_upstreams++] = u->info;
+        }
+    }
+    control_effects_add(fx, CE_SAVE_UPSTREAMS)->u.upstreams.report =
+        msg_copy(&m);
+    free(all->upstreams);
+}
+
 static void
 forget_silent(struct registry *r, struct moment now)
 {
@@ -295,6 +335,7 @@
         r->n_upstreams--;
         (void)map_remove(&r->by_name, &u->name);
         free_upstream(u);
+        r->save_us = r->save_us < now.mono_us ? r->save_us : now.mono_us;
     }
 }
 
@@ -379,6 +420,10 @@
         r->report_us = INT64_MAX;
         report_changed(r, fx);
     }
+    if (now.mono_us >= r->save_us) {
+        r->save_us = INT64_MAX;
+        save(r, fx);
+    }
     if (now.mono_us >= r->tell_us) {
         r->tell_us = INT64_MAX;
         send_rosters(r, fx, true);
@@ -395,7 +440,8 @@
 {
     int64_t at = r->tell_us < r->repeat_us ? r->tell_us : r->repeat_us;
 
-    return r->report_us < at ? r->report_us : at;
+    at = r->report_us < at ? r->report_us : at;
+    return r->save_us < at ? r->save_us : at;
 }
 
 struct registry_gauges
--- a/src/registry.h
+++ b/src/registry.h
@@ -2,11 +2,17 @@
  * DOC: registry - the soft state of a registry: which upstreams announced
  * themselves here, and which brokers want to know
  *
- * A reducer without a clock or I/O of its own.  Nothing of it is on a disk and
- * no quorum is asked: upstreams announce themselves again and again, at any
- * registry, and each broker listens to all it can reach.  So a zone that is
- * cut off goes on with its own registry, and one that restarts is whole again
- * when each upstream has spoken once.
+ * A reducer without a clock or I/O of its own.  No quorum is asked: upstreams
+ * announce themselves again and again, at any registry, and each broker
+ * listens to all it can reach.  So a zone that is cut off goes on with its own
+ * registry, and one that restarts is whole again when each upstream has spoken
+ * once.
+ *
+ * Until then it tells of those that its disk remembers.  After all power was
+ * lost, brokers would else wait for most of a period of announcements beside
+ * idle upstreams.  What the disk says is a hint: a broker looks at an upstream
+ * before it uses it, a newer announcement overrules it, and it is forgotten
+ * like any upstream that is silent.
  *
  * Brokers are told of upstreams of their own zone: what changed,
  * everything when they connect, and everything again now and then, so that one
@@ -33,6 +39,13 @@
 /** registry_free() - NULL is allowed */
 void registry_free(struct registry *r);
 
+/** registry_recall() - what CE_SAVE_UPSTREAMS kept in an earlier life of this
+ * process; of a life or a number of announcements that is known already it
+ * changes nothing */
+void registry_recall(struct registry *r,
+                     const struct rec_upstream_report *kept,
+                     struct moment now);
+
 /** registry_announce() - an upstream says how it is; @u is copied.  Of one
  * that is gone only its name and life count.  Brokers are told by the next
  * registry_tick(). */
--- a/src/storage.c
+++ b/src/storage.c
@@ -11,6 +11,7 @@
 static const char VOTE[] = "vote";
 static const char SNAPSHOT[] = "snapshot";
 static const char LOG[] = "log";
+static const char UPSTREAMS[] = "upstreams";
 
 enum {
     RECORD_MAGIC = 0x31726d62, /* "bmr1" */
@@ -517,6 +518,21 @@
     return compact_log(s, index, term, discard);
 }
 
+/* A disk that can't take the hint may still take the log; what the log needs
+ * is found out when it is written. */
+void
+storage_save_upstreams(struct storage *s, const struct msg *report)
+{
+    struct storage aside = {.opts = s->opts};
+
+    if (s->failed != STORAGE_OK) {
+        return;
+    }
+    msgpack_sbuffer_init(&aside.out);
+    (void)replace_record(&aside, UPSTREAMS, report);
+    msgpack_sbuffer_destroy(&aside.out);
+}
+
 const char *
 storage_detail(const struct storage *s)
 {
@@ -542,6 +558,7 @@
     }
     free(f->entries);
     blob_unref(f->snapshot);
+    msg_free(&f->upstreams);
     memset(f, 0, sizeof(*f));
 }
 
@@ -584,6 +601,15 @@
     return s->failed;
 }
 
+static void
+read_upstreams(const struct storage *s, struct storage_found *f)
+{
+    struct storage aside = {.opts = s->opts};
+
+    (void)read_record(&aside, UPSTREAMS, MSG_UPSTREAM_REPORT, &f->upstreams);
+    f->upstreams_bad = aside.failed != STORAGE_OK;
+}
+
 static enum storage_error
 read_log(struct storage *s, struct storage_found *f)
 {
@@ -740,6 +766,7 @@
     if (read_vote(s, f) != STORAGE_OK || read_snapshot(s, f) != STORAGE_OK) {
         return s->failed;
     }
+    read_upstreams(s, f);
     return recover_log(s, f);
 }
 
--- a/src/storage.h
+++ b/src/storage.h
@@ -1,7 +1,7 @@
 /**
  * DOC: storage - what a control member must not forget, on its disk
  *
- * Four files in one data folder.  "identity", "vote" and "snapshot" hold one
+ * Five files in one data folder.  "identity", "vote" and "snapshot" hold one
  * record each and are replaced whole: written beside, synced, renamed, and the
  * folder synced.  "log" is appended to.  Every record carries its length and a
  * checksum (XXH3, seeded with its place in the file).
@@ -11,6 +11,10 @@
  * behind it was acknowledged once: the disk damaged it, and the start is
  * refused.  A bad record without a mark behind it is a write that power loss
  * cut short and that nobody was told about: it is cut off.
+ *
+ * "upstreams" is a hint alone: which upstreams were there.  Whoever uses it
+ * asks them; where it is missing, damaged or old, that costs time and nothing
+ * else, so none of it makes a start or a write fail.
  */
 #ifndef BM_STORAGE_H
 #define BM_STORAGE_H
@@ -72,7 +76,9 @@
     struct blob *snapshot;
     struct rec_log_entry *entries; /* after the snapshot, in order */
     size_t n_entries;
-    uint64_t cut; /* bytes of a torn tail that were cut off */
+    uint64_t cut;         /* bytes of a torn tail that were cut off */
+    struct msg upstreams; /* MSG_UPSTREAM_REPORT; empty where there is none */
+    bool upstreams_bad;   /* there was one, and it could not be read */
 };
 
 void storage_found_free(struct storage_found *f);
@@ -114,6 +120,10 @@
                                          uint64_t term, struct blob *state,
                                          bool discard);
 
+/** storage_save_upstreams() - replaces the hint, MSG_UPSTREAM_REPORT, as far
+ * as the disk takes it; durable at once */
+void storage_save_upstreams(struct storage *s, const struct msg *report);
+
 /** storage_sync() - makes what was appended durable */
 enum storage_error storage_sync(struct storage *s);
 
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -354,6 +354,11 @@
         if (f->kind == CE_SEND) {
             send_to(v, p, f->u.send.to, &f->u.send.msg);
         }
+        if (f->kind == CE_SAVE_UPSTREAMS) {
+            msg_free(&p->kept);
+            p->kept = f->u.upstreams.report;
+            memset(&f->u.upstreams.report, 0, sizeof(struct msg));
+        }
     }
     control_effects_clear(&v->registry_effects);
 }
@@ -411,7 +416,7 @@
 {
     struct vprocess *p = &v->processes[v->n_brokers + u->zone_number];
 
-    if (p->cut) {
+    if (p->cut || p->down) {
         return;
     }
     (void)registry_announce(p->registry, info, moment_of(v, p));
@@ -717,6 +722,53 @@
     }
 }
 
+void
+vlease_lose_power(struct vlease *v)
+{
+    for (uint32_t i = 0; i < v->n_processes; i++) {
+        struct vprocess *p = &v->processes[i];
+
+        if (p->registry == NULL) {
+            vlease_kill(v, i);
+            continue;
+        }
+        p->down = true;
+        p->life++;
+        registry_free(p->registry);
+        p->registry = NULL;
+    }
+}
+
+static void
+begin_registry(struct vlease *v, struct vprocess *p, bool remember)
+{
+    p->down = false;
+    p->tick_us = 0;
+    p->registry = registry_new();
+    if (remember && p->kept.kind == MSG_UPSTREAM_REPORT) {
+        registry_recall(p->registry, &p->kept.u.upstream_report,
+                        moment_of(v, p));
+    }
+    /* Brokers that were started meanwhile dial it. */
+    for (uint32_t i = 0; i < v->n_brokers; i++) {
+        if (connected(p, &v->processes[i])) {
+            connect_pair(v, p, &v->processes[i]);
+        }
+    }
+}
+
+void
+vlease_regain_power(struct vlease *v, bool remember)
+{
+    for (uint32_t i = v->n_brokers; i < v->n_processes; i++) {
+        begin_registry(v, &v->processes[i], remember);
+    }
+    for (uint32_t i = 0; i < v->n_brokers; i++) {
+        v->now_us += (int64_t)vlease_random(v, STARTS_APART_US);
+        vlease_start(v, i);
+    }
+}
+
 void
 vlease_stop(struct vlease *v, uint32_t broker)
 {
@@ -889,6 +941,7 @@
     for (uint32_t i = 0; i < v->n_processes; i++) {
         broker_free(v->processes[i].broker);
         registry_free(v->processes[i].registry);
+        msg_free(&v->processes[i].kept);
     }
     for (uint32_t i = 0; i < v->n_upstreams; i++) {
         vup_free(&v->upstreams[i]);
@@ -917,6 +970,19 @@
     return v->starts;
 }
 
+uint32_t
+vlease_open(const struct vlease *v)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < v->n_brokers; i++) {
+        const struct broker *b = v->processes[i].broker;
+
+        n += b != NULL ? (uint32_t)broker_gauges(b).upstreams_open : 0;
+    }
+    return n;
+}
+
 uint32_t
 vlease_running(const struct vlease *v)
 {
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -158,6 +158,16 @@
 void vlease_stop(struct vlease *v, uint32_t broker);
 bool vlease_stopped(const struct vlease *v, uint32_t broker);
 
+/** vlease_lose_power() - of all brokers and registries; upstreams run on */
+void vlease_lose_power(struct vlease *v);
+
+/** vlease_regain_power() - all are back; @remember: the registries' disks are
+ * what they were, else they are empty */
+void vlease_regain_power(struct vlease *v, bool remember);
+
+/** vlease_open() - upstreams that brokers give work to */
+uint32_t vlease_open(const struct vlease *v);
+
 /** vlease_pause() - stands still for so long, while its clock goes on */
 void vlease_pause(struct vlease *v, uint32_t broker, int64_t us);
 
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -58,6 +58,7 @@
     int64_t wall_off_us;
     struct broker *broker;
     struct registry *registry;
+    struct msg kept; /* on a registry's disk: upstreams, a hint */
     int64_t tick_us;
 };
 
--- a/tests/broker_test.c
+++ b/tests/broker_test.c
@@ -89,6 +89,76 @@
     vlease_free(v);
 }
 
+/* How many upstreams are in use a second after power is back. */
+static uint32_t
+open_after_power_loss(struct vlease *v, bool remember)
+{
+    vlease_lose_power(v);
+    vlease_run(v, READY_US + 2 * SEC);
+    vlease_regain_power(v, remember);
+    vlease_run(v, READY_US + 2 * SEC + 700 * MSEC);
+    return vlease_open(v);
+}
+
+/* All machines of the system lose power; the upstreams go on.  Each announces
+ * itself every second and a half: brokers that wait for that turn callers away
+ * beside idle upstreams.  The registries' disks remember who was there. */
+static void
+power_comes_back_among_remembered_upstreams(void)
+{
+    for (uint64_t seed = 400; seed < 405; seed++) {
+        struct vlease *v = calm_region(seed);
+
+        CU_ASSERT_EQUAL(open_after_power_loss(v, true), 24);
+        vlease_load(v, 1);
+        vlease_run(v, READY_US + 6 * SEC);
+        settle(v, READY_US + 6 * SEC);
+        CU_ASSERT_EQUAL(vlease_figures(v, 0).completed,
+                        vlease_figures(v, 0).asked);
+        vlease_free(v);
+    }
+}
+
+/* The same with the registries' disks lost: it takes as long as before, and
+ * nothing else. */
+static void
+power_comes_back_with_empty_disks(void)
+{
+    struct vlease *v = calm_region(410);
+
+    CU_ASSERT_TRUE(open_after_power_loss(v, false) < 24);
+    vlease_run(v, READY_US + 5 * SEC);
+    CU_ASSERT_EQUAL(vlease_open(v), 24);
+    settle(v, READY_US + 5 * SEC);
+    vlease_free(v);
+}
+
+/* While the power is off, some of the upstreams that the disks remember die,
+ * others start anew and run nothing, others are cut off and run on.  Work that
+ * is placed on the word of the disk would fail, or run twice. */
+static void
+remembered_upstreams_have_changed(void)
+{
+    for (uint64_t seed = 420; seed < 430; seed++) {
+        struct vlease *v = calm_region(seed);
+
+        vlease_load(v, 1);
+        vlease_run(v, READY_US + 1 * SEC);
+        vlease_lose_power(v);
+        for (uint32_t i = 0; i < 24; i += 6) {
+            vlease_trouble(v, i, VLEASE_DEAD);
+            vlease_reborn(v, i + 1);
+            vlease_trouble(v, i + 2, VLEASE_CUT);
+            vlease_trouble(v, i + 3, VLEASE_LEAVING);
+        }
+        vlease_run(v, READY_US + 1300 * MSEC);
+        vlease_regain_power(v, true);
+        vlease_run(v, READY_US + 8 * SEC);
+        settle(v, READY_US + 8 * SEC);
+        vlease_free(v);
+    }
+}
+
 /* The broker that runs a caller's job dies.  Its runs go on at the upstreams
  * until their lease passes or the next holder stops them; the caller hands its
  * job in again meanwhile, and two runs of a task must not overlap. */
@@ -476,6 +546,9 @@
 #define TEST(name) check_add("broker", #name, name)
     TEST(calm_jobs_are_in_time);
     TEST(region_restarts_among_known_upstreams);
+    TEST(power_comes_back_among_remembered_upstreams);
+    TEST(power_comes_back_with_empty_disks);
+    TEST(remembered_upstreams_have_changed);
     TEST(runner_dies_and_its_jobs_come_again);
     TEST(paused_broker_wakes_as_nobody);
     TEST(cut_off_broker_and_its_successor);
--- a/tests/registry_test.c
+++ b/tests/registry_test.c
@@ -293,6 +293,79 @@
     region_free(r);
 }
 
+/* A registry starts after a power loss and its disk remembers an upstream,
+ * which never speaks again, and another, which starts anew.  Brokers are told
+ * of both at once; one that stayed for ever would be called for ever. */
+static void
+remembered_upstreams_are_told_until_silent(void)
+{
+    struct region *r = started(1);
+    struct rec_leased_upstream kept[2] = {{.born_ms = 1, .sequence = 40},
+                                          {.born_ms = 1, .sequence = 40}};
+    struct rec_upstream_report report = {kept, 2};
+    struct rec_leased_upstream again = {.born_ms = 2, .sequence = 1};
+
+    for (size_t i = 0; i < 2; i++) {
+        kept[i].upstream = numbered("upstream", i);
+        kept[i].zone = zone_of(0);
+    }
+    forget_told(r);
+    registry_recall(r->registry, &report, at(r));
+    introduce(r, 0, false, false);
+    CU_ASSERT_EQUAL(r->told[0].upstreams, 2);
+    again.upstream = numbered("upstream", 1);
+    again.zone = zone_of(0);
+    CU_ASSERT_EQUAL(registry_announce(r->registry, &again, at(r)),
+                    REGISTRY_CHANGED);
+    run_until(r, r->now_us + 10 * SEC);
+    again.sequence = 2;
+    (void)registry_announce(r->registry, &again, at(r));
+    run_until(r, r->now_us + 14 * SEC);
+    CU_ASSERT_EQUAL(registry_gauges(r->registry).upstreams, 1);
+    region_free(r);
+}
+
+static size_t
+kept_on_disk(const struct control_effects *fx)
+{
+    size_t n = SIZE_MAX;
+
+    for (size_t i = 0; i < fx->n; i++) {
+        if (fx->items[i].kind == CE_SAVE_UPSTREAMS) {
+            n = fx->items[i].u.upstreams.report.u.upstream_report.n_upstreams;
+        }
+    }
+    return n;
+}
+
+/* Upstreams that leave are not remembered: brokers that start would give them
+ * work until they say once more that they leave.  A hundred changes make one
+ * write, for publications wait behind it. */
+static void
+leaving_upstreams_are_not_remembered(void)
+{
+    struct region *r = started(1);
+    struct rec_leased_upstream leaving = {
+        .born_ms = 1, .sequence = 2, .leaving = 1};
+    struct moment due;
+
+    for (size_t i = 0; i < 100; i++) {
+        announce(r, i, 1);
+    }
+    leaving.upstream = numbered("upstream", 3);
+    leaving.zone = zone_of(0);
+    (void)registry_announce(r->registry, &leaving, at(r));
+    due = at(r);
+    due.mono_us += SEC;
+    registry_tick(r->registry, due, &r->fx);
+    CU_ASSERT_EQUAL(kept_on_disk(&r->fx), 99);
+    control_effects_clear(&r->fx);
+    due.mono_us += SEC;
+    registry_tick(r->registry, due, &r->fx);
+    CU_ASSERT_EQUAL(kept_on_disk(&r->fx), SIZE_MAX);
+    region_free(r);
+}
+
 /* A connection was lost and is there again, which this registry may not have
  * noticed; what was under way on it is gone, so everything is told anew. */
 static void
@@ -319,6 +392,8 @@
     TEST(holders_of_other_zones_become_known);
     TEST(far_jobs_are_spread_over_holders);
     TEST(upstreams_are_told_in_their_zone);
+    TEST(remembered_upstreams_are_told_until_silent);
+    TEST(leaving_upstreams_are_not_remembered);
     TEST(first_words_are_answered_in_full);
 #undef TEST
 }
--- a/tests/storage_test.c
+++ b/tests/storage_test.c
@@ -360,6 +360,118 @@
     }
 }
 
+static struct msg
+report_of(const char *upstream)
+{
+    struct rec_leased_upstream one = {.upstream = name_of(upstream),
+                                      .born_ms = 7};
+    struct msg m = {.kind = MSG_UPSTREAM_REPORT};
+
+    m.u.upstream_report.upstreams = &one;
+    m.u.upstream_report.n_upstreams = 1;
+    return msg_copy(&m);
+}
+
+static void
+save_hint(struct storage *s, const char *upstream)
+{
+    struct msg m = report_of(upstream);
+
+    storage_save_upstreams(s, &m);
+    msg_free(&m);
+}
+
+/* The hint is one of the two that were written, or none at all; the log has
+ * what was confirmed. */
+static void
+check_hint(struct disk *d, uint64_t entries)
+{
+    struct storage_found f;
+    struct storage *s = open_on(d, &f);
+    const struct rec_upstream_report *kept = &f.upstreams.u.upstream_report;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    CU_ASSERT_EQUAL(f.n_entries, entries);
+    if (f.upstreams.kind == MSG_UPSTREAM_REPORT) {
+        CU_ASSERT_EQUAL_FATAL(kept->n_upstreams, 1);
+        CU_ASSERT_EQUAL(kept->upstreams[0].born_ms, 7);
+    }
+    storage_found_free(&f);
+    storage_close(s);
+}
+
+/* The power goes, or the disk is full, while the hint of the upstreams is
+ * written.  It may be lost, and the member goes on with all that it has
+ * confirmed: operators would lose changes for the sake of half a second. */
+static void
+hint_never_costs_what_was_confirmed(void)
+{
+    for (uint64_t at = 1; at <= 8; at++) {
+        for (uint64_t seed = 0; seed < SEEDS; seed++) {
+            struct disk *d = disk_with_entries(4, false);
+            struct storage_found f;
+            struct storage *s = open_on(d, &f);
+
+            storage_found_free(&f);
+            save_hint(s, "up1");
+            fault_disk_plan(d, (struct fault_plan){.power_at = at});
+            save_hint(s, "up2");
+            storage_close(s);
+            fault_disk_crash(d, seed);
+            check_hint(d, 4);
+            fault_disk_free(d);
+        }
+    }
+}
+
+static void
+full_disk_takes_no_hint_and_goes_on(void)
+{
+    struct disk *d = disk_with_entries(4, false);
+    struct storage_found f;
+    struct storage *s = open_on(d, &f);
+    size_t used = fault_disk_size(d, "log") + fault_disk_size(d, "vote") +
+                  fault_disk_size(d, "identity");
+
+    storage_found_free(&f);
+    fault_disk_plan(d, (struct fault_plan){.capacity = used + 8});
+    save_hint(s, "up1");
+    fault_disk_plan(d, (struct fault_plan){0});
+    CU_ASSERT_EQUAL(append_synced(s, 5, 1), STORAGE_OK);
+    storage_close(s);
+    check_hint(d, 5);
+    fault_disk_free(d);
+}
+
+/* A bit of the hint flips.  The member starts, says so, and knows nobody. */
+static void
+damaged_hint_is_none(void)
+{
+    struct disk *d = disk_with_entries(4, false);
+    struct storage_found f;
+    struct storage *s = open_on(d, &f);
+    size_t size;
+
+    storage_found_free(&f);
+    save_hint(s, "up1");
+    storage_close(s);
+    size = fault_disk_size(d, "upstreams");
+    CU_ASSERT_TRUE(size > 0);
+    for (size_t i = 0; i < size; i++) {
+        fault_disk_flip(d, "upstreams", i);
+        s = open_on(d, &f);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+        CU_ASSERT_TRUE(f.upstreams_bad);
+        CU_ASSERT_NOT_EQUAL(f.upstreams.kind, MSG_UPSTREAM_REPORT);
+        CU_ASSERT_EQUAL(f.n_entries, 4);
+        storage_found_free(&f);
+        storage_close(s);
+        fault_disk_flip(d, "upstreams", i);
+    }
+    check_hint(d, 4);
+    fault_disk_free(d);
+}
+
 /* Somebody starts a member on the folder of another, or removes a file from
  * its folder.  It would vote and answer with a past that is not its own. */
 static void
@@ -422,6 +534,11 @@
     check_add("storage", "nothing_after_a_failed_sync",
               nothing_after_a_failed_sync);
     check_add("storage", "full_disk", full_disk);
+    check_add("storage", "hint_never_costs_what_was_confirmed",
+              hint_never_costs_what_was_confirmed);
+    check_add("storage", "full_disk_takes_no_hint_and_goes_on",
+              full_disk_takes_no_hint_and_goes_on);
+    check_add("storage", "damaged_hint_is_none", damaged_hint_is_none);
     check_add("storage", "refuses_foreign_folders", refuses_foreign_folders);
     check_add("storage", "without_marks_a_loss_goes_unnoticed",
               without_marks_a_loss_goes_unnoticed);
