Ask for votes sooner after a start, and let one member go first

Cause: after all power was lost members campaign 120 to 240 ms after they started, and where two or three do so within a round trip and a sync each votes for itself: nobody leads for another 0.4 to 0.8 s. Brokers have no configuration until then and refuse everyone.

Change: the first question comes 40 to 80 ms after a start, and again after the same until a leader was met in this life (the question changes no term). Of two that ask at once and whose logs are alike, the one with the smaller name goes first; whoever said yes waits with its own campaign, once in a life. Who may be elected is as it was.

Ruled out: serving the configuration before there is a leader, by what a majority of disks has marked as committed: 0.1 s more at best, for a second way to read it.

--- a/src/control.c
+++ b/src/control.c
@@ -532,15 +532,11 @@
     c->heartbeat_us = c->now.mono_us;
     election_restart_timer(c);
     if (c->opts.first_us > 0) {
+        election_first_timer(c);
         /* It has heard nobody in this life; to wait as if it had would only
          * hold up the first election.  Reads rest on no such wait. */
         c->heard_leader_us -= c->opts.election_us;
     }
-    if (c->opts.first_us > 0) {
-        c->election_us =
-            c->now.mono_us + c->opts.first_us +
-            (int64_t)(control_random(c) % (uint64_t)c->opts.first_us);
-    }
     c->serve_nonce = control_random(c);
     control_log(c, LOG_NOTICE, CONTROL_REASON_STARTED, c->opts.self,
                 "term %llu, log %llu to %llu, version %llu",
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -111,6 +111,9 @@
     struct name leader;
     int64_t heard_leader_us;
     int64_t election_us;  /* campaign at */
+    int64_t campaign_us;  /* when the last one began */
+    bool met_leader;      /* in this life */
+    bool gave_way;        /* in this life, to another's first campaign */
     int64_t heartbeat_us; /* next one, or next housekeeping */
     int64_t quorum_us;    /* next check of the quorum */
     uint64_t round;
@@ -230,6 +233,9 @@
 
 /* election.c */
 void election_restart_timer(struct control *c);
+
+/** election_first_timer() - the same for a member that has just started */
+void election_first_timer(struct control *c);
 void election_tick(struct control *c);
 void election_on_vote(struct control *c, struct name from,
                       const struct rec_vote *v);
--- a/src/election.c
+++ b/src/election.c
@@ -1,3 +1,4 @@
+#include <string.h>
 #include <syslog.h>
 
 #include "control_state.h"
@@ -10,6 +11,18 @@
     c->election_us = c->now.mono_us + c->opts.election_us + (int64_t)spread;
 }
 
+/* Before any leader was met in this life the question whether there would be
+ * votes is asked again soon: after a power loss the others may have started
+ * just after it was asked first. */
+void
+election_first_timer(struct control *c)
+{
+    int64_t first_us = c->opts.first_us;
+
+    c->election_us = c->now.mono_us + first_us +
+                     (int64_t)(control_random(c) % (uint64_t)first_us);
+}
+
 static void
 forget_grants(struct control *c)
 {
@@ -45,7 +58,13 @@
     c->forced = forced;
     c->leader = name_of("");
     forget_grants(c);
-    election_restart_timer(c);
+    c->campaign_us = c->now.mono_us;
+    if (pre && c->opts.first_us > 0 && !c->met_leader) {
+        election_first_timer(c);
+    }
+    else {
+        election_restart_timer(c);
+    }
     if (!pre) {
         control_save_term(c, term, c->opts.self);
         c->counters.elections++;
@@ -61,6 +80,7 @@
 {
     c->role = CONTROL_LEADER;
     c->leader = c->opts.self;
+    c->met_leader = true;
     c->quorum_us = c->now.mono_us + c->opts.election_us;
     c->handing_over = false;
     c->lead_us = c->now.mono_us;
@@ -124,6 +144,7 @@
         return;
     }
     c->heard_leader_us = c->now.mono_us;
+    c->met_leader = true;
     if (changed) {
         control_log(c, LOG_INFO, CONTROL_REASON_FOLLOWING, leader, "term %llu",
                     (unsigned long long)term);
@@ -182,6 +203,20 @@
            c->now.mono_us < c->heard_leader_us + c->opts.election_us;
 }
 
+/* Two that start together campaign together; where each votes for itself
+ * neither wins, and until the next attempt nobody leads.  So of two whose logs
+ * allow it, the one with the greater name lets the other go first. */
+static bool
+goes_first(const struct control *c, struct name from, const struct rec_vote *v)
+{
+    bool underway = c->role == CONTROL_CANDIDATE &&
+                    c->now.mono_us - c->campaign_us < c->opts.first_us;
+    bool alike = v->last_term == clog_last_term(&c->log) &&
+                 v->last_index == clog_last(&c->log);
+
+    return underway && alike && strcmp(c->opts.self.s, from.s) < 0;
+}
+
 static void
 reply_to_vote(struct control *c, struct name to, const struct rec_vote *v,
               bool granted)
@@ -196,6 +231,33 @@
     control_send(c, to, &m, c->hard_seq);
 }
 
+/* Whoever said that it would vote for another waits for that one's campaign
+ * with its own: three that start together would else vote for themselves.
+ * Once only, for the answer may never arrive there. */
+static void
+give_way(struct control *c)
+{
+    if (c->opts.first_us == 0 || c->met_leader || c->gave_way ||
+        (c->role == CONTROL_CANDIDATE && !c->pre)) {
+        return;
+    }
+    c->gave_way = true;
+    c->role = CONTROL_FOLLOWER;
+    election_first_timer(c);
+}
+
+static void
+on_pre_vote(struct control *c, struct name from, const struct rec_vote *v)
+{
+    bool granted =
+        v->term > c->term && up_to_date(c, v) && !goes_first(c, from, v);
+
+    if (granted) {
+        give_way(c);
+    }
+    reply_to_vote(c, from, v, granted);
+}
+
 static bool
 grant(struct control *c, struct name from, const struct rec_vote *v)
 {
@@ -220,7 +282,7 @@
         return;
     }
     if (v->pre != 0) {
-        reply_to_vote(c, from, v, v->term > c->term && up_to_date(c, v));
+        on_pre_vote(c, from, v);
         return;
     }
     if (v->term > c->term) {
--- a/tests/enroll_test.c
+++ b/tests/enroll_test.c
@@ -243,6 +243,52 @@
     fsm_free(&f);
 }
 
+static int64_t
+until_leader_us(struct cluster *cl, int64_t patience_us)
+{
+    int64_t step_us = 5 * USEC_PER_MSEC;
+    int64_t waited_us = 0;
+
+    while (cluster_leader(cl) < 0 && waited_us < patience_us) {
+        cluster_run(cl, step_us);
+        waited_us += step_us;
+    }
+    return waited_us;
+}
+
+/* All members lose power and come back within a tenth of a second of each
+ * other, as after a power cut of a whole region.  Each campaigns at once, and
+ * where two do so together neither wins: until the next attempt no broker
+ * learns its configuration and all callers are refused. */
+static void
+leader_soon_after_all_lost_power(void)
+{
+    int64_t longest_us = 0;
+
+    for (uint64_t seed = 1; seed <= 100; seed++) {
+        struct cluster *cl = enrolling(3, seed);
+        int64_t waited_us;
+
+        cl->options.first_us = 40 * USEC_PER_MSEC;
+        cl->delay_us = 4 * USEC_PER_MSEC;
+        cl->sync_us = 20 * USEC_PER_MSEC;
+        (void)cluster_await_leader(cl);
+        for (int i = 0; i < 3; i++) {
+            cluster_crash(cl, i);
+        }
+        cluster_run(cl, SEC);
+        for (int i = 0; i < 3; i++) {
+            cluster_run(cl, (int64_t)(seed * 7919 % 50) * USEC_PER_MSEC);
+            cluster_start(cl, (int)((seed + (uint64_t)i) % 3));
+        }
+        waited_us = until_leader_us(cl, 2 * SEC);
+        longest_us = waited_us > longest_us ? waited_us : longest_us;
+        no_violation(cl);
+        cluster_free(cl);
+    }
+    CU_ASSERT_TRUE(longest_us <= 250 * USEC_PER_MSEC);
+}
+
 void
 suite_enroll(void)
 {
@@ -253,5 +299,6 @@
     TEST(last_three_members_are_kept);
     TEST(losses_in_series);
     TEST(highest_rank_stays);
+    TEST(leader_soon_after_all_lost_power);
 #undef TEST
 }
