Replay overloads and faults beside a bound that no policy can exceed

It prints what the jobs earned (1 in time, 0.2 by three times their objective), by callers and by work, over what they were owed and over a bound: each job needs its work done between its coming and its objective, on upstreams that hold no more than the heaviest set of tasks that fits; work is given out densest first, which is best where only spans of time bound it. By kind and zone without bound.

Tasks of a job in the replays differ by 15 %, as customers' do; with equal ones a job's objective is as near as its own mean, and what is measured is how well that is guessed.

The bound is loose in overload: it lets all small jobs in, and gives room after the load to work of before.

--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -13,6 +13,7 @@
 #include "figures.h"
 #include "leasematrix.h"
 #include "matrix.h"
+#include "replay.h"
 #include "report.h"
 #include "slopes.h"
 
@@ -32,6 +33,10 @@
     int per_label;
     int pairs;
     int seed;
+    int replays;
+    char *without;
+    int draws;
+    int seeds;
     char *cell;
     char *lease_cell;
     char *report;
@@ -221,11 +226,34 @@
     return ok ? EXIT_SUCCESS : EXIT_OUT_OF_BOUNDS;
 }
 
+static int
+run_replays(const struct options *o)
+{
+    struct replay_options r = {.seeds = (uint32_t)o->seeds};
+    enum broker_part part =
+        o->without != NULL ? replay_part(o->without) : BROKER_PARTS;
+
+    if (o->without != NULL && part == BROKER_PARTS) {
+        (void)fprintf(stderr, "bm-bench: no part is called %s\n", o->without);
+        return EXIT_USAGE;
+    }
+    r.bounded = o->without == NULL;
+    if (part < BROKER_PARTS) {
+        r.without[part] = true;
+    }
+    return replays_print(&r, (uint32_t)o->draws, stdout) ? EXIT_SUCCESS
+                                                         : EXIT_OUT_OF_BOUNDS;
+}
+
 int
 main(int argc, const char **argv)
 {
-    struct options o = {
-        .threads = 3, .per_label = 6, .pairs = 4000, .seed = 1, .mutant = -1};
+    struct options o = {.threads = 3,
+                        .per_label = 6,
+                        .pairs = 4000,
+                        .seed = 1,
+                        .mutant = -1,
+                        .seeds = 5};
     struct poptOption table[] = {
         {"bounds", 'b', POPT_ARG_STRING, &o.bounds, 0,
          "compare with the bounds in this file", "FILE"},
@@ -258,6 +286,15 @@
          NULL},
         {"mutant", 0, POPT_ARG_INT, &o.mutant, 0,
          "repeat the cell under this mutant", "N"},
+        {"replays", 0, POPT_ARG_NONE, &o.replays, 0,
+         "credit under overload and faults, and a bound of it", NULL},
+        {"without", 0, POPT_ARG_STRING, &o.without, 0,
+         "with --replays: leave a part of the decisions out, and the bounds",
+         "PART"},
+        {"draws", 0, POPT_ARG_INT, &o.draws, 0,
+         "with --replays: drawn regions, too", "N"},
+        {"seeds", 0, POPT_ARG_INT, &o.seeds, 0, "with --replays: of each",
+         "N"},
         {"version", 'V', POPT_ARG_NONE, &o.version, 0, "print the version",
          NULL},
         POPT_AUTOHELP POPT_TABLEEND};
@@ -284,6 +321,10 @@
         code = EXIT_SUCCESS;
         goto out;
     }
+    if (o.replays) {
+        code = run_replays(&o);
+        goto out;
+    }
     if (o.steps) {
         matrix_steps((uint64_t)o.seed, stdout);
         code = EXIT_SUCCESS;
@@ -309,6 +350,7 @@
     free(o.bounds);
     free(o.policy);
     free(o.cell);
+    free(o.without);
     free(o.lease_cell);
     free(o.report);
     return code;
--- a/src/broker.h
+++ b/src/broker.h
@@ -39,6 +39,31 @@
     BROKER_BREAK(OPEN_UNSEEN, "use an upstream before a look at it")
 /* clang-format on */
 
+/* Parts of what a broker decides that can be left out, to see what each is
+ * worth: BROKER_PART(NAME, what it does).  No settings reach them. */
+/* clang-format off */
+#define BROKER_PART_LIST(BROKER_PART)                                         \
+    BROKER_PART(LATEST_START, "order by the latest start that is in time")    \
+    BROKER_PART(PRIORITY, "urgent queues go a little before")                 \
+    BROKER_PART(SHARES, "room is shared between queues in overload")          \
+    BROKER_PART(SPARE, "late jobs leave some room to others")                 \
+    BROKER_PART(WIDE, "wide late jobs begin in part")                         \
+    BROKER_PART(STALLED, "standing runs are stopped and placed anew")         \
+    BROKER_PART(SLOW, "upstreams are judged by how slow they are")            \
+    BROKER_PART(FAILING, "failing upstreams are put out for a while")         \
+    BROKER_PART(BEST_FIT, "the fullest of equal upstreams is chosen")         \
+    BROKER_PART(OTHER_ZONES, "jobs are offered to other zones")               \
+    BROKER_PART(LEARNED, "run times are learned")                             \
+    BROKER_PART(LOST_STARTS, "starts without an answer are placed anew")
+/* clang-format on */
+
+enum broker_part {
+#define BROKER_PART(NAME, text) BROKER_PART_##NAME,
+    BROKER_PART_LIST(BROKER_PART)
+#undef BROKER_PART
+        BROKER_PARTS,
+};
+
 enum broker_break {
 #define BROKER_BREAK(NAME, text) BROKER_BREAK_##NAME,
     BROKER_BREAK_LIST(BROKER_BREAK)
@@ -74,6 +99,7 @@
  * @upstreams_each: upstreams of a zone for each broker that holds any
  * @clock_drift: an upstream's clock may be slower by that share
  * @breaks: wrong decisions to make, for tests; all false
+ * @without: parts that are left out, for measurements; all false
  */
 struct broker_options {
     struct name self;
@@ -96,6 +122,7 @@
     uint32_t upstreams_each;
     double clock_drift;
     bool breaks[BROKER_BREAKS];
+    bool without[BROKER_PARTS];
 };
 
 /** broker_options_default() - every field but names, addresses, incarnation
--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -90,7 +90,9 @@
     /* Not divided by the upstream's slowness: what is learned of one would
      * then rest on the other, and both could drift off together. */
     histogram_add(&b->histograms.run, b->now.mono_us - t->sent_us);
-    order_learn(job, g, (int64_t)ran_us + 1);
+    if (!b->opts.without[BROKER_PART_LEARNED]) {
+        order_learn(job, g, (int64_t)ran_us + 1);
+    }
     judge_speed(b, u, job, t, ran_us);
     job->n_done++;
     job->done_us += (int64_t)ran_us + 1;
@@ -189,11 +191,14 @@
     if (percent > t->percent) {
         t->percent = percent;
         t->percent_us = b->now.mono_us;
-        judge_pace(u, job, t, b->now.mono_us - t->sent_us);
+        if (!b->opts.without[BROKER_PART_SLOW]) {
+            judge_pace(u, job, t, b->now.mono_us - t->sent_us);
+        }
         return;
     }
     still_us = b->now.mono_us - t->percent_us;
-    if (still_us > STALL_MIN_US && (double)still_us > allowed) {
+    if (still_us > STALL_MIN_US && (double)still_us > allowed &&
+        !b->opts.without[BROKER_PART_STALLED]) {
         b->counters.tasks_stalled++;
         broker_log(b, LOG_NOTICE, BROKER_RUN_STALLED, job->id,
                    runs_label(job, t), u->name,
@@ -383,6 +388,10 @@
             runs_ready(b, job, t);
             break;
         }
+        if (b->opts.without[BROKER_PART_LOST_STARTS]) {
+            t->state = RUN_UNSETTLED;
+            break;
+        }
         lease_stop(b, u, job, t);
         break;
     default:
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -184,6 +184,10 @@
             name_equal(p->name, except)) {
             continue;
         }
+        if (b->opts.without[BROKER_PART_OTHER_ZONES] &&
+            !name_equal(p->zone, b->opts.zone)) {
+            continue;
+        }
         us = wait_there_us(l, o);
         us += name_equal(p->zone, b->opts.zone) ? 0 : OTHER_ZONE_US;
         if (us > best_us) {
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -133,7 +133,12 @@
     job->objective_us = b->now.mono_us - (int64_t)o->age_us + objective;
     job->deadline_us = b->now.mono_us + (int64_t)o->deadline_us;
     job->start_by_us = job->objective_us - chain;
-    job->ahead_us = job->start_by_us + PRIORITY_US * (int64_t)job->priority;
+    job->ahead_us = b->opts.without[BROKER_PART_LATEST_START]
+                        ? job->arrived_us
+                        : job->start_by_us;
+    if (!b->opts.without[BROKER_PART_PRIORITY]) {
+        job->ahead_us += PRIORITY_US * (int64_t)job->priority;
+    }
 }
 
 void
@@ -364,7 +369,9 @@
     int64_t wait;
 
     wait = wait_us(&r, queued_before(s, job->ahead_us, &r), ready_cpu(job));
-    spare = (int64_t)((double)spare * share_of_spare(s, q, free->able));
+    if (!b->opts.without[BROKER_PART_SHARES]) {
+        spare = (int64_t)((double)spare * share_of_spare(s, q, free->able));
+    }
     if (wait > spare) {
         return false;
     }
@@ -466,6 +473,12 @@
     double wide = r.cpu * WIDE_SHARE;
     double own = ready_cpu(job);
 
+    if (b->opts.without[BROKER_PART_SPARE]) {
+        return true;
+    }
+    if (b->opts.without[BROKER_PART_WIDE]) {
+        wide = own;
+    }
     return r.unused - (own < wide ? own : wide) >= r.cpu * SPARE_SHARE;
 }
 
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -135,7 +135,9 @@
             continue;
         }
         us = expected_there_us(usual_us, g, u);
-        left = room_of(u).cpu_milli - (uint32_t)g->cpu_milli;
+        left = b->opts.without[BROKER_PART_BEST_FIT]
+                   ? 0
+                   : room_of(u).cpu_milli - (uint32_t)g->cpu_milli;
         if (best == NULL || better(us, left, best_us, best_left)) {
             best = u;
             best_us = us;
--- a/src/broker_trust.c
+++ b/src/broker_trust.c
@@ -49,14 +49,17 @@
     u->backoff_us = 0;
     sample = sample < SLOWNESS_MIN ? SLOWNESS_MIN : sample;
     sample = sample > SLOWNESS_MAX ? SLOWNESS_MAX : sample;
-    u->slowness += weight * (sample - u->slowness);
+    if (!b->opts.without[BROKER_PART_SLOW]) {
+        u->slowness += weight * (sample - u->slowness);
+    }
 }
 
 void
 trust_failed(struct broker *b, struct broker_upstream *u)
 {
     u->failures++;
-    if (u->failures < FAILURES_MAX || (u->until_us == 0 && half_are_out(b))) {
+    if (u->failures < FAILURES_MAX || (u->until_us == 0 && half_are_out(b)) ||
+        b->opts.without[BROKER_PART_FAILING]) {
         return;
     }
     u->backoff_us = u->backoff_us == 0 ? BACKOFF_MIN_US : 2 * u->backoff_us;
--- a/src/control.h
+++ b/src/control.h
@@ -46,9 +46,9 @@
  * @election_us: silence after which a follower campaigns, up to twice that;
  *               a leader that hears no quorum for so long steps down
  * @first_us: a member that starts campaigns after so long without a leader, up
- *            to twice that, and asks again after the same until it has met one;
- *            0: like any other.  Where a leader is there, the question before
- *            the campaign finds that out.
+ *            to twice that, and asks again after the same until it has met
+ * one; 0: like any other.  Where a leader is there, the question before the
+ * campaign finds that out.
  * @heartbeat_us: between heartbeats
  * @poll_us: a long poll is answered after this at the latest
  * @follower_us: a follower not heard for so long is forgotten
--- /dev/null
+++ b/src/replay.c
@@ -0,0 +1,345 @@
+#include "replay.h"
+
+#include <string.h>
+
+#define MSEC USEC_PER_MSEC
+#define SEC USEC_PER_SEC
+#define READY_US (6 * SEC) /* upstreams are known and held by then */
+#define WORST_US (READY_US + 2 * SEC)
+#define WORST_OVER_US (WORST_US + 6 * SEC)
+#define LOAD_OVER_US (WORST_OVER_US + 2 * SEC)
+#define SETTLE_US (14 * SEC)
+#define DARK_US (1400 * MSEC)
+
+enum { ZONES = 3, UPSTREAMS = 48, NONE = 0, THIRD = 3, SIXTH = 6 };
+
+enum kinds { CUSTOMERS, ODD };
+
+/**
+ * struct pattern - a replay
+ * @kinds: of jobs
+ * @load: over the usual one, while it is at its worst
+ * @trouble: of one in @one_in upstreams meanwhile
+ * @leave: share of the callers that leaves
+ * @poor: one zone has half of its upstreams dead and a third of the rest slow,
+ *        all the time
+ * @shift: share of the first zone's callers that comes to the second
+ * @dark: power is lost when the worst begins
+ */
+struct pattern {
+    const char *name;
+    enum kinds kinds;
+    double load;
+    enum vlease_trouble trouble;
+    uint32_t one_in;
+    double leave;
+    bool poor;
+    double shift;
+    bool dark;
+};
+
+/* clang-format off */
+static const struct pattern patterns[REPLAYS] = {
+    [REPLAY_usual] = {.load = 1.0},
+    [REPLAY_twice] = {.load = 2.0},
+    [REPLAY_cut_third] = {.load = 1.3, .trouble = VLEASE_CUT, .one_in = THIRD},
+    [REPLAY_one_way] = {.load = 1.3, .trouble = VLEASE_MUTE, .one_in = THIRD},
+    [REPLAY_poor_zone] = {.load = 1.0, .poor = true},
+    [REPLAY_shift] = {.load = 1.2, .shift = 0.5},
+    [REPLAY_hang] = {.load = 1.2, .trouble = VLEASE_HANGS, .one_in = SIXTH},
+    [REPLAY_fail] = {.load = 1.2, .trouble = VLEASE_FAILS, .one_in = SIXTH},
+    [REPLAY_slow] = {.load = 1.2, .trouble = VLEASE_SLOW, .one_in = SIXTH},
+    [REPLAY_delay] = {.load = 1.0, .trouble = VLEASE_DELAYS, .one_in = SIXTH},
+    [REPLAY_leave] = {.load = 1.6, .leave = 0.33},
+    [REPLAY_dark] = {.load = 1.0, .dark = true},
+    [REPLAY_mix] = {.kinds = ODD, .load = 1.6},
+};
+/* clang-format on */
+
+static const char *const names[] = {
+#define REPLAY(name, text) #name,
+    REPLAY_LIST(REPLAY)
+#undef REPLAY
+};
+
+static const char *const part_names[] = {
+#define BROKER_PART(NAME, text) #NAME,
+    BROKER_PART_LIST(BROKER_PART)
+#undef BROKER_PART
+};
+
+static const struct vlease_queue customers[] = {
+    {.priority = 0,
+     .tasks = 8,
+     .cpu_milli = 14000,
+     .run_us = 60 * MSEC,
+     .per_s = 34.4,
+     .timeout_us = 1500 * MSEC},
+    {.priority = 2,
+     .tasks = 4,
+     .cpu_milli = 14000,
+     .run_us = 900 * MSEC,
+     .per_s = 6.25,
+     .timeout_us = 6 * SEC},
+    {.priority = 1,
+     .tasks = 2,
+     .cpu_milli = 14000,
+     .run_us = 200 * MSEC,
+     .per_s = 100,
+     .timeout_us = 2500 * MSEC},
+};
+
+static const struct vlease_queue odd[] = {
+    {.priority = 1,
+     .tasks = 1,
+     .cpu_milli = 6000,
+     .run_us = 30 * MSEC,
+     .per_s = 180,
+     .timeout_us = SEC},
+    {.priority = 0,
+     .tasks = 20,
+     .cpu_milli = 11000,
+     .run_us = 150 * MSEC,
+     .per_s = 14,
+     .timeout_us = 2 * SEC},
+    {.priority = 1,
+     .tasks = 3,
+     .cpu_milli = 17000,
+     .run_us = 2 * SEC,
+     .per_s = 4,
+     .timeout_us = 12 * SEC},
+};
+
+const char *
+replay_name(enum replay which)
+{
+    return names[which];
+}
+
+enum broker_part
+replay_part(const char *name)
+{
+    int part = 0;
+
+    while (part < BROKER_PARTS && strcmp(part_names[part], name) != 0) {
+        part++;
+    }
+    return (enum broker_part)part;
+}
+
+static void
+set_kinds(struct vlease_options *o, const struct vlease_queue *kinds, size_t n)
+{
+    o->n_queues = (uint32_t)n;
+    for (size_t i = 0; i < n; i++) {
+        o->queues[i] = kinds[i];
+        o->queues[i].spread = 0.4;
+        o->queues[i].width_spread = 0.4;
+        o->queues[i].cpu_spread = 0.2;
+        o->queues[i].declared_off = 0.4;
+        o->queues[i].uneven = 0.15;
+    }
+}
+
+static struct vlease_options
+region_of(const struct pattern *p, const struct replay_options *o,
+          uint64_t seed)
+{
+    struct vlease_options region = vlease_options_default();
+
+    region.zones = ZONES;
+    region.upstreams = UPSTREAMS / ZONES;
+    region.cpu_large_milli = 48000;
+    region.seed = seed;
+    region.leave = p->leave;
+    memcpy(region.without, o->without, sizeof(region.without));
+    if (p->kinds == ODD) {
+        set_kinds(&region, odd, sizeof(odd) / sizeof(odd[0]));
+    }
+    else {
+        set_kinds(&region, customers,
+                  sizeof(customers) / sizeof(customers[0]));
+    }
+    return region;
+}
+
+static void
+make_poor(struct vlease *v)
+{
+    for (uint32_t i = 0; i < UPSTREAMS / ZONES; i++) {
+        if (i % 2 == 0) {
+            vlease_trouble(v, i, VLEASE_DEAD);
+        }
+        else if (i % THIRD == 0) {
+            vlease_trouble(v, i, VLEASE_SLOW);
+        }
+    }
+}
+
+static void
+set_trouble(struct vlease *v, const struct pattern *p, uint64_t seed,
+            bool begins)
+{
+    for (uint32_t i = 0; i < UPSTREAMS && p->one_in != NONE; i++) {
+        if (i % p->one_in == seed % p->one_in) {
+            vlease_trouble(v, i, begins ? p->trouble : VLEASE_SOUND);
+        }
+    }
+}
+
+/* Whether all promises were kept. */
+static bool
+finish(struct vlease *v, bool bounded, struct vcredit *out)
+{
+    struct vlease_faults f;
+
+    vlease_load(v, 0);
+    vlease_run(v, LOAD_OVER_US + SETTLE_US);
+    vcredit_add(v, WORST_US, LOAD_OVER_US, bounded, out);
+    f = vlease_faults(v);
+    vlease_free(v);
+    return f.overlaps + f.over_room + f.false_refusals + f.leaving +
+               f.answers_twice ==
+           0;
+}
+
+static bool
+play(const struct pattern *p, const struct vlease_options *region,
+     bool bounded, struct vcredit *out)
+{
+    struct vlease *v = vlease_new(region);
+
+    vlease_run(v, READY_US);
+    if (p->poor) {
+        make_poor(v);
+    }
+    vlease_load(v, 1.0);
+    vlease_run(v, WORST_US);
+    vlease_load(v, p->load);
+    vlease_shift(v, 0, 1, p->shift);
+    set_trouble(v, p, region->seed, true);
+    if (p->dark) {
+        vlease_lose_power(v);
+        vlease_run(v, WORST_US + DARK_US);
+        vlease_regain_power(v, true);
+    }
+    vlease_run(v, WORST_OVER_US);
+    set_trouble(v, p, region->seed, false);
+    vlease_load(v, 1.0);
+    vlease_run(v, LOAD_OVER_US);
+    return finish(v, bounded, out);
+}
+
+bool
+replay_run(enum replay which, const struct replay_options *o,
+           struct vcredit *out)
+{
+    bool kept = true;
+
+    memset(out, 0, sizeof(*out));
+    for (uint64_t seed = 1; seed <= o->seeds; seed++) {
+        struct vlease_options region = region_of(&patterns[which], o, seed);
+
+        kept = play(&patterns[which], &region, o->bounded, out) && kept;
+    }
+    return kept;
+}
+
+/* Between @least and @most, evenly. */
+static double
+draw(uint64_t *random, double least, double most)
+{
+    return least +
+           (most - least) * (double)(random_next(random) % 1000) / 1000.0;
+}
+
+/* A third of the room for each kind, by what a second of it takes. */
+static void
+draw_kind(struct vlease_queue *q, uint64_t *random, double room_milli)
+{
+    double work;
+
+    q->priority = (uint32_t)(random_next(random) % 3);
+    q->tasks = 1 + (uint32_t)(random_next(random) % 12);
+    q->cpu_milli = (uint32_t)draw(random, 3000, 24000);
+    q->run_us = (int64_t)draw(random, 30, 1500) * MSEC;
+    q->spread = 0.4;
+    q->width_spread = 0.4;
+    q->cpu_spread = 0.2;
+    q->declared_off = draw(random, 0, 0.6);
+    q->timeout_us = 6 * q->run_us + SEC;
+    work = (double)q->tasks * (double)q->cpu_milli * (double)q->run_us /
+           (double)SEC;
+    q->per_s = room_milli / 3 / work;
+}
+
+bool
+replay_draw(uint64_t seed, const struct replay_options *o, struct vcredit *out)
+{
+    struct pattern p = {0};
+    struct vlease_options region = region_of(&p, o, seed);
+    uint64_t random = seed * 7919;
+    double room = 0.7 * UPSTREAMS * (double)region.cpu_milli;
+
+    memset(out, 0, sizeof(*out));
+    p.load = draw(&random, 1.2, 2.4);
+    p.trouble = random_next(&random) % 2 == 0 ? VLEASE_SLOW : VLEASE_CUT;
+    p.one_in = 4 + (uint32_t)(random_next(&random) % 8);
+    region.n_queues = 3;
+    for (uint32_t i = 0; i < region.n_queues; i++) {
+        draw_kind(&region.queues[i], &random, room);
+    }
+    return play(&p, &region, o->bounded, out);
+}
+
+/* Tables */
+
+static double
+share(const struct vcredit_sum *s)
+{
+    return s->owed > 0 ? s->earned / s->owed : 0;
+}
+
+static double
+over_bound(const struct vcredit_sum *s)
+{
+    return s->bound > 0 ? s->earned / s->bound : 0;
+}
+
+static void
+print_row(const char *name, const struct vcredit *c, bool kept, FILE *out)
+{
+    (void)fprintf(out, "%-10s %7.3f %7.3f %7.3f %7.3f   %5.2f %5.2f %5.2f   ",
+                  name, share(&c->callers), over_bound(&c->callers),
+                  share(&c->work), over_bound(&c->work), share(&c->queues[0]),
+                  share(&c->queues[1]), share(&c->queues[2]));
+    (void)fprintf(out, "%5.2f %5.2f %5.2f%s\n", share(&c->zones[0]),
+                  share(&c->zones[1]), share(&c->zones[2]),
+                  kept ? "" : "   A PROMISE WAS BROKEN");
+}
+
+bool
+replays_print(const struct replay_options *o, uint32_t draws, FILE *out)
+{
+    bool kept = true;
+
+    (void)fprintf(out, "%-10s %7s %7s %7s %7s   %-17s   %s\n", "replay",
+                  "callers", "/bound", "work", "/bound", "kinds", "zones");
+    for (int i = 0; i < REPLAYS; i++) {
+        struct vcredit c;
+        bool ok = replay_run((enum replay)i, o, &c);
+
+        print_row(names[i], &c, ok, out);
+        kept = kept && ok;
+    }
+    for (uint64_t seed = 1; seed <= draws; seed++) {
+        struct vcredit c;
+        char name[NAME_SIZE];
+        bool ok = replay_draw(seed, o, &c);
+
+        (void)snprintf(name, sizeof(name), "draw-%u", (unsigned int)seed);
+        print_row(name, &c, ok, out);
+        kept = kept && ok;
+    }
+    return kept;
+}
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -557,6 +557,9 @@
     case VEV_ARRIVE:
         vcall_on_arrive(v, e);
         break;
+    case VEV_LEAVE:
+        vcall_on_leave(v, e);
+        break;
     default:
         vcall_on_resend(v, e);
         break;
@@ -690,6 +693,7 @@
     o.seed = v->opts.seed + (uint64_t)p->number * 7919 + p->life;
     o.read_config = read_config;
     memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
+    memcpy(o.without, v->opts.without, sizeof(o.without));
     p->broker = broker_new(&o);
     vlease_step(v, p, &(struct broker_event){.kind = BEV_TICK});
     for (uint32_t i = 0; i < v->n_processes; i++) {
@@ -722,9 +726,27 @@
     }
 }
 
+void
+vlease_room_changed(struct vlease *v, uint32_t upstream, int64_t at_us,
+                    double share)
+{
+    struct vroom_change *c;
+
+    v->changes = array_grow(v->changes, v->n_changes, &v->changes_room,
+                            sizeof(*v->changes));
+    c = &v->changes[v->n_changes++];
+    c->at_us = at_us;
+    c->upstream = upstream;
+    c->share = share;
+}
+
 void
 vlease_lose_power(struct vlease *v)
 {
+    v->dark_us = v->now_us;
+    for (uint32_t i = 0; i < v->n_upstreams; i++) {
+        vlease_room_changed(v, i, v->now_us, 0);
+    }
     for (uint32_t i = 0; i < v->n_processes; i++) {
         struct vprocess *p = &v->processes[i];
 
@@ -760,6 +782,9 @@
 void
 vlease_regain_power(struct vlease *v, bool remember)
 {
+    for (uint32_t i = 0; i < v->n_upstreams; i++) {
+        vlease_room_changed(v, i, v->now_us, 1);
+    }
     for (uint32_t i = v->n_brokers; i < v->n_processes; i++) {
         begin_registry(v, &v->processes[i], remember);
     }
@@ -949,6 +974,7 @@
     control_effects_free(&v->registry_effects);
     free(v->heap);
     free(v->jobs);
+    free(v->changes);
     free(v);
 }
 
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -30,6 +30,7 @@
  * as wide as the mean
  * @cpu_spread: of what a task takes, likewise
  * @declared_off: how far the declared run time is off, likewise
+ * @uneven: of the run times within a job, likewise
  * @per_s: jobs in a second, in the whole region
  * @timeout_us: callers wait so long
  */
@@ -42,6 +43,7 @@
     double width_spread;
     double cpu_spread;
     double declared_off;
+    double uneven;
     double per_s;
     int64_t timeout_us;
 };
@@ -59,6 +61,8 @@
  *             broken connection or an unknown outcome
  * @seed: of all that is drawn
  * @breaks: wrong decisions that all brokers make
+ * @without: parts that all brokers leave out
+ * @leave: share of the callers that leave within half of their objective
  */
 struct vlease_options {
     uint32_t zones;
@@ -71,6 +75,8 @@
     int64_t resend_us;
     uint64_t seed;
     bool breaks[BROKER_BREAKS];
+    bool without[BROKER_PARTS];
+    double leave;
 };
 
 /** vlease_options_default() - three zones with two brokers and eight upstreams
@@ -143,6 +149,10 @@
  * rates; 0 stops them */
 void vlease_load(struct vlease *v, double factor);
 
+/** vlease_shift() - from now on that share of a zone's callers comes to
+ * another zone */
+void vlease_shift(struct vlease *v, uint32_t from, uint32_t to, double share);
+
 /** vlease_submit() - one job of a queue, at that broker; returns its number */
 uint64_t vlease_submit(struct vlease *v, uint32_t broker, uint32_t queue);
 
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -26,6 +26,7 @@
     VEV_RESEND,   /* once more */
     VEV_WAKE,     /* a paused broker goes on */
     VEV_GONE,     /* a leaving upstream ends */
+    VEV_LEAVE,    /* a caller leaves */
 };
 
 /** struct vevent - something that happens at @at_us; owns @msg and @request */
@@ -107,6 +108,14 @@
     size_t n_stopped;
 };
 
+/** struct vroom_change - from @at_us on an upstream does that share of its
+ * work, for a bound of what could have been done */
+struct vroom_change {
+    int64_t at_us;
+    uint32_t upstream;
+    double share;
+};
+
 struct vjob {
     uint32_t queue;
     uint32_t tasks;
@@ -144,6 +153,13 @@
     size_t n_jobs;
     size_t jobs_room;
     double load;
+    uint32_t shift_from; /* zones; alike for none */
+    uint32_t shift_to;
+    double shift_share;
+    int64_t dark_us; /* when all power was lost last; 0: never */
+    struct vroom_change *changes;
+    size_t n_changes;
+    size_t changes_room;
     uint64_t runs;
     uint64_t starts;
     struct vlease_faults faults;
@@ -172,6 +188,11 @@
 /** vlease_delay_us() - one way between two zones */
 int64_t vlease_delay_us(struct vlease *v, struct name a, struct name b);
 
+/** vlease_room_changed() - from @at_us on the upstream does that share of its
+ * work; in the order of @at_us for each upstream */
+void vlease_room_changed(struct vlease *v, uint32_t upstream, int64_t at_us,
+                         double share);
+
 /* vleaseup.c */
 void vup_init(struct vlease *v, uint32_t number, uint32_t zone);
 void vup_free(struct vupstream *u);
@@ -184,6 +205,7 @@
 
 /* vleasecall.c */
 void vcall_on_arrive(struct vlease *v, const struct vevent *e);
+void vcall_on_leave(struct vlease *v, const struct vevent *e);
 void vcall_on_resend(struct vlease *v, const struct vevent *e);
 void vcall_on_answer(struct vlease *v, struct vprocess *p,
                      const struct be_answer *a);
@@ -194,6 +216,9 @@
 /** vcall_started() - a run of that task begins */
 void vcall_started(struct vlease *v, struct task_ref task);
 
+/** vcall_run_us() - how long a task of a job takes where it is sound */
+int64_t vcall_run_us(const struct vlease *v, uint64_t number, uint32_t index);
+
 /** vcall_job() - the job of that number, or NULL */
 struct vjob *vcall_job(struct vlease *v, uint64_t number);
 
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -106,6 +106,32 @@
     blob_unref(ev.u.submit.spec);
 }
 
+/* The same for each run of a task, so that one that is placed again takes as
+ * long as before. */
+int64_t
+vcall_run_us(const struct vlease *v, uint64_t number, uint32_t index)
+{
+    const struct vjob *job = &v->jobs[number - 1];
+    double uneven = v->opts.queues[job->queue].uneven;
+    uint64_t seed = v->opts.seed + number * 7919 + index;
+    double off = (double)(random_next(&seed) % 2001) / 1000.0 - 1.0;
+
+    return (int64_t)((double)job->run_us * (1.0 + uneven * off));
+}
+
+static int64_t
+longest_run_us(const struct vlease *v, uint64_t number)
+{
+    int64_t longest_us = 0;
+
+    for (uint32_t i = 0; i < v->jobs[number - 1].tasks; i++) {
+        int64_t us = vcall_run_us(v, number, i);
+
+        longest_us = us > longest_us ? us : longest_us;
+    }
+    return longest_us;
+}
+
 uint64_t
 vlease_submit(struct vlease *v, uint32_t broker, uint32_t queue)
 {
@@ -128,7 +154,8 @@
     job->run_us = (int64_t)((double)q->run_us * factor(v, q->spread));
     job->declared_us =
         (int64_t)((double)job->run_us * factor(v, q->declared_off));
-    job->objective_us = job->run_us * 8 / 5 + 60 * USEC_PER_MSEC;
+    job->objective_us =
+        longest_run_us(v, v->n_jobs) * 8 / 5 + 60 * USEC_PER_MSEC;
     job->outcome = JOB_OUTCOMES;
     hand_in(v, v->n_jobs);
     return v->n_jobs;
@@ -252,13 +279,56 @@
     e->to = queue;
 }
 
+void
+vlease_shift(struct vlease *v, uint32_t from, uint32_t to, double share)
+{
+    v->shift_from = from;
+    v->shift_to = to;
+    v->shift_share = share;
+}
+
+static uint32_t
+broker_called(struct vlease *v)
+{
+    uint32_t broker = (uint32_t)vlease_random(v, v->n_brokers);
+    uint32_t each = v->opts.brokers;
+
+    if (v->shift_share <= 0 || broker / each != v->shift_from ||
+        drawn(v) >= v->shift_share) {
+        return broker;
+    }
+    return v->shift_to * each + broker % each;
+}
+
+static void
+plan_leaving(struct vlease *v, uint64_t number)
+{
+    const struct vjob *job = vcall_job(v, number);
+    int64_t patience_us = job->objective_us / 2;
+
+    if (v->opts.leave <= 0 || drawn(v) >= v->opts.leave) {
+        return;
+    }
+    vlease_at(v, v->now_us + (int64_t)(drawn(v) * (double)patience_us),
+              VEV_LEAVE)
+        ->number = number;
+}
+
+void
+vcall_on_leave(struct vlease *v, const struct vevent *e)
+{
+    if (!vcall_job(v, e->number)->answered) {
+        vlease_leave(v, e->number);
+    }
+}
+
 void
 vcall_on_arrive(struct vlease *v, const struct vevent *e)
 {
     if (v->load <= 0) {
         return;
     }
-    (void)vlease_submit(v, (uint32_t)vlease_random(v, v->n_brokers), e->to);
+    plan_leaving(v, vlease_submit(v, broker_called(v), e->to));
     plan_arrival(v, e->to);
 }
 
--- a/src/vleaseup.c
+++ b/src/vleaseup.c
@@ -12,6 +12,8 @@
 #define LEAVING_BOUND_US (2 * USEC_PER_SEC)
 #define NOTED_BOUND_US (2 * USEC_PER_SEC)
 #define LATE_US (3 * USEC_PER_SEC)
+/* A lease, on a slow clock, and a little. */
+#define LEASE_OVER_US (1100 * USEC_PER_MSEC)
 enum {
     RUNS_MAX = 16,
     STOPPED_MAX = 64,
@@ -381,8 +383,8 @@
     run->cpu_milli = job->cpu_milli;
     run->begun_us = v->now_us;
     run->moved_us = v->now_us;
-    run->whole_us = job->run_us;
-    run->left_us = u->trouble == VLEASE_FAILS ? USEC_PER_MSEC : job->run_us;
+    run->whole_us = vcall_run_us(v, r->task.job, r->task.index);
+    run->left_us = u->trouble == VLEASE_FAILS ? USEC_PER_MSEC : run->whole_us;
     plan_end(v, u, run);
     return LEASE_OK;
 }
@@ -519,6 +521,34 @@
     }
 }
 
+/* What it can still do.  What runs on one that is cut off ends with its lease,
+ * and nobody can count on what he doesn't see for longer. */
+static void
+note_room(struct vlease *v, uint32_t upstream, enum vlease_trouble trouble)
+{
+    int64_t seen_us = v->now_us + LEASE_OVER_US;
+
+    switch (trouble) {
+    case VLEASE_SOUND:
+    case VLEASE_DELAYS:
+        vlease_room_changed(v, upstream, v->now_us, 1.0);
+        break;
+    case VLEASE_SLOW:
+        vlease_room_changed(v, upstream, v->now_us, 1.0 / SLOW);
+        break;
+    case VLEASE_LEAVING:
+        vlease_room_changed(v, upstream, v->now_us + LEAVING_US, 0);
+        break;
+    case VLEASE_CUT:
+    case VLEASE_MUTE:
+        vlease_room_changed(v, upstream, seen_us, 0);
+        break;
+    default:
+        vlease_room_changed(v, upstream, v->now_us, 0);
+        break;
+    }
+}
+
 void
 vlease_trouble(struct vlease *v, uint32_t upstream,
                enum vlease_trouble trouble)
@@ -526,6 +556,8 @@
     struct vupstream *u = &v->upstreams[upstream];
     struct vevent *e;
 
+    note_room(v, upstream, trouble);
+
     move_on(v, u);
     u->trouble = trouble;
     for (size_t i = 0; i < u->n_runs; i++) {
