Go on running jobs while a planned stop leaves nobody to take over

Cause: where machines are stopped in turn, 2 s apart, a broker takes 4 s to stop and start again, so both brokers of a zone are stopping at one time.

Ruled out: a shorter stop (the platform may send callers for 2.6 s after it began); holders of another zone (holds and ends are told in the zone alone).

Change: broker_linger.c. A broker that holds upstreams and sees no broker of its zone that isn't stopping goes on with them, tells so with its load, and takes jobs that surely end before it does; until another one shows up, or 2.5 s of its time are left. Then it stops as before.

Tests: both brokers of the only zone stop a second apart, and jobs complete (fails without); the first is back while the second goes on.

--- a/src/broker.c
+++ b/src/broker.c
@@ -247,8 +247,8 @@
     broker_log(b, LOG_NOTICE, BROKER_STOP_BEGUN, 0, -1, b->opts.self,
                "%zu jobs of callers, %zu run here", b->caller_jobs.n,
                b->run_jobs.n);
+    linger_begin(b);
     peers_stopping(b);
-    runs_return(b);
     b->review = true;
 }
 
@@ -301,6 +301,7 @@
 static void
 tick(struct broker *b)
 {
+    linger_tick(b);
     peers_tick(b);
     callers_tick(b);
     hold_tick(b);
@@ -351,6 +352,7 @@
     at = least(at, callers_next_us(b));
     at = least(at, hold_next_us(b));
     at = least(at, runs_next_us(b));
+    at = least(at, linger_next_us(b));
     at = b->review ? least(at, b->review_us) : at;
     if (b->stopping && !b->stopped_told) {
         at = least(at, b->stop_us + b->opts.stop_us);
@@ -368,7 +370,8 @@
         return false;
     }
     for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
-        if ((p->up || p->self) && !p->stopping && p->n_loads > 0) {
+        if ((p->up || p->self) && (!p->stopping || p->lingers) &&
+            p->n_loads > 0) {
             return true;
         }
     }
--- a/src/broker_effect.h
+++ b/src/broker_effect.h
@@ -103,6 +103,9 @@
     BROKER_REASON(CONFIG_IGNORED, "config-not-newer", "it changes nothing")   \
     BROKER_REASON(CONFIG_BAD, "config-unreadable", "it can't be in force")    \
     BROKER_REASON(PAUSED, "process-was-paused", "nothing is held any more")   \
+    BROKER_REASON(LINGERS, "stop-lingers",                                    \
+                  "it stops, but goes on running jobs: nobody takes over")    \
+    BROKER_REASON(LINGERED, "stop-goes-on", "it runs no further jobs")        \
     BROKER_REASON(STOP_BEGUN, "stop-begun", "a planned stop began")
 
 enum broker_reason {
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -477,7 +477,7 @@
             open_upstream(b, u);
         }
     }
-    else if (!ours && held && u->n_tasks == 0 && !u->unnoted &&
+    else if (!ours && held && !b->lingers && u->n_tasks == 0 && !u->unnoted &&
              !needed_by_started(b, u)) {
         let_go(b, u);
     }
--- /dev/null
+++ b/src/broker_linger.c
@@ -0,0 +1,81 @@
+/*
+ * A planned stop where nobody can take over.
+ *
+ * The load it answers: machines are stopped and started in turn, faster than
+ * one after the other is back, and all brokers of a zone are stopping at one
+ * time.  Upstreams that are let go then stay idle until one of them is back: a
+ * third of a region's room for seconds, and the other zones refuse what they
+ * can't take.  So a broker that holds upstreams and sees nobody in its zone to
+ * take over goes on running jobs, until somebody shows up, or only as much
+ * time is left as what runs by then needs to end.
+ */
+#include "broker_state.h"
+
+/* Kept of the stop's time: a long task, and an answer to its caller. */
+#define LAST_RUNS_US (2500 * USEC_PER_MSEC)
+/* A run may take that much longer than expected. */
+enum { CAUTION = 2 };
+
+static int64_t
+over_us(const struct broker *b)
+{
+    return b->stop_us + b->opts.stop_us - LAST_RUNS_US;
+}
+
+static bool
+has_successor(const struct broker *b)
+{
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->broker && p->up && !p->self && !p->stopping &&
+            name_equal(p->zone, b->opts.zone)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+linger_begin(struct broker *b)
+{
+    b->lingers = hold_any(b) && !has_successor(b);
+    if (b->lingers) {
+        b->load_us = b->now.mono_us; /* the others must know at once */
+        broker_log(b, LOG_NOTICE, BROKER_LINGERS, 0, -1, b->opts.self,
+                   "nobody in %s takes over", b->opts.zone.s);
+    }
+    else {
+        runs_return(b);
+    }
+}
+
+void
+linger_tick(struct broker *b)
+{
+    bool goes_on =
+        b->now.mono_us < over_us(b) && !has_successor(b) && hold_any(b);
+
+    if (!b->lingers || goes_on) {
+        return;
+    }
+    b->lingers = false;
+    b->review = true;
+    b->load_us = b->now.mono_us;
+    broker_log(b, LOG_NOTICE, BROKER_LINGERED, 0, -1, b->opts.self,
+               "%zu run here", b->run_jobs.n);
+    runs_return(b);
+}
+
+int64_t
+linger_next_us(const struct broker *b)
+{
+    return b->lingers ? over_us(b) : INT64_MAX;
+}
+
+bool
+linger_takes(const struct broker *b, const struct run_job *job)
+{
+    int64_t chain_us = job->objective_us - job->start_by_us;
+    int64_t left_us = b->stop_us + b->opts.stop_us - b->now.mono_us;
+
+    return b->lingers && CAUTION * chain_us < left_us - LAST_RUNS_US / 2;
+}
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -141,6 +141,7 @@
     }
     p->up = true;
     p->stopping = false;
+    p->lingers = false;
     p->poll_us = p->registry ? b->now.mono_us : INT64_MAX;
     if (!p->registry) {
         /* Before the introduction: it may make the other one think that it
@@ -244,6 +245,7 @@
     for (size_t i = 0; i < n; i++) {
         p->loads[i].told = l->services[i];
     }
+    p->lingers = l->lingers != 0;
     if (p->stopping != (l->stopping != 0)) {
         p->stopping = l->stopping != 0;
         view_changed(b);
@@ -264,6 +266,7 @@
         n++;
     }
     l->stopping = b->stopping ? 1 : 0;
+    l->lingers = b->lingers ? 1 : 0;
     l->services = calloc(n + 1, sizeof(*l->services));
     if (l->services == NULL) {
         abort();
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -246,7 +246,7 @@
 
     *retry_us = 0;
     *outcome = JOB_RETURNED_OUTCOME;
-    if (b->stopping) {
+    if (b->stopping && !linger_takes(b, job)) {
         return BROKER_STOPPING;
     }
     if (!fits_here(b, job)) {
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -37,6 +37,7 @@
  * @broker: introduced itself as a broker
  * @up: there is a connection
  * @stopping: takes no new duties
+ * @lingers: runs jobs though it stops
  * @loads: of its services
  * @poll_us: ask it for a newer configuration then; INT64_MAX while it is asked
  */
@@ -50,6 +51,7 @@
     bool broker;
     bool up;
     bool stopping;
+    bool lingers;
     struct broker_load *loads;
     size_t n_loads;
     int64_t poll_us;
@@ -345,6 +347,7 @@
     size_t local_room;
 
     bool stopping;
+    bool lingers; /* though it stops, see broker_linger.c */
     bool stopped_told;
     int64_t stop_us;
     int64_t ack_us;     /* mean time of an upstream's answer, as TCP reckons
@@ -611,6 +614,20 @@
 /* broker_answer.c */
 void answer_on_called(struct broker *b, const struct bev_called *c);
 
+/* broker_linger.c */
+
+/** linger_begin() - a planned stop has begun */
+void linger_begin(struct broker *b);
+
+/** linger_tick() - ends it when its time has come */
+void linger_tick(struct broker *b);
+
+/** linger_next_us() - when linger_tick() is due; INT64_MAX for never */
+int64_t linger_next_us(const struct broker *b);
+
+/** linger_takes() - whether a job is sure to end before the stop does */
+bool linger_takes(const struct broker *b, const struct run_job *job);
+
 /* broker_trust.c */
 /** trust_ok() - a task ended well; @sample is how slow the upstream was with
  * it, and counts by @weight, 0 to 1 */
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -514,6 +514,7 @@
 
 RECORD(broker_load)
     U64(stopping)
+    U64(lingers)        /* it runs jobs though it stops */
     ARRAY(service_load, services)
 END(broker_load)
 
--- a/tests/broker_test.c
+++ b/tests/broker_test.c
@@ -159,6 +159,65 @@
     }
 }
 
+/* Both brokers of a zone are stopped as planned, one a second after the other,
+ * before the first is back.  Were the upstreams let go, all callers of the
+ * zone would be refused beside idle upstreams until then. */
+static void
+last_broker_of_a_zone_goes_on_until_another_is_back(void)
+{
+    struct vlease_options o = vlease_options_default();
+    struct vlease *v;
+    uint64_t jobs[4];
+
+    o.zones = 1;
+    o.queues[0].timeout_us = 4 * SEC;
+    v = vlease_new(&o);
+    vlease_run(v, READY_US);
+    vlease_stop(v, 1);
+    vlease_run(v, READY_US + 1 * SEC);
+    vlease_stop(v, 0);
+    for (int i = 0; i < 4; i++) {
+        vlease_run(v, READY_US + 1100 * MSEC + i * 300 * MSEC);
+        jobs[i] = vlease_submit(v, 1, 0);
+    }
+    vlease_run(v, READY_US + 3 * SEC);
+    for (int i = 0; i < 4; i++) {
+        CU_ASSERT_EQUAL(vlease_outcome(v, jobs[i]), JOB_COMPLETED_OUTCOME);
+    }
+    vlease_run(v, READY_US + 7 * SEC);
+    CU_ASSERT_TRUE(vlease_stopped(v, 0));
+    CU_ASSERT_TRUE(vlease_stopped(v, 1));
+    settle(v, READY_US + 7 * SEC);
+    vlease_free(v);
+}
+
+/* The same with the first back while the second still goes on: it gives its
+ * upstreams to the one that is back, and nothing runs twice. */
+static void
+lingering_broker_gives_way_to_one_that_is_back(void)
+{
+    for (uint64_t seed = 440; seed < 448; seed++) {
+        struct vlease *v = calm_region(seed);
+        struct vlease_figures f;
+
+        vlease_load(v, 1);
+        vlease_stop(v, 1);
+        vlease_run(v, READY_US + 1 * SEC);
+        vlease_stop(v, 0);
+        vlease_run(v, READY_US + 2 * SEC);
+        vlease_kill(v, 1);
+        vlease_start(v, 1);
+        vlease_run(v, READY_US + 7 * SEC);
+        vlease_kill(v, 0);
+        vlease_start(v, 0);
+        vlease_run(v, READY_US + 9 * SEC);
+        settle(v, READY_US + 9 * SEC);
+        f = vlease_figures(v, 0);
+        CU_ASSERT_TRUE(f.completed * 50 > f.asked * 49);
+        vlease_free(v);
+    }
+}
+
 /* The broker that runs a caller's job dies.  Its runs go on at the upstreams
  * until their lease passes or the next holder stops them; the caller hands its
  * job in again meanwhile, and two runs of a task must not overlap. */
@@ -549,6 +608,8 @@
     TEST(power_comes_back_among_remembered_upstreams);
     TEST(power_comes_back_with_empty_disks);
     TEST(remembered_upstreams_have_changed);
+    TEST(last_broker_of_a_zone_goes_on_until_another_is_back);
+    TEST(lingering_broker_gives_way_to_one_that_is_back);
     TEST(runner_dies_and_its_jobs_come_again);
     TEST(paused_broker_wakes_as_nobody);
     TEST(cut_off_broker_and_its_successor);
