--- a/Makefile
+++ b/Makefile
@@ -146,6 +146,7 @@
 bench: deps
 	@$(MAKE) $(BUILD)/bm-bench
 	@$(BUILD)/bm-bench --bounds bench/bounds.ini $(WORKLOADS)
+	@$(BUILD)/bm-bench --replays --seeds 2
 
 bench-update: deps
 	@$(MAKE) $(BUILD)/bm-bench
--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -245,6 +245,36 @@
                                                          : EXIT_OUT_OF_BOUNDS;
 }
 
+/* False where workloads are to be run. */
+static bool
+run_without_files(const struct options *o, int *code)
+{
+    *code = EXIT_SUCCESS;
+    if (o->slopes) {
+        slopes_run(stdout);
+    }
+    else if (o->steps) {
+        matrix_steps((uint64_t)o->seed, stdout);
+    }
+    else if (o->replays) {
+        *code = run_replays(o);
+    }
+    else if (o->matrix) {
+        *code = run_both_matrices(o);
+    }
+    else if (o->cell != NULL) {
+        *code = run_cell(o);
+    }
+    else if (o->lease_cell != NULL) {
+        *code = run_lease_cell(o);
+    }
+    else {
+        *code = EXIT_USAGE;
+        return false;
+    }
+    return true;
+}
+
 int
 main(int argc, const char **argv)
 {
@@ -316,24 +346,7 @@
         code = EXIT_SUCCESS;
         goto out;
     }
-    if (o.slopes) {
-        slopes_run(stdout);
-        code = EXIT_SUCCESS;
-        goto out;
-    }
-    if (o.replays) {
-        code = run_replays(&o);
-        goto out;
-    }
-    if (o.steps) {
-        matrix_steps((uint64_t)o.seed, stdout);
-        code = EXIT_SUCCESS;
-        goto out;
-    }
-    if (o.matrix || o.cell != NULL || o.lease_cell != NULL) {
-        code = o.matrix         ? run_both_matrices(&o)
-               : o.cell != NULL ? run_cell(&o)
-                                : run_lease_cell(&o);
+    if (run_without_files(&o, &code)) {
         goto out;
     }
     files = poptGetArgs(context);
--- a/src/replay.c
+++ b/src/replay.c
@@ -11,31 +11,38 @@
 #define SETTLE_US (14 * SEC)
 #define DARK_US (1400 * MSEC)
 
+#define ROLL_US (1 * SEC)
+
 enum { ZONES = 3, UPSTREAMS = 48, NONE = 0, THIRD = 3, SIXTH = 6 };
 
+/* What a policy should earn of what was possible. */
+static const double AIM = 0.9;
+
 enum kinds { CUSTOMERS, ODD };
 
 /**
  * struct pattern - a replay
- * @kinds: of jobs
  * @load: over the usual one, while it is at its worst
- * @trouble: of one in @one_in upstreams meanwhile
  * @leave: share of the callers that leaves
+ * @shift: share of the first zone's callers that comes to the second
+ * @kinds: of jobs
+ * @trouble: of one in @one_in upstreams meanwhile
  * @poor: one zone has half of its upstreams dead and a third of the rest slow,
  *        all the time
- * @shift: share of the first zone's callers that comes to the second
  * @dark: power is lost when the worst begins
+ * @roll: each second of it one more broker is stopped, and started again once
+ *        it has ended
  */
 struct pattern {
-    const char *name;
-    enum kinds kinds;
     double load;
+    double leave;
+    double shift;
+    enum kinds kinds;
     enum vlease_trouble trouble;
     uint32_t one_in;
-    double leave;
     bool poor;
-    double shift;
     bool dark;
+    bool roll;
 };
 
 /* clang-format off */
@@ -52,6 +59,7 @@
     [REPLAY_delay] = {.load = 1.0, .trouble = VLEASE_DELAYS, .one_in = SIXTH},
     [REPLAY_leave] = {.load = 1.6, .leave = 0.33},
     [REPLAY_dark] = {.load = 1.0, .dark = true},
+    [REPLAY_roll] = {.load = 1.0, .roll = true},
     [REPLAY_mix] = {.kinds = ODD, .load = 1.6},
 };
 /* clang-format on */
@@ -187,6 +195,21 @@
     }
 }
 
+static void
+roll(struct vlease *v, uint32_t brokers)
+{
+    for (uint32_t i = 0; i < brokers; i++) {
+        vlease_stop(v, i);
+        vlease_run(v, WORST_US + (i + 1) * ROLL_US);
+        for (uint32_t other = 0; other <= i; other++) {
+            if (vlease_stopped(v, other)) {
+                vlease_kill(v, other);
+                vlease_start(v, other);
+            }
+        }
+    }
+}
+
 /* Whether all promises were kept. */
 static bool
 finish(struct vlease *v, bool bounded, struct vcredit *out)
@@ -223,6 +246,9 @@
         vlease_run(v, WORST_US + DARK_US);
         vlease_regain_power(v, true);
     }
+    if (p->roll) {
+        roll(v, region->zones * region->brokers);
+    }
     vlease_run(v, WORST_OVER_US);
     set_trouble(v, p, region->seed, false);
     vlease_load(v, 1.0);
@@ -318,10 +344,21 @@
                   kept ? "" : "   A PROMISE WAS BROKEN");
 }
 
+static void
+note_below(const char *name, const struct vcredit *c, char *below, size_t size)
+{
+    size_t used = strlen(below);
+
+    if (over_bound(&c->callers) < AIM || over_bound(&c->work) < AIM) {
+        (void)snprintf(below + used, size - used, " %s", name);
+    }
+}
+
 bool
 replays_print(const struct replay_options *o, uint32_t draws, FILE *out)
 {
     bool kept = true;
+    char below[256] = "";
 
     (void)fprintf(out, "%-10s %7s %7s %7s %7s   %-17s   %s\n", "replay",
                   "callers", "/bound", "work", "/bound", "kinds", "zones");
@@ -330,8 +367,13 @@
         bool ok = replay_run((enum replay)i, o, &c);
 
         print_row(names[i], &c, ok, out);
+        note_below(names[i], &c, below, sizeof(below));
         kept = kept && ok;
     }
+    if (o->bounded) {
+        (void)fprintf(out, "replays: below %.1f of the bound:%s\n", AIM,
+                      below[0] != '\0' ? below : " none");
+    }
     for (uint64_t seed = 1; seed <= draws; seed++) {
         struct vcredit c;
         char name[NAME_SIZE];
--- a/tests/broker_test.c
+++ b/tests/broker_test.c
@@ -177,7 +177,7 @@
     vlease_run(v, READY_US + 1 * SEC);
     vlease_stop(v, 0);
     for (int i = 0; i < 4; i++) {
-        vlease_run(v, READY_US + 1100 * MSEC + i * 300 * MSEC);
+        vlease_run(v, READY_US + 1100 * MSEC + (int64_t)i * 300 * MSEC);
         jobs[i] = vlease_submit(v, 1, 0);
     }
     vlease_run(v, READY_US + 3 * SEC);
