--- a/src/broker_share.c
+++ b/src/broker_share.c
@@ -19,14 +19,10 @@
 #define CREDIT_US (500 * USEC_PER_MSEC)
 
 /* Of its spare time a job beyond its queue's share may wait that much: with
- * more it overtakes those that are entitled to the room (credit under overload
- * 0.67 with a tenth, 0.65 with three, 0.62 with six, suite broker_load's
- * loads).
- */
+ * more it overtakes those that are entitled to the room. */
 static const double BEYOND_SHARE = 0.1;
 /* It is so strict from that excess of demand on, and less the smaller the
- * excess is: with 0.3 clusters of long jobs cost 0.01 of credit under a usual
- * load, with 0.6 overload costs 0.02. */
+ * excess is: a cluster of long jobs is no overload. */
 static const double OVER_FULL = 0.4;
 
 /* Compared to what each asks for, a queue of the first priority gets twice as
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -6,6 +6,7 @@
  * broker_run.c runs jobs; broker_order.c decides which are let in and which go
  * first, broker_share.c what part of the room each queue may have,
  * broker_place.c where a task goes; broker_hold.c holds upstreams,
+ * broker_linger.c goes on with them while a stop finds no successor,
  * broker_lease.c speaks with them, broker_trust.c judges them.  A part calls
  * those that stand behind it in this list, and those before it only through
  * the functions below.
--- a/src/broker_trust.c
+++ b/src/broker_trust.c
@@ -10,10 +10,8 @@
  */
 #include "broker_state.h"
 
-enum {
-    FAILURES_MAX = 2
-}; /* in a row; one of 500 sound runs fails, so two in
-    * a row by chance come once in 250,000 */
+/* In a row: sound runs fail now and then, hardly ever two of them. */
+enum { FAILURES_MAX = 2 };
 #define BACKOFF_MIN_US (500 * USEC_PER_MSEC)
 #define BACKOFF_MAX_US (8 * USEC_PER_SEC)
 /* A sample beyond these says more of the task than of the upstream. */
