--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -201,11 +201,9 @@
 }
 
 static int
-run_lease_cell(const struct options *o)
+cell_verdict(bool is_cell, bool ok)
 {
-    bool ok = false;
-
-    if (!leasematrix_cell((uint64_t)o->seed, o->lease_cell, stdout, &ok)) {
+    if (!is_cell) {
         (void)fprintf(stderr, "bm-bench: a cell is STEP:FAULT[,STEP:FAULT]\n");
         return EXIT_USAGE;
     }
@@ -213,17 +211,24 @@
     return ok ? EXIT_SUCCESS : EXIT_OUT_OF_BOUNDS;
 }
 
+static int
+run_lease_cell(const struct options *o)
+{
+    bool ok = false;
+    bool is_cell =
+        leasematrix_cell((uint64_t)o->seed, o->lease_cell, stdout, &ok);
+
+    return cell_verdict(is_cell, ok);
+}
+
 static int
 run_cell(const struct options *o)
 {
     bool ok = false;
+    bool is_cell =
+        matrix_cell((uint64_t)o->seed, o->cell, o->mutant, stdout, &ok);
 
-    if (!matrix_cell((uint64_t)o->seed, o->cell, o->mutant, stdout, &ok)) {
-        (void)fprintf(stderr, "bm-bench: a cell is STEP:FAULT[,STEP:FAULT]\n");
-        return EXIT_USAGE;
-    }
-    printf("%s\n", ok ? "passed" : "failed");
-    return ok ? EXIT_SUCCESS : EXIT_OUT_OF_BOUNDS;
+    return cell_verdict(is_cell, ok);
 }
 
 static int
--- a/src/broker.c
+++ b/src/broker.c
@@ -370,8 +370,7 @@
         return false;
     }
     for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
-        if ((p->up || p->self) && (!p->stopping || p->lingers) &&
-            p->n_loads > 0) {
+        if (peers_runs_jobs(p) && p->n_loads > 0) {
             return true;
         }
     }
--- a/src/broker.h
+++ b/src/broker.h
@@ -90,7 +90,7 @@
  *             upstream is taken
  * @settle_min_us: from the first word of a registry, it need not be longer
  *                 where all brokers of the zone that were named are connected;
- *                 more than two attempts to dial are apart
+ *                 about as long as two attempts to dial are apart
  * @load_us: between reports of the load to other brokers, at least
  * @loads_per_s: messages with such a report in a second, at most
  * @stop_us: a planned stop takes no longer
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -180,8 +180,7 @@
         struct broker_load *l = load_of(p, o->service);
         int64_t us;
 
-        if (l == NULL || (p->stopping && !p->lingers) ||
-            (!p->up && !p->self) || name_equal(p->name, except)) {
+        if (l == NULL || !peers_runs_jobs(p) || name_equal(p->name, except)) {
             continue;
         }
         if (b->opts.without[BROKER_PART_OTHER_ZONES] &&
--- a/src/broker_linger.c
+++ b/src/broker_linger.c
@@ -22,22 +22,10 @@
     return b->stop_us + b->opts.stop_us - LAST_RUNS_US;
 }
 
-static bool
-has_successor(const struct broker *b)
-{
-    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
-        if (p->broker && p->up && !p->self && !p->stopping &&
-            name_equal(p->zone, b->opts.zone)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 linger_begin(struct broker *b)
 {
-    b->lingers = hold_any(b) && !has_successor(b);
+    b->lingers = hold_any(b) && !peers_successor(b);
     if (b->lingers) {
         b->load_us = b->now.mono_us; /* the others must know at once */
         broker_log(b, LOG_NOTICE, BROKER_LINGERS, 0, -1, b->opts.self,
@@ -51,10 +39,8 @@
 void
 linger_tick(struct broker *b)
 {
-    bool goes_on =
-        b->now.mono_us < over_us(b) && !has_successor(b) && hold_any(b);
-
-    if (!b->lingers || goes_on) {
+    if (!b->lingers ||
+        (b->now.mono_us < over_us(b) && hold_any(b) && !peers_successor(b))) {
         return;
     }
     b->lingers = false;
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -472,6 +472,23 @@
            name_equal(p->zone, b->opts.zone);
 }
 
+bool
+peers_successor(const struct broker *b)
+{
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (!p->self && may_hold(b, p)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+peers_runs_jobs(const struct broker_peer *p)
+{
+    return (p->up || p->self) && (!p->stopping || p->lingers);
+}
+
 /* By age, the first started first. */
 static int
 compare_age(const void *x, const void *y)
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -401,6 +401,13 @@
 struct name peers_holder(const struct broker *b,
                          const struct broker_upstream *u);
 
+/** peers_successor() - whether another broker of this zone may hold upstreams
+ */
+bool peers_successor(const struct broker *b);
+
+/** peers_runs_jobs() - whether jobs may be offered to that process */
+bool peers_runs_jobs(const struct broker_peer *p);
+
 /** peers_zone_is_here() - whether a registry told who is there, and all
  * brokers of this zone that any told of are connected */
 bool peers_zone_is_here(const struct broker *b);
--- a/src/election.c
+++ b/src/election.c
@@ -11,6 +11,13 @@
     c->election_us = c->now.mono_us + c->opts.election_us + (int64_t)spread;
 }
 
+/* No leader was met in this life. */
+static bool
+is_fresh(const struct control *c)
+{
+    return c->opts.first_us > 0 && !c->met_leader;
+}
+
 /* Before any leader was met in this life the question whether there would be
  * votes is asked again soon: after a power loss the others may have started
  * just after it was asked first. */
@@ -59,7 +66,7 @@
     c->leader = name_of("");
     forget_grants(c);
     c->campaign_us = c->now.mono_us;
-    if (pre && c->opts.first_us > 0 && !c->met_leader) {
+    if (pre && is_fresh(c)) {
         election_first_timer(c);
     }
     else {
@@ -204,8 +211,8 @@
 }
 
 /* Two that start together campaign together; where each votes for itself
- * neither wins, and until the next attempt nobody leads.  So of two whose logs
- * allow it, the one with the greater name lets the other go first. */
+ * neither wins, and until the next attempt nobody leads.  So of two whose
+ * logs are alike, the one with the greater name lets the other go first. */
 static bool
 goes_first(const struct control *c, struct name from, const struct rec_vote *v)
 {
@@ -237,7 +244,7 @@
 static void
 give_way(struct control *c)
 {
-    if (c->opts.first_us == 0 || c->met_leader || c->gave_way ||
+    if (!is_fresh(c) || c->gave_way ||
         (c->role == CONTROL_CANDIDATE && !c->pre)) {
         return;
     }
--- a/src/leasematrix.c
+++ b/src/leasematrix.c
@@ -21,13 +21,11 @@
 #define JOB_EVERY_US (150 * MSEC)
 #define END_US (BEGIN_US + JOBS * JOB_EVERY_US + USEC_PER_SEC)
 #define PAUSE_US (4 * USEC_PER_SEC) /* several leases */
-#define RETURN_US                                                             \
-    (4 * USEC_PER_SEC) /* until what was struck is well again                 \
-                        */
-#define STOP_RETURN_US                                                        \
-    (7 * USEC_PER_SEC)               /* a planned stop is over by then        \
-                                      */
-#define POWER_RETURN_US (150 * MSEC) /* within a lease */
+/* Until what was struck is well again; a planned stop is over by then; power
+ * is back within a lease. */
+#define RETURN_US (4 * USEC_PER_SEC)
+#define STOP_RETURN_US (7 * USEC_PER_SEC)
+#define POWER_RETURN_US (150 * MSEC)
 #define SETTLE_US (14 * USEC_PER_SEC)
 #define PROBE_US (4 * USEC_PER_SEC)
 
@@ -307,10 +305,7 @@
     uint32_t open = vlease_figures(v, 0).open + vlease_figures(v, 1).open;
     bool served = vlease_outcome(v, probe) == JOB_COMPLETED_OUTCOME;
 
-    c->failed = f.overlaps + f.over_room + f.false_refusals + f.leaving +
-                        f.answers_twice + open + vlease_running(v) >
-                    0 ||
-                !served;
+    c->failed = vlease_broken(f) + open + vlease_running(v) > 0 || !served;
     (void)snprintf(c->text, sizeof(c->text),
                    "overlaps %u, over room %u, false refusals %u, at leaving "
                    "%u, answered twice %u, open %u, running %u%s",
--- a/src/replay.c
+++ b/src/replay.c
@@ -10,7 +10,6 @@
 #define LOAD_OVER_US (WORST_OVER_US + 2 * SEC)
 #define SETTLE_US (14 * SEC)
 #define DARK_US (1400 * MSEC)
-
 #define ROLL_US (1 * SEC)
 
 enum { ZONES = 3, UPSTREAMS = 48, NONE = 0, THIRD = 3, SIXTH = 6 };
@@ -118,12 +117,6 @@
      .timeout_us = 12 * SEC},
 };
 
-const char *
-replay_name(enum replay which)
-{
-    return names[which];
-}
-
 enum broker_part
 replay_part(const char *name)
 {
@@ -214,16 +207,14 @@
 static bool
 finish(struct vlease *v, bool bounded, struct vcredit *out)
 {
-    struct vlease_faults f;
+    bool kept;
 
     vlease_load(v, 0);
     vlease_run(v, LOAD_OVER_US + SETTLE_US);
     vcredit_add(v, WORST_US, LOAD_OVER_US, bounded, out);
-    f = vlease_faults(v);
+    kept = vlease_broken(vlease_faults(v)) == 0;
     vlease_free(v);
-    return f.overlaps + f.over_room + f.false_refusals + f.leaving +
-               f.answers_twice ==
-           0;
+    return kept;
 }
 
 static bool
--- a/src/replay.h
+++ b/src/replay.h
@@ -59,9 +59,6 @@
 bool replay_draw(uint64_t seed, const struct replay_options *o,
                  struct vcredit *out);
 
-/** replay_name() - as it stands in tables */
-const char *replay_name(enum replay which);
-
 /** replay_part() - the part of that name, or BROKER_PARTS */
 enum broker_part replay_part(const char *name);
 
--- a/src/vcredit.c
+++ b/src/vcredit.c
@@ -17,6 +17,21 @@
 
 static const double LATE_CREDIT = 0.2;
 
+/**
+ * struct owed - a job that counts
+ * @done_us: run times of all its tasks together
+ * @value: what it earns in time
+ * @unbounded: it was under way when all power went, and may have been done
+ */
+struct owed {
+    int64_t asked_us;
+    int64_t objective_us;
+    double size;
+    double done_us;
+    double value;
+    bool unbounded;
+};
+
 /* Work that has to be done between two times, if it is to earn @value. */
 struct item {
     double value;
@@ -37,14 +52,15 @@
     const struct vlease *v;
     int64_t from_us;
     int64_t until_us;
-    bool by_work;
+    struct owed *jobs;
+    size_t n_jobs;
+    int64_t objective_us; /* the longest of them */
     double above;
     double heaviest[SIZES_MAX];
     double caps[VLEASE_UPSTREAMS_MAX];
     int64_t bin_us;
     double slack[BINS_MAX][BINS_MAX + 1];
-    struct item *items;
-    size_t n_items;
+    struct item *items; /* one a job */
 };
 
 static double
@@ -81,12 +97,6 @@
     return runs_us(v, job) * (double)job->cpu_milli;
 }
 
-static double
-value_of(const struct bound *b, const struct vjob *job)
-{
-    return b->by_work ? work_of(b->v, job) : 1.0;
-}
-
 static double
 earned(const struct vjob *job)
 {
@@ -193,15 +203,6 @@
     }
 }
 
-/* Bins that all items end in, @most as long after they came. */
-static void
-set_bins(struct bound *b, int64_t most_us)
-{
-    int64_t span_us = b->until_us - b->from_us + most_us;
-
-    b->bin_us = span_us / (BINS_MAX - 1) + 1;
-}
-
 static void
 set_slack(struct bound *b)
 {
@@ -262,27 +263,21 @@
     return got / it->load;
 }
 
-/* What was under way when all power went may have been done already. */
-static bool
-unbounded(const struct bound *b, const struct vjob *job)
-{
-    return b->v->dark_us > 0 && job->asked_us < b->v->dark_us;
-}
-
 static void
-add_item(struct bound *b, const struct vjob *job, int64_t allowed_us)
+set_items(struct bound *b, int objectives)
 {
-    struct item *it = &b->items[b->n_items++];
-    int64_t begin_us = job->asked_us - b->from_us;
-    int64_t end_us = begin_us + allowed_us;
-
-    it->value = value_of(b, job);
-    it->load = unbounded(b, job)
-                   ? 0
-                   : runs_us(b->v, job) * measure(b, job->cpu_milli);
-    it->begin = (size_t)(begin_us / b->bin_us);
-    it->end = (size_t)(end_us / b->bin_us) + 1;
-    it->end = it->end < BINS_MAX ? it->end : BINS_MAX;
+    for (size_t i = 0; i < b->n_jobs; i++) {
+        const struct owed *job = &b->jobs[i];
+        struct item *it = &b->items[i];
+        int64_t begin_us = job->asked_us - b->from_us;
+        int64_t end_us = begin_us + job->objective_us * objectives;
+
+        it->value = job->value;
+        it->load = job->unbounded ? 0 : job->done_us * measure(b, job->size);
+        it->begin = (size_t)(begin_us / b->bin_us);
+        it->end = (size_t)(end_us / b->bin_us) + 1;
+        it->end = it->end < BINS_MAX ? it->end : BINS_MAX;
+    }
 }
 
 /* The most that can be done of all work, each within @objectives times its
@@ -290,29 +285,14 @@
 static double
 done_within(struct bound *b, int objectives)
 {
-    int64_t most_us = 0;
+    int64_t span_us = b->until_us - b->from_us + b->objective_us * objectives;
     double value = 0;
 
-    for (size_t i = 0; i < b->v->n_jobs; i++) {
-        const struct vjob *job = &b->v->jobs[i];
-
-        if (counts(job, b->from_us, b->until_us)) {
-            most_us =
-                job->objective_us > most_us ? job->objective_us : most_us;
-        }
-    }
-    set_bins(b, most_us * objectives);
+    b->bin_us = span_us / (BINS_MAX - 1) + 1;
     set_slack(b);
-    b->n_items = 0;
-    for (size_t i = 0; i < b->v->n_jobs; i++) {
-        const struct vjob *job = &b->v->jobs[i];
-
-        if (counts(job, b->from_us, b->until_us)) {
-            add_item(b, job, job->objective_us * objectives);
-        }
-    }
-    qsort(b->items, b->n_items, sizeof(*b->items), densest_first);
-    for (size_t i = 0; i < b->n_items; i++) {
+    set_items(b, objectives);
+    qsort(b->items, b->n_jobs, sizeof(*b->items), densest_first);
+    for (size_t i = 0; i < b->n_jobs; i++) {
         value += b->items[i].value * give(b, &b->items[i]);
     }
     return value;
@@ -335,6 +315,31 @@
     return n;
 }
 
+static void
+collect(struct bound *b, bool by_work)
+{
+    const struct vlease *v = b->v;
+
+    for (size_t i = 0; i < v->n_jobs; i++) {
+        const struct vjob *job = &v->jobs[i];
+        struct owed *o = &b->jobs[b->n_jobs];
+
+        if (!counts(job, b->from_us, b->until_us)) {
+            continue;
+        }
+        b->n_jobs++;
+        o->asked_us = job->asked_us;
+        o->objective_us = job->objective_us;
+        o->size = job->cpu_milli;
+        o->done_us = runs_us(v, job);
+        o->value = by_work ? work_of(v, job) : 1.0;
+        o->unbounded = v->dark_us > 0 && job->asked_us < v->dark_us;
+        if (o->objective_us > b->objective_us) {
+            b->objective_us = o->objective_us;
+        }
+    }
+}
+
 static double
 bound_of(const struct vlease *v, int64_t from_us, int64_t until_us,
          bool by_work, double owed)
@@ -350,11 +355,12 @@
     b->v = v;
     b->from_us = from_us;
     b->until_us = until_us;
-    b->by_work = by_work;
+    b->jobs = calloc(v->n_jobs + 1, sizeof(*b->jobs));
     b->items = calloc(v->n_jobs + 1, sizeof(*b->items));
-    if (b->items == NULL) {
+    if (b->jobs == NULL || b->items == NULL) {
         abort();
     }
+    collect(b, by_work);
     for (size_t i = 0; i < n; i++) {
         double bound;
 
@@ -366,6 +372,7 @@
         best = bound < best ? bound : best;
     }
     free(b->items);
+    free(b->jobs);
     free(b);
     return best;
 }
@@ -377,6 +384,14 @@
     s->earned += value * credit;
 }
 
+static void
+add_sum(struct vcredit_sum *to, const struct vcredit_sum *more)
+{
+    to->owed += more->owed;
+    to->earned += more->earned;
+    to->bound += more->bound;
+}
+
 void
 vcredit_add(const struct vlease *v, int64_t from_us, int64_t until_us,
             bool bounded, struct vcredit *out)
@@ -400,10 +415,6 @@
             bound_of(v, from_us, until_us, false, own.callers.owed);
         own.work.bound = bound_of(v, from_us, until_us, true, own.work.owed);
     }
-    out->callers.owed += own.callers.owed;
-    out->callers.earned += own.callers.earned;
-    out->callers.bound += own.callers.bound;
-    out->work.owed += own.work.owed;
-    out->work.earned += own.work.earned;
-    out->work.bound += own.work.bound;
+    add_sum(&out->callers, &own.callers);
+    add_sum(&out->work, &own.work);
 }
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -10,12 +10,8 @@
 #define NEAR_US 200
 #define FAR_US 1400
 #define JITTER_US 100
-/* Time of day at the start, and how far the processes' starts differ. */
+/* Time of day at the start. */
 #define WALL_US (INT64_C(1700000000) * USEC_PER_SEC)
-#define STARTS_APART_US (20 * USEC_PER_MSEC)
-/* A silent connection is noticed after three heartbeats. */
-#define SILENCE_US (750 * USEC_PER_MSEC)
-#define CONNECT_US (50 * USEC_PER_MSEC)
 /* A delayed hop arrives when every lease of before has passed. */
 #define STRUCK_LATE_US (3 * USEC_PER_SEC)
 
@@ -118,8 +114,8 @@
 
 /* Configuration: a line a queue, "NAME PRIORITY TIMEOUT_US". */
 
-static struct queueconf *
-read_config(const char *text, size_t size, enum queueconf_fault *fault)
+struct queueconf *
+vlease_read_config(const char *text, size_t size, enum queueconf_fault *fault)
 {
     struct queueconf *c = calloc(1, sizeof(*c));
     int used = 0;
@@ -183,14 +179,14 @@
     return NULL;
 }
 
-static bool
-connected(const struct vprocess *a, const struct vprocess *b)
+bool
+vlease_connected(const struct vprocess *a, const struct vprocess *b)
 {
     return !a->down && !b->down && (a == b || (!a->cut && !b->cut));
 }
 
-static struct moment
-moment_of(const struct vlease *v, const struct vprocess *p)
+struct moment
+vlease_moment(const struct vlease *v, const struct vprocess *p)
 {
     return (struct moment){.mono_us = v->now_us,
                            .wall_us = WALL_US + v->now_us + p->wall_off_us};
@@ -205,7 +201,7 @@
     int64_t *last;
     int64_t at_us;
 
-    if (p == NULL || !connected(from, p)) {
+    if (p == NULL || !vlease_connected(from, p)) {
         msg_free(m);
         return;
     }
@@ -270,23 +266,6 @@
     }
 }
 
-static void
-connect_pair(struct vlease *v, struct vprocess *a, struct vprocess *b)
-{
-    struct vevent *e;
-
-    for (int i = 0; i < 2; i++) {
-        struct vprocess *to = i == 0 ? a : b;
-        struct vprocess *other = i == 0 ? b : a;
-
-        e = vlease_at(v, v->now_us + CONNECT_US, VEV_PEER);
-        e->to = to->number;
-        e->from = other->number;
-        e->life = to->life;
-        e->up = true;
-    }
-}
-
 static void
 carry_out(struct vlease *v, struct vprocess *p, struct broker_effect *f)
 {
@@ -332,7 +311,7 @@
 {
     struct broker_effects fx = {0};
 
-    ev->now = moment_of(v, p);
+    ev->now = vlease_moment(v, p);
     broker_step(p->broker, ev, &fx);
     for (size_t i = 0; i < fx.n; i++) {
         carry_out(v, p, &fx.items[i]);
@@ -385,7 +364,7 @@
         vlease_step(v, p, &(struct broker_event){.kind = BEV_TICK});
         return;
     }
-    registry_tick(p->registry, moment_of(v, p), &v->registry_effects);
+    registry_tick(p->registry, vlease_moment(v, p), &v->registry_effects);
     flush_registry(v, p);
     plan_registry(v, p);
 }
@@ -403,7 +382,7 @@
         send_to(v, p, from, &reply);
         return;
     }
-    (void)registry_message(p->registry, from, &e->msg, moment_of(v, p),
+    (void)registry_message(p->registry, from, &e->msg, vlease_moment(v, p),
                            &v->registry_effects);
     flush_registry(v, p);
     plan_registry(v, p);
@@ -419,7 +398,7 @@
     if (p->cut || p->down) {
         return;
     }
-    (void)registry_announce(p->registry, info, moment_of(v, p));
+    (void)registry_announce(p->registry, info, vlease_moment(v, p));
     plan_registry(v, p);
 }
 
@@ -431,7 +410,7 @@
     struct vprocess *p = &v->processes[e->to];
     struct broker_event ev = {.kind = BEV_MESSAGE};
 
-    if (!connected(&v->processes[e->from], p)) {
+    if (!vlease_connected(&v->processes[e->from], p)) {
         return;
     }
     if (p->registry != NULL) {
@@ -450,11 +429,11 @@
     struct vprocess *from = &v->processes[e->from];
     struct broker_event ev = {.kind = BEV_PEER};
 
-    if (e->up && !connected(from, p)) {
+    if (e->up && !vlease_connected(from, p)) {
         return;
     }
     if (p->registry != NULL) {
-        registry_peer(p->registry, from->name, e->up, moment_of(v, p));
+        registry_peer(p->registry, from->name, e->up, vlease_moment(v, p));
         return;
     }
     ev.u.peer.peer = from->name;
@@ -651,254 +630,6 @@
     v->now_us = until_us;
 }
 
-/* Faults of brokers */
-
-static void
-tell_down(struct vlease *v, struct vprocess *p, int64_t after_us)
-{
-    for (uint32_t i = 0; i < v->n_processes; i++) {
-        struct vprocess *other = &v->processes[i];
-        struct vevent *e;
-
-        if (other == p || other->down) {
-            continue;
-        }
-        e = vlease_at(v, v->now_us + after_us, VEV_PEER);
-        e->to = other->number;
-        e->from = p->number;
-        e->life = other->life;
-    }
-}
-
-static void
-begin_broker(struct vlease *v, struct vprocess *p)
-{
-    struct broker_options o = broker_options_default();
-    struct rec_instance registries[VLEASE_ZONES_MAX] = {0};
-
-    for (uint32_t i = 0; i < v->opts.zones; i++) {
-        registries[i].name = v->processes[v->n_brokers + i].name;
-    }
-    p->life++;
-    p->down = false;
-    p->stopped = false;
-    p->tick_us = 0;
-    p->paused_until_us = 0;
-    o.self = p->name;
-    o.zone = p->zone;
-    o.address = address_of(p->name.s);
-    o.incarnation = (uint64_t)(moment_of(v, p).wall_us + p->number);
-    o.registries = registries;
-    o.n_registries = v->opts.zones;
-    o.seed = v->opts.seed + (uint64_t)p->number * 7919 + p->life;
-    o.read_config = read_config;
-    memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
-    memcpy(o.without, v->opts.without, sizeof(o.without));
-    p->broker = broker_new(&o);
-    vlease_step(v, p, &(struct broker_event){.kind = BEV_TICK});
-    for (uint32_t i = 0; i < v->n_processes; i++) {
-        if (i != p->number && connected(p, &v->processes[i])) {
-            connect_pair(v, p, &v->processes[i]);
-        }
-    }
-}
-
-void
-vlease_kill(struct vlease *v, uint32_t broker)
-{
-    struct vprocess *p = &v->processes[broker];
-
-    if (p->down) {
-        return;
-    }
-    vcall_broken(v, p);
-    p->down = true;
-    broker_free(p->broker);
-    p->broker = NULL;
-    tell_down(v, p, NEAR_US);
-}
-
-void
-vlease_start(struct vlease *v, uint32_t broker)
-{
-    if (v->processes[broker].down) {
-        begin_broker(v, &v->processes[broker]);
-    }
-}
-
-void
-vlease_room_changed(struct vlease *v, uint32_t upstream, int64_t at_us,
-                    double share)
-{
-    struct vroom_change *c;
-
-    v->changes = array_grow(v->changes, v->n_changes, &v->changes_room,
-                            sizeof(*v->changes));
-    c = &v->changes[v->n_changes++];
-    c->at_us = at_us;
-    c->upstream = upstream;
-    c->share = share;
-}
-
-void
-vlease_lose_power(struct vlease *v)
-{
-    v->dark_us = v->now_us;
-    for (uint32_t i = 0; i < v->n_upstreams; i++) {
-        vlease_room_changed(v, i, v->now_us, 0);
-    }
-    for (uint32_t i = 0; i < v->n_processes; i++) {
-        struct vprocess *p = &v->processes[i];
-
-        if (p->registry == NULL) {
-            vlease_kill(v, i);
-            continue;
-        }
-        p->down = true;
-        p->life++;
-        registry_free(p->registry);
-        p->registry = NULL;
-    }
-}
-
-static void
-begin_registry(struct vlease *v, struct vprocess *p, bool remember)
-{
-    p->down = false;
-    p->tick_us = 0;
-    p->registry = registry_new();
-    if (remember && p->kept.kind == MSG_UPSTREAM_REPORT) {
-        registry_recall(p->registry, &p->kept.u.upstream_report,
-                        moment_of(v, p));
-    }
-    /* Brokers that were started meanwhile dial it. */
-    for (uint32_t i = 0; i < v->n_brokers; i++) {
-        if (connected(p, &v->processes[i])) {
-            connect_pair(v, p, &v->processes[i]);
-        }
-    }
-}
-
-void
-vlease_regain_power(struct vlease *v, bool remember)
-{
-    for (uint32_t i = 0; i < v->n_upstreams; i++) {
-        vlease_room_changed(v, i, v->now_us, 1);
-    }
-    for (uint32_t i = v->n_brokers; i < v->n_processes; i++) {
-        begin_registry(v, &v->processes[i], remember);
-    }
-    for (uint32_t i = 0; i < v->n_brokers; i++) {
-        v->now_us += (int64_t)vlease_random(v, STARTS_APART_US);
-        vlease_start(v, i);
-    }
-}
-
-void
-vlease_stop(struct vlease *v, uint32_t broker)
-{
-    vlease_step(v, &v->processes[broker],
-                &(struct broker_event){.kind = BEV_STOP});
-}
-
-bool
-vlease_stopped(const struct vlease *v, uint32_t broker)
-{
-    return v->processes[broker].stopped;
-}
-
-void
-vlease_pause(struct vlease *v, uint32_t broker, int64_t us)
-{
-    struct vprocess *p = &v->processes[broker];
-
-    p->paused_until_us = v->now_us + us;
-    if (us > SILENCE_US) {
-        tell_down(v, p, SILENCE_US);
-        for (uint32_t i = 0; i < v->n_processes; i++) {
-            struct vevent *e;
-
-            if (&v->processes[i] == p || v->processes[i].down) {
-                continue;
-            }
-            e = vlease_at(v, p->paused_until_us, VEV_PEER);
-            e->to = p->number;
-            e->from = i;
-            e->life = p->life;
-            e = vlease_at(v, p->paused_until_us + CONNECT_US, VEV_PEER);
-            e->to = p->number;
-            e->from = i;
-            e->life = p->life;
-            e->up = true;
-            e = vlease_at(v, p->paused_until_us + CONNECT_US, VEV_PEER);
-            e->to = i;
-            e->from = p->number;
-            e->life = v->processes[i].life;
-            e->up = true;
-        }
-    }
-}
-
-static void
-tell_pair(struct vlease *v, struct vprocess *a, struct vprocess *b, bool up,
-          int64_t after_us)
-{
-    struct vevent *e = vlease_at(v, v->now_us + after_us, VEV_PEER);
-
-    e->to = a->number;
-    e->from = b->number;
-    e->life = a->life;
-    e->up = up;
-}
-
-void
-vlease_cut(struct vlease *v, uint32_t broker, bool cut, bool upstreams)
-{
-    struct vprocess *p = &v->processes[broker];
-
-    p->cut = cut;
-    p->cut_upstreams = cut && upstreams;
-    for (uint32_t i = 0; i < v->n_processes; i++) {
-        struct vprocess *other = &v->processes[i];
-
-        if (other == p || other->down) {
-            continue;
-        }
-        if (cut) {
-            tell_pair(v, p, other, false, SILENCE_US);
-            tell_pair(v, other, p, false, SILENCE_US);
-        }
-        else {
-            connect_pair(v, p, other);
-        }
-    }
-}
-
-void
-vlease_gap(struct vlease *v, uint32_t a, uint32_t b)
-{
-    struct vprocess *p = &v->processes[a];
-    struct vprocess *q = &v->processes[b];
-
-    for (size_t i = 0; i < v->n_heap; i++) {
-        struct vevent *e = &v->heap[i];
-
-        if (e->kind == VEV_MESSAGE &&
-            ((e->from == a && e->to == b) || (e->from == b && e->to == a))) {
-            e->life = UINT64_MAX; /* it was under way */
-        }
-    }
-    tell_pair(v, p, q, false, 0);
-    tell_pair(v, q, p, false, 0);
-    connect_pair(v, p, q);
-}
-
-void
-vlease_clock(struct vlease *v, uint32_t broker, int64_t us)
-{
-    v->processes[broker].wall_off_us += us;
-}
-
 /* Construction */
 
 static void
@@ -949,7 +680,7 @@
     }
     for (uint32_t i = 0; i < v->n_brokers; i++) {
         v->now_us += (int64_t)vlease_random(v, STARTS_APART_US);
-        begin_broker(v, &v->processes[i]);
+        vlease_start(v, i);
     }
     return v;
 }
@@ -990,6 +721,13 @@
     return v->faults;
 }
 
+uint32_t
+vlease_broken(struct vlease_faults f)
+{
+    return f.overlaps + f.over_room + f.false_refusals + f.leaving +
+           f.answers_twice;
+}
+
 uint64_t
 vlease_starts(const struct vlease *v)
 {
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -107,6 +107,10 @@
     uint32_t unnoted; /* ends that nobody took note of for a second */
 };
 
+/** vlease_broken() - promises broken towards callers and upstreams; late notes
+ * of ends are none */
+uint32_t vlease_broken(struct vlease_faults f);
+
 enum { VLEASE_NOBODY = UINT32_MAX };
 
 /**
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -1,8 +1,9 @@
 /**
  * DOC: vlease_state - what the parts of vlease share
  *
- * vlease.c carries events between brokers; vleaseup.c is the stand-in of an
- * upstream; vleasecall.c has the callers and judges what they are told.
+ * vlease.c carries events between brokers; vleasefault.c strikes them;
+ * vleaseup.c is the stand-in of an upstream; vleasecall.c has the callers and
+ * judges what they are told.
  */
 #ifndef BM_VLEASE_STATE_H
 #define BM_VLEASE_STATE_H
@@ -12,6 +13,9 @@
 #include "registry.h"
 #include "vlease.h"
 
+/* Processes that start together differ by so much. */
+#define STARTS_APART_US (20 * USEC_PER_MSEC)
+
 enum vevent_kind {
     VEV_MESSAGE,  /* to a broker or registry */
     VEV_PEER,     /* a connection came or went */
@@ -188,12 +192,23 @@
 /** vlease_delay_us() - one way between two zones */
 int64_t vlease_delay_us(struct vlease *v, struct name a, struct name b);
 
+/** vlease_moment() - now, by that process's clocks */
+struct moment vlease_moment(const struct vlease *v, const struct vprocess *p);
+
+/** vlease_connected() - whether messages pass between them */
+bool vlease_connected(const struct vprocess *a, const struct vprocess *b);
+
+/** vlease_read_config() - what the brokers read their configuration with */
+struct queueconf *vlease_read_config(const char *text, size_t size,
+                                     enum queueconf_fault *fault);
+
+/* vleaseup.c */
+
 /** vlease_room_changed() - from @at_us on the upstream does that share of its
  * work; in the order of @at_us for each upstream */
 void vlease_room_changed(struct vlease *v, uint32_t upstream, int64_t at_us,
                          double share);
 
-/* vleaseup.c */
 void vup_init(struct vlease *v, uint32_t number, uint32_t zone);
 void vup_free(struct vupstream *u);
 void vup_on_request(struct vlease *v, const struct vevent *e);
--- a/src/vleaseup.c
+++ b/src/vleaseup.c
@@ -521,6 +521,20 @@
     }
 }
 
+void
+vlease_room_changed(struct vlease *v, uint32_t upstream, int64_t at_us,
+                    double share)
+{
+    struct vroom_change *c;
+
+    v->changes = array_grow(v->changes, v->n_changes, &v->changes_room,
+                            sizeof(*v->changes));
+    c = &v->changes[v->n_changes++];
+    c->at_us = at_us;
+    c->upstream = upstream;
+    c->share = share;
+}
+
 /* What it can still do.  What runs on one that is cut off ends with its lease,
  * and nobody can count on what he doesn't see for longer. */
 static void
