Write to the disk at once that an upstream leaves

The hint of the upstreams was written a second after a change. An upstream said that it leaves, all power was lost 0.9 s later, and the registry's disk still had it as one that takes work; brokers gave it some until it spoke again, 2.2 s after its word.

Ruled out: the broker's look (it tells what runs, not whether the upstream leaves); the order of announcements (the leaving one was overtaken by nothing).

Change: that one leaves is written when brokers are told of it, 30 ms after; other changes still wait a second, since publications stand behind the write.

--- a/src/registry.c
+++ b/src/registry.c
@@ -29,7 +29,9 @@
 #define REPORT_PAUSE_US (30 * USEC_PER_MSEC)
 
 /* Changes are written to the disk together, so long after the first: a write
- * takes three syncs, and publications wait behind it. */
+ * takes three syncs, and publications wait behind it.  That one leaves is
+ * written when brokers are told: after a power loss right then they would else
+ * give it work until it says so again. */
 #define SAVE_PAUSE_US (1 * USEC_PER_SEC)
 
 /* An upstream, as it announced itself last. */
@@ -163,6 +165,14 @@
     }
 }
 
+static void
+save_after(struct registry *r, struct moment now, int64_t pause_us)
+{
+    int64_t at_us = now.mono_us + pause_us;
+
+    r->save_us = at_us < r->save_us ? at_us : r->save_us;
+}
+
 static void
 note_changed(struct registry *r, struct announced *u, struct moment now)
 {
@@ -170,9 +180,7 @@
     if (r->report_us == INT64_MAX) {
         r->report_us = now.mono_us + REPORT_PAUSE_US;
     }
-    if (r->save_us == INT64_MAX) {
-        r->save_us = now.mono_us + SAVE_PAUSE_US;
-    }
+    save_after(r, now, u->info.leaving != 0 ? REPORT_PAUSE_US : SAVE_PAUSE_US);
 }
 
 static void
@@ -335,7 +343,7 @@
         r->n_upstreams--;
         (void)map_remove(&r->by_name, &u->name);
         free_upstream(u);
-        r->save_us = r->save_us < now.mono_us ? r->save_us : now.mono_us;
+        save_after(r, now, 0);
     }
 }
 
--- a/tests/matrix_test.c
+++ b/tests/matrix_test.c
@@ -58,6 +58,36 @@
     }
 }
 
+/* Cells that failed once, and must not again. */
+static const struct {
+    uint64_t seed;
+    const char *cell;
+} lease_cells[] = {
+    /* An upstream says that it leaves, and right after all power is lost.
+     * What a registry remembered of it was that it takes work, and brokers
+     * gave it some until it spoke again, seconds later. */
+    {1, "1996:UPSTREAM_LEAVING,2391:POWER"},
+    /* A broker is started by itself while all power is off. */
+    {2, "1198:KILL_RECEIVER,2824:POWER"},
+};
+
+static void
+test_lease_cells_that_failed(void)
+{
+    size_t n = sizeof(lease_cells) / sizeof(lease_cells[0]);
+
+    for (size_t i = 0; i < n; i++) {
+        FILE *out = fopen("/dev/null", "w");
+        bool ok = false;
+
+        CU_ASSERT_PTR_NOT_NULL_FATAL(out);
+        CU_ASSERT_TRUE(leasematrix_cell(lease_cells[i].seed,
+                                        lease_cells[i].cell, out, &ok));
+        CU_ASSERT_TRUE(ok);
+        (void)fclose(out);
+    }
+}
+
 /*
  * A caller submits under a bare key, believes the job lost and submits again
  * at another instance, which is paused just then and wakes when the voters
@@ -144,6 +174,8 @@
               test_every_fault_at_every_step);
     check_add("matrix", "every fault under leases",
               test_every_fault_under_leases);
+    check_add("matrix", "lease cells that failed",
+              test_lease_cells_that_failed);
     check_add("matrix", "a bare key waits in a paused instance",
               test_bare_key_waits_in_paused_instance);
     check_add("matrix", "the same figures twice", test_same_figures_twice);
