Log and count the configurations that reach a broker for nothing

For the incident: a broker logs how many bytes a configuration took to come, and names each copy that was not newer; a counter has the bytes of all.

No decision is changed.

--- a/src/broker.h
+++ b/src/broker.h
@@ -183,6 +183,7 @@
     BROKER_COUNTER(quarantines, "upstreams quarantined")                      \
     BROKER_COUNTER(configs_applied, "configurations applied")                 \
     BROKER_COUNTER(configs_ignored, "configurations that were not newer")     \
+    BROKER_COUNTER(config_bytes, "bytes of configurations that came")         \
     BROKER_COUNTER(pauses, "times this process was paused")
 /* clang-format on */
 
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -348,6 +348,12 @@
                : NULL;
 }
 
+static size_t
+reply_bytes(const struct rec_config_reply *r)
+{
+    return r->config != NULL ? r->config->size : 0;
+}
+
 static void
 apply_config(struct broker *b, struct name from,
              const struct rec_config_reply *r, struct blob *text)
@@ -369,9 +375,21 @@
     b->config_version = r->version;
     b->counters.configs_applied++;
     broker_log(b, LOG_NOTICE, BROKER_CONFIG_APPLIED, 0, -1, from,
-               "version %llu, rank %llu, %zu queues",
+               "version %llu, rank %llu, %zu queues, %zu bytes%s",
                (unsigned long long)r->version,
-               (unsigned long long)queues->rank, queues->n_queues);
+               (unsigned long long)queues->rank, queues->n_queues,
+               reply_bytes(r), r->from_version != 0 ? " of changes" : "");
+}
+
+static void
+ignore_config(struct broker *b, struct name from,
+              const struct rec_config_reply *r)
+{
+    b->counters.configs_ignored++;
+    broker_log(b, LOG_INFO, BROKER_CONFIG_IGNORED, 0, -1, from,
+               "version %llu, %zu bytes; version %llu is in force",
+               (unsigned long long)r->version, reply_bytes(r),
+               (unsigned long long)b->config_version);
 }
 
 void
@@ -384,8 +402,12 @@
     if (p != NULL) {
         p->poll_us = b->now.mono_us;
     }
-    if (r->config == NULL || r->version <= b->config_version) {
-        b->counters.configs_ignored += r->config != NULL ? 1 : 0;
+    b->counters.config_bytes += reply_bytes(r);
+    if (r->config == NULL) {
+        return;
+    }
+    if (r->version <= b->config_version) {
+        ignore_config(b, from, r);
         return;
     }
     text = reply_text(b, r);
