Reproduce a small change that comes late behind a large one

Eight members of control and one broker, the real reducers, in virtual time; all that goes to the broker passes a link of 25 Mbit/s, in the size that the codec gives it. A configuration of 4,200 queues is confirmed, and a small change right after it.

The cluster of the tests has up to nine members now, as many as control allows, takes ranked publications, and hands out what goes to processes that are no members.

--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -226,6 +226,10 @@
 {
     int target = node_number(cl, to);
 
+    if (target < 0 && cl->outside != NULL) {
+        cl->outside(cl->outside_ctx, from, to, m);
+        return;
+    }
     fly(cl, from, target, m);
     if (cluster_draw(cl, 1000) < cl->doubled) {
         fly(cl, from, target, m);
@@ -639,23 +643,39 @@
     return blob_new(text, sizeof(text));
 }
 
-void
-cluster_publish(struct cluster *cl, int i, uint64_t r, uint64_t base,
-                uint64_t id)
+static void
+publish(struct cluster *cl, int i, uint64_t id, struct cev_publish *p)
 {
     struct control_event ev = {.kind = CEV_PUBLISH};
     char id_text[24];
 
     (void)snprintf(id_text, sizeof(id_text), "r%llu", (unsigned long long)id);
-    ask(cl, r)->id = id;
-    ev.u.publish.request = r;
-    ev.u.publish.publisher = name_of("alice");
-    ev.u.publish.request_id = id_text;
-    ev.u.publish.base_version = base;
-    ev.u.publish.summary = "a change";
-    ev.u.publish.config = text_of(id);
+    ask(cl, p->request)->id = id;
+    p->publisher = name_of("alice");
+    p->request_id = id_text;
+    p->summary = "a change";
+    ev.u.publish = *p;
     step(cl, i, &ev);
-    blob_unref(ev.u.publish.config);
+}
+
+void
+cluster_publish(struct cluster *cl, int i, uint64_t r, uint64_t base,
+                uint64_t id)
+{
+    struct cev_publish p = {
+        .request = r, .base_version = base, .config = text_of(id)};
+
+    publish(cl, i, id, &p);
+    blob_unref(p.config);
+}
+
+void
+cluster_publish_ranked(struct cluster *cl, int i, uint64_t r, uint64_t rank,
+                       struct blob *text)
+{
+    struct cev_publish p = {.request = r, .rank = rank, .config = text};
+
+    publish(cl, i, r, &p);
 }
 
 void
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -15,7 +15,7 @@
 #include "fault_disk.h"
 
 enum {
-    CLUSTER_NODES = 5,
+    CLUSTER_NODES = 9,
     CLUSTER_REQUESTS = 4096,
     CLUSTER_ENTRIES = 8192,
     CLUSTER_FLIGHTS = 4096,
@@ -78,6 +78,10 @@
     uint64_t follower_has;
     struct blob *follower_text;
     uint64_t follower_got; /* replies with a configuration */
+    /* Takes what is sent to processes that are no members; NULL for none. */
+    void (*outside)(void *ctx, struct name from, struct name to,
+                    const struct msg *m);
+    void *outside_ctx;
     int violations;
     char first_violation[DETAIL_SIZE];
 };
@@ -113,6 +117,11 @@
  * text made of it */
 void cluster_publish(struct cluster *cl, int node, uint64_t r, uint64_t base,
                      uint64_t id);
+
+/** cluster_publish_ranked() - request @r, a whole text that its operator has
+ * numbered */
+void cluster_publish_ranked(struct cluster *cl, int node, uint64_t r,
+                            uint64_t rank, struct blob *text);
 void cluster_read(struct cluster *cl, int node, uint64_t r);
 void cluster_change(struct cluster *cl, int node, uint64_t r,
                     enum change_action action, int member);
--- /dev/null
+++ b/tests/config_spread_test.c
@@ -0,0 +1,277 @@
+/* The way of a configuration from the members of control to a broker behind a
+ * slow link. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "broker.h"
+#include "check.h"
+#include "cluster.h"
+
+#define MSEC USEC_PER_MSEC
+#define SEC USEC_PER_SEC
+/* A confirmed change is in force everywhere after that time at the latest. */
+#define APPLY_US (2 * SEC)
+
+enum {
+    MEMBERS = 8,
+    LINK_BYTES_PER_S = 25 * 1000 * 1000 / 8,
+    ROUTES = 4200,
+    ROUTE_SIZE = 256, /* room for the text of one */
+    WAITING_MAX = 256,
+};
+
+/* A message on its way to the broker. */
+struct waiting {
+    int64_t due_us;
+    struct name from;
+    struct msg msg;
+};
+
+struct spread {
+    struct cluster *cl;
+    struct broker *broker;
+    int64_t link_free_us; /* when the link has carried all of it */
+    struct waiting waiting[WAITING_MAX];
+    size_t first;
+    size_t n;
+    uint64_t config_bytes; /* of configuration texts, carried by the link */
+    uint64_t next;         /* number of the next request */
+};
+
+/* Its first number is the rank; the rest isn't looked at. */
+static struct queueconf *
+read_rank(const char *text, size_t size, enum queueconf_fault *fault)
+{
+    struct queueconf *c = calloc(1, sizeof(*c));
+
+    (void)size;
+    *fault = QUEUECONF_OK;
+    c->rank = strtoull(text + strcspn(text, "0123456789"), NULL, 10);
+    return c;
+}
+
+static size_t
+encoded_size(const struct msg *m)
+{
+    msgpack_sbuffer buffer;
+    size_t size;
+
+    msgpack_sbuffer_init(&buffer);
+    CU_ASSERT_EQUAL_FATAL(wire_encode(m, &buffer), WIRE_OK);
+    size = buffer.size;
+    msgpack_sbuffer_destroy(&buffer);
+    return size;
+}
+
+/* All connections share the link of the broker's machine. */
+static void
+to_broker(void *ctx, struct name from, struct name to, const struct msg *m)
+{
+    struct spread *s = ctx;
+    struct waiting *w = &s->waiting[(s->first + s->n) % WAITING_MAX];
+    size_t size = encoded_size(m);
+
+    (void)to;
+    CU_ASSERT_TRUE_FATAL(s->n < WAITING_MAX);
+    s->n++;
+    if (s->link_free_us < s->cl->now_us) {
+        s->link_free_us = s->cl->now_us;
+    }
+    s->link_free_us += (int64_t)size * SEC / LINK_BYTES_PER_S;
+    w->due_us = s->link_free_us;
+    w->from = from;
+    w->msg = msg_copy(m);
+    if (m->kind == MSG_CONFIG_REPLY && m->u.config_reply.config != NULL) {
+        s->config_bytes += m->u.config_reply.config->size;
+    }
+}
+
+static void
+step(struct spread *s, struct broker_event *ev)
+{
+    struct broker_effects fx = {0};
+
+    ev->now =
+        (struct moment){.mono_us = s->cl->now_us, .wall_us = s->cl->now_us};
+    broker_step(s->broker, ev, &fx);
+    for (size_t i = 0; i < fx.n; i++) {
+        const struct broker_effect *f = &fx.items[i];
+
+        for (int n = 0; f->kind == BE_SEND && n < MEMBERS; n++) {
+            if (name_equal(f->u.send.to, s->cl->nodes[n].name) &&
+                f->u.send.msg.kind == MSG_CONFIG_REQUEST) {
+                cluster_inject(s->cl, "broker", n, &f->u.send.msg);
+            }
+        }
+    }
+    broker_effects_free(&fx);
+}
+
+static void
+peer(struct spread *s, int member, bool up)
+{
+    struct broker_event ev = {.kind = BEV_PEER};
+
+    ev.u.peer.peer = s->cl->nodes[member].name;
+    ev.u.peer.up = up;
+    step(s, &ev);
+}
+
+static void
+deliver(struct spread *s)
+{
+    struct waiting w = s->waiting[s->first];
+    struct broker_event ev = {.kind = BEV_MESSAGE};
+
+    s->first = (s->first + 1) % WAITING_MAX;
+    s->n--;
+    ev.u.message.from = w.from;
+    ev.u.message.msg = &w.msg;
+    step(s, &ev);
+    msg_free(&w.msg);
+}
+
+static void
+run(struct spread *s, int64_t us)
+{
+    int64_t until_us = s->cl->now_us + us;
+
+    while (s->cl->now_us < until_us) {
+        cluster_run(s->cl, MSEC);
+        while (s->n > 0 && s->waiting[s->first].due_us <= s->cl->now_us) {
+            deliver(s);
+        }
+        if (broker_next_us(s->broker) <= s->cl->now_us) {
+            step(s, &(struct broker_event){.kind = BEV_TICK});
+        }
+    }
+}
+
+static struct spread *
+spread_new(uint64_t seed)
+{
+    struct spread *s = calloc(1, sizeof(*s));
+    struct broker_options opts = broker_options_default();
+    struct rec_instance registries[MEMBERS] = {0};
+
+    s->cl = cluster_new(MEMBERS, seed, NULL);
+    s->cl->options.heartbeat_us = 80 * MSEC;
+    s->cl->options.election_us = 400 * MSEC;
+    s->cl->options.limits.texts = 2;
+    s->cl->outside = to_broker;
+    s->cl->outside_ctx = s;
+    for (int i = 0; i < MEMBERS; i++) {
+        cluster_crash(s->cl, i);
+        cluster_start(s->cl, i);
+        registries[i].name = s->cl->nodes[i].name;
+    }
+    (void)cluster_await_leader(s->cl);
+    opts.self = name_of("broker");
+    opts.zone = name_of("zone");
+    opts.registries = registries;
+    opts.n_registries = MEMBERS;
+    opts.read_config = read_rank;
+    s->broker = broker_new(&opts);
+    for (int i = 0; i < MEMBERS; i++) {
+        peer(s, i, true);
+    }
+    run(s, SEC);
+    return s;
+}
+
+static void
+spread_free(struct spread *s)
+{
+    CU_ASSERT_EQUAL(s->cl->violations, 0);
+    while (s->n > 0) {
+        msg_free(&s->waiting[s->first].msg);
+        s->first = (s->first + 1) % WAITING_MAX;
+        s->n--;
+    }
+    broker_free(s->broker);
+    cluster_free(s->cl);
+    free(s);
+}
+
+/* A whole configuration as operators send them: its number stands first, and
+ * what is new stands at the end. */
+static struct blob *
+text_of(uint64_t rank, size_t routes)
+{
+    char *text = malloc(ROUTE_SIZE * (routes + 1));
+    uint64_t random = 1;
+    struct blob *b;
+    int n = sprintf(text, "{\"version\":%llu,\"routes\":[",
+                    (unsigned long long)rank);
+
+    for (size_t i = 0; i < routes; i++) {
+        unsigned long long a = random_next(&random);
+
+        n += sprintf(
+            text + n,
+            "%s{\"name\":\"r-%07llx\",\"host\":\"h%06llx.example\","
+            "\"path-prefix\":\"/p%06llx/\",\"route-type\":\"unsafe\","
+            "\"timeout-ms\":1500,\"target-latency-ms\":60,\"priority\":1,"
+            "\"service\":\"service\",\"max-attempts\":2,\"stretch\":1.6}",
+            i > 0 ? "," : "", a & 0xfffffff, (a >> 28) % 7 + 1,
+            (a >> 32) & 0xffffff);
+    }
+    n += sprintf(text + n, "]}");
+    b = blob_new(text, (size_t)n);
+    free(text);
+    return b;
+}
+
+/* Returns when it is confirmed. */
+static void
+publish(struct spread *s, uint64_t rank, size_t routes)
+{
+    struct blob *text = text_of(rank, routes);
+    uint64_t r = ++s->next;
+
+    cluster_publish_ranked(s->cl, cluster_leader(s->cl), r, rank, text);
+    while (!s->cl->answers[r].done) {
+        run(s, MSEC);
+    }
+    CU_ASSERT_EQUAL(s->cl->answers[r].result, CONTROL_OK);
+    blob_unref(text);
+}
+
+static uint64_t
+rank_in_force(const struct spread *s)
+{
+    return broker_gauges(s->broker).config_rank;
+}
+
+static int64_t
+until_in_force_us(struct spread *s, uint64_t rank)
+{
+    int64_t from_us = s->cl->now_us;
+
+    while (rank_in_force(s) < rank && s->cl->now_us - from_us < 10 * SEC) {
+        run(s, MSEC);
+    }
+    return s->cl->now_us - from_us;
+}
+
+/* Guards against a small change that comes late because copies of the large
+ * one before it fill the broker's link. */
+static void
+small_change_behind_a_large_one_is_in_time(void)
+{
+    struct spread *s = spread_new(1);
+
+    publish(s, 7, ROUTES);
+    publish(s, 8, ROUTES + 1);
+    CU_ASSERT_TRUE(until_in_force_us(s, 8) <= APPLY_US);
+    spread_free(s);
+}
+
+void
+suite_config_spread(void)
+{
+#define TEST(name) check_add("config_spread", #name, name)
+    TEST(small_change_behind_a_large_one_is_in_time);
+#undef TEST
+}
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -37,5 +37,6 @@
 SUITE(broker)
 SUITE(broker_scale)
 SUITE(broker_load)
+SUITE(config_spread)
 SUITE(matrix)
 /* clang-format on */
