Fetch a configuration's text from one registry, not from all

What callers saw: for 4 s after a large configuration hardly a job was served, and a queue that a change behind it had added was refused with 404 more than 2,500 ms after the change's confirmation.

Cause: a broker kept a poll open at each registry, and each answered it with the text. Eight registries sent 8 copies of 840 KB for each version through a link of 25 Mbit/s; those of the next version queued behind them, and so did loads, looks and starts.

Test config_spread small_change_behind_a_large_one_is_in_time failed before (over 2 s, 10.8 MB at 3,400 queues) and passes now.

Ruled out: members that learn late (all within 0.1 s of the first). Reading the text takes 30 ms here for 845 KB, so 0.25 s on 0.12 cores: it adds to the dent and is not what broke the bound.

Change: polls ask for the number of a newer version only, still at every registry, so that one behind a cut can't hide a change. The text comes from one of those that told of it: of the broker's own zone where one tells within 100 ms, another one after 1 s (twice as long each time) or as soon as the connection is lost. So one copy a version crosses the link, whatever the number of registries. While a newer version is known of and not here, an unknown queue is answered with 503 and Retry-After, not with 404, which would speak for a configuration that the broker knows to be over. A text that can't be read is not fetched again and again.

--- a/src/broker.c
+++ b/src/broker.c
@@ -176,7 +176,7 @@
         peers_on_roster(b, &m->u.roster);
         break;
     case MSG_CONFIG_REPLY:
-        peers_on_config(b, from, &m->u.config_reply);
+        config_on_reply(b, from, &m->u.config_reply);
         break;
     case MSG_UPSTREAM_REPORT:
         hold_on_report(b, &m->u.upstream_report);
@@ -302,6 +302,7 @@
 tick(struct broker *b)
 {
     linger_tick(b);
+    config_tick(b);
     peers_tick(b);
     callers_tick(b);
     hold_tick(b);
@@ -348,6 +349,7 @@
     int64_t at = b->now.mono_us + TICK_MAX_US;
 
     at = least(at, b->load_us);
+    at = least(at, config_next_us(b));
     at = least(at, peers_next_us(b));
     at = least(at, callers_next_us(b));
     at = least(at, hold_next_us(b));
--- a/src/broker.h
+++ b/src/broker.h
@@ -149,6 +149,11 @@
 /** broker_queues() - the configuration in force, or NULL */
 const struct queueconf *broker_queues(const struct broker *b);
 
+/** broker_config_behind() - whether a registry has told of a newer
+ * configuration than the one in force: what that one does not know may be
+ * there */
+bool broker_config_behind(const struct broker *b);
+
 /** broker_waiting() - jobs of a queue that were taken here and of which
  * nothing is known to have started */
 uint32_t broker_waiting(const struct broker *b, struct name queue);
--- /dev/null
+++ b/src/broker_config.c
@@ -0,0 +1,312 @@
+/*
+ * The configuration that registries publish.
+ *
+ * Every registry tells which version it has: one that is cut off from the
+ * others has nothing newer to tell, so asking one alone could leave an old
+ * configuration in force here.  The text comes from one of them only.  As many
+ * copies as there are registries would fill the link of a small machine, and
+ * neither the next change nor anything else would get through in time.
+ */
+#include <string.h>
+
+#include "broker_state.h"
+#include "delta.h"
+
+/* Between two questions for a newer version that were not answered: longer
+ * than control keeps a poll open. */
+#define POLL_AGAIN_US (5 * USEC_PER_SEC)
+/* The members of control learn of a change within a heartbeat of each other.
+ * So long a registry of this zone may take to tell of it, since a text from
+ * another zone costs more. */
+#define NEAR_US (100 * USEC_PER_MSEC)
+/* A text that is still under way must not be asked for again and again, so
+ * each time it is waited for longer. */
+#define FETCH_US (1 * USEC_PER_SEC)
+enum { FETCH_GROWTH = 2 };
+
+static uint64_t
+newest_told(const struct broker *b)
+{
+    uint64_t newest = b->config_version;
+
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->up && p->told_version > newest) {
+            newest = p->told_version;
+        }
+    }
+    return newest > b->fetch.unreadable ? newest : b->config_version;
+}
+
+bool
+broker_config_behind(const struct broker *b)
+{
+    return newest_told(b) > b->config_version;
+}
+
+/* Asking */
+
+static bool
+fetching(const struct broker *b)
+{
+    return !name_empty(b->fetch.from);
+}
+
+static void
+ask(struct broker *b, struct broker_peer *p, bool version_only)
+{
+    struct msg m = {.kind = MSG_CONFIG_REQUEST};
+    struct rec_config_request *r = &m.u.config_request;
+
+    r->have_version = b->config_version;
+    r->incarnation = b->opts.incarnation;
+    r->zone = b->opts.zone;
+    r->takes_delta = b->config_text != NULL && !b->fetch.whole ? 1 : 0;
+    r->version_only = version_only ? 1 : 0;
+    r->known_version = b->config_version;
+    if (version_only && p->told_version > b->config_version) {
+        r->known_version = p->told_version;
+    }
+    p->poll_us = b->now.mono_us + POLL_AGAIN_US;
+    broker_send(b, p->name, &m);
+}
+
+static bool
+is_near(const struct broker *b, const struct broker_peer *p)
+{
+    return name_equal(p->zone, b->opts.zone);
+}
+
+/* Registries of this zone first, and last those that kept it waiting. */
+static int
+cost(const struct broker *b, const struct broker_peer *p)
+{
+    return (p->slow ? 2 : 0) + (is_near(b, p) ? 0 : 1);
+}
+
+/* One of those that told of @version, drawn among the best. */
+static struct broker_peer *
+choose_source(struct broker *b, uint64_t version)
+{
+    struct broker_peer *best = NULL;
+    uint64_t alike = 0;
+
+    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (!p->up || p->told_version < version) {
+            continue;
+        }
+        if (best == NULL || cost(b, p) < cost(b, best)) {
+            best = p;
+            alike = 1;
+        }
+        else if (cost(b, p) == cost(b, best) &&
+                 broker_random(b, ++alike) == 0) {
+            best = p;
+        }
+    }
+    return best;
+}
+
+static bool
+near_registry_up(const struct broker *b)
+{
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->registry && p->up && !p->slow && is_near(b, p)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+give_up_source(struct broker *b)
+{
+    struct broker_peer *p = peers_find(b, b->fetch.from);
+
+    broker_log(b, LOG_WARNING, BROKER_CONFIG_LATE, 0, -1, b->fetch.from,
+               "nothing came in %lld ms",
+               (long long)(b->fetch.patience_us / USEC_PER_MSEC));
+    if (p != NULL) {
+        p->slow = true;
+    }
+    b->fetch.from = name_of("");
+    b->fetch.patience_us *= FETCH_GROWTH;
+}
+
+static void
+fetch(struct broker *b)
+{
+    struct config_fetch *f = &b->fetch;
+    struct broker_peer *source;
+
+    if (!broker_config_behind(b)) {
+        f->heard_us = 0;
+        f->patience_us = FETCH_US;
+        return;
+    }
+    if (fetching(b)) {
+        return;
+    }
+    source = choose_source(b, newest_told(b));
+    if (!is_near(b, source) && near_registry_up(b) &&
+        b->now.mono_us < f->heard_us + NEAR_US) {
+        return;
+    }
+    f->from = source->name;
+    f->due_us = b->now.mono_us + f->patience_us;
+    ask(b, source, false);
+}
+
+void
+config_tick(struct broker *b)
+{
+    if (fetching(b) && b->now.mono_us >= b->fetch.due_us) {
+        give_up_source(b);
+    }
+    fetch(b);
+    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->registry && p->up && b->now.mono_us >= p->poll_us) {
+            ask(b, p, true);
+        }
+    }
+}
+
+int64_t
+config_next_us(const struct broker *b)
+{
+    int64_t at = INT64_MAX;
+
+    if (fetching(b)) {
+        at = b->fetch.due_us;
+    }
+    else if (b->fetch.heard_us > 0) {
+        at = b->fetch.heard_us + NEAR_US;
+    }
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->registry && p->up && p->poll_us < at) {
+            at = p->poll_us;
+        }
+    }
+    return at;
+}
+
+void
+config_registry_lost(struct broker *b, struct broker_peer *p)
+{
+    p->told_version = 0;
+    p->slow = false;
+    if (name_equal(b->fetch.from, p->name)) {
+        b->fetch.from = name_of("");
+    }
+}
+
+/* What came */
+
+static size_t
+reply_bytes(const struct rec_config_reply *r)
+{
+    return r->config != NULL ? r->config->size : 0;
+}
+
+static struct blob *
+reply_text(struct broker *b, const struct rec_config_reply *r)
+{
+    struct delta d = {.prefix = r->prefix,
+                      .suffix = r->suffix,
+                      .middle = r->config,
+                      .digest = r->digest};
+
+    if (r->from_version == 0) {
+        return blob_ref(r->config);
+    }
+    return r->from_version == b->config_version
+               ? delta_apply(b->config_text, &d)
+               : NULL;
+}
+
+static void
+ignore_text(struct broker *b, struct name from,
+            const struct rec_config_reply *r)
+{
+    b->counters.configs_ignored++;
+    broker_log(b, LOG_INFO, BROKER_CONFIG_IGNORED, 0, -1, from,
+               "version %llu, %zu bytes; version %llu is in force",
+               (unsigned long long)r->version, reply_bytes(r),
+               (unsigned long long)b->config_version);
+}
+
+static void
+apply_text(struct broker *b, struct name from,
+           const struct rec_config_reply *r, struct blob *text)
+{
+    enum queueconf_fault fault = QUEUECONF_OK;
+    struct queueconf *queues =
+        b->opts.read_config(text->data, text->size, &fault);
+    int64_t heard_us =
+        b->fetch.heard_us > 0 ? b->fetch.heard_us : b->now.mono_us;
+
+    if (queues == NULL) {
+        b->fetch.unreadable = r->version;
+        broker_log(b, LOG_ERR, BROKER_CONFIG_BAD, 0, -1, from,
+                   "version %llu: %s", (unsigned long long)r->version,
+                   queueconf_fault_text(fault));
+        return;
+    }
+    queueconf_free(b->queues);
+    b->queues = queues;
+    blob_unref(b->config_text);
+    b->config_text = blob_ref(text);
+    b->config_version = r->version;
+    b->counters.configs_applied++;
+    broker_log(b, LOG_NOTICE, BROKER_CONFIG_APPLIED, 0, -1, from,
+               "version %llu, rank %llu, %zu queues, %zu bytes%s, %lld ms "
+               "after it was heard of",
+               (unsigned long long)r->version,
+               (unsigned long long)queues->rank, queues->n_queues,
+               reply_bytes(r), r->from_version != 0 ? " of changes" : "",
+               (long long)((b->now.mono_us - heard_us) / USEC_PER_MSEC));
+}
+
+static void
+take_text(struct broker *b, struct name from, const struct rec_config_reply *r)
+{
+    struct blob *text;
+
+    b->counters.config_bytes += reply_bytes(r);
+    if (name_equal(b->fetch.from, from)) {
+        b->fetch.from = name_of("");
+    }
+    if (r->version <= b->config_version) {
+        ignore_text(b, from, r);
+        return;
+    }
+    text = reply_text(b, r);
+    b->fetch.whole = text == NULL;
+    if (text != NULL) {
+        apply_text(b, from, r, text);
+    }
+    blob_unref(text);
+}
+
+void
+config_on_reply(struct broker *b, struct name from,
+                const struct rec_config_reply *r)
+{
+    struct broker_peer *p = peers_find(b, from);
+
+    if (p == NULL) {
+        return;
+    }
+    p->poll_us = b->now.mono_us;
+    p->told_version =
+        r->version > p->told_version ? r->version : p->told_version;
+    if (r->zone.s[0] != '\0') {
+        p->zone = r->zone;
+    }
+    if (r->config != NULL) {
+        p->slow = false;
+        take_text(b, from, r);
+    }
+    if (broker_config_behind(b) && b->fetch.heard_us == 0) {
+        b->fetch.heard_us = b->now.mono_us;
+    }
+}
--- a/src/broker_effect.h
+++ b/src/broker_effect.h
@@ -102,6 +102,8 @@
     BROKER_REASON(CONFIG_APPLIED, "config-applied", "it is in force here")    \
     BROKER_REASON(CONFIG_IGNORED, "config-not-newer", "it changes nothing")   \
     BROKER_REASON(CONFIG_BAD, "config-unreadable", "it can't be in force")    \
+    BROKER_REASON(CONFIG_LATE, "config-fetch-late",                           \
+                  "a registry did not send it; another one is asked")         \
     BROKER_REASON(PAUSED, "process-was-paused", "nothing is held any more")   \
     BROKER_REASON(LINGERS, "stop-lingers",                                    \
                   "it stops, but goes on running jobs: nobody takes over")    \
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -1,20 +1,15 @@
 /*
- * The other processes: who is there, who should hold which upstream, and the
- * configuration that registries publish.
+ * The other processes: who is there, and who should hold which upstream.
  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "array.h"
 #include "broker_state.h"
-#include "delta.h"
 
 /* A process that no registry names and that is silent for so long is dialed no
  * more. */
 #define FORGET_US (30 * USEC_PER_SEC)
-/* Between two questions for the configuration that were not answered: longer
- * than control keeps a poll open. */
-#define POLL_AGAIN_US (5 * USEC_PER_SEC)
 
 struct broker_peer *
 peers_find(const struct broker *b, struct name name)
@@ -31,7 +26,6 @@
         abort();
     }
     p->name = name;
-    p->poll_us = INT64_MAX;
     p->down_us = b->now.mono_us;
     p->next = b->peers;
     b->peers = p;
@@ -120,8 +114,8 @@
 {
     p->up = false;
     p->down_us = b->now.mono_us;
-    p->poll_us = INT64_MAX;
     forget_loads(p);
+    config_registry_lost(b, p);
     broker_log(b, LOG_NOTICE, BROKER_PEER_DOWN, 0, -1, p->name, "%s",
                p->registry ? "registry" : "broker");
     callers_runner_lost(b, p->name);
@@ -142,7 +136,7 @@
     p->up = true;
     p->stopping = false;
     p->lingers = false;
-    p->poll_us = p->registry ? b->now.mono_us : INT64_MAX;
+    p->poll_us = b->now.mono_us;
     if (!p->registry) {
         /* Before the introduction: it may make the other one think that it
          * should hold them, and it would take them at once. */
@@ -221,7 +215,7 @@
 
         if (!p->registry) {
             p->registry = true;
-            p->poll_us = p->up ? b->now.mono_us : INT64_MAX;
+            p->poll_us = b->now.mono_us;
         }
         connect_peer(b, p, r->registries[i].address);
     }
@@ -315,108 +309,6 @@
     view_changed(b);
 }
 
-/* Configuration: every registry is asked.  One that is cut off from the others
- * keeps its poll open and has nothing newer to tell, so asking one alone could
- * leave an old configuration in force here. */
-
-static void
-ask_config(struct broker *b, struct broker_peer *p)
-{
-    struct msg m = {.kind = MSG_CONFIG_REQUEST};
-
-    m.u.config_request.have_version = b->config_version;
-    m.u.config_request.incarnation = b->opts.incarnation;
-    m.u.config_request.zone = b->opts.zone;
-    m.u.config_request.takes_delta = b->config_text != NULL ? 1 : 0;
-    p->poll_us = b->now.mono_us + POLL_AGAIN_US;
-    broker_send(b, p->name, &m);
-}
-
-static struct blob *
-reply_text(struct broker *b, const struct rec_config_reply *r)
-{
-    struct delta d = {.prefix = r->prefix,
-                      .suffix = r->suffix,
-                      .middle = r->config,
-                      .digest = r->digest};
-
-    if (r->from_version == 0) {
-        return blob_ref(r->config);
-    }
-    return r->from_version == b->config_version
-               ? delta_apply(b->config_text, &d)
-               : NULL;
-}
-
-static size_t
-reply_bytes(const struct rec_config_reply *r)
-{
-    return r->config != NULL ? r->config->size : 0;
-}
-
-static void
-apply_config(struct broker *b, struct name from,
-             const struct rec_config_reply *r, struct blob *text)
-{
-    enum queueconf_fault fault = QUEUECONF_OK;
-    struct queueconf *queues =
-        b->opts.read_config(text->data, text->size, &fault);
-
-    if (queues == NULL) {
-        broker_log(b, LOG_ERR, BROKER_CONFIG_BAD, 0, -1, from,
-                   "version %llu: %s", (unsigned long long)r->version,
-                   queueconf_fault_text(fault));
-        return;
-    }
-    queueconf_free(b->queues);
-    b->queues = queues;
-    blob_unref(b->config_text);
-    b->config_text = blob_ref(text);
-    b->config_version = r->version;
-    b->counters.configs_applied++;
-    broker_log(b, LOG_NOTICE, BROKER_CONFIG_APPLIED, 0, -1, from,
-               "version %llu, rank %llu, %zu queues, %zu bytes%s",
-               (unsigned long long)r->version,
-               (unsigned long long)queues->rank, queues->n_queues,
-               reply_bytes(r), r->from_version != 0 ? " of changes" : "");
-}
-
-static void
-ignore_config(struct broker *b, struct name from,
-              const struct rec_config_reply *r)
-{
-    b->counters.configs_ignored++;
-    broker_log(b, LOG_INFO, BROKER_CONFIG_IGNORED, 0, -1, from,
-               "version %llu, %zu bytes; version %llu is in force",
-               (unsigned long long)r->version, reply_bytes(r),
-               (unsigned long long)b->config_version);
-}
-
-void
-peers_on_config(struct broker *b, struct name from,
-                const struct rec_config_reply *r)
-{
-    struct broker_peer *p = peers_find(b, from);
-    struct blob *text;
-
-    if (p != NULL) {
-        p->poll_us = b->now.mono_us;
-    }
-    b->counters.config_bytes += reply_bytes(r);
-    if (r->config == NULL) {
-        return;
-    }
-    if (r->version <= b->config_version) {
-        ignore_config(b, from, r);
-        return;
-    }
-    text = reply_text(b, r);
-    if (text != NULL) {
-        apply_config(b, from, r, text);
-    }
-    blob_unref(text);
-}
-
 /* Registries tell other zones of those that hold upstreams before all others,
  * since only they run jobs. */
 static void
@@ -460,11 +352,6 @@
 void
 peers_tick(struct broker *b)
 {
-    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
-        if (p->registry && p->up && b->now.mono_us >= p->poll_us) {
-            ask_config(b, p);
-        }
-    }
     if (b->now.mono_us >= b->load_us) {
         tell_holds(b);
         b->load_us = b->now.mono_us + load_pause_us(b, send_load(b));
@@ -475,14 +362,7 @@
 int64_t
 peers_next_us(const struct broker *b)
 {
-    int64_t at = b->load_us;
-
-    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
-        if (p->registry && p->up && p->poll_us < at) {
-            at = p->poll_us;
-        }
-    }
-    return at;
+    return b->load_us;
 }
 
 /* Holders */
--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -20,7 +20,7 @@
     WAIT_MAX_MS = 500,
     LAST_MS = 300, /* for the last answers to go out */
     METRICS_CONNECTIONS = 8,
-    STATUS_STOPPING = 503,
+    STATUS_LATER = 503,
 };
 
 enum mail_kind { MAIL_MESSAGE, MAIL_PEER, MAIL_STOP, MAIL_REGISTRY };
@@ -148,6 +148,19 @@
     free((void *)c->submit.groups);
 }
 
+/* Whether a queue is there is said by the newest configuration.  Where that is
+ * still on its way here, nobody is told that there is none. */
+static void
+reply_no_queue(struct broker_runtime *r, uint64_t number,
+               struct httpapi_response *response)
+{
+    if (broker_config_behind(r->broker)) {
+        response->status = STATUS_LATER;
+        response->retry_after_us = USEC_PER_SEC;
+    }
+    httpapi_reply(r->callers, number, response);
+}
+
 static void
 on_caller(void *ctx, const struct httpapi_request *request)
 {
@@ -158,7 +171,7 @@
     /* The reducer is done and nothing would come back from other processes:
      * a job taken now would get no answer at all. */
     if (atomic_load(&r->stopped)) {
-        c.response.status = STATUS_STOPPING;
+        c.response.status = STATUS_LATER;
         c.response.retry_after_us = USEC_PER_SEC;
         c.response.close = true;
         httpapi_reply(r->callers, request->number, &c.response);
@@ -179,6 +192,9 @@
                                &c.response);
         httpapi_reply(r->callers, request->number, &c.response);
         break;
+    case CALLER_NO_QUEUE:
+        reply_no_queue(r, request->number, &c.response);
+        break;
     default:
         httpapi_reply(r->callers, request->number, &c.response);
         break;
--- a/src/broker_runtime.h
+++ b/src/broker_runtime.h
@@ -18,8 +18,9 @@
 enum caller_call {
     CALLER_SUBMIT,
     CALLER_CANCEL,
-    CALLER_COUNT, /* how many jobs of a queue wait */
-    CALLER_REPLY, /* nothing: the answer stands already */
+    CALLER_COUNT,    /* how many jobs of a queue wait */
+    CALLER_REPLY,    /* nothing: the answer stands already */
+    CALLER_NO_QUEUE, /* likewise: no queue of the configuration is meant */
 };
 
 /**
@@ -28,7 +29,7 @@
  * @submit: its spec and groups are owned; the request number is filled in
  * @cancel: likewise
  * @queue: whose jobs are counted; of the configuration
- * @response: of CALLER_REPLY
+ * @response: of CALLER_REPLY and CALLER_NO_QUEUE
  */
 struct caller_request {
     enum caller_call kind;
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -1,15 +1,15 @@
 /**
  * DOC: broker_state - what the parts of the broker reducer share
  *
- * broker.c routes events; broker_peer.c knows the other processes and follows
- * the configuration; broker_caller.c has the jobs that callers handed in here;
- * broker_run.c runs jobs; broker_order.c decides which are let in and which go
- * first, broker_share.c what part of the room each queue may have,
- * broker_place.c where a task goes; broker_hold.c holds upstreams,
- * broker_linger.c goes on with them while a stop finds no successor,
- * broker_lease.c speaks with them, broker_trust.c judges them.  A part calls
- * those that stand behind it in this list, and those before it only through
- * the functions below.
+ * broker.c routes events; broker_peer.c knows the other processes,
+ * broker_config.c follows the configuration; broker_caller.c has the jobs that
+ * callers handed in here; broker_run.c runs jobs; broker_order.c decides which
+ * are let in and which go first, broker_share.c what part of the room each
+ * queue may have, broker_place.c where a task goes; broker_hold.c holds
+ * upstreams, broker_linger.c goes on with them while a stop finds no
+ * successor, broker_lease.c speaks with them, broker_trust.c judges them.  A
+ * part calls those that stand behind it in this list, and those before it only
+ * through the functions below.
  */
 #ifndef BM_BROKER_STATE_H
 #define BM_BROKER_STATE_H
@@ -40,7 +40,10 @@
  * @stopping: takes no new duties
  * @lingers: runs jobs though it stops
  * @loads: of its services
- * @poll_us: ask it for a newer configuration then; INT64_MAX while it is asked
+ * @poll_us: of a registry: ask it then for a newer version
+ * @told_version: of a registry: newest version of the configuration that it
+ *                told of on this connection
+ * @slow: of a registry: it was asked for a text and did not send it in time
  */
 struct broker_peer {
     struct name name;
@@ -56,10 +59,30 @@
     struct broker_load *loads;
     size_t n_loads;
     int64_t poll_us;
+    uint64_t told_version;
+    bool slow;
     int64_t down_us;
     struct broker_peer *next;
 };
 
+/**
+ * struct config_fetch - the way of a newer configuration to this broker
+ * @from: the registry that was asked for its text; empty: none
+ * @due_us: another one is asked then
+ * @patience_us: from asking to @due_us
+ * @heard_us: when a version above the one in force was first told; 0: none was
+ * @whole: a change did not fit the text here, so the whole text is asked for
+ * @unreadable: newest version that can't be in force here
+ */
+struct config_fetch {
+    struct name from;
+    int64_t due_us;
+    int64_t patience_us;
+    int64_t heard_us;
+    bool whole;
+    uint64_t unreadable;
+};
+
 /** struct holder_ref - a broker that holds upstreams of this zone */
 struct holder_ref {
     struct broker_peer *peer;
@@ -314,6 +337,7 @@
     struct queueconf *queues;
     struct blob *config_text;
     uint64_t config_version;
+    struct config_fetch fetch;
 
     struct map peers_by_name;
     struct broker_peer *peers;
@@ -386,14 +410,24 @@
 void peers_on_roster(struct broker *b, const struct rec_roster *r);
 void peers_on_load(struct broker *b, struct name from,
                    const struct rec_broker_load *l);
-void peers_on_config(struct broker *b, struct name from,
-                     const struct rec_config_reply *r);
 
 /** peers_stopping() - says at once that this broker is stopping */
 void peers_stopping(struct broker *b);
 void peers_tick(struct broker *b);
 int64_t peers_next_us(const struct broker *b);
 
+/* broker_config.c */
+
+void config_tick(struct broker *b);
+int64_t config_next_us(const struct broker *b);
+void config_on_reply(struct broker *b, struct name from,
+                     const struct rec_config_reply *r);
+
+/** config_registry_lost() - the connection to a registry is gone */
+void config_registry_lost(struct broker *b, struct broker_peer *p);
+
+/* broker_peer.c, again */
+
 /** peers_rank() - works out anew which brokers hold upstreams */
 void peers_rank(struct broker *b);
 
--- a/src/control.h
+++ b/src/control.h
@@ -37,6 +37,7 @@
 /**
  * struct control_options - how to construct a control member
  * @self: its name
+ * @zone: told to followers; may be empty
  * @disk: identity of its data folder; it votes only where the members say that
  *        this is the folder of @self
  * @known: members of the settings; besides those of the log, only they are
@@ -67,6 +68,7 @@
  */
 struct control_options {
     struct name self;
+    struct name zone;
     uint64_t disk;
     struct name known[CONTROL_MEMBERS_MAX];
     size_t n_known;
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -72,13 +72,16 @@
 struct follower {
     struct rec_follower info;
     int64_t heard_us;
-    struct name via;  /* the member it, or its zone's poller, asks */
-    bool here;        /* reported to this member, not to another */
-    bool direct;      /* it asked this member itself */
-    bool polling;     /* waits for an answer */
-    uint64_t have;    /* of the poll */
-    bool takes_delta; /* of the poll */
-    int64_t poll_us;  /* answer by then */
+    struct name via; /* the member it, or its zone's poller, asks */
+    bool here;       /* reported to this member, not to another */
+    bool direct;     /* it asked this member itself */
+    bool polling;    /* waits for an answer */
+    /* Of the poll. */
+    uint64_t have;
+    uint64_t known; /* an answer has a version above it */
+    bool takes_delta;
+    bool version_only;
+    int64_t poll_us; /* answer by then */
 };
 
 /* Members, and room for those of a change that may be cut off again. */
--- a/src/followers.c
+++ b/src/followers.c
@@ -102,6 +102,8 @@
     f->polling = true;
     f->have = r->have_version;
     f->takes_delta = r->takes_delta != 0;
+    f->version_only = r->version_only != 0;
+    f->known = f->version_only ? r->known_version : r->have_version;
     f->poll_us = c->now.mono_us + c->opts.poll_us;
     for (size_t i = 0; i < r->n_members && i < INSTANCES_MAX; i++) {
         (void)note_follower(c, &r->members[i], c->opts.self, false);
@@ -139,6 +141,14 @@
     c->counters.deltas_sent++;
 }
 
+static void
+answer_poll(struct control *c, struct follower *f, struct msg *m)
+{
+    m->u.config_reply.zone = c->opts.zone;
+    f->polling = false;
+    control_send(c, f->info.instance, m, 0);
+}
+
 static void
 send_config(struct control *c, struct follower *f)
 {
@@ -150,19 +160,17 @@
     r->term = p->term;
     r->digest = p->digest;
     fill_delta(c, r, f, fsm_text(&c->fsm, c->fsm.version));
-    f->polling = false;
     c->counters.configs_sent++;
-    control_send(c, f->info.instance, &m, 0);
+    answer_poll(c, f, &m);
 }
 
 static void
-send_nothing_newer(struct control *c, struct follower *f)
+send_version(struct control *c, struct follower *f, uint64_t version)
 {
     struct msg m = {.kind = MSG_CONFIG_REPLY};
 
-    m.u.config_reply.version = f->have;
-    f->polling = false;
-    control_send(c, f->info.instance, &m, 0);
+    m.u.config_reply.version = version;
+    answer_poll(c, f, &m);
 }
 
 /* After a restart the member knows what its disk holds, but not which of it is
@@ -178,7 +186,13 @@
     for (size_t i = 0; i < c->n_followers; i++) {
         struct follower *f = &c->followers[i];
 
-        if (f->polling && f->have < c->fsm.version) {
+        if (!f->polling || f->known >= c->fsm.version) {
+            continue;
+        }
+        if (f->version_only) {
+            send_version(c, f, c->fsm.version);
+        }
+        else {
             send_config(c, f);
         }
     }
@@ -237,7 +251,7 @@
         /* One that cannot serve yet stays silent: the follower asks another.
          */
         if (c->serving && f->polling && c->now.mono_us >= f->poll_us) {
-            send_nothing_newer(c, f);
+            send_version(c, f, f->have);
         }
         if (c->now.mono_us - f->heard_us > c->opts.follower_us) {
             c->n_followers--;
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -152,6 +152,8 @@
     return c;
 }
 
+enum { CONFIG_VERSION = 1 }; /* the only one */
+
 static struct blob *
 config_text(const struct vlease *v)
 {
@@ -376,9 +378,10 @@
     struct name from = v->processes[e->from].name;
 
     if (e->msg.kind == MSG_CONFIG_REQUEST &&
-        e->msg.u.config_request.have_version == 0) {
-        reply.u.config_reply.version = 1;
-        reply.u.config_reply.config = config_text(v);
+        e->msg.u.config_request.known_version < CONFIG_VERSION) {
+        reply.u.config_reply.version = CONFIG_VERSION;
+        reply.u.config_reply.config =
+            e->msg.u.config_request.version_only != 0 ? NULL : config_text(v);
         send_to(v, p, from, &reply);
         return;
     }
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -209,18 +209,22 @@
     U64(incarnation)
     NAME(zone)
     U64(takes_delta)    /* the sender has the text of have_version */
+    U64(version_only)   /* 1: tell of one above known_version by its number
+                         * alone; 0: send the text of one above have_version */
+    U64(known_version)
     ARRAY(follower, members) /* others of the zone, for the status */
 END(config_request)
 
 RECORD(config_reply)
     U64(version)
-    BLOB(config)        /* canonical text of all service files; none: nothing
-                         * newer, ask again */
+    BLOB(config)        /* canonical text of all service files; none: only the
+                         * version is told, or nothing is newer: ask again */
     U64(term)           /* of the log entry, for checks */
     U64(from_version)   /* 0: config is the whole text; else see delta.h */
     U64(prefix)         /* bytes kept from the text of from_version */
     U64(suffix)
     U64(digest)         /* XXH3 of the whole new text */
+    NAME(zone)          /* of the sender; may be empty */
 END(config_reply)
 
 /* Between control members. */
--- a/tests/config_spread_test.c
+++ b/tests/config_spread_test.c
@@ -37,6 +37,8 @@
     size_t n;
     uint64_t config_bytes; /* of configuration texts, carried by the link */
     uint64_t next;         /* number of the next request */
+    bool mute_asked;       /* the first member asked for a text is not heard */
+    int asked;             /* its number; -1: none yet */
 };
 
 /* Its first number is the rank; the rest isn't looked at. */
@@ -87,6 +89,18 @@
     }
 }
 
+static void
+to_member(struct spread *s, int member, const struct msg *m)
+{
+    if (s->mute_asked && s->asked < 0 &&
+        m->u.config_request.version_only == 0) {
+        s->asked = member;
+    }
+    if (member != s->asked) {
+        cluster_inject(s->cl, "broker", member, m);
+    }
+}
+
 static void
 step(struct spread *s, struct broker_event *ev)
 {
@@ -101,7 +115,7 @@
         for (int n = 0; f->kind == BE_SEND && n < MEMBERS; n++) {
             if (name_equal(f->u.send.to, s->cl->nodes[n].name) &&
                 f->u.send.msg.kind == MSG_CONFIG_REQUEST) {
-                cluster_inject(s->cl, "broker", n, &f->u.send.msg);
+                to_member(s, n, &f->u.send.msg);
             }
         }
     }
@@ -155,6 +169,7 @@
     struct broker_options opts = broker_options_default();
     struct rec_instance registries[MEMBERS] = {0};
 
+    s->asked = -1;
     s->cl = cluster_new(MEMBERS, seed, NULL);
     s->cl->options.heartbeat_us = 80 * MSEC;
     s->cl->options.election_us = 400 * MSEC;
@@ -268,10 +283,79 @@
     spread_free(s);
 }
 
+/* Guards against as many copies of a text as there are members. */
+static void
+one_copy_of_each_text_is_carried(void)
+{
+    struct spread *s = spread_new(2);
+    struct blob *text = text_of(7, ROUTES);
+
+    publish(s, 7, ROUTES);
+    run(s, 10 * SEC); /* polls end and begin anew */
+    CU_ASSERT_EQUAL(rank_in_force(s), 7);
+    CU_ASSERT_EQUAL(s->config_bytes, text->size);
+    blob_unref(text);
+    spread_free(s);
+}
+
+/* Runs until the broker knows of a newer version whose text it lacks; returns
+ * the member that it asked for the text. */
+static int
+until_asked(struct spread *s)
+{
+    for (int i = 0; i < 1000 && s->asked < 0; i++) {
+        run(s, MSEC);
+    }
+    CU_ASSERT_TRUE_FATAL(s->asked >= 0);
+    return s->asked;
+}
+
+/* Guards against a change that waits for the only member that was asked for
+ * its text, and that stands still. */
+static void
+text_of_a_silent_member_comes_from_another(void)
+{
+    struct spread *s = spread_new(3);
+    struct blob *text = text_of(7, ROUTES);
+    uint64_t r = ++s->next;
+    int64_t from_us = s->cl->now_us;
+
+    s->mute_asked = true;
+    cluster_publish_ranked(s->cl, cluster_leader(s->cl), r, 7, text);
+    (void)until_asked(s);
+    CU_ASSERT_TRUE(broker_config_behind(s->broker));
+    (void)until_in_force_us(s, 7);
+    CU_ASSERT_TRUE(s->cl->answers[r].done);
+    CU_ASSERT_TRUE(s->cl->now_us - from_us <= APPLY_US);
+    CU_ASSERT_FALSE(broker_config_behind(s->broker));
+    blob_unref(text);
+    spread_free(s);
+}
+
+/* Guards against waiting for a text that was lost with its connection. */
+static void
+text_lost_with_its_connection_comes_from_another(void)
+{
+    struct spread *s = spread_new(4);
+    struct blob *text = text_of(7, ROUTES);
+    int asked;
+
+    s->mute_asked = true;
+    cluster_publish_ranked(s->cl, cluster_leader(s->cl), ++s->next, 7, text);
+    asked = until_asked(s);
+    peer(s, asked, false);
+    CU_ASSERT_TRUE(until_in_force_us(s, 7) <= APPLY_US / 2);
+    blob_unref(text);
+    spread_free(s);
+}
+
 void
 suite_config_spread(void)
 {
 #define TEST(name) check_add("config_spread", #name, name)
     TEST(small_change_behind_a_large_one_is_in_time);
+    TEST(one_copy_of_each_text_is_carried);
+    TEST(text_of_a_silent_member_comes_from_another);
+    TEST(text_lost_with_its_connection_comes_from_another);
 #undef TEST
 }
