--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -644,17 +644,17 @@
 }
 
 static void
-publish(struct cluster *cl, int i, uint64_t id, struct cev_publish *p)
+publish(struct cluster *cl, int i, uint64_t id, struct cev_publish p)
 {
     struct control_event ev = {.kind = CEV_PUBLISH};
     char id_text[24];
 
     (void)snprintf(id_text, sizeof(id_text), "r%llu", (unsigned long long)id);
-    ask(cl, p->request)->id = id;
-    p->publisher = name_of("alice");
-    p->request_id = id_text;
-    p->summary = "a change";
-    ev.u.publish = *p;
+    ask(cl, p.request)->id = id;
+    p.publisher = name_of("alice");
+    p.request_id = id_text;
+    p.summary = "a change";
+    ev.u.publish = p;
     step(cl, i, &ev);
 }
 
@@ -665,7 +665,7 @@
     struct cev_publish p = {
         .request = r, .base_version = base, .config = text_of(id)};
 
-    publish(cl, i, id, &p);
+    publish(cl, i, id, p);
     blob_unref(p.config);
 }
 
@@ -675,7 +675,7 @@
 {
     struct cev_publish p = {.request = r, .rank = rank, .config = text};
 
-    publish(cl, i, r, &p);
+    publish(cl, i, r, p);
 }
 
 void
