Ask every control process for its version at a start, and one for the text

Now these questions ask for the version alone, and the text of the newest is asked for once a majority of control has replied or a second has passed, as before.

--- a/src/follow.c
+++ b/src/follow.c
@@ -15,14 +15,17 @@
     (50 * USEC_PER_MSEC) /* between polls that came back empty                \
                           */
 #define START_WAIT_US (1 * USEC_PER_SEC) /* for a majority of control */
-#define LAG_US (1 * USEC_PER_SEC) /* behind a member before it is asked */
+#define LAG_US (1 * USEC_PER_SEC)   /* behind a member before it is asked */
+#define FETCH_US (2 * USEC_PER_SEC) /* for the first text to come */
 
 /* A follower that waits here for something newer. */
 struct poll {
     struct name from;
     uint64_t have_version;
+    uint64_t known_version; /* answered with one above it */
     int64_t until_us;
     bool takes_delta;
+    bool version_only;
 };
 
 struct follow {
@@ -36,7 +39,10 @@
     bool whole;     /* a change did not fit: ask for the whole text */
     int64_t due_us;
     int64_t started_us;
-    uint64_t replied;  /* control processes that replied since the start */
+    uint64_t replied;      /* control processes that replied since the start */
+    uint64_t told_version; /* newest that any told of, until one is in force */
+    struct name told_by;
+    int64_t fetch_us;  /* no text is asked for again before */
     int64_t behind_us; /* since when a member has a newer version; 0: none */
     uint64_t reported; /* sum of the versions told to control of our zone */
     struct poll polls[INSTANCES_MAX];
@@ -98,7 +104,7 @@
 }
 
 static void
-ask(struct entry *e, struct name server)
+send_request(struct entry *e, struct name server, bool version_only)
 {
     struct msg m = {.kind = MSG_CONFIG_REQUEST};
 
@@ -111,9 +117,23 @@
     m.u.config_request.zone = e->zone;
     m.u.config_request.takes_delta =
         e->follow->text != NULL && !e->follow->whole;
+    m.u.config_request.version_only = version_only ? 1 : 0;
+    m.u.config_request.known_version = e->follow->version;
     entry_send(e, server, &m);
 }
 
+static void
+ask(struct entry *e, struct name server)
+{
+    send_request(e, server, false);
+}
+
+static void
+ask_version(struct entry *e, struct name server)
+{
+    send_request(e, server, true);
+}
+
 /* The first member of our zone that is up and stays: it asks across zones
  * for all of them. */
 static bool
@@ -150,9 +170,10 @@
 }
 
 /* Nothing in force yet: every control process and, from the second time on,
- * the whole zone is asked.  One control process alone may sit behind a
- * partition with an old log, and what it has could be older than what this
- * instance had in force before it restarted. */
+ * the whole zone is asked which version it has.  One control process alone may
+ * sit behind a partition with an old log, and what it has could be older than
+ * what this instance had in force before it restarted.  The text of each of
+ * them would fill a slow link, again with each question. */
 static void
 ask_everyone(struct entry *e)
 {
@@ -163,11 +184,11 @@
 
     f->started_us = first ? e->now.mono_us : f->started_us;
     for (size_t i = 0; i < e->opts.n_controls; i++) {
-        ask(e, e->opts.controls[i]);
+        ask_version(e, e->opts.controls[i]);
     }
     while (!first && (m = members_next(e, &at)) != NULL) {
         if (!m->self && m->up && name_equal(m->zone, e->zone)) {
-            ask(e, m->name);
+            ask_version(e, m->name);
         }
     }
     f->due_us = e->now.mono_us + RETRY_US;
@@ -232,24 +253,46 @@
 }
 
 /* The first version after a start waits for a majority of control, or for
- * some time, and is none that a member is known to be past. */
+ * some time. */
+static bool
+may_start(const struct entry *e)
+{
+    return e->now.mono_us - e->follow->started_us >= START_WAIT_US ||
+           majority_replied(e);
+}
+
+static void
+fetch_first(struct entry *e)
+{
+    struct follow *f = e->follow;
+
+    if (f->told_version <= f->version || !may_start(e) ||
+        e->now.mono_us < f->fetch_us) {
+        return;
+    }
+    ask(e, f->told_by);
+    f->fetch_us = e->now.mono_us + FETCH_US;
+    f->told_version = 0; /* who does not send it may be silent by now */
+}
+
+/* The first version is none that a member is known to be past. */
 static void
 consider(struct entry *e)
 {
     struct follow *f = e->follow;
     const struct member *ahead = newest_member(e);
 
+    if (e->config == NULL) {
+        fetch_first(e);
+    }
     if (f->text == NULL ||
         (f->version <= entry_config_version(e) && !MUTANT(e, ANY_VERSION))) {
         return;
     }
-    if (e->config == NULL) {
-        bool waited = e->now.mono_us - f->started_us >= START_WAIT_US;
-
-        if ((!waited && !majority_replied(e)) ||
-            (ahead != NULL && ahead->config_version > f->version)) {
-            return;
-        }
+    if (e->config == NULL &&
+        (!may_start(e) ||
+         (ahead != NULL && ahead->config_version > f->version))) {
+        return;
     }
     put_in_force(e);
 }
@@ -318,6 +361,10 @@
         f->silent = false; /* this server lives: stay with it */
         f->due_us = e->now.mono_us + PAUSE_US;
     }
+    if (m->version > f->told_version) {
+        f->told_version = m->version;
+        f->told_by = from;
+    }
     if ((m->version > f->version || MUTANT(e, ANY_VERSION)) &&
         m->config != NULL) {
         take_text(e, m);
@@ -353,6 +400,12 @@
     entry_send(e, to, &m);
 }
 
+static uint64_t
+known_version(const struct rec_config_request *m)
+{
+    return m->version_only != 0 ? m->known_version : m->have_version;
+}
+
 static void
 hold(struct entry *e, struct name from, const struct rec_config_request *m)
 {
@@ -369,7 +422,9 @@
     }
     p->from = from;
     p->have_version = m->have_version;
+    p->known_version = known_version(m);
     p->takes_delta = m->takes_delta != 0;
+    p->version_only = m->version_only != 0;
     p->until_us = e->now.mono_us + POLL_US;
 }
 
@@ -381,8 +436,9 @@
         e->counters.messages_bad++;
         return;
     }
-    if (e->follow->version > m->have_version) {
-        reply(e, from, true, m->have_version, m->takes_delta != 0);
+    if (e->follow->version > known_version(m)) {
+        reply(e, from, m->version_only == 0, m->have_version,
+              m->takes_delta != 0);
         return;
     }
     hold(e, from, m);
@@ -399,8 +455,8 @@
     for (size_t i = 0; i < f->n_polls; i++) {
         struct poll p = f->polls[i];
 
-        if (f->version > p.have_version) {
-            reply(e, p.from, true, p.have_version, p.takes_delta);
+        if (f->version > p.known_version) {
+            reply(e, p.from, !p.version_only, p.have_version, p.takes_delta);
         }
         else if (e->now.mono_us >= p.until_us) {
             reply(e, p.from, false, p.have_version, false);
--- a/tests/follow_test.c
+++ b/tests/follow_test.c
@@ -31,11 +31,15 @@
     int control;
     uint64_t have;
     bool takes_delta;
+    bool version_only;
 } polls[POLLS_MAX];
 static int n_polls;
 
 static uint64_t asked;
 
+/* Texts and changes sent to each node. */
+static uint64_t texts[NODES];
+
 /* What control has been told of each node, by itself or by its zone. */
 static uint64_t told[NODES];
 
@@ -92,6 +96,12 @@
     struct blob *text = text_of(controls[control].version);
 
     m.u.config_reply.version = controls[control].version;
+    if (polls[at].version_only) {
+        enet_send(n, names[control], polls[at].node, &m);
+        blob_unref(text);
+        return;
+    }
+    texts[polls[at].node]++;
     if (polls[at].takes_delta) {
         fill_change(&m.u.config_reply, polls[at].have, text);
     }
@@ -119,6 +129,8 @@
             polls[n_polls].node = from;
             polls[n_polls].control = i;
             polls[n_polls].takes_delta = m->u.config_request.takes_delta != 0;
+            polls[n_polls].version_only =
+                m->u.config_request.version_only != 0;
             polls[n_polls++].have = m->u.config_request.have_version;
             asked++;
         }
@@ -300,6 +312,22 @@
     enet_free(n);
 }
 
+/* Guards against a copy from each control process, again with each question,
+ * at an instance that starts behind a slow link. */
+static void
+started_instance_is_sent_one_text(void)
+{
+    struct enet *n = new_net(4);
+
+    run(n, 2 * SEC);
+    memset(texts, 0, sizeof(texts));
+    enet_restart(n, 1);
+    run(n, 2 * SEC);
+    CU_ASSERT_TRUE(all_have(n, 4));
+    CU_ASSERT_EQUAL(texts[1], 1);
+    enet_free(n);
+}
+
 /* A text that does not parse arrives as a newer version.  What is in force
  * stays, and the next good version is applied. */
 static void
@@ -351,6 +379,8 @@
     check_add("follow", "control_hears_of_all", control_hears_of_all);
     check_add("follow", "silent_control_is_left", silent_control_is_left);
     check_add("follow", "restart_never_reverts", restart_never_reverts);
+    check_add("follow", "started_instance_is_sent_one_text",
+              started_instance_is_sent_one_text);
     check_add("follow", "bad_text_changes_nothing", bad_text_changes_nothing);
     check_add("follow", "neighbours_help", neighbours_help);
 }
