Split the region that a play speaks for from the play itself

demo/region.c has the workers, the operator, the clients and the judge of what they saw; bm_platform_demo.c has its two plays. A soak needs the same region with another course.

--- /dev/null
+++ b/demo/region.h
@@ -0,0 +1,157 @@
+/**
+ * DOC: region - workers, an operator and clients of the users' platform
+ *
+ * They speak to running programs, and judge them by what they saw themselves:
+ * the workers' records of runs, the clients' answers, the operator's reads.
+ * One thread; region_round() does what is due.
+ */
+#ifndef BM_REGION_H
+#define BM_REGION_H
+
+#include <curl/curl.h>
+
+#include "fakeworker.h"
+
+enum {
+    REGION_WORKERS_MAX = 32,
+    REGION_ADDRESSES_MAX = 16,
+    REGION_URL_ROOM = 192,
+    REGION_TASKS_MAX = 8,
+    REGION_TRIES_MAX = 6,
+    REGION_OK = 200,
+    REGION_NOT_TAKEN = 503,
+    REGION_NO_QUEUE = 404,
+};
+
+enum region_call_kind {
+    REGION_BEAT,
+    REGION_PUT,
+    REGION_GET,
+    REGION_JOB,
+    REGION_PROBE,
+};
+
+/** struct region_call - a request on its way */
+struct region_call {
+    enum region_call_kind kind;
+    size_t number; /* of the worker, the job, or the version */
+    size_t entry;  /* of a job or a probe */
+    int64_t sent_us;
+    CURL *easy;
+    char *body;
+    char *answer;
+    size_t size;
+    struct curl_slist *headers;
+};
+
+/**
+ * struct region_job - a job of a client
+ * @due_us: next try; 0: none is planned
+ * @run_ms: of each task
+ * @declared_ms: what the client says of it
+ * @status: of the last answer; 0 for none
+ */
+struct region_job {
+    int64_t due_us;
+    int tries;
+    int tasks;
+    int run_ms;
+    int declared_ms;
+    long status;
+    bool done;
+    char state[16];
+};
+
+/** struct region_watch - who is told what came of calls; NULL for nobody */
+struct region_watch {
+    void (*acked)(void *ctx, int version);
+    void (*probed)(void *ctx, const struct region_call *c, CURLcode result,
+                   long status);
+    void (*job_ended)(void *ctx, const struct region_call *c, CURLcode result,
+                      long status);
+    void *ctx;
+};
+
+/**
+ * struct region - all of it
+ * @controls: addresses of members of control
+ * @entries: addresses of brokers
+ * @delaying: number of a worker that carries orders out late; -1 for none
+ * @filler: queues of a version besides those that jobs and probes use
+ * @version: newest that was sent
+ * @acked: newest that was confirmed
+ */
+struct region {
+    const char *controls[REGION_ADDRESSES_MAX];
+    size_t n_controls;
+    const char *entries[REGION_ADDRESSES_MAX];
+    size_t n_entries;
+    int n_workers;
+    int base_port;
+    int delaying;
+    int filler;
+    struct region_watch watch;
+
+    CURLM *multi;
+    struct fakeworker *workers[REGION_WORKERS_MAX];
+    int64_t beat_us[REGION_WORKERS_MAX];
+    size_t beat_at[REGION_WORKERS_MAX];
+    struct region_job *jobs;
+    int n_jobs;
+    int version;
+    int acked;
+    int64_t put_us; /* next try; 0 while one is on its way */
+    size_t put_at;
+    int64_t get_us; /* next regular read */
+    int read;       /* highest version read */
+    int reverts;    /* reads that were older than what was known before */
+    bool read_right;
+};
+
+/** struct region_verdict - what became of the jobs, and broken promises */
+struct region_verdict {
+    int completed;
+    int failed;
+    int refused;
+    int unknown;
+    size_t runs;
+    int ran_twice;
+    int false_answers;
+    int false_refusals;
+};
+
+int64_t region_now_us(void);
+
+/** region_split() - the parts of a list with commas, which is changed */
+size_t region_split(char *list, const char *out[REGION_ADDRESSES_MAX]);
+
+/** region_start() - false where a worker's port is taken, which is said on
+ * standard error */
+bool region_start(struct region *r);
+void region_free(struct region *r);
+
+/** region_round() - does what is due, and sleeps for a moment */
+void region_round(struct region *r);
+void region_run_until(struct region *r, int64_t until_us);
+
+/** region_publish() - one more version is sent until it is confirmed */
+void region_publish(struct region *r);
+
+/** region_publishing() - whether a version waits for its confirmation */
+bool region_publishing(const struct region *r);
+
+/** region_await_ready() - the first version is confirmed, workers are held */
+void region_await_ready(struct region *r);
+
+/** region_hand_in() - the job's next try, to the broker after the last one */
+void region_hand_in(struct region *r, size_t job);
+
+/** region_probe() - asks a broker for the queue that @version added */
+void region_probe(struct region *r, size_t entry, int version);
+
+/** region_all_done() - whether all jobs were answered or given up */
+bool region_all_done(const struct region *r);
+
+struct region_verdict region_judge(const struct region *r);
+
+#endif
