Add a fault soak of the platform's programs as processes

bm-soak starts members of control, brokers, and the demo's workers, operator and clients on loopback, and injects faults that a seed draws: kills, planned stops, pauses, lost disks, cuts one way or both, silent, slow and reset connections, hanging and reborn workers, changed settings, publications small and large; in series that overlap, with calm between them. Members of control are reached through a proxy of its own, which shares 25 Mbit/s among what comes back to a process; each process believes that the members listen on its own port, where the proxy does. Workers are reached through it, too.

Checked while it runs, from outside: no two runs of a task at a time, no false not-run, true answers, no configuration that comes back older, is late in calm, or lost, planned stops that cut off nothing and end, no process that ends by itself, memory and descriptors, service after the faults. It ends only what it started, also when it is killed.

A worker of the demo records ends for when they fell due now, not for when its thread noticed them: two runs that follow one another could seem to overlap.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 endif
 
 CFLAGS ?= -O2 -g
-CPPFLAGS += -D_GNU_SOURCE -Isrc -Iplatform -Idemo
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Iplatform -Idemo -Isoak
 ALL_CFLAGS := -std=gnu11 -Wall -Wextra -Werror -pthread $(CFLAGS) $(SANFLAGS)
 LDLIBS := -lmicrohttpd -lcurl -lmsgpackc -lck -linih -ljansson -lxxhash \
 	-lpopt -lsodium -lzstd -lgsl -lgslcblas -lm
@@ -41,14 +41,17 @@
 DEMO_MAINS := $(wildcard demo/bm_*.c)
 DEMO_SRC := $(filter-out $(DEMO_MAINS),$(wildcard demo/*.c))
 DEMO_OBJ := $(DEMO_SRC:demo/%.c=$(BUILD)/demo/%.o)
+# The fault soak of the platform's programs; shares the demo's stand-ins.
+SOAK_SRC := $(filter-out $(wildcard soak/bm_*.c),$(wildcard soak/*.c))
+SOAK_OBJ := $(SOAK_SRC:soak/%.c=$(BUILD)/soak/%.o)
 TEST_SRC := $(wildcard tests/*.c)
 TEST_OBJ := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%.o)
-HEADERS := $(wildcard src/*.h platform/*.h demo/*.h tests/*.h)
-FORMATTED := $(wildcard src/*.[ch] platform/*.[ch] demo/*.[ch] tests/*.[ch])
+HEADERS := $(wildcard src/*.h platform/*.h demo/*.h soak/*.h tests/*.h)
+FORMATTED := $(wildcard src/*.[ch] platform/*.[ch] demo/*.[ch] soak/*.[ch] tests/*.[ch])
 LINTED := $(LIB_SRC) $(MAINS) $(PLATFORM_SRC) $(PLATFORM_MAINS) $(DEMO_SRC) \
-	$(DEMO_MAINS) $(TEST_SRC)
+	$(DEMO_MAINS) $(wildcard soak/*.c) $(TEST_SRC)
 
-.PHONY: all platform deps format format-check lint check demo demo-platform demo-failures bench bench-update matrix slopes report clean
+.PHONY: all platform deps format format-check lint check demo demo-platform demo-failures soak bench bench-update matrix slopes report clean
 .SECONDARY:
 
 all: $(BUILD)/libboragemoor.a $(PROGRAMS)
@@ -74,6 +77,13 @@
 $(BUILD)/bm-platform-demo: $(BUILD)/demo/bm_platform_demo.o $(DEMO_OBJ) $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
+$(BUILD)/soak/%.o: soak/%.c $(HEADERS)
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(ALL_CFLAGS) -c $< -o $@
+
+$(BUILD)/bm-soak: $(BUILD)/soak/bm_soak.o $(SOAK_OBJ) $(DEMO_OBJ) $(BUILD)/libboragemoor.a
+	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
+
 $(BUILD)/tests/%.o: tests/%.c $(HEADERS)
 	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) -Itests $(ALL_CFLAGS) -c $< -o $@
@@ -141,6 +151,13 @@
 	@$(MAKE) all $(BUILD)/bm-platform-demo
 	@sh demo/failures $(BUILD)
 
+# Drawn faults on running programs: make soak SEED=n MINUTES=m
+SEED ?= 1
+MINUTES ?= 1
+soak: deps
+	@$(MAKE) all $(BUILD)/bm-soak
+	@$(BUILD)/bm-soak --build $(BUILD) --seed $(SEED) --minutes $(MINUTES)
+
 WORKLOADS := $(sort $(wildcard bench/workloads/*.ini))
 
 bench: deps
--- a/demo/fakeworker.c
+++ b/demo/fakeworker.c
@@ -313,19 +313,21 @@
 
 /* Time */
 
+/* Ends are recorded for when they fell due, not for when they were noticed:
+ * runs that follow one another at two workers would seem to overlap. */
 static void
 pass_runs(struct fakeworker *w)
 {
-    bool lapsed = clock_ms(w) >= w->deadline_ms;
+    int64_t lapse_us = w->born_us + (w->deadline_ms - 1) * USEC_PER_MSEC;
 
     for (size_t i = w->first; i < w->n_runs; i++) {
         struct fakeworker_run *r = &w->runs[i];
+        bool done = r->due_us <= lapse_us;
+        int64_t end_us = done ? r->due_us : lapse_us;
 
-        if (r->ended_us == 0 && w->now_us >= r->due_us) {
-            end_run(w, r, "done");
-        }
-        else if (r->ended_us == 0 && lapsed) {
-            end_run(w, r, "lapsed");
+        if (r->ended_us == 0 && w->now_us >= end_us) {
+            end_run(w, r, done ? "done" : "lapsed");
+            r->ended_us = end_us > r->begun_us ? end_us : r->begun_us;
         }
     }
 }
@@ -418,7 +420,7 @@
     w->now_us = now_us;
     beat = json_pack(
         "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s],s:I,s:I,s:I}",
-        "service", "demo", "address", w->opts.listen, "zone", "zone-a",
+        "service", "demo", "address", w->opts.address, "zone", "zone-a",
         "version", "v1", "slots", SLOTS, "state", "ready", "cold-remaining-ms",
         0, "capacity", "cpu", CPU_MILLI, "mem-mb", MEMORY_MB, "gpu", 0,
         "labels", "a", "clock-ms", (json_int_t)clock_ms(w), "sequence",
--- a/demo/fakeworker.h
+++ b/demo/fakeworker.h
@@ -31,6 +31,7 @@
  * struct fakeworker_options - how to construct one
  * @id: its name
  * @listen: IP:PORT
+ * @address: IP:PORT, as it tells others
  * @delays_in: one of so many starts gets no answer and is carried out later;
  *             0 for none
  * @delay_us: so much later
@@ -38,6 +39,7 @@
 struct fakeworker_options {
     char id[48];
     char listen[64];
+    char address[64];
     unsigned int delays_in;
     int64_t delay_us;
 };
--- a/demo/region.c
+++ b/demo/region.c
@@ -412,6 +412,8 @@
         (void)snprintf(o.id, sizeof(o.id), "i-%d", i);
         (void)snprintf(o.listen, sizeof(o.listen), "127.0.0.1:%d",
                        r->base_port + i);
+        (void)snprintf(o.address, sizeof(o.address), "127.0.0.1:%d",
+                       r->base_port + r->advertised + i);
         r->workers[i] = fakeworker_new(&o, region_now_us());
         if (r->workers[i] == NULL) {
             (void)fprintf(stderr, "%s is taken\n", o.listen);
--- a/demo/region.h
+++ b/demo/region.h
@@ -14,7 +14,7 @@
 
 enum {
     REGION_WORKERS_MAX = 32,
-    REGION_ADDRESSES_MAX = 16,
+    REGION_ADDRESSES_MAX = 128,
     REGION_URL_ROOM = 192,
     REGION_TASKS_MAX = 8,
     REGION_TRIES_MAX = 6,
@@ -76,6 +76,8 @@
  * struct region - all of it
  * @controls: addresses of members of control
  * @entries: addresses of brokers
+ * @advertised: workers say that they listen so many ports higher, where
+ *              something forwards to them
  * @delaying: number of a worker that carries orders out late; -1 for none
  * @filler: queues of a version besides those that jobs and probes use
  * @version: newest that was sent
@@ -88,6 +90,7 @@
     size_t n_entries;
     int n_workers;
     int base_port;
+    int advertised;
     int delaying;
     int filler;
     struct region_watch watch;
--- /dev/null
+++ b/soak/soak_inject.c
@@ -0,0 +1,222 @@
+/*
+ * Faults, and who is disturbed by them.
+ */
+#include <stdlib.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+
+#include "soak.h"
+
+enum {
+    FILLER = 1500, /* queues of a large configuration */
+};
+
+#define TURN_US                                                               \
+    (1500 * USEC_PER_MSEC) /* between brokers that stop in turn               \
+                            */
+#define DELAY_US (80 * USEC_PER_MSEC)
+
+/* Disturbance */
+
+void
+soak_disturb(struct soak *s, int proc, int64_t until_us)
+{
+    if (until_us > s->calm_from_us[proc]) {
+        s->calm_from_us[proc] = until_us;
+    }
+    if (proc < MEMBERS && until_us > s->core_calm_from_us) {
+        s->core_calm_from_us = until_us;
+    }
+    if (until_us > s->all_calm_from_us) {
+        s->all_calm_from_us = until_us;
+    }
+}
+
+static void
+disturb_workers(struct soak *s, int64_t until_us)
+{
+    s->all_calm_from_us =
+        until_us > s->all_calm_from_us ? until_us : s->all_calm_from_us;
+}
+
+/* Faults */
+
+void
+soak_kill(struct soak *s, int i, int64_t again_us)
+{
+    soak_disturb(s, i, again_us + RESTART_US);
+    proc_kill(&s->procs[i], again_us);
+}
+
+static void
+kill_some(struct soak *s, int from, int to, int64_t again_us)
+{
+    for (int i = from; i < to; i++) {
+        soak_kill(s, i, again_us);
+    }
+}
+
+/* The process has to be gone before its folder is. */
+static void
+wipe(struct soak *s, int i, int64_t again_us)
+{
+    char data[PROC_PATH + 16];
+    int status;
+
+    soak_kill(s, i, again_us);
+    if (s->procs[i].pid > 0) {
+        (void)waitpid(s->procs[i].pid, &status, 0);
+        s->procs[i].pid = 0;
+    }
+    (void)snprintf(data, sizeof(data), "%s/data%d", s->dir, i);
+    soak_empty_folder(data);
+    (void)soak_write_settings(s, i, false, 0);
+}
+
+static void
+stop_one(struct soak *s, int i, int64_t now_us, int64_t again_us)
+{
+    if (i < MEMBERS) {
+        soak_disturb(s, i, now_us + GRACE_US);
+    }
+    proc_stop(&s->procs[i], now_us, again_us);
+}
+
+static void
+change_settings(struct soak *s, int i, uint64_t draw)
+{
+    (void)soak_write_settings(s, i, false, (int)(draw % MEMBERS));
+    proc_signal(&s->procs[i], SIGHUP);
+}
+
+static void
+inject_into_workers(struct soak *s, const struct soak_fault *f, int worker,
+                    int64_t until_us)
+{
+    disturb_workers(s, until_us);
+    switch (f->kind) {
+    case SOAK_CUT_WORKER:
+        proxy_cut(s->proxy, WORKER_LINKS + worker, until_us, f->way);
+        break;
+    case SOAK_MUTE_WORKER:
+        proxy_mute(s->proxy, WORKER_LINKS + worker);
+        break;
+    case SOAK_HANG_WORKER:
+        fakeworker_hang(s->region.workers[worker], true);
+        s->hang_us[worker] = until_us;
+        break;
+    default:
+        fakeworker_reborn(s->region.workers[worker], region_now_us());
+        break;
+    }
+}
+
+static void
+inject_into_links(struct soak *s, const struct soak_fault *f, int proc,
+                  int64_t now_us, int64_t until_us)
+{
+    switch (f->kind) {
+    case SOAK_CUT_PROCESS:
+        soak_disturb(s, proc, until_us);
+        proxy_cut(s->proxy, proc, until_us, f->way);
+        break;
+    case SOAK_DELAY_PROCESS:
+        soak_disturb(s, proc, until_us);
+        proxy_delay(s->proxy, proc, until_us, DELAY_US);
+        break;
+    case SOAK_MUTE_PROCESS:
+        soak_disturb(s, proc, now_us);
+        proxy_mute(s->proxy, proc);
+        break;
+    default:
+        soak_disturb(s, proc, now_us);
+        proxy_reset(s->proxy, proc);
+        break;
+    }
+}
+
+static void
+inject(struct soak *s, const struct soak_fault *f, int64_t now_us)
+{
+    int64_t until_us = now_us + f->for_us;
+    int member = (int)(f->draw % MEMBERS);
+    int broker = MEMBERS + (int)(f->draw % (uint64_t)s->n_brokers);
+    int proc = (int)(f->draw % (uint64_t)soak_procs(s));
+
+    s->n_faults[f->kind]++;
+    switch (f->kind) {
+    case SOAK_KILL_BROKER:
+        soak_kill(s, broker, until_us);
+        break;
+    case SOAK_KILL_MEMBER:
+        soak_kill(s, member, until_us);
+        break;
+    case SOAK_KILL_MEMBERS:
+        kill_some(s, 0, MEMBERS, now_us + RESTART_US);
+        break;
+    case SOAK_KILL_ALL:
+        kill_some(s, 0, soak_procs(s), now_us + RESTART_US);
+        break;
+    case SOAK_WIPE_MEMBER:
+        wipe(s, member, until_us);
+        break;
+    case SOAK_STOP_BROKER:
+        stop_one(s, broker, now_us, now_us);
+        break;
+    case SOAK_STOP_MEMBER:
+        stop_one(s, member, now_us, now_us);
+        break;
+    case SOAK_STOP_IN_TURN:
+        s->turn = MEMBERS;
+        s->turn_us = now_us;
+        break;
+    case SOAK_PAUSE_BROKER:
+        soak_disturb(s, broker, until_us);
+        proc_pause(&s->procs[broker], until_us);
+        break;
+    case SOAK_PAUSE_MEMBER:
+        soak_disturb(s, member, until_us);
+        proc_pause(&s->procs[member], until_us);
+        break;
+    case SOAK_SETTINGS:
+        change_settings(s, proc, f->draw >> 32);
+        break;
+    case SOAK_PUBLISH:
+    case SOAK_PUBLISH_LARGE:
+        if (!region_publishing(&s->region)) {
+            s->region.filler += f->kind == SOAK_PUBLISH_LARGE ? FILLER : 0;
+            region_publish(&s->region);
+        }
+        break;
+    case SOAK_CUT_PROCESS:
+    case SOAK_DELAY_PROCESS:
+    case SOAK_MUTE_PROCESS:
+    case SOAK_RESET_PROCESS:
+        inject_into_links(s, f, proc, now_us, until_us);
+        break;
+    default:
+        inject_into_workers(s, f, (int)(f->draw % (uint64_t)s->n_workers),
+                            until_us);
+        break;
+    }
+}
+
+void
+soak_inject_due(struct soak *s, int64_t now_us)
+{
+    while (s->next_fault < s->plan.n &&
+           s->begin_us + s->plan.faults[s->next_fault].at_us <= now_us) {
+        inject(s, &s->plan.faults[s->next_fault++], now_us);
+    }
+    if (s->turn >= 0 && now_us >= s->turn_us) {
+        stop_one(s, s->turn, now_us, now_us);
+        s->turn_us = now_us + TURN_US;
+        s->turn = s->turn + 1 < soak_procs(s) ? s->turn + 1 : -1;
+    }
+    for (int i = 0; i < s->n_workers; i++) {
+        if (s->hang_us[i] != 0 && now_us >= s->hang_us[i]) {
+            s->hang_us[i] = 0;
+            fakeworker_hang(s->region.workers[i], false);
+        }
+    }
+}
