--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 LINTED := $(LIB_SRC) $(MAINS) $(PLATFORM_SRC) $(PLATFORM_MAINS) $(DEMO_SRC) \
 	$(DEMO_MAINS) $(wildcard soak/*.c) $(TEST_SRC)
 
-.PHONY: all platform deps format format-check lint check demo demo-platform demo-failures soak bench bench-update matrix slopes report clean
+.PHONY: all platform deps format format-check lint check demo demo-platform demo-failures soak soak-mutants bench bench-update matrix slopes report clean
 .SECONDARY:
 
 all: $(BUILD)/libboragemoor.a $(PROGRAMS)
@@ -102,6 +102,14 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+$(BUILD)/mutant/platform/%.o: platform/%.c $(HEADERS)
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) -DBM_MUTANTS $(ALL_CFLAGS) -c $< -o $@
+
+# With wrong decisions that prove the soak.
+MUTANT_PROGRAMS := $(PLATFORM_PROGRAMS:$(BUILD)/%=$(BUILD)/mutant/%)
+MUTANT_PLATFORM_OBJ := $(PLATFORM_SRC:platform/%.c=$(BUILD)/mutant/platform/%.o)
+
 $(BUILD)/mutant/bm-bench: $(BUILD)/bm_bench.o $(BUILD)/libboragemoor-mutant.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
@@ -109,13 +117,16 @@
 $(PLATFORM_PROGRAMS): $(BUILD)/bm-platform-%: $(BUILD)/platform/bm_platform_%.o $(PLATFORM_OBJ) $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
+$(MUTANT_PROGRAMS): $(BUILD)/mutant/bm-platform-%: $(BUILD)/mutant/platform/bm_platform_%.o $(MUTANT_PLATFORM_OBJ) $(BUILD)/libboragemoor-mutant.a
+	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
+
 $(BUILD)/bm-%: $(BUILD)/bm_$$(subst -,_,$$*).o $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
 $(BUILD)/bmctl $(BUILD)/bmlog: $(BUILD)/%: $(BUILD)/%.o $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
-$(BUILD)/check: $(TEST_OBJ) $(PLATFORM_OBJ) $(BUILD)/libboragemoor-mutant.a
+$(BUILD)/check: $(TEST_OBJ) $(BUILD)/soak/plan.o $(PLATFORM_OBJ) $(BUILD)/libboragemoor-mutant.a
 	$(CC) $(ALL_CFLAGS) $^ -lcunit $(LDLIBS) -o $@
 
 format:
@@ -158,6 +169,11 @@
 	@$(MAKE) all $(BUILD)/bm-soak
 	@$(BUILD)/bm-soak --build $(BUILD) --seed $(SEED) --minutes $(MINUTES)
 
+# Each wrong decision of a real process has to be found within ten minutes.
+soak-mutants: deps
+	@$(MAKE) all $(BUILD)/bm-soak $(MUTANT_PROGRAMS)
+	@sh soak/mutants $(BUILD)
+
 WORKLOADS := $(sort $(wildcard bench/workloads/*.ini))
 
 bench: deps
--- a/demo/fakeworker.c
+++ b/demo/fakeworker.c
@@ -46,6 +46,7 @@
     int64_t look_due_us;
     unsigned int starts;
     bool hangs;
+    bool leaves;
     struct delayed *delayed;
     size_t n_delayed;
     size_t delayed_room;
@@ -357,6 +358,18 @@
     w->hangs = hangs;
 }
 
+void
+fakeworker_leave(struct fakeworker *w)
+{
+    w->leaves = true;
+}
+
+bool
+fakeworker_leaves(const struct fakeworker *w)
+{
+    return w->leaves;
+}
+
 /* What hangs is due later by the time that it hung. */
 static void
 put_off(struct fakeworker *w, int64_t us)
@@ -396,6 +409,7 @@
     w->last_number = 0;
     w->noted = 0;
     w->first = w->n_runs;
+    w->leaves = false;
 }
 
 void
@@ -421,9 +435,10 @@
     beat = json_pack(
         "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s],s:I,s:I,s:I}",
         "service", "demo", "address", w->opts.address, "zone", "zone-a",
-        "version", "v1", "slots", SLOTS, "state", "ready", "cold-remaining-ms",
-        0, "capacity", "cpu", CPU_MILLI, "mem-mb", MEMORY_MB, "gpu", 0,
-        "labels", "a", "clock-ms", (json_int_t)clock_ms(w), "sequence",
+        "version", "v1", "slots", SLOTS, "state",
+        w->leaves ? "draining" : "ready", "cold-remaining-ms", 0, "capacity",
+        "cpu", CPU_MILLI, "mem-mb", MEMORY_MB, "gpu", 0, "labels", "a",
+        "clock-ms", (json_int_t)clock_ms(w), "sequence",
         (json_int_t)++w->sequence, "born", (json_int_t)w->born_ms);
     text = json_dumps(beat, JSON_COMPACT);
     json_decref(beat);
--- a/demo/fakeworker.h
+++ b/demo/fakeworker.h
@@ -63,6 +63,11 @@
  * all calls are answered; or goes on again */
 void fakeworker_hang(struct fakeworker *w, bool hangs);
 
+/** fakeworker_leave() - says from its next heartbeat on that it drains; what
+ * runs there goes on, and starts are taken still.  Its rebirth ends that. */
+void fakeworker_leave(struct fakeworker *w);
+bool fakeworker_leaves(const struct fakeworker *w);
+
 /** fakeworker_beat() - the body of its next heartbeat; to be freed */
 char *fakeworker_beat(struct fakeworker *w, int64_t now_us);
 
--- a/demo/region.c
+++ b/demo/region.c
@@ -233,12 +233,31 @@
 static void
 end_beat(struct region *r, const struct region_call *c, bool heard)
 {
+    if (heard && fakeworker_leaves(r->workers[c->number]) &&
+        r->left_us[c->number] == 0) {
+        r->left_us[c->number] = region_now_us();
+    }
     if (!heard) {
         r->beat_at[c->number]++;
         r->beat_us[c->number] = region_now_us() + AGAIN_US;
     }
 }
 
+void
+region_leave(struct region *r, int worker)
+{
+    fakeworker_leave(r->workers[worker]);
+    r->left_us[worker] = 0;
+    r->beat_us[worker] = region_now_us();
+}
+
+void
+region_return(struct region *r, int worker)
+{
+    fakeworker_reborn(r->workers[worker], region_now_us());
+    r->left_us[worker] = 0;
+}
+
 /* Clients */
 
 void
--- a/demo/region.h
+++ b/demo/region.h
@@ -99,6 +99,7 @@
     struct fakeworker *workers[REGION_WORKERS_MAX];
     int64_t beat_us[REGION_WORKERS_MAX];
     size_t beat_at[REGION_WORKERS_MAX];
+    int64_t left_us[REGION_WORKERS_MAX]; /* its leaving was acknowledged */
     struct region_job *jobs;
     int n_jobs;
     int version;
@@ -137,6 +138,11 @@
 void region_round(struct region *r);
 void region_run_until(struct region *r, int64_t until_us);
 
+/** region_leave() - a worker says that it drains; region_return() - it starts
+ * anew */
+void region_leave(struct region *r, int worker);
+void region_return(struct region *r, int worker);
+
 /** region_publish() - one more version is sent until it is confirmed */
 void region_publish(struct region *r);
 
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -36,7 +36,7 @@
 {
     return kind != SOAK_PUBLISH && kind != SOAK_PUBLISH_LARGE &&
            kind != SOAK_STOP_BROKER && kind != SOAK_STOP_IN_TURN &&
-           kind != SOAK_SETTINGS;
+           kind != SOAK_LEAVE && kind != SOAK_SETTINGS;
 }
 
 static int64_t
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -32,6 +32,7 @@
     SOAK_FAULT(MUTE_WORKER, "mute-worker-connections", 3)                     \
     SOAK_FAULT(HANG_WORKER, "hang-worker", 3)                                 \
     SOAK_FAULT(REBIRTH, "worker-reborn", 3)                                   \
+    SOAK_FAULT(LEAVE, "worker-leaves", 4)                                     \
     SOAK_FAULT(SETTINGS, "settings-changed", 2)                               \
     SOAK_FAULT(PUBLISH, "publish", 14)                                        \
     SOAK_FAULT(PUBLISH_LARGE, "publish-large", 3)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -43,6 +43,7 @@
     FINDING(CONFIG_REVERTED, "config-reverted")                               \
     FINDING(CONFIG_LATE, "config-late")                                       \
     FINDING(CONFIG_LOST, "config-lost")                                       \
+    FINDING(STARTED_LEAVING, "started-at-leaving-worker")                     \
     FINDING(CUT_OFF, "cut-off-by-stop")                                       \
     FINDING(STOP_HANGS, "stop-not-ended")                                     \
     FINDING(ENDED, "ended-by-itself")                                         \
@@ -74,6 +75,7 @@
  * @all_calm_from_us: the same of all processes, links and workers
  * @turn: process that stops next in turn; -1: none does
  * @hang_us: of each worker that hangs, until when; 0: it does not
+ * @leave_us: of each worker that drains, when it starts anew; likewise
  */
 struct soak {
     char *build;
@@ -109,6 +111,7 @@
     int turn;        /* broker that stops next; -1: none does */
     int64_t turn_us; /* then */
     int64_t hang_us[REGION_WORKERS_MAX];
+    int64_t leave_us[REGION_WORKERS_MAX];
     int n_faults[SOAK_FAULTS];
     int n_findings[FINDINGS];
     FILE *found;
@@ -158,6 +161,9 @@
 void soak_probe_due(struct soak *s, int64_t now_us);
 void soak_check_resources(struct soak *s, int64_t now_us);
 
+/** soak_check_left() - a worker that drained is about to start anew */
+void soak_check_left(struct soak *s, int worker);
+
 /** soak_run_procs() - keeps them running, and judges how they end */
 void soak_run_procs(struct soak *s, int64_t now_us);
 
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -18,6 +18,7 @@
 
 /* The bounds that the platform's settings name. */
 #define APPLY_US (2 * USEC_PER_SEC)
+#define DRAIN_US (2 * USEC_PER_SEC)
 #define SLACK_US                                                              \
     (200 * USEC_PER_MSEC) /* of a request that a stop cuts off                \
                            */
@@ -163,6 +164,28 @@
                curl_easy_strerror(result));
 }
 
+/* Only where nothing else went on since the word was out. */
+void
+soak_check_left(struct soak *s, int worker)
+{
+    int64_t left_us = s->region.left_us[worker];
+    size_t n;
+    const struct fakeworker_run *runs =
+        fakeworker_runs(s->region.workers[worker], &n);
+
+    if (left_us == 0 || left_us < s->all_calm_from_us + CONTACT_US) {
+        return;
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (runs[i].whole_us > 0 && runs[i].begun_us > left_us + DRAIN_US) {
+            soak_found(
+                s, FINDING_STARTED_LEAVING,
+                "%s at i-%d, %lld ms after its word", runs[i].task, worker,
+                (long long)((runs[i].begun_us - left_us) / USEC_PER_MSEC));
+        }
+    }
+}
+
 static void
 check_end(struct soak *s, int i, const struct proc_end *end, int64_t now_us)
 {
--- a/soak/soak_inject.c
+++ b/soak/soak_inject.c
@@ -12,8 +12,9 @@
 };
 
 #define TURN_US                                                               \
-    (1500 * USEC_PER_MSEC) /* between brokers that stop in turn               \
-                            */
+    (1500 * USEC_PER_MSEC)          /* between brokers that stop in turn      \
+                                     */
+#define LEAVE_US (4 * USEC_PER_SEC) /* a worker drains at least so long */
 #define DELAY_US (80 * USEC_PER_MSEC)
 
 /* Disturbance */
@@ -93,6 +94,11 @@
 inject_into_workers(struct soak *s, const struct soak_fault *f, int worker,
                     int64_t until_us)
 {
+    if (f->kind == SOAK_LEAVE) {
+        region_leave(&s->region, worker);
+        s->leave_us[worker] = until_us + LEAVE_US;
+        return;
+    }
     disturb_workers(s, until_us);
     switch (f->kind) {
     case SOAK_CUT_WORKER:
@@ -218,5 +224,10 @@
             s->hang_us[i] = 0;
             fakeworker_hang(s->region.workers[i], false);
         }
+        if (s->leave_us[i] != 0 && now_us >= s->leave_us[i]) {
+            s->leave_us[i] = 0;
+            soak_check_left(s, i);
+            region_return(&s->region, i);
+        }
     }
 }
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -38,5 +38,6 @@
 SUITE(broker_scale)
 SUITE(broker_load)
 SUITE(config_spread)
+SUITE(soak)
 SUITE(matrix)
 /* clang-format on */
