--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -19,9 +19,8 @@
 /* The bounds that the platform's settings name. */
 #define APPLY_US (2 * USEC_PER_SEC)
 #define DRAIN_US (2 * USEC_PER_SEC)
-#define SLACK_US                                                              \
-    (200 * USEC_PER_MSEC) /* of a request that a stop cuts off                \
-                           */
+/* Of a request that a stop cuts off. */
+#define SLACK_US (200 * USEC_PER_MSEC)
 
 #define PROBE_US (100 * USEC_PER_MSEC) /* between probes */
 #define LOOK_US (5 * USEC_PER_SEC)     /* between looks at memory */
--- a/soak/soak_inject.c
+++ b/soak/soak_inject.c
@@ -7,14 +7,12 @@
 
 #include "soak.h"
 
-enum {
-    FILLER = 1500, /* queues of a large configuration */
-};
-
-#define TURN_US                                                               \
-    (1500 * USEC_PER_MSEC)          /* between brokers that stop in turn      \
-                                     */
-#define LEAVE_US (4 * USEC_PER_SEC) /* a worker drains at least so long */
+enum { FILLER = 1500 }; /* queues of a large configuration */
+
+/* Between brokers that stop in turn. */
+#define TURN_US (1500 * USEC_PER_MSEC)
+/* A worker drains at least so long. */
+#define LEAVE_US (4 * USEC_PER_SEC)
 #define DELAY_US (80 * USEC_PER_MSEC)
 
 /* Disturbance */
