--- a/tests/config_spread_test.c
+++ b/tests/config_spread_test.c
@@ -7,6 +7,8 @@
 #include "broker.h"
 #include "check.h"
 #include "cluster.h"
+#include "delta.h"
+#include "textpack.h"
 
 #define MSEC USEC_PER_MSEC
 #define SEC USEC_PER_SEC
@@ -366,6 +368,55 @@
     spread_free(s);
 }
 
+/* Guards against a text that was damaged on its way, or packed against another
+ * one, and is in force all the same. */
+static void
+damaged_text_is_refused(void)
+{
+    struct blob *old = text_of(7, 20);
+    struct blob *text = text_of(8, 21);
+    struct blob *packed = textpack_make(old, text);
+    struct rec_config_reply reply = {.version = 2,
+                                     .packed = 1,
+                                     .from_version = 1,
+                                     .digest = delta_digest(text)};
+    struct blob *got;
+
+    for (size_t i = 0; i < packed->size; i++) {
+        reply.config = blob_new(packed->data, packed->size);
+        reply.config->data[i] ^= 0x11;
+        got = textpack_read_reply(&reply, old, 1);
+        CU_ASSERT_PTR_NULL(got);
+        blob_unref(got);
+        blob_unref(reply.config);
+    }
+    reply.config = packed;
+    CU_ASSERT_PTR_NULL(textpack_read_reply(&reply, old, 3));
+    CU_ASSERT_PTR_NULL(textpack_read_reply(&reply, text, 1));
+    got = textpack_read_reply(&reply, old, 1);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(got);
+    CU_ASSERT_EQUAL(delta_digest(got), delta_digest(text));
+    blob_unref(got);
+    blob_unref(old);
+    blob_unref(text);
+    blob_unref(packed);
+}
+
+/* Guards against a small message that takes all memory. */
+static void
+text_of_any_size_is_refused(void)
+{
+    char *zeros = calloc(1, TEXTPACK_MAX + 1);
+    struct blob *text = blob_new(zeros, TEXTPACK_MAX + 1);
+    struct blob *packed = textpack_make(NULL, text);
+
+    CU_ASSERT_TRUE(packed->size < TEXTPACK_MAX / 1000);
+    CU_ASSERT_PTR_NULL(textpack_open(NULL, packed));
+    free(zeros);
+    blob_unref(text);
+    blob_unref(packed);
+}
+
 void
 suite_config_spread(void)
 {
@@ -374,6 +425,8 @@
     TEST(one_copy_of_each_text_is_carried);
     TEST(small_change_is_carried_as_one);
     TEST(text_of_a_silent_member_comes_from_another);
+    TEST(damaged_text_is_refused);
+    TEST(text_of_any_size_is_refused);
     TEST(text_lost_with_its_connection_comes_from_another);
 #undef TEST
 }
