--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -186,7 +186,7 @@
 }
 
 static void
-check_end(struct soak *s, int i, const struct proc_end *end, int64_t now_us)
+check_end(struct soak *s, int i, const struct proc_end *end)
 {
     const struct proc *p = &s->procs[i];
 
@@ -199,7 +199,6 @@
         soak_found(s, FINDING_ENDED, "%s ended with status 0x%x", p->log,
                    (unsigned int)end->status);
     }
-    (void)now_us;
 }
 
 static void
@@ -242,7 +241,7 @@
     for (int i = 0; i < soak_procs(s); i++) {
         struct proc_end end = proc_run(&s->procs[i], now_us);
 
-        check_end(s, i, &end, now_us);
+        check_end(s, i, &end);
         check_stop(s, i, now_us);
         if (end.ended && !s->procs[i].killed) {
             soak_disturb(s, i, now_us + RESTART_US); /* it starts again */
