Watch leaving workers while they leave, and let one leave in calm

The check looked once, when the worker started anew, and judged only where nothing had gone on until then: drawn within series that was hardly ever so. Now each run is judged when it starts, and each calm spell ends with a worker that leaves.

--- a/soak/plan.c
+++ b/soak/plan.c
@@ -8,8 +8,8 @@
 /* Between faults of a series, and between series. */
 #define GAP_MIN_US (50 * USEC_PER_MSEC)
 #define GAP_MAX_US (1500 * USEC_PER_MSEC)
-#define CALM_MIN_US (6 * USEC_PER_SEC)
-#define CALM_MAX_US (9 * USEC_PER_SEC)
+#define CALM_MIN_US (10 * USEC_PER_SEC)
+#define CALM_MAX_US (13 * USEC_PER_SEC)
 #define LAST_MIN_US (300 * USEC_PER_MSEC)
 #define LAST_MAX_US (5 * USEC_PER_SEC)
 /* Only one disk may be lost at a time: the member has to learn first. */
@@ -106,7 +106,8 @@
     }
 }
 
-/* In calm, bounds hold: publications show whether they do. */
+/* In calm, bounds hold: publications, and at last a worker that leaves, show
+ * whether they do. */
 static void
 draw_calm(struct drawing *d, int64_t end_us)
 {
@@ -120,6 +121,9 @@
             add(d, SOAK_PUBLISH);
         }
     }
+    if (d->at_us < end_us) {
+        add(d, SOAK_LEAVE);
+    }
     d->at_us = until_us;
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -117,6 +117,7 @@
     int64_t turn_us; /* then */
     int64_t hang_us[REGION_WORKERS_MAX];
     int64_t leave_us[REGION_WORKERS_MAX];
+    size_t runs_seen[REGION_WORKERS_MAX]; /* while it drains */
     int n_faults[SOAK_FAULTS];
     int n_findings[FINDINGS];
     FILE *found;
@@ -172,7 +173,8 @@
 void soak_probe_due(struct soak *s, int64_t now_us);
 void soak_check_resources(struct soak *s, int64_t now_us);
 
-/** soak_check_left() - a worker that drained is about to start anew */
+/** soak_check_left() - what has started since the last call at a worker that
+ * drains */
 void soak_check_left(struct soak *s, int worker);
 
 /** soak_run_procs() - keeps them running, and judges how they end */
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -163,24 +163,23 @@
                curl_easy_strerror(result));
 }
 
-/* Only where nothing else went on since the word was out. */
+/* Only where nothing else went on from before its word until now. */
 void
 soak_check_left(struct soak *s, int worker)
 {
     int64_t left_us = s->region.left_us[worker];
+    bool calm = left_us != 0 && left_us >= s->all_calm_from_us + CONTACT_US;
     size_t n;
     const struct fakeworker_run *runs =
         fakeworker_runs(s->region.workers[worker], &n);
 
-    if (left_us == 0 || left_us < s->all_calm_from_us + CONTACT_US) {
-        return;
-    }
-    for (size_t i = 0; i < n; i++) {
-        if (runs[i].whole_us > 0 && runs[i].begun_us > left_us + DRAIN_US) {
-            soak_found(
-                s, FINDING_STARTED_LEAVING,
-                "%s at i-%d, %lld ms after its word", runs[i].task, worker,
-                (long long)((runs[i].begun_us - left_us) / USEC_PER_MSEC));
+    for (; s->runs_seen[worker] < n; s->runs_seen[worker]++) {
+        const struct fakeworker_run *r = &runs[s->runs_seen[worker]];
+
+        if (calm && r->whole_us > 0 && r->begun_us > left_us + DRAIN_US) {
+            soak_found(s, FINDING_STARTED_LEAVING,
+                       "%s at i-%d, %lld ms after its word", r->task, worker,
+                       (long long)((r->begun_us - left_us) / USEC_PER_MSEC));
         }
     }
 }
--- a/soak/soak_inject.c
+++ b/soak/soak_inject.c
@@ -235,9 +235,11 @@
             s->hang_us[i] = 0;
             fakeworker_hang(s->region.workers[i], false);
         }
+        if (s->leave_us[i] != 0) {
+            soak_check_left(s, i);
+        }
         if (s->leave_us[i] != 0 && now_us >= s->leave_us[i]) {
             s->leave_us[i] = 0;
-            soak_check_left(s, i);
             region_return(&s->region, i);
         }
     }
