--- a/src/broker.c
+++ b/src/broker.c
@@ -348,9 +348,8 @@
 {
     int64_t at = b->now.mono_us + TICK_MAX_US;
 
-    at = least(at, b->load_us);
-    at = least(at, config_next_us(b));
     at = least(at, peers_next_us(b));
+    at = least(at, config_next_us(b));
     at = least(at, callers_next_us(b));
     at = least(at, hold_next_us(b));
     at = least(at, runs_next_us(b));
