--- a/src/fsm.c
+++ b/src/fsm.c
@@ -292,7 +292,6 @@
 {
     struct msg m = {.kind = MSG_CONTROL_STATE};
     struct rec_control_state *s = &m.u.control_state;
-    msgpack_sbuffer out;
     struct blob *b;
 
     s->index = index;
@@ -305,12 +304,10 @@
     s->n_history = f->n_history;
     s->texts = f->texts;
     s->n_texts = f->n_texts;
-    msgpack_sbuffer_init(&out);
-    if (wire_encode(&m, &out) != WIRE_OK) {
+    b = wire_encode_blob(&m);
+    if (b == NULL) {
         abort(); /* the limits keep it below a frame */
     }
-    b = blob_new(out.data, out.size);
-    msgpack_sbuffer_destroy(&out);
     return b;
 }
 
--- a/src/queueconf_wire.c
+++ b/src/queueconf_wire.c
@@ -24,20 +24,6 @@
     };
 }
 
-static struct blob *
-encode(const struct msg *m)
-{
-    msgpack_sbuffer buffer;
-    struct blob *data = NULL;
-
-    msgpack_sbuffer_init(&buffer);
-    if (wire_encode(m, &buffer) == WIRE_OK) {
-        data = blob_new(buffer.data, buffer.size);
-    }
-    msgpack_sbuffer_destroy(&buffer);
-    return data;
-}
-
 struct blob *
 queueconf_encode(const struct queueconf *c)
 {
@@ -59,7 +45,7 @@
         list->services[list->n_services++] = (struct rec_queue_service){
             .name = c->services[i].name, .guarded = c->services[i].guarded};
     }
-    data = encode(&m);
+    data = wire_encode_blob(&m);
 out:
     msg_free(&m);
     return data;
--- a/src/replicate.c
+++ b/src/replicate.c
@@ -9,17 +9,10 @@
 static struct blob *
 encode(const struct msg *m)
 {
-    msgpack_sbuffer out;
-    struct blob *b;
+    struct blob *b = wire_encode_blob(m);
 
-    msgpack_sbuffer_init(&out);
-    if (wire_encode(m, &out) != WIRE_OK) {
-        abort(); /* sizes are checked before */
-    }
-    b = blob_new(out.data, out.size);
-    msgpack_sbuffer_destroy(&out);
     if (b == NULL) {
-        abort();
+        abort(); /* sizes are checked before */
     }
     return b;
 }
--- a/src/wire.c
+++ b/src/wire.c
@@ -349,6 +349,20 @@
     return out->size <= WIRE_FRAME_MAX ? WIRE_OK : WIRE_TOO_LARGE;
 }
 
+struct blob *
+wire_encode_blob(const struct msg *m)
+{
+    msgpack_sbuffer out;
+    struct blob *b = NULL;
+
+    msgpack_sbuffer_init(&out);
+    if (wire_encode(m, &out) == WIRE_OK) {
+        b = blob_new(out.data, out.size);
+    }
+    msgpack_sbuffer_destroy(&out);
+    return b;
+}
+
 static enum wire_error
 decode_object(const msgpack_object *o, struct msg *m)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -78,6 +78,10 @@
 /** wire_encode() - appends the message to @out, without framing */
 enum wire_error wire_encode(const struct msg *m, msgpack_sbuffer *out);
 
+/** wire_encode_blob() - the same as a blob of its own; NULL where it does not
+ * fit or memory is out */
+struct blob *wire_encode_blob(const struct msg *m);
+
 /** wire_decode() - reads one message; on an error @m owns nothing */
 enum wire_error wire_decode(const void *data, size_t size, struct msg *m);
 
