Serve texts to followers by one piece, and pack each once

bm-entry packed the text anew for each instance of its zone that polled it, with the same lines as control, which kept the result; and control rendered the base before it looked whether the result was there, and took the text's digest for each follower. served_text.c takes the two texts now, keeps the digest with the packed one, and serves both.

--- a/src/control.c
+++ b/src/control.c
@@ -190,6 +190,7 @@
     }
     c->opts = *o;
     c->random = o->seed;
+    c->served.render = o->render;
     fsm_init(&c->fsm, o->limits);
     clog_init(&c->log, found->snapshot_index, found->snapshot_term);
     if (!take_snapshot(c, found)) {
--- a/src/follow.c
+++ b/src/follow.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <syslog.h>
 
-#include "delta.h"
 #include "member.h"
+#include "served_text.h"
 #include "servicefile.h"
 #include "textpack.h"
 
@@ -46,6 +46,7 @@
     int64_t fetch_us;  /* no text is asked for again before */
     int64_t behind_us; /* since when a member has a newer version; 0: none */
     uint64_t reported; /* sum of the versions told to control of our zone */
+    struct served_texts served;
     struct poll polls[INSTANCES_MAX];
     size_t n_polls;
 };
@@ -68,6 +69,7 @@
     if (f != NULL) {
         blob_unref(f->text);
         blob_unref(f->old_text);
+        served_texts_free(&f->served);
         free(f);
     }
 }
@@ -360,15 +362,16 @@
     struct follow *f = e->follow;
     struct msg m = {.kind = MSG_CONFIG_REPLY};
     struct rec_config_reply *r = &m.u.config_reply;
-    bool has_old = has_text && f->old_text != NULL && have == f->old_version;
+    struct published_text newest = {f->version, f->text};
+    struct published_text base = {0};
 
+    if (has_text && f->old_text != NULL && have == f->old_version) {
+        base = (struct published_text){f->old_version, f->old_text};
+    }
     r->version = f->version;
     r->term = f->term;
     if (newer) {
-        r->packed = 1;
-        r->from_version = has_old ? have : 0;
-        r->config = textpack_make(has_old ? f->old_text : NULL, f->text);
-        r->digest = delta_digest(f->text);
+        served_text_fill(&f->served, newest, base, r);
     }
     entry_send(e, to, &m);
 }
--- a/src/followers.c
+++ b/src/followers.c
@@ -129,16 +129,24 @@
     control_send(c, f->info.instance, m, 0);
 }
 
+static struct published_text
+text_of(const struct control *c, uint64_t version)
+{
+    return (struct published_text){version, fsm_text(&c->fsm, version)};
+}
+
 static void
 send_config(struct control *c, struct follower *f)
 {
     struct msg m = {.kind = MSG_CONFIG_REPLY};
     struct rec_config_reply *r = &m.u.config_reply;
+    struct published_text base = {0};
 
-    r->version = c->fsm.version;
+    if (f->has_text && fsm_text(&c->fsm, f->have) != NULL) {
+        base = text_of(c, f->have);
+    }
+    served_text_fill(&c->served, text_of(c, c->fsm.version), base, r);
     r->term = fsm_version(&c->fsm, c->fsm.version)->term;
-    served_text_fill(&c->served, &c->fsm, c->opts.render,
-                     f->has_text ? f->have : 0, r);
     c->counters.configs_sent++;
     c->counters.deltas_sent += r->from_version != 0 ? 1 : 0;
     c->counters.config_bytes_sent += r->config->size;
--- a/src/served_text.c
+++ b/src/served_text.c
@@ -7,71 +7,83 @@
 
 /* One that can't be rendered goes as it is: followers refuse it and say so. */
 static struct blob *
-render(control_render *by, struct blob *text)
+render(const struct served_texts *s, struct blob *text)
 {
-    struct blob *rendered = by != NULL ? by(text) : NULL;
+    struct blob *rendered = s->render != NULL ? s->render(text) : NULL;
 
     return rendered != NULL ? rendered : blob_ref(text);
 }
 
+/* NULL for none. */
 static struct blob *
-rendered_text(struct served_texts *s, const struct fsm *f, control_render *by,
-              uint64_t version)
+rendered_text(struct served_texts *s, struct published_text p)
 {
     struct rendered_text *r;
 
+    if (p.text == NULL) {
+        return NULL;
+    }
     for (size_t i = 0; i < SERVED_TEXTS; i++) {
-        if (s->rendered[i].version == version) {
-            return s->rendered[i].text;
+        if (s->rendered[i].version == p.version) {
+            return blob_ref(s->rendered[i].text);
         }
     }
     r = &s->rendered[s->next_rendered];
     s->next_rendered = (s->next_rendered + 1) % SERVED_TEXTS;
     blob_unref(r->text);
-    r->version = version;
-    r->text = render(by, fsm_text(f, version));
-    return r->text;
+    r->version = p.version;
+    r->text = render(s, p.text);
+    return blob_ref(r->text);
 }
 
-static struct blob *
-packed_text(struct served_texts *s, uint64_t from, struct blob *base,
-            struct blob *text, uint64_t version)
+static void
+pack(struct served_texts *s, struct published_text newest,
+     struct published_text base, struct packed_text *out)
+{
+    struct blob *from = rendered_text(s, base);
+    struct blob *text = rendered_text(s, newest);
+
+    blob_unref(out->data);
+    out->version = newest.version;
+    out->from = base.version;
+    out->digest = delta_digest(text);
+    out->data = textpack_make(from, text);
+    if (out->data == NULL) {
+        abort();
+    }
+    blob_unref(from);
+    blob_unref(text);
+}
+
+static const struct packed_text *
+packed_text(struct served_texts *s, struct published_text newest,
+            struct published_text base)
 {
     struct packed_text *p;
 
     for (size_t i = 0; i < SERVED_TEXTS; i++) {
         p = &s->packed[i];
-        if (p->version == version && p->from == from) {
-            return p->data;
+        if (p->version == newest.version && p->from == base.version) {
+            return p;
         }
     }
     p = &s->packed[s->next_packed];
     s->next_packed = (s->next_packed + 1) % SERVED_TEXTS;
-    blob_unref(p->data);
-    p->version = version;
-    p->from = from;
-    p->data = textpack_make(base, text);
-    if (p->data == NULL) {
-        abort();
-    }
-    return p->data;
+    pack(s, newest, base, p);
+    return p;
 }
 
 void
-served_text_fill(struct served_texts *s, const struct fsm *f,
-                 control_render *render_by, uint64_t have,
-                 struct rec_config_reply *r)
+served_text_fill(struct served_texts *s, struct published_text newest,
+                 struct published_text base, struct rec_config_reply *r)
 {
-    uint64_t from = have != 0 && fsm_text(f, have) != NULL ? have : 0;
-    struct blob *base =
-        from != 0 ? blob_ref(rendered_text(s, f, render_by, from)) : NULL;
-    struct blob *text = rendered_text(s, f, render_by, f->version);
+    const struct packed_text *p = packed_text(s, newest, base);
 
+    r->version = p->version;
     r->packed = 1;
-    r->from_version = from;
-    r->config = blob_ref(packed_text(s, from, base, text, f->version));
-    r->digest = delta_digest(text);
-    blob_unref(base);
+    r->from_version = p->from;
+    r->digest = p->digest;
+    r->config = blob_ref(p->data);
 }
 
 void
