Let a poll say one way what it waits for

A reply has a version above known_version, whether its number or its text is wanted. Both senders set it so already; the members and bm-entry read have_version in its place for one kind of poll.

--- a/src/follow.c
+++ b/src/follow.c
@@ -376,12 +376,6 @@
     entry_send(e, to, &m);
 }
 
-static uint64_t
-known_version(const struct rec_config_request *m)
-{
-    return m->version_only != 0 ? m->known_version : m->have_version;
-}
-
 static void
 hold(struct entry *e, struct name from, const struct rec_config_request *m)
 {
@@ -398,7 +392,7 @@
     }
     p->from = from;
     p->have_version = m->have_version;
-    p->known_version = known_version(m);
+    p->known_version = m->known_version;
     p->has_text = m->has_text != 0;
     p->version_only = m->version_only != 0;
     p->until_us = e->now.mono_us + POLL_US;
@@ -412,7 +406,7 @@
         e->counters.messages_bad++;
         return;
     }
-    if (e->follow->version > known_version(m)) {
+    if (e->follow->version > m->known_version) {
         reply(e, from, m->version_only == 0, m->have_version,
               m->has_text != 0);
         return;
--- a/src/followers.c
+++ b/src/followers.c
@@ -102,7 +102,7 @@
     f->have = r->have_version;
     f->has_text = r->has_text != 0 && r->have_version != 0;
     f->version_only = r->version_only != 0;
-    f->known = f->version_only ? r->known_version : r->have_version;
+    f->known = r->known_version;
     f->poll_us = c->now.mono_us + c->opts.poll_us;
     for (size_t i = 0; i < r->n_members && i < INSTANCES_MAX; i++) {
         (void)note_follower(c, &r->members[i], c->opts.self, false);
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -209,9 +209,8 @@
     U64(incarnation)
     NAME(zone)
     U64(has_text)       /* the sender has the text of have_version */
-    U64(version_only)   /* 1: tell of one above known_version by its number
-                         * alone; 0: send the text of one above have_version */
-    U64(known_version)
+    U64(known_version)  /* a reply has one above it */
+    U64(version_only)   /* the number of it is wanted, not its text */
     ARRAY(follower, members) /* others of the zone, for the status */
 END(config_request)
 
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -736,6 +736,7 @@
     struct msg m = {.kind = MSG_CONFIG_REQUEST};
 
     m.u.config_request.have_version = cl->follower_has;
+    m.u.config_request.known_version = cl->follower_has;
     m.u.config_request.incarnation = 1;
     m.u.config_request.zone = name_of("sk-east-a");
     m.u.config_request.has_text = cl->follower_text != NULL;
--- a/tests/control_test.c
+++ b/tests/control_test.c
@@ -766,6 +766,7 @@
 
     publish_until_accepted(cl, 1);
     m.u.config_request.have_version = 1;
+    m.u.config_request.known_version = 1;
     m.u.config_request.members = made_up;
     m.u.config_request.n_members = 200;
     for (int i = 0; i < 8; i++) {
