End the wait for a text once nothing newer is known of

Seen in a test, by reading: a member is slow, another one is asked, and the first one's text comes after all; a second later the other was logged as silent (config-fetch-late) and came last among the members from then on, though nobody waited for it. Callers saw nothing of it.

Cause: what was asked for was forgotten with its answer alone. Now it is forgotten as soon as the version in force is the newest that is known of; that is worked out once a step, where it was twice.

--- a/src/broker_config.c
+++ b/src/broker_config.c
@@ -132,21 +132,21 @@
     b->fetch.patience_us *= FETCH_GROWTH;
 }
 
+/* Nothing newer is known of: whoever was asked before need not answer. */
 static void
-fetch(struct broker *b)
+end_fetch(struct config_fetch *f)
+{
+    f->from = name_of("");
+    f->heard_us = 0;
+    f->patience_us = FETCH_US;
+}
+
+static void
+begin_fetch(struct broker *b, uint64_t version)
 {
     struct config_fetch *f = &b->fetch;
-    struct broker_peer *source;
+    struct broker_peer *source = choose_source(b, version);
 
-    if (!broker_config_behind(b)) {
-        f->heard_us = 0;
-        f->patience_us = FETCH_US;
-        return;
-    }
-    if (fetching(b)) {
-        return;
-    }
-    source = choose_source(b, newest_told(b));
     if (!is_near(b, source) && near_registry_up(b) &&
         b->now.mono_us < f->heard_us + NEAR_US) {
         return;
@@ -159,10 +159,17 @@
 void
 config_tick(struct broker *b)
 {
+    uint64_t newest = newest_told(b);
+
     if (fetching(b) && b->now.mono_us >= b->fetch.due_us) {
         give_up_source(b);
     }
-    fetch(b);
+    if (newest == b->config_version) {
+        end_fetch(&b->fetch);
+    }
+    else if (!fetching(b)) {
+        begin_fetch(b, newest);
+    }
     for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
         if (p->registry && p->up && b->now.mono_us >= p->poll_us) {
             ask(b, p, true);
--- a/tests/config_spread_test.c
+++ b/tests/config_spread_test.c
@@ -23,6 +23,9 @@
     WAITING_MAX = 256,
 };
 
+/* A text that brokers can't read. */
+#define UNREADABLE "unreadable"
+
 /* A message on its way to the broker. */
 struct waiting {
     int64_t due_us;
@@ -42,6 +45,7 @@
     uint64_t next;       /* number of the next request */
     bool mute_asked;     /* the first member asked for a text is not heard */
     int asked;           /* its number; -1: none yet */
+    uint64_t given_up;   /* members that did not send a text in time */
 };
 
 /* Its first number is the rank; the rest isn't looked at. */
@@ -52,6 +56,11 @@
 
     (void)size;
     *fault = QUEUECONF_OK;
+    if (strcmp(text, UNREADABLE) == 0) {
+        *fault = QUEUECONF_UNREADABLE;
+        free(c);
+        return NULL;
+    }
     c->rank = strtoull(text + strcspn(text, "0123456789"), NULL, 10);
     return c;
 }
@@ -116,6 +125,8 @@
     for (size_t i = 0; i < fx.n; i++) {
         const struct broker_effect *f = &fx.items[i];
 
+        s->given_up +=
+            f->kind == BE_LOG && f->u.log.reason == BROKER_CONFIG_LATE ? 1 : 0;
         for (int n = 0; f->kind == BE_SEND && n < MEMBERS; n++) {
             if (name_equal(f->u.send.to, s->cl->nodes[n].name) &&
                 f->u.send.msg.kind == MSG_CONFIG_REQUEST) {
@@ -368,6 +379,49 @@
     spread_free(s);
 }
 
+/* Guards against a member that is taken for silent because the text came from
+ * another one meanwhile. */
+static void
+text_that_came_late_ends_the_wait(void)
+{
+    struct spread *s = spread_new(6);
+    struct blob *text = text_of(7, 20);
+    struct msg late = {.kind = MSG_CONFIG_REPLY};
+    struct broker_event ev = {.kind = BEV_MESSAGE};
+
+    s->mute_asked = true;
+    cluster_publish_ranked(s->cl, cluster_leader(s->cl), ++s->next, 7, text);
+    (void)until_asked(s);
+    late.u.config_reply.version = 1;
+    late.u.config_reply.config = text;
+    ev.u.message.from = s->cl->nodes[(s->asked + 1) % MEMBERS].name;
+    ev.u.message.msg = &late;
+    step(s, &ev);
+    CU_ASSERT_EQUAL(rank_in_force(s), 7);
+    run(s, 5 * SEC);
+    CU_ASSERT_EQUAL(s->given_up, 0);
+    blob_unref(text);
+    spread_free(s);
+}
+
+/* Guards against a text that is fetched again and again, at the speed of the
+ * link, because it can't be in force. */
+static void
+unreadable_text_is_fetched_once(void)
+{
+    struct spread *s = spread_new(7);
+    struct blob *text = blob_new(UNREADABLE, strlen(UNREADABLE));
+
+    cluster_publish_ranked(s->cl, cluster_leader(s->cl), ++s->next, 7, text);
+    run(s, 5 * SEC);
+    CU_ASSERT_EQUAL(s->texts, 1);
+    CU_ASSERT_FALSE(broker_config_behind(s->broker));
+    publish(s, 8, 20);
+    CU_ASSERT_TRUE(until_in_force_us(s, 8) <= APPLY_US);
+    blob_unref(text);
+    spread_free(s);
+}
+
 /* Guards against a text that was damaged on its way, or packed against another
  * one, and is in force all the same. */
 static void
@@ -425,6 +479,8 @@
     TEST(one_copy_of_each_text_is_carried);
     TEST(small_change_is_carried_as_one);
     TEST(text_of_a_silent_member_comes_from_another);
+    TEST(text_that_came_late_ends_the_wait);
+    TEST(unreadable_text_is_fetched_once);
     TEST(damaged_text_is_refused);
     TEST(text_of_any_size_is_refused);
     TEST(text_lost_with_its_connection_comes_from_another);
