Test with sockets that 404 is not said while a version is on its way

Now a broker runs with its threads: 503 before any configuration, 404 with it, 503 and Retry-After once a newer version is told, 200 when its text is there.

--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -39,5 +39,6 @@
 SUITE(broker_load)
 SUITE(config_spread)
 SUITE(soak)
+SUITE(broker_runtime)
 SUITE(matrix)
 /* clang-format on */
