Name wrong decisions for the soak by their names

soak/mutants had their numbers in the lists of src/broker.h and src/control.h: a decision put into a list before others would have proved something else under the old name.

--- a/src/control.h
+++ b/src/control.h
@@ -20,19 +20,27 @@
 
 struct control;
 
-/* Wrong decisions, switched on by tests of the checks alone. */
+/* Wrong decisions, switched on by tests of the checks alone:
+ * CONTROL_BREAK(NAME, what it does). */
+/* clang-format off */
+#define CONTROL_BREAK_LIST(CONTROL_BREAK)                                     \
+    CONTROL_BREAK(ACK_BEFORE_SYNC, "counts entries before their sync")        \
+    CONTROL_BREAK(VOTE_TWICE, "forgets its vote")                             \
+    CONTROL_BREAK(NO_PRE_VOTE, "campaigns at once")                           \
+    CONTROL_BREAK(ANY_LOG, "votes for logs that lack entries")                \
+    CONTROL_BREAK(NO_STICKINESS, "votes although the leader is there")        \
+    CONTROL_BREAK(COUNT_ANY_DISK, "counts members that lost their disk")      \
+    CONTROL_BREAK(SERVE_AFTER_RESTART, "serves before it caught up")          \
+    CONTROL_BREAK(READ_WITHOUT_ROUND, "answers reads unasked")                \
+    CONTROL_BREAK(SERVE_UNCOMMITTED, "applies before the commit")             \
+    CONTROL_BREAK(FORGET_REQUESTS, "takes a resend for a new request")
+/* clang-format on */
+
 enum control_break {
-    CONTROL_BREAK_ACK_BEFORE_SYNC, /* counts entries before their sync */
-    CONTROL_BREAK_VOTE_TWICE,      /* forgets its vote */
-    CONTROL_BREAK_NO_PRE_VOTE,     /* campaigns at once */
-    CONTROL_BREAK_ANY_LOG,         /* votes for logs that lack entries */
-    CONTROL_BREAK_NO_STICKINESS,   /* votes although the leader is there */
-    CONTROL_BREAK_COUNT_ANY_DISK,  /* counts members that lost their disk */
-    CONTROL_BREAK_SERVE_AFTER_RESTART, /* serves before it caught up */
-    CONTROL_BREAK_READ_WITHOUT_ROUND,  /* answers reads unasked */
-    CONTROL_BREAK_SERVE_UNCOMMITTED,   /* applies before the commit */
-    CONTROL_BREAK_FORGET_REQUESTS,     /* takes a resend for a new request */
-    CONTROL_BREAKS,
+#define CONTROL_BREAK(NAME, text) CONTROL_BREAK_##NAME,
+    CONTROL_BREAK_LIST(CONTROL_BREAK)
+#undef CONTROL_BREAK
+        CONTROL_BREAKS,
 };
 
 /**
