Let libraries write the soak's settings and remove its folders

Settings were JSON by fprintf() beside jansson, and folders went by a shell with rm. Besides: the confirmed times are an array of times, a planned stop has one time instead of two that were always alike, the begin of what is judged at the end stands once, and what the soak took is released when it ends.

--- a/soak/bm_soak.c
+++ b/soak/bm_soak.c
@@ -243,8 +243,7 @@
         printf("soak: kept in %s\n", s->dir);
         return EXIT_FOUND;
     }
-    soak_empty_folder(s->dir);
-    (void)rmdir(s->dir);
+    soak_remove_folder(s->dir);
     return EXIT_SUCCESS;
 }
 
@@ -286,6 +285,10 @@
     (void)signal(SIGPIPE, SIG_IGN);
     rc = soak(&s);
     end_all(&s);
+    proxy_free(s.proxy);
+    soak_plan_free(&s.plan);
+    region_free(&s.region);
+    free(s.acked_us);
     poptFreeContext(ctx);
     return rc;
 }
--- a/soak/procs.c
+++ b/soak/procs.c
@@ -66,11 +66,11 @@
 }
 
 void
-proc_stop(struct proc *p, int64_t now_us, int64_t again_us)
+proc_stop(struct proc *p, int64_t now_us)
 {
     if (p->pid > 0 && p->stop_us == 0) {
         p->stop_us = now_us;
-        p->start_us = again_us;
+        p->start_us = now_us;
         proc_signal(p, SIGTERM);
     }
 }
--- a/soak/procs.h
+++ b/soak/procs.h
@@ -19,6 +19,7 @@
  * struct proc - a process that is kept running
  * @program: path of its program
  * @settings: path of its settings file
+ * @data: path of its data folder, where it has one
  * @log: path of the file that its output is appended to
  * @pid: 0 while it is down
  * @incarnation: rises with each start
@@ -30,6 +31,7 @@
 struct proc {
     char program[PROC_PATH];
     char settings[PROC_PATH];
+    char data[PROC_PATH];
     char log[PROC_PATH];
     pid_t pid;
     int incarnation;
@@ -52,8 +54,8 @@
 /** proc_kill() - at once; it is started again at @again_us */
 void proc_kill(struct proc *p, int64_t again_us);
 
-/** proc_stop() - as planned, by SIGTERM; likewise */
-void proc_stop(struct proc *p, int64_t now_us, int64_t again_us);
+/** proc_stop() - as planned, by SIGTERM; it is started again once it ended */
+void proc_stop(struct proc *p, int64_t now_us);
 
 /** proc_pause() - until then */
 void proc_pause(struct proc *p, int64_t until_us);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -61,11 +61,6 @@
 
 const char *soak_finding_text(enum finding f);
 
-/* What is known of a version: when it was confirmed. */
-struct version {
-    int64_t acked_us;
-};
-
 /**
  * struct soak - all of it
  * @no_times: bounds on times are not judged
@@ -111,7 +106,7 @@
     size_t probe_at;
     int64_t look_us;
     int64_t progress_us;
-    struct version *versions;
+    int64_t *acked_us; /* of each version; there is none numbered 0 */
     int n_versions;
     int turn;        /* broker that stops next; -1: none does */
     int64_t turn_us; /* then */
@@ -144,8 +139,8 @@
  * told beginning with number @turn */
 bool soak_write_settings(const struct soak *s, int proc, bool first, int turn);
 
-/** soak_empty_folder() - all that is in it is removed */
-void soak_empty_folder(const char *path);
+/** soak_remove_folder() - with all that is in it */
+void soak_remove_folder(const char *path);
 
 /* soak_inject.c */
 
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -69,14 +69,14 @@
 soak_on_acked(void *ctx, int version)
 {
     struct soak *s = ctx;
-    struct version *v =
-        realloc(s->versions, ((size_t)version + 1) * sizeof(*s->versions));
+    int64_t *acked_us =
+        realloc(s->acked_us, ((size_t)version + 1) * sizeof(*acked_us));
 
-    if (v == NULL) {
+    if (acked_us == NULL) {
         abort();
     }
-    s->versions = v;
-    s->versions[version].acked_us = region_now_us();
+    s->acked_us = acked_us;
+    s->acked_us[version] = region_now_us();
     s->n_versions = version + 1;
 }
 
@@ -87,7 +87,7 @@
 {
     int version = s->n_versions - 1;
 
-    while (version > 0 && s->versions[version].acked_us + APPLY_US > now_us) {
+    while (version > 0 && s->acked_us[version] + APPLY_US > now_us) {
         version--;
     }
     return version;
@@ -135,8 +135,7 @@
             s, FINDING_CONFIG_LATE,
             "broker-%zu says 404 for version %d, confirmed %.3f s before",
             c->entry + 1, version,
-            (double)(c->sent_us - s->versions[version].acked_us) /
-                USEC_PER_SEC);
+            (double)(c->sent_us - s->acked_us[version]) / USEC_PER_SEC);
     }
 }
 
@@ -252,17 +251,14 @@
 judge_recovery(struct soak *s)
 {
     const struct region *r = &s->region;
-    int from = (int)((s->length_us - LAST_US + GRACE_US + RECOVERY_US) /
-                     USEC_PER_SEC) *
-               JOBS_PER_S;
-    int64_t judged_us =
-        s->begin_us + s->length_us - LAST_US + GRACE_US + RECOVERY_US;
+    int64_t back_us = s->length_us - LAST_US + GRACE_US + RECOVERY_US;
+    int from = (int)(back_us / USEC_PER_SEC) * JOBS_PER_S;
     int served = 0;
 
     for (int i = from; i < r->n_jobs; i++) {
         served += r->jobs[i].status == REGION_OK ? 1 : 0;
     }
-    if (s->no_times == 0 && s->stalled_us < judged_us &&
+    if (s->no_times == 0 && s->stalled_us < s->begin_us + back_us &&
         served * QUARTER < r->n_jobs - from) {
         soak_found(s, FINDING_NOT_BACK, "%d of the last %d jobs were served",
                    served, r->n_jobs - from);
--- a/soak/soak_inject.c
+++ b/soak/soak_inject.c
@@ -72,7 +72,6 @@
 static void
 wipe(struct soak *s, int i, int64_t again_us)
 {
-    char data[PROC_PATH + 16];
     int status;
 
     soak_kill(s, i, again_us);
@@ -80,18 +79,18 @@
         (void)waitpid(s->procs[i].pid, &status, 0);
         s->procs[i].pid = 0;
     }
-    (void)snprintf(data, sizeof(data), "%s/data%d", s->dir, i);
-    soak_empty_folder(data);
+    soak_remove_folder(s->procs[i].data);
+    (void)mkdir(s->procs[i].data, S_IRWXU);
     (void)soak_write_settings(s, i, false, 0);
 }
 
 static void
-stop_one(struct soak *s, int i, int64_t now_us, int64_t again_us)
+stop_one(struct soak *s, int i, int64_t now_us)
 {
     if (i < MEMBERS) {
         soak_disturb(s, i, now_us + GRACE_US);
     }
-    proc_stop(&s->procs[i], now_us, again_us);
+    proc_stop(&s->procs[i], now_us);
 }
 
 static void
@@ -178,10 +177,10 @@
         wipe(s, member, until_us);
         break;
     case SOAK_STOP_BROKER:
-        stop_one(s, broker, now_us, now_us);
+        stop_one(s, broker, now_us);
         break;
     case SOAK_STOP_MEMBER:
-        stop_one(s, member, now_us, now_us);
+        stop_one(s, member, now_us);
         break;
     case SOAK_STOP_IN_TURN:
         s->turn = MEMBERS;
@@ -226,7 +225,7 @@
         inject(s, &s->plan.faults[s->next_fault++], now_us);
     }
     if (s->turn >= 0 && now_us >= s->turn_us) {
-        stop_one(s, s->turn, now_us, now_us);
+        stop_one(s, s->turn, now_us);
         s->turn_us = now_us + TURN_US;
         s->turn = s->turn + 1 < soak_procs(s) ? s->turn + 1 : -1;
     }
--- a/soak/soak_setup.c
+++ b/soak/soak_setup.c
@@ -2,6 +2,8 @@
  * The processes' settings and folders, and the links between them.
  */
 #include <arpa/inet.h>
+#include <ftw.h>
+#include <jansson.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -16,7 +18,8 @@
     PORTS_REGION = 1000, /* of one of them */
     PORTS_WORKERS = 900, /* from the first of them */
     IP_ROOM = 32,
-    COMMAND_ROOM = 2 * PROC_PATH,
+    OPEN_FOLDERS = 8, /* of nftw() */
+    LEASE_MS = 1000,
     DELAYING = 3, /* number of the worker that carries orders out late */
     LINK_BYTES_PER_S = 25 * 1000 * 1000 / 8,
 };
@@ -27,16 +30,21 @@
     return MEMBERS + s->n_brokers;
 }
 
-void
-soak_empty_folder(const char *path)
+static int
+remove_one(const char *path, const struct stat *st, int type, struct FTW *ftw)
 {
-    char command[COMMAND_ROOM];
+    (void)st;
+    (void)type;
+    (void)ftw;
+    return remove(path);
+}
 
-    (void)snprintf(command, sizeof(command), "rm -rf '%s'", path);
-    if (system(command) != 0) {
-        (void)fprintf(stderr, "bm-soak: %s is not emptied\n", path);
+void
+soak_remove_folder(const char *path)
+{
+    if (nftw(path, remove_one, OPEN_FOLDERS, FTW_DEPTH | FTW_PHYS) != 0) {
+        (void)fprintf(stderr, "bm-soak: %s is not removed\n", path);
     }
-    (void)mkdir(path, S_IRWXU);
 }
 
 static void
@@ -54,46 +62,59 @@
     return s->base + PORTS_EACH * (i + 1);
 }
 
+static json_t *
+listen_addresses(const struct soak *s, int i, const char *ip)
+{
+    char first[ADDRESS_ROOM];
+    char second[ADDRESS_ROOM];
+
+    (void)snprintf(first, sizeof(first), "%s:%d", ip, s->base);
+    (void)snprintf(second, sizeof(second), "%s:%d", ip, s->base + 1);
+    return i < MEMBERS
+               ? json_pack("{s:s}", "control", first)
+               : json_pack("{s:s,s:s}", "front", first, "ready", second);
+}
+
+static json_t *
+seeds(const struct soak *s, int turn)
+{
+    json_t *list = json_array();
+
+    for (int j = 0; j < MEMBERS; j++) {
+        const char *address = s->addresses[(j + turn) % MEMBERS];
+
+        (void)json_array_append_new(list, json_string(address));
+    }
+    return list;
+}
+
 /* Each process believes that the others listen on its own port, and there the
  * proxy listens in their place. */
 bool
 soak_write_settings(const struct soak *s, int i, bool first, int turn)
 {
-    FILE *f = fopen(s->procs[i].settings, "we");
+    int port = peer_port(s, i);
     char ip[IP_ROOM];
+    char name[IP_ROOM];
+    json_t *settings;
+    bool written;
 
-    if (f == NULL) {
-        return false;
-    }
     address_of_proc(i, ip);
-    (void)fprintf(f,
-                  "{\"node-name\":\"%s-%d\",\"ip\":\"%s\",\"zone\":\"zone-a\","
-                  "\"region\":\"r\",",
-                  i < MEMBERS ? "control" : "broker",
-                  i < MEMBERS ? i + 1 : i - MEMBERS + 1, ip);
-    if (i < MEMBERS) {
-        (void)fprintf(f,
-                      "\"bind-addresses\":{\"control\":\"%s:%d\"},"
-                      "\"data-dir\":\"%s/data%d\",",
-                      ip, s->base, s->dir, i);
-    }
-    else {
-        (void)fprintf(f,
-                      "\"bind-addresses\":{\"front\":\"%s:%d\","
-                      "\"ready\":\"%s:%d\"},\"data-dir\":null,",
-                      ip, s->base, ip, s->base + 1);
-    }
-    (void)fprintf(f, "\"port-range\":[%d,%d],\"seeds\":[", peer_port(s, i),
-                  peer_port(s, i) + PORTS_EACH - 1);
-    for (int j = 0; j < MEMBERS; j++) {
-        (void)fprintf(f, "%s\"127.0.1.%d:%d\"", j > 0 ? "," : "",
-                      (j + turn) % MEMBERS + 1, s->base);
-    }
-    (void)fprintf(f,
-                  "],\"bootstrap\":%s,\"bounds\":{\"max-hold-ms\":1000,"
-                  "\"grace-s\":6}}\n",
-                  first ? "true" : "false");
-    return fclose(f) == 0;
+    (void)snprintf(name, sizeof(name), "%s-%d",
+                   i < MEMBERS ? "control" : "broker",
+                   i < MEMBERS ? i + 1 : i - MEMBERS + 1);
+    settings = json_pack(
+        "{s:s,s:s,s:s,s:s,s:o,s:[i,i],s:o,s:b,s:{s:i,s:i}}", "node-name", name,
+        "ip", ip, "zone", "zone-a", "region", "r", "bind-addresses",
+        listen_addresses(s, i, ip), "port-range", port, port + PORTS_EACH - 1,
+        "seeds", seeds(s, turn), "bootstrap", (int)first, "bounds",
+        "max-hold-ms", LEASE_MS, "grace-s", (int)(GRACE_US / USEC_PER_SEC));
+    (void)json_object_set_new(settings, "data-dir",
+                              i < MEMBERS ? json_string(s->procs[i].data)
+                                          : json_null());
+    written = json_dump_file(settings, s->procs[i].settings, 0) == 0;
+    json_decref(settings);
+    return written;
 }
 
 static bool
@@ -115,11 +136,10 @@
     return true;
 }
 
-static bool
-prepare_proc(struct soak *s, int i)
+static void
+name_proc(struct soak *s, int i)
 {
     struct proc *p = &s->procs[i];
-    char data[PROC_PATH + 16];
     char ip[IP_ROOM];
     const char *kind = i < MEMBERS ? "control" : "broker";
 
@@ -128,17 +148,16 @@
     (void)snprintf(p->settings, sizeof(p->settings), "%s/%d.json", s->dir, i);
     (void)snprintf(p->log, sizeof(p->log), "%s/%s-%d.log", s->dir, kind,
                    i < MEMBERS ? i + 1 : i - MEMBERS + 1);
-    (void)snprintf(data, sizeof(data), "%s/data%d", s->dir, i);
+    (void)snprintf(p->data, sizeof(p->data), "%s/data%d", s->dir, i);
     address_of_proc(i, ip);
     (void)snprintf(s->addresses[i], ADDRESS_ROOM, "%s:%d", ip, s->base);
     if (i < MEMBERS) {
         s->region.controls[s->region.n_controls++] = s->addresses[i];
-        (void)mkdir(data, S_IRWXU);
+        (void)mkdir(p->data, S_IRWXU);
     }
     else {
         s->region.entries[s->region.n_entries++] = s->addresses[i];
     }
-    return soak_write_settings(s, i, true, 0) && link_members(s, i);
 }
 
 static bool
@@ -184,8 +203,11 @@
     s->region.advertised = REGION_WORKERS_MAX;
     s->region.delaying = DELAYING % s->n_workers;
     s->proxy = proxy_new(LINK_BYTES_PER_S);
+    for (int i = 0; i < soak_procs(s); i++) {
+        name_proc(s, i);
+    }
     for (int i = 0; i < soak_procs(s) && good; i++) {
-        good = prepare_proc(s, i);
+        good = soak_write_settings(s, i, true, 0) && link_members(s, i);
     }
     for (int i = 0; i < s->n_workers && good; i++) {
         good = link_worker(s, i);
