--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -369,7 +369,7 @@
     int64_t left_us = broker_next_us(r->broker) - now_us;
     int64_t ms = left_us <= 0 ? 0 : (left_us + 999) / USEC_PER_MSEC;
 
-    ms = sooner(ms, leaseclient_next_ms(r->upstreams, now_us));
+    ms = sooner(ms, leaseclient_next_ms(r->upstreams));
     ms = sooner(ms, httpapi_next_ms(r->callers));
     if (r->ready != NULL) {
         ms = sooner(ms, httpapi_next_ms(r->ready));
@@ -404,7 +404,7 @@
         ready = ready || events[i].data.ptr == r->ready;
         metrics = metrics || events[i].data.ptr == r->metrics;
     }
-    leaseclient_run(r->upstreams, clock_now(r->opts.clock).mono_us);
+    leaseclient_run(r->upstreams);
     run_server(r->callers, callers);
     run_server(r->ready, ready);
     run_server(r->metrics, metrics);
@@ -533,6 +533,7 @@
     struct leaseclient_options upstreams = r->opts.upstreams;
     struct peer_options peers = r->opts.peers;
 
+    upstreams.clock = r->opts.clock;
     upstreams.done = on_called;
     upstreams.ctx = r;
     r->upstreams = leaseclient_new(&upstreams);
--- a/src/leaseclient.c
+++ b/src/leaseclient.c
@@ -4,21 +4,25 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/queue.h>
 #include <unistd.h>
 
 #include "stats.h"
+#include "table.h"
+#include "timers.h"
 
 enum {
     EVENTS_MAX = 64,
+    READS_MAX = 8,          /* rounds of events in a row */
     IDLE_EASY_MAX = 64,     /* easy handles kept for later calls */
     READ_BUFFER = 4 * 1024, /* answers are short; libcurl's own is 16 KiB */
     URL_SIZE = ADDRESS_SIZE + LEASE_PATH_SIZE + 8,
     NEVER = -1,
 };
 
-/* A call on its way. */
+/* A call on its way; it has no answer if none has come by @due_us. */
 struct call {
+    struct handle self;
+    int64_t due_us;
     uint64_t number;
     struct lease_request request;
     CURL *easy;
@@ -29,7 +33,6 @@
     size_t size;
     size_t room;
     struct leaseclient *client;
-    LIST_ENTRY(call) link;
 };
 
 struct leaseclient {
@@ -38,8 +41,8 @@
     int epoll;
     int64_t due_us; /* libcurl wants to be called then; NEVER for not */
     bool due_now;
-    int64_t now_us;
-    LIST_HEAD(, call) calls;
+    struct table calls;
+    struct timers timeouts;
     CURL *idle[IDLE_EASY_MAX];
     size_t n_idle;
 };
@@ -51,6 +54,7 @@
         .connections_kept = 512,
         .idle_s = 15,
         .answer_max = (size_t)1 << 20,
+        .clock = clock_real(),
     };
 }
 
@@ -79,6 +83,12 @@
     return 0;
 }
 
+static int64_t
+now_us(const struct leaseclient *c)
+{
+    return clock_now(c->opts.clock).mono_us;
+}
+
 static int
 on_timer(CURLM *multi, long ms, void *user)
 {
@@ -86,7 +96,7 @@
 
     (void)multi;
     c->due_now = ms == 0;
-    c->due_us = ms < 0 ? NEVER : c->now_us + ms * USEC_PER_MSEC;
+    c->due_us = ms < 0 ? NEVER : now_us(c) + ms * USEC_PER_MSEC;
     return 0;
 }
 
@@ -101,7 +111,7 @@
     }
     c->opts = *o;
     c->due_us = NEVER;
-    LIST_INIT(&c->calls);
+    table_init(&c->calls, sizeof(struct call));
     c->epoll = epoll_create1(EPOLL_CLOEXEC);
     c->multi = curl_multi_init();
     if (c->epoll < 0 || c->multi == NULL) {
@@ -120,23 +130,24 @@
 static void
 call_free(struct call *call)
 {
-    LIST_REMOVE(call, link);
     blob_unref(call->request.spec);
     curl_slist_free_all(call->headers);
     free(call->body);
     free(call->answer);
-    free(call);
+    table_remove(&call->client->calls, call->self);
 }
 
 void
 leaseclient_free(struct leaseclient *c)
 {
     struct call *call;
+    struct handle h;
+    uint32_t at = 0;
 
     if (c == NULL) {
         return;
     }
-    while ((call = LIST_FIRST(&c->calls)) != NULL) {
+    while ((call = table_next(&c->calls, &at, &h)) != NULL) {
         curl_multi_remove_handle(c->multi, call->easy);
         curl_easy_cleanup(call->easy);
         call_free(call);
@@ -150,6 +161,8 @@
     if (c->epoll >= 0) {
         (void)close(c->epoll);
     }
+    table_clear(&c->calls);
+    timers_clear(&c->timeouts);
     free(c);
     curl_global_cleanup();
 }
@@ -191,6 +204,7 @@
     (void)remote_port;
     (void)local_port;
     call->sent = true;
+    call->due_us = now_us(call->client) + call->request.timeout_us;
     return CURL_PREREQFUNC_OK;
 }
 /* NOLINTEND(readability-non-const-parameter) */
@@ -252,8 +266,6 @@
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)READ_BUFFER);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, o->idle_s);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                     (long)(call->request.timeout_us / USEC_PER_MSEC));
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_answer);
@@ -263,17 +275,17 @@
 void
 leaseclient_begin(struct leaseclient *c, struct be_call *from)
 {
-    struct call *call = calloc(1, sizeof(*call));
+    struct handle h;
+    struct call *call = table_add(&c->calls, &h);
 
-    if (call == NULL) {
-        abort();
-    }
+    call->self = h;
     call->number = from->call;
     call->request = from->request;
     from->request.spec = NULL;
     call->client = c;
     call->easy = easy_take(c);
-    LIST_INSERT_HEAD(&c->calls, call, link);
+    call->due_us = now_us(c) + call->request.timeout_us;
+    timers_add(&c->timeouts, call->due_us, h);
     prepare(call, &c->opts);
     stats_add(&stats.calls_begun, 1);
     if (curl_multi_add_handle(c->multi, call->easy) != CURLM_OK) {
@@ -299,6 +311,15 @@
     c->opts.done(c->opts.ctx, call->number, &answer);
 }
 
+static void
+end_call(struct leaseclient *c, struct call *call, CURLcode result)
+{
+    finish(c, call, result);
+    curl_multi_remove_handle(c->multi, call->easy);
+    easy_give_back(c, call->easy);
+    call_free(call);
+}
+
 static void
 end_finished(struct leaseclient *c)
 {
@@ -306,18 +327,32 @@
     int left;
 
     while ((msg = curl_multi_info_read(c->multi, &left)) != NULL) {
-        CURL *easy = msg->easy_handle;
-        CURLcode result = msg->data.result;
         struct call *call = NULL;
 
         if (msg->msg != CURLMSG_DONE) {
             continue;
         }
-        curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
-        finish(c, call, result);
-        curl_multi_remove_handle(c->multi, easy);
-        easy_give_back(c, easy);
-        call_free(call);
+        curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+        end_call(c, call, msg->data.result);
+    }
+}
+
+static void
+end_overdue(struct leaseclient *c, int64_t until_us)
+{
+    struct handle h;
+
+    while (timers_pop(&c->timeouts, until_us, &h)) {
+        struct call *call = table_get(&c->calls, h);
+
+        if (call == NULL) {
+            continue;
+        }
+        if (call->due_us > until_us) {
+            timers_add(&c->timeouts, call->due_us, h);
+            continue;
+        }
+        end_call(c, call, CURLE_OPERATION_TIMEDOUT);
     }
 }
 
@@ -327,50 +362,72 @@
     return c->epoll;
 }
 
+static int64_t
+in_ms(int64_t at_us, int64_t from_us)
+{
+    return at_us > from_us ? (at_us - from_us) / USEC_PER_MSEC + 1 : 0;
+}
+
 int64_t
-leaseclient_next_ms(const struct leaseclient *c, int64_t now_us)
+leaseclient_next_ms(const struct leaseclient *c)
 {
+    int64_t at_us = timers_next_us(&c->timeouts);
+
     if (c->due_now) {
         return 0;
     }
-    if (c->due_us == NEVER) {
-        return -1;
+    if (c->due_us != NEVER && c->due_us < at_us) {
+        at_us = c->due_us;
     }
-    return c->due_us > now_us ? (c->due_us - now_us) / USEC_PER_MSEC + 1 : 0;
+    return at_us == INT64_MAX ? -1 : in_ms(at_us, now_us(c));
 }
 
 static void
-run_sockets(struct leaseclient *c)
+act_on(struct leaseclient *c, const struct epoll_event *e)
 {
-    struct epoll_event events[EVENTS_MAX];
-    int n = epoll_wait(c->epoll, events, EVENTS_MAX, 0);
+    int what = 0;
     int running;
 
-    for (int i = 0; i < n; i++) {
-        int what = 0;
+    what |= (e->events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+    what |= (e->events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+    what |= (e->events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
+    (void)curl_multi_socket_action(c->multi, e->data.fd, what, &running);
+}
 
-        what |= (events[i].events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
-        what |= (events[i].events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
-        what |= (events[i].events & (EPOLLERR | EPOLLHUP)) != 0
-                    ? CURL_CSELECT_ERR
-                    : 0;
-        (void)curl_multi_socket_action(c->multi, events[i].data.fd, what,
-                                       &running);
+/* Whether all that had come was read. */
+static bool
+run_sockets(struct leaseclient *c)
+{
+    struct epoll_event events[EVENTS_MAX];
+    int n = EVENTS_MAX;
+
+    for (int round = 0; n == EVENTS_MAX && round < READS_MAX; round++) {
+        n = epoll_wait(c->epoll, events, EVENTS_MAX, 0);
+        for (int i = 0; i < n; i++) {
+            act_on(c, &events[i]);
+        }
     }
+    return n < EVENTS_MAX;
 }
 
+/* A call has timed out only where its answer is not here by now: when this
+ * process is behind, answers wait in its sockets longer than their calls may
+ * take, and runs that go well would be stopped. */
 void
-leaseclient_run(struct leaseclient *c, int64_t now_us)
+leaseclient_run(struct leaseclient *c)
 {
+    int64_t begun_us = now_us(c);
+    bool all_read = run_sockets(c);
     int running;
 
-    c->now_us = now_us;
-    run_sockets(c);
-    if (c->due_now || (c->due_us != NEVER && now_us >= c->due_us)) {
+    if (c->due_now || (c->due_us != NEVER && begun_us >= c->due_us)) {
         c->due_now = false;
         c->due_us = NEVER;
         (void)curl_multi_socket_action(c->multi, CURL_SOCKET_TIMEOUT, 0,
                                        &running);
     }
     end_finished(c);
+    if (all_read) {
+        end_overdue(c, begun_us);
+    }
 }
--- a/src/leaseclient.h
+++ b/src/leaseclient.h
@@ -11,6 +11,7 @@
 #define BM_LEASECLIENT_H
 
 #include "broker_effect.h"
+#include "clock.h"
 
 enum { LEASE_PATH_SIZE = 96, LEASE_HEADERS_MAX = 2, LEASE_HEADER_SIZE = 96 };
 
@@ -44,6 +45,7 @@
  * @connections_kept: idle ones, in all
  * @idle_s: a kept connection older than that is not used again
  * @answer_max: bytes; a longer answer is LEASE_LOST
+ * @clock: for timeouts
  * @done: takes each outcome, exactly one a call; the answer is the callee's
  * @ctx: for @done
  */
@@ -52,6 +54,7 @@
     long connections_kept;
     long idle_s;
     size_t answer_max;
+    const struct clock *clock;
     void (*done)(void *ctx, uint64_t call, struct lease_answer *answer);
     void *ctx;
 };
@@ -67,16 +70,18 @@
 /** leaseclient_free() - calls in progress get no outcome; NULL is allowed */
 void leaseclient_free(struct leaseclient *c);
 
-/** leaseclient_begin() - sends a call; takes over what it owns */
+/** leaseclient_begin() - sends a call; takes over what it owns.  Its timeout
+ * counts from when the request goes out on a connection; without a connection
+ * in that time it is LEASE_UNSENT. */
 void leaseclient_begin(struct leaseclient *c, struct be_call *call);
 
 /** leaseclient_fd() - readable when leaseclient_run() has work */
 int leaseclient_fd(const struct leaseclient *c);
 
 /** leaseclient_next_ms() - it has work after that time; -1 for none */
-int64_t leaseclient_next_ms(const struct leaseclient *c, int64_t now_us);
+int64_t leaseclient_next_ms(const struct leaseclient *c);
 
 /** leaseclient_run() - does what there is to do, and tells outcomes */
-void leaseclient_run(struct leaseclient *c, int64_t now_us);
+void leaseclient_run(struct leaseclient *c);
 
 #endif
