--- a/src/broker.c
+++ b/src/broker.c
@@ -28,6 +28,7 @@
         .call_timeout_us = 150 * USEC_PER_MSEC,
         .settle_us = 1500 * USEC_PER_MSEC,
         .settle_min_us = 100 * USEC_PER_MSEC,
+        .start_wait_us = 750 * USEC_PER_MSEC,
         .load_us = 50 * USEC_PER_MSEC,
         .loads_per_s = 400, /* twenty others every load_us */
         .stop_us = 5400 * USEC_PER_MSEC,
@@ -378,6 +379,12 @@
     return false;
 }
 
+int64_t
+broker_start_over_us(const struct broker *b)
+{
+    return b->started_us + b->opts.start_wait_us;
+}
+
 const struct queueconf *
 broker_queues(const struct broker *b)
 {
--- a/src/broker.h
+++ b/src/broker.h
@@ -91,6 +91,8 @@
  * @settle_min_us: from the first word of a registry, it need not be longer
  *                 where all brokers of the zone that were named are connected;
  *                 about as long as two attempts to dial are apart
+ * @start_wait_us: after the start, requests are kept for so long until there
+ * is a configuration and somebody who runs jobs
  * @load_us: between reports of the load to other brokers, at least
  * @loads_per_s: messages with such a report in a second, at most
  * @stop_us: a planned stop takes no longer
@@ -115,6 +117,7 @@
     int64_t call_timeout_us;
     int64_t settle_us;
     int64_t settle_min_us;
+    int64_t start_wait_us;
     int64_t load_us;
     uint32_t loads_per_s;
     int64_t stop_us;
@@ -146,6 +149,10 @@
  * broker that holds upstreams, and is not stopping */
 bool broker_ready(const struct broker *b);
 
+/** broker_start_over_us() - monotonic time until which what a broker that has
+ * just started lacks may be waited for */
+int64_t broker_start_over_us(const struct broker *b);
+
 /** broker_queues() - the configuration in force, or NULL */
 const struct queueconf *broker_queues(const struct broker *b);
 
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -77,9 +77,16 @@
                "%s; %s", job_outcome_text(outcome), detail);
 }
 
+static bool
+is_offered(const struct caller_job *c)
+{
+    return !name_empty(c->runner);
+}
+
 static void
 drop_job(struct broker *b, struct caller_job *c)
 {
+    b->n_unoffered -= is_offered(c) ? 0 : 1;
     msg_free(&c->offer);
     table_remove(&b->caller_jobs, c->self);
 }
@@ -233,6 +240,44 @@
     return true;
 }
 
+/* When a whole region comes back, brokers have their configuration some tens
+ * of milliseconds before the first of them has upstreams.  Callers that come
+ * then are served if they are kept for that time; at other times nobody knows
+ * when there will be a runner, and they are told so at once. */
+static bool
+runner_expected(const struct broker *b)
+{
+    return b->now.mono_us < broker_start_over_us(b);
+}
+
+static void
+refuse_unoffered(struct broker *b, struct caller_job *c)
+{
+    answer_job(b, c, JOB_REFUSED_OUTCOME, BROKER_NO_RUNNER,
+               NO_RUNNER_RETRY_US);
+}
+
+static void
+offer_waiting(struct broker *b)
+{
+    struct caller_job *c;
+    struct handle h;
+    uint32_t at = 0;
+
+    b->runners_changed = false;
+    while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
+        if (is_offered(c)) {
+            continue;
+        }
+        if (offer(b, c, name_of(""))) {
+            b->n_unoffered--;
+        }
+        else if (!runner_expected(b)) {
+            refuse_unoffered(b, c);
+        }
+    }
+}
+
 /* Events */
 
 static void
@@ -307,9 +352,12 @@
     c->deadline_us = b->now.mono_us + timeout_us;
     fill_offer(c, s);
     timers_add(&b->caller_timers, c->deadline_us, h);
-    if (!offer(b, c, name_of(""))) {
-        answer_job(b, c, JOB_REFUSED_OUTCOME, BROKER_NO_RUNNER,
-                   NO_RUNNER_RETRY_US);
+    if (offer(b, c, name_of(""))) {
+        return;
+    }
+    b->n_unoffered++;
+    if (!runner_expected(b)) {
+        refuse_unoffered(b, c);
     }
 }
 
@@ -318,6 +366,9 @@
 {
     struct msg m = {.kind = MSG_JOB_DROP};
 
+    if (!is_offered(c)) {
+        return;
+    }
     m.u.job_drop.number = handle_number(c->self);
     broker_send(b, c->runner, &m);
 }
@@ -418,6 +469,9 @@
 {
     struct handle h;
 
+    if (b->n_unoffered > 0 && (b->runners_changed || !runner_expected(b))) {
+        offer_waiting(b);
+    }
     while (timers_pop(&b->caller_timers, b->now.mono_us, &h)) {
         struct caller_job *c = table_get(&b->caller_jobs, h);
 
@@ -431,5 +485,8 @@
 int64_t
 callers_next_us(const struct broker *b)
 {
-    return timers_next_us(&b->caller_timers);
+    int64_t at = timers_next_us(&b->caller_timers);
+    int64_t over = broker_start_over_us(b);
+
+    return b->n_unoffered > 0 && over < at ? over : at;
 }
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -239,6 +239,7 @@
     for (size_t i = 0; i < n; i++) {
         p->loads[i].told = l->services[i];
     }
+    b->runners_changed = b->runners_changed || n > 0;
     p->lingers = l->lingers != 0;
     if (p->stopping != (l->stopping != 0)) {
         p->stopping = l->stopping != 0;
--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -8,6 +8,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include "array.h"
 #include "broker_metrics.h"
 #include "log.h"
 #include "mailbox.h"
@@ -45,6 +46,9 @@
     struct httpapi *metrics;
     struct leaseclient *upstreams;
     struct peer *peers;
+    uint64_t *early; /* requests that came before there is a configuration */
+    size_t n_early;
+    size_t early_room;
     int epoll;
     pthread_t thread;
     bool running;
@@ -161,6 +165,36 @@
     httpapi_reply(r->callers, number, response);
 }
 
+/* Without a configuration nothing can be said of a request.  A broker that has
+ * just started will have one in a moment, and its callers are kept until then.
+ */
+static bool
+may_be_early(struct broker_runtime *r)
+{
+    return broker_queues(r->broker) == NULL &&
+           clock_now(r->opts.clock).mono_us < broker_start_over_us(r->broker);
+}
+
+static void
+keep_early(struct broker_runtime *r, uint64_t number)
+{
+    r->early =
+        array_grow(r->early, r->n_early, &r->early_room, sizeof(*r->early));
+    r->early[r->n_early++] = number;
+}
+
+static void
+release_early(struct broker_runtime *r)
+{
+    if (r->n_early == 0 || may_be_early(r)) {
+        return;
+    }
+    for (size_t i = 0; i < r->n_early; i++) {
+        httpapi_again(r->callers, r->early[i]);
+    }
+    r->n_early = 0;
+}
+
 static void
 on_caller(void *ctx, const struct httpapi_request *request)
 {
@@ -177,6 +211,10 @@
         httpapi_reply(r->callers, request->number, &c.response);
         return;
     }
+    if (may_be_early(r)) {
+        keep_early(r, request->number);
+        return;
+    }
     r->opts.callers->decode(request, broker_queues(r->broker), &c);
     switch (c.kind) {
     case CALLER_SUBMIT:
@@ -362,11 +400,20 @@
     return a_ms < b_ms ? a_ms : b_ms;
 }
 
+static int64_t
+next_us(const struct broker_runtime *r)
+{
+    int64_t at_us = broker_next_us(r->broker);
+    int64_t over_us = broker_start_over_us(r->broker);
+
+    return r->n_early > 0 && over_us < at_us ? over_us : at_us;
+}
+
 static int
 wait_ms(struct broker_runtime *r)
 {
     int64_t now_us = clock_now(r->opts.clock).mono_us;
-    int64_t left_us = broker_next_us(r->broker) - now_us;
+    int64_t left_us = next_us(r) - now_us;
     int64_t ms = left_us <= 0 ? 0 : (left_us + 999) / USEC_PER_MSEC;
 
     ms = sooner(ms, leaseclient_next_ms(r->upstreams));
@@ -421,6 +468,7 @@
     }
     mailbox_rouse(&r->inbox);
     take_mail(r);
+    release_early(r);
     run_ready(r, events, n > 0 ? n : 0);
     if (clock_now(r->opts.clock).mono_us >= broker_next_us(r->broker)) {
         step(r, &(struct broker_event){.kind = BEV_TICK});
@@ -639,6 +687,7 @@
     broker_free(r->broker);
     broker_effects_free(&r->effects);
     drop_mail(r);
+    free(r->early);
     if (r->epoll >= 0) {
         (void)close(r->epoll);
     }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -88,11 +88,15 @@
     struct broker_peer *peer;
 };
 
-/** struct caller_job - a job that a caller handed in here */
+/**
+ * struct caller_job - a job that a caller handed in here
+ * @offer: JOB_OFFER; kept, to be offered to another runner
+ * @runner: empty while there is none
+ */
 struct caller_job {
     struct handle self;
     uint64_t request;
-    struct msg offer; /* JOB_OFFER; kept, to be offered to another runner */
+    struct msg offer;
     struct name runner;
     uint32_t moves;
     int64_t taken_us;
@@ -354,6 +358,8 @@
     bool told_holds; /* the registries know that this one holds upstreams */
 
     struct table caller_jobs;
+    size_t n_unoffered;   /* of them: without a runner */
+    bool runners_changed; /* somebody told of room since these were offered */
     struct timers caller_timers;
 
     struct table run_jobs;
--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -235,6 +235,15 @@
     (void)atomic_fetch_sub(&h->server.in_progress, 1);
 }
 
+static void
+resume(struct httpapi *h, struct request *r)
+{
+    unwatch(h, r);
+    /* Without a thread of its own libmicrohttpd wakes nobody for this. */
+    h->resumed = h->opts.external;
+    MHD_resume_connection(r->connection);
+}
+
 void
 httpapi_reply(struct httpapi *h, uint64_t number,
               struct httpapi_response *response)
@@ -246,13 +255,20 @@
         response->body = NULL;
         return;
     }
-    unwatch(h, r);
     r->reply = *response;
     response->body = NULL;
     r->replied = true;
-    /* Without a thread of its own libmicrohttpd wakes nobody for this. */
-    h->resumed = h->opts.external;
-    MHD_resume_connection(r->connection);
+    resume(h, r);
+}
+
+void
+httpapi_again(struct httpapi *h, uint64_t number)
+{
+    struct request *r = httpserver_take(&h->server, number);
+
+    if (r != NULL) {
+        resume(h, r);
+    }
 }
 
 void
--- a/tests/broker_load_test.c
+++ b/tests/broker_load_test.c
@@ -321,6 +321,55 @@
     vlease_free(v);
 }
 
+/* All power was lost.  A broker is back, has its configuration and knows of no
+ * runner yet; the first is there a moment later.  A caller that comes in
+ * between is served, not turned away. */
+static void
+callers_wait_for_first_runner_after_start(void)
+{
+    struct vlease *v = region(1);
+    int64_t now_us = READY_US + SEC;
+    uint64_t job;
+
+    vlease_lose_power(v);
+    vlease_run(v, now_us);
+    vlease_regain_power(v, true);
+    while (vlease_broker(v, 0) == NULL ||
+           broker_queues(vlease_broker(v, 0)) == NULL) {
+        now_us += MSEC;
+        vlease_run(v, now_us);
+    }
+    CU_ASSERT_EQUAL(vlease_open(v), 0);
+    job = vlease_submit(v, 0, SHORT);
+    vlease_run(v, now_us + SEC);
+    CU_ASSERT_EQUAL(vlease_outcome(v, job), JOB_COMPLETED_OUTCOME);
+    vlease_free(v);
+}
+
+/* No runner comes.  The caller is not held for longer than one might have, and
+ * the next one, later, is told at once. */
+static void
+callers_do_not_wait_for_runners_that_are_not_expected(void)
+{
+    struct vlease_options o = vlease_options_default();
+    struct vlease *v;
+    uint64_t job;
+
+    o.upstreams = 0;
+    v = vlease_new(&o);
+    vlease_run(v, SEC + 200 * MSEC);
+    job = vlease_submit(v, 0, 0);
+    vlease_run(v, SEC + 300 * MSEC);
+    CU_ASSERT_EQUAL(vlease_outcome(v, job), JOB_OUTCOMES);
+    vlease_run(v, 2 * SEC);
+    CU_ASSERT_EQUAL(vlease_outcome(v, job), JOB_REFUSED_OUTCOME);
+    vlease_run(v, 3 * SEC);
+    job = vlease_submit(v, 0, 0);
+    vlease_run(v, 3 * SEC + 10 * MSEC);
+    CU_ASSERT_EQUAL(vlease_outcome(v, job), JOB_REFUSED_OUTCOME);
+    vlease_free(v);
+}
+
 void
 suite_broker_load(void)
 {
@@ -335,5 +384,7 @@
     TEST(filled_region_refuses_at_once);
     TEST(full_room_refuses_at_once);
     TEST(jobs_are_refused_where_nothing_answers);
+    TEST(callers_wait_for_first_runner_after_start);
+    TEST(callers_do_not_wait_for_runners_that_are_not_expected);
 #undef TEST
 }
--- a/tests/broker_runtime_test.c
+++ b/tests/broker_runtime_test.c
@@ -2,6 +2,7 @@
  * a configuration is on its way. */
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "broker_runtime.h"
@@ -63,7 +64,7 @@
 }
 
 static void
-start(struct registry_side *r)
+start(struct registry_side *r, const struct clock *clock)
 {
     struct peer_options peers = peer_options_default();
     struct peer_remote remote = {.name = registry_name};
@@ -76,7 +77,7 @@
         .connections = CONNECTIONS,
         .idle_timeout_s = CONNECTIONS,
         .body_max = NET_TEXT_SIZE,
-        .clock = clock_real(),
+        .clock = clock,
     };
 
     peers.self = registry_name;
@@ -171,7 +172,7 @@
 {
     struct registry_side r = {0};
 
-    start(&r);
+    start(&r, clock_real());
     CU_ASSERT_TRUE(await_status(&r, "two", "503")); /* no configuration yet */
     CU_ASSERT_TRUE(net_await(sends_first_text, &r));
     CU_ASSERT_TRUE(await_status(&r, "two", "404"));
@@ -186,10 +187,100 @@
     peer_free(r.peer);
 }
 
+static int
+ask(const struct registry_side *r, const char *path)
+{
+    char request[REQUEST_ROOM];
+    int fd = net_connect(r->callers_port);
+
+    (void)snprintf(request, sizeof(request),
+                   "GET /%s/ HTTP/1.1\r\nHost: host\r\n\r\n", path);
+    CU_ASSERT_TRUE(net_send_text(fd, request));
+    return fd;
+}
+
+struct asked {
+    struct registry_side *side;
+    struct manual_clock clock;
+    int fd;
+};
+
+static bool
+is_answered(const struct asked *a)
+{
+    char byte;
+
+    return recv(a->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+}
+
+static bool
+is_answered_after_text(void *ctx)
+{
+    struct asked *a = ctx;
+
+    send_text(a->side, 1, "one"); /* again until the connection is there */
+    return is_answered(a);
+}
+
+/* In steps that are no pause of the process. */
+static bool
+is_answered_in_time(void *ctx)
+{
+    struct asked *a = ctx;
+
+    manual_clock_advance(&a->clock, USEC_PER_MSEC);
+    return is_answered(a);
+}
+
+static void
+expect_answer(struct registry_side *r, int fd, const char *status)
+{
+    CU_ASSERT_TRUE(net_read_http(fd, r->answer));
+    CU_ASSERT_EQUAL(strncmp(r->answer + 9, status, 3), 0);
+    (void)close(fd);
+}
+
+/* Guards against 503 for all callers that come in the moment between a
+ * broker's start and its first configuration, when all power was lost. */
+static void
+callers_wait_for_first_configuration_after_start(void)
+{
+    struct registry_side r = {0};
+    struct asked a = {.side = &r};
+
+    manual_clock_init(&a.clock, (struct moment){USEC_PER_SEC, USEC_PER_SEC});
+    start(&r, &a.clock.base);
+    a.fd = ask(&r, "one");
+    CU_ASSERT_TRUE(net_await(is_answered_after_text, &a));
+    expect_answer(&r, a.fd, "200");
+    broker_runtime_free(r.broker);
+    peer_free(r.peer);
+}
+
+/* Guards against callers that are kept for a configuration that does not come,
+ * as at a broker that is cut off. */
+static void
+callers_are_told_when_no_configuration_comes(void)
+{
+    struct registry_side r = {0};
+    struct asked a = {.side = &r};
+
+    manual_clock_init(&a.clock, (struct moment){USEC_PER_SEC, USEC_PER_SEC});
+    start(&r, &a.clock.base);
+    a.fd = ask(&r, "one");
+    CU_ASSERT_TRUE(net_await(is_answered_in_time, &a));
+    expect_answer(&r, a.fd, "503");
+    expect_answer(&r, ask(&r, "one"), "503");
+    broker_runtime_free(r.broker);
+    peer_free(r.peer);
+}
+
 void
 suite_broker_runtime(void)
 {
 #define TEST(name) check_add("broker_runtime", #name, name)
     TEST(unknown_queue_is_refused_for_now_while_a_version_is_on_its_way);
+    TEST(callers_wait_for_first_configuration_after_start);
+    TEST(callers_are_told_when_no_configuration_comes);
 #undef TEST
 }
