--- a/src/httpapi.h
+++ b/src/httpapi.h
@@ -90,9 +90,9 @@
 void httpapi_reply(struct httpapi *h, uint64_t number,
                    struct httpapi_response *response);
 
-/** httpapi_again() - hands a request that waits to the handler once more, under
- * another number; one that is gone is no error.  With @external, from the
- * owner's thread. */
+/** httpapi_again() - hands a request that waits to the handler once more,
+ * under another number; one that is gone is no error.  With @external, from
+ * the owner's thread. */
 void httpapi_again(struct httpapi *h, uint64_t number);
 
 /** httpapi_closing() - from now on every answer ends its connection */
