--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -337,6 +337,12 @@
     control_effects_free(&fx);
 }
 
+static int64_t
+disk_due_us(const struct node *n)
+{
+    return n->work_us > n->stalled_until_us ? n->work_us : n->stalled_until_us;
+}
+
 /* The disk's thread: one effect at a time. */
 static void
 work(struct cluster *cl, int i)
@@ -412,6 +418,12 @@
     step(cl, i, &ev);
 }
 
+void
+cluster_stall(struct cluster *cl, int i, int64_t us)
+{
+    cl->nodes[i].stalled_until_us = cl->now_us + us;
+}
+
 void
 cluster_wipe(struct cluster *cl, int i)
 {
@@ -543,8 +555,8 @@
         if (n->control == NULL || n->paused) {
             continue;
         }
-        if (n->n_work > 0 && n->work_us < due) {
-            due = n->work_us;
+        if (n->n_work > 0 && disk_due_us(n) < due) {
+            due = disk_due_us(n);
             who = i;
             disk = true;
         }
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -33,8 +33,9 @@
     bool paused; /* stopped, with all it has still before it */
     struct control_effect work[CLUSTER_OPERATIONS]; /* for the disk */
     size_t n_work;
-    int64_t work_us; /* when the first of it is done */
-    uint64_t served; /* newest version sent to a follower */
+    int64_t work_us;          /* when the first of it is done */
+    int64_t stalled_until_us; /* the disk does nothing before */
+    uint64_t served;          /* newest version sent to a follower */
 };
 
 struct flight {
@@ -104,6 +105,9 @@
 void cluster_crash(struct cluster *cl, int node);
 void cluster_start(struct cluster *cl, int node);
 
+/** cluster_stall() - its disk answers nothing for so long */
+void cluster_stall(struct cluster *cl, int node, int64_t us);
+
 /** cluster_wipe() - its disk is replaced by an empty one, while it is down */
 void cluster_wipe(struct cluster *cl, int node);
 
--- a/tests/control_test.c
+++ b/tests/control_test.c
@@ -664,6 +664,35 @@
     cluster_free(cl);
 }
 
+/* The leader's disk answers nothing for some seconds.  A majority of the
+ * others has the publication on disk: an operator that waited for the leader's
+ * own would take the region for down.  What was confirmed survives the loss of
+ * the leader with all that its disk had not done. */
+static void
+stalled_disk_of_the_leader_holds_nothing_up(void)
+{
+    for (uint64_t seed = 51; seed < 61; seed++) {
+        struct cluster *cl = cluster_new(5, seed, NULL);
+        int leader;
+
+        publish_until_accepted(cl, 1);
+        leader = cluster_await_leader(cl);
+        cluster_stall(cl, leader, 4 * SEC);
+        cluster_publish(cl, leader, 2, 1, 2);
+        cluster_run(cl, SEC);
+        CU_ASSERT_TRUE(cl->answers[2].done);
+        CU_ASSERT_EQUAL(cl->answers[2].result, CONTROL_OK);
+        CU_ASSERT_EQUAL(cluster_leader(cl), leader);
+        cluster_crash(cl, leader);
+        cluster_wipe(cl, leader);
+        cluster_run(cl, 5 * SEC);
+        CU_ASSERT_TRUE(version_of(cl, cluster_await_leader(cl)) >= 2);
+        check_recovers(cl, 100);
+        no_violation(cl);
+        cluster_free(cl);
+    }
+}
+
 /* The leader's process is stopped for a minute and wakes with messages, reads
  * and publications before it.  It must notice that another leads before it
  * tells anybody anything. */
@@ -1139,6 +1168,8 @@
               cut_off_leader_steps_down);
     check_add("control", "slow_disks_keep_the_leader",
               slow_disks_keep_the_leader);
+    check_add("control", "stalled_disk_of_the_leader_holds_nothing_up",
+              stalled_disk_of_the_leader_holds_nothing_up);
     check_add("control", "paused_leader_wakes", paused_leader_wakes);
     check_add("control", "planned_stop_hands_over", planned_stop_hands_over);
     check_add("control", "forged_messages_change_nothing",
