--- a/src/broker.h
+++ b/src/broker.h
@@ -92,7 +92,7 @@
  *                 where all brokers of the zone that were named are connected;
  *                 about as long as two attempts to dial are apart
  * @start_wait_us: after the start, requests are kept for so long until there
- * is a configuration and somebody who runs jobs
+ *                 is a configuration and somebody who runs jobs
  * @load_us: between reports of the load to other brokers, at least
  * @loads_per_s: messages with such a report in a second, at most
  * @stop_us: a planned stop takes no longer
--- a/src/leaseclient.c
+++ b/src/leaseclient.c
@@ -368,10 +368,24 @@
     return at_us > from_us ? (at_us - from_us) / USEC_PER_MSEC + 1 : 0;
 }
 
+/* When the next call that is still under way may be overdue; most end long
+ * before, and nobody need wake for them. */
+static int64_t
+next_overdue_us(struct leaseclient *c)
+{
+    struct handle h;
+
+    while (c->timeouts.n > 0 &&
+           table_get(&c->calls, c->timeouts.items[0].h) == NULL) {
+        (void)timers_pop(&c->timeouts, INT64_MAX, &h);
+    }
+    return timers_next_us(&c->timeouts);
+}
+
 int64_t
-leaseclient_next_ms(const struct leaseclient *c)
+leaseclient_next_ms(struct leaseclient *c)
 {
-    int64_t at_us = timers_next_us(&c->timeouts);
+    int64_t at_us = next_overdue_us(c);
 
     if (c->due_now) {
         return 0;
--- a/src/leaseclient.h
+++ b/src/leaseclient.h
@@ -79,7 +79,7 @@
 int leaseclient_fd(const struct leaseclient *c);
 
 /** leaseclient_next_ms() - it has work after that time; -1 for none */
-int64_t leaseclient_next_ms(const struct leaseclient *c);
+int64_t leaseclient_next_ms(struct leaseclient *c);
 
 /** leaseclient_run() - does what there is to do, and tells outcomes */
 void leaseclient_run(struct leaseclient *c);
--- a/tests/leaseclient_test.c
+++ b/tests/leaseclient_test.c
@@ -131,6 +131,26 @@
     finish(&o);
 }
 
+/* Hundreds of calls a second end well, each with a timeout some tenths of a
+ * second later.  Woken for each of these, a small machine does nothing else.
+ */
+static void
+ended_calls_wake_nobody(void)
+{
+    struct one o;
+
+    begin(&o);
+    take_request(&o);
+    CU_ASSERT_TRUE(leaseclient_next_ms(o.client) >= 0);
+    CU_ASSERT(
+        net_send_text(o.fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"));
+    CU_ASSERT(net_await(has_outcome, &o));
+    manual_clock_advance(&o.clock, TIMEOUT_US / 2);
+    leaseclient_run(o.client);
+    CU_ASSERT_EQUAL(leaseclient_next_ms(o.client), -1);
+    finish(&o);
+}
+
 /* An upstream that took the request and says nothing. */
 static void
 silence_is_lost_after_timeout(void)
@@ -153,6 +173,8 @@
 {
     check_add("leaseclient", "late_reader_takes_answer_that_came",
               late_reader_takes_answer_that_came);
+    check_add("leaseclient", "ended_calls_wake_nobody",
+              ended_calls_wake_nobody);
     check_add("leaseclient", "silence_is_lost_after_timeout",
               silence_is_lost_after_timeout);
 }
