--- a/src/leaseclient.c
+++ b/src/leaseclient.c
@@ -191,6 +191,23 @@
     return bytes;
 }
 
+/* Its time counts anew from each step that this process takes for it: when it
+ * is behind, the first comes long after the call was begun. */
+static void
+restart_timeout(struct call *call)
+{
+    call->due_us = now_us(call->client) + call->request.timeout_us;
+}
+
+static int
+before_connect(void *user, curl_socket_t fd, curlsocktype purpose)
+{
+    (void)fd;
+    (void)purpose;
+    restart_timeout(user);
+    return CURL_SOCKOPT_OK;
+}
+
 /* The parameters are libcurl's. */
 /* NOLINTBEGIN(readability-non-const-parameter) */
 static int
@@ -204,7 +221,7 @@
     (void)remote_port;
     (void)local_port;
     call->sent = true;
-    call->due_us = now_us(call->client) + call->request.timeout_us;
+    restart_timeout(call);
     return CURL_PREREQFUNC_OK;
 }
 /* NOLINTEND(readability-non-const-parameter) */
@@ -266,6 +283,8 @@
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)READ_BUFFER);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, o->idle_s);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, before_connect);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, call);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_answer);
@@ -284,7 +303,7 @@
     from->request.spec = NULL;
     call->client = c;
     call->easy = easy_take(c);
-    call->due_us = now_us(c) + call->request.timeout_us;
+    restart_timeout(call);
     timers_add(&c->timeouts, call->due_us, h);
     prepare(call, &c->opts);
     stats_add(&stats.calls_begun, 1);
--- a/src/leaseclient.h
+++ b/src/leaseclient.h
@@ -71,8 +71,8 @@
 void leaseclient_free(struct leaseclient *c);
 
 /** leaseclient_begin() - sends a call; takes over what it owns.  Its timeout
- * counts from when the request goes out on a connection; without a connection
- * in that time it is LEASE_UNSENT. */
+ * counts from when the request goes out on a connection; where there is no
+ * connection so long after it was dialed, it is LEASE_UNSENT. */
 void leaseclient_begin(struct leaseclient *c, struct be_call *call);
 
 /** leaseclient_fd() - readable when leaseclient_run() has work */
