--- a/demo/fakeworker.c
+++ b/demo/fakeworker.c
@@ -12,6 +12,7 @@
     MEMORY_MB = 65536,
     SLOTS = 8,
     LEASE_MAX_MS = 1000,
+    STOP_MS = 50, /* as long as a stop may take */
     CONNECTIONS = 64,
     IDLE_S = 60,
     BODY_MAX = 65536,
@@ -205,11 +206,12 @@
     uint64_t run = (uint64_t)json_integer_value(json_object_get(body, "run"));
     struct fakeworker_run *r = find_running(w, task, run);
 
-    if (r == NULL && !too_old(w, task, run)) {
-        r = add_run(w, task, run); /* refused from now on */
+    if (r != NULL && r->stop_us == 0) {
+        r->stop_us = w->now_us + STOP_MS * USEC_PER_MSEC;
     }
-    if (r != NULL && r->ended_us == 0) {
-        end_run(w, r, "stopped");
+    if (r == NULL && !too_old(w, task, run)) {
+        /* Refused from now on. */
+        end_run(w, add_run(w, task, run), "stopped");
     }
     reply(w, number, STATUS_OK, json_object());
 }
@@ -323,11 +325,13 @@
 
     for (size_t i = w->first; i < w->n_runs; i++) {
         struct fakeworker_run *r = &w->runs[i];
+        bool stops =
+            r->stop_us != 0 && r->stop_us < r->due_us && r->stop_us < lapse_us;
         bool done = r->due_us <= lapse_us;
-        int64_t end_us = done ? r->due_us : lapse_us;
+        int64_t end_us = stops ? r->stop_us : done ? r->due_us : lapse_us;
 
         if (r->ended_us == 0 && w->now_us >= end_us) {
-            end_run(w, r, done ? "done" : "lapsed");
+            end_run(w, r, stops ? "stopped" : done ? "done" : "lapsed");
             r->ended_us = end_us > r->begun_us ? end_us : r->begun_us;
         }
     }
--- a/demo/fakeworker.h
+++ b/demo/fakeworker.h
@@ -21,6 +21,7 @@
     int64_t begun_us;
     int64_t ended_us; /* 0 while it runs */
     int64_t due_us;   /* its work is done then */
+    int64_t stop_us;  /* a stop of it is over then; 0 for none */
     int64_t whole_us;
     char how[8]; /* "done", ...; empty while it runs */
     uint64_t number;
