Show that two lives of a job at two runners overlap

What a caller and its upstreams see: a job whose taker is gone is handed in again 1.3 s later at a broker of another zone, and its tasks run there while those of its first life still run at the first zone's upstreams.

The virtual region could not show it: callers always came back to the next broker of the same zone, so that both lives had one runner, and that one waits for the first life. New options: resend_anywhere draws the broker among all of the region, late_us says by how much a hook delays a hop. New fault: vlease_lose_machine(), the death of a broker that the others notice by its silence only.

--- a/src/vlease.c
+++ b/src/vlease.c
@@ -13,7 +13,7 @@
 /* Time of day at the start. */
 #define WALL_US (INT64_C(1700000000) * USEC_PER_SEC)
 /* A delayed hop arrives when every lease of before has passed. */
-#define STRUCK_LATE_US (3 * USEC_PER_SEC)
+#define LATE_DEFAULT_US (3 * USEC_PER_SEC)
 
 struct vlease_options
 vlease_options_default(void)
@@ -30,6 +30,7 @@
                     .timeout_us = 2 * USEC_PER_SEC}},
         .n_queues = 1,
         .resend_us = 1300 * USEC_PER_MSEC,
+        .late_us = LATE_DEFAULT_US,
         .seed = 1,
     };
 }
@@ -613,7 +614,7 @@
         clear_event(e);
         return true;
     }
-    again_at(v, e, v->now_us + STRUCK_LATE_US);
+    again_at(v, e, v->now_us + v->opts.late_us);
     return true;
 }
 
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -57,8 +57,11 @@
  * @cpu_large_milli: of each third one; 0 for as the others
  * @queues: what is asked for
  * @n_queues: of them
- * @resend_us: a caller hands a job in again, at any broker, so long after a
- *             broken connection or an unknown outcome
+ * @resend_us: a caller hands a job in again so long after a broken connection
+ *             or an unknown outcome
+ * @resend_anywhere: at a broker drawn among all of the region, instead of the
+ *                   next one of the same zone
+ * @late_us: a hop that a hook delays arrives so much later
  * @seed: of all that is drawn
  * @breaks: wrong decisions that all brokers make
  * @without: parts that all brokers leave out
@@ -73,6 +76,8 @@
     struct vlease_queue queues[VLEASE_QUEUES_MAX];
     uint32_t n_queues;
     int64_t resend_us;
+    bool resend_anywhere;
+    int64_t late_us;
     uint64_t seed;
     bool breaks[BROKER_BREAKS];
     bool without[BROKER_PARTS];
@@ -135,8 +140,8 @@
 
 struct vlease;
 
-/** vlease_hook - decides on each hop; with VLEASE_DELAY it arrives 3 s later
- */
+/** vlease_hook - decides on each hop; with VLEASE_DELAY it arrives later by
+ * the options' @late_us, and the hook decides on it once more */
 typedef enum vlease_fate vlease_hook(void *ctx, struct vlease *v,
                                      const struct vlease_hop *hop);
 
@@ -160,7 +165,8 @@
 /** vlease_submit() - one job of a queue, at that broker; returns its number */
 uint64_t vlease_submit(struct vlease *v, uint32_t broker, uint32_t queue);
 
-/** vlease_resubmit() - the same job again, at that broker */
+/** vlease_resubmit() - the same job again, at that broker, also of a caller
+ * that left */
 void vlease_resubmit(struct vlease *v, uint64_t job, uint32_t broker);
 
 /** vlease_leave() - the job's caller closes its connection */
@@ -168,6 +174,10 @@
 
 /* Faults of brokers; numbered zone by zone. */
 void vlease_kill(struct vlease *v, uint32_t broker);
+
+/** vlease_lose_machine() - the same without a reset of its connections to
+ * other processes, which notice after 0.75 s; it must not start before that */
+void vlease_lose_machine(struct vlease *v, uint32_t broker);
 void vlease_start(struct vlease *v, uint32_t broker);
 void vlease_stop(struct vlease *v, uint32_t broker);
 bool vlease_stopped(const struct vlease *v, uint32_t broker);
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -53,16 +53,23 @@
     return broker / each * each + (broker + 1) % each;
 }
 
+static uint32_t
+another_broker(struct vlease *v, uint32_t broker)
+{
+    return v->opts.resend_anywhere ? (uint32_t)vlease_random(v, v->n_brokers)
+                                   : next_of_zone(v, broker);
+}
+
 static void
 avoid_dead(struct vlease *v, struct vjob *job)
 {
-    for (uint32_t i = 0; i < v->opts.brokers; i++) {
+    for (uint32_t i = 0; i < v->n_brokers; i++) {
         const struct vprocess *p = &v->processes[job->broker];
 
         if (!p->down && !p->stopped) {
             return;
         }
-        job->broker = next_of_zone(v, job->broker);
+        job->broker = another_broker(v, job->broker);
     }
 }
 
@@ -164,7 +171,10 @@
 void
 vlease_resubmit(struct vlease *v, uint64_t number, uint32_t broker)
 {
-    vcall_job(v, number)->broker = broker;
+    struct vjob *job = vcall_job(v, number);
+
+    job->broker = broker;
+    job->left = false;
     hand_in(v, number);
 }
 
@@ -191,7 +201,7 @@
 
     job->request = 0;
     e->number = number;
-    job->broker = next_of_zone(v, job->broker);
+    job->broker = another_broker(v, job->broker);
 }
 
 void
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -84,11 +84,9 @@
     connect_to(v, p, v->n_processes);
 }
 
-void
-vlease_kill(struct vlease *v, uint32_t broker)
+static void
+end_broker(struct vlease *v, struct vprocess *p, int64_t noticed_us)
 {
-    struct vprocess *p = &v->processes[broker];
-
     if (p->down) {
         return;
     }
@@ -96,7 +94,19 @@
     p->down = true;
     broker_free(p->broker);
     p->broker = NULL;
-    tell_down(v, p, RESET_US);
+    tell_down(v, p, noticed_us);
+}
+
+void
+vlease_kill(struct vlease *v, uint32_t broker)
+{
+    end_broker(v, &v->processes[broker], RESET_US);
+}
+
+void
+vlease_lose_machine(struct vlease *v, uint32_t broker)
+{
+    end_broker(v, &v->processes[broker], SILENCE_US);
 }
 
 void
--- /dev/null
+++ b/tests/lives_test.c
@@ -0,0 +1,149 @@
+/* Lives of one job that is handed in again: at most one run of a task at a
+ * time, whichever runners they have. */
+#include <stdio.h>
+#include <string.h>
+
+#include "check.h"
+#include "vlease.h"
+
+#define MSEC USEC_PER_MSEC
+#define SEC USEC_PER_SEC
+#define READY_US (6 * SEC) /* upstreams are known and held by then */
+#define RUN_US (3 * SEC)
+#define RESEND_US (1300 * MSEC)
+#define SEEDS 20
+/* Of the default region: zone 0 has these; its runner is broker 0. */
+enum { TAKER = 1, OTHER_ZONE = 2, ZONE_UPSTREAMS = 8 };
+
+/* The callers of these tests are handed in again by the test alone. */
+static struct vlease_options
+long_jobs(uint64_t seed)
+{
+    struct vlease_options o = vlease_options_default();
+
+    o.seed = seed;
+    o.resend_us = 60 * SEC;
+    o.queues[0].run_us = RUN_US;
+    o.queues[0].timeout_us = 12 * SEC;
+    return o;
+}
+
+static struct vlease *
+ready_region(const struct vlease_options *o)
+{
+    struct vlease *v = vlease_new(o);
+
+    vlease_run(v, READY_US);
+    return v;
+}
+
+/* Stops of a lossy path; @ctx tells whether it loses them now. */
+static enum vlease_fate
+lose_stops(void *ctx, struct vlease *v, const struct vlease_hop *hop)
+{
+    const bool *losing = ctx;
+
+    (void)v;
+    return *losing && strcmp(hop->label, "stop") == 0 ? VLEASE_LOSE
+                                                      : VLEASE_PASS;
+}
+
+static void
+trouble_zone(struct vlease *v, enum vlease_trouble trouble)
+{
+    for (uint32_t i = 0; i < ZONE_UPSTREAMS; i++) {
+        vlease_trouble(v, i, trouble);
+    }
+}
+
+static void
+assert_no_fault(const struct vlease *v, const char *test, uint64_t seed)
+{
+    struct vlease_faults f = vlease_faults(v);
+
+    CU_ASSERT_EQUAL(f.overlaps, 0);
+    CU_ASSERT_EQUAL(f.over_room, 0);
+    CU_ASSERT_EQUAL(f.false_refusals, 0);
+    CU_ASSERT_EQUAL(f.leaving, 0);
+    CU_ASSERT_EQUAL(f.answers_twice, 0);
+    if (vlease_broken(f) > 0) {
+        (void)fprintf(stderr,
+                      "%s: seed %llu: overlaps %u, over room %u, false "
+                      "refusals %u, at leaving %u, answered twice %u\n",
+                      test, (unsigned long long)seed, f.overlaps, f.over_room,
+                      f.false_refusals, f.leaving, f.answers_twice);
+    }
+}
+
+/* Everything comes to its end, and the job was run. */
+static void
+assert_job_ends(struct vlease *v, uint64_t job, int64_t now_us,
+                const char *test, uint64_t seed)
+{
+    vlease_run(v, now_us + 12 * SEC);
+    CU_ASSERT_EQUAL(vlease_outcome(v, job), JOB_COMPLETED_OUTCOME);
+    CU_ASSERT_EQUAL(vlease_running(v), 0);
+    assert_no_fault(v, test, seed);
+}
+
+/* The taker of a job is killed, and on the path to its upstreams stops are
+ * lost while looks get through. */
+static void
+taker_dies_and_stops_are_lost(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = long_jobs(seed);
+        struct vlease *v = ready_region(&o);
+        int64_t broken_us = READY_US + 200 * MSEC;
+        bool losing = true;
+        uint64_t job = vlease_submit(v, TAKER, 0);
+
+        vlease_set_hook(v, lose_stops, &losing);
+        vlease_run(v, broken_us);
+        CU_ASSERT_EQUAL(vlease_running(v), 4);
+        vlease_kill(v, TAKER);
+        vlease_run(v, broken_us + RESEND_US);
+        vlease_resubmit(v, job, OTHER_ZONE);
+        vlease_run(v, broken_us + RESEND_US + 1400 * MSEC);
+        losing = false;
+        assert_job_ends(v, job, broken_us + RESEND_US + 1400 * MSEC, __func__,
+                        seed);
+        vlease_free(v);
+    }
+}
+
+/* The taker falls silent, and before its runner notices the runner's upstreams
+ * are cut off, so that no stop reaches them. */
+static void
+taker_falls_silent_before_upstreams_are_cut_off(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = long_jobs(seed);
+        struct vlease *v = ready_region(&o);
+        int64_t silent_us = READY_US + 200 * MSEC;
+        uint64_t job = vlease_submit(v, TAKER, 0);
+
+        vlease_run(v, silent_us);
+        CU_ASSERT_EQUAL(vlease_running(v), 4);
+        vlease_cut(v, TAKER, true, true);
+        vlease_run(v, silent_us + 700 * MSEC);
+        trouble_zone(v, VLEASE_CUT);
+        vlease_run(v, silent_us + RESEND_US);
+        vlease_resubmit(v, job, OTHER_ZONE);
+        vlease_run(v, silent_us + RESEND_US + 1400 * MSEC);
+        trouble_zone(v, VLEASE_SOUND);
+        vlease_cut(v, TAKER, false, false);
+        assert_job_ends(v, job, silent_us + RESEND_US + 1400 * MSEC, __func__,
+                        seed);
+        vlease_free(v);
+    }
+}
+
+void
+suite_lives(void)
+{
+#define TEST(name) check_add("lives", #name, name)
+    TEST(taker_dies_and_stops_are_lost);
+    TEST(taker_falls_silent_before_upstreams_are_cut_off);
+#undef TEST
+}
