Show that a third life of a job does not wait for the first

What a caller sees: it closes its connection and hands the same job in again, twice within 0.1 s, while the stops of the first life's runs are lost on their way. The second life waits for the first and is dropped with its caller. The third starts at once, and its tasks run beside those of the first.

join_earlier() marks the first life as superseded when the second comes, and find_by_id() passes over superseded ones; with the second gone nobody waits.

--- a/tests/lives_test.c
+++ b/tests/lives_test.c
@@ -139,11 +139,42 @@
     }
 }
 
+/* The caller leaves and comes back at once, twice, while stops are lost.  The
+ * second life is dropped while it waits for the first; the third must wait for
+ * the first no less. */
+static void
+third_life_waits_for_the_first(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = long_jobs(seed);
+        struct vlease *v = ready_region(&o);
+        int64_t left_us = READY_US + 200 * MSEC;
+        bool losing = true;
+        uint64_t job = vlease_submit(v, TAKER, 0);
+
+        vlease_set_hook(v, lose_stops, &losing);
+        vlease_run(v, left_us);
+        CU_ASSERT_EQUAL(vlease_running(v), 4);
+        for (int life = 2; life <= 3; life++) {
+            vlease_leave(v, job);
+            vlease_run(v, left_us + 20 * MSEC);
+            vlease_resubmit(v, job, TAKER);
+            left_us += 40 * MSEC;
+            vlease_run(v, left_us);
+        }
+        vlease_run(v, left_us + 1400 * MSEC);
+        losing = false;
+        assert_job_ends(v, job, left_us + 1400 * MSEC, __func__, seed);
+        vlease_free(v);
+    }
+}
+
 void
 suite_lives(void)
 {
 #define TEST(name) check_add("lives", #name, name)
     TEST(taker_dies_and_stops_are_lost);
     TEST(taker_falls_silent_before_upstreams_are_cut_off);
+    TEST(third_life_waits_for_the_first);
 #undef TEST
 }
