Show that a late start at an idle upstream with a slow clock runs twice

What an upstream sees: it was idle for 20 s and its clock is 2 % slow. A start reaches it 1.25 s after it was sent. The broker has taken the run for over by then (1.09 s and a look) and started the task again; the late start's deadline has not passed on the upstream's clock, so it is carried out too.

Cause: clock_now_ms() adds the whole time since the last answer to the clock in it. After 20 s the deadline lies 0.4 s too far ahead; settle() allows for 4 % of one lease and 50 ms.

The upstream stand-in does what the protocol says: the deadline is on its own clock, the lease is cut to the maximum, and late is a start whose deadline has passed.

--- a/tests/lives_test.c
+++ b/tests/lives_test.c
@@ -12,8 +12,10 @@
 #define RUN_US (3 * SEC)
 #define RESEND_US (1300 * MSEC)
 #define SEEDS 20
-/* Of the default region: zone 0 has these; its runner is broker 0. */
-enum { TAKER = 1, OTHER_ZONE = 2, ZONE_UPSTREAMS = 8 };
+/* Of the default region: zone 0 has these; its runner is broker 0.  Every
+ * third upstream has a slow clock. */
+enum { TAKER = 1, OTHER_ZONE = 2, ZONE_UPSTREAMS = 8, SLOW_EACH = 3 };
+enum { SHORT_TASKS = 2 };
 
 /* The callers of these tests are handed in again by the test alone. */
 static struct vlease_options
@@ -169,6 +171,73 @@
     }
 }
 
+/* A path on which stops are lost, and starts to upstreams with a slow clock
+ * are late while @late. */
+struct slow_path {
+    bool late;
+    bool losing;
+    uint32_t n_late;
+};
+
+static enum vlease_fate
+delay_starts(void *ctx, struct vlease *v, const struct vlease_hop *hop)
+{
+    struct slow_path *path = ctx;
+
+    if (path->late && strcmp(hop->label, "start") == 0 &&
+        hop->upstream % SLOW_EACH == 0) {
+        path->n_late++;
+        return VLEASE_DELAY;
+    }
+    return lose_stops(&path->losing, v, hop);
+}
+
+/* One task fills an upstream.  Those of the second queue keep two upstreams
+ * occupied that are free when tasks of the first are placed again. */
+static struct vlease_options
+wide_and_short_jobs(uint64_t seed)
+{
+    struct vlease_options o = long_jobs(seed);
+
+    o.late_us = 1250 * MSEC;
+    o.queues[0].cpu_milli = 20000;
+    o.n_queues = 2;
+    o.queues[1] = o.queues[0];
+    o.queues[1].run_us = 500 * MSEC;
+    o.queues[1].tasks = SHORT_TASKS;
+    o.queues[0].tasks = ZONE_UPSTREAMS - SHORT_TASKS;
+    return o;
+}
+
+/* An upstream with a slow clock was idle for long, so that its clock is taken
+ * to be further than it is.  A start that comes so late that its task was
+ * placed again must be refused there all the same. */
+static void
+clock_of_an_idle_upstream_is_not_taken_too_far_ahead(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = wide_and_short_jobs(seed);
+        struct vlease *v = ready_region(&o);
+        struct slow_path path = {.losing = true};
+        int64_t asked_us = READY_US + 20 * SEC;
+        uint64_t job;
+
+        vlease_set_hook(v, delay_starts, &path);
+        vlease_run(v, asked_us - 20 * MSEC);
+        (void)vlease_submit(v, TAKER, 1);
+        vlease_run(v, asked_us);
+        path.late = true;
+        job = vlease_submit(v, TAKER, 0);
+        vlease_run(v, asked_us + 20 * MSEC);
+        CU_ASSERT_TRUE(path.n_late > 0);
+        path.late = false;
+        vlease_run(v, asked_us + 2 * SEC);
+        path.losing = false;
+        assert_job_ends(v, job, asked_us + 2 * SEC, __func__, seed);
+        vlease_free(v);
+    }
+}
+
 void
 suite_lives(void)
 {
@@ -176,5 +245,6 @@
     TEST(taker_dies_and_stops_are_lost);
     TEST(taker_falls_silent_before_upstreams_are_cut_off);
     TEST(third_life_waits_for_the_first);
+    TEST(clock_of_an_idle_upstream_is_not_taken_too_far_ahead);
 #undef TEST
 }
