Extend leases only from when a taker last confirmed its jobs

What callers and upstreams saw: a job was handed in again 1.3 s after its taker's end was unclear to the caller, at a broker of another zone, and its tasks ran there beside those of the first life.

Cause: nothing fences the runs of a first life at another runner. That they are over by then rested on a sum of times: 0.75 s until a runner finds its taker silent, the stops, and a lease where they don't arrive. A runner that learned of the loss by silence and then could not reach the upstream was 0.5 s too late; one whose stops were lost while its looks got through extended the upstream's deadline for the very runs that it tried to stop, without end.

Ruled out for these two: starts placed anew within one life (run-settled and run-lapsed come after the second life's starts, and the first life's runs are those that overlap).

Why this works: a job has a lease from its taker, and a runner passes on no more than it has. Loads carry the runner's clock, the taker returns it with offers and every 150 ms with the list of jobs that it waits for, and the deadline of an upstream is one lease after the oldest such word for any job with tasks there. All runs of a life are over one lease after the taker's last word, whether the runner knows of its loss, and whether stops arrive, or not. The times are the runner's own, so that delays on the way only shorten it.

--- a/src/broker.c
+++ b/src/broker.c
@@ -194,6 +194,12 @@
     case MSG_JOB_DROP:
         runs_on_drop(b, from, m->u.job_drop.number);
         break;
+    case MSG_JOB_CHECK:
+        renew_asked(b, from, m->u.job_check.sent_us);
+        break;
+    case MSG_JOB_RENEWAL:
+        renew_on_renewal(b, from, &m->u.job_renewal);
+        break;
     case MSG_JOB_END:
         callers_on_end(b, from, &m->u.job_end);
         break;
@@ -305,6 +311,7 @@
     linger_tick(b);
     config_tick(b);
     peers_tick(b);
+    renew_tick(b);
     callers_tick(b);
     hold_tick(b);
     if (b->review && b->now.mono_us >= b->review_us) {
--- a/src/broker_effect.h
+++ b/src/broker_effect.h
@@ -68,6 +68,8 @@
                   "the connection to its runner is gone")                     \
     BROKER_REASON(TAKER_LOST, "taker-lost",                                   \
                   "the connection to the broker that took it is gone")        \
+    BROKER_REASON(NOT_RENEWED, "not-renewed",                                 \
+                  "its taker did not confirm it for a lease")                 \
     BROKER_REASON(HANDED_IN_AGAIN, "handed-in-again",                         \
                   "it came again while the first was here")                   \
     BROKER_REASON(SETTLED, "job-settled",                                     \
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -68,14 +68,16 @@
     return u->clock_ms + (b->now.mono_us - u->clock_us) / USEC_PER_MSEC;
 }
 
-/* The latest time by which a deadline that is sent now has passed there: its
- * clock may be slow, and ours was ahead of it when the deadline was made. */
+/* The latest time by which a deadline a lease after @from_us has passed there:
+ * its clock may be slow, and ours was ahead of it when the deadline was made.
+ */
 static void
-extend_lapse(const struct broker *b, struct broker_upstream *u)
+extend_lapse(const struct broker *b, struct broker_upstream *u,
+             int64_t from_us)
 {
     double slow = 1.0 + 2.0 * b->opts.clock_drift;
-    int64_t at = b->now.mono_us + (int64_t)((double)b->opts.lease_us * slow) +
-                 LAPSE_SLACK_US;
+    int64_t at =
+        from_us + (int64_t)((double)b->opts.lease_us * slow) + LAPSE_SLACK_US;
 
     if (b->opts.breaks[BROKER_BREAK_LAPSE_EARLY]) {
         at = b->now.mono_us + b->opts.lease_us / 2;
@@ -83,11 +85,17 @@
     u->lapse_us = at > u->lapse_us ? at : u->lapse_us;
 }
 
+/* A lease after all jobs with tasks there were known to be waited for. */
 static int64_t
-deadline_ms(const struct broker *b, struct broker_upstream *u)
+deadline_ms(struct broker *b, struct broker_upstream *u)
 {
-    extend_lapse(b, u);
-    return clock_now_ms(b, u) + b->opts.lease_us / USEC_PER_MSEC;
+    int64_t from_us = renew_upstream_us(b, u);
+    int64_t left_us = from_us + b->opts.lease_us - b->now.mono_us;
+
+    extend_lapse(b, u, from_us);
+    /* Rounded towards the earlier one. */
+    return clock_now_ms(b, u) + left_us / USEC_PER_MSEC -
+           (left_us < 0 ? 1 : 0);
 }
 
 static void
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -114,6 +114,7 @@
 {
     p->up = false;
     p->down_us = b->now.mono_us;
+    p->heard_us = 0;
     forget_loads(p);
     config_registry_lost(b, p);
     broker_log(b, LOG_NOTICE, BROKER_PEER_DOWN, 0, -1, p->name, "%s",
@@ -245,6 +246,7 @@
         p->stopping = l->stopping != 0;
         view_changed(b);
     }
+    renew_asked(b, from, l->sent_us);
 }
 
 /* Returns to how many. */
@@ -262,6 +264,7 @@
     }
     l->stopping = b->stopping ? 1 : 0;
     l->lingers = b->lingers ? 1 : 0;
+    l->sent_us = (uint64_t)b->now.mono_us;
     l->services = calloc(n + 1, sizeof(*l->services));
     if (l->services == NULL) {
         abort();
@@ -274,11 +277,12 @@
             l->services[l->n_services++] = one;
         }
     }
-    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
         if (p->broker && p->up && (l->n_services > 0 || b->had_load)) {
             struct msg copy = msg_copy(&m);
 
             broker_send(b, p->name, &copy);
+            p->asked_us = b->now.mono_us;
             sent++;
         }
     }
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -87,8 +87,8 @@
 }
 
 static bool
-takes(const struct broker *b, const struct run_job *job,
-      const struct run_task *t, const struct broker_upstream *u)
+takes(struct broker *b, const struct run_job *job, const struct run_task *t,
+      const struct broker_upstream *u)
 {
     const struct rec_task_group *g = &job->groups[t->group];
 
@@ -99,7 +99,8 @@
            u->room_us <= b->now.mono_us && u->n_tasks < u->slots &&
            resources_fit(need_of(g), room_of(u)) && suits(g, u) &&
            trust_allows(b, u) &&
-           (g->spread == 0 || same_group(job, t, u) < g->spread);
+           (g->spread == 0 || same_group(job, t, u) < g->spread) &&
+           renew_fresh(b, renew_upstream_us(b, u));
 }
 
 static bool
--- /dev/null
+++ b/src/broker_renew.c
@@ -0,0 +1,191 @@
+/*
+ * Until when a job may run: the lease that it has from its taker.
+ *
+ * A caller whose connection broke, or who was told that the outcome is not
+ * known, hands its job in again, at any broker, and that one may choose any
+ * runner.  Nothing fences the runs of the first life there.  So a runner never
+ * extends the lease of an upstream beyond one lease from when each job with
+ * tasks there was last known to be waited for.  However long the taker's loss
+ * goes unnoticed, and whatever becomes of the stops, the runs are over a lease
+ * after the taker's last word.
+ *
+ * A runner's loads and checks carry its clock; a taker returns the newest with
+ * the list of jobs that it waits for.  Both are on the runner's own clock, so
+ * delays on the way only make the lease shorter.
+ */
+#include <stdlib.h>
+
+#include "broker_state.h"
+
+/* A taker confirms a job so often. */
+#define RENEW_US (150 * USEC_PER_MSEC)
+/* A taker that was not heard for so long is asked; loads ask all of them, but
+ * not as often where there are many brokers. */
+#define ASK_US (2 * RENEW_US)
+/* No work starts on a word older than this share of a lease: it would be
+ * killed soon after. */
+enum { FRESH_SHARE = 2 };
+
+/* The taker */
+
+static bool
+renewal_due(struct broker *b, struct name runner)
+{
+    const struct caller_job *c;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
+        if (b->now.mono_us - c->renewed_us >= RENEW_US &&
+            name_equal(c->runner, runner)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+renew(struct broker *b, struct name runner, uint64_t heard_us)
+{
+    struct msg m = {.kind = MSG_JOB_RENEWAL};
+    struct rec_job_renewal *r = &m.u.job_renewal;
+    struct caller_job *c;
+    struct handle h;
+    uint32_t at = 0;
+
+    r->heard_us = heard_us;
+    r->jobs = calloc(b->caller_jobs.n + 1, sizeof(*r->jobs));
+    if (r->jobs == NULL) {
+        abort();
+    }
+    while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
+        if (name_equal(c->runner, runner)) {
+            c->renewed_us = b->now.mono_us;
+            r->jobs[r->n_jobs++].id = c->offer.u.job_offer.id;
+        }
+    }
+    broker_send(b, runner, &m);
+}
+
+void
+renew_asked(struct broker *b, struct name from, uint64_t sent_us)
+{
+    struct broker_peer *p = peers_find(b, from);
+
+    if (p == NULL || p->self) {
+        return;
+    }
+    p->heard_us = sent_us;
+    if (renewal_due(b, from)) {
+        renew(b, from, sent_us);
+    }
+}
+
+/* The runner */
+
+int64_t
+renew_heard(const struct broker *b, uint64_t heard_us)
+{
+    /* Not of this clock where it lies ahead. */
+    return heard_us <= (uint64_t)b->now.mono_us ? (int64_t)heard_us : 0;
+}
+
+int64_t
+renew_job_us(const struct broker *b, const struct run_job *job)
+{
+    bool here = !job->told && name_equal(job->taker, b->opts.self);
+
+    return here ? b->now.mono_us : job->renewed_us;
+}
+
+void
+renew_end(const struct broker *b, struct run_job *job)
+{
+    job->renewed_us = renew_job_us(b, job);
+    job->told = true;
+    job->told_us = b->now.mono_us;
+}
+
+int64_t
+renew_upstream_us(struct broker *b, const struct broker_upstream *u)
+{
+    int64_t us = b->now.mono_us;
+
+    for (size_t i = 0; i < u->n_tasks; i++) {
+        const struct run_job *job = table_get(&b->run_jobs, u->tasks[i].job);
+        int64_t job_us = renew_job_us(b, job);
+
+        us = job_us < us ? job_us : us;
+    }
+    return us;
+}
+
+bool
+renew_fresh(const struct broker *b, int64_t renewed_us)
+{
+    return b->now.mono_us - renewed_us < b->opts.lease_us / FRESH_SHARE;
+}
+
+static bool
+is_listed(const struct rec_job_renewal *r, uint64_t id)
+{
+    for (size_t i = 0; i < r->n_jobs; i++) {
+        if (r->jobs[i].id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+renew_on_renewal(struct broker *b, struct name from,
+                 const struct rec_job_renewal *r)
+{
+    int64_t heard_us = renew_heard(b, r->heard_us);
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (!job->told && heard_us > job->renewed_us &&
+            name_equal(job->taker, from) && is_listed(r, job->id)) {
+            job->renewed_us = heard_us;
+        }
+    }
+}
+
+static void
+ask(struct broker *b, struct name taker)
+{
+    struct broker_peer *p = peers_find(b, taker);
+    struct msg m = {.kind = MSG_JOB_CHECK};
+
+    if (p == NULL || !p->up || b->now.mono_us - p->asked_us < RENEW_US) {
+        return;
+    }
+    p->asked_us = b->now.mono_us;
+    m.u.job_check.sent_us = (uint64_t)b->now.mono_us;
+    broker_send(b, taker, &m);
+}
+
+void
+renew_tick(struct broker *b)
+{
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        int64_t silent_us = b->now.mono_us - renew_job_us(b, job);
+
+        if (job->told || silent_us < ASK_US) {
+            continue;
+        }
+        if (silent_us >= b->opts.lease_us) {
+            runs_drop(b, job, BROKER_NOT_RENEWED);
+        }
+        else {
+            ask(b, job->taker);
+        }
+    }
+}
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -145,8 +145,7 @@
     if (job->told) {
         return;
     }
-    job->told = true;
-    job->told_us = b->now.mono_us;
+    renew_end(b, job);
     order_remove(job);
     tell(b, job->taker, job->number, outcome, reason, retry_us);
     broker_log(
@@ -159,14 +158,13 @@
     remove_settled(b, job);
 }
 
-static void
-drop_job(struct broker *b, struct run_job *job, enum broker_reason reason)
+void
+runs_drop(struct broker *b, struct run_job *job, enum broker_reason reason)
 {
     if (job->told) {
         return;
     }
-    job->told = true;
-    job->told_us = b->now.mono_us;
+    renew_end(b, job);
     order_remove(job);
     broker_log(b, LOG_INFO, reason, job->id, -1, job->taker,
                "%u of %u tasks left, %u at upstreams", job->n_left,
@@ -324,6 +322,7 @@
          BROKER_HANDED_IN_AGAIN, 0);
     earlier->taker = from;
     earlier->number = o->number;
+    earlier->renewed_us = renew_heard(b, o->heard_us);
     earlier->deadline_us = b->now.mono_us + (int64_t)o->deadline_us;
     return true;
 }
@@ -343,6 +342,7 @@
     job->priority = (uint32_t)o->priority;
     job->attempts = o->attempts > 0 ? (uint32_t)o->attempts : 1;
     job->arrived_us = b->now.mono_us - (int64_t)o->age_us;
+    job->renewed_us = renew_heard(b, o->heard_us);
     job->spec = blob_ref(o->spec);
     job->groups = calloc(o->n_groups + 1, sizeof(*job->groups));
     if (job->groups == NULL) {
@@ -413,7 +413,7 @@
     struct run_job *job = find_taken(b, from, number);
 
     if (job != NULL) {
-        drop_job(b, job, BROKER_CALLER_LEFT);
+        runs_drop(b, job, BROKER_CALLER_LEFT);
     }
 }
 
@@ -426,7 +426,7 @@
 
     while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
         if (name_equal(job->taker, taker)) {
-            drop_job(b, job, BROKER_TAKER_LOST);
+            runs_drop(b, job, BROKER_TAKER_LOST);
         }
     }
 }
@@ -616,6 +616,9 @@
 static bool
 serve_queued(struct broker *b, struct run_job *job)
 {
+    if (!renew_fresh(b, renew_job_us(b, job))) {
+        return true;
+    }
     if (job->late && !job->started && !order_spare(b, job)) {
         return false;
     }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -3,13 +3,14 @@
  *
  * broker.c routes events; broker_peer.c knows the other processes,
  * broker_config.c follows the configuration; broker_caller.c has the jobs that
- * callers handed in here; broker_run.c runs jobs; broker_order.c decides which
- * are let in and which go first, broker_share.c what part of the room each
- * queue may have, broker_place.c where a task goes; broker_hold.c holds
- * upstreams, broker_linger.c goes on with them while a stop finds no
- * successor, broker_lease.c speaks with them, broker_trust.c judges them.  A
- * part calls those that stand behind it in this list, and those before it only
- * through the functions below.
+ * callers handed in here; broker_run.c runs jobs, broker_renew.c knows how
+ * long each may go on; broker_order.c decides which are let in and which go
+ * first, broker_share.c what part of the room each queue may have,
+ * broker_place.c where a task goes; broker_hold.c holds upstreams,
+ * broker_linger.c goes on with them while a stop finds no successor,
+ * broker_lease.c speaks with them, broker_trust.c judges them.  A part calls
+ * those that stand behind it in this list, and those before it only through
+ * the functions below.
  */
 #ifndef BM_BROKER_STATE_H
 #define BM_BROKER_STATE_H
@@ -44,6 +45,9 @@
  * @told_version: of a registry: newest version of the configuration that it
  *                told of on this connection
  * @slow: of a registry: it was asked for a text and did not send it in time
+ * @heard_us: its clock, as of its newest load or check on this connection; 0:
+ *            none
+ * @asked_us: when it was last sent a load or a check
  */
 struct broker_peer {
     struct name name;
@@ -61,6 +65,8 @@
     int64_t poll_us;
     uint64_t told_version;
     bool slow;
+    uint64_t heard_us;
+    int64_t asked_us;
     int64_t down_us;
     struct broker_peer *next;
 };
@@ -92,6 +98,7 @@
  * struct caller_job - a job that a caller handed in here
  * @offer: JOB_OFFER; kept, to be offered to another runner
  * @runner: empty while there is none
+ * @renewed_us: when the runner was last told that the caller waits
  */
 struct caller_job {
     struct handle self;
@@ -100,6 +107,7 @@
     struct name runner;
     uint32_t moves;
     int64_t taken_us;
+    int64_t renewed_us;
     int64_t deadline_us;
     bool known_started;
 };
@@ -162,6 +170,8 @@
  * @n_placed: tasks that are, or may be, at an upstream
  * @told: its taker knows the outcome; what is left only has to be settled
  * @told_us: since when
+ * @renewed_us: when its taker was last known to wait for it; of a job that is
+ *              told: when that ended
  * @started: a start was sent
  * @superseded: it was handed in again meanwhile
  * @waits: an earlier life of the job must be settled first
@@ -195,6 +205,7 @@
     uint32_t n_placed;
     bool told;
     int64_t told_us;
+    int64_t renewed_us;
     bool started;
     bool queued;
     bool superseded;
@@ -496,6 +507,10 @@
 void runs_tick(struct broker *b);
 int64_t runs_next_us(const struct broker *b);
 
+/** runs_drop() - nobody waits for the job any more */
+void runs_drop(struct broker *b, struct run_job *job,
+               enum broker_reason reason);
+
 /** runs_paused() - what ran here is over, and its outcome not known */
 void runs_paused(struct broker *b);
 
@@ -508,6 +523,36 @@
 /** runs_label() - number of a task in its job, for logs */
 int32_t runs_label(const struct run_job *job, const struct run_task *t);
 
+/* broker_renew.c */
+
+/** renew_asked() - a broker that may run jobs of callers here asks which of
+ * them are still waited for; it reads its own clock as @sent_us */
+void renew_asked(struct broker *b, struct name from, uint64_t sent_us);
+
+/** renew_on_renewal() - a taker's answer */
+void renew_on_renewal(struct broker *b, struct name from,
+                      const struct rec_job_renewal *r);
+
+/** renew_heard() - the time that a taker returned, on this clock */
+int64_t renew_heard(const struct broker *b, uint64_t heard_us);
+
+/** renew_job_us() - until when the job was known to be waited for */
+int64_t renew_job_us(const struct broker *b, const struct run_job *job);
+
+/** renew_end() - nobody waits for the job from now on */
+void renew_end(const struct broker *b, struct run_job *job);
+
+/** renew_upstream_us() - until when all that is placed there was known to be
+ * waited for */
+int64_t renew_upstream_us(struct broker *b, const struct broker_upstream *u);
+
+/** renew_fresh() - whether work may start on the word of that time */
+bool renew_fresh(const struct broker *b, int64_t renewed_us);
+
+/** renew_tick() - asks takers that were not heard lately, and drops jobs that
+ * nobody has confirmed for a lease */
+void renew_tick(struct broker *b);
+
 /* broker_order.c */
 
 /** order_plan() - sets objective, latest start and place of a new job */
--- a/src/msg_list.h
+++ b/src/msg_list.h
@@ -51,4 +51,6 @@
 MSG(BROKER_LOAD, broker_load)
 MSG(UPSTREAM_HOLDS, upstream_holds)
 MSG(QUEUES, queues)
+MSG(JOB_CHECK, job_check)
+MSG(JOB_RENEWAL, job_renewal)
 /* clang-format on */
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -513,6 +513,7 @@
     U64(target_us)      /* and so much more, since it was handed in */
     U64(age_us)         /* since then */
     U64(deadline_us)    /* left until the caller leaves */
+    U64(heard_us)       /* sent_us of the newest load or check of the receiver */
     BLOB(spec)
     ARRAY(task_group, groups)
 END(job_offer)
@@ -528,6 +529,21 @@
     U64(number)
 END(job_drop)
 
+/* A runner asks a taker which of its jobs are still waited for.  Loads ask the
+ * same. */
+RECORD(job_check)
+    U64(sent_us)        /* by the sender's clock */
+END(job_check)
+
+RECORD(job_ref)
+    U64(id)             /* chosen by the caller */
+END(job_ref)
+
+RECORD(job_renewal)     /* the reply */
+    U64(heard_us)       /* sent_us of the newest load or check of the receiver */
+    ARRAY(job_ref, jobs) /* run by the receiver; their callers wait */
+END(job_renewal)
+
 RECORD(service_load)    /* of what the sender holds */
     NAME(service)
     U64(cpu_milli)      /* of upstreams that take work */
@@ -541,6 +557,7 @@
 RECORD(broker_load)
     U64(stopping)
     U64(lingers)        /* it runs jobs though it stops */
+    U64(sent_us)        /* by the sender's clock */
     ARRAY(service_load, services)
 END(broker_load)
 
