Let a later life of a job wait for all earlier ones

What a caller saw: it left and handed its job in again twice, quickly; the third life's tasks ran beside those of the first.

Cause: the second life waited for the first, which was marked as superseded. Dropped while it waited, it left the table, and the third found no earlier life that was not superseded.

Now a life waits while any ended one of the same job has something at an upstream, so the order in which they go plays no part.

--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -48,15 +48,18 @@
     return *job != NULL ? &(*job)->tasks[p->task] : NULL;
 }
 
+/* The life of a job that goes on, or, with @told, one that has ended and of
+ * which something is still at an upstream. */
 static struct run_job *
-find_by_id(struct broker *b, uint64_t id)
+find_life(struct broker *b, uint64_t id, bool told,
+          const struct run_job *except)
 {
     struct run_job *job;
     struct handle h;
     uint32_t at = 0;
 
     while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
-        if (job->id == id && !job->superseded) {
+        if (job->id == id && job->told == told && job != except) {
             return job;
         }
     }
@@ -78,18 +81,16 @@
     broker_send(b, taker, &m);
 }
 
+/* The life that waits for all earlier ones, if this was the last of them. */
 static void
 wake_successor(struct broker *b, const struct run_job *ended)
 {
-    struct run_job *job;
-    struct handle h;
-    uint32_t at = 0;
+    struct run_job *job = find_life(b, ended->id, false, NULL);
 
-    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
-        if (handle_equal(job->waits, ended->self)) {
-            job->waits = (struct handle){0};
-            order_insert(job);
-        }
+    if (job != NULL && job->waits &&
+        find_life(b, ended->id, true, ended) == NULL) {
+        job->waits = false;
+        order_insert(job);
     }
 }
 
@@ -296,11 +297,14 @@
  * being stopped has to be over before the next begins. */
 static bool
 join_earlier(struct broker *b, struct name from, const struct rec_job_offer *o,
-             struct handle *waits)
+             bool *waits)
 {
-    struct run_job *earlier = find_by_id(b, o->id);
+    struct run_job *earlier = find_life(b, o->id, false, NULL);
 
-    *waits = (struct handle){0};
+    if (earlier == NULL) {
+        earlier = find_life(b, o->id, true, NULL);
+    }
+    *waits = false;
     if (earlier == NULL) {
         return false;
     }
@@ -312,8 +316,7 @@
             "ago",
             earlier->n_placed,
             (long long)((b->now.mono_us - earlier->told_us) / USEC_PER_MSEC));
-        *waits = earlier->self;
-        earlier->superseded = true;
+        *waits = true;
         return false;
     }
     broker_log(b, LOG_INFO, BROKER_HANDED_IN_AGAIN, o->id, -1, from,
@@ -360,8 +363,8 @@
     enum broker_reason reason = BROKER_NEVER_FITS;
     enum job_outcome outcome = JOB_REFUSED_OUTCOME;
     int64_t retry_us = 0;
-    struct handle waits;
     struct run_job *job;
+    bool waits;
 
     if (o->n_groups == 0 || o->n_groups > TASK_GROUPS_MAX ||
         join_earlier(b, from, o, &waits)) {
@@ -387,7 +390,7 @@
         (long long)((job->start_by_us - b->now.mono_us) / USEC_PER_MSEC),
         job->service->n_queued);
     job->waits = waits;
-    if (handle_none(waits)) {
+    if (!waits) {
         order_insert(job);
     }
 }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -173,8 +173,7 @@
  * @renewed_us: when its taker was last known to wait for it; of a job that is
  *              told: when that ended
  * @started: a start was sent
- * @superseded: it was handed in again meanwhile
- * @waits: an earlier life of the job must be settled first
+ * @waits: earlier lives of the job must be settled first
  * @queued: in the service's queue
  */
 struct run_job {
@@ -208,8 +207,7 @@
     int64_t renewed_us;
     bool started;
     bool queued;
-    bool superseded;
-    struct handle waits;
+    bool waits;
     TAILQ_ENTRY(run_job) link;
 };
 
