Reckon an upstream's clock as a slow one would go on

What an upstream saw: idle for 20 s, with a clock that is 2 % slow, it was sent a start that came 1.25 s late. The broker had taken the run for over and started the task again elsewhere; the start's deadline had not passed on the upstream's clock, so both ran.

Cause: deadlines were reckoned from the clock in the last answer plus all the time since, which is further than a slow clock has come: 0.4 s after 20 s. settle() and extend_lapse() allow for the drift over one lease and 50 ms. An idle upstream was never looked at, so nothing bounded the time.

The time since the last answer now counts as on the slowest clock that is allowed for, so that a deadline is never further ahead than meant. It is then too near by 2 % of that time on a sound clock; a look every 10 s at idle upstreams bounds that, and finds silent ones before work is sent there. At most a tenth of a look a second and upstream, none where work comes more often.

--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -19,6 +19,9 @@
 #define FORGET_US (60 * USEC_PER_SEC)
 /* Between looks at an upstream that does not answer. */
 #define MUTE_LOOK_US (300 * USEC_PER_MSEC)
+/* The clock of an upstream must be known to a part of a lease: by the drift
+ * that is allowed for, 0.2 s are lost in this time. */
+#define IDLE_LOOK_US (10 * USEC_PER_SEC)
 /* Looks in a row without answer after which an upstream counts as mute: one
  * that loses a sixteenth of its answers comes to that once in 4,000 looks. */
 enum { MISSES_MAX = 3 };
@@ -328,7 +331,7 @@
         u->look_us = b->now.mono_us;
     }
     else {
-        u->look_us = INT64_MAX;
+        u->look_us = b->now.mono_us + IDLE_LOOK_US;
     }
 }
 
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -61,16 +61,18 @@
     return &e->request;
 }
 
-/* The upstream's clock now, as far as can be told; slow ones are behind it. */
+/* What the upstream's clock has come to at least, as a slow one would. */
 static int64_t
 clock_now_ms(const struct broker *b, const struct broker_upstream *u)
 {
-    return u->clock_ms + (b->now.mono_us - u->clock_us) / USEC_PER_MSEC;
+    double passed_us = (double)(b->now.mono_us - u->clock_us);
+
+    return u->clock_ms +
+           (int64_t)(passed_us * (1.0 - b->opts.clock_drift)) / USEC_PER_MSEC;
 }
 
 /* The latest time by which a deadline a lease after @from_us has passed there:
- * its clock may be slow, and ours was ahead of it when the deadline was made.
- */
+ * its clock may be slow. */
 static void
 extend_lapse(const struct broker *b, struct broker_upstream *u,
              int64_t from_us)
