Draw faults among callers that come back at any broker

What a caller saw: on a region where brokers die with and without a reset, are cut off in silence or stand still for 0.3 to 1.3 s, where upstreams of a zone are cut off, mute or late, and stops are lost for a while, its job is handed in again at a broker of another zone 1.3 s after an unclear end and runs twice at one time.

--- a/tests/lives_test.c
+++ b/tests/lives_test.c
@@ -238,6 +238,212 @@
     }
 }
 
+/* Faults drawn by seed; each ends by itself. */
+
+enum { DRAWN_SEEDS = 30, BROKERS = 6, ZONES = 3, BROKEN_MAX = 2 };
+#define DRAWN_FOR_US (12 * SEC)
+#define STEP_US (50 * MSEC)
+/* A loss that is noticed by its silence lasts for longer than that. */
+#define UNNOTICED_US (800 * MSEC)
+
+/* When what was struck is well again; 0 while it is. */
+struct drawn {
+    struct vlease *v;
+    uint64_t random;
+    int64_t now_us;
+    int64_t brokers_us[BROKERS];
+    bool cut[BROKERS];
+    int64_t zones_us[ZONES];
+    int64_t losing_us;
+    bool losing;
+};
+
+static int64_t
+drawn_us(struct drawn *d, int64_t least_us, int64_t most_us)
+{
+    uint64_t range = (uint64_t)(most_us - least_us);
+
+    return least_us + (int64_t)(random_next(&d->random) % range);
+}
+
+static uint32_t
+drawn_below(struct drawn *d, uint32_t n)
+{
+    return (uint32_t)(random_next(&d->random) % n);
+}
+
+static uint32_t
+broken(const struct drawn *d)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < BROKERS; i++) {
+        n += d->brokers_us[i] > 0 ? 1 : 0;
+    }
+    return n;
+}
+
+static void
+strike_broker(struct drawn *d)
+{
+    uint32_t i = drawn_below(d, BROKERS);
+    int64_t us = drawn_us(d, UNNOTICED_US, 2 * SEC);
+
+    if (d->brokers_us[i] > 0 || broken(d) == BROKEN_MAX) {
+        return;
+    }
+    switch (drawn_below(d, 4)) {
+    case 0:
+        vlease_kill(d->v, i);
+        break;
+    case 1:
+        vlease_lose_machine(d->v, i);
+        break;
+    case 2:
+        d->cut[i] = true;
+        vlease_cut(d->v, i, true, drawn_below(d, 2) == 0);
+        break;
+    default:
+        us = drawn_us(d, 300 * MSEC, RESEND_US);
+        vlease_pause(d->v, i, us);
+        break;
+    }
+    d->brokers_us[i] = d->now_us + us;
+}
+
+/* All upstreams of a zone, or some. */
+static void
+strike_zone(struct drawn *d)
+{
+    static const enum vlease_trouble troubles[] = {VLEASE_CUT, VLEASE_MUTE,
+                                                   VLEASE_DELAYS};
+    uint32_t zone = drawn_below(d, ZONES);
+    enum vlease_trouble trouble = troubles[drawn_below(d, 3)];
+    bool all = drawn_below(d, 2) == 0;
+
+    if (d->zones_us[zone] > 0) {
+        return;
+    }
+    d->zones_us[zone] = d->now_us + drawn_us(d, 500 * MSEC, 2 * SEC);
+    for (uint32_t i = 0; i < ZONE_UPSTREAMS; i++) {
+        if (all || drawn_below(d, 2) == 0) {
+            vlease_trouble(d->v, zone * ZONE_UPSTREAMS + i, trouble);
+        }
+    }
+}
+
+static void
+strike(struct drawn *d)
+{
+    switch (drawn_below(d, 12)) {
+    case 0:
+        strike_broker(d);
+        break;
+    case 1:
+        strike_zone(d);
+        break;
+    case 2:
+        d->losing = true;
+        d->losing_us = d->now_us + drawn_us(d, 500 * MSEC, 2 * SEC);
+        break;
+    default:
+        break;
+    }
+}
+
+static bool
+is_over(const struct drawn *d, int64_t *until_us)
+{
+    if (*until_us == 0 || *until_us > d->now_us) {
+        return false;
+    }
+    *until_us = 0;
+    return true;
+}
+
+static void
+heal_broker(struct drawn *d, uint32_t i)
+{
+    if (d->cut[i]) {
+        vlease_cut(d->v, i, false, false);
+    }
+    d->cut[i] = false;
+    vlease_start(d->v, i);
+}
+
+static void
+heal(struct drawn *d)
+{
+    for (uint32_t i = 0; i < BROKERS; i++) {
+        if (is_over(d, &d->brokers_us[i])) {
+            heal_broker(d, i);
+        }
+    }
+    for (uint32_t i = 0; i < ZONES * ZONE_UPSTREAMS; i++) {
+        int64_t until_us = d->zones_us[i / ZONE_UPSTREAMS];
+
+        if (until_us > 0 && until_us <= d->now_us) {
+            vlease_trouble(d->v, i, VLEASE_SOUND);
+        }
+    }
+    for (uint32_t i = 0; i < ZONES; i++) {
+        (void)is_over(d, &d->zones_us[i]);
+    }
+    if (is_over(d, &d->losing_us)) {
+        d->losing = false;
+    }
+}
+
+static void
+step_to(struct drawn *d, int64_t until_us, bool strikes)
+{
+    while (d->now_us < until_us) {
+        d->now_us += STEP_US;
+        vlease_run(d->v, d->now_us);
+        heal(d);
+        if (strikes) {
+            strike(d);
+        }
+    }
+}
+
+static struct vlease_options
+jobs_anywhere(uint64_t seed)
+{
+    struct vlease_options o = vlease_options_default();
+
+    o.seed = seed;
+    o.resend_anywhere = true;
+    o.queues[0].run_us = 1650 * MSEC;
+    o.queues[0].spread = 0.82;
+    o.queues[0].declared_off = 0.4;
+    o.queues[0].per_s = 4;
+    o.queues[0].timeout_us = 10 * SEC;
+    return o;
+}
+
+/* Brokers, upstreams and stops are lost for a while, one after another and
+ * together; callers come back at any broker of the region. */
+static void
+drawn_faults_with_callers_anywhere(void)
+{
+    for (uint64_t seed = 1; seed <= DRAWN_SEEDS; seed++) {
+        struct vlease_options o = jobs_anywhere(seed);
+        struct drawn d = {
+            .v = ready_region(&o), .random = seed * 77777, .now_us = READY_US};
+
+        vlease_set_hook(d.v, lose_stops, &d.losing);
+        vlease_load(d.v, 1);
+        step_to(&d, READY_US + DRAWN_FOR_US, true);
+        vlease_load(d.v, 0);
+        step_to(&d, d.now_us + 14 * SEC, false);
+        CU_ASSERT_EQUAL(vlease_running(d.v), 0);
+        CU_ASSERT_EQUAL(vlease_figures(d.v, 0).open, 0);
+        assert_no_fault(d.v, __func__, seed);
+        vlease_free(d.v);
+    }
+}
+
 void
 suite_lives(void)
 {
@@ -246,5 +452,6 @@
     TEST(taker_falls_silent_before_upstreams_are_cut_off);
     TEST(third_life_waits_for_the_first);
     TEST(clock_of_an_idle_upstream_is_not_taken_too_far_ahead);
+    TEST(drawn_faults_with_callers_anywhere);
 #undef TEST
 }
