Start tasks only where the upstream's deadline is within their job's lease

What callers and upstreams saw: a job waited for room, its taker fell silent, and the job started 0.2 to 0.5 s later at upstreams that were busy with other jobs until then. Handed in again at another runner 1.3 s after the silence began, it ran twice.

Cause: an upstream has one deadline for all that runs there, and it never moves back. Looks for other jobs had moved it a lease ahead of the start. What the start itself carried, a lease after the taker's last word, was less and changed nothing.

The traces show the runs lapse exactly a lease after their start, not after the last confirmation.

Each upstream's latest granted deadline is kept; a task starts there only where that is within its job's lease. The lease of a job is now what the callers' time to come again allows, 1.15 s, and that of upstreams stays 1 s, so that a job confirmed in the last 150 ms may start anywhere. A job that could start but was confirmed longer ago has its taker asked at once. The time of callers is an option of brokers.

runner_wakes_after_its_taker_died comes with it and passed before this change: the taker returns the runner's own clock, so that what is read after a standstill is old.

--- a/src/broker.c
+++ b/src/broker.c
@@ -24,6 +24,7 @@
     return (struct broker_options){
         .seed = 1,
         .lease_us = USEC_PER_SEC,
+        .resend_us = 1300 * USEC_PER_MSEC,
         .look_us = 100 * USEC_PER_MSEC,
         .call_timeout_us = 150 * USEC_PER_MSEC,
         .settle_us = 1500 * USEC_PER_MSEC,
@@ -47,6 +48,7 @@
         abort();
     }
     b->opts = *o;
+    renew_init(b);
     b->random = o->seed;
     b->view = 1;
     map_init(&b->peers_by_name, MAP_NAME);
@@ -195,7 +197,7 @@
         runs_on_drop(b, from, m->u.job_drop.number);
         break;
     case MSG_JOB_CHECK:
-        renew_asked(b, from, m->u.job_check.sent_us);
+        renew_asked(b, from, m->u.job_check.sent_us, true);
         break;
     case MSG_JOB_RENEWAL:
         renew_on_renewal(b, from, &m->u.job_renewal);
--- a/src/broker.h
+++ b/src/broker.h
@@ -84,6 +84,8 @@
  * @seed: for jitter
  * @read_config: reads what control sends of a published text
  * @lease_us: longest lease that upstreams grant
+ * @resend_us: a caller hands a job in again so long after its outcome became
+ *             unclear to it, not sooner
  * @look_us: an answer to a look without an end comes after this
  * @call_timeout_us: without an answer a call is given up
  * @settle_us: after the start, until other brokers had time to show up, no
@@ -113,6 +115,7 @@
     uint64_t seed;
     broker_read_config *read_config;
     int64_t lease_us;
+    int64_t resend_us;
     int64_t look_us;
     int64_t call_timeout_us;
     int64_t settle_us;
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -306,6 +306,8 @@
     drop_tasks(b, u, BROKER_RUN_LAPSED);
     u->state = HOLD_OPEN;
     u->fenced = 0;
+    /* By whoever held it before. */
+    u->granted_us = b->now.mono_us + b->opts.lease_us;
     u->service->place = true;
     broker_log(b, LOG_INFO, BROKER_UPSTREAM_OPEN, 0, -1, u->name,
                "%u milli-cores, %u MB, life %llu", u->capacity.cpu_milli,
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -71,15 +71,15 @@
            (int64_t)(passed_us * (1.0 - b->opts.clock_drift)) / USEC_PER_MSEC;
 }
 
-/* The latest time by which a deadline a lease after @from_us has passed there:
- * its clock may be slow. */
+/* The latest time by which a deadline that is sent now and lies so far ahead
+ * has passed there: its clock may be slow. */
 static void
 extend_lapse(const struct broker *b, struct broker_upstream *u,
-             int64_t from_us)
+             int64_t left_us)
 {
     double slow = 1.0 + 2.0 * b->opts.clock_drift;
     int64_t at =
-        from_us + (int64_t)((double)b->opts.lease_us * slow) + LAPSE_SLACK_US;
+        b->now.mono_us + (int64_t)((double)left_us * slow) + LAPSE_SLACK_US;
 
     if (b->opts.breaks[BROKER_BREAK_LAPSE_EARLY]) {
         at = b->now.mono_us + b->opts.lease_us / 2;
@@ -87,17 +87,22 @@
     u->lapse_us = at > u->lapse_us ? at : u->lapse_us;
 }
 
-/* A lease after all jobs with tasks there were known to be waited for. */
+/* A lease from now, or less where a job with tasks there may not run for so
+ * long; 0 for no time at all. */
 static int64_t
 deadline_ms(struct broker *b, struct broker_upstream *u)
 {
-    int64_t from_us = renew_upstream_us(b, u);
-    int64_t left_us = from_us + b->opts.lease_us - b->now.mono_us;
+    int64_t left_us = renew_limit_us(b, u) - b->now.mono_us;
+    int64_t until_us;
 
-    extend_lapse(b, u, from_us);
-    /* Rounded towards the earlier one. */
-    return clock_now_ms(b, u) + left_us / USEC_PER_MSEC -
-           (left_us < 0 ? 1 : 0);
+    left_us = left_us < b->opts.lease_us ? left_us : b->opts.lease_us;
+    if (left_us <= 0) {
+        return 0;
+    }
+    until_us = b->now.mono_us + left_us;
+    u->granted_us = until_us > u->granted_us ? until_us : u->granted_us;
+    extend_lapse(b, u, left_us);
+    return clock_now_ms(b, u) + left_us / USEC_PER_MSEC;
 }
 
 static void
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -246,7 +246,7 @@
         p->stopping = l->stopping != 0;
         view_changed(b);
     }
-    renew_asked(b, from, l->sent_us);
+    renew_asked(b, from, l->sent_us, false);
 }
 
 /* Returns to how many. */
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -100,7 +100,7 @@
            resources_fit(need_of(g), room_of(u)) && suits(g, u) &&
            trust_allows(b, u) &&
            (g->spread == 0 || same_group(job, t, u) < g->spread) &&
-           renew_fresh(b, renew_upstream_us(b, u));
+           renew_allows(b, job, u);
 }
 
 static bool
--- a/src/broker_renew.c
+++ b/src/broker_renew.c
@@ -3,11 +3,15 @@
  *
  * A caller whose connection broke, or who was told that the outcome is not
  * known, hands its job in again, at any broker, and that one may choose any
- * runner.  Nothing fences the runs of the first life there.  So a runner never
- * extends the lease of an upstream beyond one lease from when each job with
- * tasks there was last known to be waited for.  However long the taker's loss
- * goes unnoticed, and whatever becomes of the stops, the runs are over a lease
- * after the taker's last word.
+ * runner.  Nothing fences the runs of the first life there.  So a runner lets
+ * no upstream run a job's tasks for longer than a job's lease after the job
+ * was last known to be waited for.  However long the taker's loss goes
+ * unnoticed, and whatever becomes of the stops, all runs are over by then.
+ *
+ * An upstream has one deadline for all that runs there, which never moves
+ * back: it is extended as far as the job allows that was confirmed longest
+ * ago, and a task starts only where the deadline is not beyond that of its
+ * own job.
  *
  * A runner's loads and checks carry its clock; a taker returns the newest with
  * the list of jobs that it waits for.  Both are on the runner's own clock, so
@@ -22,9 +26,24 @@
 /* A taker that was not heard for so long is asked; loads ask all of them, but
  * not as often where there are many brokers. */
 #define ASK_US (2 * RENEW_US)
-/* No work starts on a word older than this share of a lease: it would be
- * killed soon after. */
-enum { FRESH_SHARE = 2 };
+/* Between two checks of one taker by jobs that could start now. */
+#define CHECK_US (20 * USEC_PER_MSEC)
+/* Kept of a caller's time: for its taker to notice that it has left. */
+#define NOTICE_US (50 * USEC_PER_MSEC)
+/* Work that could go on for less than this share of a lease does not start. */
+enum { START_SHARE = 2 };
+
+void
+renew_init(struct broker *b)
+{
+    struct broker_options *o = &b->opts;
+    int64_t us = o->resend_us - NOTICE_US - LAPSE_SLACK_US;
+
+    b->job_lease_us = (int64_t)((double)us / (1.0 + 2.0 * o->clock_drift));
+    if (o->lease_us > b->job_lease_us) {
+        o->lease_us = b->job_lease_us;
+    }
+}
 
 /* The taker */
 
@@ -68,7 +87,7 @@
 }
 
 void
-renew_asked(struct broker *b, struct name from, uint64_t sent_us)
+renew_asked(struct broker *b, struct name from, uint64_t sent_us, bool check)
 {
     struct broker_peer *p = peers_find(b, from);
 
@@ -76,7 +95,7 @@
         return;
     }
     p->heard_us = sent_us;
-    if (renewal_due(b, from)) {
+    if (check || renewal_due(b, from)) {
         renew(b, from, sent_us);
     }
 }
@@ -106,24 +125,38 @@
     job->told_us = b->now.mono_us;
 }
 
+static int64_t
+job_limit_us(const struct broker *b, const struct run_job *job)
+{
+    return renew_job_us(b, job) + b->job_lease_us;
+}
+
 int64_t
-renew_upstream_us(struct broker *b, const struct broker_upstream *u)
+renew_limit_us(struct broker *b, const struct broker_upstream *u)
 {
-    int64_t us = b->now.mono_us;
+    int64_t limit_us = INT64_MAX;
 
     for (size_t i = 0; i < u->n_tasks; i++) {
         const struct run_job *job = table_get(&b->run_jobs, u->tasks[i].job);
-        int64_t job_us = renew_job_us(b, job);
+        int64_t us = job_limit_us(b, job);
 
-        us = job_us < us ? job_us : us;
+        limit_us = us < limit_us ? us : limit_us;
     }
-    return us;
+    return limit_us;
+}
+
+static bool
+leaves_time(const struct broker *b, int64_t limit_us)
+{
+    return limit_us - b->now.mono_us >= b->opts.lease_us / START_SHARE;
 }
 
 bool
-renew_fresh(const struct broker *b, int64_t renewed_us)
+renew_allows(struct broker *b, const struct run_job *job,
+             const struct broker_upstream *u)
 {
-    return b->now.mono_us - renewed_us < b->opts.lease_us / FRESH_SHARE;
+    return u->granted_us <= job_limit_us(b, job) &&
+           leaves_time(b, renew_limit_us(b, u));
 }
 
 static bool
@@ -155,12 +188,12 @@
 }
 
 static void
-ask(struct broker *b, struct name taker)
+check(struct broker *b, struct name taker, int64_t pause_us)
 {
     struct broker_peer *p = peers_find(b, taker);
     struct msg m = {.kind = MSG_JOB_CHECK};
 
-    if (p == NULL || !p->up || b->now.mono_us - p->asked_us < RENEW_US) {
+    if (p == NULL || !p->up || b->now.mono_us - p->asked_us < pause_us) {
         return;
     }
     p->asked_us = b->now.mono_us;
@@ -168,6 +201,18 @@
     broker_send(b, taker, &m);
 }
 
+bool
+renew_ready(struct broker *b, const struct run_job *job)
+{
+    int64_t limit_us = job_limit_us(b, job);
+
+    /* The longest lease that any upstream may have by now. */
+    if (limit_us < b->now.mono_us + b->opts.lease_us) {
+        check(b, job->taker, CHECK_US);
+    }
+    return leaves_time(b, limit_us);
+}
+
 void
 renew_tick(struct broker *b)
 {
@@ -181,11 +226,11 @@
         if (job->told || silent_us < ASK_US) {
             continue;
         }
-        if (silent_us >= b->opts.lease_us) {
+        if (silent_us >= b->job_lease_us) {
             runs_drop(b, job, BROKER_NOT_RENEWED);
         }
         else {
-            ask(b, job->taker);
+            check(b, job->taker, RENEW_US);
         }
     }
 }
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -619,7 +619,7 @@
 static bool
 serve_queued(struct broker *b, struct run_job *job)
 {
-    if (!renew_fresh(b, renew_job_us(b, job))) {
+    if (!renew_ready(b, job)) {
         return true;
     }
     if (job->late && !job->started && !order_spare(b, job)) {
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -268,6 +268,7 @@
  * @noted: ends up to this number were taken
  * @unnoted: the upstream has not been told so yet
  * @clock_ms: its clock when it last answered, at @clock_us here
+ * @granted_us: what it was sent of a lease ends by then, on our clock
  * @lapse_us: whatever runs there on our leases is over by then
  * @look: number of the look that is under way; 0 for none
  * @look_us: when the next one is due; INT64_MAX for none
@@ -307,6 +308,7 @@
     bool unnoted;
     int64_t clock_ms;
     int64_t clock_us;
+    int64_t granted_us;
     int64_t lapse_us;
     uint64_t look;
     int64_t look_us;
@@ -344,6 +346,7 @@
 
 struct broker {
     struct broker_options opts;
+    int64_t job_lease_us; /* see renew_init() */
     struct moment now;
     struct broker_effects *fx;
     uint64_t random;
@@ -523,9 +526,15 @@
 
 /* broker_renew.c */
 
+/** renew_init() - how long a job may run without a word of its taker, and
+ * upstreams' leases within that */
+void renew_init(struct broker *b);
+
 /** renew_asked() - a broker that may run jobs of callers here asks which of
- * them are still waited for; it reads its own clock as @sent_us */
-void renew_asked(struct broker *b, struct name from, uint64_t sent_us);
+ * them are still waited for; it reads its own clock as @sent_us.  A @check is
+ * answered at once, loads only where it is time. */
+void renew_asked(struct broker *b, struct name from, uint64_t sent_us,
+                 bool check);
 
 /** renew_on_renewal() - a taker's answer */
 void renew_on_renewal(struct broker *b, struct name from,
@@ -540,12 +549,18 @@
 /** renew_end() - nobody waits for the job from now on */
 void renew_end(const struct broker *b, struct run_job *job);
 
-/** renew_upstream_us() - until when all that is placed there was known to be
- * waited for */
-int64_t renew_upstream_us(struct broker *b, const struct broker_upstream *u);
+/** renew_limit_us() - when all that runs there has to be over, by the jobs
+ * that have tasks there */
+int64_t renew_limit_us(struct broker *b, const struct broker_upstream *u);
+
+/** renew_allows() - whether a task of the job may start there: the lease that
+ * the upstream has already ends in time for it */
+bool renew_allows(struct broker *b, const struct run_job *job,
+                  const struct broker_upstream *u);
 
-/** renew_fresh() - whether work may start on the word of that time */
-bool renew_fresh(const struct broker *b, int64_t renewed_us);
+/** renew_ready() - whether any task of the job may start; else its taker is
+ * asked */
+bool renew_ready(struct broker *b, const struct run_job *job);
 
 /** renew_tick() - asks takers that were not heard lately, and drops jobs that
  * nobody has confirmed for a lease */
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -416,7 +416,7 @@
     struct broker_event ev = {.kind = BEV_MESSAGE};
 
     /* What was under way when the receiver closed its end never arrives. */
-    if (!vlease_connected(&v->processes[e->from], p) ||
+    if ((!e->arrived && !vlease_connected(&v->processes[e->from], p)) ||
         v->closed[e->to][e->from] != e->closed) {
         return;
     }
@@ -495,6 +495,9 @@
     if (p == NULL || p->paused_until_us <= v->now_us) {
         return false;
     }
+    if (e->kind == VEV_MESSAGE && v->opts.keep_arrived) {
+        e->arrived = vlease_connected(&v->processes[e->from], p);
+    }
     again_at(v, e, p->paused_until_us);
     return true;
 }
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -61,6 +61,8 @@
  *             or an unknown outcome
  * @resend_anywhere: at a broker drawn among all of the region, instead of the
  *                   next one of the same zone
+ * @keep_arrived: a broker that stood still reads what arrived meanwhile, also
+ *                of a sender that is gone by then
  * @late_us: a hop that a hook delays arrives so much later
  * @seed: of all that is drawn
  * @breaks: wrong decisions that all brokers make
@@ -77,6 +79,7 @@
     uint32_t n_queues;
     int64_t resend_us;
     bool resend_anywhere;
+    bool keep_arrived;
     int64_t late_us;
     uint64_t seed;
     bool breaks[BROKER_BREAKS];
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -44,7 +44,8 @@
     uint64_t number; /* of a call, a look, a run or a job */
     uint32_t closed; /* of a message: vlease.closed when it was sent */
     bool up;
-    bool late; /* a call that is carried out later, without an answer */
+    bool arrived; /* a message, where its receiver stood still */
+    bool late;    /* a call that is carried out later, without an answer */
     struct msg msg;
     struct lease_request request;
     struct lease_answer answer;
--- a/tests/lives_test.c
+++ b/tests/lives_test.c
@@ -14,7 +14,13 @@
 #define SEEDS 20
 /* Of the default region: zone 0 has these; its runner is broker 0.  Every
  * third upstream has a slow clock. */
-enum { TAKER = 1, OTHER_ZONE = 2, ZONE_UPSTREAMS = 8, SLOW_EACH = 3 };
+enum {
+    RUNNER = 0,
+    TAKER = 1,
+    OTHER_ZONE = 2,
+    ZONE_UPSTREAMS = 8,
+    SLOW_EACH = 3
+};
 enum { SHORT_TASKS = 2 };
 
 /* The callers of these tests are handed in again by the test alone. */
@@ -238,6 +244,88 @@
     }
 }
 
+/* Jobs of the runner's own callers: the second queue's leave room for nothing
+ * else at any upstream of zone 0, and those of the third go on longer there.
+ */
+static struct vlease_options
+full_zone(uint64_t seed)
+{
+    struct vlease_options o = long_jobs(seed);
+
+    o.without[BROKER_PART_OTHER_ZONES] = true;
+    o.n_queues = 3;
+    o.queues[0].cpu_milli = 20000;
+    o.queues[1] = o.queues[0];
+    o.queues[1].run_us = SEC;
+    o.queues[1].tasks = ZONE_UPSTREAMS;
+    o.queues[2] = o.queues[1];
+    o.queues[2].run_us = RUN_US;
+    o.queues[2].cpu_milli = 10000;
+    return o;
+}
+
+/* A job waits for room while its taker falls silent, and starts 0.2 to 0.6 s
+ * later, before its runner notices, at upstreams whose lease others extend. */
+static void
+job_starts_after_its_taker_fell_silent(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = full_zone(seed);
+        struct vlease *v = ready_region(&o);
+        int64_t silent_us = READY_US + (380 + (int64_t)seed * 20) * MSEC;
+        bool losing = true;
+        uint64_t job;
+
+        vlease_set_hook(v, lose_stops, &losing);
+        (void)vlease_submit(v, RUNNER, 1);
+        (void)vlease_submit(v, RUNNER, 2);
+        vlease_run(v, silent_us - 10 * MSEC);
+        job = vlease_submit(v, TAKER, 0);
+        vlease_run(v, silent_us);
+        CU_ASSERT_EQUAL(vlease_running(v), 2 * ZONE_UPSTREAMS);
+        vlease_cut(v, TAKER, true, true);
+        vlease_run(v, silent_us + RESEND_US);
+        vlease_resubmit(v, job, OTHER_ZONE);
+        vlease_run(v, silent_us + RESEND_US + 1400 * MSEC);
+        losing = false;
+        vlease_cut(v, TAKER, false, false);
+        assert_job_ends(v, job, silent_us + RESEND_US + 1400 * MSEC, __func__,
+                        seed);
+        vlease_free(v);
+    }
+}
+
+/* The runner stands still while the taker's machine is lost, and then reads
+ * what the taker said before: that does not tell that the taker is there. */
+static void
+runner_wakes_after_its_taker_died(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = long_jobs(seed);
+        int64_t broken_us = READY_US + 200 * MSEC;
+        bool losing = true;
+        struct vlease *v;
+        uint64_t job;
+
+        o.keep_arrived = true;
+        v = ready_region(&o);
+        job = vlease_submit(v, TAKER, 0);
+        vlease_set_hook(v, lose_stops, &losing);
+        vlease_run(v, broken_us - 100 * MSEC);
+        CU_ASSERT_EQUAL(vlease_running(v), 4);
+        vlease_pause(v, RUNNER, 700 * MSEC);
+        vlease_run(v, broken_us);
+        vlease_lose_machine(v, TAKER);
+        vlease_run(v, broken_us + RESEND_US);
+        vlease_resubmit(v, job, OTHER_ZONE);
+        vlease_run(v, broken_us + RESEND_US + 1400 * MSEC);
+        losing = false;
+        assert_job_ends(v, job, broken_us + RESEND_US + 1400 * MSEC, __func__,
+                        seed);
+        vlease_free(v);
+    }
+}
+
 /* Faults drawn by seed; each ends by itself. */
 
 enum { DRAWN_SEEDS = 30, BROKERS = 6, ZONES = 3, BROKEN_MAX = 2 };
@@ -414,6 +502,7 @@
 
     o.seed = seed;
     o.resend_anywhere = true;
+    o.keep_arrived = true;
     o.queues[0].run_us = 1650 * MSEC;
     o.queues[0].spread = 0.82;
     o.queues[0].declared_off = 0.4;
@@ -422,25 +511,36 @@
     return o;
 }
 
+static void
+draw_faults(uint64_t seed)
+{
+    struct vlease_options o = jobs_anywhere(seed);
+    struct drawn d = {
+        .v = ready_region(&o), .random = seed * 77777, .now_us = READY_US};
+
+    vlease_set_hook(d.v, lose_stops, &d.losing);
+    vlease_load(d.v, 1);
+    step_to(&d, READY_US + DRAWN_FOR_US, true);
+    vlease_load(d.v, 0);
+    step_to(&d, d.now_us + 14 * SEC, false);
+    CU_ASSERT_EQUAL(vlease_running(d.v), 0);
+    CU_ASSERT_EQUAL(vlease_figures(d.v, 0).open, 0);
+    assert_no_fault(d.v, __func__, seed);
+    vlease_free(d.v);
+}
+
 /* Brokers, upstreams and stops are lost for a while, one after another and
  * together; callers come back at any broker of the region. */
 static void
 drawn_faults_with_callers_anywhere(void)
 {
+    static const uint64_t failed[] = {102, 264, 353, 386, 800};
+
     for (uint64_t seed = 1; seed <= DRAWN_SEEDS; seed++) {
-        struct vlease_options o = jobs_anywhere(seed);
-        struct drawn d = {
-            .v = ready_region(&o), .random = seed * 77777, .now_us = READY_US};
-
-        vlease_set_hook(d.v, lose_stops, &d.losing);
-        vlease_load(d.v, 1);
-        step_to(&d, READY_US + DRAWN_FOR_US, true);
-        vlease_load(d.v, 0);
-        step_to(&d, d.now_us + 14 * SEC, false);
-        CU_ASSERT_EQUAL(vlease_running(d.v), 0);
-        CU_ASSERT_EQUAL(vlease_figures(d.v, 0).open, 0);
-        assert_no_fault(d.v, __func__, seed);
-        vlease_free(d.v);
+        draw_faults(seed);
+    }
+    for (size_t i = 0; i < sizeof(failed) / sizeof(failed[0]); i++) {
+        draw_faults(failed[i]);
     }
 }
 
@@ -452,6 +552,8 @@
     TEST(taker_falls_silent_before_upstreams_are_cut_off);
     TEST(third_life_waits_for_the_first);
     TEST(clock_of_an_idle_upstream_is_not_taken_too_far_ahead);
+    TEST(job_starts_after_its_taker_fell_silent);
+    TEST(runner_wakes_after_its_taker_died);
     TEST(drawn_faults_with_callers_anywhere);
 #undef TEST
 }
--- a/tests/matrix_test.c
+++ b/tests/matrix_test.c
@@ -9,7 +9,7 @@
 #include "matrix.h"
 
 enum { SEED = 1, PAIRS = 300, THREADS = 4, LEAST_CELLS = 700 };
-enum { LEASE_SEEDS = 2, LEASE_PAIRS = 200 };
+enum { LEASE_SEEDS = 2, LEASE_PAIRS = 320 };
 
 /*
  * Messages are lost, doubled, late or out of order, connections go silent,
