Read from the settings how soon callers come again

Brokers took 1.3 s for granted. Where the platform's callers come again sooner, or its upstreams grant leases longer than that (max-hold-ms), a second life would begin before the first is over, with every runner that dies.

The time (resend-ms) is an option of brokers now and bounds the leases of jobs and upstreams; below 400 ms the settings are refused, since what is left for leases then is less than looks and slow instances need.

--- a/src/vlease.c
+++ b/src/vlease.c
@@ -30,6 +30,7 @@
                     .timeout_us = 2 * USEC_PER_SEC}},
         .n_queues = 1,
         .resend_us = 1300 * USEC_PER_MSEC,
+        .told_resend_us = 1300 * USEC_PER_MSEC,
         .late_us = LATE_DEFAULT_US,
         .seed = 1,
     };
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -59,6 +59,7 @@
  * @n_queues: of them
  * @resend_us: a caller hands a job in again so long after a broken connection
  *             or an unknown outcome
+ * @told_resend_us: what brokers are told of that
  * @resend_anywhere: at a broker drawn among all of the region, instead of the
  *                   next one of the same zone
  * @keep_arrived: a broker that stood still reads what arrived meanwhile, also
@@ -78,6 +79,7 @@
     struct vlease_queue queues[VLEASE_QUEUES_MAX];
     uint32_t n_queues;
     int64_t resend_us;
+    int64_t told_resend_us;
     bool resend_anywhere;
     bool keep_arrived;
     int64_t late_us;
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -77,6 +77,7 @@
     o.n_registries = v->opts.zones;
     o.seed = v->opts.seed + (uint64_t)p->number * 7919 + p->life;
     o.read_config = vlease_read_config;
+    o.resend_us = v->opts.told_resend_us;
     memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
     memcpy(o.without, v->opts.without, sizeof(o.without));
     p->broker = broker_new(&o);
--- a/tests/lives_test.c
+++ b/tests/lives_test.c
@@ -147,6 +147,34 @@
     }
 }
 
+/* Callers come again after 0.7 s, less than the longest lease of upstreams. */
+static void
+callers_that_come_sooner_find_shorter_leases(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = long_jobs(seed);
+        int64_t broken_us = READY_US + 200 * MSEC;
+        int64_t again_us = broken_us + 700 * MSEC;
+        bool losing = true;
+        struct vlease *v;
+        uint64_t job;
+
+        o.told_resend_us = 700 * MSEC;
+        v = ready_region(&o);
+        job = vlease_submit(v, TAKER, 0);
+        vlease_set_hook(v, lose_stops, &losing);
+        vlease_run(v, broken_us);
+        CU_ASSERT_EQUAL(vlease_running(v), 4);
+        vlease_kill(v, TAKER);
+        vlease_run(v, again_us);
+        vlease_resubmit(v, job, OTHER_ZONE);
+        vlease_run(v, again_us + 1400 * MSEC);
+        losing = false;
+        assert_job_ends(v, job, again_us + 1400 * MSEC, __func__, seed);
+        vlease_free(v);
+    }
+}
+
 /* The caller leaves and comes back at once, twice, while stops are lost.  The
  * second life is dropped while it waits for the first; the third must wait for
  * the first no less. */
@@ -550,6 +578,7 @@
 #define TEST(name) check_add("lives", #name, name)
     TEST(taker_dies_and_stops_are_lost);
     TEST(taker_falls_silent_before_upstreams_are_cut_off);
+    TEST(callers_that_come_sooner_find_shorter_leases);
     TEST(third_life_waits_for_the_first);
     TEST(clock_of_an_idle_upstream_is_not_taken_too_far_ahead);
     TEST(job_starts_after_its_taker_fell_silent);
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -483,7 +483,8 @@
     "\"region\":\"r1\",\"bind-addresses\":{\"front\":\"10.1.0.13:8161\","
     "\"ready\":\"10.1.0.13:8167\"},\"port-range\":[7720,7735],"
     "\"seeds\":[\"10.1.0.16:8166\",\"10.2.0.32:8166\"],\"bootstrap\":true,"
-    "\"data-dir\":null,\"bounds\":{\"max-hold-ms\":900,\"grace-s\":6},"
+    "\"data-dir\":null,\"bounds\":{\"max-hold-ms\":900,\"resend-ms\":1200,"
+    "\"grace-s\":6},"
     "\"new-field\":{}}";
 
 static void
@@ -503,6 +504,7 @@
     CU_ASSERT_TRUE(s.first_start);
     CU_ASSERT_STRING_EQUAL(s.data, "");
     CU_ASSERT_EQUAL(s.lease_us, 900 * USEC_PER_MSEC);
+    CU_ASSERT_EQUAL(s.resend_us, 1200 * USEC_PER_MSEC);
     CU_ASSERT_EQUAL(s.grace_us, 6 * USEC_PER_SEC);
 }
 
@@ -520,6 +522,9 @@
         "\"r\",\"port-range\":[9,2],\"seeds\":[],\"bounds\":{}}",
         "{\"node-name\":\"n\",\"ip\":\"10.1.0.13\",\"zone\":\"z\",\"region\":"
         "\"r\",\"port-range\":[1,2],\"seeds\":[5],\"bounds\":{}}",
+        "{\"node-name\":\"n\",\"ip\":\"10.1.0.13\",\"zone\":\"z\",\"region\":"
+        "\"r\",\"port-range\":[1,2],\"seeds\":[],\"bounds\":"
+        "{\"resend-ms\":100}}",
     };
 
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
