Play late starts that reach a new life of an upstream

What an upstream sees: two runs of one task at one time, one of them on an upstream that started anew under its id.

Cause: a start without answer may be carried out seconds later. The life it was sent to refuses it (its run was stopped there, its deadline has passed). A new life refuses neither: it knows no stop and no fence, its clock starts again, so the deadline lies far ahead, and Expected-Instance carries only the id. Until its holder takes it under a higher fence it accepts the start, while the task runs elsewhere.

The virtual region gets an option for how long a new life is silent (reborn_silent_us, 1 ms as before; the registry's pause of 30 ms comes on top, so brokers heard of it after some 31 ms, not 1 ms).

--- a/src/vlease.c
+++ b/src/vlease.c
@@ -33,6 +33,7 @@
         .told_resend_us = 1300 * USEC_PER_MSEC,
         .late_us = LATE_DEFAULT_US,
         .seed = 1,
+        .reborn_silent_us = USEC_PER_MSEC,
     };
 }
 
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -69,6 +69,8 @@
  * @breaks: wrong decisions that all brokers make
  * @without: parts that all brokers leave out
  * @leave: share of the callers that leave within half of their objective
+ * @reborn_silent_us: an upstream that starts anew announces itself so long
+ *                    after its start
  */
 struct vlease_options {
     uint32_t zones;
@@ -87,6 +89,7 @@
     bool breaks[BROKER_BREAKS];
     bool without[BROKER_PARTS];
     double leave;
+    int64_t reborn_silent_us;
 };
 
 /** vlease_options_default() - three zones with two brokers and eight upstreams
--- a/src/vleaseup.c
+++ b/src/vleaseup.c
@@ -606,5 +606,5 @@
     u->deadline_ms = 0;
     u->last_ended = 0;
     u->n_stopped = 0;
-    plan_announce(v, u, USEC_PER_MSEC);
+    plan_announce(v, u, v->opts.reborn_silent_us);
 }
