Keep a task where its start was not answered

What an upstream sees: a start without answer is stopped there, the task is placed at another upstream, then the first upstream starts anew and carries the start out: two runs at one time.

Cause: the stop is forgotten with the life that confirmed it, and nothing ties the task to the upstream until the start can't come any more.

Change: for 12 s after such a start the task is placed at that upstream only, or waits for its room (which it just left), while the upstream is held under the same fence and answers. An upstream that is silent, leaves, is in quarantine or has failed the task is not waited for. A task that waits doesn't hold up the others of its job.

--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -16,6 +16,8 @@
 /* An upstream without room is not asked again before this; its next end is
  * seen sooner, by the look. */
 #define NO_ROOM_US (30 * USEC_PER_MSEC)
+/* A start without answer may be carried out so much later. */
+#define LATE_START_US (12 * USEC_PER_SEC)
 /* Weight of a sample against the job's other tasks, which differ little; and
  * against what was declared, which says hardly anything of one upstream. */
 static const double SIBLINGS_WEIGHT = 0.3;
@@ -370,6 +372,14 @@
     runs_ready(b, job, t);
 }
 
+static void
+note_lost(const struct broker_upstream *u, struct run_task *t)
+{
+    t->lost_at = u->self;
+    t->lost_fence = u->fence;
+    t->lost_until_us = t->sent_us + LATE_START_US;
+}
+
 static void
 on_start(struct broker *b, struct broker_upstream *u, struct run_job *job,
          struct run_task *t, enum lease_result result)
@@ -394,6 +404,7 @@
             runs_ready(b, job, t);
             break;
         }
+        note_lost(u, t);
         if (b->opts.without[BROKER_PART_LOST_STARTS]) {
             t->state = RUN_UNSETTLED;
             break;
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -113,19 +113,49 @@
            left < best_left;
 }
 
+/* Where a start of the task that was not answered may still be carried out.
+ * The upstream refuses it while it lives, as the run was stopped; a new life
+ * does so once it is taken under a higher fence.  Elsewhere the task could run
+ * beside it meanwhile.  One that is silent or fails is not waited for. */
+static struct broker_upstream *
+lost_at(struct broker *b, const struct run_task *t)
+{
+    struct broker_upstream *u = table_get(&b->upstreams, t->lost_at);
+    bool held;
+
+    if (u == NULL || b->now.mono_us >= t->lost_until_us) {
+        return NULL;
+    }
+    held = (u->state == HOLD_OPEN && u->fence == t->lost_fence) ||
+           (u->state == HOLD_TAKING && u->misses == 0);
+    return held && !u->leaving && !u->gone && trust_allows(b, u) &&
+                   !name_equal(t->avoid, u->name)
+               ? u
+               : NULL;
+}
+
+bool
+place_waits(struct broker *b, const struct run_task *t)
+{
+    return lost_at(b, t) != NULL;
+}
+
 struct broker_upstream *
 place_choose(struct broker *b, const struct run_job *job,
              const struct run_task *t)
 {
     const struct rec_task_group *g = &job->groups[t->group];
     struct broker_upstream *best = NULL;
-    struct broker_upstream *u;
+    struct broker_upstream *u = lost_at(b, t);
     int64_t usual_us = order_expected_us(job, g);
     int64_t best_us = INT64_MAX;
     uint32_t best_left = UINT32_MAX;
     struct handle h;
     uint32_t at = 0;
 
+    if (u != NULL) {
+        return takes(b, job, t, u) ? u : NULL;
+    }
     while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
         int64_t us;
         uint32_t left;
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -572,6 +572,8 @@
 static bool
 place_job(struct broker *b, struct run_job *job)
 {
+    bool all = true;
+
     for (uint32_t i = 0; i < job->n_tasks && job->n_ready > 0; i++) {
         struct run_task *t = &job->tasks[i];
         struct broker_upstream *u;
@@ -585,12 +587,16 @@
             t->avoid = name_of("");
             u = place_choose(b, job, t);
         }
-        if (u == NULL) {
+        if (u == NULL && !place_waits(b, t)) {
             return false;
         }
+        if (u == NULL) {
+            all = false;
+            continue;
+        }
         lease_start(b, u, job, t);
     }
-    return true;
+    return all;
 }
 
 /* Every waiting job is judged, not only those whose turn may come: a late one
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -135,6 +135,9 @@
  *             while a stop is not confirmed
  * @stop_us: when a stop was sent last
  * @avoid: the upstream where it failed last
+ * @lost_at: the upstream that did not answer a start of it
+ * @lost_fence: of that start
+ * @lost_until_us: it may still be carried out until then
  */
 struct run_task {
     enum run_state state;
@@ -150,6 +153,9 @@
     int64_t settle_us;
     int64_t stop_us;
     struct name avoid;
+    struct handle lost_at;
+    uint64_t lost_fence;
+    int64_t lost_until_us;
 };
 
 /**
@@ -640,6 +646,10 @@
                                      const struct run_job *job,
                                      const struct run_task *t);
 
+/** place_waits() - a start of the task that was not answered may still be
+ * carried out: it is placed at that upstream, or waits for it */
+bool place_waits(struct broker *b, const struct run_task *t);
+
 /** place_ever() - whether any known upstream could ever run such a task */
 bool place_ever(struct broker *b, const struct broker_service *s,
                 const struct rec_task_group *g);
