Look at a silent upstream more often after a lost start

What an upstream sees: its new life carries out a start to the old one, while the task runs elsewhere since the silent life's lease has passed.

Cause: the holder of a silent upstream looks every 300 ms, and until a look or a heartbeat tells of the new life nothing there refuses the start.

Change: for 12 s after a start without answer the next look follows 20 ms after the last one was given up, so the new life is found after one look's timeout and 20 ms at most, not 300 ms more.

The time is shorter, not closed.

--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -373,11 +373,12 @@
 }
 
 static void
-note_lost(const struct broker_upstream *u, struct run_task *t)
+note_lost(struct broker_upstream *u, struct run_task *t)
 {
     t->lost_at = u->self;
     t->lost_fence = u->fence;
     t->lost_until_us = t->sent_us + LATE_START_US;
+    u->lost_until_us = t->lost_until_us;
 }
 
 static void
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -22,6 +22,8 @@
 /* The clock of an upstream must be known to a part of a lease: by the drift
  * that is allowed for, 0.2 s are lost in this time. */
 #define IDLE_LOOK_US (10 * USEC_PER_SEC)
+/* The same where a start that was not answered may reach its next life. */
+#define LOST_LOOK_US (20 * USEC_PER_MSEC)
 /* Looks in a row without answer after which an upstream counts as mute: one
  * that loses a sixteenth of its answers comes to that once in 4,000 looks. */
 enum { MISSES_MAX = 3 };
@@ -350,7 +352,8 @@
     }
     u->look_us = b->now.mono_us;
     if (u->state == HOLD_MUTE || u->misses >= MISSES_MAX) {
-        u->look_us += MUTE_LOOK_US;
+        u->look_us +=
+            b->now.mono_us < u->lost_until_us ? LOST_LOOK_US : MUTE_LOOK_US;
     }
 }
 
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -281,6 +281,7 @@
  * @peek: number of a look beside it that does not wait; 0 for none
  * @peek_due: one is wanted
  * @misses: looks in a row without answer
+ * @lost_until_us: a start that was not answered may be carried out until then
  * @fenced_view: the view of the brokers when it was lost to a higher fence
  * @used: by the placed tasks
  * @room_us: not before that, after it had no room
@@ -321,6 +322,7 @@
     uint64_t peek;
     bool peek_due;
     uint32_t misses;
+    int64_t lost_until_us;
     uint32_t fenced;
     uint64_t fenced_view;
 
