Strike brokers and upstreams while callers come back at any broker

The matrix of leases could not show two lives of a job at two runners: its callers come back to the next broker of the zone. A second scenario beside the first, options anywhere: they come back at any broker; machines are lost without a reset; stops are lost for 4 s; and each single fault is struck once more with stops lost from its step on. The first scenario has the faults it had.

--- a/src/broker.h
+++ b/src/broker.h
@@ -36,7 +36,9 @@
     BROKER_BREAK(LOST_NOT_RUN, "tell jobs of a lost runner as not run")       \
     BROKER_BREAK(RETURN_STARTED, "hand on what has started at a stop")        \
     BROKER_BREAK(START_LEAVING, "start at upstreams that leave")              \
-    BROKER_BREAK(OPEN_UNSEEN, "use an upstream before a look at it")
+    BROKER_BREAK(OPEN_UNSEEN, "use an upstream before a look at it")          \
+    /* Shows only where callers come back at any broker. */                   \
+    BROKER_BREAK(UNCONFIRMED, "extend leases for takers that say nothing")
 /* clang-format on */
 
 /* Parts of what a broker decides that can be left out, to see what each is
@@ -69,6 +71,7 @@
     BROKER_BREAK_LIST(BROKER_BREAK)
 #undef BROKER_BREAK
         BROKER_BREAKS,
+    BROKER_BREAKS_SAME_ZONE = BROKER_BREAK_UNCONFIRMED,
 };
 
 /**
--- a/src/broker_renew.c
+++ b/src/broker_renew.c
@@ -114,7 +114,10 @@
 {
     bool here = !job->told && name_equal(job->taker, b->opts.self);
 
-    return here ? b->now.mono_us : job->renewed_us;
+    if (here || b->opts.breaks[BROKER_BREAK_UNCONFIRMED]) {
+        return b->now.mono_us;
+    }
+    return job->renewed_us;
 }
 
 void
--- a/src/leasematrix.c
+++ b/src/leasematrix.c
@@ -46,6 +46,16 @@
 #undef BROKER_BREAK
 };
 
+/* What the cells of a matrix have in common; @wrong is an enum broker_break or
+ * NO_BREAK. */
+struct setting {
+    uint64_t seed;
+    int wrong;
+    bool anywhere;
+};
+
+static const char ANYWHERE[] = "anywhere/";
+
 struct trace {
     struct vlease_hop *steps;
     size_t n;
@@ -74,22 +84,23 @@
     struct cell *items;
     size_t n;
     size_t room;
-    uint64_t seed;
-    int wrong; /* enum broker_break, or NO_BREAK */
+    struct setting setting;
     struct trace *trace;
 };
 
 /* The scenario: short jobs and long ones, handed in at all brokers in turn. */
 
 static struct vlease *
-scenario(uint64_t seed, int wrong)
+scenario(const struct setting *s)
 {
     struct vlease_options o = vlease_options_default();
 
     o.zones = ZONES;
     o.brokers = BROKERS_EACH;
     o.upstreams = UPSTREAMS_EACH;
-    o.seed = seed;
+    o.seed = s->seed;
+    o.resend_anywhere = s->anywhere;
+    o.keep_arrived = s->anywhere;
     o.queues[0].tasks = 3;
     o.queues[0].run_us = 300 * MSEC;
     o.queues[0].timeout_us = 6 * USEC_PER_SEC;
@@ -98,8 +109,8 @@
     o.queues[1].tasks = 2;
     o.queues[1].run_us = 2500 * MSEC;
     o.queues[1].timeout_us = 10 * USEC_PER_SEC;
-    if (wrong != NO_BREAK) {
-        o.breaks[wrong] = true;
+    if (s->wrong != NO_BREAK) {
+        o.breaks[s->wrong] = true;
     }
     return vlease_new(&o);
 }
@@ -122,10 +133,10 @@
 }
 
 static struct trace
-trace_run(uint64_t seed)
+trace_run(const struct setting *s)
 {
     struct trace t = {0};
-    struct vlease *v = scenario(seed, NO_BREAK);
+    struct vlease *v = scenario(s);
 
     vlease_run(v, BEGIN_US);
     vlease_set_hook(v, trace_hop, &t);
@@ -160,6 +171,10 @@
     case LEASE_FAULT_STOP_RECEIVER:
         vlease_stop(v, broker);
         break;
+    case LEASE_FAULT_MACHINE_SENDER:
+    case LEASE_FAULT_MACHINE_RECEIVER:
+        vlease_lose_machine(v, broker);
+        break;
     default:
         vlease_cut(v, broker, true, false);
         break;
@@ -222,6 +237,19 @@
     }
 }
 
+static bool
+stop_is_lost(const struct cell *c, const struct vlease_hop *hop)
+{
+    for (size_t i = 0; i < c->n_strikes; i++) {
+        const struct strike *s = &c->strikes[i];
+
+        if (s->fault == LEASE_FAULT_STOPS_LOST && s->return_us > 0) {
+            return strcmp(hop->label, "stop") == 0;
+        }
+    }
+    return false;
+}
+
 static enum vlease_fate
 cell_hop(void *ctx, struct vlease *v, const struct vlease_hop *hop)
 {
@@ -247,6 +275,9 @@
         else if (s->fault == LEASE_FAULT_LATE) {
             fate = VLEASE_DELAY;
         }
+        else if (s->fault == LEASE_FAULT_STOPS_LOST) {
+            continue; /* see stop_is_lost() */
+        }
         else if (faults[s->fault].need == NEED_UPSTREAM) {
             strike_upstream(v, c, s, hop->upstream);
         }
@@ -256,7 +287,7 @@
                                                                : hop->to);
         }
     }
-    return fate;
+    return stop_is_lost(c, hop) ? VLEASE_LOSE : fate;
 }
 
 static void
@@ -315,9 +346,9 @@
 }
 
 static void
-cell_run(struct cell *c, uint64_t seed, int wrong, FILE *log)
+cell_run(struct cell *c, const struct setting *s, FILE *log)
 {
-    struct vlease *v = scenario(seed, wrong);
+    struct vlease *v = scenario(s);
     uint64_t probe;
 
     for (size_t i = 0; i < c->n_strikes; i++) {
@@ -350,15 +381,15 @@
 {
     struct cells *cs = ctx;
 
-    cell_run(&cs->items[i], cs->seed, cs->wrong, NULL);
-    return cs->wrong != NO_BREAK && cs->items[i].failed;
+    cell_run(&cs->items[i], &cs->setting, NULL);
+    return cs->setting.wrong != NO_BREAK && cs->items[i].failed;
 }
 
 /* Whether the wrong decision was noticed. */
 static bool
 run_all(struct cells *cs, uint32_t threads, int wrong)
 {
-    cs->wrong = wrong;
+    cs->setting.wrong = wrong;
     return cells_run(cs->n, threads, run_one, cs);
 }
 
@@ -379,7 +410,9 @@
     struct cells *cs = ctx;
     const struct vlease_hop *hop = &cs->trace->steps[i];
 
-    for (int f = 0; f < LEASE_FAULTS; f++) {
+    int n = cs->setting.anywhere ? LEASE_FAULTS : LEASE_FAULTS_SAME_ZONE;
+
+    for (int f = 0; f < n; f++) {
         if (applies((enum lease_fault)f, hop)) {
             struct cell *c = cells_add(cs);
 
@@ -437,11 +470,25 @@
     }
 }
 
+/* Each single fault once more, with stops lost from its step on. */
 static void
-print_cell(const struct cell *c, uint64_t seed, FILE *out)
+add_without_stops(struct cells *cs, size_t singles)
 {
-    (void)fprintf(out, "failed: bm-bench --seed %llu --lease-cell ",
-                  (unsigned long long)seed);
+    for (size_t i = 0; i < singles; i++) {
+        struct cell *c = cells_add(cs);
+
+        c->strikes[0] = cs->items[i].strikes[0];
+        c->strikes[1] = c->strikes[0];
+        c->strikes[1].fault = LEASE_FAULT_STOPS_LOST;
+        c->n_strikes = 2;
+    }
+}
+
+static void
+print_cell(const struct cell *c, const struct setting *s, FILE *out)
+{
+    (void)fprintf(out, "failed: bm-bench --seed %llu --lease-cell %s",
+                  (unsigned long long)s->seed, s->anywhere ? ANYWHERE : "");
     for (size_t i = 0; i < c->n_strikes; i++) {
         (void)fprintf(out, "%s%llu:%s", i > 0 ? "," : "",
                       (unsigned long long)c->strikes[i].step,
@@ -454,7 +501,9 @@
 run_breaks(struct cells *cs, const struct leasematrix_options *o,
            struct leasematrix_result *r, FILE *out)
 {
-    for (int i = 0; i < BROKER_BREAKS; i++) {
+    int n = o->anywhere ? BROKER_BREAKS : BROKER_BREAKS_SAME_ZONE;
+
+    for (int i = 0; i < n; i++) {
         r->breaks++;
         if (run_all(cs, o->threads, i)) {
             r->caught++;
@@ -468,18 +517,23 @@
 struct leasematrix_result
 leasematrix_run(const struct leasematrix_options *o, FILE *out)
 {
-    struct trace t = trace_run(o->seed);
-    struct cells cs = {.seed = o->seed};
+    struct cells cs = {.setting = {o->seed, NO_BREAK, o->anywhere}};
+    struct trace t = trace_run(&cs.setting);
     struct leasematrix_result r = {0};
+    size_t singles;
 
     add_all_singles(&cs, &t, o->per_label);
-    add_pairs(&cs, cs.n, o->pairs, o->seed);
+    singles = cs.n;
+    add_pairs(&cs, singles, o->pairs, o->seed);
+    if (o->anywhere) {
+        add_without_stops(&cs, singles);
+    }
     (void)run_all(&cs, o->threads, NO_BREAK);
     r.cells = cs.n;
     for (size_t i = 0; i < cs.n; i++) {
         if (cs.items[i].failed) {
             r.failed++;
-            print_cell(&cs.items[i], o->seed, out);
+            print_cell(&cs.items[i], &cs.setting, out);
         }
     }
     if (o->breaks) {
@@ -499,8 +553,13 @@
 bool
 leasematrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok)
 {
+    struct setting setting = {seed, NO_BREAK, false};
     struct cell c = {0};
 
+    if (strncmp(text, ANYWHERE, strlen(ANYWHERE)) == 0) {
+        setting.anywhere = true;
+        text += strlen(ANYWHERE);
+    }
     while (*text != '\0') {
         struct strike *s = &c.strikes[c.n_strikes];
         int fault;
@@ -512,10 +571,10 @@
         s->fault = (enum lease_fault)fault;
         c.n_strikes++;
     }
-    cell_run(&c, seed, NO_BREAK, out);
+    cell_run(&c, &setting, out);
     *ok = !c.failed;
     if (c.failed) {
-        print_cell(&c, seed, out);
+        print_cell(&c, &setting, out);
     }
     return c.n_strikes > 0;
 }
--- a/src/leasematrix.h
+++ b/src/leasematrix.h
@@ -35,7 +35,11 @@
     LEASE_FAULT(UPSTREAM_FAILS, UPSTREAM)                                     \
     LEASE_FAULT(UPSTREAM_DELAYS, UPSTREAM)                                    \
     LEASE_FAULT(UPSTREAM_LEAVING, UPSTREAM)                                   \
-    LEASE_FAULT(UPSTREAM_REBORN, UPSTREAM)
+    LEASE_FAULT(UPSTREAM_REBORN, UPSTREAM)                                    \
+    /* The rest only where callers come back anywhere. */                     \
+    LEASE_FAULT(MACHINE_SENDER, SENDER) /* lost without a reset */            \
+    LEASE_FAULT(MACHINE_RECEIVER, RECEIVER)                                   \
+    LEASE_FAULT(STOPS_LOST, HOP) /* all to upstreams, for a while */
 /* clang-format on */
 
 enum lease_fault {
@@ -43,6 +47,7 @@
     LEASE_FAULT_LIST(LEASE_FAULT)
 #undef LEASE_FAULT
         LEASE_FAULTS,
+    LEASE_FAULTS_SAME_ZONE = LEASE_FAULT_MACHINE_SENDER,
 };
 
 /**
@@ -52,6 +57,7 @@
  * @pairs: cells with two faults, sampled
  * @threads: that run cells
  * @breaks: also prove it with the wrong decisions
+ * @anywhere: callers come back at any broker of the region, not of the zone
  */
 struct leasematrix_options {
     uint64_t seed;
@@ -59,6 +65,7 @@
     uint32_t pairs;
     uint32_t threads;
     bool breaks;
+    bool anywhere;
 };
 
 struct leasematrix_result {
@@ -73,8 +80,9 @@
 struct leasematrix_result leasematrix_run(const struct leasematrix_options *o,
                                           FILE *out);
 
-/** leasematrix_cell() - repeats the cell "STEP:FAULT[,STEP:FAULT]" with what
- * was decided; false when the text is no cell.  @ok gets whether it passed. */
+/** leasematrix_cell() - repeats the cell "STEP:FAULT[,STEP:FAULT]", after
+ * "anywhere/" where callers come back anywhere, with what was decided; false
+ * when the text is no cell.  @ok gets whether it passed. */
 bool leasematrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok);
 
 #endif
--- a/tests/matrix_test.c
+++ b/tests/matrix_test.c
@@ -9,7 +9,7 @@
 #include "matrix.h"
 
 enum { SEED = 1, PAIRS = 300, THREADS = 4, LEAST_CELLS = 700 };
-enum { LEASE_SEEDS = 2, LEASE_PAIRS = 320 };
+enum { LEASE_SEEDS = 2, LEASE_PAIRS = 800 };
 
 /*
  * Messages are lost, doubled, late or out of order, connections go silent,
@@ -45,7 +45,8 @@
 test_every_fault_under_leases(void)
 {
     for (uint64_t seed = 1; seed <= LEASE_SEEDS; seed++) {
-        struct leasematrix_options o = {seed, 2, LEASE_PAIRS, THREADS, true};
+        struct leasematrix_options o = {seed,    2,    LEASE_PAIRS,
+                                        THREADS, true, false};
         struct leasematrix_result r = leasematrix_run(&o, stdout);
 
         printf("lease matrix: cells=%llu failed=%llu mutants=%u caught=%u\n",
@@ -53,6 +54,30 @@
                r.breaks, r.caught);
         CU_ASSERT_TRUE(r.cells >= LEASE_PAIRS);
         CU_ASSERT_EQUAL(r.failed, 0);
+        CU_ASSERT_EQUAL(r.breaks, BROKER_BREAKS_SAME_ZONE);
+        CU_ASSERT_EQUAL(r.caught, r.breaks);
+    }
+}
+
+/*
+ * The same with callers that come back at any broker of the region, machines
+ * that are lost without a reset, and stops that are lost for a while.  A user
+ * would notice a task that runs twice at one time, at two runners.
+ */
+static void
+test_every_fault_with_callers_anywhere(void)
+{
+    for (uint64_t seed = 1; seed <= LEASE_SEEDS; seed++) {
+        struct leasematrix_options o = {seed,    2,    LEASE_PAIRS,
+                                        THREADS, true, true};
+        struct leasematrix_result r = leasematrix_run(&o, stdout);
+
+        printf("lease matrix, callers anywhere: cells=%llu failed=%llu "
+               "mutants=%u caught=%u\n",
+               (unsigned long long)r.cells, (unsigned long long)r.failed,
+               r.breaks, r.caught);
+        CU_ASSERT_TRUE(r.cells >= LEASE_PAIRS);
+        CU_ASSERT_EQUAL(r.failed, 0);
         CU_ASSERT_EQUAL(r.breaks, BROKER_BREAKS);
         CU_ASSERT_EQUAL(r.caught, r.breaks);
     }
@@ -178,6 +203,8 @@
               test_every_fault_at_every_step);
     check_add("matrix", "every fault under leases",
               test_every_fault_under_leases);
+    check_add("matrix", "every fault with callers anywhere",
+              test_every_fault_with_callers_anywhere);
     check_add("matrix", "lease cells that failed",
               test_lease_cells_that_failed);
     check_add("matrix", "a bare key waits in a paused instance",
