End a broker's step among late jobs of one moment

What callers saw: a broker that uses a whole core and answers nothing any more.

Cause: two jobs in a queue are late and started, find no room, and must start by the same microsecond, as two that were handed in again at one time. serve_queued() takes the first out and inserts it behind the other, which place_all() comes to next and does the same with, for ever.

Test broker_load late_jobs_of_one_moment_end_the_step: ended by hand after 60 s before this change, passes with it.

A late job's place changes once, when it has started; one whose place is the same stays where it is. It has nothing to do with leases.

--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -634,9 +634,9 @@
     if (place_job(b, job)) {
         order_remove(job);
     }
-    else if (job->late && job->started) {
+    else if (job->late && job->started && job->ahead_us != job->start_by_us) {
         order_remove(job);
-        order_insert(job); /* its place has changed, see there */
+        order_insert(job); /* its place changes once, see there */
     }
     return true;
 }
--- a/tests/broker_load_test.c
+++ b/tests/broker_load_test.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "broker_state.h"
 #include "check.h"
 #include "vlease.h"
 
@@ -370,6 +371,54 @@
     vlease_free(v);
 }
 
+/* A job that can't be in time any more, has begun, and has a task left that
+ * finds no room. */
+static void
+queue_late_job(struct broker *b)
+{
+    struct handle h;
+    struct run_job *job = table_add(&b->run_jobs, &h);
+
+    job->self = h;
+    job->id = handle_number(h);
+    job->taker = b->opts.self;
+    job->service = runs_service(b, name_of("service"));
+    job->groups = calloc(1, sizeof(*job->groups));
+    job->tasks = calloc(1, sizeof(*job->tasks));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job->groups);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job->tasks);
+    job->groups[0].count = 1;
+    job->n_groups = 1;
+    job->tasks[0].state = RUN_READY;
+    job->n_tasks = 1;
+    job->n_left = 1;
+    job->n_ready = 1;
+    job->late = true;
+    job->started = true;
+    job->deadline_us = 10 * SEC;
+    order_insert(job);
+}
+
+/* Two late jobs that must start by the same moment and find no room: each put
+ * behind the other in turn, the step of a broker never ended. */
+static void
+late_jobs_of_one_moment_end_the_step(void)
+{
+    struct broker_options o = broker_options_default();
+    struct broker_event tick = {.kind = BEV_TICK, .now = {.mono_us = SEC}};
+    struct broker_effects fx = {0};
+    struct broker *b;
+
+    o.self = name_of("b0");
+    b = broker_new(&o);
+    queue_late_job(b);
+    queue_late_job(b);
+    broker_step(b, &tick, &fx);
+    CU_ASSERT_EQUAL(broker_gauges(b).tasks_queued, 2);
+    broker_effects_free(&fx);
+    broker_free(b);
+}
+
 void
 suite_broker_load(void)
 {
@@ -384,6 +433,7 @@
     TEST(filled_region_refuses_at_once);
     TEST(full_room_refuses_at_once);
     TEST(jobs_are_refused_where_nothing_answers);
+    TEST(late_jobs_of_one_moment_end_the_step);
     TEST(callers_wait_for_first_runner_after_start);
     TEST(callers_do_not_wait_for_runners_that_are_not_expected);
 #undef TEST
