Tell the taker of a job that it did not confirm

What callers saw: a job whose confirmations did not come in time, though the connection stayed, was dropped and nobody was told; its caller waited until its own deadline.

Cause: the drop of a job that was not confirmed took the way of a drop by its taker, which knows.

Now the job ends towards its taker, as lost, or as returned where nothing of it was started, and only when the taker had the time of a lease since its offer.

--- a/src/broker_renew.c
+++ b/src/broker_renew.c
@@ -216,6 +216,15 @@
     return leaves_time(b, limit_us);
 }
 
+/* Whether its taker had the time of a lease to confirm it, and did not. */
+static bool
+is_unconfirmed(const struct broker *b, const struct run_job *job)
+{
+    int64_t since_us = b->now.mono_us - b->job_lease_us;
+
+    return renew_job_us(b, job) <= since_us && job->taken_us <= since_us;
+}
+
 void
 renew_tick(struct broker *b)
 {
@@ -224,13 +233,11 @@
     uint32_t at = 0;
 
     while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
-        int64_t silent_us = b->now.mono_us - renew_job_us(b, job);
-
-        if (job->told || silent_us < ASK_US) {
+        if (job->told || b->now.mono_us - renew_job_us(b, job) < ASK_US) {
             continue;
         }
-        if (silent_us >= b->job_lease_us) {
-            runs_drop(b, job, BROKER_NOT_RENEWED);
+        if (is_unconfirmed(b, job)) {
+            runs_give_up(b, job, BROKER_NOT_RENEWED);
         }
         else {
             check(b, job->taker, RENEW_US);
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -160,7 +160,14 @@
 }
 
 void
-runs_drop(struct broker *b, struct run_job *job, enum broker_reason reason)
+runs_give_up(struct broker *b, struct run_job *job, enum broker_reason reason)
+{
+    end_job(b, job, job->started ? JOB_LOST_OUTCOME : JOB_RETURNED_OUTCOME,
+            reason, 0);
+}
+
+static void
+drop_job(struct broker *b, struct run_job *job, enum broker_reason reason)
 {
     if (job->told) {
         return;
@@ -325,6 +332,7 @@
          BROKER_HANDED_IN_AGAIN, 0);
     earlier->taker = from;
     earlier->number = o->number;
+    earlier->taken_us = b->now.mono_us;
     earlier->renewed_us = renew_heard(b, o->heard_us);
     earlier->deadline_us = b->now.mono_us + (int64_t)o->deadline_us;
     return true;
@@ -345,6 +353,7 @@
     job->priority = (uint32_t)o->priority;
     job->attempts = o->attempts > 0 ? (uint32_t)o->attempts : 1;
     job->arrived_us = b->now.mono_us - (int64_t)o->age_us;
+    job->taken_us = b->now.mono_us;
     job->renewed_us = renew_heard(b, o->heard_us);
     job->spec = blob_ref(o->spec);
     job->groups = calloc(o->n_groups + 1, sizeof(*job->groups));
@@ -416,7 +425,7 @@
     struct run_job *job = find_taken(b, from, number);
 
     if (job != NULL) {
-        runs_drop(b, job, BROKER_CALLER_LEFT);
+        drop_job(b, job, BROKER_CALLER_LEFT);
     }
 }
 
@@ -429,7 +438,7 @@
 
     while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
         if (name_equal(job->taker, taker)) {
-            runs_drop(b, job, BROKER_TAKER_LOST);
+            drop_job(b, job, BROKER_TAKER_LOST);
         }
     }
 }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -176,6 +176,7 @@
  * @n_placed: tasks that are, or may be, at an upstream
  * @told: its taker knows the outcome; what is left only has to be settled
  * @told_us: since when
+ * @taken_us: when its taker offered it
  * @renewed_us: when its taker was last known to wait for it; of a job that is
  *              told: when that ended
  * @started: a start was sent
@@ -210,6 +211,7 @@
     uint32_t n_placed;
     bool told;
     int64_t told_us;
+    int64_t taken_us;
     int64_t renewed_us;
     bool started;
     bool queued;
@@ -516,9 +518,9 @@
 void runs_tick(struct broker *b);
 int64_t runs_next_us(const struct broker *b);
 
-/** runs_drop() - nobody waits for the job any more */
-void runs_drop(struct broker *b, struct run_job *job,
-               enum broker_reason reason);
+/** runs_give_up() - its taker may still wait, and is told */
+void runs_give_up(struct broker *b, struct run_job *job,
+                  enum broker_reason reason);
 
 /** runs_paused() - what ran here is over, and its outcome not known */
 void runs_paused(struct broker *b);
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -238,6 +238,10 @@
  * was told nothing */
 enum job_outcome vlease_outcome(const struct vlease *v, uint64_t job);
 
+/** vlease_unclear() - whether its caller does not know what became of it, and
+ * will hand it in again */
+bool vlease_unclear(const struct vlease *v, uint64_t job);
+
 struct vlease_figures vlease_figures(const struct vlease *v, uint32_t queue);
 struct vlease_faults vlease_faults(const struct vlease *v);
 
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -359,6 +359,14 @@
     return v->jobs[job - 1].outcome;
 }
 
+bool
+vlease_unclear(const struct vlease *v, uint64_t job)
+{
+    const struct vjob *j = &v->jobs[job - 1];
+
+    return j->request == 0 && !j->answered && !j->left;
+}
+
 static void
 count(struct vlease_figures *f, const struct vjob *job)
 {
--- a/tests/lives_test.c
+++ b/tests/lives_test.c
@@ -354,6 +354,36 @@
     }
 }
 
+static enum vlease_fate
+lose_renewals(void *ctx, struct vlease *v, const struct vlease_hop *hop)
+{
+    (void)ctx;
+    (void)v;
+    return strcmp(hop->label, "job_renewal") == 0 ? VLEASE_LOSE : VLEASE_PASS;
+}
+
+/* A taker is too slow to confirm its jobs while its connections stay: its
+ * callers must hear at once that the outcome is not known. */
+static void
+unconfirmed_jobs_are_answered(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = long_jobs(seed);
+        struct vlease *v = ready_region(&o);
+        int64_t again_us = READY_US + 2 * SEC;
+        uint64_t job = vlease_submit(v, TAKER, 0);
+
+        vlease_set_hook(v, lose_renewals, NULL);
+        vlease_run(v, again_us);
+        CU_ASSERT_EQUAL(vlease_running(v), 0);
+        CU_ASSERT_TRUE(vlease_unclear(v, job));
+        vlease_set_hook(v, NULL, NULL);
+        vlease_resubmit(v, job, OTHER_ZONE);
+        assert_job_ends(v, job, again_us, __func__, seed);
+        vlease_free(v);
+    }
+}
+
 /* Faults drawn by seed; each ends by itself. */
 
 enum { DRAWN_SEEDS = 30, BROKERS = 6, ZONES = 3, BROKEN_MAX = 2 };
@@ -583,6 +613,7 @@
     TEST(clock_of_an_idle_upstream_is_not_taken_too_far_ahead);
     TEST(job_starts_after_its_taker_fell_silent);
     TEST(runner_wakes_after_its_taker_died);
+    TEST(unconfirmed_jobs_are_answered);
     TEST(drawn_faults_with_callers_anywhere);
 #undef TEST
 }
