Count callers as waiting only since the last look for those who left

What callers saw: a broker stood still for 0.15 to 0.75 s while its caller left; on waking it went on extending the leases of the job's runs before it found out, and stops that were lost left them another lease. Handed in again elsewhere 1.3 s after the caller had left, the job ran twice.

Cause: a job whose taker is its runner counted as waited for now, at any moment, and when it ended its lease counted from when that was noticed. A round of the loop takes mail and answers of upstreams first and callers that left last; with mail waiting it skipped them. A remote taker answered what it read after a standstill in the same way; that what it read first was old was luck.

The virtual region tells a broker that stood still of callers that left only 5 ms after it wakes.

A round begins with a look for callers that left, and events carry its time. Own callers count as waiting since then, and loads and checks are answered once it is later than their arrival.

Not noticed by any test: taking the leases of an earlier holder for over at once, and answering questions before that look; both stay as reasoned.

--- a/src/broker.c
+++ b/src/broker.c
@@ -329,6 +329,7 @@
             struct broker_effects *fx)
 {
     b->now = ev->now;
+    b->callers_us = ev->callers_us;
     b->fx = fx;
     if (b->started_us == 0) {
         b->started_us = b->now.mono_us;
@@ -364,6 +365,7 @@
     at = least(at, hold_next_us(b));
     at = least(at, runs_next_us(b));
     at = least(at, linger_next_us(b));
+    at = least(at, renew_next_us(b));
     at = b->review ? least(at, b->review_us) : at;
     if (b->stopping && !b->stopped_told) {
         at = least(at, b->stop_us + b->opts.stop_us);
--- a/src/broker_event.h
+++ b/src/broker_event.h
@@ -81,9 +81,17 @@
     BROKER_TASKS_MAX = 1024, /* of a job */
 };
 
+/**
+ * struct broker_event - what happens
+ * @kind: which of @u
+ * @now: when
+ * @callers_us: monotonic time; of all callers that left before it the broker
+ *              has been told
+ */
 struct broker_event {
     enum broker_event_kind kind;
     struct moment now;
+    int64_t callers_us;
     union {
         char none;
         struct bev_submit submit;
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -114,7 +114,7 @@
 {
     p->up = false;
     p->down_us = b->now.mono_us;
-    p->heard_us = 0;
+    renew_forget(p);
     forget_loads(p);
     config_registry_lost(b, p);
     broker_log(b, LOG_NOTICE, BROKER_PEER_DOWN, 0, -1, p->name, "%s",
--- a/src/broker_renew.c
+++ b/src/broker_renew.c
@@ -28,7 +28,8 @@
 #define ASK_US (2 * RENEW_US)
 /* Between two checks of one taker by jobs that could start now. */
 #define CHECK_US (20 * USEC_PER_MSEC)
-/* Kept of a caller's time: for its taker to notice that it has left. */
+/* Kept of a caller's time, for coarse clocks and for its connection to break
+ * at its taker's end. */
 #define NOTICE_US (50 * USEC_PER_MSEC)
 /* Work that could go on for less than this share of a lease does not start. */
 enum { START_SHARE = 2 };
@@ -94,10 +95,48 @@
     if (p == NULL || p->self) {
         return;
     }
+    p->sure_us = renew_sure_us(b, p);
     p->heard_us = sent_us;
-    if (check || renewal_due(b, from)) {
-        renew(b, from, sent_us);
+    p->heard_at_us = b->now.mono_us;
+    p->asks = p->asks || check || renewal_due(b, from);
+}
+
+uint64_t
+renew_sure_us(const struct broker *b, const struct broker_peer *p)
+{
+    return p->heard_at_us <= b->callers_us ? p->heard_us : p->sure_us;
+}
+
+void
+renew_forget(struct broker_peer *p)
+{
+    p->heard_us = 0;
+    p->sure_us = 0;
+    p->asks = false;
+}
+
+/* Only once callers that left before the question came are known: after a
+ * standstill, questions may be read before that. */
+static void
+answer_asks(struct broker *b)
+{
+    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->asks && p->heard_at_us <= b->callers_us) {
+            p->asks = false;
+            renew(b, p->name, p->heard_us);
+        }
+    }
+}
+
+int64_t
+renew_next_us(const struct broker *b)
+{
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        if (p->asks) {
+            return b->now.mono_us;
+        }
     }
+    return INT64_MAX;
 }
 
 /* The runner */
@@ -114,10 +153,10 @@
 {
     bool here = !job->told && name_equal(job->taker, b->opts.self);
 
-    if (here || b->opts.breaks[BROKER_BREAK_UNCONFIRMED]) {
+    if (b->opts.breaks[BROKER_BREAK_UNCONFIRMED]) {
         return b->now.mono_us;
     }
-    return job->renewed_us;
+    return here ? b->callers_us : job->renewed_us;
 }
 
 void
@@ -232,6 +271,7 @@
     struct handle h;
     uint32_t at = 0;
 
+    answer_asks(b);
     while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
         if (job->told || b->now.mono_us - renew_job_us(b, job) < ASK_US) {
             continue;
--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -50,6 +50,7 @@
     size_t n_early;
     size_t early_room;
     int epoll;
+    int64_t polled_us; /* callers that left before this were taken note of */
     pthread_t thread;
     bool running;
     bool healthy;
@@ -129,6 +130,7 @@
 step(struct broker_runtime *r, struct broker_event *ev)
 {
     ev->now = clock_now(r->opts.clock);
+    ev->callers_us = r->polled_us;
     broker_step(r->broker, ev, &r->effects);
     for (size_t i = 0; i < r->effects.n; i++) {
         carry_out(r, &r->effects.items[i]);
@@ -457,6 +459,17 @@
     run_server(r->metrics, metrics);
 }
 
+/* Before anything else of a round: after a standstill, what is decided for
+ * callers who left meanwhile would keep their jobs running. */
+static void
+poll_callers(struct broker_runtime *r)
+{
+    int64_t now_us = clock_now(r->opts.clock).mono_us;
+
+    httpapi_take_gone(r->callers);
+    r->polled_us = now_us;
+}
+
 static void
 run_round(struct broker_runtime *r)
 {
@@ -467,6 +480,7 @@
         n = epoll_wait(r->epoll, events, EVENTS_MAX, wait_ms(r));
     }
     mailbox_rouse(&r->inbox);
+    poll_callers(r);
     take_mail(r);
     release_early(r);
     run_ready(r, events, n > 0 ? n : 0);
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -47,6 +47,10 @@
  * @slow: of a registry: it was asked for a text and did not send it in time
  * @heard_us: its clock, as of its newest load or check on this connection; 0:
  *            none
+ * @heard_at_us: when that was read here
+ * @sure_us: newest of them that was read before callers who had left were
+ *           looked for last
+ * @asks: it waits for a renewal
  * @asked_us: when it was last sent a load or a check
  */
 struct broker_peer {
@@ -66,6 +70,9 @@
     uint64_t told_version;
     bool slow;
     uint64_t heard_us;
+    int64_t heard_at_us;
+    uint64_t sure_us;
+    bool asks;
     int64_t asked_us;
     int64_t down_us;
     struct broker_peer *next;
@@ -361,7 +368,8 @@
     struct broker_effects *fx;
     uint64_t random;
     int64_t started_us;
-    int64_t last_us; /* of the last step */
+    int64_t last_us;    /* of the last step */
+    int64_t callers_us; /* callers that left before this are known */
 
     struct queueconf *queues;
     struct blob *config_text;
@@ -542,10 +550,20 @@
 
 /** renew_asked() - a broker that may run jobs of callers here asks which of
  * them are still waited for; it reads its own clock as @sent_us.  A @check is
- * answered at once, loads only where it is time. */
+ * always answered, loads where it is time. */
 void renew_asked(struct broker *b, struct name from, uint64_t sent_us,
                  bool check);
 
+/** renew_sure_us() - the newest time of that broker's clock as of which all
+ * callers here that have left are known */
+uint64_t renew_sure_us(const struct broker *b, const struct broker_peer *p);
+
+/** renew_forget() - the connection to that broker is gone */
+void renew_forget(struct broker_peer *p);
+
+/** renew_next_us() - now where somebody waits for a renewal, else INT64_MAX */
+int64_t renew_next_us(const struct broker *b);
+
 /** renew_on_renewal() - a taker's answer */
 void renew_on_renewal(struct broker *b, struct name from,
                       const struct rec_job_renewal *r);
--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -325,17 +325,20 @@
     return HTTPAPI_FDS;
 }
 
-static void
-take_gone(struct httpapi *h)
+void
+httpapi_take_gone(struct httpapi *h)
 {
     struct epoll_event events[GONE_EVENTS];
-    int n = epoll_wait(h->gone, events, GONE_EVENTS, 0);
+    int n = GONE_EVENTS;
 
-    for (int i = 0; i < n; i++) {
-        struct httpapi_response nobody = {.status = 503, .close = true};
+    while (n == GONE_EVENTS) {
+        n = epoll_wait(h->gone, events, GONE_EVENTS, 0);
+        for (int i = 0; i < n; i++) {
+            struct httpapi_response nobody = {.status = 503, .close = true};
 
-        h->opts.gone(h->opts.ctx, events[i].data.u64);
-        httpapi_reply(h, events[i].data.u64, &nobody);
+            h->opts.gone(h->opts.ctx, events[i].data.u64);
+            httpapi_reply(h, events[i].data.u64, &nobody);
+        }
     }
 }
 
@@ -343,7 +346,7 @@
 httpapi_run(struct httpapi *h)
 {
     h->resumed = false;
-    take_gone(h);
+    httpapi_take_gone(h);
     httpserver_run(&h->server);
 }
 
--- a/src/httpapi.h
+++ b/src/httpapi.h
@@ -108,7 +108,10 @@
 /** httpapi_fds() - readable when httpapi_run() has work; returns how many */
 int httpapi_fds(const struct httpapi *h, int fds[HTTPAPI_FDS]);
 
-/** httpapi_run() - calls the handlers */
+/** httpapi_take_gone() - tells of all clients that have left by now */
+void httpapi_take_gone(struct httpapi *h);
+
+/** httpapi_run() - the same, then calls the handlers */
 void httpapi_run(struct httpapi *h);
 
 /** httpapi_next_ms() - it has work after that time; -1 for none */
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -318,6 +318,8 @@
     struct broker_effects fx = {0};
 
     ev->now = vlease_moment(v, p);
+    ev->callers_us =
+        v->now_us <= p->unpolled_until_us ? p->polled_us : v->now_us;
     broker_step(p->broker, ev, &fx);
     for (size_t i = 0; i < fx.n; i++) {
         carry_out(v, p, &fx.items[i]);
@@ -471,7 +473,8 @@
 receiver_of(struct vlease *v, const struct vevent *e)
 {
     bool to_process = e->kind == VEV_MESSAGE || e->kind == VEV_PEER ||
-                      e->kind == VEV_TICK || e->kind == VEV_ANSWER;
+                      e->kind == VEV_TICK || e->kind == VEV_ANSWER ||
+                      e->kind == VEV_LEFT;
 
     return to_process ? &v->processes[e->to] : NULL;
 }
@@ -552,6 +555,9 @@
     case VEV_LEAVE:
         vcall_on_leave(v, e);
         break;
+    case VEV_LEFT:
+        vcall_on_left(v, e);
+        break;
     default:
         vcall_on_resend(v, e);
         break;
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -31,6 +31,7 @@
     VEV_WAKE,     /* a paused broker goes on */
     VEV_GONE,     /* a leaving upstream ends */
     VEV_LEAVE,    /* a caller leaves */
+    VEV_LEFT,     /* a broker that stood still finds that it did */
 };
 
 /** struct vevent - something that happens at @at_us; owns @msg and @request */
@@ -62,6 +63,9 @@
     bool cut_upstreams;
     bool stopped;
     int64_t paused_until_us;
+    int64_t polled_us; /* callers that left before this are known, as long as
+                        * it is unpolled */
+    int64_t unpolled_until_us;
     int64_t wall_off_us;
     struct broker *broker;
     struct registry *registry;
@@ -226,6 +230,7 @@
 /* vleasecall.c */
 void vcall_on_arrive(struct vlease *v, const struct vevent *e);
 void vcall_on_leave(struct vlease *v, const struct vevent *e);
+void vcall_on_left(struct vlease *v, const struct vevent *e);
 void vcall_on_resend(struct vlease *v, const struct vevent *e);
 void vcall_on_answer(struct vlease *v, struct vprocess *p,
                      const struct be_answer *a);
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -178,19 +178,42 @@
     hand_in(v, number);
 }
 
+static void
+tell_gone(struct vlease *v, struct vprocess *p, uint64_t number)
+{
+    struct broker_event ev = {.kind = BEV_GONE};
+
+    ev.u.gone.request = number;
+    if (!p->down) {
+        vlease_step(v, p, &ev);
+    }
+}
+
 void
 vlease_leave(struct vlease *v, uint64_t number)
 {
     struct vjob *job = vcall_job(v, number);
     struct vprocess *p = &v->processes[job->broker];
-    struct broker_event ev = {.kind = BEV_GONE};
+    int64_t noticed_us =
+        v->now_us > p->unpolled_until_us ? v->now_us : p->unpolled_until_us;
+    struct vevent *e;
 
     job->left = true;
     job->request = 0;
-    ev.u.gone.request = number;
-    if (!p->down) {
-        vlease_step(v, p, &ev);
+    if (v->now_us == noticed_us) {
+        tell_gone(v, p, number);
+        return;
     }
+    e = vlease_at(v, noticed_us, VEV_LEFT);
+    e->to = p->number;
+    e->life = p->life;
+    e->number = number;
+}
+
+void
+vcall_on_left(struct vlease *v, const struct vevent *e)
+{
+    tell_gone(v, &v->processes[e->to], e->number);
 }
 
 static void
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -9,6 +9,8 @@
 /* A silent connection is noticed after three heartbeats. */
 #define SILENCE_US (750 * USEC_PER_MSEC)
 #define CONNECT_US (50 * USEC_PER_MSEC)
+/* A broker that wakes takes other things first. */
+#define POLL_LATE_US (5 * USEC_PER_MSEC)
 
 /* A process learns that another is there, or is gone. */
 static void
@@ -69,6 +71,7 @@
     p->stopped = false;
     p->tick_us = 0;
     p->paused_until_us = 0;
+    p->unpolled_until_us = 0;
     o.self = p->name;
     o.zone = p->zone;
     o.address = address_of(p->name.s);
@@ -186,7 +189,11 @@
 {
     struct vprocess *p = &v->processes[broker];
 
+    if (v->now_us >= p->unpolled_until_us) {
+        p->polled_us = v->now_us;
+    }
     p->paused_until_us = v->now_us + us;
+    p->unpolled_until_us = p->paused_until_us + POLL_LATE_US;
     if (us <= SILENCE_US) {
         return;
     }
