Hand over no request whose client has left

What callers saw: a broker stood still, or was behind; a client gave up, closed its connection and handed the job in again elsewhere. The broker then read the first request and started the job beside the second life.

Cause: a request that is whole in the socket is read and handed over even if its connection is closed already; that the client left is found out in the next round, when the starts are sent. No lease helps: the life begins that late.

Evidence: test httpd request_of_a_client_that_left_is_not_handed_over: handled before, not now. A reset connection was not handed over before either.

The connection is asked once more before its request is handed over, one poll a request. Clients that close only their sending side count as gone, as they did while they wait.

--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -1,6 +1,7 @@
 #include "httpapi.h"
 
 #include <errno.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -169,6 +170,21 @@
     }
 }
 
+/* A request may be read long after its client gave it up. */
+static bool
+client_left(const struct httpapi *h, const struct request *r)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct pollfd fd = {.events = POLLRDHUP};
+
+    if (h->gone < 0 || info == NULL) {
+        return false;
+    }
+    fd.fd = info->connect_fd;
+    return poll(&fd, 1, 0) > 0;
+}
+
 static enum MHD_Result
 hand_over(struct httpapi *h, struct request *r, const char *method)
 {
@@ -211,7 +227,7 @@
     if (*upload_data_size > 0) {
         return take_body(h, r, upload_data, upload_data_size);
     }
-    return hand_over(h, r, method);
+    return client_left(h, r) ? MHD_NO : hand_over(h, r, method);
 }
 
 static void
@@ -317,6 +333,12 @@
     return h;
 }
 
+uint16_t
+httpapi_port(const struct httpapi *h)
+{
+    return httpserver_port(&h->server);
+}
+
 int
 httpapi_fds(const struct httpapi *h, int fds[HTTPAPI_FDS])
 {
--- a/src/httpapi.h
+++ b/src/httpapi.h
@@ -101,6 +101,9 @@
 /** httpapi_busy() - requests in progress */
 unsigned int httpapi_busy(const struct httpapi *h);
 
+/** httpapi_port() - that it listens on */
+uint16_t httpapi_port(const struct httpapi *h);
+
 /* With @external. */
 
 enum { HTTPAPI_FDS = 2 };
@@ -111,7 +114,8 @@
 /** httpapi_take_gone() - tells of all clients that have left by now */
 void httpapi_take_gone(struct httpapi *h);
 
-/** httpapi_run() - the same, then calls the handlers */
+/** httpapi_run() - the same, then calls the handlers; a request whose client
+ * has left before it was read is not handed over */
 void httpapi_run(struct httpapi *h);
 
 /** httpapi_next_ms() - it has work after that time; -1 for none */
--- a/tests/httpd_test.c
+++ b/tests/httpd_test.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "check.h"
+#include "httpapi.h"
 #include "mailbox.h"
 #include "net.h"
 
@@ -303,6 +304,78 @@
     server_stop(&s);
 }
 
+/* A server that the test runs, as a broker's loop does. */
+struct external {
+    struct httpapi *api;
+    unsigned int handled;
+};
+
+static void
+on_external(void *ctx, const struct httpapi_request *request)
+{
+    struct external *e = ctx;
+    struct httpapi_response response = {.status = 200};
+
+    e->handled++;
+    httpapi_reply(e->api, request->number, &response);
+}
+
+static void
+on_external_gone(void *ctx, uint64_t number)
+{
+    (void)ctx;
+    (void)number;
+}
+
+static bool
+is_handled(void *ctx)
+{
+    struct external *e = ctx;
+
+    httpapi_run(e->api);
+    return e->handled > 0;
+}
+
+static int
+send_request(const struct external *e)
+{
+    int fd = net_connect(httpapi_port(e->api));
+
+    CU_ASSERT_TRUE(net_send_text(fd, "POST /q/1 HTTP/1.1\r\nHost: a\r\n"
+                                     "Content-Length: 2\r\n\r\n{}"));
+    return fd;
+}
+
+/* A request that is read after its client gave it up would be carried out
+ * beside the one that the client sent since. */
+static void
+request_of_a_client_that_left_is_not_handed_over(void)
+{
+    struct external e = {0};
+    const struct httpapi_options o = {.listen = "127.0.0.1:0",
+                                      .connections = 8,
+                                      .idle_timeout_s = 15,
+                                      .body_max = BODY_MAX,
+                                      .external = true,
+                                      .handle = on_external,
+                                      .gone = on_external_gone,
+                                      .ctx = &e};
+    int fd;
+
+    e.api = httpapi_new(&o);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(e.api);
+    (void)close(send_request(&e));
+    for (int i = 0; i < 20; i++) {
+        httpapi_run(e.api);
+    }
+    CU_ASSERT_EQUAL(e.handled, 0);
+    fd = send_request(&e);
+    CU_ASSERT_TRUE(net_await(is_handled, &e));
+    CU_ASSERT_EQUAL(e.handled, 1);
+    (void)close(fd);
+    httpapi_free(e.api);
+}
+
 void
 suite_httpd(void)
 {
@@ -317,4 +390,6 @@
               httpd_refuses_when_inbox_is_full);
     check_add("httpd", "httpd_drains_without_cutting",
               httpd_drains_without_cutting);
+    check_add("httpd", "request_of_a_client_that_left_is_not_handed_over",
+              request_of_a_client_that_left_is_not_handed_over);
 }
