Close the soak's descriptors in the processes that it starts

What was seen: brokers that were started again during a soak had the sockets of the soak's callers, since libcurl doesn't mark them close-on-exec. A caller's connection that the soak closed stayed open for its broker, which didn't learn that the caller had left.

--- a/soak/procs.c
+++ b/soak/procs.c
@@ -3,6 +3,7 @@
 #include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,6 +25,8 @@
     }
     (void)dup2(out, STDOUT_FILENO);
     (void)dup2(out, STDERR_FILENO);
+    /* Else a connection that is closed here stays open there. */
+    (void)close_range(STDERR_FILENO + 1, UINT_MAX, 0);
     (void)setenv("BORAGEMOOR_NODE_FILE", p->settings, 1);
     (void)execv(p->program, argv);
     _exit(EXIT_NO_PROGRAM);
