Strike paths and takers together in the soak

What the soak could not see: two lives of a job at two runners. It had a single zone with 12 workers, and so a single runner for all jobs; a job that came again (1.3 s after a broken connection or any answer but 200 and 503, at the next broker) got the runner that had its first life. No task lasted longer than 0.9 s, so hardly one outlived these 1.3 s. Faults of workers' paths (cut-worker, mute-worker-connections) were drawn apart from those of brokers, one worker at a time; none was lossy or slow. A broker was never silent while its callers' connections broke.

A broker goes on after a pause of 1.1 s, offers a job, takes its runner for lost in the same step and answers that the outcome is unknown; the runner has the offer, is told nothing and runs it, while the second life runs elsewhere.

--- a/Makefile
+++ b/Makefile
@@ -162,12 +162,12 @@
 	@$(MAKE) all $(BUILD)/bm-platform-demo
 	@sh demo/failures $(BUILD)
 
-# Drawn faults on running programs: make soak SEED=n MINUTES=m
+# Drawn faults on running programs: make soak SEED=n MINUTES=m [PAIRS=1]
 SEED ?= 1
 MINUTES ?= 1
 soak: deps
 	@$(MAKE) all $(BUILD)/bm-soak
-	@$(BUILD)/bm-soak --build $(BUILD) --seed $(SEED) --minutes $(MINUTES)
+	@$(BUILD)/bm-soak --build $(BUILD) --seed $(SEED) --minutes $(MINUTES) $(if $(PAIRS),--pairs --workers 28)
 
 # Each wrong decision of a real process has to be found within ten minutes.
 soak-mutants: deps
--- a/demo/fakeworker.c
+++ b/demo/fakeworker.c
@@ -438,7 +438,7 @@
     w->now_us = now_us;
     beat = json_pack(
         "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s],s:I,s:I,s:I}",
-        "service", "demo", "address", w->opts.address, "zone", "zone-a",
+        "service", "demo", "address", w->opts.address, "zone", w->opts.zone,
         "version", "v1", "slots", SLOTS, "state",
         w->leaves ? "draining" : "ready", "cold-remaining-ms", 0, "capacity",
         "cpu", CPU_MILLI, "mem-mb", MEMORY_MB, "gpu", 0, "labels", "a",
--- a/demo/fakeworker.h
+++ b/demo/fakeworker.h
@@ -31,6 +31,7 @@
 /**
  * struct fakeworker_options - how to construct one
  * @id: its name
+ * @zone: it says that it is there
  * @listen: IP:PORT
  * @address: IP:PORT, as it tells others
  * @delays_in: one of so many starts gets no answer and is carried out later;
@@ -39,6 +40,7 @@
  */
 struct fakeworker_options {
     char id[48];
+    const char *zone;
     char listen[64];
     char address[64];
     unsigned int delays_in;
--- a/demo/region.c
+++ b/demo/region.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base.h"
 #include "clock.h"
 
 enum {
@@ -18,7 +19,8 @@
 #define GET_US (200 * USEC_PER_MSEC)
 #define RESEND_US (1300 * USEC_PER_MSEC)
 #define AGAIN_US (300 * USEC_PER_MSEC)
-#define CLIENT_MS 5000L
+#define TIMEOUT_MS 4000 /* that jobs ask for */
+#define CLIENT_MS 1000  /* callers wait so much longer */
 #define CALL_MS 1000L
 
 static const char text_head[] = "{\"version\":";
@@ -62,12 +64,23 @@
     return bytes;
 }
 
+static int
+timeout_of(const struct region *r, enum region_call_kind kind, size_t number)
+{
+    int ms = kind == REGION_JOB ? r->jobs[number].timeout_ms : 0;
+
+    return ms > 0 ? ms : TIMEOUT_MS;
+}
+
 static struct region_call *
 begin(struct region *r, enum region_call_kind kind, size_t number,
       const char *url, char *body)
 {
     struct region_call *c = calloc(1, sizeof(*c));
+    int timeout_ms = timeout_of(r, kind, number);
+    char timeout[32];
 
+    (void)snprintf(timeout, sizeof(timeout), "Timeout-Ms: %d", timeout_ms);
     c->kind = kind;
     c->number = number;
     c->body = body;
@@ -76,7 +89,7 @@
     c->headers = curl_slist_append(NULL, "Content-Type: application/json");
     if (kind == REGION_JOB || kind == REGION_PROBE) {
         c->headers = curl_slist_append(c->headers, "Host: demo.example");
-        c->headers = curl_slist_append(c->headers, "Timeout-Ms: 4000");
+        c->headers = curl_slist_append(c->headers, timeout);
     }
     curl_easy_setopt(c->easy, CURLOPT_URL, url);
     if (body != NULL) {
@@ -90,7 +103,8 @@
     curl_easy_setopt(c->easy, CURLOPT_MAXREDIRS, 2L);
     curl_easy_setopt(c->easy, CURLOPT_POSTREDIR, (long)CURL_REDIR_POST_ALL);
     curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS,
-                     kind == REGION_JOB ? CLIENT_MS : CALL_MS);
+                     kind == REGION_JOB ? (long)timeout_ms + CLIENT_MS
+                                        : CALL_MS);
     curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, take);
     curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c);
     (void)curl_multi_add_handle(r->multi, c->easy);
@@ -104,6 +118,15 @@
     return n > 0 ? list[i % n] : "";
 }
 
+const char *
+region_zone(const struct region *r, int i)
+{
+    static const char *const names[] = {"zone-a", "zone-b", "zone-c"};
+    int n = r->zones > 0 ? r->zones : 1;
+
+    return pick(names, sizeof(names) / sizeof(names[0]), (size_t)(i % n));
+}
+
 /* The operator */
 
 static size_t
@@ -265,11 +288,20 @@
 
 /* Clients */
 
+static size_t
+next_entry(const struct region *r, size_t i)
+{
+    size_t tries = (size_t)r->jobs[i].tries;
+    uint64_t draw = i * REGION_TRIES_MAX + tries;
+
+    return (r->anywhere ? random_next(&draw) : i + tries) % r->n_entries;
+}
+
 void
 region_hand_in(struct region *r, size_t i)
 {
     struct region_job *j = &r->jobs[i];
-    size_t entry = (i + (size_t)j->tries) % r->n_entries;
+    size_t entry = next_entry(r, i);
     char url[REGION_URL_ROOM];
     char body[256];
 
@@ -281,7 +313,8 @@
                    j->run_ms, j->tasks, j->declared_ms);
     j->due_us = 0;
     j->tries++;
-    begin(r, REGION_JOB, i, url, strdup(body))->entry = entry;
+    j->call = begin(r, REGION_JOB, i, url, strdup(body));
+    j->call->entry = entry;
 }
 
 static void
@@ -305,6 +338,7 @@
     if (r->watch.job_ended != NULL) {
         r->watch.job_ended(r->watch.ctx, c, result, status);
     }
+    j->call = NULL;
     j->status = result == CURLE_OK ? status : 0;
     if (j->status == REGION_OK) {
         json_t *body = json_loadb(c->answer, c->size, 0, NULL);
@@ -375,6 +409,39 @@
     }
 }
 
+static void
+finish(struct region *r, struct region_call *c, CURLcode result)
+{
+    if (!c->dropped) {
+        end_call(r, c, result);
+    }
+    (void)curl_multi_remove_handle(r->multi, c->easy);
+    curl_easy_cleanup(c->easy);
+    curl_slist_free_all(c->headers);
+    free(c->body);
+    free(c->answer);
+    free(c);
+}
+
+void
+region_drop_callers(struct region *r, size_t entry)
+{
+    for (int i = 0; i < r->n_jobs; i++) {
+        struct region_call *c = r->jobs[i].call;
+
+        if (c == NULL || c->entry != entry) {
+            continue;
+        }
+        if (r->unseen) {
+            end_call(r, c, CURLE_RECV_ERROR);
+            c->dropped = true;
+        }
+        else {
+            finish(r, c, CURLE_RECV_ERROR);
+        }
+    }
+}
+
 static void
 pump(struct region *r)
 {
@@ -384,18 +451,10 @@
 
     (void)curl_multi_perform(r->multi, &running);
     while ((msg = curl_multi_info_read(r->multi, &left)) != NULL) {
-        CURL *easy = msg->easy_handle;
-        CURLcode result = msg->data.result;
         struct region_call *c = NULL;
 
-        curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
-        end_call(r, c, result);
-        (void)curl_multi_remove_handle(r->multi, easy);
-        curl_easy_cleanup(easy);
-        curl_slist_free_all(c->headers);
-        free(c->body);
-        free(c->answer);
-        free(c);
+        curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, (char **)&c);
+        finish(r, c, msg->data.result);
     }
 }
 
@@ -431,7 +490,8 @@
     for (int i = 0; i < r->n_workers; i++) {
         struct fakeworker_options o = {.delays_in =
                                            i == r->delaying ? DELAYS_IN : 0,
-                                       .delay_us = DELAY_US};
+                                       .delay_us = DELAY_US,
+                                       .zone = region_zone(r, i)};
 
         (void)snprintf(o.id, sizeof(o.id), "i-%d", i);
         (void)snprintf(o.listen, sizeof(o.listen), "127.0.0.1:%d",
@@ -472,16 +532,11 @@
 
 /* Judging, by the workers' own records */
 
-/* An element of the array that is sorted. */
-struct run_ref {
-    const struct fakeworker_run *run;
-};
-
 static int
 compare_runs(const void *a, const void *b)
 {
-    const struct fakeworker_run *x = ((const struct run_ref *)a)->run;
-    const struct fakeworker_run *y = ((const struct run_ref *)b)->run;
+    const struct fakeworker_run *x = ((const struct region_run *)a)->run;
+    const struct fakeworker_run *y = ((const struct region_run *)b)->run;
     int tasks = strcmp(x->task, y->task);
 
     if (tasks != 0) {
@@ -491,10 +546,10 @@
 }
 
 /* All runs, by task and time. */
-static struct run_ref *
+static struct region_run *
 collect(const struct region *r, size_t *out_n)
 {
-    struct run_ref *out;
+    struct region_run *out;
     size_t total = 0;
     size_t n = 0;
 
@@ -512,7 +567,7 @@
 
         for (size_t j = 0; j < runs; j++) {
             if (of[j].whole_us > 0) { /* others were stopped unstarted */
-                out[n++].run = &of[j];
+                out[n++] = (struct region_run){.run = &of[j], .worker = i};
             }
         }
     }
@@ -522,7 +577,7 @@
 }
 
 static int
-count_overlaps(const struct run_ref *s, size_t n)
+count_overlaps(const struct region *r, const struct region_run *s, size_t n)
 {
     int overlaps = 0;
 
@@ -533,14 +588,34 @@
         if (strcmp(a->task, b->task) == 0 &&
             (a->ended_us == 0 || b->begun_us < a->ended_us)) {
             overlaps++;
+            if (r->watch.overlapped != NULL) {
+                r->watch.overlapped(r->watch.ctx, &s[i - 1], &s[i]);
+            }
         }
     }
     return overlaps;
 }
 
+static int
+count_elsewhere(const struct region *r, const struct region_run *s, size_t n)
+{
+    int elsewhere = 0;
+
+    for (size_t i = 1; i < n; i++) {
+        const char *before = region_zone(r, s[i - 1].worker);
+        const char *now = region_zone(r, s[i].worker);
+
+        if (strcmp(s[i - 1].run->task, s[i].run->task) == 0 &&
+            strcmp(before, now) != 0) {
+            elsewhere++;
+        }
+    }
+    return elsewhere;
+}
+
 /* Tasks of a job that ended well, each counted once; -1 where none started. */
 static int
-tasks_done(const struct run_ref *s, size_t n, size_t job)
+tasks_done(const struct region_run *s, size_t n, size_t job)
 {
     char prefix[24];
     const char *last = "";
@@ -566,6 +641,7 @@
 static void
 judge_job(const struct region_job *j, int done, struct region_verdict *v)
 {
+    v->again += j->tries > 1 ? 1 : 0;
     if (j->status == REGION_OK && strcmp(j->state, "completed") == 0) {
         v->completed++;
         v->false_answers += done != j->tasks ? 1 : 0;
@@ -586,9 +662,10 @@
 region_judge(const struct region *r)
 {
     struct region_verdict v = {0};
-    struct run_ref *s = collect(r, &v.runs);
+    struct region_run *s = collect(r, &v.runs);
 
-    v.ran_twice = count_overlaps(s, v.runs);
+    v.ran_twice = count_overlaps(r, s, v.runs);
+    v.elsewhere = count_elsewhere(r, s, v.runs);
     for (int i = 0; i < r->n_jobs; i++) {
         judge_job(&r->jobs[i], tasks_done(s, v.runs, (size_t)i), &v);
     }
--- a/demo/region.h
+++ b/demo/region.h
@@ -36,6 +36,7 @@
     enum region_call_kind kind;
     size_t number; /* of the worker, the job, or the version */
     size_t entry;  /* of a job or a probe */
+    bool dropped;  /* its client took it for broken */
     int64_t sent_us;
     CURL *easy;
     char *body;
@@ -49,6 +50,7 @@
  * @due_us: next try; 0: none is planned
  * @run_ms: of each task
  * @declared_ms: what the client says of it
+ * @timeout_ms: that it asks for; 0 for the usual one
  * @status: of the last answer; 0 for none
  */
 struct region_job {
@@ -57,11 +59,19 @@
     int tasks;
     int run_ms;
     int declared_ms;
+    int timeout_ms;
     long status;
     bool done;
+    struct region_call *call; /* NULL: none is on its way */
     char state[16];
 };
 
+/** struct region_run - a run, and the number of the worker it is at */
+struct region_run {
+    const struct fakeworker_run *run;
+    int worker;
+};
+
 /** struct region_watch - who is told what came of calls; NULL for nobody */
 struct region_watch {
     void (*acked)(void *ctx, int version);
@@ -69,6 +79,8 @@
                    long status);
     void (*job_ended)(void *ctx, const struct region_call *c, CURLcode result,
                       long status);
+    void (*overlapped)(void *ctx, const struct region_run *earlier,
+                       const struct region_run *later);
     void *ctx;
 };
 
@@ -76,6 +88,10 @@
  * struct region - all of it
  * @controls: addresses of members of control
  * @entries: addresses of brokers
+ * @zones: workers are in them by turns; 0 is taken for one
+ * @anywhere: a job's next try goes to any broker, not to the one after the
+ *            last
+ * @unseen: where callers are dropped, brokers don't see their connections end
  * @advertised: workers say that they listen so many ports higher, where
  *              something forwards to them
  * @delaying: number of a worker that carries orders out late; -1 for none
@@ -89,6 +105,9 @@
     const char *entries[REGION_ADDRESSES_MAX];
     size_t n_entries;
     int n_workers;
+    int zones;
+    bool anywhere;
+    bool unseen;
     int base_port;
     int advertised;
     int delaying;
@@ -114,13 +133,19 @@
     bool read_right;
 };
 
-/** struct region_verdict - what became of the jobs, and broken promises */
+/**
+ * struct region_verdict - what became of the jobs, and broken promises
+ * @again: jobs that were handed in more than once
+ * @elsewhere: runs in another zone than the task's run before
+ */
 struct region_verdict {
     int completed;
     int failed;
     int refused;
     int unknown;
+    int again;
     size_t runs;
+    int elsewhere;
     int ran_twice;
     int false_answers;
     int false_refusals;
@@ -154,9 +179,15 @@
 /** region_await_ready() - the first version is confirmed, workers are held */
 void region_await_ready(struct region *r);
 
-/** region_hand_in() - the job's next try, to the broker after the last one */
+/** region_hand_in() - the job's next try */
 void region_hand_in(struct region *r, size_t job);
 
+/** region_drop_callers() - the connections of all jobs at a broker break */
+void region_drop_callers(struct region *r, size_t entry);
+
+/** region_zone() - name of the zone of worker or broker @i, by turns */
+const char *region_zone(const struct region *r, int i);
+
 /** region_probe() - asks a broker for the queue that @version added */
 void region_probe(struct region *r, size_t entry, int version);
 
--- a/soak/bm_soak.c
+++ b/soak/bm_soak.c
@@ -22,6 +22,10 @@
 
 /* Of a job's tasks; the long ones outlive the loss of a broker. */
 static const int run_ms[] = {40, 80, 150, 300, 900};
+/* Where faults come in pairs, all jobs but one of so many outlive the time
+ * after which they are handed in again, and have one task. */
+static const int long_run_ms[] = {2000, 2700, 3400};
+enum { SHORT_IN = 3, LONG_TIMEOUT_MS = 6000 };
 
 #define MINUTE_US (60 * USEC_PER_SEC)
 #define PROGRESS_US (10 * USEC_PER_SEC)
@@ -89,6 +93,12 @@
         j->due_us = s->begin_us + i * USEC_PER_SEC / JOBS_PER_S;
         j->tasks = 1 + i % REGION_TASKS_MAX;
         j->run_ms = run_ms[(size_t)i % (sizeof(run_ms) / sizeof(run_ms[0]))];
+        if (s->pairs != 0 && i % SHORT_IN != 0) {
+            j->tasks = 1;
+            j->run_ms = long_run_ms[(size_t)(i / SHORT_IN) %
+                                    (sizeof(long_run_ms) / sizeof(int))];
+            j->timeout_ms = LONG_TIMEOUT_MS;
+        }
         j->declared_ms = j->run_ms + j->run_ms / 3;
     }
 }
@@ -104,7 +114,8 @@
     run_until(s, region_now_us() + CONTACT_US);
     s->begin_us = region_now_us();
     plan_jobs(s);
-    s->plan = soak_plan_draw((uint64_t)s->seed, s->length_us - LAST_US);
+    s->plan = soak_plan_draw((uint64_t)s->seed, s->length_us - LAST_US,
+                             s->pairs != 0);
     run_until(s, s->begin_us + s->length_us + GRACE_US);
     s->region.read_right = false; /* by a read after all is over */
     for (int i = 0; i < READS_MAX && !s->region.read_right; i++) {
@@ -137,10 +148,11 @@
     else {
         printf(
             "soak: seed=%ld faults=%zu jobs=%d complete=%d refused=%d "
-            "failed=%d unknown=%d runs=%zu versions=%d probes=%ld stalls=%d\n",
+            "failed=%d unknown=%d again=%d runs=%zu elsewhere=%d versions=%d "
+            "probes=%ld stalls=%d\n",
             s->seed, faults, s->region.n_jobs, v->completed, v->refused,
-            v->failed, v->unknown, v->runs, s->region.acked, s->probes,
-            s->stalls);
+            v->failed, v->unknown, v->again, v->runs, v->elsewhere,
+            s->region.acked, s->probes, s->stalls);
         for (int i = 0; i < SOAK_FAULTS; i++) {
             printf("soak: fault %-24s %d\n", soak_fault_text(i),
                    s->n_faults[i]);
@@ -208,14 +220,17 @@
 open_folder(struct soak *s)
 {
     char path[PROC_PATH + 16];
+    char events[PROC_PATH + 16];
 
     (void)snprintf(s->dir, sizeof(s->dir), "/tmp/bm-soak-XXXXXX");
     if (mkdtemp(s->dir) == NULL) {
         return false;
     }
     (void)snprintf(path, sizeof(path), "%s/findings.txt", s->dir);
+    (void)snprintf(events, sizeof(events), "%s/events.txt", s->dir);
     s->found = fopen(path, "we");
-    return s->found != NULL;
+    s->events = fopen(events, "we");
+    return s->found != NULL && s->events != NULL;
 }
 
 static int
@@ -228,6 +243,7 @@
     s->region.watch = (struct region_watch){.acked = soak_on_acked,
                                             .probed = soak_on_probed,
                                             .job_ended = soak_on_job_ended,
+                                            .overlapped = soak_on_overlapped,
                                             .ctx = s};
     if (!open_folder(s) || !soak_prepare(s)) {
         (void)fprintf(stderr, "bm-soak: the region can't be started\n");
@@ -239,6 +255,7 @@
     write_plan(s);
     end_all(s);
     (void)fclose(s->found);
+    (void)fclose(s->events);
     if (findings > 0) {
         printf("soak: kept in %s\n", s->dir);
         return EXIT_FOUND;
@@ -265,6 +282,10 @@
          0, "how many", "N"},
         {"no-times", 0, POPT_ARG_NONE, &s.no_times, 0,
          "judge no bounds on times, for a busy machine", NULL},
+        {"pairs", 0, POPT_ARG_NONE, &s.pairs, 0,
+         "two zones, long jobs, paths and takers struck together", NULL},
+        {"unseen", 0, POPT_ARG_NONE, &s.unseen, 0,
+         "brokers don't see that callers which are dropped have left", NULL},
         {"json", 0, POPT_ARG_NONE, &s.json, 0, "print the result as JSON",
          NULL},
         POPT_AUTOHELP POPT_TABLEEND};
@@ -274,6 +295,7 @@
 
     if (rc != -1 || s.build == NULL || s.minutes < 1 || s.n_brokers < 1 ||
         s.n_brokers > BROKERS_MAX || s.n_workers < 1 ||
+        (s.pairs != 0 && s.n_brokers < PAIR_ZONES) ||
         s.n_workers > REGION_WORKERS_MAX) {
         poptPrintUsage(ctx, stderr, 0);
         return EXIT_USAGE;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 
 #include "array.h"
-#include "base.h"
 
 /* Between faults of a series, and between series. */
 #define GAP_MIN_US (50 * USEC_PER_MSEC)
@@ -12,9 +11,27 @@
 #define CALM_MAX_US (13 * USEC_PER_SEC)
 #define LAST_MIN_US (300 * USEC_PER_MSEC)
 #define LAST_MAX_US (5 * USEC_PER_SEC)
+/* Pairs: how far apart, and how long paths are bad and takers away. */
+#define PAIR_GAP_MIN_US (1 * USEC_PER_SEC)
+#define PAIR_GAP_MAX_US (2500 * USEC_PER_MSEC)
+#define PATHS_MIN_US (800 * USEC_PER_MSEC)
+#define PATHS_MAX_US (2500 * USEC_PER_MSEC)
+#define TAKER_MIN_US (500 * USEC_PER_MSEC)
+#define TAKER_MAX_US (1300 * USEC_PER_MSEC)
 /* Only one disk may be lost at a time: the member has to learn first. */
 #define WIPE_GAP_US (15 * USEC_PER_SEC)
 enum { SERIES_MIN = 3, SERIES_MAX = 12, CALM_PUBLICATIONS = 3, WAYS = 3 };
+/* Makes the pairs' draws others than the series'. */
+#define PAIR_SEED UINT64_C(0x7061697273)
+
+/* Cuts of both are drawn most: a runner that learns of its taker's loss by
+ * silence and then can't stop what runs is the case with the longest life. */
+static const enum soak_fault_kind of_paths[] = {
+    SOAK_CUT_PATHS,  SOAK_CUT_PATHS,   SOAK_CUT_PATHS,
+    SOAK_SLOW_PATHS, SOAK_LOSSY_PATHS, SOAK_STALL_PATHS};
+static const enum soak_fault_kind of_takers[] = {
+    SOAK_CUT_TAKER,  SOAK_CUT_TAKER,   SOAK_CUT_TAKER,
+    SOAK_KILL_TAKER, SOAK_PAUSE_TAKER, SOAK_DROP_CALLERS};
 
 static const struct {
     const char *text;
@@ -127,8 +144,55 @@
     d->at_us = until_us;
 }
 
+static void
+add_pair(struct drawing *d, const enum soak_fault_kind *kinds_of, size_t n,
+         struct soak_fault f)
+{
+    struct soak_plan *p = d->plan;
+
+    f.kind = kinds_of[random_next(&d->random) % n];
+    p->faults = array_grow(p->faults, p->n, &d->room, sizeof(*p->faults));
+    p->faults[p->n++] = f;
+}
+
+static void
+draw_pairs(struct drawing *d, int64_t end_us)
+{
+    d->at_us = PAIR_US;
+    while (d->at_us < end_us) {
+        struct soak_fault f = {
+            .at_us = d->at_us,
+            .for_us = between(&d->random, PATHS_MIN_US, PATHS_MAX_US),
+            .draw = random_next(&d->random),
+            .way = (unsigned int)(random_next(&d->random) % WAYS)};
+
+        add_pair(d, of_paths, sizeof(of_paths) / sizeof(of_paths[0]), f);
+        f.at_us += between(&d->random, -PAIR_US, PAIR_US / 2);
+        f.for_us = between(&d->random, TAKER_MIN_US, TAKER_MAX_US);
+        add_pair(d, of_takers, sizeof(of_takers) / sizeof(of_takers[0]), f);
+        d->at_us += between(&d->random, PAIR_GAP_MIN_US, PAIR_GAP_MAX_US);
+    }
+}
+
+static int
+compare_times(const void *a, const void *b)
+{
+    int64_t x = ((const struct soak_fault *)a)->at_us;
+    int64_t y = ((const struct soak_fault *)b)->at_us;
+
+    return x < y ? -1 : x > y;
+}
+
+static void
+sort_by_time(struct soak_plan *p)
+{
+    if (p->n > 0) {
+        qsort(p->faults, p->n, sizeof(*p->faults), compare_times);
+    }
+}
+
 struct soak_plan
-soak_plan_draw(uint64_t seed, int64_t length_us)
+soak_plan_draw(uint64_t seed, int64_t length_us, bool pairs)
 {
     struct soak_plan plan = {0};
     struct drawing d = {
@@ -138,6 +202,11 @@
         draw_series(&d, length_us);
         draw_calm(&d, length_us);
     }
+    if (pairs) {
+        d.random = seed ^ PAIR_SEED;
+        draw_pairs(&d, length_us);
+        sort_by_time(&plan);
+    }
     return plan;
 }
 
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -11,7 +11,15 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* SOAK_FAULT(NAME, text, weight): drawn in proportion to their weights. */
+#include "base.h"
+
+/* Between the two faults of a pair. */
+#define PAIR_US (1 * USEC_PER_SEC)
+
+/* SOAK_FAULT(NAME, text, weight): drawn in proportion to their weights; those
+ * without one come in pairs alone, one of them with paths and one with a
+ * taker.
+ */
 /* clang-format off */
 #define SOAK_FAULT_LIST(SOAK_FAULT)                                           \
     SOAK_FAULT(KILL_BROKER, "kill-broker", 6)                                 \
@@ -35,7 +43,15 @@
     SOAK_FAULT(LEAVE, "worker-leaves", 4)                                     \
     SOAK_FAULT(SETTINGS, "settings-changed", 2)                               \
     SOAK_FAULT(PUBLISH, "publish", 14)                                        \
-    SOAK_FAULT(PUBLISH_LARGE, "publish-large", 3)
+    SOAK_FAULT(PUBLISH_LARGE, "publish-large", 3)                             \
+    SOAK_FAULT(CUT_PATHS, "cut-paths", 0)                                     \
+    SOAK_FAULT(SLOW_PATHS, "slow-paths", 0)                                   \
+    SOAK_FAULT(LOSSY_PATHS, "lossy-paths", 0)                                 \
+    SOAK_FAULT(STALL_PATHS, "stall-half-of-connections", 0)                   \
+    SOAK_FAULT(KILL_TAKER, "kill-taker", 0)                                   \
+    SOAK_FAULT(PAUSE_TAKER, "pause-taker", 0)                                 \
+    SOAK_FAULT(DROP_CALLERS, "drop-callers", 0)                               \
+    SOAK_FAULT(CUT_TAKER, "cut-taker", 0)
 /* clang-format on */
 
 enum soak_fault_kind {
@@ -49,7 +65,8 @@
  * struct soak_fault - one fault
  * @at_us: from the begin of the plan
  * @for_us: it lasts so long; a process that is killed starts again after it
- * @draw: chooses the target among those there are
+ * @draw: chooses the target among those there are; the same for both faults
+ *        of a pair
  * @way: of a cut: 0 both ways, 1 towards the other end, 2 back
  */
 struct soak_fault {
@@ -65,8 +82,13 @@
     size_t n;
 };
 
-/** soak_plan_draw() - faults for @length_us; free it with soak_plan_free() */
-struct soak_plan soak_plan_draw(uint64_t seed, int64_t length_us);
+/**
+ * soak_plan_draw() - faults for @length_us; free it with soak_plan_free()
+ * @pairs: besides those that are drawn without it, pairs all the time: paths
+ *         to workers of a zone turn bad, and at most PAIR_US before or after
+ * it a broker of that zone that has callers' jobs is hit
+ */
+struct soak_plan soak_plan_draw(uint64_t seed, int64_t length_us, bool pairs);
 void soak_plan_free(struct soak_plan *p);
 
 const char *soak_fault_text(enum soak_fault_kind kind);
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -18,8 +18,12 @@
     BACKLOG = 128,
     FDS_MAX = 8192,
     BURST_US = 20 * 1000, /* of bandwidth that is saved up at most */
+    RESENDS_MAX = 4,
 };
 
+/* A first retransmission; each further one comes after twice the time. */
+#define RESEND_US (200 * USEC_PER_MSEC)
+
 struct link {
     int owner;
     int target;
@@ -29,6 +33,9 @@
     unsigned int way;
     int64_t delay_until_us;
     int64_t delay_us;
+    int64_t bad_until_us;
+    enum proxy_bad bad;
+    int64_t late_us;
     SLIST_ENTRY(link) next;
 };
 
@@ -38,6 +45,7 @@
     size_t size;
     size_t sent;
     int64_t read_us; /* nothing is read before */
+    bool held;       /* what is there was held back by a bad path */
     bool ended;
 };
 
@@ -47,6 +55,7 @@
     int server;
     bool mute;
     bool dead;
+    bool stalls; /* where half of the connections do */
     struct flow forth;
     struct flow back;
 };
@@ -55,6 +64,7 @@
     int64_t bytes_per_s;
     int64_t budget[PROXY_OWNERS_MAX];
     int64_t now_us;
+    uint64_t random;
     SLIST_HEAD(, link) links;
     struct pair **pairs;
     size_t n_pairs;
@@ -163,6 +173,22 @@
     }
 }
 
+void
+proxy_spoil(struct proxy *p, int who, int64_t until_us, enum proxy_bad how,
+            int64_t late_us)
+{
+    struct link *l;
+
+    SLIST_FOREACH(l, &p->links, next)
+    {
+        if (meant(l, who)) {
+            l->bad_until_us = until_us;
+            l->bad = how;
+            l->late_us = late_us;
+        }
+    }
+}
+
 void
 proxy_mute(struct proxy *p, int who)
 {
@@ -210,6 +236,7 @@
     c = calloc(1, sizeof(*c));
     c->link = l;
     c->client = client;
+    c->stalls = random_next(&p->random) % 2 == 0;
     c->server = open_socket();
     if (connect(c->server, (struct sockaddr *)&l->to.sa, l->to.size) != 0 &&
         errno != EINPROGRESS) {
@@ -220,13 +247,20 @@
     p->pairs[p->n_pairs++] = c;
 }
 
+static bool
+is_bad(const struct proxy *p, const struct link *l, enum proxy_bad how)
+{
+    return p->now_us < l->bad_until_us && l->bad == how;
+}
+
 static bool
 is_cut(const struct proxy *p, const struct pair *c, unsigned int way)
 {
     const struct link *l = c->link;
 
-    return c->mute || (p->now_us < l->cut_until_us &&
-                       (l->way == PROXY_BOTH_WAYS || l->way == way));
+    return c->mute || (c->stalls && is_bad(p, l, PROXY_STALLED)) ||
+           (p->now_us < l->cut_until_us &&
+            (l->way == PROXY_BOTH_WAYS || l->way == way));
 }
 
 static bool
@@ -240,6 +274,35 @@
            !is_cut(p, c, way);
 }
 
+static int64_t
+resent_us(struct proxy *p)
+{
+    int64_t us = 0;
+
+    for (int i = 0; i < RESENDS_MAX; i++) {
+        if (random_next(&p->random) % 2 == 0) {
+            break;
+        }
+        us += RESEND_US << i;
+    }
+    return us;
+}
+
+/* Whether what can be read has to wait; the wait begins when it is seen. */
+static bool
+hold_back(struct proxy *p, const struct pair *c, struct flow *f)
+{
+    int64_t us = is_bad(p, c->link, PROXY_SLOW)    ? c->link->late_us
+                 : is_bad(p, c->link, PROXY_LOSSY) ? resent_us(p)
+                                                   : 0;
+
+    f->held = !f->held && us > 0;
+    if (f->held) {
+        f->read_us = p->now_us + us;
+    }
+    return f->held;
+}
+
 static void
 read_flow(struct proxy *p, struct pair *c, struct flow *f, int from,
           unsigned int way)
@@ -299,11 +362,12 @@
         return;
     }
     if ((client & (POLLIN | POLLHUP)) != 0 &&
-        may_read(p, c, &c->forth, PROXY_FORTH)) {
+        may_read(p, c, &c->forth, PROXY_FORTH) &&
+        !hold_back(p, c, &c->forth)) {
         read_flow(p, c, &c->forth, c->client, PROXY_FORTH);
     }
     if ((server & (POLLIN | POLLHUP)) != 0 &&
-        may_read(p, c, &c->back, PROXY_BACK)) {
+        may_read(p, c, &c->back, PROXY_BACK) && !hold_back(p, c, &c->back)) {
         read_flow(p, c, &c->back, c->server, PROXY_BACK);
     }
     write_flow(c, &c->forth, c->server);
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -19,6 +19,14 @@
     PROXY_BACK = 2,
 };
 
+/**
+ * enum proxy_bad - what a bad path does to what is sent on it
+ * @PROXY_SLOW: all of it comes late, by the same time
+ * @PROXY_LOSSY: half of it is lost and sent again, as TCP does
+ * @PROXY_STALLED: half of the connections, also new ones, carry nothing
+ */
+enum proxy_bad { PROXY_GOOD, PROXY_SLOW, PROXY_LOSSY, PROXY_STALLED };
+
 struct proxy;
 
 /** proxy_new() - @bytes_per_s back to each owner; 0: no bound */
@@ -40,6 +48,12 @@
 void proxy_delay(struct proxy *p, int owner_or_target, int64_t until_us,
                  int64_t delay_us);
 
+/** proxy_spoil() - paths are bad until then; what is sent meanwhile comes late
+ * @late_us: of a slow path
+ */
+void proxy_spoil(struct proxy *p, int owner_or_target, int64_t until_us,
+                 enum proxy_bad how, int64_t late_us);
+
 /** proxy_mute() - open connections carry nothing any more; new ones work */
 void proxy_mute(struct proxy *p, int owner_or_target);
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -23,6 +23,7 @@
     ADDRESS_ROOM = 64,
     DIR_ROOM = 64,
     JOBS_PER_S = 14,
+    PAIR_ZONES = 2, /* where faults come in pairs */
 };
 
 /* The bounds that the platform's settings name. */
@@ -64,6 +65,8 @@
 /**
  * struct soak - all of it
  * @no_times: bounds on times are not judged
+ * @pairs: two zones, some long jobs, and faults that strike paths and takers
+ * @unseen: brokers don't see that callers which are dropped have left
  * @base: first of its ports
  * @lock: a socket that keeps other soaks off these ports
  * @calm_from_us: of each process, when the last fault there is over
@@ -85,6 +88,8 @@
     int n_brokers;
     int n_workers;
     int no_times;
+    int pairs;
+    int unseen;
     int json;
 
     char dir[DIR_ROOM];
@@ -116,6 +121,7 @@
     int n_faults[SOAK_FAULTS];
     int n_findings[FINDINGS];
     FILE *found;
+    FILE *events; /* whom faults hit, and calls that did not end well */
     long probes;
     int64_t round_us;
     int64_t stalled_us;
@@ -129,6 +135,10 @@
 void soak_found(struct soak *s, enum finding what, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
+/** soak_note() - an event, for whoever reads a finding */
+void soak_note(struct soak *s, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
 /* soak_setup.c */
 
 /** soak_prepare() - settings, links and workers; false where an address is
@@ -164,6 +174,10 @@
 void soak_on_job_ended(void *ctx, const struct region_call *c, CURLcode result,
                        long status);
 
+/** soak_on_overlapped() - notes which runs overlap */
+void soak_on_overlapped(void *ctx, const struct region_run *earlier,
+                        const struct region_run *later);
+
 /** soak_probe_due() - asks the next broker for the newest version due */
 void soak_probe_due(struct soak *s, int64_t now_us);
 void soak_check_resources(struct soak *s, int64_t now_us);
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -55,6 +55,19 @@
     va_end(args);
 }
 
+void
+soak_note(struct soak *s, const char *format, ...)
+{
+    va_list args;
+
+    va_start(args, format);
+    (void)fprintf(s->events, "%.3f s ",
+                  (double)(region_now_us() - s->begin_us) / USEC_PER_SEC);
+    (void)vfprintf(s->events, format, args);
+    (void)fputc('\n', s->events);
+    va_end(args);
+}
+
 /* Whether a process was in touch for the whole contact time before @at_us. */
 static bool
 in_touch(const struct soak *s, int proc, int64_t at_us)
@@ -148,7 +161,13 @@
     const struct proc *p = &s->procs[MEMBERS + c->entry];
     int64_t now_us = region_now_us();
 
-    (void)status;
+    if (result != CURLE_OK || status != REGION_OK ||
+        s->region.jobs[c->number].tries > 1) {
+        soak_note(s, "job %016zx try %d at broker-%zu, sent %.3f s: %ld, %s",
+                  c->number + 1, s->region.jobs[c->number].tries, c->entry + 1,
+                  (double)(c->sent_us - s->begin_us) / USEC_PER_SEC, status,
+                  curl_easy_strerror(result));
+    }
     if (result == CURLE_OK || result == CURLE_OPERATION_TIMEDOUT ||
         result == CURLE_COULDNT_CONNECT || p->stop_us == 0 ||
         now_us - c->sent_us <= SLACK_US ||
@@ -265,6 +284,26 @@
     }
 }
 
+static void
+note_run(struct soak *s, const char *which, const struct region_run *r)
+{
+    soak_note(s, "%s run %llu of %s at i-%d: from %.3f s to %.3f s, %s", which,
+              (unsigned long long)r->run->run, r->run->task, r->worker,
+              (double)(r->run->begun_us - s->begin_us) / USEC_PER_SEC,
+              (double)(r->run->ended_us - s->begin_us) / USEC_PER_SEC,
+              r->run->how);
+}
+
+void
+soak_on_overlapped(void *ctx, const struct region_run *earlier,
+                   const struct region_run *later)
+{
+    struct soak *s = ctx;
+
+    note_run(s, "overlap: earlier", earlier);
+    note_run(s, "overlap: later", later);
+}
+
 struct region_verdict
 soak_judge(struct soak *s)
 {
--- a/soak/soak_inject.c
+++ b/soak/soak_inject.c
@@ -14,6 +14,12 @@
 /* A worker drains at least so long. */
 #define LEAVE_US (4 * USEC_PER_SEC)
 #define DELAY_US (80 * USEC_PER_MSEC)
+/* Of a path that turns slow. */
+#define LATE_MIN_US (100 * USEC_PER_MSEC)
+#define LATE_MAX_US (900 * USEC_PER_MSEC)
+
+/* Bits of the draw of a pair, of which the first chooses the zone. */
+enum { PAIR_ALL = 1, PAIR_WORKERS = 2, PAIR_LATE = 34, PAIR_TAKER = 44 };
 
 /* Disturbance */
 
@@ -151,6 +157,92 @@
     }
 }
 
+/* Pairs */
+
+static int
+pair_zone(const struct soak_fault *f)
+{
+    return (int)(f->draw % PAIR_ZONES);
+}
+
+static bool
+bit(uint64_t draw, int i)
+{
+    return (draw >> i & 1) != 0;
+}
+
+static void
+spoil_path(struct soak *s, const struct soak_fault *f, int worker,
+           int64_t until_us)
+{
+    int owner = WORKER_LINKS + worker;
+    int64_t late_us = LATE_MIN_US + (int64_t)((f->draw >> PAIR_LATE) %
+                                              (LATE_MAX_US - LATE_MIN_US));
+
+    switch (f->kind) {
+    case SOAK_SLOW_PATHS:
+        proxy_spoil(s->proxy, owner, until_us, PROXY_SLOW, late_us);
+        break;
+    case SOAK_LOSSY_PATHS:
+        proxy_spoil(s->proxy, owner, until_us, PROXY_LOSSY, 0);
+        break;
+    case SOAK_STALL_PATHS:
+        proxy_spoil(s->proxy, owner, until_us, PROXY_STALLED, 0);
+        break;
+    default:
+        proxy_cut(s->proxy, owner, until_us, f->way);
+        break;
+    }
+}
+
+/* All workers of the zone, or some. */
+static void
+inject_into_paths(struct soak *s, const struct soak_fault *f, int64_t until_us)
+{
+    disturb_workers(s, until_us);
+    for (int i = pair_zone(f); i < s->n_workers; i += PAIR_ZONES) {
+        if (bit(f->draw, PAIR_ALL) || bit(f->draw, PAIR_WORKERS + i)) {
+            spoil_path(s, f, i, until_us);
+            soak_note(s, "%s i-%d, way %u", soak_fault_text(f->kind), i,
+                      f->way);
+        }
+    }
+}
+
+/* Any broker of the zone. */
+static int
+pair_taker(const struct soak *s, const struct soak_fault *f)
+{
+    int zone = pair_zone(f);
+    int n = (s->n_brokers - zone + PAIR_ZONES - 1) / PAIR_ZONES;
+
+    return zone + PAIR_ZONES * (int)((f->draw >> PAIR_TAKER) % (uint64_t)n);
+}
+
+static void
+inject_into_taker(struct soak *s, const struct soak_fault *f, int64_t now_us,
+                  int64_t until_us)
+{
+    int broker = pair_taker(s, f);
+    struct proc *p = &s->procs[MEMBERS + broker];
+
+    soak_note(s, "%s broker-%d", soak_fault_text(f->kind), broker + 1);
+    if (f->kind == SOAK_KILL_TAKER) {
+        soak_kill(s, MEMBERS + broker, until_us);
+        return;
+    }
+    if (f->kind == SOAK_DROP_CALLERS) {
+        soak_disturb(s, MEMBERS + broker, now_us);
+    }
+    else {
+        soak_disturb(s, MEMBERS + broker, until_us);
+        proc_pause(p, until_us);
+    }
+    if (f->kind != SOAK_PAUSE_TAKER) {
+        region_drop_callers(&s->region, (size_t)broker);
+    }
+}
+
 static void
 inject(struct soak *s, const struct soak_fault *f, int64_t now_us)
 {
@@ -210,6 +302,18 @@
     case SOAK_RESET_PROCESS:
         inject_into_links(s, f, proc, now_us, until_us);
         break;
+    case SOAK_CUT_PATHS:
+    case SOAK_SLOW_PATHS:
+    case SOAK_LOSSY_PATHS:
+    case SOAK_STALL_PATHS:
+        inject_into_paths(s, f, until_us);
+        break;
+    case SOAK_KILL_TAKER:
+    case SOAK_PAUSE_TAKER:
+    case SOAK_DROP_CALLERS:
+    case SOAK_CUT_TAKER:
+        inject_into_taker(s, f, now_us, until_us);
+        break;
     default:
         inject_into_workers(s, f, (int)(f->draw % (uint64_t)s->n_workers),
                             until_us);
--- a/soak/soak_setup.c
+++ b/soak/soak_setup.c
@@ -105,10 +105,12 @@
                    i < MEMBERS ? i + 1 : i - MEMBERS + 1);
     settings = json_pack(
         "{s:s,s:s,s:s,s:s,s:o,s:[i,i],s:o,s:b,s:{s:i,s:i}}", "node-name", name,
-        "ip", ip, "zone", "zone-a", "region", "r", "bind-addresses",
-        listen_addresses(s, i, ip), "port-range", port, port + PORTS_EACH - 1,
-        "seeds", seeds(s, turn), "bootstrap", (int)first, "bounds",
-        "max-hold-ms", LEASE_MS, "grace-s", (int)(GRACE_US / USEC_PER_SEC));
+        "ip", ip, "zone",
+        region_zone(&s->region, i < MEMBERS ? i : i - MEMBERS), "region", "r",
+        "bind-addresses", listen_addresses(s, i, ip), "port-range", port,
+        port + PORTS_EACH - 1, "seeds", seeds(s, turn), "bootstrap",
+        (int)first, "bounds", "max-hold-ms", LEASE_MS, "grace-s",
+        (int)(GRACE_US / USEC_PER_SEC));
     (void)json_object_set_new(settings, "data-dir",
                               i < MEMBERS ? json_string(s->procs[i].data)
                                           : json_null());
@@ -199,6 +201,9 @@
     bool good = claim_ports(s);
 
     s->region.n_workers = s->n_workers;
+    s->region.zones = s->pairs != 0 ? PAIR_ZONES : 1;
+    s->region.anywhere = s->pairs != 0;
+    s->region.unseen = s->unseen != 0;
     s->region.base_port = s->base + PORTS_WORKERS;
     s->region.advertised = REGION_WORKERS_MAX;
     s->region.delaying = DELAYING % s->n_workers;
