Name what a taker and a runner keep of confirmations apart

renewed_us of a caller's job and of a job that is run meant different things. docs/CAPACITY.md has what confirmations cost at fifty brokers.

--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -230,7 +230,7 @@
     }
     note_sent(p, o);
     c->runner = p->name;
-    c->renewed_us = b->now.mono_us;
+    c->confirmed_us = b->now.mono_us;
     o->heard_us = renew_sure_us(b, p);
     o->age_us = (uint64_t)(b->now.mono_us - c->taken_us);
     o->deadline_us = (uint64_t)(c->deadline_us - b->now.mono_us);
--- a/src/broker_renew.c
+++ b/src/broker_renew.c
@@ -56,7 +56,7 @@
     uint32_t at = 0;
 
     while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
-        if (b->now.mono_us - c->renewed_us >= RENEW_US &&
+        if (b->now.mono_us - c->confirmed_us >= RENEW_US &&
             name_equal(c->runner, runner)) {
             return true;
         }
@@ -80,7 +80,7 @@
     }
     while ((c = table_next(&b->caller_jobs, &at, &h)) != NULL) {
         if (name_equal(c->runner, runner)) {
-            c->renewed_us = b->now.mono_us;
+            c->confirmed_us = b->now.mono_us;
             r->jobs[r->n_jobs++].id = c->offer.u.job_offer.id;
         }
     }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -105,7 +105,7 @@
  * struct caller_job - a job that a caller handed in here
  * @offer: JOB_OFFER; kept, to be offered to another runner
  * @runner: empty while there is none
- * @renewed_us: when the runner was last told that the caller waits
+ * @confirmed_us: when the runner was last told that the caller waits
  */
 struct caller_job {
     struct handle self;
@@ -114,7 +114,7 @@
     struct name runner;
     uint32_t moves;
     int64_t taken_us;
-    int64_t renewed_us;
+    int64_t confirmed_us;
     int64_t deadline_us;
     bool known_started;
 };
@@ -586,8 +586,8 @@
 bool renew_allows(struct broker *b, const struct run_job *job,
                   const struct broker_upstream *u);
 
-/** renew_ready() - whether any task of the job may start; else its taker is
- * asked */
+/** renew_ready() - whether any task of the job may start.  Its taker is asked
+ * where it was not heard lately, so that one may on any upstream. */
 bool renew_ready(struct broker *b, const struct run_job *job);
 
 /** renew_tick() - asks takers that were not heard lately, and drops jobs that
