Keep the demos' ports below those of outgoing connections

Cause: the demos draw their ports from 20,000 to 40,000 by the shell's process id; the kernel takes local ports of outgoing connections from 32,768 on. The demo's own brokers have called many workers and each other by the time its stand-ins listen, so that a third of the runs may find a port in use. Shown by hand: a connection with that local port, and listening there fails with "Address already in use".

Ports are drawn below 32,768 now.

--- a/demo/region.sh
+++ b/demo/region.sh
@@ -2,7 +2,8 @@
 # What the plays of the users' platform share: a folder, ports, settings and
 # the end of all that was started.  Sourced, with BIN set.
 DIR=$(mktemp -d)
-PORT=$((20000 + $$ % 20000))
+# Below the ports that the kernel gives to outgoing connections.
+PORT=$((20000 + $$ % 12000))
 PIDS=
 
 clean_up() {
