Count a member that asks to join as heard

Cause: a member was removed 3.5 s after its zone was cut off. When the cut healed it asked to join and was let in, and taken out again 36 to 55 ms later, as soon as the change was committed, every 0.88 s from 40.1 s on, until the power went at 45 s with four members, two of which lost their disks: no majority for good. What the leader had heard of it, or since when it led, was as old as before; whether the member's first answer came before the tick that looks for silent ones decided.

Test enroll member_that_comes_back_has_time_to_answer: the member hears nothing of the leader for a second after it was let in; taken out at once before, kept now.

The request to join counts as heard of it now, so that it has the same time as any member. Not changed: how soon silent members are removed.

--- a/src/enroll.c
+++ b/src/enroll.c
@@ -113,6 +113,18 @@
     control_send(c, to, &m, 0);
 }
 
+/* Its request is a sign of life: what was heard of it before it was removed is
+ * old enough to remove it again before it can answer. */
+static void
+note_heard(struct control *c, struct name name)
+{
+    struct progress *p = quorum_peer(c, name);
+
+    if (p != NULL) {
+        p->heard_us = c->now.mono_us;
+    }
+}
+
 void
 enroll_on_join(struct control *c, struct name from, const struct rec_join *j)
 {
@@ -122,6 +134,7 @@
     }
     if (quorum_member(c, from) == NULL) {
         propose(c, CHANGE_ADD, from, j, CONTROL_REASON_ENROLLED);
+        note_heard(c, from);
     }
 }
 
--- a/tests/enroll_test.c
+++ b/tests/enroll_test.c
@@ -7,6 +7,7 @@
 #include "cluster.h"
 
 #define SEC USEC_PER_SEC
+#define MSEC USEC_PER_MSEC
 
 /* All members start anew under the rules of enroll.c. */
 static struct cluster *
@@ -132,6 +133,43 @@
     cluster_free(cl);
 }
 
+static size_t
+count_members(const struct cluster *cl)
+{
+    const struct control *leader = cl->nodes[cluster_leader(cl)].control;
+
+    return control_fsm(leader)->members.n_members;
+}
+
+/* A member comes back after it was removed, and its first answer takes longer
+ * than the change that let it in: taken out at once each time, it never votes
+ * again, and two lost disks of the other four leave no majority. */
+static void
+member_that_comes_back_has_time_to_answer(void)
+{
+    struct cluster *cl = enrolling(4, 7);
+    int gone = (cluster_await_leader(cl) + 1) % 4;
+
+    publish(cl, 1);
+    cl->nodes[gone].cut = true;
+    cluster_run(cl, 6 * SEC);
+    CU_ASSERT_EQUAL(count_members(cl), 3);
+    cl->nodes[gone].cut = false;
+    cl->nodes[gone].deaf_to = cluster_leader(cl);
+    for (int i = 0; i < 200 && count_members(cl) < 4; i++) {
+        cluster_run(cl, 10 * MSEC);
+    }
+    for (int i = 0; i < 100; i++) {
+        CU_ASSERT_EQUAL(count_members(cl), 4);
+        cluster_run(cl, 10 * MSEC);
+    }
+    cl->nodes[gone].deaf_to = CLUSTER_NODES;
+    cluster_run(cl, 4 * SEC);
+    CU_ASSERT_TRUE(votes(cl, gone));
+    no_violation(cl);
+    cluster_free(cl);
+}
+
 /* With two voters up a third that is silent stays a member: were it taken out,
  * the next loss would leave one of two. */
 static void
@@ -296,6 +334,7 @@
     TEST(empty_disk_learns_and_votes_again);
     TEST(wiped_right_after_the_confirmation);
     TEST(silent_member_is_removed_and_comes_back);
+    TEST(member_that_comes_back_has_time_to_answer);
     TEST(last_three_members_are_kept);
     TEST(losses_in_series);
     TEST(highest_rank_stays);
