Ask for a connection's descriptor in one place

The check for a client that left before its request was handed over asked libmicrohttpd for the connection in the same words as the watch for one that leaves later; both use one function now. Nothing that is decided has changed; suites httpd, broker_runtime, lives, broker, docs and platform pass.

--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -319,8 +319,7 @@
     if (earlier->told) {
         broker_log(
             b, LOG_INFO, BROKER_HANDED_IN_AGAIN, o->id, -1, from,
-            "waits for %u runs of the earlier one, which ended %lld ms "
-            "ago",
+            "waits for %u runs of the earlier one, ended %lld ms ago",
             earlier->n_placed,
             (long long)((b->now.mono_us - earlier->told_us) / USEC_PER_MSEC));
         *waits = true;
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -590,8 +590,8 @@
  * where it was not heard lately, so that one may on any upstream. */
 bool renew_ready(struct broker *b, const struct run_job *job);
 
-/** renew_tick() - asks takers that were not heard lately, and drops jobs that
- * nobody has confirmed for a lease */
+/** renew_tick() - answers brokers that asked, asks takers that were not heard
+ * lately, and gives up jobs that nobody has confirmed for a lease */
 void renew_tick(struct broker *b);
 
 /* broker_order.c */
--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -145,19 +145,28 @@
     return MHD_YES;
 }
 
+/* -1 where libmicrohttpd does not tell. */
+static int
+connection_fd(const struct request *r)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+    return info != NULL ? info->connect_fd : -1;
+}
+
 /* A suspended connection is not watched by libmicrohttpd: its client may leave
  * unseen, and the work for it would go on for nobody. */
 static void
 watch(struct httpapi *h, struct request *r, uint64_t number)
 {
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     struct epoll_event e = {.events = EPOLLRDHUP | EPOLLET,
                             .data.u64 = number};
+    int fd = connection_fd(r);
 
-    if (h->gone >= 0 && info != NULL &&
-        epoll_ctl(h->gone, EPOLL_CTL_ADD, info->connect_fd, &e) == 0) {
-        r->fd = info->connect_fd;
+    if (h->gone >= 0 && fd >= 0 &&
+        epoll_ctl(h->gone, EPOLL_CTL_ADD, fd, &e) == 0) {
+        r->fd = fd;
     }
 }
 
@@ -174,15 +183,9 @@
 static bool
 client_left(const struct httpapi *h, const struct request *r)
 {
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    struct pollfd fd = {.events = POLLRDHUP};
+    struct pollfd fd = {.fd = connection_fd(r), .events = POLLRDHUP};
 
-    if (h->gone < 0 || info == NULL) {
-        return false;
-    }
-    fd.fd = info->connect_fd;
-    return poll(&fd, 1, 0) > 0;
+    return h->gone >= 0 && fd.fd >= 0 && poll(&fd, 1, 0) > 0;
 }
 
 static enum MHD_Result
