Leave a task to the upstream of its lost start

What callers saw: two runs of a task at one time, when an upstream restarts under its name and then executes a start that it had not answered before.

Cause: the holder let a task wait for the upstream of its lost start, but placed it elsewhere once that upstream fell silent, failed, was leaving, or after 12 s. A new incarnation knows neither stop nor fence, so nothing refuses the start there.

Change: a start that was neither answered nor listed binds its task to the upstream; it is placed nowhere else, in no state of the upstream. There the runs can't overlap: the holder stops unknown runs of a new incarnation before it opens it. The bond ends by an answer or a list that shows the run, never by time. Later submissions at the same runner inherit it, and a closed job with bound tasks is kept until its deadline. A job whose bound task can't be run before the deadline fails at once.

--- a/src/broker.c
+++ b/src/broker.c
@@ -298,8 +298,7 @@
 report_if_stopped(struct broker *b)
 {
     int64_t since = b->now.mono_us - b->stop_begun_us;
-    bool idle =
-        b->caller_jobs.n == 0 && b->run_jobs.n == 0 && !hold_has_any(b);
+    bool idle = b->caller_jobs.n == 0 && !run_has_any(b) && !hold_has_any(b);
 
     if (!b->stopping || b->stopped_reported ||
         (since < b->opts.stop_timeout_us &&
--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -16,9 +16,9 @@
 /* No start is sent for this long to an upstream that refused one for lack of
  * capacity; a poll usually reports the next ended run sooner. */
 #define FULL_RETRY_US (30 * USEC_PER_MSEC)
-/* An upstream may execute a start that it did not answer up to this much
- * later. */
-#define LOST_START_MAX_US (12 * USEC_PER_SEC)
+/* Time after a lost start in which an unresponsive upstream is polled more
+ * often. */
+#define LOST_START_POLLS_US (12 * USEC_PER_SEC)
 /* Weight of a slowness sample: relative to the other tasks of the job, which
  * differ little, and relative to the declared run time, which says little
  * about the upstream. */
@@ -118,6 +118,7 @@
     if (t == NULL) {
         return; /* started by an earlier holder, or already resolved */
     }
+    run_resolve_start(t);
     if (e->outcome != LEASE_END_DONE) {
         broker_log(
             b, LOG_INFO, BROKER_RUN_ENDED, job->id, run_task_number(job, t),
@@ -236,6 +237,7 @@
                                  : find_placed_run(b, u, r->task, &job);
 
         if (t != NULL) {
+            run_resolve_start(t);
             update_running(b, u, job, t, r->percent);
             continue;
         }
@@ -384,15 +386,6 @@
     run_mark_ready(b, job, t);
 }
 
-static void
-record_lost_start(struct broker_upstream *u, struct run_task *t)
-{
-    t->lost_start_upstream = u->self;
-    t->lost_start_fence = u->fence;
-    t->lost_start_until_us = t->start_sent_us + LOST_START_MAX_US;
-    u->lost_start_until_us = t->lost_start_until_us;
-}
-
 static void
 on_start(struct broker *b, struct broker_upstream *u, struct run_job *job,
          struct run_task *t, enum lease_result result)
@@ -414,10 +407,11 @@
                    run_task_number(job, t), u->name, "run %llu",
                    (unsigned long long)t->run);
         if (b->opts.breaks[BROKER_BREAK_PLACE_LOST]) {
+            run_resolve_start(t);
             run_mark_ready(b, job, t);
             break;
         }
-        record_lost_start(u, t);
+        u->lost_start_until_us = t->start_sent_us + LOST_START_POLLS_US;
         if (b->opts.disabled[BROKER_FEATURE_LOST_STARTS]) {
             t->state = RUN_UNRESOLVED;
             break;
@@ -461,6 +455,21 @@
                                                                       : NULL;
 }
 
+/* Any answer to a start, even of an incarnation or under a fence that is not
+ * the current one, shows that the start will not be executed later. */
+static void
+resolve_answered_start(struct broker *b, const struct broker_call *c,
+                       enum lease_result result)
+{
+    struct run_job *job = table_get(&b->run_jobs, c->job);
+    struct run_task *t = job != NULL ? &job->tasks[c->task] : NULL;
+
+    if (c->kind == LEASE_START && result != LEASE_NO_ANSWER && t != NULL &&
+        t->run == c->run) {
+        run_resolve_start(t);
+    }
+}
+
 static void
 on_task_call(struct broker *b, struct broker_upstream *u,
              const struct broker_call *c, enum lease_result result)
@@ -536,6 +545,7 @@
     }
     c = *found;
     table_remove(&b->calls, c.self);
+    resolve_answered_start(b, &c, a->result);
     u = table_get(&b->upstreams, c.upstream);
     if (u == NULL) {
         return;
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -631,7 +631,7 @@
 }
 
 static bool
-is_removable(const struct broker *b, const struct broker_upstream *u)
+is_removable(struct broker *b, const struct broker_upstream *u)
 {
     /* An upstream that a registry restored from its disk may never have
      * answered. */
@@ -644,10 +644,11 @@
     }
     /* Upstreams held by other brokers are known from the registries alone,
      * which report all of them every 20 s. */
-    if (u->state == HOLD_NONE && unreported) {
-        return true;
+    if ((u->state == HOLD_NONE && unreported) ||
+        (u->missed_polls > 0 && (u->gone || silent))) {
+        return !run_is_bound(b, u);
     }
-    return u->missed_polls > 0 && (u->gone || silent);
+    return false;
 }
 
 void
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -119,33 +119,30 @@
            left_milli < best_left_milli;
 }
 
-/* The upstream that may still execute a start of the task that it did not
- * answer, or NULL.  The same incarnation refuses that start, since the run was
- * stopped; a new incarnation does so only once it is taken under a higher
- * fence.  Until then the task must not start elsewhere, as two runs could
- * overlap.  An upstream that does not answer or fails is not waited for. */
-static struct broker_upstream *
-pending_lost_start(struct broker *b, const struct run_task *t)
+/* A start without an answer may be executed seconds later.  The incarnation
+ * that confirmed a stop of the run refuses it, and so does one that has seen a
+ * higher fence; but a later incarnation knows of neither, and announces itself
+ * only after it may have executed the start.  No call rules that out, so the
+ * task stays at this upstream, where both runs can't overlap: the holder stops
+ * unknown runs of a new incarnation before it starts any there. */
+struct broker_upstream *
+place_bound_upstream(struct broker *b, const struct run_task *t)
 {
-    struct broker_upstream *u =
-        table_get(&b->upstreams, t->lost_start_upstream);
-    bool held;
-
-    if (u == NULL || b->now.mono_us >= t->lost_start_until_us) {
-        return NULL;
-    }
-    held = (u->state == HOLD_OPEN && u->fence == t->lost_start_fence) ||
-           (u->state == HOLD_TAKING && u->missed_polls == 0);
-    return held && !u->leaving && !u->gone && broker_health_allows(b, u) &&
-                   !name_equal(t->avoid_upstream, u->name)
-               ? u
-               : NULL;
+    return table_get(&b->upstreams, t->bound_upstream);
 }
 
 bool
-place_awaits_lost_start(struct broker *b, const struct run_task *t)
+place_can_still_run(struct broker *b, const struct run_job *job,
+                    const struct run_task *t)
 {
-    return pending_lost_start(b, t) != NULL;
+    const struct broker_upstream *u = place_bound_upstream(b, t);
+    int64_t run_us;
+
+    if (u == NULL || t->state != RUN_READY) {
+        return true;
+    }
+    run_us = place_expected_us(job, &job->groups[t->group], u);
+    return !u->gone && b->now.mono_us + run_us < job->deadline_us;
 }
 
 struct broker_upstream *
@@ -154,7 +151,7 @@
 {
     const struct rec_task_group *g = &job->groups[t->group];
     struct broker_upstream *best = NULL;
-    struct broker_upstream *u = pending_lost_start(b, t);
+    struct broker_upstream *u = place_bound_upstream(b, t);
     int64_t usual_us = order_expected_us(job, g);
     int64_t best_us = INT64_MAX;
     uint32_t best_left_milli = UINT32_MAX;
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -49,24 +49,37 @@
     return *job != NULL ? &(*job)->tasks[p->task] : NULL;
 }
 
-/* Returns a submission of the job that is not closed, or, with @closed, a
- * closed one that may still have runs on upstreams. */
 static struct run_job *
-find_submission(struct broker *b, uint64_t id, bool closed,
-                const struct run_job *except)
+find_open_submission(struct broker *b, uint64_t id)
 {
     struct run_job *job;
     struct handle h;
     uint32_t at = 0;
 
     while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
-        if (job->id == id && job->closed == closed && job != except) {
+        if (job->id == id && !job->closed) {
             return job;
         }
     }
     return NULL;
 }
 
+/* Whether runs of a closed submission of the job may go on. */
+static bool
+has_unended_submission(struct broker *b, uint64_t id)
+{
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (job->id == id && job->closed && !job->runs_ended) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Closing a job */
 
 static void
@@ -83,15 +96,54 @@
     broker_send(b, taker, &m);
 }
 
-/* Queues the submission that waits for all earlier ones of the job, if @last
- * was the last of these. */
+static bool
+is_bound(const struct run_task *t)
+{
+    return !handle_none(t->bound_upstream);
+}
+
+static bool
+has_bound_task(const struct run_job *job)
+{
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        if (is_bound(&job->tasks[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The upstream may execute a lost start of the earlier submission while this
+ * one runs. */
+static void
+inherit_bound_tasks(struct run_job *job, const struct run_job *earlier)
+{
+    for (uint32_t i = 0; i < job->n_tasks && i < earlier->n_tasks; i++) {
+        struct run_task *t = &job->tasks[i];
+        const struct run_task *e = &earlier->tasks[i];
+
+        if (!is_bound(e)) {
+            continue;
+        }
+        t->bound_upstream = e->bound_upstream;
+        t->lost_starts = e->lost_starts;
+        t->run = e->run > t->run ? e->run : t->run;
+        t->start_resolved = true;
+    }
+}
+
+/* The runs of @earlier have ended.  Queues the submission that waits for all
+ * earlier ones of the job, if this was the last of these. */
 static void
-unblock_submission(struct broker *b, const struct run_job *last)
+unblock_submission(struct broker *b, const struct run_job *earlier)
 {
-    struct run_job *job = find_submission(b, last->id, false, NULL);
+    struct run_job *job = find_open_submission(b, earlier->id);
 
-    if (job != NULL && job->blocked_by_earlier &&
-        find_submission(b, last->id, true, last) == NULL) {
+    if (job == NULL || !job->blocked_by_earlier) {
+        return;
+    }
+    inherit_bound_tasks(job, earlier);
+    if (!has_unended_submission(b, earlier->id)) {
         job->blocked_by_earlier = false;
         order_insert(job);
     }
@@ -110,16 +162,24 @@
                "%lld ms after its end", (long long)(after_us / USEC_PER_MSEC));
 }
 
-/* Frees a closed job once none of its tasks can run on an upstream. */
+/* Frees a closed job once none of its tasks can run on an upstream.  One with
+ * bound tasks is kept until its deadline, after which no submission of the job
+ * is run. */
 static void
 remove_if_resolved(struct broker *b, struct run_job *job)
 {
     if (!job->closed || job->n_placed > 0) {
         return;
     }
-    order_remove(job);
-    log_resolved(b, job);
-    unblock_submission(b, job);
+    if (!job->runs_ended) {
+        job->runs_ended = true;
+        order_remove(job);
+        log_resolved(b, job);
+        unblock_submission(b, job);
+    }
+    if (has_bound_task(job) && b->now.mono_us < job->deadline_us) {
+        return;
+    }
     blob_unref(job->spec);
     free(job->groups);
     free(job->tasks);
@@ -305,34 +365,18 @@
                job->n_tasks, job->service->n_queued, times);
 }
 
-/* A caller that got no answer submits its job again while the earlier
- * submission is still here.  If that is not closed, it continues for the new
- * taker.  If it is closed, its remaining runs must end before the new
- * submission starts: @blocked is set then. */
+/* Continues the job for the taker @from, if a submission of it is open here.
+ */
 static bool
 merge_resubmission(struct broker *b, struct name from,
-                   const struct rec_job_offer *o, bool *blocked)
+                   const struct rec_job_offer *o)
 {
-    struct run_job *earlier = find_submission(b, o->id, false, NULL);
+    struct run_job *earlier = find_open_submission(b, o->id);
 
-    if (earlier == NULL) {
-        earlier = find_submission(b, o->id, true, NULL);
-    }
-    *blocked = false;
     if (earlier == NULL) {
         return false;
     }
     b->counters.offers_again++;
-    if (earlier->closed) {
-        broker_log(
-            b, LOG_INFO, BROKER_HANDED_IN_AGAIN, o->id, -1, from,
-            "waits for %u runs of the earlier submission, ended %lld ms ago",
-            earlier->n_placed,
-            (long long)((b->now.mono_us - earlier->closed_us) /
-                        USEC_PER_MSEC));
-        *blocked = true;
-        return false;
-    }
     broker_log(b, LOG_INFO, BROKER_HANDED_IN_AGAIN, o->id, -1, from,
                "earlier taker %s", earlier->taker.s);
     send_job_end(b, earlier->taker, earlier->number, JOB_LOST_OUTCOME,
@@ -345,6 +389,32 @@
     return true;
 }
 
+/* A caller that got no answer submits its job again while closed submissions
+ * of it are still here: their remaining runs must end before this one starts,
+ * and their bound tasks stay bound. */
+static void
+wait_for_closed_submissions(struct broker *b, struct run_job *job)
+{
+    struct run_job *earlier;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((earlier = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (earlier->id != job->id || !earlier->closed) {
+            continue;
+        }
+        b->counters.offers_again++;
+        broker_log(
+            b, LOG_INFO, BROKER_HANDED_IN_AGAIN, job->id, -1, job->taker,
+            "waits for %u runs of the earlier submission, ended %lld ms ago",
+            earlier->n_placed,
+            (long long)((b->now.mono_us - earlier->closed_us) /
+                        USEC_PER_MSEC));
+        inherit_bound_tasks(job, earlier);
+        job->blocked_by_earlier |= !earlier->runs_ended;
+    }
+}
+
 static struct run_job *
 new_job(struct broker *b, struct name from, const struct rec_job_offer *o)
 {
@@ -379,10 +449,9 @@
     enum job_outcome outcome = JOB_REFUSED_OUTCOME;
     int64_t retry_us = 0;
     struct run_job *job;
-    bool blocked;
 
     if (o->n_groups == 0 || o->n_groups > TASK_GROUPS_MAX ||
-        merge_resubmission(b, from, o, &blocked)) {
+        merge_resubmission(b, from, o)) {
         return;
     }
     job = new_job(b, from, o);
@@ -404,8 +473,8 @@
         job->n_tasks,
         (long long)((job->latest_start_us - b->now.mono_us) / USEC_PER_MSEC),
         job->service->n_queued);
-    job->blocked_by_earlier = blocked;
-    if (!blocked) {
+    wait_for_closed_submissions(b, job);
+    if (!job->blocked_by_earlier) {
         order_insert(job);
     }
 }
@@ -492,6 +561,7 @@
     t->percent = 0;
     t->progress_us = b->now.mono_us;
     t->stop_confirmed_us = INT64_MAX;
+    t->start_resolved = false;
     if (!job->started) {
         histogram_add(&b->histograms.queue, b->now.mono_us - job->arrived_us);
         if (job->late) {
@@ -524,6 +594,11 @@
 void
 run_mark_ready(struct broker *b, struct run_job *job, struct run_task *t)
 {
+    if (!t->start_resolved) {
+        t->bound_upstream = t->upstream;
+        t->lost_starts++;
+        b->counters.tasks_bound++;
+    }
     remove_from_upstream(b, job, t);
     t->state = RUN_READY;
     job->n_ready++;
@@ -535,6 +610,50 @@
     }
 }
 
+void
+run_resolve_start(struct run_task *t)
+{
+    if (t->start_resolved) {
+        return;
+    }
+    t->start_resolved = true;
+    if (t->state == RUN_READY && t->lost_starts > 0 && --t->lost_starts == 0) {
+        t->bound_upstream = (struct handle){0};
+    }
+}
+
+bool
+run_is_bound(struct broker *b, const struct broker_upstream *u)
+{
+    const struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        for (uint32_t i = 0; i < job->n_tasks; i++) {
+            if (handle_equal(job->tasks[i].bound_upstream, u->self)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool
+run_has_any(const struct broker *b)
+{
+    const struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (!job->runs_ended) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 run_mark_done(struct broker *b, struct run_job *job, struct run_task *t)
 {
@@ -603,7 +722,7 @@
             t->avoid_upstream = name_of("");
             u = place_choose(b, job, t);
         }
-        if (u == NULL && !place_awaits_lost_start(b, t)) {
+        if (u == NULL && place_bound_upstream(b, t) == NULL) {
             return false;
         }
         if (u == NULL) {
@@ -615,12 +734,24 @@
     return all;
 }
 
-/* Refuses queued jobs that would start too late, and moves jobs that have
- * become late behind the others.  All of the queue is checked, also behind
+static bool
+can_still_complete(struct broker *b, const struct run_job *job)
+{
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        if (!place_can_still_run(b, job, &job->tasks[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Fails queued jobs with a bound task that can't be run before the deadline,
+ * refuses those that would start too late, and moves jobs that have become
+ * late behind the others.  All of the queue is checked, also behind
  * jobs that find no capacity: otherwise a job would be refused only when its
  * turn comes. */
 static void
-refuse_or_demote_late(struct broker *b, struct broker_service *s)
+review_queue(struct broker *b, struct broker_service *s)
 {
     struct run_job *job = TAILQ_FIRST(&s->queue);
 
@@ -628,7 +759,11 @@
         struct run_job *next = TAILQ_NEXT(job, link);
         int64_t retry_us;
 
-        if (order_starts_too_late(b, job, &retry_us)) {
+        if (!can_still_complete(b, job)) {
+            b->counters.jobs_bound++;
+            close_job(b, job, JOB_FAILED_OUTCOME, BROKER_START_LOST, 0);
+        }
+        else if (order_starts_too_late(b, job, &retry_us)) {
             close_job(b, job, JOB_REFUSED_OUTCOME, BROKER_TOO_LATE, retry_us);
         }
         else {
@@ -676,13 +811,28 @@
     }
 }
 
+static void
+remove_closed_at_deadline(struct broker *b)
+{
+    struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (job->runs_ended) {
+            remove_if_resolved(b, job);
+        }
+    }
+}
+
 void
 run_tick(struct broker *b)
 {
+    remove_closed_at_deadline(b);
     for (struct broker_service *s = b->services; s != NULL; s = s->next) {
         if (s->placement_due || b->now.mono_us >= s->next_placement_us) {
             s->next_placement_us = b->now.mono_us + QUEUE_REVIEW_US;
-            refuse_or_demote_late(b, s);
+            review_queue(b, s);
             serve_queue(b, s);
         }
     }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -171,9 +171,12 @@
  *                     this does not list has ended; INT64_MAX: not confirmed
  * @stop_sent_us: when a stop was last sent
  * @avoid_upstream: upstream where it last failed or stalled
- * @lost_start_upstream: upstream that did not answer a start of this task
- * @lost_start_fence: fence of that start
- * @lost_start_until_us: the upstream may still execute that start until then
+ * @start_resolved: the last start was answered or its run was listed, so it
+ *                  will not be executed later
+ * @lost_starts: number of starts at @bound_upstream that are not resolved
+ * @bound_upstream: upstream that may still execute an earlier start of this
+ *                  task, in this or a later incarnation; the task is placed
+ *                  nowhere else
  */
 struct run_task {
     enum run_state state;
@@ -189,9 +192,9 @@
     int64_t stop_confirmed_us;
     int64_t stop_sent_us;
     struct name avoid_upstream;
-    struct handle lost_start_upstream;
-    uint64_t lost_start_fence;
-    int64_t lost_start_until_us;
+    bool start_resolved;
+    uint32_t lost_starts;
+    struct handle bound_upstream;
 };
 
 /**
@@ -214,7 +217,10 @@
  * @n_ready: tasks that wait for capacity
  * @n_placed: tasks that run, or may run, on an upstream
  * @closed: its outcome was sent to @taker, or @taker has dropped the job; kept
- *          only until its runs on upstreams have ended
+ *          until its runs on upstreams have ended and, if tasks are bound to
+ *          an upstream, until its deadline: a later submission of the job may
+ *          place these tasks only there
+ * @runs_ended: closed, and no task runs, or may run, on an upstream
  * @closed_us: when it was closed
  * @accepted_us: when its taker last offered it
  * @renewed_us: newest time as of which the taker confirmed that the caller
@@ -252,6 +258,7 @@
     uint32_t n_ready;
     uint32_t n_placed;
     bool closed;
+    bool runs_ended;
     int64_t closed_us;
     int64_t accepted_us;
     int64_t renewed_us;
@@ -345,8 +352,8 @@
  * @quick_poll: number of the quick poll in progress; 0: none
  * @quick_poll_due: a quick poll is to be sent
  * @missed_polls: polls in a row without an answer
- * @lost_start_until_us: until then, the upstream may still execute a start
- *                       that it did not answer
+ * @lost_start_until_us: until then, an unresponsive upstream is polled more
+ *                       often, since tasks wait for it after a lost start
  * @fence_retries: consecutive refusals of the fence while this broker takes
  *                 the upstream
  * @fenced_view: broker.view when the upstream was lost to a higher fence
@@ -672,6 +679,16 @@
  * more and may be started again; frees a closed job with no task placed */
 void run_mark_ready(struct broker *b, struct run_job *job, struct run_task *t);
 
+/** run_resolve_start() - the start was answered or its run was listed, thus it
+ * will not be executed later */
+void run_resolve_start(struct run_task *t);
+
+/** run_is_bound() - whether a task of any job is bound to the upstream */
+bool run_is_bound(struct broker *b, const struct broker_upstream *u);
+
+/** run_has_any() - whether a job is open here, or has runs on upstreams */
+bool run_has_any(const struct broker *b);
+
 /** run_mark_done() - a run succeeded; may free the job */
 void run_mark_done(struct broker *b, struct run_job *job, struct run_task *t);
 
@@ -854,9 +871,15 @@
                                      const struct run_job *job,
                                      const struct run_task *t);
 
-/** place_awaits_lost_start() - whether an upstream may still execute a start
- * of the task that it did not answer: the task can only be placed there */
-bool place_awaits_lost_start(struct broker *b, const struct run_task *t);
+/** place_bound_upstream() - the only upstream where the task may be placed,
+ * since it may still execute an earlier start of the task; NULL for none */
+struct broker_upstream *place_bound_upstream(struct broker *b,
+                                             const struct run_task *t);
+
+/** place_can_still_run() - whether a task that waits for its bound upstream
+ * could still be executed there before the job's deadline */
+bool place_can_still_run(struct broker *b, const struct run_job *job,
+                         const struct run_task *t);
 
 /** place_fits_any() - whether a task of the group fits any held upstream when
  * that is idle */
--- a/tests/reborn_test.c
+++ b/tests/reborn_test.c
@@ -200,6 +200,64 @@
                     0);
 }
 
+/* Seeds in which a task was moved away from the upstream of its lost start
+ * after a later run there had ended. */
+static void
+late_starts_reach_new_incarnations_after_later_runs(void)
+{
+    CU_ASSERT_FALSE(play_many_jobs(1073, HEARTBEAT_US));
+    CU_ASSERT_FALSE(play_many_jobs(1090, HEARTBEAT_US));
+}
+
+/* The caller leaves, and submits its job again at the same broker. */
+static bool
+play_resubmission(uint64_t seed, int64_t silent_us)
+{
+    struct vlease *v = long_jobs(seed, 1, silent_us);
+    struct late_start late = {.upstream = VLEASE_NOBODY};
+    uint64_t job;
+
+    vlease_set_hook(v, delay_first_start, &late);
+    job = vlease_submit(v, 0, 0);
+    vlease_run(v, READY_US + 5 * MSEC);
+    vlease_trouble(v, late.upstream, VLEASE_MUTE);
+    vlease_run(v, READY_US + 1500 * MSEC);
+    vlease_leave(v, job);
+    vlease_run(v, READY_US + 2000 * MSEC);
+    vlease_resubmit(v, job, 0);
+    vlease_run(v, READY_US + 2990 * MSEC);
+    vlease_reborn(v, late.upstream);
+    return finish_and_check_overlap(v);
+}
+
+/* Guards against two runs of a task at one time.  The job of a lost start is
+ * submitted again and placed on another upstream. */
+static void
+late_start_of_earlier_submission_reaches_new_incarnation(void)
+{
+    CU_ASSERT_EQUAL(count_overlaps(play_resubmission, SEEDS, HEARTBEAT_US), 0);
+}
+
+/* Guards against a job that waits until its deadline for the upstream of a
+ * lost start, although it can't be run in time any more. */
+static void
+job_of_silent_upstream_fails_before_its_deadline(void)
+{
+    struct vlease *v = long_jobs(1, 1, HEARTBEAT_US);
+    struct late_start late = {.upstream = VLEASE_NOBODY};
+    uint64_t job;
+
+    vlease_set_hook(v, delay_first_start, &late);
+    job = vlease_submit(v, 0, 0);
+    vlease_run(v, READY_US + 5 * MSEC);
+    vlease_trouble(v, late.upstream, VLEASE_MUTE);
+    vlease_run(v, READY_US + 13 * SEC);
+    CU_ASSERT_EQUAL(vlease_outcome(v, job), JOB_OUTCOMES);
+    vlease_run(v, READY_US + 15 * SEC);
+    CU_ASSERT_EQUAL(vlease_outcome(v, job), JOB_FAILED_OUTCOME);
+    vlease_free(v);
+}
+
 /* The only broker, or one of two, is killed while its first start is
  * unanswered; the tests then submit its job again, which is placed on another
  * upstream. */
@@ -310,6 +368,9 @@
     TEST(late_start_reaches_new_incarnation_of_silent_upstream);
     TEST(late_starts_reach_new_incarnations);
     TEST(late_starts_reach_new_incarnations_with_few_jobs);
+    TEST(late_starts_reach_new_incarnations_after_later_runs);
+    TEST(late_start_of_earlier_submission_reaches_new_incarnation);
+    TEST(job_of_silent_upstream_fails_before_its_deadline);
     TEST(late_start_of_lost_holder_meets_higher_fence);
     TEST(late_start_of_lost_holder_reaches_new_incarnation);
     TEST(late_start_from_before_restart_meets_higher_fence);
