Have fences recorded by the registries before they are used

Cause: a fence came from the wall clock and the broker's own memory. With an empty memory and a clock set back, the new incarnation of the upstream, which has seen no fence, is taken under one below that of the start.

Change: brokers report the fences that they use to the registries, which keep the highest and confirm it. An upstream is opened for starts only under a confirmed fence; a broker that starts takes no upstream before it knows the highest fence, and goes above it. Where no registry confirms, the wall clock decides as before; that and the loss of all memory at once are the limits.

The test of the registry's answers is new. Ruled out: a ceiling reserved ahead of time, which would jump at each restart and still compare times.

--- a/src/broker.c
+++ b/src/broker.c
@@ -203,6 +203,9 @@
     case MSG_JOB_RENEWAL:
         renew_on_renewal(b, from, &m->u.job_renewal);
         break;
+    case MSG_FENCE_RECORD:
+        fence_on_record(b, from, &m->u.fence_record);
+        break;
     case MSG_JOB_END:
         caller_on_job_end(b, from, &m->u.job_end);
         break;
@@ -346,6 +349,7 @@
     run_tick(b);
     deliver_local_msgs(b);
     hold_notify_zone(b);
+    fence_report(b);
     report_if_stopped(b);
     b->fx = NULL;
 }
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -30,14 +30,7 @@
  * unresponsive.  If one answer in 16 is lost, this happens once in 4,000
  * polls. */
 enum { MISSED_POLLS_MAX = 3 };
-/* A fence is refused if a clock was set back, or if another broker takes the
- * upstream too.  It is then raised by FENCE_RETRY_STEP, 20 s as the clocks of
- * machines differ by seconds, at most FENCE_RETRIES_MAX times. */
-#define FENCE_RETRY_STEP (UINT64_C(20000) * FENCE_BROKERS)
-/* A fence is a wall time in milliseconds times FENCE_BROKERS, plus a number of
- * the broker below FENCE_BROKERS.  It stays below 2^53, which JSON carries
- * exactly. */
-#define FENCE_BROKERS UINT64_C(1024)
+/* Times in a row that a refused fence is raised, see fence_next(). */
 enum { FENCE_RETRIES_MAX = 4 };
 
 static struct broker_upstream *
@@ -199,29 +192,14 @@
 
 /* Taking */
 
-/* Two brokers that take an upstream in the same millisecond must not choose
- * the same fence: neither would be refused, and each would keep stopping the
- * other's runs as unknown ones.  So the lowest bits depend on the broker. */
-static uint64_t
-next_fence(const struct broker *b, const struct broker_upstream *u)
-{
-    uint64_t own = key_id_of(b->opts.self.s).lo % FENCE_BROKERS;
-    uint64_t wall = (uint64_t)(b->now.wall_us / USEC_PER_MSEC);
-    uint64_t known = u->fence / FENCE_BROKERS;
-
-    if (b->opts.breaks[BROKER_BREAK_SAME_FENCE]) {
-        return FENCE_BROKERS;
-    }
-    return (wall > known ? wall : known + 1) * FENCE_BROKERS + own;
-}
-
 /* Begins to take an upstream, or takes it again under a higher fence. */
 static void
 take_upstream(struct broker *b, struct broker_upstream *u)
 {
-    u->fence =
-        next_fence(b, u) + (uint64_t)u->fence_retries * FENCE_RETRY_STEP;
+    u->fence = fence_next(b, u);
     u->state = HOLD_TAKING;
+    u->taken_us = b->now.mono_us;
+    u->awaits_record = false;
     u->holder = b->opts.self;
     u->last_end = 0;
     u->ack_pending = false;
@@ -321,6 +299,7 @@
      */
     expire_tasks(b, u, BROKER_RUN_LAPSED);
     u->state = HOLD_OPEN;
+    u->awaits_record = false;
     u->fence_retries = 0;
     /* The longest lease that an earlier holder may have granted. */
     u->granted_until_us = b->now.mono_us + b->opts.lease_us;
@@ -331,12 +310,28 @@
                (unsigned long long)u->born_ms);
 }
 
+void
+hold_open_recorded(struct broker *b)
+{
+    struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        if (u->state == HOLD_TAKING && u->awaits_record &&
+            fence_is_recorded(b, u)) {
+            open_upstream(b, u);
+        }
+    }
+}
+
 void
 hold_on_poll_answer(struct broker *b, struct broker_upstream *u, bool unknown)
 {
     u->missed_polls = 0;
     u->unknown_runs = unknown;
-    if (u->state == HOLD_TAKING && !unknown) {
+    u->awaits_record = u->state == HOLD_TAKING && !unknown;
+    if (u->awaits_record && fence_is_recorded(b, u)) {
         open_upstream(b, u);
     }
     else if (u->state == HOLD_UNRESPONSIVE) {
@@ -449,14 +444,15 @@
 
 /* Assignment of upstreams to holders */
 
-/* Whether the other brokers had time to connect after this one started. */
+/* Whether the other brokers had time to connect after this one started, and a
+ * registry to report the fences in use. */
 static bool
 discovery_done(const struct broker *b)
 {
     /* The first roster alone does not do: when a whole zone starts at once,
      * it names only brokers that reached the registry before this one. */
     return b->now.mono_us - b->started_us >= b->opts.discovery_us ||
-           (peers_zone_connected(b) &&
+           (b->fence_floor_known && peers_zone_connected(b) &&
             b->now.mono_us - b->first_roster_us >= b->opts.discovery_min_us);
 }
 
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -114,6 +114,7 @@
 on_peer_lost(struct broker *b, struct broker_peer *p)
 {
     p->up = false;
+    p->confirms_fences = false;
     p->down_us = b->now.mono_us;
     renew_reset_peer(p);
     clear_loads(p);
@@ -123,6 +124,7 @@
     caller_on_runner_lost(b, p->name);
     run_on_taker_lost(b, p->name);
     hold_broker_lost(b, p->name);
+    hold_open_recorded(b);
     mark_view_changed(b);
 }
 
@@ -145,6 +147,9 @@
         hold_send_held(b, name);
     }
     send_introduction(b, name, false);
+    if (p->registry) {
+        fence_on_registry_up(b, p);
+    }
     broker_log(b, LOG_NOTICE, BROKER_PEER_UP, 0, -1, name, "%s",
                p->registry ? "registry" : "broker");
 }
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -13,6 +13,7 @@
  * - broker_share.c divides the capacity between queues;
  * - broker_place.c chooses the upstream of a task;
  * - broker_hold.c takes and releases upstreams;
+ * - broker_fence.c chooses fences and has them recorded;
  * - broker_shutdown.c keeps serving during a stop without a successor;
  * - broker_lease.c sends calls to upstreams;
  * - broker_answer.c handles the upstreams' answers;
@@ -62,6 +63,8 @@
  *                    on this connection
  * @fetch_timed_out: for a registry: it did not send a requested configuration
  *                   in time
+ * @confirms_fences: for a registry: it replied to a FENCE_RECORD on this
+ *                   connection
  * @last_sent_us: send time, on the peer's clock, of its newest load report or
  *                check on this connection; 0: none
  * @last_received_us: when that message was read, on this broker's clock
@@ -90,6 +93,7 @@
     int64_t config_poll_us;
     uint64_t reported_version;
     bool fetch_timed_out;
+    bool confirms_fences;
     uint64_t last_sent_us;
     int64_t last_received_us;
     uint64_t confirmable_us;
@@ -354,6 +358,9 @@
  * @missed_polls: polls in a row without an answer
  * @lost_start_until_us: until then, an unresponsive upstream is polled more
  *                       often, since tasks wait for it after a lost start
+ * @taken_us: when this broker took the upstream, under @fence
+ * @awaits_record: while this broker takes the upstream: a poll listed no
+ *                 unknown runs, but no registry has confirmed @fence
  * @fence_retries: consecutive refusals of the fence while this broker takes
  *                 the upstream
  * @fenced_view: broker.view when the upstream was lost to a higher fence
@@ -401,6 +408,8 @@
     bool quick_poll_due;
     uint32_t missed_polls;
     int64_t lost_start_until_us;
+    int64_t taken_us;
+    bool awaits_record;
     uint32_t fence_retries;
     uint64_t fenced_view;
 
@@ -471,6 +480,10 @@
  * @next_review_us: earliest time of that assignment
  * @hold_updates: upstreams taken, released or lost, sent to the zone at the
  *                end of the step
+ * @fence_used: highest fence that this broker has used
+ * @fence_floor: highest fence that a registry has recorded
+ * @fence_floor_known: a registry has reported @fence_floor
+ * @fence_report_due: @fence_used was raised in this step
  * @local_msgs: messages of this process to itself, handled before the step
  *              ends
  * @stopping: a planned stop has begun
@@ -526,6 +539,10 @@
     struct rec_held_upstream *hold_updates;
     size_t n_hold_updates;
     size_t hold_updates_capacity;
+    uint64_t fence_used;
+    uint64_t fence_floor;
+    bool fence_floor_known;
+    bool fence_report_due;
     struct msg *local_msgs;
     size_t n_local_msgs;
     size_t local_msgs_capacity;
@@ -918,6 +935,10 @@
  * releases those that it should not */
 void hold_reassign(struct broker *b);
 
+/** hold_open_recorded() - opens the upstreams that only waited for a registry
+ * to confirm their fence */
+void hold_open_recorded(struct broker *b);
+
 /** hold_broker_lost() - the connection to a broker is lost: the upstreams it
  * held count as held by nobody */
 void hold_broker_lost(struct broker *b, struct name name);
@@ -958,6 +979,30 @@
  * after several in a row, marks the upstream as unresponsive */
 void hold_on_poll_failure(struct broker *b, struct broker_upstream *u);
 
+/* broker_fence.c */
+
+/** fence_next() - a fence for taking the upstream, above all that are known to
+ * be in use */
+uint64_t fence_next(struct broker *b, const struct broker_upstream *u);
+
+/** fence_report() - reports the highest fence used to the registries, if this
+ * step raised it */
+void fence_report(struct broker *b);
+
+/** fence_on_registry_up() - reports it to a registry that was connected, which
+ * replies with the highest one of all brokers */
+void fence_on_registry_up(struct broker *b,
+                          const struct broker_peer *registry);
+
+/** fence_on_record() - a registry reports the highest fence of all brokers */
+void fence_on_record(struct broker *b, struct name from,
+                     const struct rec_fence_record *r);
+
+/** fence_is_recorded() - whether starts may be sent under the upstream's
+ * fence: brokers that start later will use higher ones */
+bool fence_is_recorded(const struct broker *b,
+                       const struct broker_upstream *u);
+
 /* broker_lease.c */
 
 /* Added to the time after which a lease counts as expired, for network delays
--- a/src/msg_list.h
+++ b/src/msg_list.h
@@ -53,4 +53,5 @@
 MSG(QUEUES, queues)
 MSG(JOB_CHECK, job_check)
 MSG(JOB_RENEWAL, job_renewal)
+MSG(FENCE_RECORD, fence_record)
 /* clang-format on */
--- a/src/registry.c
+++ b/src/registry.c
@@ -50,6 +50,7 @@
     struct announced_upstream *upstreams;
     size_t n_upstreams;
     struct roster roster;
+    uint64_t fence;                  /* highest one that a broker has used */
     struct rec_instance *registries; /* from control's membership */
     size_t n_registries;
     int64_t report_all_us; /* when all upstreams are reported next */
@@ -373,15 +374,33 @@
     }
 }
 
+/* Replies with the highest fence, which confirms the sender's and tells a
+ * broker that starts what to exceed. */
+static void
+on_fence_record(struct registry *r, struct name from,
+                const struct rec_fence_record *f, struct control_effects *fx)
+{
+    struct msg m = {.kind = MSG_FENCE_RECORD};
+
+    r->fence = f->fence > r->fence ? f->fence : r->fence;
+    m.u.fence_record.fence = r->fence;
+    send_to(fx, from, &m);
+}
+
 bool
 registry_on_message(struct registry *r, struct name from, const struct msg *m,
                     struct moment now, struct control_effects *fx)
 {
-    if (m->kind != MSG_INTRODUCTION) {
+    switch (m->kind) {
+    case MSG_INTRODUCTION:
+        on_introduction(r, from, &m->u.introduction, now, fx);
+        return true;
+    case MSG_FENCE_RECORD:
+        on_fence_record(r, from, &m->u.fence_record, fx);
+        return true;
+    default:
         return false;
     }
-    on_introduction(r, from, &m->u.introduction, now, fx);
-    return true;
 }
 
 void
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -570,4 +570,10 @@
 RECORD(upstream_holds)
     ARRAY(held_upstream, upstreams)
 END(upstream_holds)
+
+/* From a broker: the highest fence that it has used; from a registry: the
+ * highest that any broker reported. */
+RECORD(fence_record)
+    U64(fence)
+END(fence_record)
 /* clang-format on */
--- a/tests/registry_test.c
+++ b/tests/registry_test.c
@@ -386,6 +386,41 @@
     region_free(r);
 }
 
+/* Reports a fence, and returns the one of the reply to the same broker. */
+static uint64_t
+report_fence(struct region *r, size_t broker, uint64_t fence)
+{
+    struct msg m = {.kind = MSG_FENCE_RECORD};
+    const struct ce_send *reply;
+    uint64_t highest;
+
+    m.u.fence_record.fence = fence;
+    CU_ASSERT_TRUE(registry_on_message(
+        r->registry, numbered_name("broker", broker), &m, at(r), &r->fx));
+    CU_ASSERT_EQUAL_FATAL(r->fx.n, 1);
+    reply = &r->fx.items[0].u.send;
+    CU_ASSERT_TRUE(name_equal(reply->to, numbered_name("broker", broker)));
+    CU_ASSERT_EQUAL_FATAL(reply->msg.kind, MSG_FENCE_RECORD);
+    highest = reply->msg.u.fence_record.fence;
+    control_effects_clear(&r->fx);
+    return highest;
+}
+
+/* Guards against a broker that takes upstreams under a fence below that of an
+ * unanswered start: after a restart it has used none, and its clock may have
+ * been set back. */
+static void
+highest_fence_is_reported_to_brokers(void)
+{
+    struct region *r = start_region(2);
+
+    CU_ASSERT_EQUAL(report_fence(r, 0, 0), 0);
+    CU_ASSERT_EQUAL(report_fence(r, 0, 7), 7);
+    CU_ASSERT_EQUAL(report_fence(r, 1, 5), 7);
+    CU_ASSERT_EQUAL(report_fence(r, 0, 0), 7);
+    region_free(r);
+}
+
 void
 suite_registry(void)
 {
@@ -399,5 +434,6 @@
     TEST(saved_upstreams_are_reported_until_silent);
     TEST(leaving_upstreams_are_not_saved);
     TEST(introduction_is_answered_in_full);
+    TEST(highest_fence_is_reported_to_brokers);
 #undef TEST
 }
