Answer a job that waits for a lost start as unknown, not as failed

Cause: "Leave a task to the upstream of its lost start" answered a job that could not be run there in time any more as failed. Its start may still be executed, so its outcome is unknown; failed is for runs that failed.

Change: the answer is JOB_LOST, at the same moment.

--- a/src/broker.h
+++ b/src/broker.h
@@ -196,7 +196,7 @@
     BROKER_COUNTER(tasks_failed, "runs that failed")                          \
     BROKER_COUNTER(tasks_lapsed, "runs whose lease passed")                   \
     BROKER_COUNTER(tasks_bound, "tasks left to the upstream of a lost start") \
-    BROKER_COUNTER(jobs_bound, "jobs failed with a task left to an upstream") \
+    BROKER_COUNTER(jobs_bound, "jobs given up with a task left to one") \
     BROKER_COUNTER(tasks_stopped, "runs stopped on request")                  \
     BROKER_COUNTER(tasks_stalled, "runs stopped because they stood still")    \
     BROKER_COUNTER(starts_refused, "starts that upstreams refused")           \
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -745,9 +745,9 @@
     return true;
 }
 
-/* Fails queued jobs with a bound task that can't be run before the deadline,
- * refuses those that would start too late, and moves jobs that have become
- * late behind the others.  All of the queue is checked, also behind
+/* Gives up queued jobs with a bound task that can't be run before the
+ * deadline, refuses those that would start too late, and moves jobs that have
+ * become late behind the others.  All of the queue is checked, also behind
  * jobs that find no capacity: otherwise a job would be refused only when its
  * turn comes. */
 static void
@@ -761,7 +761,7 @@
 
         if (!can_still_complete(b, job)) {
             b->counters.jobs_bound++;
-            close_job(b, job, JOB_FAILED_OUTCOME, BROKER_START_LOST, 0);
+            close_job(b, job, JOB_LOST_OUTCOME, BROKER_START_LOST, 0);
         }
         else if (order_starts_too_late(b, job, &retry_us)) {
             close_job(b, job, JOB_REFUSED_OUTCOME, BROKER_TOO_LATE, retry_us);
