Record at other brokers which one runs a job

Cause: only the lost runner knew of its start. Its successor's higher fence does not help, as the upstream restarts after it has answered that one.

Change: a runner claims a job at two or three other brokers before its first start. A second runner returns a job whose owner is connected, to be offered there; answers at once that the outcome is unknown if the owner is lost with starts unanswered; else takes the job over when the owner's leases are over. Tasks are reserved while a claim is under way, so the order of starts stays.

Ruled out: to hold all jobs until the upstreams of a lost broker are fenced (does not close the case above); a single witness.

--- a/src/broker.c
+++ b/src/broker.c
@@ -57,6 +57,7 @@
     table_init(&b->run_jobs, sizeof(struct run_job));
     table_init(&b->upstreams, sizeof(struct broker_upstream));
     table_init(&b->calls, sizeof(struct broker_call));
+    owner_init(b);
     peers_init(b);
     return b;
 }
@@ -114,6 +115,7 @@
     free(b->hold_updates);
     free_services(b);
     peers_free(b);
+    owner_free(b);
     table_clear(&b->caller_jobs);
     table_clear(&b->run_jobs);
     table_clear(&b->upstreams);
@@ -203,6 +205,18 @@
     case MSG_JOB_RENEWAL:
         renew_on_renewal(b, from, &m->u.job_renewal);
         break;
+    case MSG_OWNER_CLAIM:
+        owner_on_claim(b, from, &m->u.owner_claim);
+        break;
+    case MSG_OWNER_REPLY:
+        owner_on_reply(b, from, &m->u.owner_reply);
+        break;
+    case MSG_OWNER_UPDATE:
+        owner_on_update(b, from, &m->u.owner_update);
+        break;
+    case MSG_JOB_REDIRECT:
+        caller_on_redirect(b, from, &m->u.job_redirect);
+        break;
     case MSG_FENCE_RECORD:
         fence_on_record(b, from, &m->u.fence_record);
         break;
@@ -319,6 +333,7 @@
     config_tick(b);
     peers_tick(b);
     renew_tick(b);
+    owner_tick(b);
     caller_tick(b);
     hold_tick(b);
     if (b->review_due && b->now.mono_us >= b->next_review_us) {
@@ -372,6 +387,7 @@
     at = min_us(at, run_next_us(b));
     at = min_us(at, shutdown_next_us(b));
     at = min_us(at, renew_next_us(b));
+    at = min_us(at, owner_next_us(b));
     at = b->review_due ? min_us(at, b->next_review_us) : at;
     if (b->stopping && !b->stopped_reported) {
         at = min_us(at, b->stop_begun_us + b->opts.stop_timeout_us);
--- a/src/broker.h
+++ b/src/broker.h
@@ -57,7 +57,8 @@
     BROKER_FEATURE(BEST_FIT, "the fullest of equal upstreams is chosen")      \
     BROKER_FEATURE(OTHER_ZONES, "jobs are offered to other zones")            \
     BROKER_FEATURE(LEARNED, "run times are estimated from past runs")         \
-    BROKER_FEATURE(LOST_STARTS, "unanswered starts are stopped and restarted")
+    BROKER_FEATURE(LOST_STARTS, "unanswered starts are stopped and restarted") \
+    BROKER_FEATURE(CLAIMS, "jobs are claimed before their first start")
 /* clang-format on */
 
 enum broker_feature {
@@ -196,6 +197,8 @@
     BROKER_COUNTER(tasks_failed, "runs that failed")                          \
     BROKER_COUNTER(tasks_lapsed, "runs whose lease passed")                   \
     BROKER_COUNTER(tasks_bound, "tasks left to the upstream of a lost start") \
+    BROKER_COUNTER(jobs_redirected, "jobs that another runner had")           \
+    BROKER_COUNTER(jobs_owner_lost, "jobs given up, a lost runner had them")  \
     BROKER_COUNTER(jobs_bound, "jobs given up with a task left to one") \
     BROKER_COUNTER(tasks_stopped, "runs stopped on request")                  \
     BROKER_COUNTER(tasks_stalled, "runs stopped because they stood still")    \
--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -59,7 +59,9 @@
     for (size_t i = 0; i < u->n_tasks; i++) {
         struct run_task *t = run_find_task(b, &u->tasks[i], job);
 
-        if (same_run(lease_run_ref(*job, t), ref)) {
+        /* A reserved task has the number of an earlier run. */
+        if (t->state != RUN_RESERVED &&
+            same_run(lease_run_ref(*job, t), ref)) {
             return t;
         }
     }
@@ -118,7 +120,7 @@
     if (t == NULL) {
         return; /* started by an earlier holder, or already resolved */
     }
-    run_resolve_start(t);
+    run_resolve_start(b, job, t);
     if (e->outcome != LEASE_END_DONE) {
         broker_log(
             b, LOG_INFO, BROKER_RUN_ENDED, job->id, run_task_number(job, t),
@@ -237,7 +239,7 @@
                                  : find_placed_run(b, u, r->task, &job);
 
         if (t != NULL) {
-            run_resolve_start(t);
+            run_resolve_start(b, job, t);
             update_running(b, u, job, t, r->percent);
             continue;
         }
@@ -407,7 +409,7 @@
                    run_task_number(job, t), u->name, "run %llu",
                    (unsigned long long)t->run);
         if (b->opts.breaks[BROKER_BREAK_PLACE_LOST]) {
-            run_resolve_start(t);
+            run_resolve_start(b, job, t);
             run_mark_ready(b, job, t);
             break;
         }
@@ -466,7 +468,7 @@
 
     if (c->kind == LEASE_START && result != LEASE_NO_ANSWER && t != NULL &&
         t->run == c->run) {
-        run_resolve_start(t);
+        run_resolve_start(b, job, t);
     }
 }
 
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -223,19 +223,17 @@
 {
     struct broker_load *l = find_load(p, o->service);
 
-    l->sent_milli += first_groups_milli(o);
+    if (l != NULL) {
+        l->sent_milli += first_groups_milli(o);
+    }
 }
 
-static bool
-offer_job(struct broker *b, struct caller_job *c, struct name except)
+static void
+send_offer(struct broker *b, struct caller_job *c, struct broker_peer *p)
 {
     struct rec_job_offer *o = &c->offer.u.job_offer;
-    struct broker_peer *p = choose_runner(b, o, except);
     struct msg copy;
 
-    if (p == NULL) {
-        return false;
-    }
     count_sent_work(p, o);
     c->runner = p->name;
     c->confirmed_us = b->now.mono_us;
@@ -247,6 +245,17 @@
     broker_log(b, LOG_DEBUG, BROKER_OFFERED, o->id, -1, p->name,
                "queue %s, %zu groups, move %u", o->queue.s, o->n_groups,
                c->reoffers);
+}
+
+static bool
+offer_job(struct broker *b, struct caller_job *c, struct name except)
+{
+    struct broker_peer *p = choose_runner(b, &c->offer.u.job_offer, except);
+
+    if (p == NULL) {
+        return false;
+    }
+    send_offer(b, c, p);
     return true;
 }
 
@@ -455,6 +464,25 @@
                (int64_t)e->retry_after_us);
 }
 
+void
+caller_on_redirect(struct broker *b, struct name from,
+                   const struct rec_job_redirect *r)
+{
+    struct caller_job *c =
+        table_get(&b->caller_jobs, handle_of_number(r->number));
+    struct broker_peer *p = peers_find(b, r->runner);
+
+    if (c == NULL || !name_equal(c->runner, from)) {
+        return;
+    }
+    if (p == NULL || !(p->up || p->self) || c->reoffers >= REOFFERS_MAX) {
+        answer_job(b, c, JOB_LOST_OUTCOME, BROKER_HANDED_IN_AGAIN, 0);
+        return;
+    }
+    c->reoffers++;
+    send_offer(b, c, p);
+}
+
 /* Runs that the lost runner started continue until their leases expire or
  * another broker takes over the upstreams.  So the job may have run, and is
  * not offered to another runner.  The caller gets an unknown outcome at once,
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -150,6 +150,14 @@
     }
 }
 
+void
+lease_reserve(struct broker *b, struct broker_upstream *u, struct run_job *job,
+              struct run_task *t)
+{
+    run_mark_reserved(b, job, t, u);
+    place_task(u, job, t);
+}
+
 void
 lease_start(struct broker *b, struct broker_upstream *u, struct run_job *job,
             struct run_task *t)
@@ -157,8 +165,10 @@
     struct lease_request *r;
     struct broker_call *c;
 
+    if (t->state != RUN_RESERVED) {
+        place_task(u, job, t);
+    }
     run_mark_started(b, job, t, u);
-    place_task(u, job, t);
     r = new_call(b, u, LEASE_START, &c);
     c->job = job->self;
     c->task = (uint32_t)(t - job->tasks);
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -27,6 +27,7 @@
         abort();
     }
     p->name = name;
+    p->hash = key_id_of(name.s).lo;
     p->down_us = b->now.mono_us;
     p->next = b->peers;
     b->peers = p;
@@ -85,6 +86,7 @@
 {
     b->view++;
     b->review_due = true;
+    owner_on_peers_changed(b);
 }
 
 static void
@@ -115,6 +117,7 @@
 {
     p->up = false;
     p->confirms_fences = false;
+    p->no_claims_until_us = 0;
     p->down_us = b->now.mono_us;
     renew_reset_peer(p);
     clear_loads(p);
@@ -138,6 +141,7 @@
         return;
     }
     p->up = true;
+    p->up_us = b->now.mono_us;
     p->stopping = false;
     p->serves_while_stopping = false;
     p->config_poll_us = b->now.mono_us;
@@ -165,6 +169,7 @@
                    i->zone.s);
     }
     p->broker = true;
+    p->up_us = p->up ? p->up_us : b->now.mono_us;
     p->up = true;
     p->zone = i->zone;
     p->address = i->address;
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -82,28 +82,35 @@
     for (uint32_t i = 0; i < job->n_tasks; i++) {
         const struct run_task *other = &job->tasks[i];
 
-        n += other->group == t->group && other->state >= RUN_STARTING &&
+        n += other->group == t->group && other->state >= RUN_RESERVED &&
              other->state <= RUN_STOPPING &&
              handle_equal(other->upstream, u->self);
     }
     return n;
 }
 
+bool
+place_can_start(struct broker *b, const struct run_job *job,
+                const struct broker_upstream *u)
+{
+    bool leaving = u->leaving && !b->opts.breaks[BROKER_BREAK_START_LEAVING];
+
+    /* Unknown runs use resources that are not counted in @used. */
+    return u->state == HOLD_OPEN && !leaving && !u->gone && !u->unknown_runs &&
+           u->full_until_us <= b->now.mono_us && renew_allows_start(b, job, u);
+}
+
 static bool
 can_accept(struct broker *b, const struct run_job *job,
            const struct run_task *t, const struct broker_upstream *u)
 {
     const struct rec_task_group *g = &job->groups[t->group];
 
-    bool leaving = u->leaving && !b->opts.breaks[BROKER_BREAK_START_LEAVING];
-
-    /* Unknown runs use resources that are not counted in @used. */
-    return u->state == HOLD_OPEN && !leaving && !u->gone && !u->unknown_runs &&
-           u->full_until_us <= b->now.mono_us && u->n_tasks < u->slots &&
+    return u->n_tasks < u->slots &&
            resources_fit(required_resources(g), free_resources(u)) &&
            meets_requirement(g, u) && broker_health_allows(b, u) &&
            (g->spread == 0 || count_group_tasks(job, t, u) < g->spread) &&
-           renew_allows_start(b, job, u);
+           place_can_start(b, job, u);
 }
 
 /* Whether an upstream with expected run time @us and @left_milli milli-cores
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -49,8 +49,8 @@
     return *job != NULL ? &(*job)->tasks[p->task] : NULL;
 }
 
-static struct run_job *
-find_open_submission(struct broker *b, uint64_t id)
+struct run_job *
+run_find_open(struct broker *b, uint64_t id)
 {
     struct run_job *job;
     struct handle h;
@@ -80,6 +80,21 @@
     return false;
 }
 
+bool
+run_has_job(struct broker *b, uint64_t id)
+{
+    const struct run_job *job;
+    struct handle h;
+    uint32_t at = 0;
+
+    while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
+        if (job->id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Closing a job */
 
 static void
@@ -127,6 +142,7 @@
         }
         t->bound_upstream = e->bound_upstream;
         t->lost_starts = e->lost_starts;
+        job->n_unresolved += e->lost_starts;
         t->run = e->run > t->run ? e->run : t->run;
         t->start_resolved = true;
     }
@@ -137,7 +153,7 @@
 static void
 unblock_submission(struct broker *b, const struct run_job *earlier)
 {
-    struct run_job *job = find_open_submission(b, earlier->id);
+    struct run_job *job = run_find_open(b, earlier->id);
 
     if (job == NULL || !job->blocked_by_earlier) {
         return;
@@ -180,6 +196,7 @@
     if (has_bound_task(job) && b->now.mono_us < job->deadline_us) {
         return;
     }
+    owner_on_job_removed(b, job);
     blob_unref(job->spec);
     free(job->groups);
     free(job->tasks);
@@ -188,13 +205,37 @@
     table_remove(&b->run_jobs, job->self);
 }
 
+static void
+remove_from_upstream(struct broker *b, struct run_job *job, struct run_task *t)
+{
+    struct broker_upstream *u = table_get(&b->upstreams, t->upstream);
+
+    if (u != NULL) {
+        lease_remove_task(b, u, job, t);
+    }
+    t->upstream = (struct handle){0};
+    job->n_placed--;
+    job->service->placement_due = true;
+}
+
+static void
+release_reservation(struct broker *b, struct run_job *job, struct run_task *t)
+{
+    remove_from_upstream(b, job, t);
+    t->state = RUN_READY;
+    job->n_ready++;
+}
+
 static void
 stop_placed_tasks(struct broker *b, struct run_job *job)
 {
     for (uint32_t i = 0; i < job->n_tasks; i++) {
         struct run_task *t = &job->tasks[i];
 
-        if (t->state >= RUN_STARTING && t->state <= RUN_UNRESOLVED) {
+        if (t->state == RUN_RESERVED) {
+            release_reservation(b, job, t);
+        }
+        else if (t->state >= RUN_STARTING && t->state <= RUN_UNRESOLVED) {
             lease_stop(b, table_get(&b->upstreams, t->upstream), job, t);
         }
     }
@@ -230,10 +271,17 @@
               reason, 0);
 }
 
+void
+run_give_up_job(struct broker *b, struct run_job *job,
+                enum broker_reason reason)
+{
+    close_job(b, job, JOB_LOST_OUTCOME, reason, 0);
+}
+
 /* Closes a job that its taker dropped, or whose taker is lost, without sending
  * an outcome. */
-static void
-drop_job(struct broker *b, struct run_job *job, enum broker_reason reason)
+void
+run_drop_job(struct broker *b, struct run_job *job, enum broker_reason reason)
 {
     if (job->closed) {
         return;
@@ -371,7 +419,7 @@
 merge_resubmission(struct broker *b, struct name from,
                    const struct rec_job_offer *o)
 {
-    struct run_job *earlier = find_open_submission(b, o->id);
+    struct run_job *earlier = run_find_open(b, o->id);
 
     if (earlier == NULL) {
         return false;
@@ -500,7 +548,7 @@
     struct run_job *job = find_offered(b, from, number);
 
     if (job != NULL) {
-        drop_job(b, job, BROKER_CALLER_LEFT);
+        run_drop_job(b, job, BROKER_CALLER_LEFT);
     }
 }
 
@@ -513,7 +561,7 @@
 
     while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
         if (name_equal(job->taker, taker)) {
-            drop_job(b, job, BROKER_TAKER_LOST);
+            run_drop_job(b, job, BROKER_TAKER_LOST);
         }
     }
 }
@@ -549,12 +597,28 @@
 
 /* Tasks */
 
+void
+run_mark_reserved(struct broker *b, struct run_job *job, struct run_task *t,
+                  struct broker_upstream *u)
+{
+    t->state = RUN_RESERVED;
+    t->upstream = u->self;
+    t->start_sent_us = b->now.mono_us;
+    t->expected_us = place_expected_us(job, &job->groups[t->group], u);
+    t->stop_confirmed_us = INT64_MAX;
+    t->start_resolved = true;
+    job->n_ready--;
+    job->n_placed++;
+}
+
 void
 run_mark_started(struct broker *b, struct run_job *job, struct run_task *t,
                  struct broker_upstream *u)
 {
+    if (t->state != RUN_RESERVED) {
+        run_mark_reserved(b, job, t, u);
+    }
     t->state = RUN_STARTING;
-    t->upstream = u->self;
     t->run++;
     t->start_sent_us = b->now.mono_us;
     t->expected_us = place_expected_us(job, &job->groups[t->group], u);
@@ -562,6 +626,7 @@
     t->progress_us = b->now.mono_us;
     t->stop_confirmed_us = INT64_MAX;
     t->start_resolved = false;
+    job->n_unresolved++;
     if (!job->started) {
         histogram_add(&b->histograms.queue, b->now.mono_us - job->arrived_us);
         if (job->late) {
@@ -569,8 +634,6 @@
         }
     }
     job->started = true;
-    job->n_ready--;
-    job->n_placed++;
     b->counters.tasks_started++;
     broker_log(b, LOG_DEBUG, BROKER_STARTED, job->id, run_task_number(job, t),
                u->name, "run %llu, expected %lld ms",
@@ -578,19 +641,6 @@
                (long long)(t->expected_us / USEC_PER_MSEC));
 }
 
-static void
-remove_from_upstream(struct broker *b, struct run_job *job, struct run_task *t)
-{
-    struct broker_upstream *u = table_get(&b->upstreams, t->upstream);
-
-    if (u != NULL) {
-        lease_remove_task(b, u, job, t);
-    }
-    t->upstream = (struct handle){0};
-    job->n_placed--;
-    job->service->placement_due = true;
-}
-
 void
 run_mark_ready(struct broker *b, struct run_job *job, struct run_task *t)
 {
@@ -611,15 +661,17 @@
 }
 
 void
-run_resolve_start(struct run_task *t)
+run_resolve_start(struct broker *b, struct run_job *job, struct run_task *t)
 {
     if (t->start_resolved) {
         return;
     }
     t->start_resolved = true;
+    job->n_unresolved--;
     if (t->state == RUN_READY && t->lost_starts > 0 && --t->lost_starts == 0) {
         t->bound_upstream = (struct handle){0};
     }
+    owner_on_start_resolved(b, job);
 }
 
 bool
@@ -729,7 +781,12 @@
             all = false;
             continue;
         }
-        lease_start(b, u, job, t);
+        if (job->claim == CLAIM_GRANTED) {
+            lease_start(b, u, job, t);
+        }
+        else {
+            lease_reserve(b, u, job, t);
+        }
     }
     return all;
 }
@@ -745,6 +802,31 @@
     return true;
 }
 
+void
+run_on_claim_granted(struct broker *b, struct run_job *job)
+{
+    bool wait = b->now.mono_us < job->start_after_us;
+
+    for (uint32_t i = 0; i < job->n_tasks; i++) {
+        struct run_task *t = &job->tasks[i];
+        struct broker_upstream *u = table_get(&b->upstreams, t->upstream);
+
+        if (t->state != RUN_RESERVED) {
+            continue;
+        }
+        if (!wait && u != NULL && place_can_start(b, job, u)) {
+            lease_start(b, u, job, t);
+        }
+        else {
+            release_reservation(b, job, t);
+        }
+    }
+    if (job->n_ready > 0 && !job->queued) {
+        order_insert(job);
+    }
+    job->service->placement_due = true;
+}
+
 /* Gives up queued jobs with a bound task that can't be run before the
  * deadline, refuses those that would start too late, and moves jobs that have
  * become late behind the others.  All of the queue is checked, also behind
@@ -778,7 +860,7 @@
 static bool
 serve_job(struct broker *b, struct run_job *job)
 {
-    if (!renew_job_can_start(b, job)) {
+    if (!renew_job_can_start(b, job) || !owner_allows_placing(b, job)) {
         return true;
     }
     if (job->late && !job->started && !order_late_can_start(b, job)) {
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -9,6 +9,7 @@
  * - broker_caller.c keeps the jobs that callers submitted here;
  * - broker_run.c runs jobs;
  * - broker_renew.c bounds how long each job may run;
+ * - broker_owner.c records which broker runs a job;
  * - broker_order.c admits jobs and orders the queue;
  * - broker_share.c divides the capacity between queues;
  * - broker_place.c chooses the upstream of a task;
@@ -49,6 +50,7 @@
 /**
  * struct broker_peer - another process, or this one
  * @name: key of broker.peers_by_name; must be the first member
+ * @hash: of the name
  * @incarnation: start time of the process, see broker_options.incarnation
  * @self: this process
  * @registry: serves as a registry
@@ -63,8 +65,11 @@
  *                    on this connection
  * @fetch_timed_out: for a registry: it did not send a requested configuration
  *                   in time
+ * @no_claims_until_us: it did not answer a claim of a job in time, and is not
+ *                      asked before this
  * @confirms_fences: for a registry: it replied to a FENCE_RECORD on this
  *                   connection
+ * @up_us: when the connection was established
  * @last_sent_us: send time, on the peer's clock, of its newest load report or
  *                check on this connection; 0: none
  * @last_received_us: when that message was read, on this broker's clock
@@ -79,6 +84,7 @@
  */
 struct broker_peer {
     struct name name;
+    uint64_t hash;
     struct address address;
     struct name zone;
     uint64_t incarnation;
@@ -93,6 +99,8 @@
     int64_t config_poll_us;
     uint64_t reported_version;
     bool fetch_timed_out;
+    int64_t up_us;
+    int64_t no_claims_until_us;
     bool confirms_fences;
     uint64_t last_sent_us;
     int64_t last_received_us;
@@ -153,6 +161,7 @@
 enum run_state {
     RUN_BLOCKED,    /* groups that it depends on have not ended */
     RUN_READY,      /* waits for capacity */
+    RUN_RESERVED,   /* placed; the start waits for the claim of the job */
     RUN_STARTING,   /* start sent, not answered */
     RUN_RUNNING,    /* start acknowledged, or listed as running in a poll */
     RUN_UNRESOLVED, /* start not answered; it may run, or start later */
@@ -166,7 +175,7 @@
  * @index: of the task in its group
  * @run: number of its last start
  * @failures: number of runs that failed
- * @upstream: where it is placed, from RUN_STARTING to RUN_STOPPING
+ * @upstream: where it is placed, from RUN_RESERVED to RUN_STOPPING
  * @start_sent_us: when the last start was sent
  * @expected_us: expected run time on @upstream
  * @percent: progress, as last reported
@@ -201,6 +210,23 @@
     struct handle bound_upstream;
 };
 
+/** enum job_claim - claim of a job at its witness, see broker_owner.c */
+enum job_claim {
+    CLAIM_NONE,
+    CLAIM_SENT,     /* not answered; tasks are only reserved */
+    CLAIM_GRANTED,  /* tasks may be started */
+    CLAIM_RESOLVED, /* recorded as having no start without an answer: claimed
+                     * again before the next start */
+};
+
+enum { WITNESSES_MAX = 3 };
+
+/** struct job_witness - a broker at which a job was claimed */
+struct job_witness {
+    struct name name;
+    bool answered;
+};
+
 /**
  * struct run_job - a job that is run by this broker
  * @taker: broker to which the caller submitted it
@@ -230,6 +256,12 @@
  * @renewed_us: newest time as of which the taker confirmed that the caller
  *              was connected, see renew_confirmed_us(); not changed after the
  *              job is closed
+ * @claim: at @witnesses
+ * @witnesses: brokers that record that this one runs the job
+ * @n_witnesses: number of @witnesses
+ * @claim_sent_us: when it was last claimed
+ * @start_after_us: no task is started before this
+ * @n_unresolved: starts that were neither answered nor listed
  * @started: a start of one of its tasks was sent
  * @queued: in the service's queue
  * @blocked_by_earlier: earlier submissions of the job may still have runs on
@@ -266,6 +298,12 @@
     int64_t closed_us;
     int64_t accepted_us;
     int64_t renewed_us;
+    enum job_claim claim;
+    struct job_witness witnesses[WITNESSES_MAX];
+    uint32_t n_witnesses;
+    int64_t claim_sent_us;
+    int64_t start_after_us;
+    uint32_t n_unresolved;
     bool started;
     bool queued;
     bool blocked_by_earlier;
@@ -480,6 +518,11 @@
  * @next_review_us: earliest time of that assignment
  * @hold_updates: upstreams taken, released or lost, sent to the zone at the
  *                end of the step
+ * @owners: records of jobs of which this broker is the witness
+ * @owner_timers: expiry of @owners
+ * @owner_updates: changes to be sent to witnesses
+ * @owner_updates_due_us: when to send them; INT64_MAX: none
+ * @claims_due_us: when the first claim times out; INT64_MAX: none was sent
  * @fence_used: highest fence that this broker has used
  * @fence_floor: highest fence that a registry has recorded
  * @fence_floor_known: a registry has reported @fence_floor
@@ -539,6 +582,14 @@
     struct rec_held_upstream *hold_updates;
     size_t n_hold_updates;
     size_t hold_updates_capacity;
+    struct table owners;
+    struct map owners_by_job;
+    struct timers owner_timers;
+    struct owner_update *owner_updates;
+    size_t n_owner_updates;
+    size_t owner_updates_capacity;
+    int64_t owner_updates_due_us;
+    int64_t claims_due_us;
     uint64_t fence_used;
     uint64_t fence_floor;
     bool fence_floor_known;
@@ -663,6 +714,11 @@
 void caller_on_job_end(struct broker *b, struct name from,
                        const struct rec_job_end *e);
 
+/** caller_on_redirect() - a runner found that another one runs the job: offers
+ * it to that one */
+void caller_on_redirect(struct broker *b, struct name from,
+                        const struct rec_job_redirect *r);
+
 /** caller_on_runner_lost() - the connection to a runner was lost: its jobs are
  * answered with an unknown outcome */
 void caller_on_runner_lost(struct broker *b, struct name runner);
@@ -688,6 +744,15 @@
 struct run_task *run_find_task(struct broker *b, const struct placed_task *p,
                                struct run_job **job);
 
+/** run_mark_reserved() - updates the job for a task that is placed before its
+ * start may be sent */
+void run_mark_reserved(struct broker *b, struct run_job *job,
+                       struct run_task *t, struct broker_upstream *u);
+
+/** run_on_claim_granted() - sends the starts of the job's reserved tasks, or
+ * returns these to the queue if they can't start yet */
+void run_on_claim_granted(struct broker *b, struct run_job *job);
+
 /** run_mark_started() - updates the job for a start that is being sent */
 void run_mark_started(struct broker *b, struct run_job *job,
                       struct run_task *t, struct broker_upstream *u);
@@ -698,7 +763,24 @@
 
 /** run_resolve_start() - the start was answered or its run was listed, thus it
  * will not be executed later */
-void run_resolve_start(struct run_task *t);
+void run_resolve_start(struct broker *b, struct run_job *job,
+                       struct run_task *t);
+
+/** run_find_open() - the open submission of a job, or NULL */
+struct run_job *run_find_open(struct broker *b, uint64_t id);
+
+/** run_has_job() - whether a submission of the job is open here, or has runs
+ * or unanswered starts on upstreams */
+bool run_has_job(struct broker *b, uint64_t id);
+
+/** run_give_up_job() - ends a job that can't be completed, with an unknown
+ * outcome; may free it */
+void run_give_up_job(struct broker *b, struct run_job *job,
+                     enum broker_reason reason);
+
+/** run_drop_job() - closes a job without an outcome; may free it */
+void run_drop_job(struct broker *b, struct run_job *job,
+                  enum broker_reason reason);
 
 /** run_is_bound() - whether a task of any job is bound to the upstream */
 bool run_is_bound(struct broker *b, const struct broker_upstream *u);
@@ -802,6 +884,45 @@
  * that their taker has not confirmed for the length of a job lease */
 void renew_tick(struct broker *b);
 
+/* broker_owner.c */
+
+void owner_init(struct broker *b);
+void owner_free(struct broker *b);
+
+/** owner_allows_placing() - claims the job if necessary; returns false if its
+ * tasks have to wait for the leases of a lost owner, or if another runner has,
+ * or had, the job, which may have been freed then */
+bool owner_allows_placing(struct broker *b, struct run_job *job);
+
+/** owner_on_start_resolved() - a start of the job was answered: updates the
+ * witness when all were */
+void owner_on_start_resolved(struct broker *b, struct run_job *job);
+
+/** owner_on_job_removed() - no task of the job can run any more: releases the
+ * claim */
+void owner_on_job_removed(struct broker *b, struct run_job *job);
+
+/** owner_on_peers_changed() - claims jobs again whose witness is another one
+ * with the brokers that are connected now */
+void owner_on_peers_changed(struct broker *b);
+
+/** owner_on_claim() - a runner claims a job of which this is the witness */
+void owner_on_claim(struct broker *b, struct name from,
+                    const struct rec_owner_claim *c);
+
+/** owner_on_reply() - the answer of a witness */
+void owner_on_reply(struct broker *b, struct name from,
+                    const struct rec_owner_reply *r);
+
+/** owner_on_update() - a runner updates the records of its jobs */
+void owner_on_update(struct broker *b, struct name from,
+                     const struct rec_owner_update *u);
+
+/** owner_tick() - sends updates, removes expired records and asks another
+ * witness instead of one that does not answer, when due */
+void owner_tick(struct broker *b);
+int64_t owner_next_us(const struct broker *b);
+
 /* broker_order.c */
 
 /** order_set_times() - sets a new job's expected work, objective, deadline,
@@ -888,6 +1009,11 @@
                                      const struct run_job *job,
                                      const struct run_task *t);
 
+/** place_can_start() - whether starts of the job may be sent to the upstream
+ * now, apart from its capacity */
+bool place_can_start(struct broker *b, const struct run_job *job,
+                     const struct broker_upstream *u);
+
 /** place_bound_upstream() - the only upstream where the task may be placed,
  * since it may still execute an earlier start of the task; NULL for none */
 struct broker_upstream *place_bound_upstream(struct broker *b,
@@ -1009,7 +1135,12 @@
  * and coarse clocks. */
 #define EXPIRY_SLACK_US (50 * USEC_PER_MSEC)
 
-/** lease_start() - places a task on an upstream and sends the start */
+/** lease_reserve() - places a task on an upstream; the start is sent later */
+void lease_reserve(struct broker *b, struct broker_upstream *u,
+                   struct run_job *job, struct run_task *t);
+
+/** lease_start() - sends the start of a task, which is placed on the upstream
+ * first if it was not reserved */
 void lease_start(struct broker *b, struct broker_upstream *u,
                  struct run_job *job, struct run_task *t);
 
--- a/src/leasematrix.c
+++ b/src/leasematrix.c
@@ -52,9 +52,11 @@
     uint64_t seed;
     int wrong;
     bool anywhere;
+    bool unclaimed;
 };
 
 static const char ANYWHERE[] = "anywhere/";
+static const char UNCLAIMED[] = "unclaimed/";
 
 struct trace {
     struct vlease_hop *steps;
@@ -101,6 +103,7 @@
     o.seed = s->seed;
     o.resend_anywhere = s->anywhere;
     o.keep_arrived = s->anywhere;
+    o.without[BROKER_FEATURE_CLAIMS] = s->unclaimed;
     o.queues[0].tasks = 3;
     o.queues[0].run_us = 300 * MSEC;
     o.queues[0].timeout_us = 6 * USEC_PER_SEC;
@@ -487,8 +490,9 @@
 static void
 print_cell(const struct cell *c, const struct setting *s, FILE *out)
 {
-    (void)fprintf(out, "failed: bm-bench --seed %llu --lease-cell %s",
-                  (unsigned long long)s->seed, s->anywhere ? ANYWHERE : "");
+    (void)fprintf(out, "failed: bm-bench --seed %llu --lease-cell %s%s",
+                  (unsigned long long)s->seed, s->anywhere ? ANYWHERE : "",
+                  s->unclaimed ? UNCLAIMED : "");
     for (size_t i = 0; i < c->n_strikes; i++) {
         (void)fprintf(out, "%s%llu:%s", i > 0 ? "," : "",
                       (unsigned long long)c->strikes[i].step,
@@ -497,29 +501,38 @@
     (void)fprintf(out, ": %s\n", c->text);
 }
 
+/* Notes in @caught which wrong decisions are noticed by one of the cells. */
 static void
-run_breaks(struct cells *cs, const struct leasematrix_options *o,
-           struct leasematrix_result *r, FILE *out)
+run_breaks(struct cells *cs, const struct leasematrix_options *o, bool *caught)
+{
+    int n = o->anywhere ? BROKER_BREAKS : BROKER_BREAKS_SAME_ZONE;
+
+    for (int i = 0; i < n; i++) {
+        caught[i] = caught[i] || run_all(cs, o->threads, i);
+    }
+}
+
+static void
+count_caught(const struct leasematrix_options *o, const bool *caught,
+             struct leasematrix_result *r, FILE *out)
 {
     int n = o->anywhere ? BROKER_BREAKS : BROKER_BREAKS_SAME_ZONE;
 
     for (int i = 0; i < n; i++) {
         r->breaks++;
-        if (run_all(cs, o->threads, i)) {
-            r->caught++;
-        }
-        else {
+        r->caught += caught[i] ? 1 : 0;
+        if (!caught[i]) {
             (void)fprintf(out, "not caught: %s\n", break_texts[i]);
         }
     }
 }
 
-struct leasematrix_result
-leasematrix_run(const struct leasematrix_options *o, FILE *out)
+static void
+run_cells(const struct leasematrix_options *o, bool unclaimed,
+          struct leasematrix_result *r, bool *caught, FILE *out)
 {
-    struct cells cs = {.setting = {o->seed, NO_BREAK, o->anywhere}};
+    struct cells cs = {.setting = {o->seed, NO_BREAK, o->anywhere, unclaimed}};
     struct trace t = trace_run(&cs.setting);
-    struct leasematrix_result r = {0};
     size_t singles;
 
     add_all_singles(&cs, &t, o->per_label);
@@ -529,18 +542,33 @@
         add_without_stops(&cs, singles);
     }
     (void)run_all(&cs, o->threads, NO_BREAK);
-    r.cells = cs.n;
+    r->cells += cs.n;
     for (size_t i = 0; i < cs.n; i++) {
         if (cs.items[i].failed) {
-            r.failed++;
+            r->failed++;
             print_cell(&cs.items[i], &cs.setting, out);
         }
     }
     if (o->breaks) {
-        run_breaks(&cs, o, &r, out);
+        run_breaks(&cs, o, caught);
     }
     free(cs.items);
     free(t.steps);
+}
+
+struct leasematrix_result
+leasematrix_run(const struct leasematrix_options *o, FILE *out)
+{
+    struct leasematrix_result r = {0};
+    bool caught[BROKER_BREAKS] = {false};
+
+    run_cells(o, false, &r, caught, out);
+    if (o->anywhere) {
+        run_cells(o, true, &r, caught, out);
+    }
+    if (o->breaks) {
+        count_caught(o, caught, &r, out);
+    }
     return r;
 }
 
@@ -553,13 +581,17 @@
 bool
 leasematrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok)
 {
-    struct setting setting = {seed, NO_BREAK, false};
+    struct setting setting = {seed, NO_BREAK, false, false};
     struct cell c = {0};
 
     if (strncmp(text, ANYWHERE, strlen(ANYWHERE)) == 0) {
         setting.anywhere = true;
         text += strlen(ANYWHERE);
     }
+    if (strncmp(text, UNCLAIMED, strlen(UNCLAIMED)) == 0) {
+        setting.unclaimed = true;
+        text += strlen(UNCLAIMED);
+    }
     while (*text != '\0') {
         struct strike *s = &c.strikes[c.n_strikes];
         int fault;
--- a/src/leasematrix.h
+++ b/src/leasematrix.h
@@ -57,7 +57,9 @@
  * @pairs: cells with two faults, sampled
  * @threads: that run cells
  * @breaks: also prove it with the wrong decisions
- * @anywhere: callers come back at any broker of the region, not of the zone
+ * @anywhere: callers come back at any broker of the region, not of the zone;
+ *            all cells are run once more without claims of jobs, since these
+ *            and the leases of jobs prevent the same overlaps
  */
 struct leasematrix_options {
     uint64_t seed;
@@ -81,8 +83,9 @@
                                           FILE *out);
 
 /** leasematrix_cell() - repeats the cell "STEP:FAULT[,STEP:FAULT]", after
- * "anywhere/" where callers come back anywhere, with what was decided; false
- * when the text is no cell.  @ok gets whether it passed. */
+ * "anywhere/" where callers come back anywhere and "unclaimed/" where jobs are
+ * not claimed, with what was decided; false when the text is no cell.  @ok
+ * gets whether it passed. */
 bool leasematrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok);
 
 #endif
--- a/src/msg_list.h
+++ b/src/msg_list.h
@@ -54,4 +54,8 @@
 MSG(JOB_CHECK, job_check)
 MSG(JOB_RENEWAL, job_renewal)
 MSG(FENCE_RECORD, fence_record)
+MSG(OWNER_CLAIM, owner_claim)
+MSG(OWNER_REPLY, owner_reply)
+MSG(OWNER_UPDATE, owner_update)
+MSG(JOB_REDIRECT, job_redirect)
 /* clang-format on */
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -571,6 +571,35 @@
     ARRAY(held_upstream, upstreams)
 END(upstream_holds)
 
+/* Between a runner and the witness of its job. */
+RECORD(owner_claim)     /* the sender is about to run the job */
+    U64(id)             /* chosen by the caller */
+    U64(incarnation)    /* of the sender */
+    U64(unresolved)     /* it has, or will have, starts without an answer */
+    U64(deadline_us)    /* left; no submission of the job runs after it */
+END(owner_claim)
+
+RECORD(owner_reply)
+    U64(id)
+    U64(answer)         /* enum owner_answer */
+    NAME(runner)        /* that has, or had, the job; empty if granted */
+    U64(wait_us)        /* before the first start */
+END(owner_reply)
+
+RECORD(owner_state)
+    U64(id)
+    U64(change)         /* enum owner_change */
+END(owner_state)
+
+RECORD(owner_update)
+    ARRAY(owner_state, jobs)
+END(owner_update)
+
+RECORD(job_redirect)    /* to the taker: the job is run elsewhere */
+    U64(number)
+    NAME(runner)
+END(job_redirect)
+
 /* From a broker: the highest fence that it has used; from a registry: the
  * highest that any broker reported. */
 RECORD(fence_record)
--- a/tests/lives_test.c
+++ b/tests/lives_test.c
@@ -694,6 +694,47 @@
     }
 }
 
+/* Guards against two runs of a task at one time.  The caller submits its job
+ * again while its first taker does not notice that it has left, and renews the
+ * job's lease at a runner that is connected. */
+static void
+taker_does_not_notice_that_its_caller_left(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = long_jobs(seed);
+        struct vlease *v = ready_region(&o);
+        int64_t broken_us = READY_US + 200 * MSEC;
+        uint64_t job = vlease_submit(v, TAKER, 0);
+
+        vlease_run(v, broken_us + RESEND_US);
+        CU_ASSERT_EQUAL(vlease_running(v), 4);
+        vlease_resubmit(v, job, OTHER_ZONE);
+        assert_job_ends(v, job, broken_us + RESEND_US, __func__, seed);
+        vlease_free(v);
+    }
+}
+
+/* Guards against giving up jobs of a lost runner that can be run again: all
+ * their starts were answered. */
+static void
+job_of_lost_runner_is_run_again(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = long_jobs(seed);
+        struct vlease *v = ready_region(&o);
+        int64_t broken_us = READY_US + 200 * MSEC;
+        uint64_t job = vlease_submit(v, TAKER, 0);
+
+        vlease_run(v, broken_us);
+        CU_ASSERT_EQUAL(vlease_running(v), 4);
+        vlease_kill(v, RUNNER);
+        vlease_run(v, broken_us + RESEND_US);
+        vlease_resubmit(v, job, OTHER_ZONE);
+        assert_job_ends(v, job, broken_us + RESEND_US, __func__, seed);
+        vlease_free(v);
+    }
+}
+
 void
 suite_lives(void)
 {
@@ -708,6 +749,8 @@
     TEST(callers_that_left_during_a_pause_are_not_connected);
     TEST(renewal_read_after_a_pause_is_outdated);
     TEST(unconfirmed_jobs_are_answered);
+    TEST(taker_does_not_notice_that_its_caller_left);
+    TEST(job_of_lost_runner_is_run_again);
     TEST(random_faults_with_resubmission_anywhere);
 #undef TEST
 }
--- a/tests/reborn_test.c
+++ b/tests/reborn_test.c
@@ -306,6 +306,22 @@
                     0);
 }
 
+/* Guards against a job that waits until its deadline after its runner was lost
+ * with an unanswered start: nobody knows which upstream may execute it. */
+static void
+job_of_lost_holder_is_answered_at_once(void)
+{
+    struct late_start late;
+    struct vlease *v = lose_runner(1, 2, HEARTBEAT_US, &late);
+
+    vlease_run(v, READY_US + 900 * MSEC);
+    CU_ASSERT_TRUE(vlease_unclear(v, 1));
+    vlease_run(v, READY_US + 1500 * MSEC); /* submitted again 0.1 s ago */
+    CU_ASSERT_TRUE(vlease_unclear(v, 1));
+    CU_ASSERT_EQUAL(vlease_running(v), 0);
+    vlease_free(v);
+}
+
 /* While the broker is down, its machine's clock is set back by @back_us, and
  * the upstream restarts if @new_incarnation. */
 static bool
@@ -373,6 +389,7 @@
     TEST(job_of_silent_upstream_is_answered_before_its_deadline);
     TEST(late_start_of_lost_holder_meets_higher_fence);
     TEST(late_start_of_lost_holder_reaches_new_incarnation);
+    TEST(job_of_lost_holder_is_answered_at_once);
     TEST(late_start_from_before_restart_meets_higher_fence);
     TEST(late_start_from_before_clock_set_back);
 #undef TEST
