Drop updates of a job's claim that a new claim replaces

Found by reading: an update that all starts of a job are answered is sent up to 20 ms after the fact. If the job is claimed again in that time, for a run that failed, the update reaches the witnesses after the claim and marks the new starts as answered; a runner lost just then would let the job run again beside one of them. The pending updates of a job are dropped when it is claimed. No run has shown the fault and no test does: what a witness records can't be seen from outside.

--- a/src/broker_owner.c
+++ b/src/broker_owner.c
@@ -365,6 +365,21 @@
     }
 }
 
+/* A new claim replaces what earlier updates say; sent after it, they would
+ * mark its starts as answered. */
+static void
+drop_updates(struct broker *b, uint64_t id)
+{
+    size_t n = 0;
+
+    for (size_t i = 0; i < b->n_owner_updates; i++) {
+        if (b->owner_updates[i].state.id != id) {
+            b->owner_updates[n++] = b->owner_updates[i];
+        }
+    }
+    b->n_owner_updates = n;
+}
+
 /* Returns false if another runner has, or had, the job: it may be freed. */
 static bool
 claim_job(struct broker *b, struct run_job *job)
@@ -378,6 +393,7 @@
         return false;
     }
     remove_own_record(b, job->id);
+    drop_updates(b, job->id);
     job->start_after_us = b->now.mono_us + (int64_t)r.wait_us;
     job->claim = CLAIM_SENT;
     job->claim_sent_us = b->now.mono_us;
