Keep the record of a job's owner while that is connected

Cause, from its logs: the owner went on with the job for a second submission. Its witnesses' records expired at the deadline of the first one, 0.3 s before the third came, which got another runner; both ran. Owner and witnesses were connected all the while.

Change: when a submission moves the deadline, the owner tells its witnesses; and an expired record is kept while its owner is connected, which reports the end of the job.

--- a/src/broker_owner.c
+++ b/src/broker_owner.c
@@ -28,6 +28,8 @@
 #define CLAIM_TIMEOUT_US (40 * USEC_PER_MSEC)
 /* A witness that did not answer in time is not asked for this time. */
 #define SKIP_WITNESS_US (1 * USEC_PER_SEC)
+/* Interval of checks whether the owner of an expired record is lost. */
+#define EXPIRY_RETRY_US (1 * USEC_PER_SEC)
 /* Witnesses are chosen among the brokers connected for this time, in which
  * all brokers learn of a new one, and among all. */
 #define SETTLE_US (1 * USEC_PER_SEC)
@@ -55,7 +57,7 @@
     struct name runner;
     uint64_t incarnation; /* of @runner */
     bool unresolved;      /* has starts without an answer */
-    int64_t expires_us;   /* no submission of the job runs after this */
+    int64_t expires_us;   /* for a lost runner: deadline of the job */
 };
 
 /** struct owner_update - to be sent to a witness */
@@ -454,6 +456,14 @@
     grant_if_answered(b, job);
 }
 
+void
+owner_on_deadline_moved(struct broker *b, const struct run_job *job)
+{
+    for (uint32_t i = 0; i < job->n_witnesses; i++) {
+        send_claim(b, job, job->witnesses[i].name);
+    }
+}
+
 static void
 queue_update(struct broker *b, const struct run_job *job,
              enum owner_change change)
@@ -555,7 +565,15 @@
 
     while (timers_pop(&b->owner_timers, b->now.mono_us, &h)) {
         o = table_get(&b->owners, h);
-        if (o != NULL && o->expires_us <= b->now.mono_us) {
+        if (o == NULL || o->expires_us > b->now.mono_us) {
+            continue;
+        }
+        /* An owner that is connected reports the end of the job. */
+        if (is_connected(b, o)) {
+            o->expires_us = b->now.mono_us + EXPIRY_RETRY_US;
+            timers_add(&b->owner_timers, o->expires_us, h);
+        }
+        else {
             remove_record(b, o);
         }
     }
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -434,6 +434,7 @@
     earlier->accepted_us = b->now.mono_us;
     earlier->renewed_us = renew_echoed_us(b, o->heard_us);
     earlier->deadline_us = b->now.mono_us + (int64_t)o->deadline_us;
+    owner_on_deadline_moved(b, earlier);
     return true;
 }
 
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -898,6 +898,10 @@
  * witness when all were */
 void owner_on_start_resolved(struct broker *b, struct run_job *job);
 
+/** owner_on_deadline_moved() - a later submission moved the deadline of the
+ * job: updates the witnesses */
+void owner_on_deadline_moved(struct broker *b, const struct run_job *job);
+
 /** owner_on_job_removed() - no task of the job can run any more: releases the
  * claim */
 void owner_on_job_removed(struct broker *b, struct run_job *job);
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -62,6 +62,7 @@
  * @told_resend_us: what brokers are told of that
  * @resend_anywhere: at a broker drawn among all of the region, instead of the
  *                   next one of the same zone
+ * @whole_timeout: each submission of a job has the whole timeout of its queue
  * @keep_arrived: a broker that stood still reads what arrived meanwhile, also
  *                of a sender that is gone by then
  * @late_us: a hop that a hook delays arrives so much later
@@ -83,6 +84,7 @@
     int64_t resend_us;
     int64_t told_resend_us;
     bool resend_anywhere;
+    bool whole_timeout;
     bool keep_arrived;
     int64_t late_us;
     uint64_t seed;
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -108,7 +108,9 @@
     ev.u.submit.spec = blob_new("spec", 4);
     ev.u.submit.groups = &group;
     ev.u.submit.n_groups = 1;
-    ev.u.submit.timeout_us = job->asked_us + q->timeout_us - v->now_us;
+    ev.u.submit.timeout_us = v->opts.whole_timeout
+                                 ? q->timeout_us
+                                 : job->asked_us + q->timeout_us - v->now_us;
     vlease_step(v, p, &ev);
     blob_unref(ev.u.submit.spec);
 }
--- a/tests/lives_test.c
+++ b/tests/lives_test.c
@@ -714,6 +714,40 @@
     }
 }
 
+/* Guards against two runs of a task at one time.  The job goes on for a second
+ * submission after the deadline of the first, when it is submitted once more.
+ */
+static void
+job_outlives_the_deadline_of_its_first_submission(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease_options o = long_jobs(seed);
+        int64_t begin_us = READY_US + SEC;
+        struct vlease *v;
+        uint64_t job;
+
+        o.whole_timeout = true;
+        o.queues[0].timeout_us = 2 * SEC;
+        o.n_queues = 2;
+        o.queues[1] = o.queues[0];
+        o.queues[1].run_us = MSEC;
+        v = ready_region(&o);
+        /* The number of a job selects its witnesses. */
+        for (uint64_t i = 0; i < seed; i++) {
+            (void)vlease_submit(v, TAKER, 1);
+        }
+        vlease_run(v, begin_us);
+        job = vlease_submit(v, TAKER, 0);
+        vlease_run(v, begin_us + RESEND_US);
+        vlease_resubmit(v, job, OTHER_ZONE);
+        vlease_run(v, begin_us + 2 * RESEND_US);
+        CU_ASSERT_EQUAL(vlease_running(v), 4);
+        vlease_resubmit(v, job, OTHER_ZONE + 1);
+        assert_job_ends(v, job, begin_us + 2 * RESEND_US, __func__, seed);
+        vlease_free(v);
+    }
+}
+
 /* Guards against giving up jobs of a lost runner that can be run again: all
  * their starts were answered. */
 static void
@@ -750,6 +784,7 @@
     TEST(renewal_read_after_a_pause_is_outdated);
     TEST(unconfirmed_jobs_are_answered);
     TEST(taker_does_not_notice_that_its_caller_left);
+    TEST(job_outlives_the_deadline_of_its_first_submission);
     TEST(job_of_lost_runner_is_run_again);
     TEST(random_faults_with_resubmission_anywhere);
 #undef TEST
