--- a/src/broker_owner.c
+++ b/src/broker_owner.c
@@ -298,7 +298,7 @@
     return false;
 }
 
-/* Claims the job at the witnesses chosen now, and forgets the others. */
+/* Claims the job at the witnesses chosen now, and drops the others. */
 static void
 update_witnesses(struct broker *b, struct run_job *job)
 {
--- a/tests/lives_test.c
+++ b/tests/lives_test.c
@@ -714,9 +714,8 @@
     }
 }
 
-/* Guards against two runs of a task at one time.  The job goes on for a second
- * submission after the deadline of the first, when it is submitted once more.
- */
+/* Guards against two runs of a task at one time.  The job is still run for its
+ * second submission, after the deadline of the first, when a third arrives. */
 static void
 job_outlives_the_deadline_of_its_first_submission(void)
 {
