--- a/src/apply.c
+++ b/src/apply.c
@@ -55,6 +55,40 @@
     serve_entry_applied(c, e->index, e->term, &o);
 }
 
+/* Whether no known zone would be left that is not evacuated. */
+static bool
+covers_all_zones(const struct control *c)
+{
+    for (size_t i = 0; i < c->opts.n_zones; i++) {
+        if (!evacuation_covers(&c->fsm.evacuated, c->opts.zones[i])) {
+            return false;
+        }
+    }
+    return c->opts.n_zones > 0;
+}
+
+static void
+apply_evacuation(struct control *c, const struct rec_log_entry *e,
+                 const struct rec_evacuation_order *order)
+{
+    struct fsm_outcome o = fsm_evacuate(&c->fsm, order);
+
+    if (o.result == CONTROL_OK && !o.resend) {
+        c->counters.evacuation_orders++;
+        control_log(c, LOG_NOTICE, CONTROL_REASON_EVACUATION, order->zone,
+                    "%s by %s, revision %llu",
+                    order->evacuate != 0 ? "begun" : "ended",
+                    order->publisher.s,
+                    (unsigned long long)c->fsm.evacuated.revision);
+    }
+    if (o.result == CONTROL_OK && order->evacuate != 0 &&
+        covers_all_zones(c)) {
+        control_log(c, LOG_WARNING, CONTROL_REASON_ALL_EVACUATED, order->zone,
+                    "all zones are evacuated; no task is started");
+    }
+    serve_entry_applied(c, e->index, e->term, &o);
+}
+
 static void
 apply_entry(struct control *c, const struct rec_log_entry *e)
 {
@@ -76,6 +110,10 @@
                     "%zu members", m.u.membership.n_members);
         serve_entry_applied(c, e->index, e->term, &o);
     }
+    else if (valid && e->kind == LOG_KIND_EVACUATION &&
+             m.kind == MSG_EVACUATION_ORDER) {
+        apply_evacuation(c, e, &m.u.evacuation_order);
+    }
     else {
         control_log(c, LOG_ERR, CONTROL_REASON_BAD_ENTRY, c->opts.self,
                     "entry %llu is invalid and ignored",
@@ -96,6 +134,9 @@
     if (!due || c->snapshot_sync_seq > c->synced_seq) {
         return;
     }
+    if (c->opts.breaks[CONTROL_BREAK_FORGET_EVACUATIONS]) {
+        evacuation_clear(&c->fsm.evacuated);
+    }
     state = fsm_encode(&c->fsm, c->applied_index, term);
     apply_save_snapshot(c, state, c->applied_index, term, false);
     control_log(c, LOG_INFO, CONTROL_REASON_SNAPSHOT, c->opts.self,
--- a/src/broker.c
+++ b/src/broker.c
@@ -34,6 +34,7 @@
         .load_reports_per_s = 400, /* 20 brokers, each every 50 ms */
         .stop_timeout_us = 5400 * USEC_PER_MSEC,
         .stop_accept_us = 2600 * USEC_PER_MSEC,
+        .evacuation_grace_us = 1 * USEC_PER_SEC,
         .upstreams_per_holder = 32,
         .clock_drift = 0.02,
     };
@@ -125,6 +126,7 @@
     map_clear(&b->upstreams_by_name);
     queueconf_free(b->queues);
     blob_unref(b->config_text);
+    evacuation_clear(&b->evacuated);
     free(b);
 }
 
@@ -473,6 +475,8 @@
     struct broker_gauges g = {
         .callers_jobs = b->caller_jobs.n,
         .runner_jobs = b->run_jobs.n,
+        .evacuated_zones = b->evacuated.n_zones,
+        .evacuation_revision = b->evacuated.revision,
         .config_rank = b->queues != NULL ? b->queues->rank : 0,
     };
     const struct run_job *job;
--- a/src/broker.h
+++ b/src/broker.h
@@ -38,6 +38,9 @@
     BROKER_BREAK(RETURN_STARTED, "return started jobs at a stop")             \
     BROKER_BREAK(START_LEAVING, "start tasks on leaving upstreams")           \
     BROKER_BREAK(OPEN_UNSEEN, "use an upstream before its first poll")        \
+    BROKER_BREAK(EVACUATED, "start tasks in evacuated zones")                 \
+    BROKER_BREAK(EVACUATED_RETRY, "restart tasks in evacuated zones")         \
+    BROKER_BREAK(EVACUATION_OLDER, "replace the evacuated zones by older ones") \
     /* Detected only where callers may resubmit at any broker. */             \
     BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")
 /* clang-format on */
@@ -108,6 +111,8 @@
  * @stop_accept_us: new jobs of callers are accepted for this long after a
  *                  planned stop began, since the platform may still route
  *                  callers here
+ * @evacuation_grace_us: jobs that have started when a zone's evacuation
+ * becomes known may start their remaining tasks for this long
  * @upstreams_per_holder: a zone has one holder for each so many upstreams
  * @clock_drift: an upstream's clock may be slower by this part, 0 to 1
  * @breaks: deliberate faults, for tests; all false by default
@@ -133,6 +138,7 @@
     uint32_t load_reports_per_s;
     int64_t stop_timeout_us;
     int64_t stop_accept_us;
+    int64_t evacuation_grace_us;
     uint32_t upstreams_per_holder;
     double clock_drift;
     bool breaks[BROKER_BREAKS];
@@ -191,6 +197,7 @@
     BROKER_COUNTER(jobs_moved, "jobs offered to a second runner")             \
     BROKER_COUNTER(offers_taken, "jobs taken to run here")                    \
     BROKER_COUNTER(offers_refused, "jobs refused as a runner")                \
+    BROKER_COUNTER(offers_evacuated, "of these, since the zone is evacuated") \
     BROKER_COUNTER(offers_again, "offers while an earlier life was here")     \
     BROKER_COUNTER(tasks_started, "starts sent to upstreams")                 \
     BROKER_COUNTER(tasks_done, "runs that ended well")                        \
@@ -239,6 +246,8 @@
     BROKER_GAUGE(upstreams_quarantined, "held ones in quarantine")            \
     BROKER_GAUGE(brokers_up, "other brokers connected")                       \
     BROKER_GAUGE(registries_up, "registries connected")                       \
+    BROKER_GAUGE(evacuated_zones, "availability zones that are evacuated")    \
+    BROKER_GAUGE(evacuation_revision, "revision of the evacuated zones")      \
     BROKER_GAUGE(config_rank, "rank of the configuration in force")
 /* clang-format on */
 
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -195,7 +195,7 @@
         int64_t us;
 
         if (l == NULL || !peers_can_run_jobs(p) ||
-            name_equal(p->name, except)) {
+            evacuate_covers(b, p->zone) || name_equal(p->name, except)) {
             continue;
         }
         if (b->opts.disabled[BROKER_FEATURE_OTHER_ZONES] &&
--- a/src/broker_config.c
+++ b/src/broker_config.c
@@ -63,6 +63,7 @@
     r->has_text = b->config_text != NULL && !b->fetch.full_text ? 1 : 0;
     r->version_only = version_only ? 1 : 0;
     r->known_version = b->config_version;
+    r->evacuation = b->evacuated.revision;
     if (version_only && p->reported_version > b->config_version) {
         r->known_version = p->reported_version;
     }
@@ -293,6 +294,7 @@
     if (p == NULL) {
         return;
     }
+    evacuate_update(b, from, r->evacuation, r->evacuated, r->n_evacuated);
     p->config_poll_us = b->now.mono_us;
     p->reported_version =
         r->version > p->reported_version ? r->version : p->reported_version;
--- a/src/broker_effect.h
+++ b/src/broker_effect.h
@@ -63,6 +63,8 @@
                   "the work before it leaves no time for it")                 \
     BROKER_REASON(QUEUE_FULL, "queue-full", "too many tasks wait here")       \
     BROKER_REASON(STOPPING, "stopping", "this instance is stopping")          \
+    BROKER_REASON(EVACUATED, "zone-evacuated",                                \
+                  "no task is started in this zone")                          \
     BROKER_REASON(CALLER_LEFT, "caller-left", "nobody waits for it any more") \
     BROKER_REASON(CANCELLED, "cancelled", "its caller cancelled it")          \
     BROKER_REASON(DEADLINE, "deadline-passed", "its caller waits no longer")  \
@@ -114,6 +116,12 @@
     BROKER_REASON(LINGERS, "stop-lingers",                                    \
                   "it stops, but goes on running jobs: nobody takes over")    \
     BROKER_REASON(LINGERED, "stop-goes-on", "it runs no further jobs")        \
+    BROKER_REASON(EVACUATION_KNOWN, "evacuated-zones",                        \
+                  "a change of the evacuated zones is in force here")         \
+    BROKER_REASON(EVACUATION_BEGUN, "evacuation-begun",                       \
+                  "this zone is evacuated from now on")                       \
+    BROKER_REASON(EVACUATION_ENDED, "evacuation-ended",                       \
+                  "this zone takes work again")                               \
     BROKER_REASON(STOP_BEGUN, "stop-begun", "a planned stop began")
 
 enum broker_reason {
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -224,8 +224,12 @@
     struct handle h;
     uint32_t at = 0;
 
+    if (!b->evacuated_known) {
+        return c;
+    }
     while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
         if (u->service == s && u->state == HOLD_OPEN && !u->leaving &&
+            !evacuate_covers(b, u->zone) &&
             u->quarantine_until_us <= b->now.mono_us) {
             add_upstream_capacity(b, &c, u);
         }
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -101,6 +101,10 @@
     i->stopping = b->stopping ? 1 : 0;
     i->holds = b->holds_reported ? 1 : 0;
     i->again = again ? 1 : 0;
+    i->evacuation_known = b->evacuated_known ? 1 : 0;
+    i->evacuation = b->evacuated.revision;
+    i->evacuated = evacuation_copy_zones(&b->evacuated);
+    i->n_evacuated = b->evacuated.n_zones;
     broker_send(b, to, &m);
 }
 
@@ -175,6 +179,9 @@
     p->address = i->address;
     p->incarnation = i->incarnation;
     p->stopping = i->stopping != 0;
+    if (i->evacuation_known != 0) {
+        evacuate_update(b, from, i->evacuation, i->evacuated, i->n_evacuated);
+    }
     if (name_equal(p->zone, b->opts.zone)) {
         hold_send_held(b, from);
     }
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -97,7 +97,8 @@
 
     /* Unknown runs use resources that are not counted in @used. */
     return u->state == HOLD_OPEN && !leaving && !u->gone && !u->unknown_runs &&
-           u->full_until_us <= b->now.mono_us && renew_allows_start(b, job, u);
+           u->full_until_us <= b->now.mono_us &&
+           evacuate_allows_start(b, job, u) && renew_allows_start(b, job, u);
 }
 
 static bool
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -385,6 +385,11 @@
     if (b->stopping && !shutdown_accepts_job(b, job)) {
         return BROKER_STOPPING;
     }
+    if (!evacuate_accepts_jobs(b)) {
+        b->counters.offers_evacuated++;
+        evacuate_log_refusal(b, job->id);
+        return BROKER_EVACUATED;
+    }
     if (!fits_upstreams(b, job)) {
         return BROKER_NEVER_FITS;
     }
@@ -580,7 +585,7 @@
 }
 
 void
-run_return_unstarted(struct broker *b)
+run_return_unstarted(struct broker *b, enum broker_reason reason)
 {
     struct run_job *job;
     struct handle h;
@@ -591,7 +596,7 @@
             !job->started || b->opts.breaks[BROKER_BREAK_RETURN_STARTED];
 
         if (unstarted && !job->closed) {
-            close_job(b, job, JOB_RETURNED_OUTCOME, BROKER_STOPPING, 0);
+            close_job(b, job, JOB_RETURNED_OUTCOME, reason, 0);
         }
     }
 }
@@ -828,11 +833,11 @@
     job->service->placement_due = true;
 }
 
-/* Gives up queued jobs with a bound task that can't be run before the
- * deadline, refuses those that would start too late, and moves jobs that have
- * become late behind the others.  All of the queue is checked, also behind
- * jobs that find no capacity: otherwise a job would be refused only when its
- * turn comes. */
+/* Gives up queued jobs whose zone is evacuated, or with a bound task that
+ * can't be run before the deadline, refuses those that would start too late,
+ * and moves jobs that have become late behind the others.  All of the queue is
+ * checked, also behind jobs that find no capacity: otherwise a job would be
+ * refused only when its turn comes. */
 static void
 review_queue(struct broker *b, struct broker_service *s)
 {
@@ -842,7 +847,10 @@
         struct run_job *next = TAILQ_NEXT(job, link);
         int64_t retry_us;
 
-        if (!can_still_complete(b, job)) {
+        if (evacuate_has_ended_starts(b)) {
+            run_abandon_job(b, job, BROKER_EVACUATED);
+        }
+        else if (!can_still_complete(b, job)) {
             b->counters.jobs_bound++;
             close_job(b, job, JOB_LOST_OUTCOME, BROKER_START_LOST, 0);
         }
--- a/src/broker_shutdown.c
+++ b/src/broker_shutdown.c
@@ -35,7 +35,7 @@
                    b->opts.zone.s);
     }
     else {
-        run_return_unstarted(b);
+        run_return_unstarted(b, BROKER_STOPPING);
     }
 }
 
@@ -52,7 +52,7 @@
     b->next_load_us = b->now.mono_us;
     broker_log(b, LOG_NOTICE, BROKER_LINGERED, 0, -1, b->opts.self,
                "%zu jobs still run here", b->run_jobs.n);
-    run_return_unstarted(b);
+    run_return_unstarted(b, BROKER_STOPPING);
 }
 
 int64_t
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -15,6 +15,7 @@
  * - broker_place.c chooses the upstream of a task;
  * - broker_hold.c takes and releases upstreams;
  * - broker_fence.c chooses fences and has them recorded;
+ * - broker_evacuate.c keeps tasks off the upstreams of evacuated zones;
  * - broker_shutdown.c keeps serving during a stop without a successor;
  * - broker_lease.c sends calls to upstreams;
  * - broker_answer.c handles the upstreams' answers;
@@ -31,6 +32,7 @@
 
 #include "broker.h"
 #include "estimate.h"
+#include "evacuation.h"
 #include "map.h"
 #include "table.h"
 #include "timers.h"
@@ -498,6 +500,11 @@
  * @queues: configuration in force; NULL: none
  * @config_text: its text
  * @config_version: its version; 0: none
+ * @evacuated: availability zones that are evacuated
+ * @evacuated_known: a registry or another broker has reported @evacuated
+ * @evacuated_from_us: while this zone is evacuated: when the last started jobs
+ *                     may start tasks
+ * @evacuation_refused: a job was refused since this zone's evacuation began
  * @self: this process in @peers
  * @view: incremented whenever the set of brokers that may hold upstreams
  *        changes
@@ -553,6 +560,9 @@
     uint64_t config_version;
     struct config_fetch fetch;
 
+    struct evacuation_set evacuated;
+    int64_t evacuated_from_us;
+
     struct map peers_by_name;
     struct broker_peer *peers;
     struct broker_peer *self;
@@ -598,6 +608,8 @@
     size_t n_local_msgs;
     size_t local_msgs_capacity;
 
+    bool evacuated_known;
+    bool evacuation_refused;
     bool stopping;
     bool serves_while_stopping;
     bool stopped_reported;
@@ -812,7 +824,7 @@
 
 /** run_return_unstarted() - returns all jobs that have not started to their
  * takers, which offer them to other runners */
-void run_return_unstarted(struct broker *b);
+void run_return_unstarted(struct broker *b, enum broker_reason reason);
 
 /** run_ensure_service() - the service of that name; created if it is unknown
  */
@@ -1180,6 +1192,32 @@
 /** answer_on_call_end() - handles the answer to a call, or its time-out */
 void answer_on_call_end(struct broker *b, const struct bev_called *c);
 
+/* broker_evacuate.c */
+
+/** evacuate_update() - @from reports the evacuated zones; ignored if their
+ * revision is not above the known one */
+void evacuate_update(struct broker *b, struct name from, uint64_t revision,
+                     const struct rec_evacuated_zone *zones, size_t n_zones);
+
+/** evacuate_covers() - whether the zone is known to be evacuated */
+bool evacuate_covers(const struct broker *b, struct name zone);
+
+/** evacuate_accepts_jobs() - whether jobs may be accepted to run in this zone:
+ * it is known not to be evacuated */
+bool evacuate_accepts_jobs(const struct broker *b);
+
+/** evacuate_allows_start() - whether a task of the job may be started on the
+ * upstream */
+bool evacuate_allows_start(const struct broker *b, const struct run_job *job,
+                           const struct broker_upstream *u);
+
+/** evacuate_has_ended_starts() - whether this zone is evacuated and no job may
+ * start tasks here any more */
+bool evacuate_has_ended_starts(const struct broker *b);
+
+/** evacuate_log_refusal() - logs the first job refused in an evacuation */
+void evacuate_log_refusal(struct broker *b, uint64_t job);
+
 /* broker_shutdown.c */
 
 /** shutdown_begin() - a planned stop begins: keeps running jobs if no other
--- a/src/control.c
+++ b/src/control.c
@@ -507,6 +507,9 @@
     case CEV_CHANGE:
         serve_change(c, &ev->u.change);
         break;
+    case CEV_EVACUATE:
+        serve_evacuate(c, &ev->u.evacuate);
+        break;
     case CEV_READ:
         serve_read(c, &ev->u.read);
         break;
@@ -603,6 +606,7 @@
         .commit_index = c->commit_index,
         .applied_index = c->applied_index,
         .version = c->fsm.version,
+        .evacuated_zones = c->fsm.evacuated.n_zones,
         .log_bytes = c->log.bytes,
         .state_bytes =
             fsm_bytes(&c->fsm) + (c->snapshot != NULL ? c->snapshot->size : 0),
--- a/src/control.h
+++ b/src/control.h
@@ -34,7 +34,8 @@
     CONTROL_BREAK(SERVE_AFTER_RESTART, "serves before it caught up")          \
     CONTROL_BREAK(READ_WITHOUT_ROUND, "answers reads unasked")                \
     CONTROL_BREAK(SERVE_UNCOMMITTED, "applies before the commit")             \
-    CONTROL_BREAK(FORGET_REQUESTS, "takes a resend for a new request")
+    CONTROL_BREAK(FORGET_REQUESTS, "takes a resend for a new request")        \
+    CONTROL_BREAK(FORGET_EVACUATIONS, "snapshots lack the evacuated zones")
 /* clang-format on */
 
 enum control_break {
@@ -79,6 +80,9 @@
  * @log_tail_entries: entries kept in memory behind a snapshot for slow members
  * @snapshot_chunk_bytes: bytes of a snapshot in one message
  * @append_batch_bytes: bytes of entries in one message
+ * @zones: the region's availability zones; orders to evacuate others are
+ *         refused
+ * @n_zones: number of @zones; 0: not known, any zone is accepted
  * @render: converts a published text to the one served to followers; NULL:
  *          the published text is served
  * @limits: of the history
@@ -107,6 +111,8 @@
     uint32_t log_tail_entries;
     size_t snapshot_chunk_bytes;
     size_t append_batch_bytes;
+    struct name zones[ZONES_MAX];
+    size_t n_zones;
     control_render *render;
     struct fsm_limits limits;
     bool breaks[CONTROL_BREAKS];
@@ -175,6 +181,7 @@
     CONTROL_COUNTER(published, "publications accepted, applied here")         \
     CONTROL_COUNTER(resent, "publications answered again")                    \
     CONTROL_COUNTER(refused, "publications refused")                          \
+    CONTROL_COUNTER(evacuation_orders, "evacuations begun or ended")          \
     CONTROL_COUNTER(elections, "elections begun here")                        \
     CONTROL_COUNTER(led, "elections won here")                                \
     CONTROL_COUNTER(syncs, "syncs asked for")                                 \
@@ -205,6 +212,7 @@
     uint64_t commit_index;
     uint64_t applied_index;
     uint64_t version;
+    uint64_t evacuated_zones;
     uint64_t log_bytes;
     uint64_t state_bytes;
     uint64_t followers;
--- a/src/control_dump.c
+++ b/src/control_dump.c
@@ -133,15 +133,46 @@
         json_object_set_new(o, "incarnation",
                             json_from_uint(f->info.incarnation));
         json_object_set_new(o, "version", json_from_uint(f->info.version));
+        json_object_set_new(o, "evacuation",
+                            json_from_uint(f->info.evacuation));
         json_object_set_new(o, "heard_ms", age_ms(c, f->last_heard_us));
         json_object_set_new(o, "via", json_string(f->via_member.s));
-        json_object_set_new(o, "lags",
-                            json_boolean(f->info.version < c->fsm.version));
+        json_object_set_new(
+            o, "lags",
+            json_boolean(f->info.version < c->fsm.version ||
+                         f->info.evacuation < c->fsm.evacuated.revision));
         json_array_append_new(list, o);
     }
     return list;
 }
 
+static json_t *
+evacuated_json(const struct control *c)
+{
+    json_t *list = json_array();
+
+    for (size_t i = 0; i < c->fsm.evacuated.n_zones; i++) {
+        const struct rec_evacuated_zone *z = &c->fsm.evacuated.zones[i];
+
+        json_array_append_new(list,
+                              json_pack("{s:s, s:s, s:I}", "zone", z->zone.s,
+                                        "operator", z->publisher.s, "time_us",
+                                        (json_int_t)z->time_us));
+    }
+    return list;
+}
+
+static json_t *
+zones_json(const struct control *c)
+{
+    json_t *list = json_array();
+
+    for (size_t i = 0; i < c->opts.n_zones; i++) {
+        json_array_append_new(list, json_string(c->opts.zones[i].s));
+    }
+    return list;
+}
+
 static json_t *
 status_json(const struct control *c)
 {
@@ -155,6 +186,10 @@
     json_object_set_new(o, "commit", json_from_uint(c->commit_index));
     json_object_set_new(o, "applied", json_from_uint(c->applied_index));
     json_object_set_new(o, "version", json_from_uint(c->fsm.version));
+    json_object_set_new(o, "zones", zones_json(c));
+    json_object_set_new(o, "evacuated", evacuated_json(c));
+    json_object_set_new(o, "evacuation_revision",
+                        json_from_uint(c->fsm.evacuated.revision));
     json_object_set_new(o, "members", members_json(c));
     json_object_set_new(o, "followers", followers_json(c));
     return o;
--- a/src/control_effect.h
+++ b/src/control_effect.h
@@ -56,6 +56,7 @@
     CONTROL_RESULT(IN_PROGRESS, 409, "change-in-progress",                    \
                    "The last change of members is not committed yet")         \
     CONTROL_RESULT(BAD_CHANGE, 422, "bad-change", "Not a possible change")    \
+    CONTROL_RESULT(UNKNOWN_ZONE, 404, "unknown-zone", "No such zone")         \
     CONTROL_RESULT(NOT_JSON, 400, "not-json", "The body is not JSON")         \
     CONTROL_RESULT(TOO_LARGE, 413, "too-large", "The body is too large")      \
     CONTROL_RESULT(NOT_FOUND, 404, "not-found", "No such resource")           \
@@ -96,6 +97,9 @@
     CONTROL_REASON(DISK_REPLACED, "member-disk-replaced")                     \
     CONTROL_REASON(REMOVED, "member-removed")                                 \
     CONTROL_REASON(JOINING, "asks-to-become-member")                          \
+    CONTROL_REASON(EVACUATION_ASKED, "evacuation-requested")                  \
+    CONTROL_REASON(EVACUATION, "evacuation-changed")                          \
+    CONTROL_REASON(ALL_EVACUATED, "all-zones-evacuated")                      \
     CONTROL_REASON(STARTED, "member-started")                                 \
     CONTROL_REASON(STOPPING, "stopping")
 
--- a/src/control_event.h
+++ b/src/control_event.h
@@ -18,6 +18,7 @@
     CONTROL_EVENT(SAVED, saved, "a sync is done")                             \
     CONTROL_EVENT(PUBLISH, publish, "an operator publishes a configuration")  \
     CONTROL_EVENT(CHANGE, change, "an operator changes the membership")       \
+    CONTROL_EVENT(EVACUATE, evacuate, "an operator evacuates a zone")         \
     CONTROL_EVENT(READ, read, "an HTTP client reads")                         \
     CONTROL_EVENT(GONE, gone, "an HTTP client disconnected before the answer")\
     CONTROL_EVENT(CONTACT, contact, "a process that may be a member is found")\
@@ -65,6 +66,13 @@
     struct address http;    /* of CHANGE_ADD: of the HTTP server */
 };
 
+struct cev_evacuate {
+    uint64_t request;
+    struct name publisher;
+    struct name zone;
+    bool evacuate; /* false: ends the evacuation */
+};
+
 struct cev_read {
     uint64_t request;
     enum read_kind kind;
@@ -90,6 +98,7 @@
         struct cev_saved saved;
         struct cev_publish publish;
         struct cev_change change;
+        struct cev_evacuate evacuate;
         struct cev_read read;
         struct cev_disconnect gone;
         struct cev_contact contact;
--- a/src/control_recover.c
+++ b/src/control_recover.c
@@ -10,13 +10,17 @@
 {
     struct msg m;
 
-    if (e->kind != LOG_KIND_PUBLISH || e->data == NULL ||
+    if ((e->kind != LOG_KIND_PUBLISH && e->kind != LOG_KIND_EVACUATION) ||
+        e->data == NULL ||
         wire_decode(e->data->data, e->data->size, &m) != WIRE_OK) {
         return;
     }
     if (m.kind == MSG_PUBLISH) {
         (void)fsm_publish(f, e->index, e->term, &m.u.publish);
     }
+    else if (m.kind == MSG_EVACUATION_ORDER) {
+        (void)fsm_evacuate(f, &m.u.evacuation_order);
+    }
     msg_free(&m);
 }
 
--- a/src/control_request.c
+++ b/src/control_request.c
@@ -37,7 +37,8 @@
 bool
 control_route_is_write(enum control_route route)
 {
-    return route == CONTROL_ROUTE_PUBLISH || route == CONTROL_ROUTE_CHANGE;
+    return route == CONTROL_ROUTE_PUBLISH || route == CONTROL_ROUTE_CHANGE ||
+           route == CONTROL_ROUTE_EVACUATE;
 }
 
 static void
@@ -146,6 +147,31 @@
     return m;
 }
 
+static struct control_mail *
+parse_evacuate(json_t *root, struct name publisher,
+               struct control_rejection *why)
+{
+    struct control_mail *m;
+    json_error_t error;
+    const char *zone = NULL;
+    int evacuate = 0;
+
+    if (json_unpack_ex(root, &error, JSON_STRICT, "{s:s, s:b}", "zone", &zone,
+                       "evacuate", &evacuate) != 0) {
+        set_rejection(why, CONTROL_BAD_CHANGE, error.text);
+        return NULL;
+    }
+    if (*zone == '\0' || strlen(zone) >= NAME_SIZE) {
+        set_rejection(why, CONTROL_BAD_CHANGE, "zone has 1 to 47 characters");
+        return NULL;
+    }
+    m = control_mail_new(CEV_EVACUATE);
+    m->event.u.evacuate.publisher = publisher;
+    m->event.u.evacuate.zone = name_of(zone);
+    m->event.u.evacuate.evacuate = evacuate != 0;
+    return m;
+}
+
 static struct control_mail *
 parse_body(enum control_route route, struct name publisher, const char *body,
            size_t size, struct control_rejection *why)
@@ -161,6 +187,9 @@
     if (route == CONTROL_ROUTE_PUBLISH) {
         m = parse_publish(root, publisher, why);
     }
+    else if (route == CONTROL_ROUTE_EVACUATE) {
+        m = parse_evacuate(root, publisher, why);
+    }
     else {
         m = parse_change(root, why);
     }
@@ -200,11 +229,19 @@
         return m;
     }
     m = parse_body(route, publisher, body != NULL ? body : "", size, why);
-    if (m != NULL && route == CONTROL_ROUTE_PUBLISH) {
-        m->event.u.publish.request = id;
+    if (m == NULL) {
+        return NULL;
     }
-    else if (m != NULL) {
+    switch (route) {
+    case CONTROL_ROUTE_PUBLISH:
+        m->event.u.publish.request = id;
+        break;
+    case CONTROL_ROUTE_EVACUATE:
+        m->event.u.evacuate.request = id;
+        break;
+    default:
         m->event.u.change.request = id;
+        break;
     }
     return m;
 }
@@ -293,7 +330,7 @@
     case CONTROL_ROUTE_CONFIG:
         return config_json(r);
     default:
-        return json_pack("{s:b}", "changed", 1);
+        return json_pack("{s:b}", "changed", r->resend ? 0 : 1);
     }
 }
 
--- a/src/control_request.h
+++ b/src/control_request.h
@@ -15,6 +15,7 @@
     CONTROL_ROUTE(CONFIG, "GET", "/v1/config")                                \
     CONTROL_ROUTE(HISTORY, "GET", "/v1/config/history")                       \
     CONTROL_ROUTE(CHANGE, "POST", "/v1/members")                              \
+    CONTROL_ROUTE(EVACUATE, "POST", "/v1/evacuations")                        \
     CONTROL_ROUTE(STATUS, "GET", "/v1/status")                                \
     CONTROL_ROUTE(STATE, "GET", "/v1/state")                                  \
     CONTROL_ROUTE(HEALTH, "GET", "/v1/health")                                \
--- a/src/control_runtime.c
+++ b/src/control_runtime.c
@@ -159,6 +159,9 @@
                     v->commit_index);
     stats_print_one(out, "control_version", "gauge",
                     "version of the configuration", v->version);
+    stats_print_one(out, "control_evacuated_zones", "gauge",
+                    "availability zones that are evacuated",
+                    v->evacuated_zones);
     stats_print_one(out, "control_log_bytes", "gauge", "entries in memory",
                     v->log_bytes);
     stats_print_one(out, "control_state_bytes", "gauge",
--- a/src/control_settings.c
+++ b/src/control_settings.c
@@ -129,6 +129,19 @@
 
 /* The addresses of entry instances stay empty: an instance connects to the
  * control members, which never connect to it. */
+static void
+add_zone(struct control_options *o, struct name zone)
+{
+    for (size_t i = 0; i < o->n_zones; i++) {
+        if (name_equal(o->zones[i], zone)) {
+            return;
+        }
+    }
+    if (o->n_zones < ZONES_MAX) {
+        o->zones[o->n_zones++] = zone;
+    }
+}
+
 static void
 read_instances(struct control_settings *s)
 {
@@ -141,9 +154,12 @@
         return;
     }
     for (size_t i = 0; i < n; i++) {
-        s->remotes[p->n_remotes].name =
-            name_of(settings_name(s->file, "instance", i));
+        const char *name = settings_name(s->file, "instance", i);
+
+        s->remotes[p->n_remotes].name = name_of(name);
         p->n_remotes++;
+        add_zone(&s->runtime.control, name_of(settings_named_text(
+                                          s->file, "instance", name, "zone")));
     }
 }
 
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -63,7 +63,7 @@
 };
 
 enum pending_kind {
-    PENDING_ENTRY, /* a publication or change, answered once applied */
+    PENDING_ENTRY, /* an operator's order, answered once applied */
     PENDING_READ,  /* an operator's read, answered after a heartbeat round */
     PENDING_READ_INDEX, /* another member's read index request, likewise */
 };
@@ -93,6 +93,7 @@
     /* The open long poll. */
     uint64_t have_version;  /* version of the instance's text */
     uint64_t known_version; /* answered once a version above this one exists */
+    uint64_t known_evacuation; /* likewise, for the revision of these zones */
     bool has_text;     /* can apply a delta against version @have_version */
     bool version_only; /* wants the version number without the text */
     int64_t poll_deadline_us; /* deadline of the answer */
@@ -354,6 +355,7 @@
 /* serve.c */
 void serve_publish(struct control *c, const struct cev_publish *p);
 void serve_change(struct control *c, const struct cev_change *change);
+void serve_evacuate(struct control *c, const struct cev_evacuate *ev);
 void serve_read(struct control *c, const struct cev_read *r);
 
 /** serve_disconnect() - drops a request whose HTTP connection ended */
--- a/src/followers.c
+++ b/src/followers.c
@@ -77,6 +77,7 @@
         return f;
     }
     if (f->info.version != info->version ||
+        f->info.evacuation != info->evacuation ||
         f->info.incarnation != info->incarnation) {
         c->followers_changed = true;
     }
@@ -96,6 +97,7 @@
         .zone = r->zone,
         .incarnation = r->incarnation,
         .version = r->have_version,
+        .evacuation = r->evacuation,
     };
     struct follower *f = update_follower(c, &info, c->opts.self, true);
 
@@ -107,6 +109,7 @@
     f->has_text = r->has_text != 0 && r->have_version != 0;
     f->version_only = r->version_only != 0;
     f->known_version = r->known_version;
+    f->known_evacuation = r->evacuation;
     f->poll_deadline_us = c->now.mono_us + c->opts.poll_timeout_us;
     for (size_t i = 0; i < r->n_members && i < INSTANCES_MAX; i++) {
         (void)update_follower(c, &r->members[i], c->opts.self, false);
@@ -128,7 +131,12 @@
 static void
 reply_poll(struct control *c, struct follower *f, struct msg *m)
 {
-    m->u.config_reply.zone = c->opts.zone;
+    struct rec_config_reply *r = &m->u.config_reply;
+
+    r->zone = c->opts.zone;
+    r->evacuation = c->fsm.evacuated.revision;
+    r->evacuated = evacuation_copy_zones(&c->fsm.evacuated);
+    r->n_evacuated = c->fsm.evacuated.n_zones;
     f->polling = false;
     control_send(c, f->info.instance, m, 0);
 }
@@ -180,15 +188,16 @@
     for (size_t i = 0; i < c->n_followers; i++) {
         struct follower *f = &c->followers[i];
 
-        if (!f->polling || f->known_version >= c->fsm.version) {
+        if (!f->polling) {
             continue;
         }
-        if (f->version_only) {
-            send_version(c, f, c->fsm.version);
-        }
-        else {
+        if (f->known_version < c->fsm.version && !f->version_only) {
             send_config(c, f);
         }
+        else if (f->known_version < c->fsm.version ||
+                 f->known_evacuation < c->fsm.evacuated.revision) {
+            send_version(c, f, c->fsm.version);
+        }
     }
 }
 
--- a/src/fsm.c
+++ b/src/fsm.c
@@ -30,6 +30,7 @@
     }
     free(f->history);
     free(f->texts);
+    evacuation_clear(&f->evacuated);
     membership_free(&f->members);
     memset(f, 0, sizeof(*f));
 }
@@ -66,6 +67,20 @@
     f->members = copy;
 }
 
+struct fsm_outcome
+fsm_evacuate(struct fsm *f, const struct rec_evacuation_order *order)
+{
+    struct fsm_outcome o = {.result = CONTROL_OK};
+
+    if (order->evacuate != 0 &&
+        evacuation_is_full(&f->evacuated, order->zone)) {
+        o.result = CONTROL_BAD_CHANGE;
+        return o;
+    }
+    o.resend = !evacuation_apply(&f->evacuated, order);
+    return o;
+}
+
 const struct rec_publication *
 fsm_publication(const struct fsm *f, uint64_t version)
 {
@@ -281,6 +296,7 @@
     p.digest = delta_digest(text);
     clear_history(f);
     f->version += RECOVERY_VERSION_GAP;
+    f->evacuated.revision += RECOVERY_VERSION_GAP;
     (void)add_publication(f, index, term, &p, text->size);
     add_text(f, f->version, text);
     blob_unref(p.request_text);
@@ -304,6 +320,9 @@
     s->n_history = f->n_history;
     s->texts = f->texts;
     s->n_texts = f->n_texts;
+    s->evacuation = f->evacuated.revision;
+    s->evacuated = f->evacuated.zones;
+    s->n_evacuated = f->evacuated.n_zones;
     b = wire_encode_blob(&m);
     if (b == NULL) {
         abort(); /* the limits keep the size below the frame limit */
@@ -325,6 +344,7 @@
         }
     }
     return s->n_members <= CONTROL_MEMBERS_MAX &&
+           s->n_evacuated <= ZONES_MAX &&
            (s->version == 0 ||
             (s->n_texts > 0 &&
              s->texts[s->n_texts - 1].version == s->version));
@@ -357,6 +377,9 @@
     f->n_history = s->n_history;
     f->texts = s->texts;
     f->n_texts = s->n_texts;
+    f->evacuated.revision = s->evacuation;
+    f->evacuated.zones = s->evacuated;
+    f->evacuated.n_zones = s->n_evacuated;
     for (size_t i = 0; i < f->n_texts; i++) {
         f->text_bytes += f->texts[i].text->size;
     }
--- a/src/fsm.h
+++ b/src/fsm.h
@@ -1,16 +1,17 @@
 /**
  * DOC: fsm - the replicated state machine
  *
- * Holds the history of publications, the texts of the newest versions and the
- * committed membership.  Applying the same entries gives the same state on
- * every member; a snapshot is this state, encoded.  The history also serves to
- * detect duplicates: a publication that is sent again is found by its request
- * id.
+ * Holds the history of publications, the texts of the newest versions, the
+ * evacuated zones and the committed membership.  Applying the same entries
+ * gives the same state on every member; a snapshot is this state, encoded. The
+ * history also serves to detect duplicates: a publication that is sent again
+ * is found by its request id.
  */
 #ifndef BM_FSM_H
 #define BM_FSM_H
 
 #include "control_effect.h"
+#include "evacuation.h"
 
 enum {
     CONTROL_MEMBERS_MAX = 9,
@@ -40,7 +41,8 @@
     size_t n_history;
     struct rec_config_text *texts; /* by version, ascending */
     size_t n_texts;
-    size_t text_bytes;             /* sum of the sizes of @texts */
+    size_t text_bytes; /* sum of the sizes of @texts */
+    struct evacuation_set evacuated;
     struct rec_membership members; /* committed */
 };
 
@@ -71,11 +73,18 @@
 struct fsm_outcome fsm_publish(struct fsm *f, uint64_t index, uint64_t term,
                                const struct rec_publish *p);
 
+/** fsm_evacuate() - applies a committed order; @resend is set in the outcome
+ * if the zone already is as ordered.  CONTROL_BAD_CHANGE if too many zones are
+ * evacuated. */
+struct fsm_outcome fsm_evacuate(struct fsm *f,
+                                const struct rec_evacuation_order *order);
+
 /** fsm_set_members() - applies a committed change; copies @m */
 void fsm_set_members(struct fsm *f, const struct rec_membership *m);
 
 /** fsm_recover() - republishes the newest text under a version that is higher
- * by RECOVERY_VERSION_GAP, and drops the history
+ * by RECOVERY_VERSION_GAP, raises the revision of the evacuated zones by as
+ * much, and drops the history
  *
  * Versions above the newest one known here may be in force at entry instances,
  * and these apply only higher versions. */
--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -15,6 +15,7 @@
 enum {
     BODY_START = 1024,
     GONE_EVENTS = 32,
+    LOCATION_SIZE = 256,
     /* Headers, the path, and a read buffer: ours are short, and a thousand
      * idle connections must fit into a small machine. */
     CONNECTION_MEMORY = 12 * 1024,
@@ -50,8 +51,10 @@
 
 static void
 add_headers(struct httpapi *h, struct MHD_Response *response,
-            const struct httpapi_response *r)
+            const struct request *request)
 {
+    const struct httpapi_response *r = &request->reply;
+    char location[LOCATION_SIZE];
     char seconds[24];
 
     (void)MHD_add_response_header(response, "Content-Type",
@@ -63,8 +66,10 @@
                                    USEC_PER_SEC));
         (void)MHD_add_response_header(response, "Retry-After", seconds);
     }
-    if (r->location[0] != '\0') {
-        (void)MHD_add_response_header(response, "Location", r->location);
+    if (r->redirect_to.s[0] != '\0') {
+        (void)snprintf(location, sizeof(location), "http://%s%s",
+                       r->redirect_to.s, request->path);
+        (void)MHD_add_response_header(response, "Location", location);
     }
     if (r->close || atomic_load(&h->closing)) {
         (void)MHD_add_response_header(response, "Connection", "close");
@@ -88,7 +93,7 @@
         free(body);
         return MHD_NO;
     }
-    add_headers(h, response, &r->reply);
+    add_headers(h, response, r);
     queued = MHD_queue_response(r->connection, (unsigned int)r->reply.status,
                                 response);
     MHD_destroy_response(response);
--- a/src/httpapi.h
+++ b/src/httpapi.h
@@ -9,9 +9,7 @@
 #ifndef BM_HTTPAPI_H
 #define BM_HTTPAPI_H
 
-#include <stdbool.h>
-#include <stddef.h>
-#include <stdint.h>
+#include "base.h"
 
 struct httpapi;
 
@@ -39,15 +37,14 @@
 /** httpapi_header() - the value of a request's header, or NULL */
 const char *httpapi_header(const struct httpapi_request *r, const char *name);
 
-enum { HTTPAPI_LOCATION_SIZE = 192 };
-
 /**
  * struct httpapi_response - an answer
  * @status: of HTTP
  * @body: owned, from malloc(); NULL for none
  * @type: of the body; NULL for application/json
  * @retry_after_us: told in whole seconds, rounded up; 0 for not
- * @location: of a redirection; may be empty
+ * @redirect_to: address of the server that the request is redirected to, with
+ *               the same path; may be empty
  * @close: the connection ends with it
  */
 struct httpapi_response {
@@ -55,7 +52,7 @@
     char *body;
     const char *type;
     int64_t retry_after_us;
-    char location[HTTPAPI_LOCATION_SIZE];
+    struct address redirect_to;
     bool close;
 };
 
--- a/src/leasematrix.c
+++ b/src/leasematrix.c
@@ -13,13 +13,20 @@
     QUEUES = 2,
     JOBS = 24,
     FAULTS_PER_CELL = 2,
+    EVACUATED_FROM_JOB = 4,
+    EVACUATED_UNTIL_JOB = 22,
+    EVACUATING_PAIRS_DIVISOR = 4,
     NO_BREAK = -1,
 };
 
 #define MSEC USEC_PER_MSEC
 #define BEGIN_US (6 * USEC_PER_SEC) /* upstreams are held by then */
 #define JOB_EVERY_US (150 * MSEC)
-#define END_US (BEGIN_US + JOBS * JOB_EVERY_US + USEC_PER_SEC)
+/* Slower, so that starts in the evacuated zone are judged for some seconds. */
+#define EVACUATING_JOB_EVERY_US (300 * MSEC)
+#define EVACUATION_US (1500 * MSEC)
+/* A registry that is cut off from the others reports the older state. */
+#define REGISTRY_LAG_US (8 * USEC_PER_SEC)
 #define PAUSE_US (4 * USEC_PER_SEC) /* several leases */
 /* Until what was struck is well again; a planned stop is over by then; power
  * is back within a lease. */
@@ -53,10 +60,12 @@
     int wrong;
     bool anywhere;
     bool unclaimed;
+    bool evacuating;
 };
 
 static const char ANYWHERE[] = "anywhere/";
 static const char UNCLAIMED[] = "unclaimed/";
+static const char EVACUATING[] = "evacuating/";
 
 struct trace {
     struct vlease_hop *steps;
@@ -104,6 +113,8 @@
     o.resend_anywhere = s->anywhere;
     o.keep_arrived = s->anywhere;
     o.without[BROKER_FEATURE_CLAIMS] = s->unclaimed;
+    o.registry_lag_us = REGISTRY_LAG_US;
+    o.evacuation_us = EVACUATION_US;
     o.queues[0].tasks = 3;
     o.queues[0].run_us = 300 * MSEC;
     o.queues[0].timeout_us = 6 * USEC_PER_SEC;
@@ -135,6 +146,25 @@
     (void)vlease_submit(v, i % (ZONES * BROKERS_EACH), i % 3 == 0 ? 1 : 0);
 }
 
+/* One zone is evacuated while jobs are handed in, and takes work again at the
+ * end. */
+static void
+evacuate(struct vlease *v, const struct setting *s, uint32_t i)
+{
+    if (s->evacuating && i == EVACUATED_FROM_JOB) {
+        vlease_evacuate(v, 0, true);
+    }
+    if (s->evacuating && i == EVACUATED_UNTIL_JOB) {
+        vlease_evacuate(v, 0, false);
+    }
+}
+
+static int64_t
+job_interval_us(const struct setting *s)
+{
+    return s->evacuating ? EVACUATING_JOB_EVERY_US : JOB_EVERY_US;
+}
+
 static struct trace
 trace_run(const struct setting *s)
 {
@@ -144,10 +174,11 @@
     vlease_run(v, BEGIN_US);
     vlease_set_hook(v, trace_hop, &t);
     for (uint32_t i = 0; i < JOBS; i++) {
+        evacuate(v, s, i);
         hand_in(v, i);
-        vlease_run(v, BEGIN_US + (i + 1) * JOB_EVERY_US);
+        vlease_run(v, BEGIN_US + (i + 1) * job_interval_us(s));
     }
-    vlease_run(v, END_US);
+    vlease_run(v, BEGIN_US + JOBS * job_interval_us(s) + USEC_PER_SEC);
     vlease_free(v);
     return t;
 }
@@ -342,9 +373,10 @@
     c->failed = vlease_broken(f) + open + vlease_running(v) > 0 || !served;
     (void)snprintf(c->text, sizeof(c->text),
                    "overlaps %u, over room %u, false refusals %u, at leaving "
-                   "%u, answered twice %u, open %u, running %u%s",
+                   "%u, evacuated %u, answered twice %u, open %u, running "
+                   "%u%s",
                    f.overlaps, f.over_room, f.false_refusals, f.leaving,
-                   f.answers_twice, open, vlease_running(v),
+                   f.evacuated, f.answers_twice, open, vlease_running(v),
                    served ? "" : ", not serving again");
 }
 
@@ -366,10 +398,11 @@
     vlease_log(v, log);
     vlease_set_hook(v, cell_hop, c);
     for (uint32_t i = 0; i < JOBS; i++) {
+        evacuate(v, s, i);
         hand_in(v, i);
-        run_until(v, c, BEGIN_US + (i + 1) * JOB_EVERY_US);
+        run_until(v, c, BEGIN_US + (i + 1) * job_interval_us(s));
     }
-    run_until(v, c, END_US + SETTLE_US);
+    run_until(v, c, c->now_us + USEC_PER_SEC + SETTLE_US);
     probe = vlease_submit(v, 0, 0);
     run_until(v, c, c->now_us + PROBE_US);
     judge(v, c, probe);
@@ -490,9 +523,10 @@
 static void
 print_cell(const struct cell *c, const struct setting *s, FILE *out)
 {
-    (void)fprintf(out, "failed: bm-bench --seed %llu --lease-cell %s%s",
+    (void)fprintf(out, "failed: bm-bench --seed %llu --lease-cell %s%s%s",
                   (unsigned long long)s->seed, s->anywhere ? ANYWHERE : "",
-                  s->unclaimed ? UNCLAIMED : "");
+                  s->unclaimed ? UNCLAIMED : "",
+                  s->evacuating ? EVACUATING : "");
     for (size_t i = 0; i < c->n_strikes; i++) {
         (void)fprintf(out, "%s%llu:%s", i > 0 ? "," : "",
                       (unsigned long long)c->strikes[i].step,
@@ -528,10 +562,10 @@
 }
 
 static void
-run_cells(const struct leasematrix_options *o, bool unclaimed,
+run_cells(const struct leasematrix_options *o, const struct setting *setting,
           struct leasematrix_result *r, bool *caught, FILE *out)
 {
-    struct cells cs = {.setting = {o->seed, NO_BREAK, o->anywhere, unclaimed}};
+    struct cells cs = {.setting = *setting};
     struct trace t = trace_run(&cs.setting);
     size_t singles;
 
@@ -559,12 +593,20 @@
 struct leasematrix_result
 leasematrix_run(const struct leasematrix_options *o, FILE *out)
 {
+    struct leasematrix_options evacuating = *o;
     struct leasematrix_result r = {0};
+    struct setting setting = {
+        .seed = o->seed, .wrong = NO_BREAK, .anywhere = o->anywhere};
     bool caught[BROKER_BREAKS] = {false};
 
-    run_cells(o, false, &r, caught, out);
+    evacuating.pairs /= EVACUATING_PAIRS_DIVISOR;
+    setting.evacuating = true;
+    run_cells(&evacuating, &setting, &r, caught, out);
+    setting.evacuating = false;
+    run_cells(o, &setting, &r, caught, out);
+    setting.unclaimed = true;
     if (o->anywhere) {
-        run_cells(o, true, &r, caught, out);
+        run_cells(o, &setting, &r, caught, out);
     }
     if (o->breaks) {
         count_caught(o, caught, &r, out);
@@ -581,7 +623,7 @@
 bool
 leasematrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok)
 {
-    struct setting setting = {seed, NO_BREAK, false, false};
+    struct setting setting = {.seed = seed, .wrong = NO_BREAK};
     struct cell c = {0};
 
     if (strncmp(text, ANYWHERE, strlen(ANYWHERE)) == 0) {
@@ -592,6 +634,10 @@
         setting.unclaimed = true;
         text += strlen(UNCLAIMED);
     }
+    if (strncmp(text, EVACUATING, strlen(EVACUATING)) == 0) {
+        setting.evacuating = true;
+        text += strlen(EVACUATING);
+    }
     while (*text != '\0') {
         struct strike *s = &c.strikes[c.n_strikes];
         int fault;
--- a/src/leasematrix.h
+++ b/src/leasematrix.h
@@ -3,9 +3,10 @@
  *
  * What matrix is for entry instances, for brokers and upstreams under leases:
  * a run without faults is traced, each hop is a step, and a cell is one run
- * with a fault at a step (or two).  Afterwards what upstreams and callers saw
- * must show every promise kept, and a job handed in then must complete.  The
- * wrong decisions of BROKER_BREAK_LIST prove it: some cell must notice each.
+ * with a fault at a step (or two).  All cells are run once more while a zone
+ * is evacuated.  Afterwards what upstreams and callers saw must show every
+ * promise kept, and a job handed in then must complete.  The wrong decisions
+ * of BROKER_BREAK_LIST prove it: some cell must notice each.
  */
 #ifndef BM_LEASEMATRIX_H
 #define BM_LEASEMATRIX_H
@@ -83,9 +84,9 @@
                                           FILE *out);
 
 /** leasematrix_cell() - repeats the cell "STEP:FAULT[,STEP:FAULT]", after
- * "anywhere/" where callers come back anywhere and "unclaimed/" where jobs are
- * not claimed, with what was decided; false when the text is no cell.  @ok
- * gets whether it passed. */
+ * "anywhere/" where callers come back anywhere, "unclaimed/" where jobs are
+ * not claimed and "evacuating/" where a zone is evacuated meanwhile, with what
+ * was decided; false when the text is no cell.  @ok gets whether it passed. */
 bool leasematrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok);
 
 #endif
--- a/src/msg_list.h
+++ b/src/msg_list.h
@@ -58,4 +58,5 @@
 MSG(OWNER_REPLY, owner_reply)
 MSG(OWNER_UPDATE, owner_update)
 MSG(JOB_REDIRECT, job_redirect)
+MSG(EVACUATION_ORDER, evacuation_order)
 /* clang-format on */
--- a/src/receive.c
+++ b/src/receive.c
@@ -52,7 +52,7 @@
         const struct rec_log_entry *e = &a->entries[i];
 
         if (e->index != a->prev_index + 1 + i || e->term > a->term ||
-            e->kind > LOG_KIND_MEMBERS) {
+            e->kind > LOG_KIND_EVACUATION || log_kind_is_internal(e->kind)) {
             return false;
         }
     }
--- a/src/serve.c
+++ b/src/serve.c
@@ -253,6 +253,43 @@
     msg_free(&m);
 }
 
+static bool
+is_known_zone(const struct control *c, struct name zone)
+{
+    for (size_t i = 0; i < c->opts.n_zones; i++) {
+        if (name_equal(c->opts.zones[i], zone)) {
+            return true;
+        }
+    }
+    return c->opts.n_zones == 0 && !name_empty(zone);
+}
+
+/* Also proposed if the applied state already is as ordered: an entry that is
+ * not committed yet may change it. */
+void
+serve_evacuate(struct control *c, const struct cev_evacuate *ev)
+{
+    struct msg m = {.kind = MSG_EVACUATION_ORDER};
+    struct rec_evacuation_order *order = &m.u.evacuation_order;
+
+    if (!is_known_zone(c, ev->zone)) {
+        (void)reply(c, ev->request, CONTROL_UNKNOWN_ZONE, ev->zone.s);
+        return;
+    }
+    if (!accepts_changes(c, ev->request)) {
+        return;
+    }
+    order->zone = ev->zone;
+    order->evacuate = ev->evacuate ? 1 : 0;
+    order->publisher = ev->publisher;
+    order->time_us = (uint64_t)c->now.wall_us;
+    control_log(c, LOG_NOTICE, CONTROL_REASON_EVACUATION_ASKED, ev->zone,
+                "%s by %s", ev->evacuate ? "begin" : "end", ev->publisher.s);
+    add_pending_entry(c, ev->request,
+                      replicate_propose(c, LOG_KIND_EVACUATION, &m));
+    msg_free(&m);
+}
+
 void
 serve_entry_applied(struct control *c, uint64_t index, uint64_t term,
                     const struct fsm_outcome *o)
--- a/src/storage.c
+++ b/src/storage.c
@@ -459,7 +459,7 @@
         if (used == 0) {
             break;
         }
-        if (m.u.log_entry.kind < LOG_KIND_HEADER) {
+        if (!log_kind_is_internal(m.u.log_entry.kind)) {
             add_offset(s, out->size);
             encode_record(out, &m, out->size);
         }
--- a/src/storage.h
+++ b/src/storage.h
@@ -26,13 +26,22 @@
 
 /** enum log_kind - type of a log entry */
 enum log_kind {
-    LOG_KIND_NOOP,    /* first entry of a new leader */
-    LOG_KIND_PUBLISH, /* MSG_PUBLISH */
-    LOG_KIND_MEMBERS, /* MSG_MEMBERSHIP */
-    LOG_KIND_HEADER,  /* file only: index and term before the first entry */
-    LOG_KIND_MARK,    /* file only: all records before it were synced */
+    LOG_KIND_NOOP,       /* first entry of a new leader */
+    LOG_KIND_PUBLISH,    /* MSG_PUBLISH */
+    LOG_KIND_MEMBERS,    /* MSG_MEMBERSHIP */
+    LOG_KIND_HEADER,     /* file only: index and term before the first entry */
+    LOG_KIND_MARK,       /* file only: all records before it were synced */
+    LOG_KIND_EVACUATION, /* MSG_EVACUATION_ORDER */
 };
 
+/** log_kind_is_internal() - whether records of that kind are written by the
+ * storage itself and are no entries of the log */
+static inline bool
+log_kind_is_internal(uint64_t kind)
+{
+    return kind == LOG_KIND_HEADER || kind == LOG_KIND_MARK;
+}
+
 enum storage_error {
     STORAGE_OK,
     STORAGE_IO,           /* a disk operation failed */
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -12,6 +12,8 @@
 #define JITTER_US 100
 /* Time of day at the start. */
 #define WALL_US (INT64_C(1700000000) * USEC_PER_SEC)
+/* A poll whose answer was lost is repeated after this. */
+#define POLL_AGAIN_US (5 * USEC_PER_SEC)
 /* A delayed hop arrives when every lease of before has passed. */
 #define LATE_DEFAULT_US (3 * USEC_PER_SEC)
 
@@ -33,6 +35,7 @@
         .told_resend_us = 1300 * USEC_PER_MSEC,
         .late_us = LATE_DEFAULT_US,
         .seed = 1,
+        .evacuation_us = 3 * USEC_PER_SEC,
         .reborn_silent_us = USEC_PER_MSEC,
     };
 }
@@ -229,6 +232,9 @@
     struct vevent *e;
     uint32_t to = (uint32_t)strtoul(c->request.address.s, NULL, 10);
 
+    if (c->request.kind == LEASE_START) {
+        vevacuate_judge_start(v, p, &v->upstreams[to], c->request.task);
+    }
     e = vlease_at(
         v, v->now_us + vlease_delay_us(v, p->zone, v->upstreams[to].zone),
         VEV_REQUEST);
@@ -378,17 +384,40 @@
 }
 
 static void
-registry_takes(struct vlease *v, struct vprocess *p, const struct vevent *e)
+reply_to_poll(struct vlease *v, struct vprocess *p, uint32_t to, bool text)
 {
     struct msg reply = {.kind = MSG_CONFIG_REPLY};
+
+    p->polled[to] = false;
+    reply.u.config_reply.version = CONFIG_VERSION;
+    reply.u.config_reply.config = text ? config_text(v) : NULL;
+    vevacuate_fill_reply(v, p, &reply.u.config_reply);
+    send_to(v, p, v->processes[to].name, &reply);
+}
+
+static void
+on_evacuated(struct vlease *v, struct vprocess *p)
+{
+    for (uint32_t i = 0; i < v->n_brokers; i++) {
+        if (p->polled[i]) {
+            reply_to_poll(v, p, i, false);
+        }
+    }
+}
+
+static void
+registry_takes(struct vlease *v, struct vprocess *p, const struct vevent *e)
+{
+    const struct rec_config_request *r = &e->msg.u.config_request;
     struct name from = v->processes[e->from].name;
 
-    if (e->msg.kind == MSG_CONFIG_REQUEST &&
-        e->msg.u.config_request.known_version < CONFIG_VERSION) {
-        reply.u.config_reply.version = CONFIG_VERSION;
-        reply.u.config_reply.config =
-            e->msg.u.config_request.version_only != 0 ? NULL : config_text(v);
-        send_to(v, p, from, &reply);
+    if (e->msg.kind == MSG_CONFIG_REQUEST) {
+        bool newer = r->known_version < CONFIG_VERSION;
+
+        p->polled[e->from] = true;
+        if (newer || vevacuate_is_news(v, p, r->evacuation)) {
+            reply_to_poll(v, p, e->from, newer && r->version_only == 0);
+        }
         return;
     }
     (void)registry_on_message(p->registry, from, &e->msg, vlease_moment(v, p),
@@ -475,7 +504,7 @@
 {
     bool to_process = e->kind == VEV_MESSAGE || e->kind == VEV_PEER ||
                       e->kind == VEV_TICK || e->kind == VEV_ANSWER ||
-                      e->kind == VEV_LEFT;
+                      e->kind == VEV_LEFT || e->kind == VEV_EVACUATED;
 
     return to_process ? &v->processes[e->to] : NULL;
 }
@@ -513,6 +542,9 @@
 {
     const struct vprocess *p = receiver_of(v, e);
 
+    if (e->kind == VEV_EVACUATED) {
+        return p->down; /* one that starts later knows of it by the time */
+    }
     return p != NULL && (p->down || p->stopped || p->life != e->life);
 }
 
@@ -553,6 +585,9 @@
     case VEV_ARRIVE:
         vcall_on_arrive(v, e);
         break;
+    case VEV_EVACUATED:
+        on_evacuated(v, &v->processes[e->to]);
+        break;
     case VEV_LEAVE:
         vcall_on_leave(v, e);
         break;
@@ -622,6 +657,12 @@
     if (fate == VLEASE_PASS && !for_dead_life(v, e)) {
         return put_off(v, e);
     }
+    if (e->kind == VEV_MESSAGE) {
+        /* Between real processes only a connection that ends loses messages,
+         * and its end is noticed. */
+        vevacuate_disturb(&v->processes[e->from], v->now_us + POLL_AGAIN_US);
+        vevacuate_disturb(&v->processes[e->to], v->now_us + POLL_AGAIN_US);
+    }
     if (fate != VLEASE_DELAY) {
         clear_event(e);
         return true;
@@ -722,6 +763,7 @@
     for (uint32_t i = 0; i < v->n_upstreams; i++) {
         vup_free(&v->upstreams[i]);
     }
+    vevacuate_free(v);
     control_effects_free(&v->registry_effects);
     free(v->heap);
     free(v->jobs);
@@ -745,7 +787,7 @@
 vlease_broken(struct vlease_faults f)
 {
     return f.overlaps + f.over_room + f.false_refusals + f.leaving +
-           f.answers_twice;
+           f.evacuated + f.answers_twice;
 }
 
 uint64_t
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -70,6 +70,10 @@
  * @breaks: wrong decisions that all brokers make
  * @without: parts that all brokers leave out
  * @leave: share of the callers that leave within half of their objective
+ * @registry_lag_us: all registries but the first learn of an evacuation, or
+ *                   its end, so much later
+ * @evacuation_us: from the order to evacuate a zone until the last start there
+ *                 by a broker that was connected all the while
  * @reborn_silent_us: an upstream that starts anew announces itself so long
  *                    after its start
  */
@@ -91,6 +95,8 @@
     bool breaks[BROKER_BREAKS];
     bool without[BROKER_FEATURES];
     double leave;
+    int64_t registry_lag_us;
+    int64_t evacuation_us;
     int64_t reborn_silent_us;
 };
 
@@ -118,6 +124,7 @@
     uint32_t over_room;      /* an upstream was given more than it has */
     uint32_t false_refusals; /* told as not run, and had started */
     uint32_t leaving;        /* started where it was leaving for 2 s */
+    uint32_t evacuated;      /* started in an evacuated zone */
     uint32_t answers_twice;
     uint32_t unnoted; /* ends that nobody took note of for a second */
 };
@@ -164,6 +171,10 @@
 /** vlease_run() - until that time after the start */
 void vlease_run(struct vlease *v, int64_t until_us);
 
+/** vlease_evacuate() - an operator's order to evacuate a zone, or to end that,
+ * is acknowledged */
+void vlease_evacuate(struct vlease *v, uint32_t zone, bool evacuate);
+
 /** vlease_load() - callers come from now on, at that multiple of the queues'
  * rates; 0 stops them */
 void vlease_load(struct vlease *v, double factor);
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -2,6 +2,7 @@
  * DOC: vlease_state - what the parts of vlease share
  *
  * vlease.c carries events between brokers; vleasefault.c strikes them;
+ * vevacuate.c has the evacuations of zones and judges starts in them;
  * vleaseup.c is the stand-in of an upstream; vleasecall.c has the callers and
  * judges what they are told.
  */
@@ -10,6 +11,7 @@
 
 #include <stdio.h>
 
+#include "evacuation.h"
 #include "registry.h"
 #include "vlease.h"
 
@@ -17,21 +19,22 @@
 #define STARTS_APART_US (20 * USEC_PER_MSEC)
 
 enum vevent_kind {
-    VEV_MESSAGE,  /* to a broker or registry */
-    VEV_PEER,     /* a connection came or went */
-    VEV_TICK,     /* a broker's timer */
-    VEV_REQUEST,  /* a call reaches an upstream */
-    VEV_ANSWER,   /* and its answer the broker */
-    VEV_LOOK_DUE, /* a waiting look is answered */
-    VEV_RUN_END,  /* a run may have ended */
-    VEV_LAPSE,    /* the lease of an upstream may have passed */
-    VEV_ANNOUNCE, /* an upstream announces itself */
-    VEV_ARRIVE,   /* a caller hands a job in */
-    VEV_RESEND,   /* once more */
-    VEV_WAKE,     /* a paused broker goes on */
-    VEV_GONE,     /* a leaving upstream ends */
-    VEV_LEAVE,    /* a caller leaves */
-    VEV_LEFT,     /* a broker that stood still finds that it did */
+    VEV_MESSAGE,   /* to a broker or registry */
+    VEV_PEER,      /* a connection came or went */
+    VEV_TICK,      /* a broker's timer */
+    VEV_REQUEST,   /* a call reaches an upstream */
+    VEV_ANSWER,    /* and its answer the broker */
+    VEV_LOOK_DUE,  /* a waiting look is answered */
+    VEV_RUN_END,   /* a run may have ended */
+    VEV_LAPSE,     /* the lease of an upstream may have passed */
+    VEV_ANNOUNCE,  /* an upstream announces itself */
+    VEV_ARRIVE,    /* a caller hands a job in */
+    VEV_RESEND,    /* once more */
+    VEV_WAKE,      /* a paused broker goes on */
+    VEV_GONE,      /* a leaving upstream ends */
+    VEV_LEAVE,     /* a caller leaves */
+    VEV_LEFT,      /* a broker that stood still finds that it did */
+    VEV_EVACUATED, /* a registry learns of an evacuation or its end */
 };
 
 /** struct vevent - something that happens at @at_us; owns @msg and @request */
@@ -70,6 +73,8 @@
     struct broker *broker;
     struct registry *registry;
     struct msg kept; /* on a registry's disk: upstreams, a hint */
+    bool polled[VLEASE_BROKERS_MAX]; /* a registry: has an open poll of it */
+    int64_t disturbed_until_us; /* a broker: it need not know what changed */
     int64_t tick_us;
 };
 
@@ -144,6 +149,14 @@
     int64_t retry_us; /* told in a refusal */
 };
 
+/** struct vevacuation - the evacuated zones from @at_us on */
+struct vevacuation {
+    int64_t at_us;
+    struct evacuation_set set;
+};
+
+enum { VLEASE_EVACUATIONS_MAX = 16 };
+
 struct vlease {
     struct vlease_options opts;
     int64_t now_us;
@@ -173,6 +186,8 @@
     struct vroom_change *changes;
     size_t n_changes;
     size_t changes_room;
+    struct vevacuation evacuations[VLEASE_EVACUATIONS_MAX];
+    size_t n_evacuations;
     uint64_t runs;
     uint64_t starts;
     struct vlease_faults faults;
@@ -211,6 +226,27 @@
 struct queueconf *vlease_read_config(const char *text, size_t size,
                                      enum queueconf_error *fault);
 
+/* vevacuate.c */
+
+/** vevacuate_fill_reply() - adds the evacuated zones that the registry knows
+ * of */
+void vevacuate_fill_reply(const struct vlease *v, const struct vprocess *p,
+                          struct rec_config_reply *r);
+
+/** vevacuate_is_news() - whether the registry knows of a newer revision */
+bool vevacuate_is_news(const struct vlease *v, const struct vprocess *p,
+                       uint64_t known_revision);
+
+/** vevacuate_disturb() - the broker can't be expected to know of changes
+ * before @until_us */
+void vevacuate_disturb(struct vprocess *p, int64_t until_us);
+
+/** vevacuate_judge_start() - a broker sends a start: counts it as a fault if
+ * the upstream's zone has been evacuated for too long */
+void vevacuate_judge_start(struct vlease *v, const struct vprocess *p,
+                           const struct vupstream *u, struct run_ref task);
+void vevacuate_free(struct vlease *v);
+
 /* vleaseup.c */
 
 /** vlease_room_changed() - from @at_us on the upstream does that share of its
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -72,6 +72,7 @@
     p->tick_us = 0;
     p->paused_until_us = 0;
     p->unpolled_until_us = 0;
+    vevacuate_disturb(p, v->now_us);
     o.self = p->name;
     o.zone = p->zone;
     o.address = address_of(p->name.s);
@@ -147,6 +148,7 @@
 {
     p->down = false;
     p->tick_us = 0;
+    memset(p->polled, 0, sizeof(p->polled));
     p->registry = registry_new();
     if (remember && p->kept.kind == MSG_UPSTREAM_REPORT) {
         registry_restore(p->registry, &p->kept.u.upstream_report,
@@ -193,6 +195,7 @@
         p->polled_us = v->now_us;
     }
     p->paused_until_us = v->now_us + us;
+    vevacuate_disturb(p, p->paused_until_us);
     p->unpolled_until_us = p->paused_until_us + POLL_LATE_US;
     if (us <= SILENCE_US) {
         return;
@@ -215,6 +218,7 @@
     struct vprocess *p = &v->processes[broker];
 
     p->cut = cut;
+    p->disturbed_until_us = cut ? INT64_MAX : v->now_us;
     p->cut_upstreams = cut && upstreams;
     for (uint32_t i = 0; i < v->n_processes; i++) {
         struct vprocess *other = &v->processes[i];
--- a/src/wire.c
+++ b/src/wire.c
@@ -7,8 +7,9 @@
 
 /* Each pass over wire_list.h makes one function per record. */
 
-/* Number of fields. */
+/* Number of fields: of all versions, and of those that every version has. */
 #define RECORD(name) enum { FIELDS_##name = 0
+#define ADDED(name)
 #define U64(f) +1
 #define NAME(f) +1
 #define ADDR(f) +1
@@ -20,6 +21,13 @@
     ;
 #include "wire_list.h"
 #undef RECORD
+#undef ADDED
+
+#define RECORD(name) enum { REQUIRED_##name = 0
+#define ADDED(name) , OPTIONAL_##name = 0
+#include "wire_list.h"
+#undef RECORD
+#undef ADDED
 #undef U64
 #undef NAME
 #undef ADDR
@@ -27,6 +35,7 @@
 #undef BLOB
 #undef ARRAY
 #undef END
+#define ADDED(name)
 
 static void
 put_text(msgpack_packer *p, const char *text)
@@ -137,15 +146,29 @@
 }
 
 static enum wire_error
-open_record(const msgpack_object *o, size_t fields, const msgpack_object **at)
+open_record(const msgpack_object *o, size_t required, size_t fields,
+            const msgpack_object **at, size_t *left)
 {
-    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != fields) {
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < required ||
+        o->via.array.size > fields) {
         return WIRE_MALFORMED;
     }
     *at = o->via.array.ptr;
+    *left = o->via.array.size;
     return WIRE_OK;
 }
 
+/* Whether there is another field to read. */
+static bool
+next_field(enum wire_error err, size_t *left)
+{
+    if (err != WIRE_OK || *left == 0) {
+        return false;
+    }
+    (*left)--;
+    return true;
+}
+
 static enum wire_error
 open_array(const msgpack_object *o, size_t size, void **out, size_t *n)
 {
@@ -171,9 +194,11 @@
                                          struct rec_##name *r)                \
     {                                                                         \
         const msgpack_object *at = NULL;                                      \
-        enum wire_error err = open_record(o, FIELDS_##name, &at);
+        size_t left = 0;                                                      \
+        enum wire_error err =                                                 \
+            open_record(o, REQUIRED_##name, FIELDS_##name, &at, &left);
 #define FIELD(call)                                                           \
-    if (err == WIRE_OK) {                                                     \
+    if (next_field(err, &left)) {                                             \
         err = (call);                                                         \
         at++;                                                                 \
     }
@@ -183,7 +208,7 @@
 #define KEY(f) FIELD(get_key(at, &r->f))
 #define BLOB(f) FIELD(get_blob(at, &r->f))
 #define ARRAY(rec, f)                                                         \
-    if (err == WIRE_OK) {                                                     \
+    if (next_field(err, &left)) {                                             \
         void *array = NULL;                                                   \
         err = open_array(at, sizeof(*r->f), &array, &r->n_##f);               \
         r->f = array;                                                         \
@@ -367,8 +392,9 @@
 decode_object(const msgpack_object *o, struct msg *m)
 {
     const msgpack_object *at = NULL;
+    size_t left = 0;
     uint64_t kind = 0;
-    enum wire_error err = open_record(o, 2, &at);
+    enum wire_error err = open_record(o, 2, 2, &at, &left);
 
     if (err == WIRE_OK) {
         err = get_u64(at, &kind);
--- a/src/wire.h
+++ b/src/wire.h
@@ -3,7 +3,8 @@
  *
  * A message on the wire is one msgpack array: kind number, then the fields of
  * its record in order.  Decoding checks every type and bound; a frame that
- * does not fit is refused whole.  Framing (a 4-byte big-endian length) is
+ * does not fit is refused whole.  Fields that were added to a record later may
+ * be missing at its end.  Framing (a 4-byte big-endian length) is
  * peer.c's part.
  */
 #ifndef BM_WIRE_H
@@ -20,6 +21,7 @@
 };
 
 #define RECORD(name) struct rec_##name {
+#define ADDED(name)
 #define U64(f) uint64_t f;
 #define NAME(f) struct name f;
 #define ADDR(f) struct address f;
@@ -33,6 +35,7 @@
     ;
 #include "wire_list.h"
 #undef RECORD
+#undef ADDED
 #undef U64
 #undef NAME
 #undef ADDR
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -5,7 +5,8 @@
  *
  * Fields: U64(name) NAME(name) ADDR(name) KEY(name) BLOB(name)
  * ARRAY(record, name) - the last makes a pointer and n_<name>.
- * A record is listed before those that hold it.
+ * Fields behind ADDED(record) may be missing in what an earlier version wrote,
+ * and are zero then.  A record is listed before those that hold it.
  */
 /* clang-format off */
 RECORD(load)            /* a service's load at the sender */
@@ -202,8 +203,16 @@
     U64(incarnation)
     U64(version)
     U64(age_us)         /* since the sender heard of it */
+    ADDED(follower)
+    U64(evacuation)     /* revision of the evacuated zones in force there */
 END(follower)
 
+RECORD(evacuated_zone)
+    NAME(zone)
+    NAME(publisher)     /* operator who ordered it */
+    U64(time_us)        /* wall time of the order */
+END(evacuated_zone)
+
 RECORD(config_request)  /* long poll for a newer configuration */
     U64(have_version)
     U64(incarnation)
@@ -212,6 +221,8 @@
     U64(known_version)  /* a reply has one above it */
     U64(version_only)   /* the number of it is wanted, not its text */
     ARRAY(follower, members) /* others of the zone, for the status */
+    ADDED(config_request)
+    U64(evacuation)     /* revision known; a reply has one above it, too */
 END(config_request)
 
 RECORD(config_reply)
@@ -223,6 +234,9 @@
     U64(from_version)   /* it was packed against; 0: none */
     U64(digest)         /* XXH3 of the text; 0: not told */
     NAME(zone)          /* of the sender; may be empty */
+    ADDED(config_reply)
+    U64(evacuation)     /* revision of the evacuated zones; 0: not told */
+    ARRAY(evacuated_zone, evacuated)
 END(config_reply)
 
 RECORD(queue)           /* struct queue_conf */
@@ -371,6 +385,13 @@
     U64(digest)         /* XXH3 of the whole text */
 END(publish)
 
+RECORD(evacuation_order)
+    NAME(zone)
+    U64(evacuate)       /* 0: end the evacuation */
+    NAME(publisher)     /* the operator */
+    U64(time_us)
+END(evacuation_order)
+
 RECORD(publication)     /* one accepted change in the history */
     U64(version)
     U64(index)
@@ -397,6 +418,9 @@
     U64(rank)           /* of the newest publication that had one */
     ARRAY(publication, history)
     ARRAY(config_text, texts)
+    ADDED(control_state)
+    U64(evacuation)     /* revision */
+    ARRAY(evacuated_zone, evacuated)
 END(control_state)
 
 RECORD(hello)           /* first on a connection, in both directions */
@@ -452,6 +476,10 @@
     U64(stopping)
     U64(holds)          /* upstreams, none or some */
     U64(again)          /* not the first words on this connection */
+    ADDED(introduction)
+    U64(evacuation_known) /* the sender knows the evacuated zones */
+    U64(evacuation)     /* revision */
+    ARRAY(evacuated_zone, evacuated)
 END(introduction)
 
 RECORD(instance)        /* a process, as a registry tells of it */
--- a/tests/broker_scale_test.c
+++ b/tests/broker_scale_test.c
@@ -137,6 +137,15 @@
     step(o, &ev);
 }
 
+/* A broker offers no capacity before it knows which zones are evacuated. */
+static void
+report_no_evacuations(struct test_broker *o, struct name registry)
+{
+    struct msg m = {.kind = MSG_CONFIG_REPLY};
+
+    receive(o, registry, &m);
+}
+
 /* Starts a broker with @others of its zone connected, of incarnation 2 and
  * up. */
 static struct test_broker
@@ -154,6 +163,7 @@
     opts.read_config = read_one_queue;
     o.broker = broker_new(&opts);
     peer_up(&o, registry.name);
+    report_no_evacuations(&o, registry.name);
     for (size_t i = 0; i < others; i++) {
         struct msg m = {.kind = MSG_INTRODUCTION};
 
--- a/tests/broker_test.c
+++ b/tests/broker_test.c
@@ -34,6 +34,7 @@
     CU_ASSERT_EQUAL(f.over_room, 0);
     CU_ASSERT_EQUAL(f.false_refusals, 0);
     CU_ASSERT_EQUAL(f.leaving, 0);
+    CU_ASSERT_EQUAL(f.evacuated, 0);
     CU_ASSERT_EQUAL(f.answers_twice, 0);
 }
 
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -710,6 +710,20 @@
     step(cl, i, &ev);
 }
 
+void
+cluster_evacuate(struct cluster *cl, int i, uint64_t r, const char *zone,
+                 bool evacuate)
+{
+    struct control_event ev = {.kind = CEV_EVACUATE};
+
+    (void)new_request(cl, r);
+    ev.u.evacuate.request = r;
+    ev.u.evacuate.publisher = name_of("alice");
+    ev.u.evacuate.zone = name_of(zone);
+    ev.u.evacuate.evacuate = evacuate;
+    step(cl, i, &ev);
+}
+
 void
 cluster_change(struct cluster *cl, int i, uint64_t r,
                enum change_action action, int member)
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -136,6 +136,11 @@
 void cluster_publish_ranked(struct cluster *cl, int node, uint64_t r,
                             uint64_t rank, struct blob *text);
 void cluster_read(struct cluster *cl, int node, uint64_t r);
+
+/** cluster_evacuate() - sends request @r: an order to evacuate a zone, or to
+ * end that */
+void cluster_evacuate(struct cluster *cl, int node, uint64_t r,
+                      const char *zone, bool evacuate);
 void cluster_change(struct cluster *cl, int node, uint64_t r,
                     enum change_action action, int member);
 
