--- a/src/admit.c
+++ b/src/admit.c
@@ -43,7 +43,8 @@
     while ((u = upstreams_next(e, &at)) != NULL) {
         uint32_t usable;
 
-        if (u->service != s || u->info.leaving || u->info.quarantined) {
+        if (u->service != s || u->info.leaving || u->info.quarantined ||
+            !entry_may_start_in(e, u->info.zone)) {
             continue;
         }
         usable = upstreams_usable_slots(u);
--- a/src/bmctl.c
+++ b/src/bmctl.c
@@ -74,6 +74,25 @@
     return ctl_member(o, "replace", words[0], NULL, NULL);
 }
 
+static int
+run_evacuate(const struct ctl_options *o, const char **words)
+{
+    return ctl_evacuate(o, words[0], false);
+}
+
+static int
+run_evacuate_end(const struct ctl_options *o, const char **words)
+{
+    return ctl_evacuate(o, words[0], true);
+}
+
+static int
+run_evacuate_status(const struct ctl_options *o, const char **words)
+{
+    (void)words;
+    return ctl_evacuation_status(o);
+}
+
 /* "config show" are two words of one command. */
 static const struct command {
     const char *first;
@@ -92,6 +111,9 @@
     {"config", "show", 0, 1, false, true, false, run_show},
     {"config", "history", 0, 0, false, true, false, run_history},
     {"config", "diff", 1, 2, false, true, false, run_diff},
+    {"evacuate", "--status", 0, 0, false, true, false, run_evacuate_status},
+    {"evacuate", "--end", 1, 1, false, true, true, run_evacuate_end},
+    {"evacuate", NULL, 1, 1, false, true, true, run_evacuate},
     {"member", "add", 3, 3, false, true, true, run_add},
     {"member", "remove", 1, 1, false, true, true, run_remove},
     {"member", "replace", 1, 1, false, true, true, run_replace},
@@ -144,6 +166,8 @@
     char *key_file;
     char *operator_name;
     int json;
+    int end;
+    int status;
     int version;
 };
 
@@ -180,9 +204,12 @@
     const char *wrong = read_arguments(a, &o);
     int n = 0;
 
-    while (args != NULL && args[n] != NULL && n < WORDS_MAX) {
-        words[n] = args[n];
-        n++;
+    while (args != NULL && *args != NULL && n < WORDS_MAX) {
+        words[n++] = *args++;
+        /* popt takes options out of their place behind the command. */
+        if (n == 1 && (a->end != 0 || a->status != 0)) {
+            words[n++] = a->end != 0 ? "--end" : "--status";
+        }
     }
     return wrong != NULL ? usage(wrong) : run_command(&o, words, n);
 }
@@ -202,6 +229,12 @@
          "who changes; the first in the key file where not given", "NAME"},
         {"json", 'j', POPT_ARG_NONE, &a.json, 0, "JSON instead of tables",
          NULL},
+        {"end", 0, POPT_ARG_NONE, &a.end, 0,
+         "evacuate: the zone takes work "
+         "again",
+         NULL},
+        {"status", 0, POPT_ARG_NONE, &a.status, 0, "evacuate: list the zones",
+         NULL},
         {"version", 0, POPT_ARG_NONE, &a.version, 0, "print the version",
          NULL},
         POPT_AUTOHELP POPT_TABLEEND};
@@ -215,7 +248,8 @@
         ctx, "[OPTION...] COMMAND\n"
              "Commands: status | dump NAME | drain UPSTREAM | explain KEY |\n"
              "  config show [VERSION] | config history |\n"
-             "  config diff FROM [TO] | member add NAME ADDRESS HTTP |\n"
+             "  config diff FROM [TO] | evacuate ZONE | evacuate --end ZONE |"
+             "\n  evacuate --status | member add NAME ADDRESS HTTP |\n"
              "  member remove NAME | member replace NAME\n"
              "Exit codes: 0 done, 1 nobody answered, 2 usage, 3 not found, 4 "
              "somebody lags or is silent, 5 refused, 6 unknown");
--- a/src/config_sync.c
+++ b/src/config_sync.c
@@ -30,6 +30,7 @@
     struct name from;
     uint64_t have_version;  /* of the text that the instance has */
     uint64_t known_version; /* answered once a version above this one exists */
+    uint64_t known_evacuation; /* likewise, a revision of the evacuated zones */
     int64_t deadline_us;    /* deadline of the answer, monotonic */
     bool has_text;          /* can apply a delta */
     bool version_only;      /* wants the version number without the text */
@@ -105,9 +106,10 @@
                 .zone = m->zone,
                 .incarnation = m->incarnation,
                 .version = m->config_version,
+                .evacuation = m->evacuation,
                 .age_us = (uint64_t)(e->now.mono_us - m->last_seen_us),
             };
-            e->config_sync->reported_sum += m->config_version;
+            e->config_sync->reported_sum += m->config_version + m->evacuation;
         }
     }
 }
@@ -128,6 +130,7 @@
         e->config_sync->text != NULL && !e->config_sync->need_whole_text;
     m.u.config_request.version_only = version_only ? 1 : 0;
     m.u.config_request.known_version = e->config_sync->version;
+    m.u.config_request.evacuation = e->evacuated.revision;
     entry_send(e, server, &m);
 }
 
@@ -160,6 +163,22 @@
     return false;
 }
 
+/* A member that knows of a newer evacuation, or of the end of one; NULL if none
+ * does. */
+static const struct member *
+find_newer_evacuation(const struct entry *e)
+{
+    size_t at = 0;
+    struct member *m;
+
+    while ((m = members_next(e, &at)) != NULL) {
+        if (!m->self && m->up && m->evacuation > e->evacuated.revision) {
+            return m;
+        }
+    }
+    return NULL;
+}
+
 /* The member with the newest version in force if it is above ours, or NULL. */
 static const struct member *
 newest_member(const struct entry *e)
@@ -351,6 +370,10 @@
     if (control >= 0) {
         f->replied_set |= UINT64_C(1) << control;
     }
+    if (control >= 0 || m->version > 0) {
+        entry_update_evacuation(e, from, m->evacuation, m->evacuated,
+                                m->n_evacuated);
+    }
     if (e->config != NULL) {
         f->awaiting_reply = false; /* keep polling this server */
         f->poll_due_us = e->now.mono_us + POLL_PAUSE_US;
@@ -364,6 +387,7 @@
         receive_text(e, m);
     }
     apply_if_newer(e);
+    answer_polls(e);
 }
 
 /* ---- requests from other instances ---- */
@@ -383,6 +407,9 @@
     }
     r->version = f->version;
     r->term = f->term;
+    r->evacuation = e->evacuated.revision;
+    r->evacuated = evacuation_copy_zones(&e->evacuated);
+    r->n_evacuated = e->evacuated.n_zones;
     if (newer) {
         served_text_fill(&f->served, newest, base, r);
     }
@@ -406,6 +433,7 @@
     p->from = from;
     p->have_version = m->have_version;
     p->known_version = m->known_version;
+    p->known_evacuation = m->evacuation;
     p->has_text = m->has_text != 0;
     p->version_only = m->version_only != 0;
     p->deadline_us = e->now.mono_us + POLL_US;
@@ -424,6 +452,10 @@
                    m->has_text != 0);
         return;
     }
+    if (e->evacuated.revision > m->evacuation) {
+        send_reply(e, from, false, m->have_version, false);
+        return;
+    }
     add_poll(e, from, m);
 }
 
@@ -440,7 +472,8 @@
         if (f->version > p.known_version) {
             send_reply(e, p.from, !p.version_only, p.have_version, p.has_text);
         }
-        else if (e->now.mono_us >= p.deadline_us) {
+        else if (e->evacuated.revision > p.known_evacuation ||
+                 e->now.mono_us >= p.deadline_us) {
             send_reply(e, p.from, false, p.have_version, false);
         }
         else {
@@ -471,6 +504,7 @@
     struct config_sync *f = e->config_sync;
     const struct member *ahead = newest_member(e);
 
+    ahead = ahead != NULL ? ahead : find_newer_evacuation(e);
     if (ahead == NULL) {
         f->behind_since_us = 0;
         return;
@@ -500,7 +534,7 @@
         return;
     }
     while ((m = members_next(e, &at)) != NULL) {
-        sum += in_our_zone(e, m) ? m->config_version : 0;
+        sum += in_our_zone(e, m) ? m->config_version + m->evacuation : 0;
     }
     if (sum != f->reported_sum) {
         poll_text(e, e->opts.controls[f->control_index]);
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -58,6 +58,13 @@
 int ctl_member(const struct ctl_options *o, const char *action,
                const char *name, const char *address, const char *http);
 
+/** ctl_evacuate() - begins the evacuation of a zone, or ends it */
+int ctl_evacuate(const struct ctl_options *o, const char *zone, bool end);
+
+/** ctl_evacuation_status() - evacuated zones, and instances that do not know
+ * of them yet */
+int ctl_evacuation_status(const struct ctl_options *o);
+
 /** ctl_config_show() - a configuration; @version NULL is the one in force */
 int ctl_config_show(const struct ctl_options *o, const char *version);
 
--- a/src/ctl_config.c
+++ b/src/ctl_config.c
@@ -168,7 +168,7 @@
 }
 
 static int
-member_code(const struct fetch_reply *reply, bool unknown)
+change_code(const struct fetch_reply *reply, bool unknown)
 {
     if (reply->error == FETCH_OK && reply->status == 200) {
         return CTL_DONE;
@@ -180,13 +180,13 @@
                                                            : CTL_UNREACHABLE;
 }
 
-int
-ctl_member(const struct ctl_options *o, const char *action, const char *name,
-           const char *address, const char *http)
+/* Sends a change, takes ownership of @body and prints the outcome. */
+static int
+send_change(const struct ctl_options *o, const char *path, char *body,
+            const char *action, const char *name)
 {
-    struct opclient_request request = {"POST", "/v1/members", "", NULL};
+    struct opclient_request request = {"POST", path, "", body};
     struct opclient *c = opclient_new(&o->control);
-    char *body = member_change(action, name, address, http);
     struct fetch_reply reply;
     bool unknown;
     int code;
@@ -196,9 +196,8 @@
         free(body);
         return CTL_UNREACHABLE;
     }
-    request.body = body;
     unknown = opclient_run(c, &request, &reply);
-    code = member_code(&reply, unknown);
+    code = change_code(&reply, unknown);
     if (code == CTL_DONE) {
         printf("%s %s: changed\n", action, name);
     }
@@ -213,3 +212,145 @@
     free(body);
     return code;
 }
+
+int
+ctl_member(const struct ctl_options *o, const char *action, const char *name,
+           const char *address, const char *http)
+{
+    return send_change(o, "/v1/members",
+                       member_change(action, name, address, http), action,
+                       name);
+}
+
+/* Evacuations of zones. */
+
+static bool
+is_evacuated(const json_t *status, const char *zone)
+{
+    size_t i;
+    json_t *e;
+
+    json_array_foreach(json_object_get(status, "evacuated"), i, e)
+    {
+        const char *name = json_string_value(json_object_get(e, "zone"));
+
+        if (name != NULL && strcmp(name, zone) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+all_zones_evacuated(const json_t *status)
+{
+    const json_t *zones = json_object_get(status, "zones");
+    size_t i;
+    json_t *zone;
+
+    json_array_foreach(zones, i, zone)
+    {
+        if (!is_evacuated(status, json_string_value(zone))) {
+            return false;
+        }
+    }
+    return json_array_size(zones) > 0;
+}
+
+static void
+warn_if_all_evacuated(const struct ctl_options *o)
+{
+    long code;
+    json_t *status = ctl_get(&o->control, "/v1/status", "", &code);
+
+    if (all_zones_evacuated(status)) {
+        (void)fprintf(stderr, "bmctl: all zones are evacuated: "
+                              "no task is started anywhere\n");
+    }
+    json_decref(status);
+}
+
+int
+ctl_evacuate(const struct ctl_options *o, const char *zone, bool end)
+{
+    json_t *json =
+        json_pack("{s:s, s:b}", "zone", zone, "evacuate", end ? 0 : 1);
+    char *body = json != NULL ? json_dumps(json, JSON_COMPACT) : NULL;
+    int code;
+
+    json_decref(json);
+    code = send_change(o, "/v1/evacuations", body,
+                       end ? "evacuate --end" : "evacuate", zone);
+    if (code == CTL_DONE && !end) {
+        warn_if_all_evacuated(o);
+    }
+    return code;
+}
+
+static void
+show_evacuated(const json_t *status)
+{
+    struct texttable *t = texttable_new("ZONE,SINCE,OPERATOR");
+    size_t i;
+    json_t *e;
+
+    json_array_foreach(json_object_get(status, "evacuated"), i, e)
+    {
+        const char *zone = json_string_value(json_object_get(e, "zone"));
+        const char *who = json_string_value(json_object_get(e, "operator"));
+        char when[TIME_SIZE];
+
+        format_time(json_integer_value(json_object_get(e, "time_us")), when);
+        texttable_cell(t, "%s", zone != NULL ? zone : "");
+        texttable_cell(t, "%s", when);
+        texttable_cell(t, "%s", who != NULL ? who : "");
+    }
+    texttable_print(t, stdout);
+    texttable_free(t);
+}
+
+/* Names the instances that do not know the evacuated zones yet. */
+static int
+show_behind(const json_t *status)
+{
+    json_int_t revision =
+        json_integer_value(json_object_get(status, "evacuation_revision"));
+    int behind = 0;
+    size_t i;
+    json_t *f;
+
+    json_array_foreach(json_object_get(status, "followers"), i, f)
+    {
+        const char *name = json_string_value(json_object_get(f, "instance"));
+
+        if (json_integer_value(json_object_get(f, "evacuation")) < revision) {
+            printf("not in force yet at %s\n", name != NULL ? name : "");
+            behind++;
+        }
+    }
+    return behind;
+}
+
+int
+ctl_evacuation_status(const struct ctl_options *o)
+{
+    long code;
+    json_t *status = ctl_get(&o->control, "/v1/status", "", &code);
+    int behind = 0;
+
+    if (status == NULL) {
+        (void)fprintf(stderr, "bmctl: control does not answer\n");
+        return CTL_UNREACHABLE;
+    }
+    if (o->json) {
+        (void)json_dumpf(json_object_get(status, "evacuated"), stdout,
+                         JSON_INDENT(2));
+        putchar('\n');
+    }
+    else {
+        show_evacuated(status);
+        behind = show_behind(status);
+    }
+    json_decref(status);
+    return behind > 0 ? CTL_LAGS : CTL_DONE;
+}
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -188,6 +188,22 @@
     quotas_reload(e);
 }
 
+void
+dispatch_evacuation_changed(struct entry *e)
+{
+    struct dispatch *d = e->dispatch;
+
+    for (size_t i = 0; i < d->n_services; i++) {
+        struct pool *pool = &d->services[i]->pool;
+
+        for (size_t j = 0; j < pool->n_places; j++) {
+            place_update(e, pool->all_places[j]);
+        }
+        d->services[i]->capacity = 0;
+        dispatch_mark_dirty(e, d->services[i]);
+    }
+}
+
 /* Queue accounting */
 
 static void
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -52,6 +52,10 @@
  * loans */
 void dispatch_member_down(struct entry *e, struct name member);
 
+/** dispatch_evacuation_changed() - uses or leaves the places in zones whose
+ * evacuation ended or began */
+void dispatch_evacuation_changed(struct entry *e);
+
 /** dispatch_config_changed() - reloads quotas and queue orders */
 void dispatch_config_changed(struct entry *e);
 
--- a/src/dump.c
+++ b/src/dump.c
@@ -64,6 +64,7 @@
         (void)json_object_set_new(o, "stopping", json_boolean(m->stopping));
         put_uint(o, "incarnation", m->incarnation);
         put_uint(o, "config_version", m->config_version);
+        put_uint(o, "evacuation", m->evacuation);
         (void)json_array_append_new(list, o);
     }
     return list;
@@ -153,6 +154,18 @@
     return o;
 }
 
+static json_t *
+dump_evacuated(const struct entry *e)
+{
+    json_t *list = json_array();
+
+    for (size_t i = 0; i < e->evacuated.n_zones; i++) {
+        (void)json_array_append_new(
+            list, json_string(e->evacuated.zones[i].zone.s));
+    }
+    return list;
+}
+
 void
 dump_query(struct entry *e, const struct ev_query *q)
 {
@@ -163,6 +176,7 @@
     put_uint(root, "incarnation", e->opts.incarnation);
     (void)json_object_set_new(root, "stopping", json_boolean(e->stopping));
     put_uint(root, "config_version", entry_config_version(e));
+    (void)json_object_set_new(root, "evacuated", dump_evacuated(e));
     put_uint(root, "tasks_queued", dispatch_count_queued(e));
     put_uint(root, "tasks_running", dispatch_count_running(e));
     (void)json_object_set_new(root, "members", dump_members(e));
--- a/src/entry.c
+++ b/src/entry.c
@@ -175,6 +175,7 @@
     e->slots = slots_new(e);
     e->dispatch = dispatch_new(e);
     e->config_sync = config_sync_new(e);
+    e->evacuation_known = o->n_controls == 0;
     return e;
 }
 
@@ -209,6 +210,7 @@
     successors_free(e->successors);
     members_free(e->members);
     explain_free(e->explain);
+    evacuation_clear(&e->evacuated);
     config_free(e->config);
     free((void *)e->opts.peers);
     free((void *)e->opts.controls);
@@ -319,6 +321,33 @@
     }
 }
 
+bool
+entry_may_start_in(const struct entry *e, struct name zone)
+{
+    return e->evacuation_known && !evacuation_covers(&e->evacuated, zone);
+}
+
+/* Jobs that wait in an evacuated zone borrow slots of other zones. */
+void
+entry_update_evacuation(struct entry *e, struct name from, uint64_t revision,
+                        const struct rec_evacuated_zone *zones, size_t n_zones)
+{
+    bool first = !e->evacuation_known;
+    char text[DETAIL_SIZE];
+
+    e->evacuation_known = true;
+    if (evacuation_update(&e->evacuated, revision, zones, n_zones)) {
+        evacuation_format(&e->evacuated, text, sizeof(text));
+        entry_log(e, LOG_NOTICE, REASON_EVACUATION_KNOWN, NULL, -1, from,
+                  "revision %llu, evacuated: %s", (unsigned long long)revision,
+                  text);
+    }
+    else if (!first) {
+        return;
+    }
+    dispatch_evacuation_changed(e);
+}
+
 static void
 on_tick(struct entry *e)
 {
@@ -512,5 +541,6 @@
     g.tasks_running = dispatch_count_running(e);
     g.claims = claims_count(e);
     g.answer_bytes = jobs_answer_bytes(e);
+    g.evacuated_zones = e->evacuated.n_zones;
     return g;
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -145,6 +145,7 @@
     uint64_t members_up;
     uint64_t slots_free;
     uint64_t answer_bytes;
+    uint64_t evacuated_zones;
 };
 
 /** entry_gauges() - computes the gauges from the current state */
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -16,6 +16,7 @@
 #define BM_ENTRY_STATE_H
 
 #include "entry.h"
+#include "evacuation.h"
 #include "table.h"
 
 /* MUTANT() - whether the named faulty decision is enabled (mutation testing of
@@ -49,6 +50,8 @@
     struct moment now;
     struct effects *fx;
     struct config *config; /* NULL until one is received */
+    struct evacuation_set evacuated;
+    bool evacuation_known; /* @evacuated was received, or there is no control */
     bool stopping;
     bool stop_reported;
     uint64_t random;       /* generator state of entry_random() */
@@ -95,6 +98,17 @@
  * than that of the current configuration */
 void entry_apply_config(struct entry *e, const struct config *config);
 
+/** entry_update_evacuation() - applies the evacuated zones that a control
+ * process or a member reports, if their revision is above the known one */
+void entry_update_evacuation(struct entry *e, struct name from,
+                             uint64_t revision,
+                             const struct rec_evacuated_zone *zones,
+                             size_t n_zones);
+
+/** entry_may_start_in() - whether tasks may be started on upstreams of the
+ * zone: it is known not to be evacuated */
+bool entry_may_start_in(const struct entry *e, struct name zone);
+
 /** entry_refuse() - answers a request with a problem, see struct ef_problem.
  * Does nothing for REQUEST_NONE. */
 void entry_refuse(struct entry *e, uint64_t request, enum problem problem,
--- a/src/kind.h
+++ b/src/kind.h
@@ -162,6 +162,7 @@
     REASON(SYNCED, "claims-synced")                                           \
     REASON(CONFIG_APPLIED, "config-applied")                                  \
     REASON(CONFIG_IGNORED, "config-not-newer")                                \
+    REASON(EVACUATION_KNOWN, "evacuated-zones")                               \
     REASON(BAD_MESSAGE, "bad-message")
 
 enum reason {
--- a/src/member.c
+++ b/src/member.c
@@ -224,6 +224,7 @@
     hb->incarnation = e->opts.incarnation;
     hb->stopping = e->stopping ? 1 : 0;
     hb->config_version = entry_config_version(e);
+    hb->evacuation = e->evacuated.revision;
     if (loads) {
         hb->has_loads = 1;
         hb->n_loads = dispatch_collect_loads(e, &hb->loads);
@@ -344,6 +345,7 @@
     was_stopping = m->stopping;
     m->stopping = hb->stopping != 0;
     m->config_version = hb->config_version;
+    m->evacuation = hb->evacuation;
     if (hb->has_loads != 0 || hb->n_loads > 0) {
         store_loads(e, m, hb);
     }
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -39,6 +39,9 @@
     stats_print_one(out, "config_version", "gauge",
                     "version of the configuration in force",
                     entry_config_version(e));
+    stats_print_one(out, "evacuated_zones", "gauge",
+                    "availability zones that are evacuated",
+                    g.evacuated_zones);
     stats_print_one(out, "healthy", "gauge", "takes new jobs",
                     entry_healthy(e) ? 1 : 0);
 }
--- a/src/place.c
+++ b/src/place.c
@@ -38,7 +38,8 @@
 uint32_t
 place_free_slots(const struct entry *e, const struct place *p)
 {
-    if (p->closed || p->blocked_until_us > e->now.mono_us) {
+    if (p->closed || p->blocked_until_us > e->now.mono_us ||
+        !entry_may_start_in(e, p->zone)) {
         return 0;
     }
     if (place_is_own(p)) {
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -51,6 +51,8 @@
     U64(has_loads)      /* the loads are told, even if there are none */
     ARRAY(load, loads)
     ARRAY(upstream_ref, renewed)  /* announced at the sender since the last */
+    ADDED(heartbeat)
+    U64(evacuation)     /* revision of the evacuated zones in force */
 END(heartbeat)
 
 RECORD(voter_view)      /* the newest incarnation of a voter the sender met */
--- a/tests/follow_test.c
+++ b/tests/follow_test.c
@@ -21,9 +21,12 @@
 /* Fake control processes: newest version, and whether the process responds. */
 static struct {
     uint64_t version;
+    uint64_t evacuation; /* revision; the first zone is evacuated if odd */
     bool unresponsive;
 } controls[CONTROLS];
 
+static const char FIRST_ZONE[] = "z0";
+
 static const struct name names[CONTROLS] = {{"c0"}, {"c1"}, {"c2"}};
 
 /* Open long polls. */
@@ -31,6 +34,7 @@
     int node;
     int control;
     uint64_t have;
+    uint64_t evacuation;
     bool has_text;
     bool version_only;
 } polls[POLLS_MAX];
@@ -89,6 +93,19 @@
     blob_unref(old);
 }
 
+static void
+fill_evacuation(struct rec_config_reply *r, uint64_t revision)
+{
+    r->evacuation = revision;
+    if (revision % 2 == 0) {
+        return;
+    }
+    r->evacuated = calloc(1, sizeof(*r->evacuated));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(r->evacuated);
+    r->evacuated[0].zone = name_of(FIRST_ZONE);
+    r->n_evacuated = 1;
+}
+
 static void
 send_version(struct enet *n, int at)
 {
@@ -97,7 +114,9 @@
     struct blob *text = text_of(controls[control].version);
 
     m.u.config_reply.version = controls[control].version;
-    if (polls[at].version_only) {
+    fill_evacuation(&m.u.config_reply, controls[control].evacuation);
+    if (polls[at].version_only ||
+        polls[at].have >= controls[control].version) {
         enet_inject(n, names[control], polls[at].node, &m);
         blob_unref(text);
         return;
@@ -132,6 +151,7 @@
             polls[n_polls].has_text = m->u.config_request.has_text != 0;
             polls[n_polls].version_only =
                 m->u.config_request.version_only != 0;
+            polls[n_polls].evacuation = m->u.config_request.evacuation;
             polls[n_polls++].have = m->u.config_request.have_version;
             n_requests++;
         }
@@ -150,7 +170,8 @@
         for (int i = 0; i < all; i++) {
             int control = polls[i].control;
 
-            if (controls[control].version <= polls[i].have) {
+            if (controls[control].version <= polls[i].have &&
+                controls[control].evacuation <= polls[i].evacuation) {
                 polls[kept++] = polls[i];
             }
             else if (n->nodes[polls[i].node].e != NULL) {
@@ -221,6 +242,87 @@
     enet_free(n);
 }
 
+static void
+set_evacuation(uint64_t revision)
+{
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].evacuation = revision;
+    }
+}
+
+/* Submits a job at each instance, and returns the number of starts in the
+ * first zone. */
+static int
+starts_in_first_zone(struct enet *n, int round)
+{
+    size_t before = n->n_starts;
+    uint64_t requests[NODES];
+    int starts = 0;
+
+    for (int i = 0; i < NODES; i++) {
+        char key[KEY_TEXT_SIZE];
+
+        enet_mint_key(n, i % 2 == 0 ? "z0" : "z1", round * NODES + i, 0, key);
+        requests[i] = enet_submit(n, i, key, 4, 1);
+    }
+    run(n, 3 * SEC);
+    for (int i = 0; i < NODES; i++) {
+        CU_ASSERT_EQUAL(enet_answer(n, requests[i])->kind, EF_ANSWER);
+    }
+    for (size_t i = before; i < n->n_starts; i++) {
+        starts += name_equal(n->upstreams[n->starts[i].upstream].zone,
+                             name_of(FIRST_ZONE))
+                      ? 1
+                      : 0;
+    }
+    return starts;
+}
+
+/* Guards against tasks that are started in an evacuated zone: by instances of
+ * that zone, on slots lent to another zone, or after a restart. */
+static void
+no_task_is_started_in_an_evacuated_zone(void)
+{
+    struct enet *n = new_net(4);
+
+    run(n, 2 * SEC);
+    CU_ASSERT_TRUE(starts_in_first_zone(n, 0) > 0);
+    set_evacuation(1);
+    run(n, SEC);
+    CU_ASSERT_EQUAL(starts_in_first_zone(n, 1), 0);
+    for (int i = 0; i < PER_ZONE; i++) {
+        enet_kill(n, i);
+        enet_restart(n, i);
+        run(n, SEC);
+    }
+    run(n, 4 * SEC);
+    CU_ASSERT_EQUAL(starts_in_first_zone(n, 2), 0);
+    set_evacuation(2);
+    run(n, SEC);
+    CU_ASSERT_TRUE(starts_in_first_zone(n, 3) > 0);
+    enet_free(n);
+}
+
+/* Guards against instances that miss an evacuation since control does not
+ * answer their polls: they ask a member that knows of it. */
+static void
+members_report_evacuations(void)
+{
+    struct enet *n = new_net(4);
+    struct msg m = {.kind = MSG_CONFIG_REPLY};
+
+    run(n, 2 * SEC);
+    for (int i = 0; i < CONTROLS; i++) {
+        controls[i].unresponsive = true;
+    }
+    m.u.config_reply.version = 4;
+    fill_evacuation(&m.u.config_reply, 1);
+    enet_inject(n, names[0], NODES - 1, &m);
+    run(n, 3 * SEC);
+    CU_ASSERT_EQUAL(starts_in_first_zone(n, 1), 0);
+    enet_free(n);
+}
+
 /* Guards against a wrong text in force at one instance: a delta is corrupted
  * in transit, or made against another text than the instance has. */
 static void
@@ -376,6 +478,10 @@
 {
     check_add("follow", "changes_reach_all_instances",
               changes_reach_all_instances);
+    check_add("follow", "no_task_is_started_in_an_evacuated_zone",
+              no_task_is_started_in_an_evacuated_zone);
+    check_add("follow", "members_report_evacuations",
+              members_report_evacuations);
     check_add("follow", "delta_that_does_not_apply",
               delta_that_does_not_apply);
     check_add("follow", "control_gets_the_versions_of_all",
--- a/tests/operator_test.c
+++ b/tests/operator_test.c
@@ -172,6 +172,16 @@
          "{\"action\":\"drop\",\"member\":\"c4\"}"},
         {CONTROL_ROUTE_CHANGE, CONTROL_BAD_CHANGE,
          "{\"action\":\"remove\",\"member\":\"\"}"},
+        {CONTROL_ROUTE_EVACUATE, CONTROL_OK,
+         "{\"zone\":\"a\",\"evacuate\":true}"},
+        {CONTROL_ROUTE_EVACUATE, CONTROL_OK,
+         "{\"zone\":\"a\",\"evacuate\":false}"},
+        {CONTROL_ROUTE_EVACUATE, CONTROL_BAD_CHANGE,
+         "{\"zone\":\"\",\"evacuate\":true}"},
+        {CONTROL_ROUTE_EVACUATE, CONTROL_BAD_CHANGE, "{\"zone\":\"a\"}"},
+        {CONTROL_ROUTE_EVACUATE, CONTROL_BAD_CHANGE,
+         "{\"zone\":\"a\",\"evacuate\":1}"},
+        {CONTROL_ROUTE_EVACUATE, CONTROL_NOT_JSON, ""},
     };
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
