--- a/Makefile
+++ b/Makefile
@@ -167,7 +167,7 @@
 MINUTES ?= 1
 soak: deps
 	@$(MAKE) all $(BUILD)/bm-soak
-	@$(BUILD)/bm-soak --build $(BUILD) --seed $(SEED) --minutes $(MINUTES) $(if $(PAIRS),--pairs --workers 28)
+	@$(BUILD)/bm-soak --build $(BUILD) --seed $(SEED) --minutes $(MINUTES) $(if $(PAIRS),--pairs --workers 28) $(if $(EVACUATIONS),--evacuations)
 
 # Each wrong decision of a real process has to be found within ten minutes.
 soak-mutants: deps
--- a/demo/region.c
+++ b/demo/region.c
@@ -206,6 +206,45 @@
     r->put_us = region_now_us() + AGAIN_US;
 }
 
+void
+region_evacuate(struct region *r, int worker, bool begin_it)
+{
+    r->evacuated = region_zone(r, worker);
+    r->evacuate = begin_it;
+    r->evacuate_acked = false;
+    r->evacuate_us = region_now_us();
+    r->evacuated_us = 0;
+}
+
+static void
+send_evacuation(struct region *r)
+{
+    char url[REGION_URL_ROOM];
+
+    if (r->evacuated == NULL || r->evacuate_acked || r->evacuate_us == 0 ||
+        region_now_us() < r->evacuate_us) {
+        return;
+    }
+    (void)snprintf(url, sizeof(url), "http://%s/v1/evacuate/%s/%s",
+                   pick(r->controls, r->n_controls, r->put_at++), r->evacuated,
+                   r->evacuate ? "start" : "end");
+    r->evacuate_us = 0;
+    (void)begin(r, REGION_EVACUATE, r->evacuate ? 1 : 0, url, strdup(""));
+}
+
+static void
+end_evacuation(struct region *r, const struct region_call *c, bool confirmed)
+{
+    if ((c->number != 0) != r->evacuate) {
+        return; /* of the order before */
+    }
+    r->evacuate_acked = r->evacuate_acked || confirmed;
+    r->evacuate_us = region_now_us() + AGAIN_US;
+    if (confirmed && r->evacuate) {
+        r->evacuated_us = region_now_us();
+    }
+}
+
 /* What no read that begins now may fall behind. */
 static int
 newest_known(const struct region *r)
@@ -395,6 +434,9 @@
     case REGION_PUT:
         end_put(r, c, good);
         break;
+    case REGION_EVACUATE:
+        end_evacuation(r, c, good);
+        break;
     case REGION_GET:
         if (good) {
             end_read(r, c);
@@ -466,6 +508,7 @@
         beat(r, (size_t)i);
     }
     put_config(r);
+    send_evacuation(r);
     if (region_now_us() >= r->get_us) {
         get_config(r);
     }
--- a/demo/region.h
+++ b/demo/region.h
@@ -29,6 +29,7 @@
     REGION_GET,
     REGION_JOB,
     REGION_PROBE,
+    REGION_EVACUATE, /* its number: 1 for the begin, 0 for the end */
 };
 
 /** struct region_call - a request on its way */
@@ -98,6 +99,11 @@
  * @filler: queues of a version besides those that jobs and probes use
  * @version: newest that was sent
  * @acked: newest that was confirmed
+ * @evacuated: zone of the last evacuation; NULL for none yet
+ * @evacuate: it is to begin, else to end
+ * @evacuate_us: next try of that order; 0 while one is on its way
+ * @evacuate_acked: the order was confirmed
+ * @evacuated_us: when the begin was confirmed; 0 once the end is sent
  */
 struct region {
     const char *controls[REGION_ADDRESSES_MAX];
@@ -131,6 +137,11 @@
     int read;       /* highest version read */
     int reverts;    /* reads that were older than what was known before */
     bool read_right;
+    const char *evacuated;
+    bool evacuate;
+    bool evacuate_acked;
+    int64_t evacuate_us;
+    int64_t evacuated_us;
 };
 
 /**
@@ -170,6 +181,11 @@
 void region_leave(struct region *r, int worker);
 void region_return(struct region *r, int worker);
 
+/** region_evacuate() - the zone of the worker with that number is to be
+ * evacuated, or no longer; the order is sent until it is confirmed.  One zone
+ * at a time. */
+void region_evacuate(struct region *r, int worker, bool begin);
+
 /** region_publish() - one more version is sent until it is confirmed */
 void region_publish(struct region *r);
 
--- a/soak/bm_soak.c
+++ b/soak/bm_soak.c
@@ -116,6 +116,10 @@
     plan_jobs(s);
     s->plan = soak_plan_draw((uint64_t)s->seed, s->length_us - LAST_US,
                              s->pairs != 0);
+    if (s->evacuations != 0) {
+        soak_plan_add_evacuations(&s->plan, (uint64_t)s->seed,
+                                  s->length_us - LAST_US);
+    }
     run_until(s, s->begin_us + s->length_us + GRACE_US);
     s->region.read_right = false; /* by a read after all is over */
     for (int i = 0; i < READS_MAX && !s->region.read_right; i++) {
@@ -284,6 +288,8 @@
          "judge no bounds on times, for a busy machine", NULL},
         {"pairs", 0, POPT_ARG_NONE, &s.pairs, 0,
          "two zones, long jobs, paths and takers struck together", NULL},
+        {"evacuations", 0, POPT_ARG_NONE, &s.evacuations, 0,
+         "two zones, which an operator evacuates by turns", NULL},
         {"unseen", 0, POPT_ARG_NONE, &s.unseen, 0,
          "brokers don't see that callers which are dropped have left", NULL},
         {"json", 0, POPT_ARG_NONE, &s.json, 0, "print the result as JSON",
@@ -295,7 +301,7 @@
 
     if (rc != -1 || s.build == NULL || s.minutes < 1 || s.n_brokers < 1 ||
         s.n_brokers > BROKERS_MAX || s.n_workers < 1 ||
-        (s.pairs != 0 && s.n_brokers < PAIR_ZONES) ||
+        ((s.pairs != 0 || s.evacuations != 0) && s.n_brokers < PAIR_ZONES) ||
         s.n_workers > REGION_WORKERS_MAX) {
         poptPrintUsage(ctx, stderr, 0);
         return EXIT_USAGE;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -21,8 +21,14 @@
 /* Only one disk may be lost at a time: the member has to learn first. */
 #define WIPE_GAP_US (15 * USEC_PER_SEC)
 enum { SERIES_MIN = 3, SERIES_MAX = 12, CALM_PUBLICATIONS = 3, WAYS = 3 };
-/* Makes the pairs' draws others than the series'. */
+/* Makes the pairs' draws others than the series', and likewise. */
 #define PAIR_SEED UINT64_C(0x7061697273)
+#define EVACUATE_SEED UINT64_C(0x6576616375)
+/* Evacuations: how long, and between them. */
+#define EVACUATE_MIN_US (8 * USEC_PER_SEC)
+#define EVACUATE_MAX_US (14 * USEC_PER_SEC)
+#define EVACUATE_GAP_MIN_US (500 * USEC_PER_MSEC)
+#define EVACUATE_GAP_MAX_US (4 * USEC_PER_SEC)
 
 /* Cuts of both are drawn most: a runner that learns of its taker's loss by
  * silence and then can't stop what runs is the case with the longest life. */
@@ -53,7 +59,8 @@
 {
     return kind != SOAK_PUBLISH && kind != SOAK_PUBLISH_LARGE &&
            kind != SOAK_STOP_BROKER && kind != SOAK_STOP_IN_TURN &&
-           kind != SOAK_LEAVE && kind != SOAK_SETTINGS;
+           kind != SOAK_LEAVE && kind != SOAK_SETTINGS &&
+           kind != SOAK_EVACUATE;
 }
 
 static int64_t
@@ -210,6 +217,29 @@
     return plan;
 }
 
+void
+soak_plan_add_evacuations(struct soak_plan *p, uint64_t seed,
+                          int64_t length_us)
+{
+    struct drawing d = {
+        .plan = p, .random = seed ^ EVACUATE_SEED, .room = p->n};
+
+    d.at_us = between(&d.random, EVACUATE_GAP_MIN_US, EVACUATE_GAP_MAX_US);
+    while (d.at_us < length_us) {
+        struct soak_fault f = {
+            .at_us = d.at_us,
+            .kind = SOAK_EVACUATE,
+            .for_us = between(&d.random, EVACUATE_MIN_US, EVACUATE_MAX_US),
+            .draw = random_next(&d.random)};
+
+        p->faults = array_grow(p->faults, p->n, &d.room, sizeof(*p->faults));
+        p->faults[p->n++] = f;
+        d.at_us += f.for_us + between(&d.random, EVACUATE_GAP_MIN_US,
+                                      EVACUATE_GAP_MAX_US);
+    }
+    sort_by_time(p);
+}
+
 void
 soak_plan_free(struct soak_plan *p)
 {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -51,7 +51,8 @@
     SOAK_FAULT(KILL_TAKER, "kill-taker", 0)                                   \
     SOAK_FAULT(PAUSE_TAKER, "pause-taker", 0)                                 \
     SOAK_FAULT(DROP_CALLERS, "drop-callers", 0)                               \
-    SOAK_FAULT(CUT_TAKER, "cut-taker", 0)
+    SOAK_FAULT(CUT_TAKER, "cut-taker", 0)                                     \
+    SOAK_FAULT(EVACUATE, "evacuate-zone", 0)
 /* clang-format on */
 
 enum soak_fault_kind {
@@ -89,6 +90,11 @@
  * it a broker of that zone that has callers' jobs is hit
  */
 struct soak_plan soak_plan_draw(uint64_t seed, int64_t length_us, bool pairs);
+
+/** soak_plan_add_evacuations() - adds evacuations of zones, one after the
+ * other, drawn independently of the faults */
+void soak_plan_add_evacuations(struct soak_plan *p, uint64_t seed,
+                               int64_t length_us);
 void soak_plan_free(struct soak_plan *p);
 
 const char *soak_fault_text(enum soak_fault_kind kind);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -46,6 +46,7 @@
     FINDING(CONFIG_LATE, "config-late")                                       \
     FINDING(CONFIG_LOST, "config-lost")                                       \
     FINDING(STARTED_LEAVING, "started-at-leaving-worker")                     \
+    FINDING(STARTED_EVACUATED, "started-in-evacuated-zone")                   \
     FINDING(CUT_OFF, "cut-off-by-stop")                                       \
     FINDING(STOP_HANGS, "stop-not-ended")                                     \
     FINDING(ENDED, "ended-by-itself")                                         \
@@ -66,6 +67,9 @@
  * struct soak - all of it
  * @no_times: bounds on times are not judged
  * @pairs: two zones, some long jobs, and faults that strike paths and takers
+ * @evacuations: two zones, which are evacuated by turns
+ * @evacuate_worker: number of a worker in the zone evacuated last
+ * @evacuate_end_us: when that is to end; 0: no evacuation is to end
  * @unseen: brokers don't see that callers which are dropped have left
  * @base: first of its ports
  * @lock: a socket that keeps other soaks off these ports
@@ -89,6 +93,7 @@
     int n_workers;
     int no_times;
     int pairs;
+    int evacuations;
     int unseen;
     int json;
 
@@ -117,7 +122,10 @@
     int64_t turn_us; /* then */
     int64_t hang_us[REGION_WORKERS_MAX];
     int64_t leave_us[REGION_WORKERS_MAX];
-    size_t runs_seen[REGION_WORKERS_MAX]; /* while it drains */
+    size_t runs_seen[REGION_WORKERS_MAX];   /* while it drains */
+    size_t runs_judged[REGION_WORKERS_MAX]; /* for evacuations */
+    int evacuate_worker;
+    int64_t evacuate_end_us;
     int n_faults[SOAK_FAULTS];
     int n_findings[FINDINGS];
     FILE *found;
@@ -186,6 +194,10 @@
  * drains */
 void soak_check_left(struct soak *s, int worker);
 
+/** soak_check_evacuated() - judges the runs that a worker began since the last
+ * call, if its zone is evacuated */
+void soak_check_evacuated(struct soak *s, int worker);
+
 /** soak_run_procs() - keeps them running, and judges how they end */
 void soak_run_procs(struct soak *s, int64_t now_us);
 
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -19,6 +19,7 @@
 /* The bounds that the platform's settings name. */
 #define APPLY_US (2 * USEC_PER_SEC)
 #define DRAIN_US (2 * USEC_PER_SEC)
+#define EVACUATION_US (5 * USEC_PER_SEC)
 /* Of a request that a stop cuts off. */
 #define SLACK_US (200 * USEC_PER_MSEC)
 
@@ -202,6 +203,32 @@
     }
 }
 
+/* Only where nothing else went on for the contact time before the start. */
+void
+soak_check_evacuated(struct soak *s, int worker)
+{
+    int64_t acked_us = s->region.evacuated_us;
+    bool evacuated =
+        acked_us != 0 &&
+        strcmp(s->region.evacuated, region_zone(&s->region, worker)) == 0;
+    size_t n;
+    const struct fakeworker_run *runs =
+        fakeworker_runs(s->region.workers[worker], &n);
+
+    for (; s->runs_judged[worker] < n; s->runs_judged[worker]++) {
+        const struct fakeworker_run *r = &runs[s->runs_judged[worker]];
+
+        if (evacuated && s->no_times == 0 && r->whole_us > 0 &&
+            r->begun_us > acked_us + EVACUATION_US &&
+            r->begun_us >= s->all_calm_from_us + CONTACT_US) {
+            soak_found(s, FINDING_STARTED_EVACUATED,
+                       "%s at i-%d, %lld ms after the acknowledgement",
+                       r->task, worker,
+                       (long long)((r->begun_us - acked_us) / USEC_PER_MSEC));
+        }
+    }
+}
+
 static void
 check_end(struct soak *s, int i, const struct proc_end *end)
 {
--- a/soak/soak_inject.c
+++ b/soak/soak_inject.c
@@ -243,6 +243,30 @@
     }
 }
 
+static void
+begin_evacuation(struct soak *s, const struct soak_fault *f, int64_t until_us)
+{
+    if (s->evacuate_end_us != 0) {
+        return; /* the begin of the last one is not confirmed yet */
+    }
+    s->evacuate_worker = (int)(f->draw % PAIR_ZONES);
+    s->evacuate_end_us = until_us;
+    region_evacuate(&s->region, s->evacuate_worker, true);
+    soak_note(s, "evacuation of %s", s->region.evacuated);
+}
+
+static void
+end_evacuation_due(struct soak *s, int64_t now_us)
+{
+    if (s->evacuate_end_us == 0 || now_us < s->evacuate_end_us ||
+        !s->region.evacuate_acked) {
+        return;
+    }
+    s->evacuate_end_us = 0;
+    region_evacuate(&s->region, s->evacuate_worker, false);
+    soak_note(s, "end of the evacuation of %s", s->region.evacuated);
+}
+
 static void
 inject(struct soak *s, const struct soak_fault *f, int64_t now_us)
 {
@@ -308,6 +332,9 @@
     case SOAK_STALL_PATHS:
         inject_into_paths(s, f, until_us);
         break;
+    case SOAK_EVACUATE:
+        begin_evacuation(s, f, until_us);
+        break;
     case SOAK_KILL_TAKER:
     case SOAK_PAUSE_TAKER:
     case SOAK_DROP_CALLERS:
@@ -333,7 +360,9 @@
         s->turn_us = now_us + TURN_US;
         s->turn = s->turn + 1 < soak_procs(s) ? s->turn + 1 : -1;
     }
+    end_evacuation_due(s, now_us);
     for (int i = 0; i < s->n_workers; i++) {
+        soak_check_evacuated(s, i);
         if (s->hang_us[i] != 0 && now_us >= s->hang_us[i]) {
             s->hang_us[i] = 0;
             fakeworker_hang(s->region.workers[i], false);
--- a/soak/soak_setup.c
+++ b/soak/soak_setup.c
@@ -201,7 +201,7 @@
     bool good = claim_ports(s);
 
     s->region.n_workers = s->n_workers;
-    s->region.zones = s->pairs != 0 ? PAIR_ZONES : 1;
+    s->region.zones = s->pairs != 0 || s->evacuations != 0 ? PAIR_ZONES : 1;
     s->region.anywhere = s->pairs != 0;
     s->region.unseen = s->unseen != 0;
     s->region.base_port = s->base + PORTS_WORKERS;
--- a/tests/soak_test.c
+++ b/tests/soak_test.c
@@ -59,6 +59,7 @@
     for (uint64_t seed = 1; seed <= 20; seed++) {
         struct soak_plan p = soak_plan_draw(seed, LENGTH_US, true);
 
+        soak_plan_add_evacuations(&p, seed, LENGTH_US);
         for (size_t i = 0; i < p.n; i++) {
             drawn[p.faults[i].kind] = true;
         }
