Expect other brokers to send jobs too

Cause: load reports reach 32 other brokers every 80 ms or so. Change: a broker multiplies what it sent since a report by the number of brokers that have the same report.

--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -138,23 +138,27 @@
 }
 
 /* Milli-cores needed at the peer until the job's first groups have started: of
- * the jobs queued before it, of jobs sent since the report, and its own. */
+ * the jobs queued before it, of jobs sent since the report, and its own.
+ * @takers brokers have the same report and the same kind of callers, so each
+ * is taken to have sent as much as this one. */
 static uint64_t
-needed_milli(const struct broker_load *l, const struct rec_job_offer *o)
+needed_milli(const struct broker_load *l, const struct rec_job_offer *o,
+             uint32_t takers)
 {
     uint64_t ahead = o->priority == 0   ? l->reported.queued0_milli
                      : o->priority == 1 ? l->reported.queued1_milli
                                         : l->reported.queued2_milli;
 
-    return ahead + l->sent_milli + first_groups_milli(o);
+    return ahead + l->sent_milli * takers + first_groups_milli(o);
 }
 
 /* Time until the peer has capacity for all tasks of the job's first groups:
  * what it needs beyond the free capacity comes free at the reported rate. */
 static int64_t
-expected_wait_us(const struct broker_load *l, const struct rec_job_offer *o)
+expected_wait_us(const struct broker_load *l, const struct rec_job_offer *o,
+                 uint32_t takers)
 {
-    uint64_t needed = needed_milli(l, o);
+    uint64_t needed = needed_milli(l, o, takers);
 
     if (needed <= l->reported.free_milli) {
         return 0;
@@ -169,15 +173,27 @@
 /* Milli-cores that are free at the peer after the job has started; at least 1,
  * since it is used as a weight. */
 static uint64_t
-remaining_milli(const struct broker_load *l, const struct rec_job_offer *o)
+remaining_milli(const struct broker_load *l, const struct rec_job_offer *o,
+                uint32_t takers)
 {
-    uint64_t needed = needed_milli(l, o);
+    uint64_t needed = needed_milli(l, o, takers);
 
     return needed < l->reported.free_milli
                ? l->reported.free_milli - needed + 1
                : 1;
 }
 
+static uint32_t
+count_takers(const struct broker *b)
+{
+    uint32_t n = 0;
+
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        n += p->broker && (p->up || p->self) ? 1 : 0;
+    }
+    return n;
+}
+
 /* @except is the runner that returned the job: its reason probably still
  * holds.  Among runners with the same wait one is drawn at random, weighted by
  * free capacity: all brokers have the same load reports, and would otherwise
@@ -186,6 +202,8 @@
 choose_runner(struct broker *b, const struct rec_job_offer *o,
               struct name except)
 {
+    uint32_t takers =
+        b->opts.disabled[BROKER_FEATURE_TAKERS] ? 1 : count_takers(b);
     struct broker_peer *best = NULL;
     int64_t best_us = INT64_MAX;
     uint64_t total = 0; /* free capacity of all runners with the best wait */
@@ -202,13 +220,14 @@
             !name_equal(p->zone, b->opts.zone)) {
             continue;
         }
-        us = expected_wait_us(l, o);
+        us = expected_wait_us(l, o, takers);
         us += name_equal(p->zone, b->opts.zone) ? 0 : CROSS_ZONE_COST_US;
         if (us > best_us) {
             continue;
         }
-        total = remaining_milli(l, o) + (us < best_us ? 0 : total);
-        if (us < best_us || broker_random(b, total) < remaining_milli(l, o)) {
+        total = remaining_milli(l, o, takers) + (us < best_us ? 0 : total);
+        if (us < best_us ||
+            broker_random(b, total) < remaining_milli(l, o, takers)) {
             best = p;
         }
         best_us = us;
--- a/src/replay.c
+++ b/src/replay.c
@@ -13,11 +13,12 @@
 #define ROLL_US (1 * SEC)
 
 enum { ZONES = 3, UPSTREAMS = 48, NONE = 0, THIRD = 3, SIXTH = 6 };
+enum { MANY_BROKERS = 33, MANY_UPSTREAMS = 351 };
 
 /* What a policy should earn of what was possible. */
 static const double AIM = 0.9;
 
-enum kinds { CUSTOMERS, ODD };
+enum kinds { CUSTOMERS, ODD, LONG };
 
 /**
  * struct pattern - a replay
@@ -58,6 +59,8 @@
     [REPLAY_delay] = {.load = 1.0, .trouble = VLEASE_DELAYS, .one_in = SIXTH},
     [REPLAY_leave] = {.load = 1.6, .leave = 0.33},
     [REPLAY_dark] = {.load = 1.0, .dark = true},
+    [REPLAY_crowd] = {.load = 1.9, .kinds = LONG},
+    [REPLAY_dark_many] = {.load = 1.0, .dark = true, .kinds = LONG},
     [REPLAY_roll] = {.load = 1.0, .roll = true},
     [REPLAY_mix] = {.kinds = ODD, .load = 1.6},
 };
@@ -117,6 +120,28 @@
      .timeout_us = 12 * SEC},
 };
 
+/* Long jobs hold nearly half of the processors in use. */
+static const struct vlease_queue mostly_long[] = {
+    {.priority = 0,
+     .tasks = 8,
+     .cpu_milli = 16000,
+     .run_us = 60 * MSEC,
+     .per_s = 154,
+     .timeout_us = 1500 * MSEC},
+    {.priority = 2,
+     .tasks = 4,
+     .cpu_milli = 16000,
+     .run_us = 900 * MSEC,
+     .per_s = 48.9,
+     .timeout_us = 9 * SEC},
+    {.priority = 1,
+     .tasks = 2,
+     .cpu_milli = 16000,
+     .run_us = 200 * MSEC,
+     .per_s = 451,
+     .timeout_us = 2500 * MSEC},
+};
+
 enum broker_feature
 replay_part(const char *name)
 {
@@ -157,6 +182,12 @@
     if (p->kinds == ODD) {
         set_kinds(&region, odd, sizeof(odd) / sizeof(odd[0]));
     }
+    else if (p->kinds == LONG) {
+        region.brokers = MANY_BROKERS / ZONES;
+        region.upstreams = MANY_UPSTREAMS / ZONES;
+        set_kinds(&region, mostly_long,
+                  sizeof(mostly_long) / sizeof(mostly_long[0]));
+    }
     else {
         set_kinds(&region, customers,
                   sizeof(customers) / sizeof(customers[0]));
--- a/src/replay.h
+++ b/src/replay.h
@@ -28,6 +28,8 @@
     REPLAY(delay, "a sixth of the upstreams carries out orders late")         \
     REPLAY(leave, "a third of the callers leaves soon, in a burst")           \
     REPLAY(dark, "all power is lost and comes back")                          \
+    REPLAY(crowd, "many brokers, long jobs, demand near the room")            \
+    REPLAY(dark_many, "the same, many brokers, long jobs hold most of the room") \
     REPLAY(roll, "brokers are stopped and started in turn, a second apart")   \
     REPLAY(mix, "small, wide and long jobs whose sizes fill badly, in a burst")
 /* clang-format on */
--- a/tests/broker_scale_test.c
+++ b/tests/broker_scale_test.c
@@ -378,6 +378,43 @@
     broker_free(o.broker);
 }
 
+static void
+report_free(struct test_broker *o, size_t runner, uint64_t free_milli)
+{
+    struct rec_service_load load = {.service = queue.service,
+                                    .cpu_milli = 2000000,
+                                    .free_milli = free_milli,
+                                    .rate = 1000};
+    struct msg m = {.kind = MSG_BROKER_LOAD};
+
+    m.u.broker_load.services = &load;
+    m.u.broker_load.n_services = 1;
+    receive(o, peer_name(runner), &m);
+}
+
+/* Guards against overload of one of two runners with equal capacity: between
+ * two reports each of 30 brokers sends some jobs, and each knows only of its
+ * own. */
+static void
+brokers_expect_others_to_send_jobs_too(void)
+{
+    enum { OTHERS = 30, ROUNDS = 40, FREE_MILLI = 10 * 4 * 1000 };
+    struct test_broker o = start_oldest_broker(OTHERS);
+    uint32_t jobs[OTHERS] = {0};
+
+    configure(&o);
+    o.jobs = jobs;
+    for (uint64_t i = 1; i <= ROUNDS; i++) {
+        report_free(&o, 0, FREE_MILLI);
+        report_free(&o, 1, FREE_MILLI);
+        submit(&o, 2 * i);
+        submit(&o, 2 * i + 1);
+        CU_ASSERT_EQUAL(jobs[0], i);
+        CU_ASSERT_EQUAL(jobs[1], i);
+    }
+    broker_free(o.broker);
+}
+
 static uint64_t
 total_taken(const struct vlease *v, uint32_t brokers)
 {
@@ -484,6 +521,7 @@
     TEST(taken_upstreams_are_reported_together);
     TEST(replaced_upstreams_are_forgotten);
     TEST(runners_with_capacity_share_jobs);
+    TEST(brokers_expect_others_to_send_jobs_too);
     TEST(stop_reassigns_only_what_the_stopped_broker_held);
     TEST(stale_claims_leave_no_upstream_unused);
     TEST(surplus_goes_to_new_holder);
