--- a/src/broker.h
+++ b/src/broker.h
@@ -62,6 +62,7 @@
     BROKER_FEATURE(LEARNED, "run times are estimated from past runs")         \
     BROKER_FEATURE(LOST_STARTS, "unanswered starts are stopped and restarted") \
     BROKER_FEATURE(CLAIMS, "jobs are claimed before their first start")       \
+    BROKER_FEATURE(SECOND_OFFER, "refused jobs are offered where there is room") \
     BROKER_FEATURE(TAKERS, "other takers count as sending as much")
 /* clang-format on */
 
--- a/tests/broker_scale_test.c
+++ b/tests/broker_scale_test.c
@@ -45,6 +45,9 @@
  * @holds: whether it holds upstreams, by its last introduction
  * @poll: number of its last poll of an upstream
  * @jobs: offered jobs, by number of the peer; NULL: not counted
+ * @last_offer: number of the last offered job
+ * @last_runner: that it was offered to
+ * @refusals: callers that were refused
  */
 struct test_broker {
     struct broker *broker;
@@ -55,6 +58,9 @@
     bool holds;
     uint64_t poll;
     uint32_t *jobs;
+    uint64_t last_offer;
+    struct name last_runner;
+    size_t refusals;
 };
 
 static struct name
@@ -82,6 +88,8 @@
     }
     else if (s->msg.kind == MSG_JOB_OFFER && o->jobs != NULL) {
         o->jobs[strtoul(s->to.s + strlen("b-"), NULL, 10)]++;
+        o->last_offer = s->msg.u.job_offer.number;
+        o->last_runner = s->to;
     }
 }
 
@@ -98,6 +106,10 @@
         if (f->kind == BE_SEND) {
             count_message(o, &f->u.send);
         }
+        else if (f->kind == BE_ANSWER &&
+                 f->u.answer.outcome == JOB_REFUSED_OUTCOME) {
+            o->refusals++;
+        }
         else if (f->kind == BE_CALL && f->u.call.request.kind == LEASE_POLL) {
             o->poll = f->u.call.call;
         }
@@ -384,7 +396,7 @@
     struct rec_service_load load = {.service = queue.service,
                                     .cpu_milli = 2000000,
                                     .free_milli = free_milli,
-                                    .rate = 1000};
+                                    .rate = free_milli / 100};
     struct msg m = {.kind = MSG_BROKER_LOAD};
 
     m.u.broker_load.services = &load;
@@ -415,6 +427,46 @@
     broker_free(o.broker);
 }
 
+/* The runner that was offered the last job refuses it as too late; returns
+ * whether the caller was refused. */
+static bool
+refuse_last_offer(struct test_broker *o)
+{
+    struct msg m = {.kind = MSG_JOB_END};
+
+    m.u.job_end.number = o->last_offer;
+    m.u.job_end.outcome = JOB_REFUSED_OUTCOME;
+    m.u.job_end.reason = BROKER_TOO_LATE;
+    o->refusals = 0;
+    receive(o, o->last_runner, &m);
+    return o->refusals > 0;
+}
+
+/* Guards against callers that are refused while another runner has capacity:
+ * the first one got more jobs than its last report had room for. */
+static void
+refused_job_is_offered_where_there_is_capacity(void)
+{
+    enum { OTHERS = 4, FREE_MILLI = 100 * 1000 };
+    struct test_broker o = start_oldest_broker(OTHERS);
+    uint32_t jobs[OTHERS] = {0};
+
+    configure(&o);
+    o.jobs = jobs;
+    report_free(&o, 0, 2 * FREE_MILLI);
+    report_free(&o, 1, FREE_MILLI);
+    submit(&o, 1);
+    CU_ASSERT_FALSE(refuse_last_offer(&o));
+    CU_ASSERT_EQUAL(jobs[0], 1);
+    CU_ASSERT_EQUAL(jobs[1], 1);
+    /* No runner has capacity: the caller is refused at once. */
+    report_free(&o, 0, 0);
+    report_free(&o, 1, 0);
+    submit(&o, 2);
+    CU_ASSERT_TRUE(refuse_last_offer(&o));
+    broker_free(o.broker);
+}
+
 static uint64_t
 total_taken(const struct vlease *v, uint32_t brokers)
 {
@@ -522,6 +574,7 @@
     TEST(replaced_upstreams_are_forgotten);
     TEST(runners_with_capacity_share_jobs);
     TEST(brokers_expect_others_to_send_jobs_too);
+    TEST(refused_job_is_offered_where_there_is_capacity);
     TEST(stop_reassigns_only_what_the_stopped_broker_held);
     TEST(stale_claims_leave_no_upstream_unused);
     TEST(surplus_goes_to_new_holder);
