Let new callers go before those that have waited in vain

Change: a taker estimates that a caller which waits for less than the queue's timeout has waited for the rest before, unless most callers of the queue do. A job that arrives overdue by several objectives gets only what other late jobs leave, until its deadline.

--- a/src/broker.c
+++ b/src/broker.c
@@ -112,6 +112,7 @@
         msg_free(&b->local_msgs[i]);
     }
     free(b->local_msgs);
+    free(b->patience);
     free(b->holders);
     free(b->hold_updates);
     free_services(b);
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -11,6 +11,11 @@
     REOFFERS_MAX = 3, /* of a job, after its first offer */
 };
 
+/* Weight of earlier callers in struct queue_patience with each further one. */
+static const double PATIENCE_DECAY = 0.98;
+/* Callers that wait for less than the queue's timeout, beyond as many others,
+ * after which this is taken to be usual. */
+static const double PATIENCE_DOUBT = 8.0;
 /* Cost of running a job in another zone: a round trip and the transfer. */
 #define CROSS_ZONE_COST_US (8 * USEC_PER_MSEC)
 /* Assumed wait at a runner that is full and releases no capacity; long, so
@@ -258,7 +263,7 @@
     c->runner = p->name;
     c->confirmed_us = b->now.mono_us;
     o->heard_us = renew_confirmable_us(b, p);
-    o->age_us = (uint64_t)(b->now.mono_us - c->accepted_us);
+    o->age_us = (uint64_t)(b->now.mono_us - c->accepted_us + c->waited_us);
     o->deadline_us = (uint64_t)(c->deadline_us - b->now.mono_us);
     copy = msg_copy(&c->offer);
     broker_send(b, p->name, &copy);
@@ -370,6 +375,46 @@
     return b->queues == NULL ? BROKER_NO_CONFIG : BROKER_NONE;
 }
 
+static struct queue_patience *
+get_patience(struct broker *b, struct name queue)
+{
+    struct queue_patience *grown;
+
+    for (size_t i = 0; i < b->n_patience; i++) {
+        if (name_equal(b->patience[i].queue, queue)) {
+            return &b->patience[i];
+        }
+    }
+    grown = realloc(b->patience, (b->n_patience + 1) * sizeof(*grown));
+    if (grown == NULL) {
+        abort();
+    }
+    b->patience = grown;
+    grown[b->n_patience] = (struct queue_patience){.queue = queue};
+    return &b->patience[b->n_patience++];
+}
+
+/* A caller that got no answer submits its job again, and waits for what is
+ * left of its time.  So one that waits for less than the queue's timeout
+ * probably had waited before, unless most callers of the queue wait for less.
+ */
+static int64_t
+estimate_waited_us(struct broker *b, const struct bev_submit *s)
+{
+    struct queue_patience *p = get_patience(b, s->queue->name);
+    bool shorter = s->timeout_us > 0 && s->timeout_us < s->queue->timeout_us;
+
+    p->shorter *= PATIENCE_DECAY;
+    p->others *= PATIENCE_DECAY;
+    p->shorter += shorter ? 1 : 0;
+    p->others += shorter ? 0 : 1;
+    if (!shorter || b->opts.disabled[BROKER_FEATURE_WAITED] ||
+        p->shorter > p->others + PATIENCE_DOUBT) {
+        return 0;
+    }
+    return s->queue->timeout_us - s->timeout_us;
+}
+
 void
 caller_on_submit(struct broker *b, const struct bev_submit *s)
 {
@@ -390,6 +435,7 @@
     c = table_add(&b->caller_jobs, &h);
     c->self = h;
     c->request = s->request;
+    c->waited_us = estimate_waited_us(b, s);
     c->accepted_us = b->now.mono_us;
     c->deadline_us = b->now.mono_us + timeout_us;
     fill_offer(c, s);
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -32,6 +32,8 @@
 /* Offset in the queue order that puts late jobs behind all others; exceeds any
  * time. */
 #define LATE_OFFSET_US (INT64_C(1) << 56)
+/* The same for overdue jobs, behind all other late ones. */
+#define OVERDUE_OFFSET_US (INT64_C(1) << 57)
 /* Share of capacity assumed for late jobs at least: even under full load, some
  * jobs end early. */
 static const double LATE_SHARE_MIN = 0.05;
@@ -124,6 +126,19 @@
     return work;
 }
 
+/* The latest start after which the answer is of no use to the caller. */
+static int64_t
+last_useful_start_us(const struct run_job *job)
+{
+    int64_t allowed = job->objective_us - job->arrived_us;
+    int64_t chain = job->objective_us - job->latest_start_us;
+    int64_t last = job->arrived_us + USEFUL_OBJECTIVES * allowed - chain;
+    int64_t by_deadline = job->deadline_us - chain;
+
+    /* The caller of an overdue job still waits for the answer. */
+    return last < by_deadline && !job->overdue ? last : by_deadline;
+}
+
 void
 order_set_times(struct broker *b, struct run_job *job,
                 const struct rec_job_offer *o)
@@ -139,6 +154,7 @@
     job->queue_key_us = b->opts.disabled[BROKER_FEATURE_LATEST_START]
                             ? job->arrived_us
                             : job->latest_start_us;
+    job->overdue = b->now.mono_us > last_useful_start_us(job);
     if (!b->opts.disabled[BROKER_FEATURE_PRIORITY]) {
         job->queue_key_us += PRIORITY_STEP_US * (int64_t)job->priority;
     }
@@ -343,23 +359,12 @@
 
 /* Admission */
 
-/* The latest start after which the answer is of no use to the caller. */
-static int64_t
-last_useful_start_us(const struct run_job *job)
-{
-    int64_t allowed = job->objective_us - job->arrived_us;
-    int64_t chain = job->objective_us - job->latest_start_us;
-    int64_t last = job->arrived_us + USEFUL_OBJECTIVES * allowed - chain;
-    int64_t by_deadline = job->deadline_us - chain;
-
-    return last < by_deadline ? last : by_deadline;
-}
-
 static void
 mark_late(struct run_job *job)
 {
     job->late = true;
-    job->queue_key_us = LATE_OFFSET_US + job->latest_start_us;
+    job->queue_key_us = (job->overdue ? OVERDUE_OFFSET_US : LATE_OFFSET_US) +
+                        job->latest_start_us;
 }
 
 /* Delay after which the caller should retry: the latest start of the new
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -133,6 +133,18 @@
     uint64_t unreadable_version;
 };
 
+/**
+ * struct queue_patience - how long the callers of a queue wait, compared to
+ * the queue's timeout
+ * @shorter: moving count of callers that wait for less
+ * @others: moving count of the others
+ */
+struct queue_patience {
+    struct name queue;
+    double shorter;
+    double others;
+};
+
 /** struct holder_ref - a broker that should hold upstreams of this zone */
 struct holder_ref {
     struct broker_peer *peer;
@@ -144,6 +156,8 @@
  * @offer: JOB_OFFER message; kept to offer the job to another runner
  * @runner: empty while there is none
  * @reoffers: offers after the first
+ * @waited_us: estimated time that the caller had waited before it submitted
+ * the job here
  * @confirmed_us: when the runner was last sent an offer or a renewal that
  *                confirms that the caller is still connected
  * @deadline_us: the caller does not wait for an answer after this
@@ -154,6 +168,7 @@
     struct msg offer;
     struct name runner;
     uint32_t reoffers;
+    int64_t waited_us;
     int64_t accepted_us;
     int64_t confirmed_us;
     int64_t deadline_us;
@@ -243,6 +258,8 @@
  * @work: expected processor time of all its tasks, in milli-core microseconds
  * @late: the job can't meet its objective any more; it only gets capacity that
  *        jobs that still can meet theirs leave unused
+ * @overdue: it was late by several objectives when it arrived; it only gets
+ *           capacity that the other late jobs leave unused
  * @n_done: tasks that succeeded
  * @total_run_us: their total run time, scaled to upstreams near their data
  * @n_unfinished: tasks that have not succeeded
@@ -290,6 +307,7 @@
     struct run_task *tasks;
     uint32_t n_tasks;
     bool late;
+    bool overdue;
     uint32_t n_done;
     int64_t total_run_us;
     uint32_t n_unfinished;
@@ -514,6 +532,8 @@
  * @first_roster_us: when a registry first listed the brokers; 0: not yet
  * @load_reported: the last load report to the other brokers was not empty
  * @holds_reported: registries were notified that this broker holds upstreams
+ * @patience: of the queues that were used here
+ * @n_patience: number of @patience
  * @n_unoffered: number of @caller_jobs without a runner
  * @runners_updated: a load report was received since jobs without a runner
  *                   were last offered
@@ -576,6 +596,8 @@
     bool holds_reported;
 
     struct table caller_jobs;
+    struct queue_patience *patience;
+    size_t n_patience;
     size_t n_unoffered;
     bool runners_updated;
     struct timers caller_timers;
--- a/tests/broker_scale_test.c
+++ b/tests/broker_scale_test.c
@@ -46,6 +46,7 @@
  * @poll: number of its last poll of an upstream
  * @jobs: offered jobs, by number of the peer; NULL: not counted
  * @last_offer: number of the last offered job
+ * @last_age_us: of that job
  * @last_runner: that it was offered to
  * @refusals: callers that were refused
  */
@@ -59,6 +60,7 @@
     uint64_t poll;
     uint32_t *jobs;
     uint64_t last_offer;
+    int64_t last_age_us;
     struct name last_runner;
     size_t refusals;
 };
@@ -89,6 +91,7 @@
     else if (s->msg.kind == MSG_JOB_OFFER && o->jobs != NULL) {
         o->jobs[strtoul(s->to.s + strlen("b-"), NULL, 10)]++;
         o->last_offer = s->msg.u.job_offer.number;
+        o->last_age_us = (int64_t)s->msg.u.job_offer.age_us;
         o->last_runner = s->to;
     }
 }
@@ -330,7 +333,7 @@
 }
 
 static void
-submit(struct test_broker *o, uint64_t id)
+submit_waiting(struct test_broker *o, uint64_t id, int64_t timeout_us)
 {
     struct rec_task_group group = {
         .count = 4, .cpu_milli = 1000, .declared_us = 60 * MSEC};
@@ -342,10 +345,17 @@
     ev.u.submit.spec = blob_new("x", 1);
     ev.u.submit.groups = &group;
     ev.u.submit.n_groups = 1;
+    ev.u.submit.timeout_us = timeout_us;
     step(o, &ev);
     blob_unref(ev.u.submit.spec);
 }
 
+static void
+submit(struct test_broker *o, uint64_t id)
+{
+    submit_waiting(o, id, 0);
+}
+
 static void
 configure(struct test_broker *o)
 {
@@ -453,7 +463,7 @@
 
     configure(&o);
     o.jobs = jobs;
-    report_free(&o, 0, 2 * FREE_MILLI);
+    report_free(&o, 0, UINT64_C(2) * FREE_MILLI);
     report_free(&o, 1, FREE_MILLI);
     submit(&o, 1);
     CU_ASSERT_FALSE(refuse_last_offer(&o));
@@ -467,6 +477,51 @@
     broker_free(o.broker);
 }
 
+/* The age that the taker gives to a job whose caller waits for @timeout_us. */
+static int64_t
+age_of(struct test_broker *o, uint64_t id, int64_t timeout_us)
+{
+    report_free(o, 0, 1000000);
+    submit_waiting(o, id, timeout_us);
+    return o->last_age_us;
+}
+
+/* After all power is lost, a third of the jobs come from callers that have
+ * waited in vain before.  Guards against taking them for new ones, which would
+ * be late then. */
+static void
+callers_that_waited_before_are_recognized(void)
+{
+    struct test_broker o = start_oldest_broker(2);
+    uint32_t jobs[2] = {0};
+    int64_t timeout_us = queue.timeout_us;
+
+    configure(&o);
+    o.jobs = jobs;
+    CU_ASSERT_EQUAL(age_of(&o, 1, timeout_us), 0);
+    CU_ASSERT_EQUAL(age_of(&o, 2, timeout_us + SEC), 0);
+    CU_ASSERT_EQUAL(age_of(&o, 3, timeout_us - 300 * MSEC), 300 * MSEC);
+    CU_ASSERT_EQUAL(age_of(&o, 4, 0), 0);
+    broker_free(o.broker);
+}
+
+/* Guards against a queue whose callers all wait for less than its timeout, and
+ * would all count as having waited before. */
+static void
+short_patience_is_usual_in_some_queues(void)
+{
+    struct test_broker o = start_oldest_broker(2);
+    uint32_t jobs[2] = {0};
+
+    configure(&o);
+    o.jobs = jobs;
+    for (uint64_t i = 1; i <= 20; i++) {
+        (void)age_of(&o, i, queue.timeout_us / 2);
+    }
+    CU_ASSERT_EQUAL(age_of(&o, 21, queue.timeout_us / 2), 0);
+    broker_free(o.broker);
+}
+
 static uint64_t
 total_taken(const struct vlease *v, uint32_t brokers)
 {
@@ -575,6 +630,8 @@
     TEST(runners_with_capacity_share_jobs);
     TEST(brokers_expect_others_to_send_jobs_too);
     TEST(refused_job_is_offered_where_there_is_capacity);
+    TEST(callers_that_waited_before_are_recognized);
+    TEST(short_patience_is_usual_in_some_queues);
     TEST(stop_reassigns_only_what_the_stopped_broker_held);
     TEST(stale_claims_leave_no_upstream_unused);
     TEST(surplus_goes_to_new_holder);
--- a/tests/replay_test.c
+++ b/tests/replay_test.c
@@ -80,6 +80,42 @@
     CU_ASSERT_TRUE(c.callers.earned > 0.9 * c.callers.owed);
 }
 
+static double
+callers_served(enum replay which, uint64_t seeds, enum broker_feature without)
+{
+    struct replay_options o = {.seeds = seeds};
+    struct vcredit c;
+
+    o.without[without] = without < BROKER_FEATURES;
+    CU_ASSERT_TRUE(replay_run(which, &o, &c));
+    return c.callers.earned / c.callers.owed;
+}
+
+/* After all power is lost, callers that have waited in vain for longer than
+ * their answer would have been in time must not displace those that come
+ * first. */
+static void
+new_callers_go_first_after_a_power_loss(void)
+{
+    CU_ASSERT_TRUE(callers_served(REPLAY_dark, 4, BROKER_FEATURES) >
+                   callers_served(REPLAY_dark, 4, BROKER_FEATURE_WAITED) +
+                       0.02);
+}
+
+/* Many brokers choose runners by reports that are up to 100 ms old, while
+ * demand exceeds the capacity: no runner may get far more than others. */
+static void
+old_reports_do_not_leave_upstreams_idle(void)
+{
+    double all = callers_served(REPLAY_crowd, 2, BROKER_FEATURES);
+
+    CU_ASSERT_TRUE(
+        all > callers_served(REPLAY_crowd, 2, BROKER_FEATURE_TAKERS) + 0.01);
+    CU_ASSERT_TRUE(
+        all >
+        callers_served(REPLAY_crowd, 2, BROKER_FEATURE_SECOND_OFFER) + 0.01);
+}
+
 void
 suite_replay(void)
 {
@@ -88,5 +124,7 @@
     TEST(replays_keep_promises_and_bounds);
     TEST(drawn_regions_keep_promises);
     TEST(restarts_in_turn_are_hardly_noticed);
+    TEST(new_callers_go_first_after_a_power_loss);
+    TEST(old_reports_do_not_leave_upstreams_idle);
 #undef TEST
 }
