Format the evacuation code as the formatter wants

Cause: the formatter's check failed (make check ended with 2 after the build), since four files were changed after they had been formatted. Change: formatted, and two comments shortened to fit their line.

--- a/src/config_sync.c
+++ b/src/config_sync.c
@@ -30,10 +30,10 @@
     struct name from;
     uint64_t have_version;  /* of the text that the instance has */
     uint64_t known_version; /* answered once a version above this one exists */
-    uint64_t known_evacuation; /* likewise, a revision of the evacuated zones */
-    int64_t deadline_us;    /* deadline of the answer, monotonic */
-    bool has_text;          /* can apply a delta */
-    bool version_only;      /* wants the version number without the text */
+    uint64_t known_evacuation; /* likewise, of the evacuated zones */
+    int64_t deadline_us;       /* deadline of the answer, monotonic */
+    bool has_text;             /* can apply a delta */
+    bool version_only;         /* wants the version number without the text */
 };
 
 struct config_sync {
@@ -163,8 +163,8 @@
     return false;
 }
 
-/* A member that knows of a newer evacuation, or of the end of one; NULL if none
- * does. */
+/* A member that knows of a newer evacuation, or of the end of one; NULL if
+ * none does. */
 static const struct member *
 find_newer_evacuation(const struct entry *e)
 {
--- a/src/dump.c
+++ b/src/dump.c
@@ -160,8 +160,8 @@
     json_t *list = json_array();
 
     for (size_t i = 0; i < e->evacuated.n_zones; i++) {
-        (void)json_array_append_new(
-            list, json_string(e->evacuated.zones[i].zone.s));
+        (void)json_array_append_new(list,
+                                    json_string(e->evacuated.zones[i].zone.s));
     }
     return list;
 }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -51,7 +51,7 @@
     struct effects *fx;
     struct config *config; /* NULL until one is received */
     struct evacuation_set evacuated;
-    bool evacuation_known; /* @evacuated was received, or there is no control */
+    bool evacuation_known; /* received, or there is no control */
     bool stopping;
     bool stop_reported;
     uint64_t random;       /* generator state of entry_random() */
--- a/src/member.h
+++ b/src/member.h
@@ -21,7 +21,7 @@
     uint64_t incarnation; /* newest seen, 0 is none */
     int64_t last_seen_us; /* last heartbeat, monotonic */
     uint64_t config_version;
-    uint64_t evacuation; /* revision of the evacuated zones in force */
+    uint64_t evacuation;    /* revision of the evacuated zones in force */
     struct rec_load *loads; /* from the last heartbeat that carried loads */
     size_t n_loads;
     int64_t loads_received_us; /* when @loads came in, monotonic */
