Strike more steps of jobs without claims in the lease matrix

The choice of runners changed the steps, not the faults. Change: in the setting without claims, three times as many steps of each label are struck.

--- a/src/leasematrix.c
+++ b/src/leasematrix.c
@@ -16,6 +16,8 @@
     EVACUATED_FROM_JOB = 4,
     EVACUATED_UNTIL_JOB = 22,
     EVACUATING_PAIRS_DIVISOR = 4,
+    /* Without claims, few steps leave a run that outlives its job. */
+    UNCLAIMED_STEPS_FACTOR = 3,
     NO_BREAK = -1,
 };
 
@@ -594,6 +596,7 @@
 leasematrix_run(const struct leasematrix_options *o, FILE *out)
 {
     struct leasematrix_options evacuating = *o;
+    struct leasematrix_options unclaimed = *o;
     struct leasematrix_result r = {0};
     struct setting setting = {
         .seed = o->seed, .wrong = NO_BREAK, .anywhere = o->anywhere};
@@ -604,9 +607,10 @@
     run_cells(&evacuating, &setting, &r, caught, out);
     setting.evacuating = false;
     run_cells(o, &setting, &r, caught, out);
+    unclaimed.per_label *= UNCLAIMED_STEPS_FACTOR;
     setting.unclaimed = true;
     if (o->anywhere) {
-        run_cells(o, &setting, &r, caught, out);
+        run_cells(&unclaimed, &setting, &r, caught, out);
     }
     if (o->breaks) {
         count_caught(o, caught, &r, out);
