--- a/tests/evacuation_test.c
+++ b/tests/evacuation_test.c
@@ -437,6 +437,7 @@
     o.n_queues = 2;
     o.queues[1] = o.queues[0];
     o.queues[1].run_us = 900 * MSEC;
+    o.queues[1].timeout_us = 6 * SEC; /* enough for a task that fails once */
     o.queues[1].per_s = per_s / 20;
     o.evacuation_us = 1500 * MSEC;
     v = vlease_new(&o);
