--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -30,7 +30,7 @@
     VEV_ANNOUNCE,  /* an upstream announces itself */
     VEV_ARRIVE,    /* a caller hands a job in */
     VEV_RESEND,    /* once more */
-    VEV_WAKE,      /* a paused broker goes on */
+    VEV_WAKE,      /* a paused broker continues */
     VEV_GONE,      /* a leaving upstream ends */
     VEV_LEAVE,     /* a caller leaves */
     VEV_LEFT,      /* a broker that stood still finds that it did */
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -237,7 +237,7 @@
     U64(digest)         /* XXH3 of the text; 0: not told */
     NAME(zone)          /* of the sender; may be empty */
     ADDED(config_reply)
-    U64(evacuation)     /* revision of the evacuated zones; 0: not told */
+    U64(evacuation)     /* revision of the evacuated zones; 0: not known */
     ARRAY(evacuated_zone, evacuated)
 END(config_reply)
 
