--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -485,7 +485,8 @@
     "\"ready\":\"10.1.0.13:8167\"},\"port-range\":[7720,7735],"
     "\"seeds\":[\"10.1.0.16:8166\",\"10.2.0.32:8166\"],\"bootstrap\":true,"
     "\"data-dir\":null,\"bounds\":{\"max-hold-ms\":900,\"resend-ms\":1200,"
-    "\"grace-s\":6},"
+    "\"grace-s\":6,\"evacuation-ms\":4000},"
+    "\"zones\":{\"z1\":\"r1\",\"z2\":\"r1\",\"far\":\"r2\"},"
     "\"new-field\":{}}";
 
 static void
@@ -507,6 +508,9 @@
     CU_ASSERT_EQUAL(s.lease_us, 900 * USEC_PER_MSEC);
     CU_ASSERT_EQUAL(s.resend_us, 1200 * USEC_PER_MSEC);
     CU_ASSERT_EQUAL(s.grace_us, 6 * USEC_PER_SEC);
+    CU_ASSERT_EQUAL(s.evacuation_us, 4 * USEC_PER_SEC);
+    CU_ASSERT_EQUAL_FATAL(s.n_zones, 2);
+    CU_ASSERT_STRING_EQUAL(s.zones[1].s, "z2");
 }
 
 static void
