Answer callers at once when a runner refuses their job

Each refusal cost up to three more offers just when brokers had no time for them. Result: suites broker, broker_load, broker_scale, evacuation and replay pass.

--- a/src/broker.h
+++ b/src/broker.h
@@ -62,7 +62,6 @@
     BROKER_FEATURE(LEARNED, "run times are estimated from past runs")         \
     BROKER_FEATURE(LOST_STARTS, "unanswered starts are stopped and restarted") \
     BROKER_FEATURE(CLAIMS, "jobs are claimed before their first start")       \
-    BROKER_FEATURE(SECOND_OFFER, "refused jobs are offered where there is room") \
     BROKER_FEATURE(TAKERS, "other takers count as sending as much")           \
     BROKER_FEATURE(WAITED, "callers that waited before are recognized")     \
     BROKER_FEATURE(FIT, "jobs wait at least until a task fits")
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -205,7 +205,7 @@
  * all send their jobs to the same runner until the next report. */
 static struct broker_peer *
 choose_runner(struct broker *b, const struct rec_job_offer *o,
-              struct name except, int64_t *wait_us)
+              struct name except)
 {
     uint32_t takers =
         b->opts.disabled[BROKER_FEATURE_TAKERS] ? 1 : count_takers(b);
@@ -237,7 +237,6 @@
         }
         best_us = us;
     }
-    *wait_us = best_us;
     return best;
 }
 
@@ -275,9 +274,7 @@
 static bool
 offer_job(struct broker *b, struct caller_job *c, struct name except)
 {
-    int64_t wait_us;
-    struct broker_peer *p =
-        choose_runner(b, &c->offer.u.job_offer, except, &wait_us);
+    struct broker_peer *p = choose_runner(b, &c->offer.u.job_offer, except);
 
     if (p == NULL) {
         return false;
@@ -504,29 +501,6 @@
     a->unknown = !found;
 }
 
-/* Offers a refused job to another runner that can start it at once: load
- * reports are some ten milliseconds old, and the first runner may have got
- * more jobs meanwhile than its report had room for. */
-static bool
-offer_elsewhere(struct broker *b, struct caller_job *c, struct name from)
-{
-    int64_t wait_us;
-    struct broker_peer *p;
-
-    if (b->opts.disabled[BROKER_FEATURE_SECOND_OFFER] ||
-        c->reoffers >= REOFFERS_MAX) {
-        return false;
-    }
-    p = choose_runner(b, &c->offer.u.job_offer, from, &wait_us);
-    if (p == NULL || wait_us > CROSS_ZONE_COST_US) {
-        return false;
-    }
-    c->reoffers++;
-    b->counters.jobs_moved++;
-    send_offer(b, c, p);
-    return true;
-}
-
 void
 caller_on_job_end(struct broker *b, struct name from,
                   const struct rec_job_end *e)
@@ -551,9 +525,6 @@
         answer_job(b, c, JOB_REFUSED_OUTCOME, reason, NO_RUNNER_RETRY_US);
         return;
     }
-    if (e->outcome == JOB_REFUSED_OUTCOME && offer_elsewhere(b, c, from)) {
-        return;
-    }
     answer_job(b, c, (enum job_outcome)e->outcome, reason,
                (int64_t)e->retry_after_us);
 }
