Declare the interfaces for unlike instances and upstreams

Cause: two deployments have instances and upstreams of different capacity, and no part reads the limits of an instance or the remote factor of the settings.

The remote factor of the settings replaces the constant of 1.5, which stays where the settings have none.

Result: no decision changes where the remote factor is 1.5.

--- a/src/broker.c
+++ b/src/broker.c
@@ -37,6 +37,7 @@
         .evacuation_grace_us = 1 * USEC_PER_SEC,
         .upstreams_per_holder = 32,
         .clock_drift = 0.02,
+        .remote_factor = 1.5,
     };
 }
 
--- a/src/broker.h
+++ b/src/broker.h
@@ -46,7 +46,8 @@
 /* clang-format on */
 
 /* Features of the scheduling that can be disabled to measure the effect of
- * each: BROKER_FEATURE(NAME, description).  No setting disables one. */
+ * each: BROKER_FEATURE(NAME, description).  Those from INSTANCE_CAPACITY on
+ * can be disabled in the settings. */
 /* clang-format off */
 #define BROKER_FEATURE_LIST(BROKER_FEATURE)                                   \
     BROKER_FEATURE(LATEST_START, "jobs are ordered by their latest start")    \
@@ -64,7 +65,12 @@
     BROKER_FEATURE(CLAIMS, "jobs are claimed before their first start")       \
     BROKER_FEATURE(TAKERS, "other takers count as sending as much")           \
     BROKER_FEATURE(WAITED, "callers that waited before are recognized")     \
-    BROKER_FEATURE(FIT, "jobs wait at least until a task fits")
+    BROKER_FEATURE(FIT, "jobs wait at least until a task fits")               \
+    BROKER_FEATURE(INSTANCE_CAPACITY, "holders are chosen by capacity")       \
+    BROKER_FEATURE(UPSTREAM_SPEED, "the speed of each upstream is estimated") \
+    BROKER_FEATURE(RUN_PROGRESS, "remaining run times follow progress")       \
+    BROKER_FEATURE(URGENT_RESERVE, "capacity is reserved for urgent jobs")    \
+    BROKER_FEATURE(ZONE_SHARES, "zones share each queue's part in overload")
 /* clang-format on */
 
 enum broker_feature {
@@ -82,6 +88,20 @@
     BROKER_BREAKS_SAME_ZONE = BROKER_BREAK_UNCONFIRMED,
 };
 
+/**
+ * struct instance_capacity - declared limits of an instance; 0: not declared
+ * @cpu_milli: processor share, in thousandths of a core
+ * @link_kbps: bandwidth of its link
+ * @memory_mb: memory of a process
+ * @connections: file descriptors of a process
+ */
+struct instance_capacity {
+    uint32_t cpu_milli;
+    uint32_t link_kbps;
+    uint32_t memory_mb;
+    uint32_t connections;
+};
+
 /**
  * struct broker_options - how to construct a broker
  * @self: name of this instance
@@ -118,6 +138,8 @@
  * becomes known may start their remaining tasks for this long
  * @upstreams_per_holder: a zone has one holder for each so many upstreams
  * @clock_drift: an upstream's clock may be slower by this part, 0 to 1
+ * @capacity: declared limits of this instance
+ * @remote_factor: factor on the run time of a task away from its data
  * @breaks: deliberate faults, for tests; all false by default
  * @disabled: disabled features, for measurements; all false by default
  */
@@ -144,6 +166,8 @@
     int64_t evacuation_grace_us;
     uint32_t upstreams_per_holder;
     double clock_drift;
+    struct instance_capacity capacity;
+    double remote_factor;
     bool breaks[BROKER_BREAKS];
     bool disabled[BROKER_FEATURES];
 };
--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -77,7 +77,7 @@
                 double ran_us)
 {
     double usual_us = (double)t->expected_us / u->slowness /
-                      place_remote_factor(&job->groups[t->group], u);
+                      place_remote_factor(b, &job->groups[t->group], u);
 
     if (job->n_done > 0 && job->n_groups == 1) {
         broker_health_task_done(
@@ -95,7 +95,7 @@
 {
     const struct rec_task_group *g = &job->groups[t->group];
     double ran_us = (double)(b->now.mono_us - t->start_sent_us) /
-                    place_remote_factor(g, u);
+                    place_remote_factor(b, g, u);
 
     histogram_add(&b->histograms.run, b->now.mono_us - t->start_sent_us);
     /* @ran_us is not divided by the upstream's slowness: the estimates of run
@@ -169,8 +169,9 @@
 /* Raises the slowness of the upstream at once if the progress of a run shows
  * that it is much slower than the finished tasks of its job were. */
 static void
-sample_progress(struct broker_upstream *u, const struct run_job *job,
-                const struct run_task *t, int64_t ran_us)
+sample_progress(const struct broker *b, struct broker_upstream *u,
+                const struct run_job *job, const struct run_task *t,
+                int64_t ran_us)
 {
     double full_run_us;
     double slowness_now;
@@ -180,7 +181,7 @@
         return;
     }
     full_run_us = (double)ran_us * PERCENT_FULL / (double)t->percent /
-                  place_remote_factor(&job->groups[t->group], u);
+                  place_remote_factor(b, &job->groups[t->group], u);
     slowness_now = full_run_us * job->n_done / (double)job->total_run_us;
     if (slowness_now > 2.0 * u->slowness) {
         u->slowness = slowness_now;
@@ -205,7 +206,7 @@
         t->percent = percent;
         t->progress_us = b->now.mono_us;
         if (!b->opts.disabled[BROKER_FEATURE_SLOW]) {
-            sample_progress(u, job, t, b->now.mono_us - t->start_sent_us);
+            sample_progress(b, u, job, t, b->now.mono_us - t->start_sent_us);
         }
         return;
     }
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -5,8 +5,6 @@
  */
 #include "broker_state.h"
 
-/* Factor on the run time of a task away from its data. */
-static const double REMOTE_FACTOR = 1.5;
 /* An upstream slower than this gets one task at a time, to notice when it has
  * recovered. */
 static const double USABLE_SLOWNESS_MAX = 2.5;
@@ -49,27 +47,28 @@
 }
 
 double
-place_remote_factor(const struct rec_task_group *g,
+place_remote_factor(const struct broker *b, const struct rec_task_group *g,
                     const struct broker_upstream *u)
 {
     bool near = name_empty(g->affinity) || has_label(u, g->affinity);
 
-    return near ? 1.0 : REMOTE_FACTOR;
+    return near ? 1.0 : b->opts.remote_factor;
 }
 
 static int64_t
-scaled_run_us(int64_t usual_us, const struct rec_task_group *g,
-              const struct broker_upstream *u)
+scaled_run_us(const struct broker *b, int64_t usual_us,
+              const struct rec_task_group *g, const struct broker_upstream *u)
 {
     return (int64_t)((double)usual_us * u->slowness *
-                     place_remote_factor(g, u));
+                     place_remote_factor(b, g, u));
 }
 
 int64_t
-place_expected_us(const struct run_job *job, const struct rec_task_group *g,
+place_expected_us(const struct broker *b, const struct run_job *job,
+                  const struct rec_task_group *g,
                   const struct broker_upstream *u)
 {
-    return scaled_run_us(order_expected_us(job, g), g, u);
+    return scaled_run_us(b, order_expected_us(job, g), g, u);
 }
 
 /* Number of tasks of the same group of the job placed on the upstream. */
@@ -149,7 +148,7 @@
     if (u == NULL || t->state != RUN_READY) {
         return true;
     }
-    run_us = place_expected_us(job, &job->groups[t->group], u);
+    run_us = place_expected_us(b, job, &job->groups[t->group], u);
     return !u->gone && b->now.mono_us + run_us < job->deadline_us;
 }
 
@@ -179,7 +178,7 @@
             name_equal(t->avoid_upstream, u->name)) {
             continue;
         }
-        us = scaled_run_us(usual_us, g, u);
+        us = scaled_run_us(b, usual_us, g, u);
         left_milli =
             b->opts.disabled[BROKER_FEATURE_BEST_FIT]
                 ? 0
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -610,7 +610,7 @@
     t->state = RUN_RESERVED;
     t->upstream = u->self;
     t->start_sent_us = b->now.mono_us;
-    t->expected_us = place_expected_us(job, &job->groups[t->group], u);
+    t->expected_us = place_expected_us(b, job, &job->groups[t->group], u);
     t->stop_confirmed_us = INT64_MAX;
     t->start_resolved = true;
     job->n_ready--;
@@ -627,7 +627,7 @@
     t->state = RUN_STARTING;
     t->run++;
     t->start_sent_us = b->now.mono_us;
-    t->expected_us = place_expected_us(job, &job->groups[t->group], u);
+    t->expected_us = place_expected_us(b, job, &job->groups[t->group], u);
     t->percent = 0;
     t->progress_us = b->now.mono_us;
     t->stop_confirmed_us = INT64_MAX;
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -1080,12 +1080,13 @@
 
 /** place_remote_factor() - factor on the run time of a task of the group on
  * the upstream: 1 near its data, more elsewhere */
-double place_remote_factor(const struct rec_task_group *g,
+double place_remote_factor(const struct broker *b,
+                           const struct rec_task_group *g,
                            const struct broker_upstream *u);
 
 /** place_expected_us() - expected run time of a task of the group on the
  * upstream */
-int64_t place_expected_us(const struct run_job *job,
+int64_t place_expected_us(const struct broker *b, const struct run_job *job,
                           const struct rec_task_group *g,
                           const struct broker_upstream *u);
 
--- a/src/wire_list.h
+++ b/src/wire_list.h
@@ -635,4 +635,47 @@
 RECORD(fence_record)
     U64(fence)
 END(fence_record)
+
+/* From a broker to the other brokers: limits of its instance, 0 if unknown. */
+RECORD(instance_capacity)
+    U64(cpu_milli)
+    U64(link_kbps)
+    U64(memory_mb)
+    U64(connections)    /* file descriptors */
+END(instance_capacity)
+
+/* From a broker to those that get its load: over the last second. */
+RECORD(broker_usage)
+    U64(busy_permille)  /* processor time used over the declared capacity */
+    U64(delay_us)       /* mean time that an event waited to be handled */
+END(broker_usage)
+
+/* From a holder to the brokers of its zone. */
+RECORD(upstream_speed)
+    NAME(upstream)
+    U64(born_ms)        /* the speed is that of this incarnation */
+    U64(speed_permille) /* 1000 is usual, more is faster */
+    U64(samples)
+END(upstream_speed)
+
+RECORD(upstream_speeds)
+    ARRAY(upstream_speed, speeds)
+END(upstream_speeds)
+
+/* Longest time between two frames of the sender on this connection while it
+ * is idle. */
+RECORD(heartbeat_interval)
+    U64(idle_us)
+END(heartbeat_interval)
+
+/* From a registry: what its list of the receiver's upstreams adds up to. */
+RECORD(upstream_digest)
+    U64(count)
+    U64(hash)           /* of names, incarnations and sequences */
+END(upstream_digest)
+
+/* The reply of a broker that has another list. */
+RECORD(upstream_request)
+    U64(hash)           /* of its own list */
+END(upstream_request)
 /* clang-format on */
