--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "decisions.h"
 #include "figures.h"
 #include "leasematrix.h"
 #include "matrix.h"
@@ -35,6 +36,7 @@
     int seed;
     int replays;
     char *without;
+    char *decisions;
     int draws;
     int seeds;
     char *cell;
@@ -250,6 +252,22 @@
                                                          : EXIT_OUT_OF_BOUNDS;
 }
 
+static int
+run_decisions(const struct options *o)
+{
+    enum replay which = replay_of_name(o->decisions);
+    struct decisions d;
+
+    if (which == REPLAYS) {
+        (void)fprintf(stderr, "bm-bench: no replay is called %s\n",
+                      o->decisions);
+        return EXIT_USAGE;
+    }
+    d = decisions_of_replay(which, stdout);
+    decisions_print(o->decisions, &d, stderr);
+    return d.kept ? EXIT_SUCCESS : EXIT_OUT_OF_BOUNDS;
+}
+
 /* False where workloads are to be run. */
 static bool
 run_without_files(const struct options *o, int *code)
@@ -264,6 +282,9 @@
     else if (o->replays) {
         *code = run_replays(o);
     }
+    else if (o->decisions != NULL) {
+        *code = run_decisions(o);
+    }
     else if (o->matrix) {
         *code = run_both_matrices(o);
     }
@@ -280,6 +301,18 @@
     return true;
 }
 
+static void
+free_texts(struct options *o)
+{
+    free(o->bounds);
+    free(o->policy);
+    free(o->cell);
+    free(o->without);
+    free(o->decisions);
+    free(o->lease_cell);
+    free(o->report);
+}
+
 int
 main(int argc, const char **argv)
 {
@@ -326,6 +359,9 @@
         {"without", 0, POPT_ARG_STRING, &o.without, 0,
          "with --replays: leave a part of the decisions out, and the bounds",
          "PART"},
+        {"decisions", 0, POPT_ARG_STRING, &o.decisions, 0,
+         "list the decisions of a replay without the features of the settings",
+         "REPLAY"},
         {"draws", 0, POPT_ARG_INT, &o.draws, 0,
          "with --replays: drawn regions, too", "N"},
         {"seeds", 0, POPT_ARG_INT, &o.seeds, 0, "with --replays: of each",
@@ -365,11 +401,6 @@
     code = run_files(files, n, &o);
 out:
     poptFreeContext(context);
-    free(o.bounds);
-    free(o.policy);
-    free(o.cell);
-    free(o.without);
-    free(o.lease_cell);
-    free(o.report);
+    free_texts(&o);
     return code;
 }
--- a/src/replay.c
+++ b/src/replay.c
@@ -153,6 +153,17 @@
     return (enum broker_feature)part;
 }
 
+enum replay
+replay_of_name(const char *name)
+{
+    int which = 0;
+
+    while (which < REPLAYS && strcmp(names[which], name) != 0) {
+        which++;
+    }
+    return (enum replay)which;
+}
+
 static void
 set_kinds(struct vlease_options *o, const struct vlease_queue *kinds, size_t n)
 {
@@ -179,6 +190,7 @@
     region.seed = seed;
     region.leave = p->leave;
     memcpy(region.without, o->without, sizeof(region.without));
+    region.callbacks = o->callbacks;
     if (p->kinds == ODD) {
         set_kinds(&region, odd, sizeof(odd) / sizeof(odd[0]));
     }
--- a/src/replay.h
+++ b/src/replay.h
@@ -45,17 +45,22 @@
  * @seeds: of each replay; figures are sums over them
  * @bounded: with bounds
  * @without: parts that are left out
+ * @callbacks: of the region
  */
 struct replay_options {
     uint32_t seeds;
     bool bounded;
     bool without[BROKER_FEATURES];
+    struct vlease_callbacks callbacks;
 };
 
 /** replay_run() - all seeds of one; false where a promise was broken */
 bool replay_run(enum replay which, const struct replay_options *o,
                 struct vcredit *out);
 
+/** replay_of_name() - the replay of that name, or REPLAYS */
+enum replay replay_of_name(const char *name);
+
 /** replay_draw() - a region whose sizes, widths, speeds, urgencies and load
  * are drawn from @seed, under twice the load that fits; like replay_run() */
 bool replay_draw(uint64_t seed, const struct replay_options *o,
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -281,6 +281,11 @@
 static void
 carry_out(struct vlease *v, struct vprocess *p, struct broker_effect *f)
 {
+    const struct vlease_callbacks *c = &v->opts.callbacks;
+
+    if (c->observe != NULL) {
+        c->observe(c->ctx, v->now_us, p->name, f);
+    }
     switch (f->kind) {
     case BE_ANSWER:
         vcall_on_answer(v, p, &f->u.answer);
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -48,6 +48,21 @@
     int64_t timeout_us;
 };
 
+/**
+ * struct vlease_callbacks - functions of the code that runs a region
+ * @configure: changes the options of a broker that is about to start; NULL
+ *             for none
+ * @observe: is given each effect of a broker, before it is carried out; NULL
+ *           for none
+ * @ctx: passed to them
+ */
+struct vlease_callbacks {
+    void (*configure)(void *ctx, uint32_t broker, struct broker_options *o);
+    void (*observe)(void *ctx, int64_t at_us, struct name broker,
+                    const struct broker_effect *f);
+    void *ctx;
+};
+
 /**
  * struct vlease_options - how to construct a region
  * @zones: with one registry each
@@ -76,6 +91,7 @@
  *                 by a broker that was connected all the while
  * @reborn_silent_us: an upstream that starts anew announces itself so long
  *                    after its start
+ * @callbacks: by default none
  */
 struct vlease_options {
     uint32_t zones;
@@ -98,6 +114,7 @@
     int64_t registry_lag_us;
     int64_t evacuation_us;
     int64_t reborn_silent_us;
+    struct vlease_callbacks callbacks;
 };
 
 /** vlease_options_default() - three zones with two brokers and eight upstreams
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -84,6 +84,9 @@
     o.resubmit_us = v->opts.told_resend_us;
     memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
     memcpy(o.disabled, v->opts.without, sizeof(o.disabled));
+    if (v->opts.callbacks.configure != NULL) {
+        v->opts.callbacks.configure(v->opts.callbacks.ctx, p->number, &o);
+    }
     p->broker = broker_new(&o);
     vlease_step(v, p, &(struct broker_event){.kind = BEV_TICK});
     connect_to(v, p, v->n_processes);
