--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -206,6 +206,9 @@
 static void
 peer_refuses_hostile_bytes(void)
 {
+    /* A known message with one field more than this build knows. */
+    static const char longer[] = {
+        0, 0, 0, 5, '\x92', MSG_HEARTBEAT_INTERVAL, '\x92', 1, 2};
     static const struct {
         const char *bytes;
         size_t size;
@@ -222,6 +225,7 @@
         {"\x00\x00\x00\x01\xc1", 5, "b"},
         {"\x00\x00\x00\x05\xdd\xff\xff\xff\xff", 9, "b"},
         {"\x00\x00\x00\x03\x92\x00\x91", 7, "b"},
+        {longer, sizeof(longer), "b"},
     };
     struct end a;
     int fd;
@@ -250,6 +254,28 @@
     end_stop(&a);
 }
 
+/* Guards an upgrade in which a newer build sends message kinds that this one
+ * does not know: a closed connection would lose the jobs of both ends. */
+static void
+peer_ignores_unknown_kinds(void)
+{
+    static const char unknown[] = {0, 0, 0, 4, '\x92', MSG_KINDS, '\x91', 5};
+    struct end a;
+    int fd;
+
+    end_start(&a, "a", "b", 0);
+    fd = net_connect(peer_port(a.peer));
+    (void)put_hello(fd, "b");
+    (void)net_send(fd, unknown, sizeof(unknown));
+    (void)put_claim(fd, 7);
+    CU_ASSERT(net_await(has_message, &a));
+    CU_ASSERT_EQUAL(a.messages, 1);
+    CU_ASSERT_EQUAL(a.last, 7);
+    CU_ASSERT_EQUAL(a.downs, 0);
+    (void)close(fd);
+    end_stop(&a);
+}
+
 /* A frame arrives byte by byte, as over a bad link. */
 static void
 peer_joins_split_frames(void)
@@ -436,6 +462,8 @@
     check_add("peer", "peers_exchange_messages", peers_exchange_messages);
     check_add("peer", "peer_refuses_hostile_bytes",
               peer_refuses_hostile_bytes);
+    check_add("peer", "peer_ignores_unknown_kinds",
+              peer_ignores_unknown_kinds);
     check_add("peer", "peer_joins_split_frames", peer_joins_split_frames);
     check_add("peer", "peer_redials_silent_connection",
               peer_redials_silent_connection);
