Write the state of a broker on SIGUSR1

Cause: bm-platform-broker ignored SIGUSR1, unlike the other daemons. An operator could not see who holds the upstreams of a zone, or why a queue waits.

Change: broker_dump.c writes the state of the reducer as one log line with the reason "dump", as bm-entry and bm-control do: peers with state and loads, holders of the zone with the number of upstreams, upstreams with holder and load, queues with demand, credit and waiting jobs, limits, disabled features and counters. The metrics get the upstreams of each holder and demand, credit and waiting jobs of each queue.

--- a/src/broker_metrics.c
+++ b/src/broker_metrics.c
@@ -1,5 +1,6 @@
 #include "broker_metrics.h"
 
+#include "broker_dump.h"
 #include "stats.h"
 
 static void
@@ -37,4 +38,5 @@
     BROKER_HISTOGRAM_LIST(BROKER_HISTOGRAM)
 #undef BROKER_HISTOGRAM
     print_requests(out, h);
+    broker_dump_metrics(out, b);
 }
--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "array.h"
+#include "broker_dump.h"
 #include "broker_metrics.h"
 #include "log.h"
 #include "mailbox.h"
@@ -24,7 +25,13 @@
     STATUS_UNAVAILABLE = 503,
 };
 
-enum mail_kind { MAIL_MESSAGE, MAIL_PEER, MAIL_STOP, MAIL_REGISTRY };
+enum mail_kind {
+    MAIL_MESSAGE,
+    MAIL_PEER,
+    MAIL_STOP,
+    MAIL_DUMP,
+    MAIL_REGISTRY
+};
 
 /* An event from another thread. */
 struct broker_mail {
@@ -370,6 +377,9 @@
     case MAIL_STOP:
         ev.kind = BEV_STOP;
         break;
+    case MAIL_DUMP:
+        broker_dump_log(r->broker);
+        return;
     default:
         add_registry(r, m);
         return;
@@ -667,6 +677,12 @@
     mailbox_post(&r->inbox, &new_mail(MAIL_STOP, name_of(""))->mail);
 }
 
+void
+broker_runtime_dump(struct broker_runtime *r)
+{
+    mailbox_post(&r->inbox, &new_mail(MAIL_DUMP, name_of(""))->mail);
+}
+
 bool
 broker_runtime_stopped(const struct broker_runtime *r)
 {
--- a/src/broker_runtime.h
+++ b/src/broker_runtime.h
@@ -97,6 +97,9 @@
 void broker_runtime_add_registry(struct broker_runtime *r, struct name name,
                                  struct address address);
 
+/** broker_runtime_dump() - has the broker's state written to the log */
+void broker_runtime_dump(struct broker_runtime *r);
+
 /** broker_runtime_stop() - begins a planned stop */
 void broker_runtime_stop(struct broker_runtime *r);
 
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -19,7 +19,8 @@
  * - broker_shutdown.c keeps serving during a stop without a successor;
  * - broker_lease.c sends calls to upstreams;
  * - broker_answer.c handles the upstreams' answers;
- * - broker_health.c tracks the health of upstreams.
+ * - broker_health.c tracks the health of upstreams;
+ * - broker_dump.c writes the state for operators.
  *
  * A module calls modules later in this list directly, and earlier ones only
  * through the functions declared below.
