Choose holders by the declared capacity of brokers

Cause: the oldest brokers of a zone hold all its upstreams, 32 each, whatever their processor share and link. On the deployment with unlike instances most holders are small, and events wait for them.

Change: brokers declare their limits in INSTANCE_CAPACITY before their introduction. Where they differ, the largest hold the upstreams, in proportion to capacity; holder_plan.c has both variants of their number, selected by broker_options.holder_count until one is removed. Links limit the upstreams of a holder in any zone. Where capacities are equal or one is unknown, the plan is that of before. Under load, a held upstream that another broker is to hold is looked at again each 250 ms: at a review it often has a run, and reviews were made only when something else changed, so a small broker kept up to 6 upstreams beyond its quota for seconds.

In such zones a broker reports the delay of its events behind a load message, once for each measurement, and takers add it to the expected wait, in steps of 4 ms. With the exact delays, runners with the same wait are never drawn by their free capacity, and all takers choose the same one until its next report.

The fault matrix has a scenario in which brokers declare unlike capacities that change with each restart, and a wrong decision, an old capacity that replaces a newer one. The test of assign_holders() moves to the suite holder_plan, with the quotas that equal parts have.

--- a/src/assign.h
+++ b/src/assign.h
@@ -28,9 +28,21 @@
     void *context;
 };
 
+/**
+ * struct assign_quota - number of upstreams of a holder
+ * @quota: that it is assigned; the sum over all holders is at least the number
+ *         of upstreams
+ * @keep_max: that it keeps if it holds them already, at least @quota
+ */
+struct assign_quota {
+    size_t quota;
+    size_t keep_max;
+};
+
 /** assign_holders() - sets @holder of each item to an index below @n_holders,
- * which must be at least 1; sorts @items by @spread */
+ * which must be at least 1; sorts @items by @order_key.  @quotas has one entry
+ * for each holder. */
 void assign_holders(struct assign_item *items, size_t n_items,
-                    size_t n_holders);
+                    const struct assign_quota *quotas, size_t n_holders);
 
 #endif
--- a/src/broker.c
+++ b/src/broker.c
@@ -115,6 +115,7 @@
     free(b->local_msgs);
     free(b->patience);
     free(b->holders);
+    free(b->quotas);
     free(b->hold_updates);
     free_services(b);
     peers_free(b);
@@ -197,6 +198,12 @@
     case MSG_BROKER_LOAD:
         peers_on_load(b, from, &m->u.broker_load);
         break;
+    case MSG_INSTANCE_CAPACITY:
+        capacity_on_declared(b, from, &m->u.instance_capacity);
+        break;
+    case MSG_BROKER_USAGE:
+        capacity_on_usage(b, from, &m->u.broker_usage);
+        break;
     case MSG_JOB_OFFER:
         run_on_offer(b, from, &m->u.job_offer);
         break;
@@ -307,6 +314,9 @@
     case BEV_STOP:
         begin_stop(b);
         break;
+    case BEV_USAGE:
+        capacity_on_measured(b, &ev->u.usage);
+        break;
     default:
         break;
     }
@@ -340,6 +350,7 @@
     owner_tick(b);
     caller_tick(b);
     hold_tick(b);
+    capacity_tick(b);
     if (b->review_due && b->now.mono_us >= b->next_review_us) {
         b->review_due = false;
         b->next_review_us = b->now.mono_us + REVIEW_INTERVAL_US;
@@ -388,6 +399,7 @@
     at = min_us(at, config_next_us(b));
     at = min_us(at, caller_next_us(b));
     at = min_us(at, hold_next_us(b));
+    at = min_us(at, capacity_next_us(b));
     at = min_us(at, run_next_us(b));
     at = min_us(at, shutdown_next_us(b));
     at = min_us(at, renew_next_us(b));
@@ -480,6 +492,9 @@
         .evacuated_zones = b->evacuated.n_zones,
         .evacuation_revision = b->evacuated.revision,
         .config_rank = b->queues != NULL ? b->queues->rank : 0,
+        .holder_quota = b->capacity.quota,
+        .declared_cpu_milli = b->opts.capacity.cpu_milli,
+        .event_delay_us = (uint64_t)b->self->capacity.delay_us,
     };
     const struct run_job *job;
     struct handle h;
--- a/src/broker.h
+++ b/src/broker.h
@@ -18,6 +18,7 @@
 #include "broker_effect.h"
 #include "broker_event.h"
 #include "histogram.h"
+#include "holder_plan.h"
 
 struct broker;
 
@@ -41,6 +42,7 @@
     BROKER_BREAK(EVACUATED, "start tasks in evacuated zones")                 \
     BROKER_BREAK(EVACUATED_RETRY, "restart tasks in evacuated zones")         \
     BROKER_BREAK(EVACUATION_OLDER, "replace the evacuated zones by older ones") \
+    BROKER_BREAK(CAPACITY_OLDER, "replace a newer capacity by an old one")    \
     /* Detected only where callers may resubmit at any broker. */             \
     BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")
 /* clang-format on */
@@ -138,6 +140,8 @@
  * becomes known may start their remaining tasks for this long
  * @upstreams_per_holder: a zone has one holder for each so many upstreams
  * @clock_drift: an upstream's clock may be slower by this part, 0 to 1
+ * @holder_count: number of holders where instances differ; temporary, for a
+ *                comparison
  * @capacity: declared limits of this instance
  * @remote_factor: factor on the run time of a task away from its data
  * @breaks: deliberate faults, for tests; all false by default
@@ -166,6 +170,7 @@
     int64_t evacuation_grace_us;
     uint32_t upstreams_per_holder;
     double clock_drift;
+    enum holder_count holder_count;
     struct instance_capacity capacity;
     double remote_factor;
     bool breaks[BROKER_BREAKS];
@@ -194,6 +199,11 @@
  * knows a broker that holds upstreams, and is not stopping */
 bool broker_ready(const struct broker *b);
 
+/** broker_declared() - declared limits of a connected broker, or of this one;
+ * all 0 if none are known */
+struct instance_capacity broker_declared(const struct broker *b,
+                                         struct name instance);
+
 /** broker_startup_end_us() - monotonic time until which requests wait for a
  * configuration and a runner, see broker_options.startup_wait_us */
 int64_t broker_startup_end_us(const struct broker *b);
@@ -271,6 +281,9 @@
     BROKER_GAUGE(upstreams_held, "upstreams held")                            \
     BROKER_GAUGE(upstreams_open, "held ones that take work")                  \
     BROKER_GAUGE(upstreams_quarantined, "held ones in quarantine")            \
+    BROKER_GAUGE(holder_quota, "upstreams that are to be held here")          \
+    BROKER_GAUGE(declared_cpu_milli, "declared processor share, in thousandths of a core") \
+    BROKER_GAUGE(event_delay_us, "mean wait of an event in the last second, in us") \
     BROKER_GAUGE(brokers_up, "other brokers connected")                       \
     BROKER_GAUGE(registries_up, "registries connected")                       \
     BROKER_GAUGE(evacuated_zones, "availability zones that are evacuated")    \
--- a/src/broker_caller.c
+++ b/src/broker_caller.c
@@ -227,6 +227,7 @@
         }
         us = expected_wait_us(l, o, takers);
         us += name_equal(p->zone, b->opts.zone) ? 0 : CROSS_ZONE_COST_US;
+        us += capacity_delay_us(b, p);
         if (us > best_us) {
             continue;
         }
--- a/src/broker_event.h
+++ b/src/broker_event.h
@@ -9,6 +9,7 @@
 
 #include "lease.h"
 #include "queueconf.h"
+#include "usage.h"
 #include "wire.h"
 
 /* BROKER_EVENT(NAME, member of the union, what happened) */
@@ -21,7 +22,8 @@
     BROKER_EVENT(CALLED, called, "a call to an upstream ended")               \
     BROKER_EVENT(MESSAGE, message, "a message from another process")          \
     BROKER_EVENT(PEER, peer, "a process was connected or disconnected")       \
-    BROKER_EVENT(STOP, none, "a planned stop begins")
+    BROKER_EVENT(STOP, none, "a planned stop begins")                         \
+    BROKER_EVENT(USAGE, usage, "the usage of this process was measured")
 /* clang-format on */
 
 enum broker_event_kind {
@@ -105,6 +107,7 @@
         struct bev_called called;
         struct bev_message message;
         struct bev_peer peer;
+        struct usage_sample usage;
     } u;
 };
 
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -553,6 +553,7 @@
 hold_reassign(struct broker *b)
 {
     struct assign_item *items = calloc(b->upstreams.n + 1, sizeof(*items));
+    size_t surplus = 0;
     size_t n;
 
     if (items == NULL) {
@@ -561,12 +562,15 @@
     peers_update_holders(b);
     n = list_zone_upstreams(b, items);
     if (b->n_holders > 0) {
-        assign_holders(items, n, b->n_holders);
+        assign_holders(items, n, b->quotas, b->n_holders);
     }
     for (size_t i = 0; i < n; i++) {
-        reassign_upstream(b, items[i].context,
-                          holder_is_self(b, items[i].holder));
+        bool ours = holder_is_self(b, items[i].holder);
+
+        reassign_upstream(b, items[i].context, ours);
+        surplus += !ours && is_held(items[i].context) ? 1 : 0;
     }
+    capacity_surplus(b, surplus);
     free(items);
 }
 
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -61,6 +61,7 @@
     p->address = b->opts.address;
     p->incarnation = b->opts.incarnation;
     b->self = p;
+    capacity_init(b);
     for (size_t i = 0; i < b->opts.n_registries; i++) {
         const struct rec_instance *r = &b->opts.registries[i];
 
@@ -124,6 +125,7 @@
     p->no_claims_until_us = 0;
     p->down_us = b->now.mono_us;
     renew_reset_peer(p);
+    capacity_on_peer_lost(p);
     clear_loads(p);
     config_registry_lost(b, p);
     broker_log(b, LOG_NOTICE, BROKER_PEER_DOWN, 0, -1, p->name, "%s",
@@ -153,6 +155,7 @@
         /* Sent before the introduction, by which the other broker may conclude
          * that it should hold these upstreams; it would take them at once. */
         hold_send_held(b, name);
+        capacity_declare(b, name);
     }
     send_introduction(b, name, false);
     if (p->registry) {
@@ -172,6 +175,7 @@
         broker_log(b, LOG_NOTICE, BROKER_PEER_STOPPING, 0, -1, from, "%s",
                    i->zone.s);
     }
+    capacity_on_introduction(b, p, i);
     p->broker = true;
     p->up_us = p->up ? p->up_us : b->now.mono_us;
     p->up = true;
@@ -301,10 +305,14 @@
             struct msg copy = msg_copy(&m);
 
             broker_send(b, p->name, &copy);
+            capacity_send_usage(b, p->name);
             p->last_check_us = b->now.mono_us;
             sent++;
         }
     }
+    if (sent > 0) {
+        capacity_usage_sent(b);
+    }
     b->load_reported = l->n_services > 0;
     peers_on_load(b, b->opts.self, l);
     msg_free(&m);
@@ -416,58 +424,91 @@
     return (p->up || p->self) && (!p->stopping || p->serves_while_stopping);
 }
 
-/* Orders by start time, the oldest process first. */
-static int
-compare_start_time(const void *x, const void *y)
+/* Counts the upstreams of the zone that have not ended, and those that are
+ * known and have a service. */
+static void
+count_zone_upstreams(const struct broker *b, struct holder_plan_options *o)
 {
-    const struct broker_peer *a = ((const struct holder_ref *)x)->peer;
-    const struct broker_peer *b = ((const struct holder_ref *)y)->peer;
+    const struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
 
-    if (a->incarnation != b->incarnation) {
-        return a->incarnation < b->incarnation ? -1 : 1;
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        bool ours = name_equal(u->zone, b->opts.zone);
+
+        o->upstreams += ours && !u->gone ? 1 : 0;
+        o->listed += ours && u->service != NULL ? 1 : 0;
     }
-    return strcmp(a->name.s, b->name.s);
 }
 
+/* Lists the brokers that can hold upstreams.  Returns their number. */
 static size_t
-count_zone_upstreams(const struct broker *b)
+list_candidates(struct broker *b, struct holder_candidate *candidates)
 {
-    const struct broker_upstream *u;
-    struct handle h;
-    uint32_t at = 0;
     size_t n = 0;
 
-    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
-        n += !u->gone && name_equal(u->zone, b->opts.zone) ? 1 : 0;
+    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        struct instance_capacity c = capacity_of_candidate(b, p);
+
+        if (can_hold(b, p)) {
+            candidates[n++] =
+                (struct holder_candidate){.cpu_milli = c.cpu_milli,
+                                          .link_kbps = c.link_kbps,
+                                          .incarnation = p->incarnation,
+                                          .name = p->name,
+                                          .context = p};
+        }
+    }
+    return n;
+}
+
+static size_t
+count_peers(const struct broker *b)
+{
+    size_t n = 0;
+
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        n++;
     }
     return n;
 }
 
-/* The oldest brokers of the zone hold all its upstreams, and as few brokers as
- * possible do: one queue for many upstreams leaves fewer of them idle than
- * several queues.  As the oldest are chosen, the holders stay the same when
- * other brokers restart. */
+static void
+add_holder(struct broker *b, const struct holder_candidate *c)
+{
+    size_t capacity = b->holders_capacity;
+
+    b->holders = array_grow(b->holders, b->n_holders, &b->holders_capacity,
+                            sizeof(*b->holders));
+    b->quotas =
+        array_grow(b->quotas, b->n_holders, &capacity, sizeof(*b->quotas));
+    b->holders[b->n_holders].peer = c->context;
+    b->quotas[b->n_holders++] = c->share;
+}
+
 void
 peers_update_holders(struct broker *b)
 {
-    size_t upstreams = count_zone_upstreams(b);
-    size_t wanted = (upstreams + b->opts.upstreams_per_holder - 1) /
-                    b->opts.upstreams_per_holder;
-
-    b->n_holders = 0;
-    for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
-        if (can_hold(b, p)) {
-            b->holders = array_grow(b->holders, b->n_holders,
-                                    &b->holders_capacity, sizeof(*b->holders));
-            b->holders[b->n_holders++].peer = p;
-        }
+    struct holder_plan_options o = {.upstreams_per_holder =
+                                        b->opts.upstreams_per_holder,
+                                    .count = b->opts.holder_count};
+    struct holder_candidate *candidates =
+        calloc(count_peers(b) + 1, sizeof(*candidates));
+    struct holder_plan plan;
+    size_t n;
+
+    if (candidates == NULL) {
+        abort();
     }
-    if (b->n_holders > 1) {
-        qsort(b->holders, b->n_holders, sizeof(*b->holders),
-              compare_start_time);
+    count_zone_upstreams(b, &o);
+    n = list_candidates(b, candidates);
+    plan = holder_plan_make(candidates, n, &o);
+    b->n_holders = 0;
+    for (size_t i = 0; i < plan.n_holders; i++) {
+        add_holder(b, &candidates[i]);
     }
-    wanted = wanted > 0 ? wanted : 1;
-    b->n_holders = wanted < b->n_holders ? wanted : b->n_holders;
+    capacity_plan_made(b, plan, candidates);
+    free(candidates);
 }
 
 void
--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -13,6 +13,7 @@
 #include "log.h"
 #include "mailbox.h"
 #include "stats.h"
+#include "usage.h"
 
 enum {
     RING_SIZE = 4, /* the ring is unused: messages and connection events must
@@ -32,6 +33,7 @@
     enum mail_kind kind;
     struct name from;
     struct msg msg;
+    int64_t posted_us;
     bool up;
     struct address address;
 };
@@ -41,6 +43,7 @@
     struct mailbox inbox;
     struct broker *broker;
     struct broker_effects effects;
+    struct usage_meter usage;
     struct httpapi *callers;
     struct httpapi *ready;
     struct httpapi *metrics;
@@ -324,6 +327,7 @@
     struct broker_mail *m = new_mail(MAIL_MESSAGE, from);
 
     m->msg = *msg;
+    m->posted_us = clock_now(r->opts.clock).mono_us;
     memset(msg, 0, sizeof(*msg));
     mailbox_post(&r->inbox, &m->mail);
 }
@@ -385,6 +389,7 @@
     while ((mail = mailbox_take(&r->inbox)) != NULL) {
         struct broker_mail *m = (struct broker_mail *)mail;
 
+        usage_add_event(&r->usage, m->posted_us);
         handle_mail(r, m);
         if (m->kind == MAIL_MESSAGE) {
             msg_free(&m->msg);
@@ -473,6 +478,18 @@
     r->callers_polled_us = now_us;
 }
 
+/* The reducer compares the usage with the declared limits. */
+static void
+report_usage(struct broker_runtime *r)
+{
+    struct broker_event ev = {.kind = BEV_USAGE};
+
+    if (r->opts.broker.capacity.cpu_milli > 0 &&
+        usage_take(&r->usage, &ev.u.usage)) {
+        step(r, &ev);
+    }
+}
+
 static void
 run_once(struct broker_runtime *r)
 {
@@ -488,8 +505,10 @@
     resume_requests(r);
     run_modules(r, events, n > 0 ? n : 0);
     if (clock_now(r->opts.clock).mono_us >= broker_next_us(r->broker)) {
+        usage_add_event(&r->usage, broker_next_us(r->broker));
         step(r, &(struct broker_event){.kind = BEV_TICK});
     }
+    report_usage(r);
 }
 
 /* When the reducer has stopped, queued answers must still be written, and
@@ -634,6 +653,8 @@
     }
     r->opts = *o;
     r->broker = broker_new(&o->broker);
+    r->usage.clock = o->clock;
+    r->usage.read_cpu_us = usage_process_cpu_us;
     r->epoll = epoll_create1(EPOLL_CLOEXEC);
     if (r->epoll < 0 || !watch_fd(r, r->inbox.fd, &r->inbox) ||
         !start_servers(r) || !start_clients(r)) {
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -5,6 +5,7 @@
  *
  * - broker.c dispatches events;
  * - broker_peer.c tracks the other processes;
+ * - broker_capacity.c keeps the declared capacity of brokers;
  * - broker_config.c fetches the configuration;
  * - broker_caller.c keeps the jobs that callers submitted here;
  * - broker_run.c runs jobs;
@@ -31,6 +32,7 @@
 #include <syslog.h>
 
 #include "broker.h"
+#include "broker_capacity.h"
 #include "estimate.h"
 #include "evacuation.h"
 #include "map.h"
@@ -82,6 +84,7 @@
  * @last_check_us: when a load report or a check was last sent to the peer
  * @down_us: when the connection was lost, or a registry last listed the
  *           unconnected peer
+ * @capacity: declared capacity and reported usage, for a broker
  * @next: in broker.peers
  */
 struct broker_peer {
@@ -110,6 +113,7 @@
     bool wants_renewal;
     int64_t last_check_us;
     int64_t down_us;
+    struct peer_capacity capacity;
     struct broker_peer *next;
 };
 
@@ -528,6 +532,8 @@
  *        changes
  * @holders: brokers that should hold upstreams of the zone, set by
  *           peers_update_holders()
+ * @quotas: of @holders
+ * @capacity: plan of the holders, and usage of this process
  * @next_load_us: when the next load report is due
  * @first_roster_us: when a registry first listed the brokers; 0: not yet
  * @load_reported: the last load report to the other brokers was not empty
@@ -590,6 +596,8 @@
     struct holder_ref *holders;
     size_t n_holders;
     size_t holders_capacity;
+    struct assign_quota *quotas;
+    struct capacity_state capacity;
     int64_t next_load_us;
     int64_t first_roster_us;
     bool load_reported;
--- a/src/leasematrix.c
+++ b/src/leasematrix.c
@@ -15,10 +15,13 @@
     FAULTS_PER_CELL = 2,
     EVACUATED_FROM_JOB = 4,
     EVACUATED_UNTIL_JOB = 22,
-    EVACUATING_PAIRS_DIVISOR = 4,
+    /* Of the other scenarios, fewer pairs are tried. */
+    FEWER_PAIRS_DIVISOR = 4,
     /* Without claims, few steps leave a run that outlives its job. */
     UNCLAIMED_STEPS_FACTOR = 3,
     NO_BREAK = -1,
+    CPU_MILLI = 100, /* of a small broker */
+    LINK_KBPS = 19000,
 };
 
 #define MSEC USEC_PER_MSEC
@@ -63,11 +66,13 @@
     bool anywhere;
     bool unclaimed;
     bool evacuating;
+    bool declaring;
 };
 
 static const char ANYWHERE[] = "anywhere/";
 static const char UNCLAIMED[] = "unclaimed/";
 static const char EVACUATING[] = "evacuating/";
+static const char DECLARING[] = "declaring/";
 
 struct trace {
     struct vlease_hop *steps;
@@ -103,6 +108,17 @@
 
 /* The scenario: short jobs and long ones, handed in at all brokers in turn. */
 
+/* Brokers of unlike capacity, which is another one after each restart. */
+static void
+declare(struct vlease_options *o)
+{
+    for (uint32_t i = 0; i < ZONES * BROKERS_EACH; i++) {
+        o->capacities[i].cpu_milli = CPU_MILLI << i % BROKERS_EACH;
+        o->capacities[i].link_kbps = LINK_KBPS;
+    }
+    o->capacity_grows = true;
+}
+
 static struct vlease *
 scenario(const struct setting *s)
 {
@@ -125,6 +141,9 @@
     o.queues[1].tasks = 2;
     o.queues[1].run_us = 2500 * MSEC;
     o.queues[1].timeout_us = 10 * USEC_PER_SEC;
+    if (s->declaring) {
+        declare(&o);
+    }
     if (s->wrong != NO_BREAK) {
         o.breaks[s->wrong] = true;
     }
@@ -372,14 +391,17 @@
     uint32_t open = vlease_figures(v, 0).open + vlease_figures(v, 1).open;
     bool served = vlease_outcome(v, probe) == JOB_COMPLETED_OUTCOME;
 
-    c->failed = vlease_broken(f) + open + vlease_running(v) > 0 || !served;
+    uint32_t outdated = vlease_outdated(v);
+
+    c->failed =
+        vlease_broken(f) + open + vlease_running(v) + outdated > 0 || !served;
     (void)snprintf(c->text, sizeof(c->text),
                    "overlaps %u, over room %u, false refusals %u, at leaving "
                    "%u, evacuated %u, answered twice %u, open %u, running "
-                   "%u%s",
+                   "%u, outdated capacities %u%s",
                    f.overlaps, f.over_room, f.false_refusals, f.leaving,
                    f.evacuated, f.answers_twice, open, vlease_running(v),
-                   served ? "" : ", not serving again");
+                   outdated, served ? "" : ", not serving again");
 }
 
 static void
@@ -525,10 +547,11 @@
 static void
 print_cell(const struct cell *c, const struct setting *s, FILE *out)
 {
-    (void)fprintf(out, "failed: bm-bench --seed %llu --lease-cell %s%s%s",
+    (void)fprintf(out, "failed: bm-bench --seed %llu --lease-cell %s%s%s%s",
                   (unsigned long long)s->seed, s->anywhere ? ANYWHERE : "",
                   s->unclaimed ? UNCLAIMED : "",
-                  s->evacuating ? EVACUATING : "");
+                  s->evacuating ? EVACUATING : "",
+                  s->declaring ? DECLARING : "");
     for (size_t i = 0; i < c->n_strikes; i++) {
         (void)fprintf(out, "%s%llu:%s", i > 0 ? "," : "",
                       (unsigned long long)c->strikes[i].step,
@@ -595,17 +618,20 @@
 struct leasematrix_result
 leasematrix_run(const struct leasematrix_options *o, FILE *out)
 {
-    struct leasematrix_options evacuating = *o;
+    struct leasematrix_options fewer = *o;
     struct leasematrix_options unclaimed = *o;
     struct leasematrix_result r = {0};
     struct setting setting = {
         .seed = o->seed, .wrong = NO_BREAK, .anywhere = o->anywhere};
     bool caught[BROKER_BREAKS] = {false};
 
-    evacuating.pairs /= EVACUATING_PAIRS_DIVISOR;
+    fewer.pairs /= FEWER_PAIRS_DIVISOR;
     setting.evacuating = true;
-    run_cells(&evacuating, &setting, &r, caught, out);
+    run_cells(&fewer, &setting, &r, caught, out);
     setting.evacuating = false;
+    setting.declaring = true;
+    run_cells(&fewer, &setting, &r, caught, out);
+    setting.declaring = false;
     run_cells(o, &setting, &r, caught, out);
     unclaimed.per_label *= UNCLAIMED_STEPS_FACTOR;
     setting.unclaimed = true;
@@ -642,6 +668,10 @@
         setting.evacuating = true;
         text += strlen(EVACUATING);
     }
+    if (strncmp(text, DECLARING, strlen(DECLARING)) == 0) {
+        setting.declaring = true;
+        text += strlen(DECLARING);
+    }
     while (*text != '\0') {
         struct strike *s = &c.strikes[c.n_strikes];
         int fault;
--- a/src/leasematrix.h
+++ b/src/leasematrix.h
@@ -4,9 +4,10 @@
  * What matrix is for entry instances, for brokers and upstreams under leases:
  * a run without faults is traced, each hop is a step, and a cell is one run
  * with a fault at a step (or two).  All cells are run once more while a zone
- * is evacuated.  Afterwards what upstreams and callers saw must show every
- * promise kept, and a job handed in then must complete.  The wrong decisions
- * of BROKER_BREAK_LIST prove it: some cell must notice each.
+ * is evacuated, and with brokers that declare unlike capacities.  Afterwards
+ * what upstreams and callers saw must show every promise kept, and a job
+ * handed in then must complete.  The wrong decisions of BROKER_BREAK_LIST
+ * prove it: some cell must notice each.
  */
 #ifndef BM_LEASEMATRIX_H
 #define BM_LEASEMATRIX_H
@@ -85,8 +86,9 @@
 
 /** leasematrix_cell() - repeats the cell "STEP:FAULT[,STEP:FAULT]", after
  * "anywhere/" where callers come back anywhere, "unclaimed/" where jobs are
- * not claimed and "evacuating/" where a zone is evacuated meanwhile, with what
- * was decided; false when the text is no cell.  @ok gets whether it passed. */
+ * not claimed, "evacuating/" where a zone is evacuated meanwhile and
+ * "declaring/" where brokers declare capacities, with what was decided; false
+ * when the text is no cell.  @ok gets whether it passed. */
 bool leasematrix_cell(uint64_t seed, const char *text, FILE *out, bool *ok);
 
 #endif
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -74,6 +74,10 @@
  *                   its end, so much later
  * @evacuation_us: from the order to evacuate a zone until the last start there
  *                 by a broker that was connected all the while
+ * @capacities: limits that brokers declare; they don't slow down anything
+ * @capacity_grows: a broker's second life has twice the processor share of its
+ *                  first, and so on
+ * @holder_count: variant of the number of holders, temporary
  * @reborn_silent_us: an upstream that starts anew announces itself so long
  *                    after its start
  */
@@ -97,6 +101,9 @@
     double leave;
     int64_t registry_lag_us;
     int64_t evacuation_us;
+    struct instance_capacity capacities[VLEASE_BROKERS_MAX];
+    bool capacity_grows;
+    enum holder_count holder_count;
     int64_t reborn_silent_us;
 };
 
@@ -201,6 +208,11 @@
 void vlease_lose_machine(struct vlease *v, uint32_t broker);
 void vlease_start(struct vlease *v, uint32_t broker);
 void vlease_stop(struct vlease *v, uint32_t broker);
+
+/** vlease_declare() - limits that a broker declares from its next start on */
+void vlease_declare(struct vlease *v, uint32_t broker,
+                    struct instance_capacity capacity);
+
 bool vlease_stopped(const struct vlease *v, uint32_t broker);
 
 /** vlease_lose_power() - of all brokers and registries; upstreams run on */
@@ -261,6 +273,10 @@
 /** vlease_broker() - for checks; NULL while it is down */
 const struct broker *vlease_broker(const struct vlease *v, uint32_t broker);
 
+/** vlease_outdated() - brokers of which another connected one knows limits
+ * that they don't declare any more */
+uint32_t vlease_outdated(const struct vlease *v);
+
 /** vlease_starts() - starts that upstreams carried out */
 uint64_t vlease_starts(const struct vlease *v);
 
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -73,7 +73,8 @@
     struct broker *broker;
     struct registry *registry;
     struct msg kept; /* on a registry's disk: upstreams, a hint */
-    bool polled[VLEASE_BROKERS_MAX]; /* a registry: has an open poll of it */
+    bool polled[VLEASE_BROKERS_MAX];   /* a registry: has an open poll of it */
+    struct instance_capacity declared; /* a broker, in this life */
     int64_t disturbed_until_us; /* a broker: it need not know what changed */
     int64_t tick_us;
 };
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -82,6 +82,12 @@
     o.seed = v->opts.seed + (uint64_t)p->number * 7919 + p->life;
     o.read_config = vlease_read_config;
     o.resubmit_us = v->opts.told_resend_us;
+    o.holder_count = v->opts.holder_count;
+    o.capacity = v->opts.capacities[p->number];
+    if (v->opts.capacity_grows) {
+        o.capacity.cpu_milli *= (uint32_t)p->life;
+    }
+    p->declared = o.capacity;
     memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
     memcpy(o.disabled, v->opts.without, sizeof(o.disabled));
     p->broker = broker_new(&o);
@@ -122,6 +128,43 @@
     }
 }
 
+void
+vlease_declare(struct vlease *v, uint32_t broker,
+               struct instance_capacity capacity)
+{
+    v->opts.capacities[broker] = capacity;
+}
+
+static bool
+knows_outdated(const struct vprocess *p, const struct vprocess *of)
+{
+    struct instance_capacity c;
+
+    if (p == of || p->broker == NULL || of->broker == NULL || of->stopped ||
+        !vlease_connected(p, of)) {
+        return false;
+    }
+    c = broker_declared(p->broker, of->name);
+    return c.cpu_milli != 0 && c.cpu_milli != of->declared.cpu_milli;
+}
+
+uint32_t
+vlease_outdated(const struct vlease *v)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < v->n_brokers; i++) {
+        bool outdated = false;
+
+        for (uint32_t j = 0; j < v->n_brokers; j++) {
+            outdated =
+                outdated || knows_outdated(&v->processes[j], &v->processes[i]);
+        }
+        n += outdated ? 1 : 0;
+    }
+    return n;
+}
+
 void
 vlease_lose_power(struct vlease *v)
 {
