Replay a zone that loses its largest broker

Cause: no replay has brokers that declare capacities.

Change: the replay unlike: in each zone three small brokers and a large one, which is lost in the first zone at 1.2 times the usual load, and returns.

--- a/src/replay.c
+++ b/src/replay.c
@@ -14,6 +14,13 @@
 
 enum { ZONES = 3, UPSTREAMS = 48, NONE = 0, THIRD = 3, SIXTH = 6 };
 enum { MANY_BROKERS = 33, MANY_UPSTREAMS = 351 };
+enum { UNLIKE_BROKERS = 4, LARGE_BROKER = UNLIKE_BROKERS - 1 };
+
+/* The youngest broker of each zone has about half of its capacity. */
+static const struct instance_capacity small_broker = {
+    .cpu_milli = 90, .link_kbps = 19000, .memory_mb = 120};
+static const struct instance_capacity large_broker = {
+    .cpu_milli = 300, .link_kbps = 62000, .memory_mb = 400};
 
 /* What a policy should earn of what was possible. */
 static const double AIM = 0.9;
@@ -32,6 +39,8 @@
  * @dark: power is lost when the worst begins
  * @roll: each second of it one more broker is stopped, and started again once
  *        it has ended
+ * @unlike: brokers declare unlike capacities, and the largest one of the first
+ *          zone is lost when the worst begins, and back when it is over
  */
 struct pattern {
     double load;
@@ -43,6 +52,7 @@
     bool poor;
     bool dark;
     bool roll;
+    bool unlike;
 };
 
 /* clang-format off */
@@ -63,6 +73,7 @@
     [REPLAY_dark_many] = {.load = 1.0, .dark = true, .kinds = LONG},
     [REPLAY_roll] = {.load = 1.0, .roll = true},
     [REPLAY_mix] = {.kinds = ODD, .load = 1.6},
+    [REPLAY_unlike] = {.load = 1.2, .unlike = true},
 };
 /* clang-format on */
 
@@ -167,6 +178,16 @@
     }
 }
 
+static void
+declare_unlike(struct vlease_options *o)
+{
+    o->brokers = UNLIKE_BROKERS;
+    for (uint32_t i = 0; i < ZONES * UNLIKE_BROKERS; i++) {
+        o->capacities[i] =
+            i % UNLIKE_BROKERS == LARGE_BROKER ? large_broker : small_broker;
+    }
+}
+
 static struct vlease_options
 region_of(const struct pattern *p, const struct replay_options *o,
           uint64_t seed)
@@ -179,6 +200,9 @@
     region.seed = seed;
     region.leave = p->leave;
     memcpy(region.without, o->without, sizeof(region.without));
+    if (p->unlike) {
+        declare_unlike(&region);
+    }
     if (p->kinds == ODD) {
         set_kinds(&region, odd, sizeof(odd) / sizeof(odd[0]));
     }
@@ -263,6 +287,9 @@
     vlease_load(v, p->load);
     vlease_shift(v, 0, 1, p->shift);
     set_trouble(v, p, region->seed, true);
+    if (p->unlike) {
+        vlease_lose_machine(v, LARGE_BROKER);
+    }
     if (p->dark) {
         vlease_lose_power(v);
         vlease_run(v, WORST_US + DARK_US);
@@ -273,6 +300,9 @@
     }
     vlease_run(v, WORST_OVER_US);
     set_trouble(v, p, region->seed, false);
+    if (p->unlike) {
+        vlease_start(v, LARGE_BROKER);
+    }
     vlease_load(v, 1.0);
     vlease_run(v, LOAD_OVER_US);
     return finish(v, bounded, out);
--- a/src/replay.h
+++ b/src/replay.h
@@ -31,7 +31,8 @@
     REPLAY(crowd, "many brokers, long jobs, demand near the room")            \
     REPLAY(dark_many, "the same, many brokers, long jobs hold most of the room") \
     REPLAY(roll, "brokers are stopped and started in turn, a second apart")   \
-    REPLAY(mix, "small, wide and long jobs whose sizes fill badly, in a burst")
+    REPLAY(mix, "small, wide and long jobs whose sizes fill badly, in a burst") \
+    REPLAY(unlike, "brokers of unlike capacity, the largest of a zone is lost")
 /* clang-format on */
 
 enum replay {
