Count messages to other instances by kind

Cause: most of the processor time with 300 instances is spent on messages between them, and the metrics show frames and bytes only as a whole.

Change: peer_sent_messages_total and peer_sent_bytes_total by kind on the metrics address of every process, empty frames under 'heartbeat', and peer_wakeups_total. Kinds that were not sent are not listed.

--- a/src/peer.c
+++ b/src/peer.c
@@ -243,6 +243,27 @@
     }
 }
 
+static enum wire_error
+put_message(struct peer *p, struct conn *c, const struct msg *m)
+{
+    size_t before = bytes_size(&c->out);
+    enum wire_error err = frame_put(&c->out, m);
+
+    if (err == WIRE_OK) {
+        stats_count_sent(m->kind, bytes_size(&c->out) - before);
+        c->last_out_us = p->now_us;
+    }
+    return err;
+}
+
+static void
+put_heartbeat(struct peer *p, struct conn *c)
+{
+    frame_put_empty(&c->out);
+    stats_count_sent(MSG_HEARTBEAT, FRAME_HEAD);
+    c->last_out_us = p->now_us;
+}
+
 static void
 conn_hello(struct peer *p, struct conn *c)
 {
@@ -251,8 +272,7 @@
     hello.u.hello.sender = p->opts.self;
     hello.u.hello.incarnation = p->opts.incarnation;
     hello.u.hello.heartbeat_us = (uint64_t)p->opts.heartbeat_us;
-    (void)frame_put(&c->out, &hello);
-    c->last_out_us = p->now_us;
+    (void)put_message(p, c, &hello);
     conn_flush(p, c);
 }
 
@@ -525,14 +545,13 @@
         stats_add(&stats.peer_dropped, 1);
         return;
     }
-    if (frame_put(&c->out, &o->msg) != WIRE_OK) {
+    if (put_message(p, c, &o->msg) != WIRE_OK) {
         stats_add(&stats.peer_dropped, 1);
         log_event(LOG_ERR, "peer-unsendable", o->to.s, "%s does not fit",
                   msg_name(o->msg.kind));
         return;
     }
     stats_add(&stats.peer_frames_out, 1);
-    c->last_out_us = p->now_us;
     c->unsent = true;
     if (bytes_size(&c->out) > p->opts.send_max) {
         stats_add(&stats.peer_cut_off, 1);
@@ -652,8 +671,7 @@
     }
     if (c->state == CONN_OPEN &&
         p->now_us - c->last_out_us >= p->opts.heartbeat_us / 2) {
-        frame_put_empty(&c->out);
-        c->last_out_us = p->now_us;
+        put_heartbeat(p, c);
         conn_flush(p, c);
     }
 }
@@ -704,6 +722,7 @@
         timeout_ms = TIMER_US / 1000;
     }
     n = epoll_wait(p->epoll, events, EVENTS_MAX, timeout_ms);
+    stats_add(&stats.peer_wakeups, 1);
     mailbox_rouse(&p->mailbox);
     return n;
 }
--- a/src/stats.h
+++ b/src/stats.h
@@ -10,6 +10,8 @@
 #include <stdint.h>
 #include <stdio.h>
 
+#include "wire.h"
+
 /* STAT(name, help) */
 /* clang-format off */
 #define STAT_LIST(STAT)                                                       \
@@ -35,6 +37,7 @@
     STAT(peer_frames_out, "frames sent")                                      \
     STAT(peer_bytes_in, "bytes received from other instances")                \
     STAT(peer_bytes_out, "bytes sent to other instances")                     \
+    STAT(peer_wakeups, "times the thread for other instances woke up")        \
     STAT(disk_syncs, "syncs of the disk")                                     \
     STAT(disk_sync_us, "time they took, microseconds")                        \
     STAT(auth_refused, "changes refused: not signed, or stale")               \
@@ -53,6 +56,15 @@
 
 extern struct stats stats;
 
+/** struct peer_sent - what was sent to other instances, by kind of message;
+ * empty frames are counted as MSG_HEARTBEAT, bytes with the frame's head */
+struct peer_sent {
+    atomic_ullong messages[MSG_KINDS];
+    atomic_ullong bytes[MSG_KINDS];
+};
+
+extern struct peer_sent peer_sent;
+
 /** stats_add() - adds to a counter */
 static inline void
 stats_add(atomic_ullong *counter, uint64_t n)
@@ -60,7 +72,11 @@
     (void)atomic_fetch_add_explicit(counter, n, memory_order_relaxed);
 }
 
-/** stats_print() - all counters in the Prometheus text format */
+/** stats_count_sent() - counts one message, of @bytes with its frame's head */
+void stats_count_sent(enum msg_kind kind, uint64_t bytes);
+
+/** stats_print() - all counters in the Prometheus text format; of the kinds of
+ * messages those that were sent */
 void stats_print(FILE *out);
 
 /** stats_print_one() - a counter or gauge in the Prometheus text format */
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -200,6 +200,52 @@
     end_stop(&a);
 }
 
+static uint64_t
+sent(enum msg_kind kind)
+{
+    return atomic_load(&peer_sent.messages[kind]);
+}
+
+static bool
+has_sent_heartbeat(void *ctx)
+{
+    end_advance(ctx, HEARTBEAT_US / 4);
+    return sent(MSG_HEARTBEAT) > 0;
+}
+
+/* Guards against a kind of message, or the heartbeats, that takes most of the
+ * processor time without being seen on the metrics. */
+static void
+peer_counts_messages_by_kind(void)
+{
+    struct end a;
+    struct end b;
+    uint64_t claims = sent(MSG_CLAIM);
+    uint64_t bytes = atomic_load(&peer_sent.bytes[MSG_CLAIM]);
+    char *text = NULL;
+    size_t size;
+    FILE *out = open_memstream(&text, &size);
+
+    end_start(&a, "a", "b", 0);
+    end_start(&b, "b", "a", peer_port(a.peer));
+    CU_ASSERT(net_await(is_up, &b));
+    send_claim(&b, "a", 41);
+    CU_ASSERT(net_await(has_message, &a));
+    CU_ASSERT(net_await(has_sent_heartbeat, &b));
+    CU_ASSERT_EQUAL(sent(MSG_CLAIM), claims + 1);
+    CU_ASSERT_TRUE(atomic_load(&peer_sent.bytes[MSG_CLAIM]) >
+                   bytes + FRAME_HEAD);
+    stats_print(out);
+    (void)fclose(out);
+    CU_ASSERT_PTR_NOT_NULL(strstr(
+        text, "\nboragemoor_peer_sent_messages_total{kind=\"claim\"} "));
+    CU_ASSERT_PTR_NOT_NULL(strstr(
+        text, "\nboragemoor_peer_sent_bytes_total{kind=\"heartbeat\"} "));
+    free(text);
+    end_stop(&b);
+    end_stop(&a);
+}
+
 /* Somebody who is no peer connects, or a peer of another make, or a port
  * scanner.  Each must be shown the door, and the process must go on serving
  * its peers. */
@@ -434,6 +480,8 @@
 suite_peer(void)
 {
     check_add("peer", "peers_exchange_messages", peers_exchange_messages);
+    check_add("peer", "peer_counts_messages_by_kind",
+              peer_counts_messages_by_kind);
     check_add("peer", "peer_refuses_hostile_bytes",
               peer_refuses_hostile_bytes);
     check_add("peer", "peer_joins_split_frames", peer_joins_split_frames);
