Send fewer heartbeats on idle connections

Change: each end announces an interval for idle connections, the heartbeat times open connections divided by 64, at most 2 s, and keeps to it on connections over which nothing but heartbeats, loads and usage went for 2 s, if the other end announced one too. A message brings both ends back to the usual rate, and the sender's limit of 0.75 s counts from it. The previous build announces nothing and is treated as before. With many connections, both ends use the same one of two, so that the other stays idle; the thread sleeps until something is due; and a connection that was read empty is not read again.

--- a/src/conn.c
+++ b/src/conn.c
@@ -90,11 +90,13 @@
 }
 
 ssize_t
-conn_read(struct conn *c)
+conn_read(struct conn *c, bool *more)
 {
     char *at = bytes_room(&c->in, FRAME_READ_ROOM);
-    ssize_t n = recv(c->fd, at, c->in.room - c->in.end, MSG_DONTWAIT);
+    size_t room = c->in.room - c->in.end;
+    ssize_t n = recv(c->fd, at, room, MSG_DONTWAIT);
 
+    *more = n > 0 && (size_t)n == room;
     if (n > 0) {
         bytes_added(&c->in, (size_t)n);
         return n;
--- a/src/conn.h
+++ b/src/conn.h
@@ -9,6 +9,7 @@
 #include <sys/queue.h>
 
 #include "frame.h"
+#include "heartbeat.h"
 #include "netaddr.h"
 
 enum conn_state {
@@ -26,7 +27,8 @@
  * @dialed: opened by this end
  * @last_in_us: when bytes last came, or when it was opened
  * @last_out_us: when a frame was last queued
- * @silence_us: closed after that long without bytes
+ * @silence_us: closed after that long without bytes, before it is open
+ * @beat: heartbeats and silence while it is open
  * @want_out: registered for writing
  * @unsent: has bytes queued since the last flush
  */
@@ -42,6 +44,7 @@
     int64_t last_in_us;
     int64_t last_out_us;
     int64_t silence_us;
+    struct heartbeat beat;
     TAILQ_ENTRY(conn) link;
 };
 
@@ -58,8 +61,9 @@
 int conn_dialed_error(const struct conn *c);
 
 /** conn_read() - reads what is there, up to a bound; bytes read, 0 for none
- * now, -1 when the connection is over */
-ssize_t conn_read(struct conn *c);
+ * now, -1 when the connection is over.  @more is whether the bound was
+ * reached, so that there may be more. */
+ssize_t conn_read(struct conn *c, bool *more);
 
 /** conn_write() - writes what the socket takes; bytes written, -1 when the
  * connection is over */
--- a/src/peer.c
+++ b/src/peer.c
@@ -16,13 +16,14 @@
 #include "stats.h"
 
 enum {
-    RING_ROOM = 4, /* unused: messages are posted */
-    EVENTS_MAX = 64,
-    HELLO_MAX = 1024,   /* bytes of a frame from somebody unknown */
-    STRANGERS_MAX = 64, /* accepted connections beyond two a remote */
-    SILENT_HEARTBEATS = 3,
-    READS_MAX = 16,       /* of one connection in a row */
-    TIMER_US = 20 * 1000, /* between looks at the timers */
+    RING_ROOM = 4,             /* unused: messages are posted */
+    EVENTS_MAX = 256,          /* more connections than that are rare */
+    HELLO_MAX = 1024,          /* bytes of a frame from somebody unknown */
+    STRANGERS_MAX = 64,        /* accepted connections beyond two a remote */
+    READS_MAX = 16,            /* of one connection in a row */
+    TIMER_US = 20 * 1000,      /* least time between looks at the timers */
+    TIMER_MAX_US = 250 * 1000, /* longest, where there are many */
+    INTERVAL_US = 1000 * 1000, /* between changes of the idle interval */
     BACKOFF_MIN_US = 50 * 1000,
     SILENCE_MAX_US = 60 * 1000 * 1000,
     /* The kernel sends a lost SYN again after a second.  Where the remote's
@@ -40,6 +41,7 @@
     bool has_address;
     struct conn *dialed;
     struct conn *accepted;
+    struct conn *via; /* that messages were last sent on; may be NULL */
     int64_t dial_due_us;
     int64_t backoff_us;
     int64_t dial_us; /* the next dial waits so long for the other kernel */
@@ -73,6 +75,8 @@
     struct conn_list closed;
     int64_t now_us;
     int64_t timers_due_us;
+    int64_t idle_us; /* interval for idle connections; 0: not in use */
+    int64_t interval_due_us;
     uint64_t random;
 };
 
@@ -115,6 +119,39 @@
     return NULL;
 }
 
+/* Whether idle connections carry fewer heartbeats now. */
+static bool
+is_crowded(const struct peer *p)
+{
+    return p->idle_us > p->opts.heartbeat_us;
+}
+
+/* Where both ends dialed, both use the connection that the one with the
+ * smaller name dialed, so that the other one stays idle.  It changes only
+ * while the one in use is idle, so that no message overtakes an earlier one of
+ * the same work. */
+static struct conn *
+sending_conn(const struct peer *p, struct remote *r)
+{
+    struct conn *any = remote_conn(r);
+    struct conn *other = r->accepted;
+
+    if (any == NULL || !is_crowded(p)) {
+        r->via = any;
+        return any;
+    }
+    if (r->via == NULL) {
+        r->via = any;
+    }
+    if (heartbeat_idle(&r->via->beat, p->now_us)) {
+        bool both = any == r->dialed && other != NULL &&
+                    other->state == CONN_OPEN && other->beat.their_idle_us > 0;
+
+        r->via = both && strcmp(p->opts.self.s, r->name.s) > 0 ? other : any;
+    }
+    return r->via;
+}
+
 static void
 remote_changed(struct peer *p, struct remote *r)
 {
@@ -126,6 +163,13 @@
     }
 }
 
+/* Something is due at that time. */
+static void
+look_by(struct peer *p, int64_t at_us)
+{
+    p->timers_due_us = at_us < p->timers_due_us ? at_us : p->timers_due_us;
+}
+
 /* Half to one and a half times the backoff: without jitter, all instances
  * would dial a restarted one in step. */
 static void
@@ -137,6 +181,7 @@
     if (r->backoff_us > p->opts.backoff_max_us) {
         r->backoff_us = p->opts.backoff_max_us;
     }
+    look_by(p, r->dial_due_us);
 }
 
 static void
@@ -165,9 +210,10 @@
     c->state = state;
     c->last_in_us = p->now_us;
     c->last_out_us = p->now_us;
-    c->silence_us = SILENT_HEARTBEATS * p->opts.heartbeat_us;
+    c->silence_us = HEARTBEAT_SILENT * p->opts.heartbeat_us;
     TAILQ_INSERT_TAIL(&p->conns, c, link);
     p->n_conns++;
+    look_by(p, p->now_us + TIMER_US);
     return true;
 }
 
@@ -215,6 +261,9 @@
     if (r->accepted == c) {
         r->accepted = NULL;
     }
+    if (r->via == c) {
+        r->via = NULL;
+    }
     remote_changed(p, r);
     if (was_open) {
         tell_gap(p, r);
@@ -264,6 +313,42 @@
     c->last_out_us = p->now_us;
 }
 
+/* A frame may be due at once on a connection that was idle. */
+static void
+note_use(struct peer *p, struct conn *c)
+{
+    if (heartbeat_use(&c->beat, p->now_us) && is_crowded(p)) {
+        look_by(p, p->now_us);
+    }
+}
+
+static void
+announce_interval(struct peer *p, struct conn *c)
+{
+    struct msg m = {.kind = MSG_HEARTBEAT_INTERVAL};
+
+    if (p->idle_us == 0 || c->beat.announced_us == p->idle_us) {
+        return;
+    }
+    m.u.heartbeat_interval.idle_us = (uint64_t)p->idle_us;
+    (void)put_message(p, c, &m);
+    c->beat.announced_us = p->idle_us;
+    conn_flush(p, c);
+}
+
+static void
+on_interval(struct peer *p, struct conn *c, struct msg *m)
+{
+    uint64_t us = m->u.heartbeat_interval.idle_us;
+    bool first = c->beat.their_idle_us == 0;
+
+    c->beat.their_idle_us =
+        us > 0 && us < SILENCE_MAX_US ? (int64_t)us : SILENCE_MAX_US;
+    if (first && p->opts.idle_heartbeats) {
+        p->opts.on_message(p->opts.ctx, c->remote->name, m);
+    }
+}
+
 static void
 conn_hello(struct peer *p, struct conn *c)
 {
@@ -307,7 +392,7 @@
     }
     c->state = CONN_GREETING;
     c->last_in_us = p->now_us;
-    c->silence_us = SILENT_HEARTBEATS * p->opts.heartbeat_us;
+    c->silence_us = HEARTBEAT_SILENT * p->opts.heartbeat_us;
     c->remote->dial_us = DIAL_MIN_US;
     stats_add(&stats.peer_connects, 1);
     watch(p, c, false);
@@ -337,6 +422,7 @@
          * thread would spin; the timer tries again. */
         set_listening(p, errno == EAGAIN || errno == ECONNABORTED ||
                              errno == EINTR);
+        look_by(p, p->now_us + TIMER_US);
         return;
     }
     stats_add(&stats.peer_accepts, 1);
@@ -356,7 +442,8 @@
     if (their_us <= SILENCE_MAX_US && (int64_t)their_us > us) {
         us = (int64_t)their_us;
     }
-    c->silence_us = SILENT_HEARTBEATS * us;
+    c->beat =
+        heartbeat_open(p->opts.heartbeat_us, HEARTBEAT_SILENT * us, p->now_us);
 }
 
 /* A remote that restarted behind a cut dials again while its old connection
@@ -369,6 +456,7 @@
     c->remote = r;
     r->accepted = c;
     if (old != NULL) {
+        r->via = r->via == old ? NULL : r->via;
         old->remote = NULL;
         conn_close(p, old, LOG_INFO, "replaced by a newer one");
         tell_gap(p, r);
@@ -395,6 +483,7 @@
     map_put(&p->by_name, r);
     TAILQ_INSERT_TAIL(&p->remotes, r, link);
     p->n_remotes++;
+    look_by(p, p->now_us + TIMER_US);
     return r;
 }
 
@@ -436,6 +525,7 @@
     log_event(LOG_INFO, "peer-open", r->name.s,
               "%s connection, incarnation %" PRIu64,
               c->dialed ? "dialed" : "accepted", hello->incarnation);
+    announce_interval(p, c);
     remote_changed(p, r);
 }
 
@@ -472,7 +562,13 @@
     else if (m.kind == MSG_HELLO) {
         on_hello(p, c, &m.u.hello);
     }
+    else if (m.kind == MSG_HEARTBEAT_INTERVAL) {
+        on_interval(p, c, &m);
+    }
     else {
+        if (heartbeat_is_use(m.kind)) {
+            note_use(p, c);
+        }
         p->opts.on_message(p->opts.ctx, c->remote->name, &m);
     }
 }
@@ -503,8 +599,10 @@
 static void
 on_readable(struct peer *p, struct conn *c)
 {
-    for (int i = 0; i < READS_MAX && c->state != CONN_CLOSED; i++) {
-        ssize_t n = conn_read(c);
+    bool more = true;
+
+    for (int i = 0; more && i < READS_MAX && c->state != CONN_CLOSED; i++) {
+        ssize_t n = conn_read(c, &more);
 
         if (n == 0) {
             return;
@@ -518,6 +616,11 @@
         stats_add(&stats.peer_bytes_in, (uint64_t)n);
         take_frames(p, c);
     }
+    /* A large message takes a while on a slow link, and its sender expects
+     * frames before it is whole. */
+    if (c->state == CONN_OPEN && bytes_size(&c->in) > 0) {
+        note_use(p, c);
+    }
 }
 
 static void
@@ -539,7 +642,7 @@
 send_one(struct peer *p, struct outgoing *o)
 {
     struct remote *r = map_get(&p->by_name, &o->to);
-    struct conn *c = r != NULL ? remote_conn(r) : NULL;
+    struct conn *c = r != NULL ? sending_conn(p, r) : NULL;
 
     if (c == NULL) {
         stats_add(&stats.peer_dropped, 1);
@@ -552,6 +655,9 @@
         return;
     }
     stats_add(&stats.peer_frames_out, 1);
+    if (heartbeat_is_use(o->msg.kind)) {
+        note_use(p, c);
+    }
     c->unsent = true;
     if (bytes_size(&c->out) > p->opts.send_max) {
         stats_add(&stats.peer_cut_off, 1);
@@ -573,6 +679,7 @@
         /* It spoke before anybody told its address. */
         known->has_address = known->has_address ||
                              netaddr_parse(remote.address.s, &known->address);
+        look_by(p, p->now_us + TIMER_US);
         return;
     }
     if (add_remote(p, &remote) == NULL) {
@@ -655,50 +762,112 @@
     conn_close(p, c, LOG_INFO, "no answer");
 }
 
+/* The process at the other end may have stopped.  A second connection with it
+ * that is idle would show that only later. */
 static void
-check_conn(struct peer *p, struct conn *c)
+close_silent(struct peer *p, struct conn *c)
 {
-    bool silent = p->now_us - c->last_in_us >= c->silence_us;
+    struct remote *r = c->remote;
+    struct conn *second = NULL;
+
+    if (r != NULL && c->state == CONN_OPEN) {
+        second = r->dialed == c ? r->accepted : r->dialed;
+    }
+    if (second != NULL && second->state == CONN_OPEN) {
+        heartbeat_suspect(&second->beat, second->last_in_us, p->now_us);
+    }
+    stats_add(&stats.peer_silent, 1);
+    conn_close(p, c, LOG_WARNING, "nothing came for three heartbeats");
+}
 
-    if (silent && c->state == CONN_DIALING) {
-        give_up_dial(p, c);
+static void
+check_conn(struct peer *p, struct conn *c)
+{
+    bool open = c->state == CONN_OPEN;
+    int64_t silent_us =
+        open ? heartbeat_silent_us(&c->beat, c->last_in_us, p->now_us)
+             : c->last_in_us + c->silence_us;
+
+    if (p->now_us >= silent_us) {
+        if (c->state == CONN_DIALING) {
+            give_up_dial(p, c);
+        }
+        else {
+            close_silent(p, c);
+        }
         return;
     }
-    if (silent) {
-        stats_add(&stats.peer_silent, 1);
-        conn_close(p, c, LOG_WARNING, "nothing came for three heartbeats");
+    look_by(p, silent_us);
+    if (!open) {
         return;
     }
-    if (c->state == CONN_OPEN &&
-        p->now_us - c->last_out_us >= p->opts.heartbeat_us / 2) {
+    announce_interval(p, c);
+    if (p->now_us >= heartbeat_early_us(&c->beat, c->last_out_us, p->now_us)) {
         put_heartbeat(p, c);
         conn_flush(p, c);
     }
+    look_by(p, heartbeat_late_us(&c->beat, c->last_out_us, p->now_us));
 }
 
 static void
-run_timers(struct peer *p)
+update_interval(struct peer *p)
+{
+    size_t open = 0;
+    struct conn *c;
+
+    if (!p->opts.idle_heartbeats || p->now_us < p->interval_due_us) {
+        return;
+    }
+    TAILQ_FOREACH(c, &p->conns, link)
+    {
+        open += c->state == CONN_OPEN ? 1 : 0;
+    }
+    p->interval_due_us = p->now_us + INTERVAL_US;
+    p->idle_us = heartbeat_interval_us(p->opts.heartbeat_us, open, p->idle_us);
+}
+
+static void
+dial_remotes(struct peer *p)
 {
     struct remote *r;
+
+    TAILQ_FOREACH(r, &p->remotes, link)
+    {
+        if (!r->has_address || r->dialed != NULL) {
+            continue;
+        }
+        if (p->now_us >= r->dial_due_us) {
+            dial(p, r);
+        }
+        else {
+            look_by(p, r->dial_due_us);
+        }
+    }
+}
+
+/* Looks every TIMER_US; where there are many connections, when one of them has
+ * something due. */
+static void
+run_timers(struct peer *p)
+{
     struct conn *c;
     struct conn *next;
+    int64_t least_us = p->now_us + TIMER_US;
 
     if (p->now_us < p->timers_due_us) {
         return;
     }
-    p->timers_due_us = p->now_us + TIMER_US;
+    p->timers_due_us = p->now_us + TIMER_MAX_US;
+    update_interval(p);
     for (c = TAILQ_FIRST(&p->conns); c != NULL; c = next) {
         next = TAILQ_NEXT(c, link);
         check_conn(p, c);
     }
-    TAILQ_FOREACH(r, &p->remotes, link)
-    {
-        if (r->has_address && r->dialed == NULL &&
-            p->now_us >= r->dial_due_us) {
-            dial(p, r);
-        }
-    }
+    dial_remotes(p);
     set_listening(p, true);
+    if (!is_crowded(p) || p->timers_due_us < least_us) {
+        p->timers_due_us = least_us;
+    }
 }
 
 static void
@@ -712,6 +881,18 @@
     }
 }
 
+static int
+timers_timeout_ms(const struct peer *p)
+{
+    int64_t left_us =
+        p->timers_due_us - clock_now(p->opts.clock).mono_us + 999;
+
+    if (!is_crowded(p)) {
+        return TIMER_US / 1000;
+    }
+    return left_us > 0 ? (int)(left_us / 1000) : 0;
+}
+
 static int
 wait_for_events(struct peer *p, struct epoll_event *events)
 {
@@ -719,7 +900,7 @@
     int n;
 
     if (mailbox_doze(&p->mailbox)) {
-        timeout_ms = TIMER_US / 1000;
+        timeout_ms = timers_timeout_ms(p);
     }
     n = epoll_wait(p->epoll, events, EVENTS_MAX, timeout_ms);
     stats_add(&stats.peer_wakeups, 1);
@@ -836,6 +1017,7 @@
     p->epoll = -1;
     p->listener = -1;
     p->random = o->incarnation | 1;
+    p->idle_us = o->idle_heartbeats ? o->heartbeat_us : 0;
     TAILQ_INIT(&p->conns);
     TAILQ_INIT(&p->closed);
     TAILQ_INIT(&p->remotes);
--- a/src/peer.h
+++ b/src/peer.h
@@ -14,7 +14,8 @@
  * connection, and then neither end sees it close; messages vanish while a new
  * connection would work.  So each end sends at least an empty frame in each
  * heartbeat, and a connection that brought nothing for three is closed and
- * dialed anew.
+ * dialed anew.  With many connections, idle ones carry frames less often, see
+ * heartbeat.h.
  */
 #ifndef BM_PEER_H
 #define BM_PEER_H
@@ -45,6 +46,10 @@
  * @tell_gaps: a connection that closes is told as down and up again, though
  *             another with the same remote is left: what was under way on it
  * is lost
+ * @idle_heartbeats: idle connections carry fewer heartbeats where there are
+ *                   many.  The first HEARTBEAT_INTERVAL on a connection is
+ *                   then passed to @on_message: the remote is of a build that
+ *                   knows the kinds of messages added with it.
  * @backoff_max_us: longest pause between two attempts to dial
  * @on_message: takes over what the message owns; may block, which holds the
  *              senders back
@@ -62,6 +67,7 @@
     size_t frame_max;
     bool open;
     bool tell_gaps;
+    bool idle_heartbeats;
     int64_t backoff_max_us;
     const struct clock *clock;
     void (*on_message)(void *ctx, struct name from, struct msg *m);
