--- a/src/broker.h
+++ b/src/broker.h
@@ -18,7 +18,6 @@
 #include "broker_effect.h"
 #include "broker_event.h"
 #include "histogram.h"
-#include "holder_plan.h"
 
 struct broker;
 
@@ -140,8 +139,6 @@
  * becomes known may start their remaining tasks for this long
  * @upstreams_per_holder: a zone has one holder for each so many upstreams
  * @clock_drift: an upstream's clock may be slower by this part, 0 to 1
- * @holder_count: number of holders where instances differ; temporary, for a
- *                comparison
  * @capacity: declared limits of this instance
  * @remote_factor: factor on the run time of a task away from its data
  * @breaks: deliberate faults, for tests; all false by default
@@ -170,7 +167,6 @@
     int64_t evacuation_grace_us;
     uint32_t upstreams_per_holder;
     double clock_drift;
-    enum holder_count holder_count;
     struct instance_capacity capacity;
     double remote_factor;
     bool breaks[BROKER_BREAKS];
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -47,6 +47,7 @@
 free_peer(struct broker_peer *p)
 {
     free(p->loads);
+    upstream_digest_clear(&p->listed);
     free(p);
 }
 
@@ -127,6 +128,7 @@
     renew_reset_peer(p);
     capacity_on_peer_lost(p);
     clear_loads(p);
+    upstream_digest_clear(&p->listed);
     config_registry_lost(b, p);
     broker_log(b, LOG_NOTICE, BROKER_PEER_DOWN, 0, -1, p->name, "%s",
                p->registry ? "registry" : "broker");
@@ -490,8 +492,7 @@
 peers_update_holders(struct broker *b)
 {
     struct holder_plan_options o = {.upstreams_per_holder =
-                                        b->opts.upstreams_per_holder,
-                                    .count = b->opts.holder_count};
+                                        b->opts.upstreams_per_holder};
     struct holder_candidate *candidates =
         calloc(count_peers(b) + 1, sizeof(*candidates));
     struct holder_plan plan;
--- a/src/holder_plan.c
+++ b/src/holder_plan.c
@@ -171,8 +171,8 @@
 count_holders(const struct holder_candidate *candidates, size_t n,
               const struct holder_plan_options *o, bool by_capacity)
 {
-    bool fewest = by_capacity && o->count == HOLDER_COUNT_FEWEST;
-    size_t wanted = fewest ? count_fewest(candidates, n, o) : count_equal(o);
+    size_t wanted =
+        by_capacity ? count_fewest(candidates, n, o) : count_equal(o);
 
     wanted = wanted < n ? wanted : n;
     while (wanted < n && total_link_max(candidates, wanted) < o->listed) {
--- a/src/holder_plan.h
+++ b/src/holder_plan.h
@@ -16,14 +16,6 @@
 #include "assign.h"
 #include "base.h"
 
-/** enum holder_count - how many brokers are holders where their capacities
- * differ.  Temporary: one is removed once both have been measured. */
-enum holder_count {
-    HOLDER_COUNT_FEWEST, /* the fewest whose capacity is sufficient, at least
-                          * two */
-    HOLDER_COUNT_EQUAL,  /* as many as where capacities are equal */
-};
-
 /**
  * struct holder_candidate - a broker that may hold upstreams
  * @cpu_milli: declared processor share, in thousandths of a core; 0: not
@@ -50,13 +42,11 @@
  * @upstreams: of the zone that have not ended; sets the number of holders
  * @listed: upstreams to divide, also those that have ended but are still known
  * @upstreams_per_holder: that a broker of median capacity can hold, at least 1
- * @count: how many brokers are holders where their capacities differ
  */
 struct holder_plan_options {
     size_t upstreams;
     size_t listed;
     uint32_t upstreams_per_holder;
-    enum holder_count count;
 };
 
 /**
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -92,7 +92,6 @@
  * @capacities: limits that brokers declare; they don't slow down anything
  * @capacity_grows: a broker's second life has twice the processor share of its
  *                  first, and so on
- * @holder_count: variant of the number of holders, temporary
  * @reborn_silent_us: an upstream that starts anew announces itself so long
  *                    after its start
  * @callbacks: by default none
@@ -119,7 +118,6 @@
     int64_t evacuation_us;
     struct instance_capacity capacities[VLEASE_BROKERS_MAX];
     bool capacity_grows;
-    enum holder_count holder_count;
     int64_t reborn_silent_us;
     struct vlease_callbacks callbacks;
 };
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -82,7 +82,6 @@
     o.seed = v->opts.seed + (uint64_t)p->number * 7919 + p->life;
     o.read_config = vlease_read_config;
     o.resubmit_us = v->opts.told_resend_us;
-    o.holder_count = v->opts.holder_count;
     o.capacity = v->opts.capacities[p->number];
     if (v->opts.capacity_grows) {
         o.capacity.cpu_milli *= (uint32_t)p->life;
