Run the connections between brokers in the broker's own loop

Change: struct peer_options has external: no thread is started, the owner's loop polls one descriptor, reads and flushes in its own rounds. Brokers use it; control and entry instances keep their threads. The delay of messages counts from when the round polled its events.

--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -17,8 +17,7 @@
 #include "usage.h"
 
 enum {
-    RING_SIZE = 4, /* the ring is unused: messages and connection events must
-                    * keep their order, so all of them are posted */
+    RING_SIZE = 4, /* the ring is unused: all mail is posted */
     EVENTS_MAX = 16,
     WAIT_MAX_MS = 500,
     LAST_WRITE_MS = 300, /* to write the last answers at the end */
@@ -26,22 +25,13 @@
     STATUS_UNAVAILABLE = 503,
 };
 
-enum mail_kind {
-    MAIL_MESSAGE,
-    MAIL_PEER,
-    MAIL_STOP,
-    MAIL_DUMP,
-    MAIL_REGISTRY
-};
+enum mail_kind { MAIL_STOP, MAIL_DUMP, MAIL_REGISTRY };
 
 /* An event from another thread. */
 struct broker_mail {
     struct mail mail;
     enum mail_kind kind;
     struct name from;
-    struct msg msg;
-    int64_t posted_us;
-    bool up;
     struct address address;
 };
 
@@ -51,6 +41,7 @@
     struct broker *broker;
     struct broker_effects effects;
     struct usage_meter usage;
+    int64_t round_us; /* when the events of this round were polled */
     struct httpapi *callers;
     struct httpapi *ready;
     struct httpapi *metrics;
@@ -331,22 +322,24 @@
 on_message(void *ctx, struct name from, struct msg *msg)
 {
     struct broker_runtime *r = ctx;
-    struct broker_mail *m = new_mail(MAIL_MESSAGE, from);
+    struct broker_event ev = {.kind = BEV_MESSAGE};
 
-    m->msg = *msg;
-    m->posted_us = clock_now(r->opts.clock).mono_us;
-    memset(msg, 0, sizeof(*msg));
-    mailbox_post(&r->inbox, &m->mail);
+    usage_add_event(&r->usage, r->round_us);
+    ev.u.message.from = from;
+    ev.u.message.msg = msg;
+    step(r, &ev);
+    msg_free(msg);
 }
 
 static void
 on_peer(void *ctx, struct name remote, bool up)
 {
     struct broker_runtime *r = ctx;
-    struct broker_mail *m = new_mail(MAIL_PEER, remote);
+    struct broker_event ev = {.kind = BEV_PEER};
 
-    m->up = up;
-    mailbox_post(&r->inbox, &m->mail);
+    ev.u.peer.peer = remote;
+    ev.u.peer.up = up;
+    step(r, &ev);
 }
 
 static void
@@ -366,29 +359,19 @@
 static void
 handle_mail(struct broker_runtime *r, struct broker_mail *m)
 {
-    struct broker_event ev = {.kind = BEV_MESSAGE};
+    struct broker_event ev = {.kind = BEV_STOP};
 
     switch (m->kind) {
-    case MAIL_MESSAGE:
-        ev.u.message.from = m->from;
-        ev.u.message.msg = &m->msg;
-        break;
-    case MAIL_PEER:
-        ev.kind = BEV_PEER;
-        ev.u.peer.peer = m->from;
-        ev.u.peer.up = m->up;
-        break;
     case MAIL_STOP:
-        ev.kind = BEV_STOP;
+        step(r, &ev);
         break;
     case MAIL_DUMP:
         broker_dump_log(r->broker);
-        return;
+        break;
     default:
         add_registry(r, m);
-        return;
+        break;
     }
-    step(r, &ev);
 }
 
 static void
@@ -399,11 +382,7 @@
     while ((mail = mailbox_take(&r->inbox)) != NULL) {
         struct broker_mail *m = (struct broker_mail *)mail;
 
-        usage_add_event(&r->usage, m->posted_us);
         handle_mail(r, m);
-        if (m->kind == MAIL_MESSAGE) {
-            msg_free(&m->msg);
-        }
         free(m);
     }
 }
@@ -436,6 +415,7 @@
     int64_t ms = left_us <= 0 ? 0 : (left_us + 999) / USEC_PER_MSEC;
 
     ms = earlier_ms(ms, leaseclient_next_ms(r->upstreams));
+    ms = earlier_ms(ms, peer_next_ms(r->peers));
     ms = earlier_ms(ms, httpapi_next_ms(r->callers));
     if (r->ready != NULL) {
         ms = earlier_ms(ms, httpapi_next_ms(r->ready));
@@ -509,8 +489,10 @@
     int timeout_ms = mailbox_doze(&r->inbox) ? poll_timeout_ms(r) : 0;
     int n = epoll_wait(r->epoll, events, EVENTS_MAX, timeout_ms);
 
+    r->round_us = clock_now(r->opts.clock).mono_us;
     mailbox_rouse(&r->inbox, has_event(events, n, &r->inbox));
     poll_callers(r);
+    peer_run(r->peers, has_event(events, n, r->peers));
     handle_inbox(r);
     resume_requests(r);
     run_modules(r, events, n);
@@ -519,6 +501,7 @@
         step(r, &(struct broker_event){.kind = BEV_TICK});
     }
     report_usage(r);
+    peer_flush(r->peers);
 }
 
 /* When the reducer has stopped, queued answers must still be written, and
@@ -638,12 +621,13 @@
                   "cannot set up libcurl for calls to upstreams");
         return false;
     }
+    peers.external = true;
     peers.on_message = on_message;
     peers.on_peer = on_peer;
     peers.ctx = r;
     peers.clock = r->opts.clock;
     r->peers = peer_new(&peers);
-    if (r->peers == NULL) {
+    if (r->peers == NULL || !watch_fd(r, peer_fd(r->peers), r->peers)) {
         log_event(LOG_ERR, "not-started", peers.listen.s,
                   "cannot set up connections to other processes: %s",
                   strerror(errno));
@@ -716,12 +700,7 @@
     struct mail *mail;
 
     while ((mail = mailbox_take(&r->inbox)) != NULL) {
-        struct broker_mail *m = (struct broker_mail *)mail;
-
-        if (m->kind == MAIL_MESSAGE) {
-            msg_free(&m->msg);
-        }
-        free(m);
+        free((struct broker_mail *)mail);
     }
     mailbox_destroy(&r->inbox);
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -737,12 +737,18 @@
     struct conn *c;
     struct conn *next;
 
+    bool any = false;
+
     while ((mail = mailbox_take(&p->mailbox)) != NULL) {
         struct outgoing *o = (struct outgoing *)mail;
 
         carry_out(p, o);
         msg_free(&o->msg);
         free(o);
+        any = true;
+    }
+    if (!any) {
+        return;
     }
     for (c = TAILQ_FIRST(&p->conns); c != NULL; c = next) {
         next = TAILQ_NEXT(c, link);
@@ -920,12 +926,8 @@
 }
 
 static void
-run_round(struct peer *p)
+handle_events(struct peer *p, const struct epoll_event *events, int n)
 {
-    struct epoll_event events[EVENTS_MAX];
-    int n = wait_for_events(p, events);
-
-    p->now_us = clock_now(p->opts.clock).mono_us;
     for (int i = 0; i < n; i++) {
         struct conn *c = events[i].data.ptr;
 
@@ -936,13 +938,60 @@
             on_conn(p, c, events[i].events);
         }
     }
+}
+
+static void
+run_round(struct peer *p)
+{
+    struct epoll_event events[EVENTS_MAX];
+    int n = wait_for_events(p, events);
+
+    p->now_us = clock_now(p->opts.clock).mono_us;
+    handle_events(p, events, n);
     send_posted(p);
     run_timers(p);
     free_closed(p);
 }
 
+int
+peer_fd(const struct peer *p)
+{
+    return p->epoll;
+}
+
+int64_t
+peer_next_ms(const struct peer *p)
+{
+    int64_t left_us = p->timers_due_us - clock_now(p->opts.clock).mono_us;
+
+    return left_us > 0 ? (left_us + USEC_PER_MSEC - 1) / USEC_PER_MSEC : 0;
+}
+
+void
+peer_run(struct peer *p, bool readable)
+{
+    struct epoll_event events[EVENTS_MAX];
+
+    p->now_us = clock_now(p->opts.clock).mono_us;
+    if (readable) {
+        stats_add(&stats.peer_wakeups, 1);
+        handle_events(p, events, epoll_wait(p->epoll, events, EVENTS_MAX, 0));
+    }
+    send_posted(p);
+    run_timers(p);
+    free_closed(p);
+}
+
+void
+peer_flush(struct peer *p)
+{
+    p->now_us = clock_now(p->opts.clock).mono_us;
+    send_posted(p);
+    free_closed(p);
+}
+
 static void *
-peer_run(void *arg)
+thread_run(void *arg)
 {
     struct peer *p = arg;
 
@@ -1037,10 +1086,12 @@
         release(p);
         return NULL;
     }
-    errno = pthread_create(&p->thread, NULL, peer_run, p);
-    if (errno != 0) {
-        release(p);
-        return NULL;
+    if (!p->opts.external) {
+        errno = pthread_create(&p->thread, NULL, thread_run, p);
+        if (errno != 0) {
+            release(p);
+            return NULL;
+        }
     }
     return p;
 }
@@ -1111,9 +1162,14 @@
     if (p == NULL) {
         return;
     }
-    atomic_store(&p->stop, true);
-    mailbox_wake(&p->mailbox);
-    (void)pthread_join(p->thread, NULL);
+    if (p->opts.external) {
+        send_posted(p);
+    }
+    else {
+        atomic_store(&p->stop, true);
+        mailbox_wake(&p->mailbox);
+        (void)pthread_join(p->thread, NULL);
+    }
     while ((c = TAILQ_FIRST(&p->conns)) != NULL) {
         TAILQ_REMOVE(&p->conns, c, link);
         conn_free(c);
--- a/src/peer.h
+++ b/src/peer.h
@@ -51,10 +51,14 @@
  *                   then passed to @on_message: the remote is of a build that
  *                   knows the kinds of messages added with it.
  * @backoff_max_us: longest pause between two attempts to dial
+ * @external: without a thread: the owner's loop calls peer_run() when
+ *            peer_fd() is readable or peer_next_ms() is over, and peer_flush()
+ *            before it waits; only that thread uses the connections
  * @on_message: takes over what the message owns; may block, which holds the
  *              senders back
  * @on_peer: a remote has its first connection, or has lost its last
- * @ctx: for both; they are called by the thread
+ * @ctx: for both; they are called by the thread, or by peer_run() and
+ *       peer_flush()
  */
 struct peer_options {
     struct name self;
@@ -69,6 +73,7 @@
     bool tell_gaps;
     bool idle_heartbeats;
     int64_t backoff_max_us;
+    bool external;
     const struct clock *clock;
     void (*on_message)(void *ctx, struct name from, struct msg *m);
     void (*on_peer)(void *ctx, struct name remote, bool up);
@@ -101,6 +106,19 @@
  * it is not dialed any more.  From any thread. */
 void peer_forget(struct peer *p, struct name remote);
 
+/** peer_fd() - readable when peer_run() has something to read */
+int peer_fd(const struct peer *p);
+
+/** peer_next_ms() - time until peer_run() is due, in ms */
+int64_t peer_next_ms(const struct peer *p);
+
+/** peer_run() - reads if peer_fd() is @readable, sends what was posted and runs
+ * timers */
+void peer_run(struct peer *p, bool readable);
+
+/** peer_flush() - sends what was posted */
+void peer_flush(struct peer *p);
+
 /** peer_poke() - makes the thread look at its clock, for tests */
 void peer_poke(struct peer *p);
 
