Test plans of holders by a table

Change: one table of zones and expected quotas. It has every zone of the three tests, and checks each holder's limits.

--- a/tests/holder_plan_test.c
+++ b/tests/holder_plan_test.c
@@ -8,11 +8,17 @@
 #include "holder_plan.h"
 #include "vlease.h"
 
-#define MSEC USEC_PER_MSEC
 #define SEC USEC_PER_SEC
 #define READY_US (6 * SEC) /* upstreams are known and held by then */
 
-enum { SMALL = 90, LARGE = 300, SMALL_KBPS = 19000, LARGE_KBPS = 62000 };
+enum { SMALL = 90, KBPS = 62000 };
+/* clang-format off */
+#define B_SMALL {90, 19000}
+#define B_LARGE {300, 62000}
+#define ZONE_B {B_SMALL, B_SMALL, B_SMALL, B_SMALL, B_SMALL, B_SMALL,         \
+                B_LARGE, B_LARGE}
+#define NARROW {{90, 2000}, {90, 2000}, {90, 2000}, {90, 2000}}
+/* clang-format on */
 enum { PER_HOLDER = 32, CANDIDATES_MAX = 12, ITEMS_MAX = 128 };
 
 static struct holder_candidate
@@ -39,17 +45,6 @@
     return holder_plan_make(c, n, &o);
 }
 
-static size_t
-total_quota(const struct holder_candidate *c, size_t n)
-{
-    size_t total = 0;
-
-    for (size_t i = 0; i < n; i++) {
-        total += c[i].share.quota;
-    }
-    return total;
-}
-
 static int
 compare_keys(const void *x, const void *y)
 {
@@ -130,10 +125,10 @@
         struct holder_plan plan;
 
         for (size_t i = 0; i < n; i++) {
-            c[i] = candidate(1 + i * 7 % 13, SMALL, LARGE_KBPS);
+            c[i] = candidate(1 + i * 7 % 13, SMALL, KBPS);
             if (round % 2 == 0) {
                 c[i].cpu_milli = i == silent ? 0 : SMALL + (uint32_t)i;
-                c[i].link_kbps = i == silent ? 0 : LARGE_KBPS + (uint32_t)i;
+                c[i].link_kbps = i == silent ? 0 : KBPS + (uint32_t)i;
             }
         }
         wanted = wanted > 0 ? wanted : 1;
@@ -148,82 +143,59 @@
     }
 }
 
-/* Deployment B, a zone of two large and six small brokers.  Guards against the
- * oldest small brokers as holders, whose processor share does not suffice. */
-static void
-largest_hold_in_proportion(void)
-{
-    struct holder_candidate c[8];
-    struct holder_plan plan;
-
-    for (size_t i = 0; i < 8; i++) {
-        bool large = i >= 6;
-
-        c[i] = candidate(i + 1, large ? LARGE : SMALL,
-                         large ? LARGE_KBPS : SMALL_KBPS);
-    }
-    plan = plan_for(c, 8, 88, HOLDER_COUNT_FEWEST);
-    CU_ASSERT_TRUE(plan.by_capacity);
-    CU_ASSERT_EQUAL(plan.n_holders, 2);
-    CU_ASSERT_EQUAL(c[0].incarnation, 7);
-    CU_ASSERT_EQUAL(c[0].share.quota, 44);
-    CU_ASSERT_EQUAL(c[0].share.keep_max, 44 + 5 + 1);
-    CU_ASSERT_EQUAL(c[1].share.quota, 44);
-    plan = plan_for(c, 8, 88, HOLDER_COUNT_EQUAL);
-    CU_ASSERT_EQUAL(plan.n_holders, 3);
-    CU_ASSERT_EQUAL(c[2].incarnation, 1);
-    /* 300 : 300 : 90, by processor share, which differs more than the link */
-    CU_ASSERT_EQUAL(c[0].share.quota, 38);
-    CU_ASSERT_EQUAL(c[1].share.quota, 38);
-    CU_ASSERT_EQUAL(c[2].share.quota, 12);
-    plan = plan_for(c, 8, 250, HOLDER_COUNT_FEWEST);
-    CU_ASSERT_EQUAL(plan.n_holders, 4);
-    CU_ASSERT_EQUAL(total_quota(c, 8), 250);
-}
+/* A zone whose brokers declare @limits, the oldest first, and what is planned
+ * for it. */
+static const struct {
+    uint32_t limits[CANDIDATES_MAX][2]; /* milli-cores, kbit/s */
+    size_t upstreams;
+    size_t quotas[CANDIDATES_MAX]; /* in the order of the plan */
+    uint64_t first;                /* incarnation of the first holder */
+    enum holder_count count;
+    bool by_link;
+} plans[] = {
+    /* clang-format off */
+    /* Deployment B.  Guards against the oldest small brokers as holders, whose
+     * processor share does not suffice. */
+    {ZONE_B, 88, {44, 44}, 7, HOLDER_COUNT_FEWEST, false},
+    {ZONE_B, 88, {38, 38, 12}, 7, HOLDER_COUNT_EQUAL, false},
+    {ZONE_B, 250, {96, 96, 29, 29}, 7, HOLDER_COUNT_FEWEST, false},
+    /* Guards against a holder with many processors behind a narrow link. */
+    {{{50, 40000}, {100, 20000}, {300, 20000}},
+     30, {15, 15}, 2, HOLDER_COUNT_FEWEST, false},
+    /* Guards against starts that wait for a link of 2 Mbit/s, which supports
+     * eight upstreams, and against upstreams that nobody holds where all links
+     * together do not suffice. */
+    {NARROW, 24, {8, 8, 8}, 1, HOLDER_COUNT_FEWEST, false},
+    {NARROW, 60, {15, 15, 15, 15}, 1, HOLDER_COUNT_FEWEST, true},
+    {{{90, 2000}, {90, 2000}, {90, 2000}, {300, 7200}},
+     37, {29, 8}, 4, HOLDER_COUNT_FEWEST, true},
+    /* clang-format on */
+};
 
-/* Guards against a holder with many processors behind a narrow link. */
 static void
-capacity_is_the_smaller_of_processor_and_link(void)
+plans_follow_capacity(void)
 {
-    struct holder_candidate c[] = {candidate(1, 300, 20000),
-                                   candidate(2, 100, 20000),
-                                   candidate(3, 50, 40000)};
-    struct holder_plan plan = plan_for(c, 3, 30, HOLDER_COUNT_FEWEST);
-
-    CU_ASSERT_TRUE(plan.by_capacity);
-    CU_ASSERT_EQUAL(plan.n_holders, 2);
-    CU_ASSERT_EQUAL(c[0].incarnation, 1);
-    CU_ASSERT_EQUAL(c[0].share.quota, 15);
-    CU_ASSERT_EQUAL(c[1].share.quota, 15);
-}
+    for (size_t p = 0; p < sizeof(plans) / sizeof(plans[0]); p++) {
+        struct holder_candidate c[CANDIDATES_MAX];
+        struct holder_plan plan;
+        size_t n = 0;
 
-/* Guards against starts that wait for a link of 2 Mbit/s, which supports eight
- * upstreams, and against upstreams that nobody holds where all links together
- * do not suffice. */
-static void
-links_limit_holders(void)
-{
-    struct holder_candidate c[4];
-    struct holder_plan plan;
+        for (; n < CANDIDATES_MAX && plans[p].limits[n][0] > 0; n++) {
+            c[n] =
+                candidate(n + 1, plans[p].limits[n][0], plans[p].limits[n][1]);
+        }
+        plan = plan_for(c, n, plans[p].upstreams, plans[p].count);
+        CU_ASSERT_EQUAL(c[0].incarnation, plans[p].first);
+        CU_ASSERT_EQUAL(plan.by_link, plans[p].by_link);
+        for (size_t i = 0; i < n; i++) {
+            size_t quota = plans[p].quotas[i];
+            size_t link = c[i].link_kbps / 240;
 
-    for (size_t i = 0; i < 4; i++) {
-        c[i] = candidate(i + 1, SMALL, 2000);
-    }
-    plan = plan_for(c, 4, 24, HOLDER_COUNT_FEWEST);
-    CU_ASSERT_EQUAL(plan.n_holders, 3);
-    CU_ASSERT_EQUAL(c[0].share.quota, 8);
-    CU_ASSERT_EQUAL(c[0].share.keep_max, 8);
-    plan = plan_for(c, 4, 60, HOLDER_COUNT_FEWEST);
-    CU_ASSERT_TRUE(plan.by_link);
-    CU_ASSERT_EQUAL(plan.n_holders, 4);
-    CU_ASSERT_EQUAL(c[3].share.quota, 15);
-    c[0].cpu_milli = LARGE;
-    c[0].link_kbps = 7200;
-    plan = plan_for(c, 4, 37, HOLDER_COUNT_FEWEST);
-    CU_ASSERT_TRUE(plan.by_capacity && plan.by_link);
-    CU_ASSERT_EQUAL(total_quota(c, 4), 37);
-    for (size_t i = 0; i < 4; i++) {
-        CU_ASSERT_TRUE(c[i].share.keep_max <= c[i].link_kbps / 240);
+            CU_ASSERT_EQUAL(c[i].share.quota, quota);
+            CU_ASSERT_EQUAL(i<plan.n_holders, quota> 0);
+            CU_ASSERT_TRUE(c[i].share.keep_max <= quota + quota / 8 + 1);
+            CU_ASSERT_TRUE(c[i].share.keep_max <= link || quota > link);
+        }
     }
 }
 
@@ -522,9 +494,7 @@
 {
 #define TEST(name) check_add("holder_plan", #name, name)
     TEST(equal_or_unknown_capacities_change_nothing);
-    TEST(largest_hold_in_proportion);
-    TEST(capacity_is_the_smaller_of_processor_and_link);
-    TEST(links_limit_holders);
+    TEST(plans_follow_capacity);
     TEST(surplus_goes_to_new_holder);
     TEST(only_surplus_moves_to_a_large_broker);
     TEST(largest_holder_is_lost);
