Estimate and report the speed of upstreams

Cause: speeds are learned anew by each broker. Where 3 in 100 tasks take 7 times as long, one of them raises the slowness of its upstream above 2.5, and the upstream then gets one task at a time.

Change: broker_speed samples the speeds when a job is complete, reports them to the zone (UPSTREAM_SPEEDS) and uses them for a service while one of the upstreams held here differs by more than 10 %: in expected run times, in the placement and in the capacity that admission counts. Slowness is measured against the upstream's own speed then, and a run three times as long as expected counts against its upstream only if the run before did, too. The virtual region has upstreams of different speeds and stragglers, used by the replays speeds and speeds_over. The deliberate fault OLD_SPEED is detected by the suite upstream_speed, not by the fault matrix, since it violates no invariant; the matrix test compares with the number of faults that the matrix must detect.

--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -43,6 +43,19 @@
     int version;
 };
 
+/* What --replays plays. */
+static struct {
+    char *only;
+    int placement;
+} choice;
+
+static struct poptOption choice_table[] = {
+    {"replay", 0, POPT_ARG_STRING, &choice.only, 0,
+     "with --replays: only this one", "NAME"},
+    {"placement", 0, POPT_ARG_INT, &choice.placement, 0,
+     "with --replays: 0 slowest in time, 1 ends first, 2 reserve fast", "N"},
+    POPT_TABLEEND};
+
 /* struct work - runs spread over threads; their order does not matter, each
  * has its own random numbers and its own place for the figures */
 struct work {
@@ -234,7 +247,10 @@
 static int
 run_replays(const struct options *o)
 {
-    struct replay_options r = {.seeds = (uint32_t)o->seeds};
+    struct replay_options r = {.seeds = (uint32_t)o->seeds,
+                               .placement =
+                                   (enum place_variant)choice.placement,
+                               .only = choice.only};
     enum broker_feature part =
         o->without != NULL ? replay_part(o->without) : BROKER_FEATURES;
 
@@ -326,6 +342,7 @@
         {"without", 0, POPT_ARG_STRING, &o.without, 0,
          "with --replays: leave a part of the decisions out, and the bounds",
          "PART"},
+        {NULL, 0, POPT_ARG_INCLUDE_TABLE, choice_table, 0, NULL, NULL},
         {"draws", 0, POPT_ARG_INT, &o.draws, 0,
          "with --replays: drawn regions, too", "N"},
         {"seeds", 0, POPT_ARG_INT, &o.seeds, 0, "with --replays: of each",
--- a/src/broker.c
+++ b/src/broker.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "array.h"
+#include "broker_speed.h"
 #include "broker_state.h"
 
 enum {
@@ -38,6 +39,7 @@
         .upstreams_per_holder = 32,
         .clock_drift = 0.02,
         .remote_factor = 1.5,
+        .placement = PLACE_SLOWEST_IN_TIME,
     };
 }
 
@@ -194,6 +196,9 @@
     case MSG_UPSTREAM_HOLDS:
         hold_on_peer_holds(b, from, &m->u.upstream_holds);
         break;
+    case MSG_UPSTREAM_SPEEDS:
+        speed_on_report(b, from, &m->u.upstream_speeds);
+        break;
     case MSG_BROKER_LOAD:
         peers_on_load(b, from, &m->u.broker_load);
         break;
@@ -344,7 +349,9 @@
         b->review_due = false;
         b->next_review_us = b->now.mono_us + REVIEW_INTERVAL_US;
         hold_reassign(b);
+        speed_review(b);
     }
+    speed_tick(b);
     run_tick(b);
 }
 
@@ -392,6 +399,7 @@
     at = min_us(at, shutdown_next_us(b));
     at = min_us(at, renew_next_us(b));
     at = min_us(at, owner_next_us(b));
+    at = min_us(at, speed_next_us(b));
     at = b->review_due ? min_us(at, b->next_review_us) : at;
     if (b->stopping && !b->stopped_reported) {
         at = min_us(at, b->stop_begun_us + b->opts.stop_timeout_us);
@@ -486,6 +494,7 @@
     uint32_t at = 0;
 
     count_upstreams(b, &g);
+    speed_fill_gauges(b, &g);
     while ((job = table_next(&b->run_jobs, &at, &h)) != NULL) {
         g.tasks_queued += job->n_ready;
     }
--- a/src/broker.h
+++ b/src/broker.h
@@ -18,6 +18,7 @@
 #include "broker_effect.h"
 #include "broker_event.h"
 #include "histogram.h"
+#include "place_choice.h"
 
 struct broker;
 
@@ -42,7 +43,10 @@
     BROKER_BREAK(EVACUATED_RETRY, "restart tasks in evacuated zones")         \
     BROKER_BREAK(EVACUATION_OLDER, "replace the evacuated zones by older ones") \
     /* Detected only where callers may resubmit at any broker. */             \
-    BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")
+    BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")               \
+    /* From here on: detected by the suite of their part, not by the fault    \
+     * matrix, since no invariant is violated. */                             \
+    BROKER_BREAK(OLD_SPEED, "use the speed of an older incarnation")
 /* clang-format on */
 
 /* Features of the scheduling that can be disabled to measure the effect of
@@ -86,6 +90,7 @@
 #undef BROKER_BREAK
         BROKER_BREAKS,
     BROKER_BREAKS_SAME_ZONE = BROKER_BREAK_UNCONFIRMED,
+    BROKER_BREAKS_MATRIX = BROKER_BREAK_UNCONFIRMED + 1,
 };
 
 /**
@@ -140,6 +145,8 @@
  * @clock_drift: an upstream's clock may be slower by this part, 0 to 1
  * @capacity: declared limits of this instance
  * @remote_factor: factor on the run time of a task away from its data
+ * @placement: how upstreams of different speeds are chosen; temporary, until
+ *             the variants are measured
  * @breaks: deliberate faults, for tests; all false by default
  * @disabled: disabled features, for measurements; all false by default
  */
@@ -168,6 +175,7 @@
     double clock_drift;
     struct instance_capacity capacity;
     double remote_factor;
+    enum place_variant placement;
     bool breaks[BROKER_BREAKS];
     bool disabled[BROKER_FEATURES];
 };
@@ -257,6 +265,11 @@
 #undef BROKER_COUNTER
 };
 
+/** broker_upstream_speed() - sets *@speed, 1 is usual, and the number of
+ * samples behind it; false if none of the current incarnation is known */
+bool broker_upstream_speed(const struct broker *b, struct name upstream,
+                           double *speed, uint32_t *samples);
+
 /** broker_counters() - a copy of all counters */
 struct broker_counters broker_counters(const struct broker *b);
 
@@ -271,6 +284,9 @@
     BROKER_GAUGE(upstreams_held, "upstreams held")                            \
     BROKER_GAUGE(upstreams_open, "held ones that take work")                  \
     BROKER_GAUGE(upstreams_quarantined, "held ones in quarantine")            \
+    BROKER_GAUGE(upstreams_measured, "held ones whose speed was sampled")     \
+    BROKER_GAUGE(slowest_permille, "speed of the slowest of these, 1000 is usual") \
+    BROKER_GAUGE(fastest_permille, "speed of the fastest of these, 1000 is usual") \
     BROKER_GAUGE(brokers_up, "other brokers connected")                       \
     BROKER_GAUGE(registries_up, "registries connected")                       \
     BROKER_GAUGE(evacuated_zones, "availability zones that are evacuated")    \
--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "array.h"
+#include "broker_speed.h"
 #include "broker_state.h"
 
 /* A run is stalled if its progress has not increased for this time, nor for
@@ -73,20 +74,27 @@
  * factor for all tasks of a job. */
 static void
 sample_slowness(struct broker *b, struct broker_upstream *u,
-                const struct run_job *job, const struct run_task *t,
-                double ran_us)
+                const struct run_job *job, struct run_task *t, double ran_us)
 {
-    double usual_us = (double)t->expected_us / u->slowness /
+    double usual_us = (double)t->expected_us * speed_of(b, u) / u->slowness /
                       place_remote_factor(b, &job->groups[t->group], u);
 
+    double ratio;
+    double weight;
+
     if (job->n_done > 0 && job->n_groups == 1) {
-        broker_health_task_done(
-            b, u, ran_us * job->n_done / (double)job->total_run_us,
-            SIBLINGS_WEIGHT);
+        ratio = ran_us * job->n_done / (double)job->total_run_us;
+        weight = SIBLINGS_WEIGHT;
     }
     else if (usual_us > 0) {
-        broker_health_task_done(b, u, ran_us / usual_us, DECLARED_WEIGHT);
+        ratio = ran_us / usual_us;
+        weight = DECLARED_WEIGHT;
     }
+    else {
+        return;
+    }
+    broker_health_task_done(b, u, ratio,
+                            speed_is_straggler(u, t, ratio) ? 0 : weight);
 }
 
 static void
@@ -94,19 +102,24 @@
             struct run_task *t)
 {
     const struct rec_task_group *g = &job->groups[t->group];
-    double ran_us = (double)(b->now.mono_us - t->start_sent_us) /
-                    place_remote_factor(b, g, u);
+    double here_us = (double)(b->now.mono_us - t->start_sent_us) /
+                     place_remote_factor(b, g, u);
+    double ran_us = here_us * speed_of(b, u);
 
     histogram_add(&b->histograms.run, b->now.mono_us - t->start_sent_us);
-    /* @ran_us is not divided by the upstream's slowness: the estimates of run
-     * time and of slowness would then depend on each other and could drift
-     * together. */
+    /* @ran_us is that at the usual speed, but not divided by the upstream's
+     * slowness: the estimates of run time and of slowness would then depend on
+     * each other and could drift together. */
     if (!b->opts.disabled[BROKER_FEATURE_LEARNED]) {
         order_record_run(job, g, (int64_t)ran_us + 1);
     }
     sample_slowness(b, u, job, t, ran_us);
+    speed_record_run(u, t, here_us);
     job->n_done++;
     job->total_run_us += (int64_t)ran_us + 1;
+    if (job->n_unfinished == 1) {
+        speed_on_job_done(b, job);
+    }
     run_mark_done(b, job, t);
 }
 
@@ -170,8 +183,7 @@
  * that it is much slower than the finished tasks of its job were. */
 static void
 sample_progress(const struct broker *b, struct broker_upstream *u,
-                const struct run_job *job, const struct run_task *t,
-                int64_t ran_us)
+                const struct run_job *job, struct run_task *t, int64_t ran_us)
 {
     double full_run_us;
     double slowness_now;
@@ -180,10 +192,12 @@
         job->n_done < 2 || job->n_groups != 1) {
         return;
     }
-    full_run_us = (double)ran_us * PERCENT_FULL / (double)t->percent /
+    full_run_us = (double)ran_us * PERCENT_FULL / (double)t->percent *
+                  speed_of(b, u) /
                   place_remote_factor(b, &job->groups[t->group], u);
     slowness_now = full_run_us * job->n_done / (double)job->total_run_us;
-    if (slowness_now > 2.0 * u->slowness) {
+    if (slowness_now > 2.0 * u->slowness &&
+        !speed_is_straggler(u, t, slowness_now)) {
         u->slowness = slowness_now;
     }
 }
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -15,6 +15,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "broker_speed.h"
 #include "broker_state.h"
 
 /* Advance of a queue over one of the next lower priority: half of the usual
@@ -93,6 +94,32 @@
                      (int64_t)g->declared_us, ran_us);
 }
 
+double
+order_run_tail(const struct run_job *job, const struct rec_task_group *g)
+{
+    const struct run_estimate *e =
+        &get_queue_stats(job->service, job->queue)->run_estimate;
+    int64_t mean_us = estimate_mean_us(e, (int64_t)g->declared_us);
+
+    return (double)estimate_p95_us(e, (int64_t)g->declared_us) /
+           (double)(mean_us > 0 ? mean_us : 1);
+}
+
+int64_t
+order_mean_run_us(const struct broker_service *s)
+{
+    double sum = 0;
+    size_t n = 0;
+
+    for (size_t i = 0; i < s->n_stats; i++) {
+        if (s->stats[i].run_estimate.samples > 0) {
+            sum += s->stats[i].run_estimate.mean_us;
+            n++;
+        }
+    }
+    return n > 0 ? (int64_t)(sum / (double)n) : 0;
+}
+
 /* Expected run time of the longest chain of dependent groups.  A group depends
  * only on earlier ones. */
 static int64_t
@@ -205,7 +232,8 @@
  * milli-cores, and how fast it is released. */
 struct service_capacity {
     double cpu;
-    double usable; /* usable share, divided by the upstreams' slowness */
+    double work;   /* the same, times the upstreams' speed */
+    double usable; /* usable share of @work, divided by their slowness */
     double unused; /* not used by placed tasks */
     double held;   /* needed by placed and queued tasks */
     double released_per_us; /* of held */
@@ -223,9 +251,11 @@
 add_upstream_capacity(struct broker *b, struct service_capacity *c,
                       const struct broker_upstream *u)
 {
+    double work = u->capacity.cpu_milli * speed_of(b, u);
+
     c->cpu += u->capacity.cpu_milli;
-    c->usable += u->capacity.cpu_milli * USABLE_SHARE /
-                 (u->slowness > 1.0 ? u->slowness : 1.0);
+    c->work += work;
+    c->usable += work * USABLE_SHARE / (u->slowness > 1.0 ? u->slowness : 1.0);
     c->unused += u->capacity.cpu_milli - u->used.cpu_milli;
     for (size_t i = 0; i < u->n_tasks; i++) {
         struct run_job *job;
@@ -268,6 +298,18 @@
     return cpu;
 }
 
+/* Expected run time of a task of the job where it may be placed: at the mean
+ * speed of the upstreams. */
+static int64_t
+expected_here_us(const struct service_capacity *c, const struct run_job *job)
+{
+    int64_t us = order_expected_us(job, &job->groups[0]);
+
+    return c->work > 0 && c->work != c->cpu
+               ? (int64_t)((double)us * c->cpu / c->work)
+               : us;
+}
+
 /* Milli-cores needed by the queued jobs before a position in the queue.  They
  * are added to @c as held, since they will be when the job at that position is
  * next. */
@@ -287,7 +329,7 @@
         }
         own = ready_cpu(job);
         cpu += own;
-        add_held(c, own, order_expected_us(job, &job->groups[0]));
+        add_held(c, own, expected_here_us(c, job));
     }
     return cpu;
 }
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "array.h"
+#include "broker_speed.h"
 #include "broker_state.h"
 
 /* A process that has been disconnected, and absent from all rosters, for this
@@ -184,6 +185,7 @@
     }
     if (name_equal(p->zone, b->opts.zone)) {
         hold_send_held(b, from);
+        speed_send_known(b, from);
     }
     b->next_load_us =
         b->now.mono_us; /* that broker has no load of this one yet */
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -1,15 +1,16 @@
 /*
  * Placement: a task goes to the upstream where it is expected to end first;
  * among equals to the one with the least capacity left (best fit), so that
- * other upstreams keep free capacity for large tasks.
+ * other upstreams keep free capacity for large tasks.  Where speeds differ,
+ * place_choice.c chooses.
  */
+#include "broker_speed.h"
 #include "broker_state.h"
+#include "place_choice.h"
 
 /* An upstream slower than this gets one task at a time, to notice when it has
  * recovered. */
 static const double USABLE_SLOWNESS_MAX = 2.5;
-/* Expected run times that differ by less than this part count as equal. */
-static const double RUN_TIME_TOLERANCE = 0.1;
 
 static bool
 has_label(const struct broker_upstream *u, struct name label)
@@ -60,7 +61,7 @@
               const struct rec_task_group *g, const struct broker_upstream *u)
 {
     return (int64_t)((double)usual_us * u->slowness *
-                     place_remote_factor(b, g, u));
+                     place_remote_factor(b, g, u) / speed_of(b, u));
 }
 
 int64_t
@@ -113,17 +114,53 @@
            place_can_start(b, job, u);
 }
 
-/* Whether an upstream with expected run time @us and @left_milli milli-cores
- * left after the start is better than the best one so far. */
+/* Whether little of the processors of the service is free here. */
 static bool
-is_better_upstream(int64_t us, uint32_t left_milli, int64_t best_us,
-                   uint32_t best_left_milli)
+is_scarce(struct broker *b, const struct broker_service *s)
 {
-    if ((double)us < (double)best_us * (1.0 - RUN_TIME_TOLERANCE)) {
-        return true;
+    const struct broker_upstream *u;
+    struct handle h;
+    uint32_t at = 0;
+    uint64_t unused = 0;
+    uint64_t total = 0;
+
+    while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
+        if (place_is_usable(b, s, u)) {
+            unused += free_resources(u).cpu_milli;
+            total += u->capacity.cpu_milli;
+        }
     }
-    return (double)us <= (double)best_us * (1.0 + RUN_TIME_TOLERANCE) &&
-           left_milli < best_left_milli;
+    return place_is_scarce(unused, total);
+}
+
+static struct place_need
+place_need_of(struct broker *b, const struct run_job *job,
+              const struct rec_task_group *g)
+{
+    struct place_need n = {.variant = PLACE_ENDS_FIRST};
+
+    if (job->service->speeds_differ) {
+        n.variant = b->opts.placement;
+        n.scarce = is_scarce(b, job->service);
+        n.left_us = job->objective_us - b->now.mono_us;
+        n.tail = order_run_tail(job, g);
+        n.long_task =
+            order_expected_us(job, g) > order_mean_run_us(job->service);
+    }
+    return n;
+}
+
+static struct place_candidate
+candidate_of(const struct broker *b, const struct rec_task_group *g,
+             const struct broker_upstream *u, int64_t usual_us)
+{
+    return (struct place_candidate){
+        .run_us = scaled_run_us(b, usual_us, g, u),
+        .speed = speed_of(b, u),
+        .left_milli =
+            b->opts.disabled[BROKER_FEATURE_BEST_FIT]
+                ? 0
+                : free_resources(u).cpu_milli - (uint32_t)g->cpu_milli};
 }
 
 /* A start without an answer may be executed seconds later.  The incarnation
@@ -160,17 +197,17 @@
     struct broker_upstream *best = NULL;
     struct broker_upstream *u = place_bound_upstream(b, t);
     int64_t usual_us = order_expected_us(job, g);
-    int64_t best_us = INT64_MAX;
-    uint32_t best_left_milli = UINT32_MAX;
+    struct place_candidate best_c = {0};
+    struct place_need need;
     struct handle h;
     uint32_t at = 0;
 
     if (u != NULL) {
         return can_accept(b, job, t, u) ? u : NULL;
     }
+    need = place_need_of(b, job, g);
     while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
-        int64_t us;
-        uint32_t left_milli;
+        struct place_candidate c;
 
         if (u->service != job->service ||
             (u->slowness > USABLE_SLOWNESS_MAX && u->n_tasks > 0) ||
@@ -178,16 +215,10 @@
             name_equal(t->avoid_upstream, u->name)) {
             continue;
         }
-        us = scaled_run_us(b, usual_us, g, u);
-        left_milli =
-            b->opts.disabled[BROKER_FEATURE_BEST_FIT]
-                ? 0
-                : free_resources(u).cpu_milli - (uint32_t)g->cpu_milli;
-        if (best == NULL ||
-            is_better_upstream(us, left_milli, best_us, best_left_milli)) {
+        c = candidate_of(b, g, u, usual_us);
+        if (best == NULL || place_is_better(&need, &c, &best_c)) {
             best = u;
-            best_us = us;
-            best_left_milli = left_milli;
+            best_c = c;
         }
     }
     return best;
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -19,7 +19,8 @@
  * - broker_shutdown.c keeps serving during a stop without a successor;
  * - broker_lease.c sends calls to upstreams;
  * - broker_answer.c handles the upstreams' answers;
- * - broker_health.c tracks the health of upstreams.
+ * - broker_health.c tracks the health of upstreams;
+ * - broker_speed.c tracks and reports the speed of upstreams.
  *
  * A module calls modules later in this list directly, and earlier ones only
  * through the functions declared below.
@@ -36,6 +37,7 @@
 #include "map.h"
 #include "table.h"
 #include "timers.h"
+#include "upstream_speed.h"
 
 enum { UPSTREAM_LABELS_MAX = 4 };
 
@@ -207,6 +209,11 @@
  * @bound_upstream: upstream that may still execute an earlier start of this
  *                  task, in this or a later incarnation; the task is placed
  *                  nowhere else
+ * @ran_us: its run time once it has succeeded, scaled to upstreams near its
+ *          data
+ * @ran_on: upstream where it succeeded
+ * @ran_born_ms: incarnation of that upstream
+ * @ran_unusual: its run time does not show the usual speed of its upstream
  */
 struct run_task {
     enum run_state state;
@@ -225,6 +232,10 @@
     bool start_resolved;
     uint32_t lost_starts;
     struct handle bound_upstream;
+    double ran_us;
+    struct handle ran_on;
+    uint64_t ran_born_ms;
+    bool ran_unusual;
 };
 
 /** enum job_claim - claim of a job at its witness, see broker_owner.c */
@@ -357,6 +368,8 @@
  * @shares_updated_us: when the demands and credits of @stats were last updated
  * @stats: of its queues
  * @n_stats: number of @stats
+ * @speeds_differ: an upstream held here differs from the usual speed by more
+ *                 than 10 %; set by broker_speed.c
  * @placement_due: capacity or work was added; place tasks in this step
  * @next_placement_us: when to place tasks anyway
  */
@@ -368,6 +381,7 @@
     int64_t shares_updated_us;
     struct queue_stats *stats;
     size_t n_stats;
+    bool speeds_differ;
     bool placement_due;
     int64_t next_placement_us;
     struct broker_service *next;
@@ -433,6 +447,12 @@
  * @quarantine_until_us: end of the quarantine; 0: not in quarantine
  * @backoff_us: length of the quarantine, doubled by each further failure
  * @slowness: run time divided by expected run time, moving mean
+ * @speed: as measured here, or as the last holder reported it
+ * @unusual_run: the last run that ended or made progress there was unusually
+ *               long
+ * @speed_reported: this broker has reported the speed since it took the
+ *                  upstream
+ * @reported_log: speed.log_speed as last reported
  */
 struct broker_upstream {
     struct name name;
@@ -477,11 +497,15 @@
     struct resources used;
     int64_t full_until_us;
     bool unknown_runs;
+    bool unusual_run;
+    bool speed_reported;
 
     uint32_t failures;
     int64_t quarantine_until_us;
     int64_t backoff_us;
     double slowness;
+    struct upstream_speed speed;
+    double reported_log;
 };
 
 /**
@@ -545,6 +569,8 @@
  * @next_review_us: earliest time of that assignment
  * @hold_updates: upstreams taken, released or lost, sent to the zone at the
  *                end of the step
+ * @speeds_due: speeds were sampled since the last report
+ * @next_speeds_us: earliest time of the next report of speeds
  * @owners: records of jobs of which this broker is the witness
  * @owner_timers: expiry of @owners
  * @owner_updates: changes to be sent to witnesses
@@ -614,6 +640,7 @@
     struct rec_held_upstream *hold_updates;
     size_t n_hold_updates;
     size_t hold_updates_capacity;
+    int64_t next_speeds_us;
     struct table owners;
     struct map owners_by_job;
     struct timers owner_timers;
@@ -632,6 +659,7 @@
 
     bool evacuated_known;
     bool evacuation_refused;
+    bool speeds_due;
     bool stopping;
     bool serves_while_stopping;
     bool stopped_reported;
@@ -1007,6 +1035,15 @@
 int64_t order_expected_us(const struct run_job *job,
                           const struct rec_task_group *g);
 
+/** order_run_tail() - 95th percentile of the run time of a task of that group
+ * over the expected one */
+double order_run_tail(const struct run_job *job,
+                      const struct rec_task_group *g);
+
+/** order_mean_run_us() - mean expected run time of the queues of the service
+ * that have samples; 0 if none has */
+int64_t order_mean_run_us(const struct broker_service *s);
+
 /** order_record_run() - adds the run time of a task, scaled to an upstream of
  * usual speed, to the estimate of its queue */
 void order_record_run(struct run_job *job, const struct rec_task_group *g,
--- a/src/replay.c
+++ b/src/replay.c
@@ -18,7 +18,7 @@
 /* What a policy should earn of what was possible. */
 static const double AIM = 0.9;
 
-enum kinds { CUSTOMERS, ODD, LONG };
+enum kinds { CUSTOMERS, ODD, LONG, SPEEDS };
 
 /**
  * struct pattern - a replay
@@ -62,6 +62,8 @@
     [REPLAY_crowd] = {.load = 1.9, .kinds = LONG},
     [REPLAY_dark_many] = {.load = 1.0, .dark = true, .kinds = LONG},
     [REPLAY_roll] = {.load = 1.0, .roll = true},
+    [REPLAY_speeds] = {.load = 1.0, .kinds = SPEEDS},
+    [REPLAY_speeds_over] = {.load = 1.3 / 0.9, .kinds = SPEEDS},
     [REPLAY_mix] = {.kinds = ODD, .load = 1.6},
 };
 /* clang-format on */
@@ -142,6 +144,32 @@
      .timeout_us = 2500 * MSEC},
 };
 
+/* 76 tasks run at a time where all speeds are 1, 0.9 of what fits: a usual
+ * upstream of 16 cores has space for 1.6 tasks, one of 24 for 2.6, their
+ * speeds are 1.07 in the mean, and stragglers add 18 % of work. */
+static const struct vlease_queue uneven[] = {
+    {.priority = 0,
+     .tasks = 8,
+     .cpu_milli = 8000,
+     .run_us = 51 * MSEC,
+     .per_s = 38.9,
+     .timeout_us = 1500 * MSEC},
+    {.priority = 2,
+     .tasks = 4,
+     .cpu_milli = 8000,
+     .run_us = 760 * MSEC,
+     .per_s = 7.1,
+     .timeout_us = 6 * SEC},
+    {.priority = 1,
+     .tasks = 2,
+     .cpu_milli = 8000,
+     .run_us = 170 * MSEC,
+     .per_s = 113.6,
+     .timeout_us = 2500 * MSEC},
+};
+
+static const double uneven_speeds[] = {0.6, 1.0, 1.6};
+
 enum broker_feature
 replay_part(const char *name)
 {
@@ -167,6 +195,21 @@
     }
 }
 
+static void
+make_uneven(struct vlease_options *region)
+{
+    set_kinds(region, uneven, sizeof(uneven) / sizeof(uneven[0]));
+    for (uint32_t i = 0; i < region->n_queues; i++) {
+        region->queues[i].width_spread = 0;
+    }
+    region->cpu_milli = 16000;
+    region->cpu_large_milli = 24000;
+    region->n_speeds = sizeof(uneven_speeds) / sizeof(uneven_speeds[0]);
+    memcpy(region->speeds, uneven_speeds, sizeof(uneven_speeds));
+    region->straggler_share = 0.03;
+    region->straggler_factor = 7.0;
+}
+
 static struct vlease_options
 region_of(const struct pattern *p, const struct replay_options *o,
           uint64_t seed)
@@ -179,9 +222,13 @@
     region.seed = seed;
     region.leave = p->leave;
     memcpy(region.without, o->without, sizeof(region.without));
+    region.placement = o->placement;
     if (p->kinds == ODD) {
         set_kinds(&region, odd, sizeof(odd) / sizeof(odd[0]));
     }
+    else if (p->kinds == SPEEDS) {
+        make_uneven(&region);
+    }
     else if (p->kinds == LONG) {
         region.brokers = MANY_BROKERS / ZONES;
         region.upstreams = MANY_UPSTREAMS / ZONES;
@@ -386,8 +433,12 @@
                   "callers", "/bound", "work", "/bound", "kinds", "zones");
     for (int i = 0; i < REPLAYS; i++) {
         struct vcredit c;
-        bool ok = replay_run((enum replay)i, o, &c);
+        bool ok;
 
+        if (o->only != NULL && strcmp(o->only, names[i]) != 0) {
+            continue;
+        }
+        ok = replay_run((enum replay)i, o, &c);
         print_row(names[i], &c, ok, out);
         note_below(names[i], &c, below, sizeof(below));
         kept = kept && ok;
--- a/src/replay.h
+++ b/src/replay.h
@@ -31,6 +31,8 @@
     REPLAY(crowd, "many brokers, long jobs, demand near the room")            \
     REPLAY(dark_many, "the same, many brokers, long jobs hold most of the room") \
     REPLAY(roll, "brokers are stopped and started in turn, a second apart")   \
+    REPLAY(speeds, "upstreams of three speeds, stragglers, 0.9 of what fits") \
+    REPLAY(speeds_over, "the same, demand 1.3 times what fits in a burst")    \
     REPLAY(mix, "small, wide and long jobs whose sizes fill badly, in a burst")
 /* clang-format on */
 
@@ -45,11 +47,15 @@
  * @seeds: of each replay; figures are sums over them
  * @bounded: with bounds
  * @without: parts that are left out
+ * @placement: how upstreams of different speeds are chosen
+ * @only: the only replay to print, or NULL
  */
 struct replay_options {
     uint32_t seeds;
     bool bounded;
     bool without[BROKER_FEATURES];
+    enum place_variant placement;
+    const char *only;
 };
 
 /** replay_run() - all seeds of one; false where a promise was broken */
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -35,6 +35,8 @@
         .told_resend_us = 1300 * USEC_PER_MSEC,
         .late_us = LATE_DEFAULT_US,
         .seed = 1,
+        .straggler_factor = 1.0,
+        .placement = PLACE_SLOWEST_IN_TIME,
         .evacuation_us = 3 * USEC_PER_SEC,
         .reborn_silent_us = USEC_PER_MSEC,
     };
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -18,6 +18,7 @@
     VLEASE_BROKERS_MAX = 50,
     VLEASE_UPSTREAMS_MAX = 400,
     VLEASE_QUEUES_MAX = 4,
+    VLEASE_SPEEDS_MAX = 4,
 };
 
 /**
@@ -55,6 +56,10 @@
  * @upstreams: in each zone
  * @cpu_milli: of an upstream
  * @cpu_large_milli: of each third one; 0 for as the others
+ * @speeds: of the upstreams, in turn; 1: runs take as long as they are said to
+ * @n_speeds: number of @speeds; 0: all have speed 1
+ * @straggler_share: share of the tasks that are stragglers, 0 to 1
+ * @straggler_factor: on the run time of a straggler
  * @queues: what is asked for
  * @n_queues: of them
  * @resend_us: a caller hands a job in again so long after a broken connection
@@ -69,6 +74,7 @@
  * @seed: of all that is drawn
  * @breaks: wrong decisions that all brokers make
  * @without: parts that all brokers leave out
+ * @placement: of all brokers
  * @leave: share of the callers that leave within half of their objective
  * @registry_lag_us: all registries but the first learn of an evacuation, or
  *                   its end, so much later
@@ -83,6 +89,10 @@
     uint32_t upstreams;
     uint32_t cpu_milli;
     uint32_t cpu_large_milli;
+    double speeds[VLEASE_SPEEDS_MAX];
+    uint32_t n_speeds;
+    double straggler_share;
+    double straggler_factor;
     struct vlease_queue queues[VLEASE_QUEUES_MAX];
     uint32_t n_queues;
     int64_t resend_us;
@@ -94,6 +104,7 @@
     uint64_t seed;
     bool breaks[BROKER_BREAKS];
     bool without[BROKER_FEATURES];
+    enum place_variant placement;
     double leave;
     int64_t registry_lag_us;
     int64_t evacuation_us;
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -102,6 +102,7 @@
     uint32_t number;
     uint32_t zone_number;
     uint32_t cpu_milli;
+    double speed;
     uint64_t born_ms;
     uint64_t life;
     uint64_t sequence;
@@ -280,6 +281,11 @@
 /** vcall_run_us() - how long a task of a job takes where it is sound */
 int64_t vcall_run_us(const struct vlease *v, uint64_t number, uint32_t index);
 
+/** vcall_straggler_factor() - on the run time of the task, also where it runs
+ * again */
+double vcall_straggler_factor(const struct vlease *v, uint64_t number,
+                              uint32_t index);
+
 /** vcall_job() - the job of that number, or NULL */
 struct vjob *vcall_job(struct vlease *v, uint64_t number);
 
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -128,6 +128,15 @@
     return (int64_t)((double)job->run_us * (1.0 + uneven * off));
 }
 
+double
+vcall_straggler_factor(const struct vlease *v, uint64_t number, uint32_t index)
+{
+    uint64_t seed = v->opts.seed + number * 104729 + index;
+    double drawn = (double)(random_next(&seed) % 10000) / 10000.0;
+
+    return drawn < v->opts.straggler_share ? v->opts.straggler_factor : 1.0;
+}
+
 static int64_t
 longest_run_us(const struct vlease *v, uint64_t number)
 {
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -82,6 +82,7 @@
     o.seed = v->opts.seed + (uint64_t)p->number * 7919 + p->life;
     o.read_config = vlease_read_config;
     o.resubmit_us = v->opts.told_resend_us;
+    o.placement = v->opts.placement;
     memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
     memcpy(o.disabled, v->opts.without, sizeof(o.disabled));
     p->broker = broker_new(&o);
--- a/src/vleaseup.c
+++ b/src/vleaseup.c
@@ -84,6 +84,11 @@
     if (v->opts.cpu_large_milli > 0 && number % LARGE_EACH == LARGE_EACH - 1) {
         u->cpu_milli = v->opts.cpu_large_milli;
     }
+    u->speed = 1.0;
+    if (v->opts.n_speeds > 0) {
+        u->speed = v->opts.speeds[number % v->opts.n_speeds];
+        vlease_room_changed(v, number, 0, u->speed);
+    }
     u->born_us = v->now_us;
     u->born_ms = 1000 + number;
     u->life = 1;
@@ -350,6 +355,15 @@
     }
 }
 
+static int64_t
+run_us(const struct vlease *v, const struct vupstream *u, struct run_ref t)
+{
+    double us = (double)vcall_run_us(v, t.job, t.index) *
+                vcall_straggler_factor(v, t.job, t.index);
+
+    return (int64_t)(us / u->speed);
+}
+
 static enum lease_result
 start(struct vlease *v, struct vupstream *u, const struct lease_request *r)
 {
@@ -383,7 +397,7 @@
     run->cpu_milli = job->cpu_milli;
     run->begun_us = v->now_us;
     run->moved_us = v->now_us;
-    run->whole_us = vcall_run_us(v, r->task.job, r->task.index);
+    run->whole_us = run_us(v, u, r->task);
     run->left_us = u->trouble == VLEASE_FAILS ? USEC_PER_MSEC : run->whole_us;
     plan_end(v, u, run);
     return LEASE_OK;
@@ -541,14 +555,15 @@
 note_room(struct vlease *v, uint32_t upstream, enum vlease_trouble trouble)
 {
     int64_t seen_us = v->now_us + LEASE_OVER_US;
+    double speed = v->upstreams[upstream].speed;
 
     switch (trouble) {
     case VLEASE_SOUND:
     case VLEASE_DELAYS:
-        vlease_room_changed(v, upstream, v->now_us, 1.0);
+        vlease_room_changed(v, upstream, v->now_us, speed);
         break;
     case VLEASE_SLOW:
-        vlease_room_changed(v, upstream, v->now_us, 1.0 / SLOW);
+        vlease_room_changed(v, upstream, v->now_us, speed / SLOW);
         break;
     case VLEASE_LEAVING:
         vlease_room_changed(v, upstream, v->now_us + LEAVING_US, 0);
