--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -34,7 +34,6 @@
     int pairs;
     int seed;
     int replays;
-    char *without;
     int draws;
     int seeds;
     char *cell;
@@ -47,6 +46,8 @@
 static struct {
     char *only;
     int placement;
+    int stop_hopeless;
+    char *without;
 } choice;
 
 static struct poptOption choice_table[] = {
@@ -54,6 +55,11 @@
      "with --replays: only this one", "NAME"},
     {"placement", 0, POPT_ARG_INT, &choice.placement, 0,
      "with --replays: 0 slowest in time, 1 ends first, 2 reserve fast", "N"},
+    {"stop-hopeless", 0, POPT_ARG_NONE, &choice.stop_hopeless, 0,
+     "with --replays: stop runs that can't end before their deadline", NULL},
+    {"without", 0, POPT_ARG_STRING, &choice.without, 0,
+     "with --replays: leave a part of the decisions out, and the bounds",
+     "PART"},
     POPT_TABLEEND};
 
 /* struct work - runs spread over threads; their order does not matter, each
@@ -250,15 +256,17 @@
     struct replay_options r = {.seeds = (uint32_t)o->seeds,
                                .placement =
                                    (enum place_variant)choice.placement,
+                               .stop_hopeless = choice.stop_hopeless != 0,
                                .only = choice.only};
     enum broker_feature part =
-        o->without != NULL ? replay_part(o->without) : BROKER_FEATURES;
+        choice.without != NULL ? replay_part(choice.without) : BROKER_FEATURES;
 
-    if (o->without != NULL && part == BROKER_FEATURES) {
-        (void)fprintf(stderr, "bm-bench: no part is called %s\n", o->without);
+    if (choice.without != NULL && part == BROKER_FEATURES) {
+        (void)fprintf(stderr, "bm-bench: no part is called %s\n",
+                      choice.without);
         return EXIT_USAGE;
     }
-    r.bounded = o->without == NULL;
+    r.bounded = choice.without == NULL;
     if (part < BROKER_FEATURES) {
         r.without[part] = true;
     }
@@ -339,9 +347,6 @@
          "repeat the cell under this mutant", "N"},
         {"replays", 0, POPT_ARG_NONE, &o.replays, 0,
          "credit under overload and faults, and a bound of it", NULL},
-        {"without", 0, POPT_ARG_STRING, &o.without, 0,
-         "with --replays: leave a part of the decisions out, and the bounds",
-         "PART"},
         {NULL, 0, POPT_ARG_INCLUDE_TABLE, choice_table, 0, NULL, NULL},
         {"draws", 0, POPT_ARG_INT, &o.draws, 0,
          "with --replays: drawn regions, too", "N"},
@@ -385,7 +390,7 @@
     free(o.bounds);
     free(o.policy);
     free(o.cell);
-    free(o.without);
+    free(choice.without);
     free(o.lease_cell);
     free(o.report);
     return code;
--- a/src/broker.h
+++ b/src/broker.h
@@ -147,6 +147,9 @@
  * @remote_factor: factor on the run time of a task away from its data
  * @placement: how upstreams of different speeds are chosen; temporary, until
  *             the variants are measured
+ * @stop_hopeless: runs whose progress shows that they can't end before their
+ *                 job's deadline are stopped, and the job fails; temporary,
+ *                 until this is measured
  * @breaks: deliberate faults, for tests; all false by default
  * @disabled: disabled features, for measurements; all false by default
  */
@@ -176,6 +179,7 @@
     struct instance_capacity capacity;
     double remote_factor;
     enum place_variant placement;
+    bool stop_hopeless;
     bool breaks[BROKER_BREAKS];
     bool disabled[BROKER_FEATURES];
 };
--- a/src/replay.c
+++ b/src/replay.c
@@ -223,6 +223,7 @@
     region.leave = p->leave;
     memcpy(region.without, o->without, sizeof(region.without));
     region.placement = o->placement;
+    region.stop_hopeless = o->stop_hopeless;
     if (p->kinds == ODD) {
         set_kinds(&region, odd, sizeof(odd) / sizeof(odd[0]));
     }
--- a/src/replay.h
+++ b/src/replay.h
@@ -48,6 +48,7 @@
  * @bounded: with bounds
  * @without: parts that are left out
  * @placement: how upstreams of different speeds are chosen
+ * @stop_hopeless: runs that can't end before their deadline are stopped
  * @only: the only replay to print, or NULL
  */
 struct replay_options {
@@ -55,6 +56,7 @@
     bool bounded;
     bool without[BROKER_FEATURES];
     enum place_variant placement;
+    bool stop_hopeless;
     const char *only;
 };
 
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -83,6 +83,7 @@
     o.read_config = vlease_read_config;
     o.resubmit_us = v->opts.told_resend_us;
     o.placement = v->opts.placement;
+    o.stop_hopeless = v->opts.stop_hopeless;
     memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
     memcpy(o.disabled, v->opts.without, sizeof(o.disabled));
     p->broker = broker_new(&o);
