--- a/src/broker.h
+++ b/src/broker.h
@@ -18,6 +18,7 @@
 #include "broker_effect.h"
 #include "broker_event.h"
 #include "histogram.h"
+#include "place_choice.h"
 
 struct broker;
 
@@ -43,7 +44,10 @@
     BROKER_BREAK(EVACUATION_OLDER, "replace the evacuated zones by older ones") \
     BROKER_BREAK(CAPACITY_OLDER, "replace a newer capacity by an old one")    \
     /* Detected only where callers may resubmit at any broker. */             \
-    BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")
+    BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")               \
+    /* From here on: detected by the suite of their part, not by the fault    \
+     * matrix, since no invariant is violated. */                             \
+    BROKER_BREAK(OLD_SPEED, "use the speed of an older incarnation")
 /* clang-format on */
 
 /* Features of the scheduling that can be disabled to measure the effect of
@@ -87,6 +91,7 @@
 #undef BROKER_BREAK
         BROKER_BREAKS,
     BROKER_BREAKS_SAME_ZONE = BROKER_BREAK_UNCONFIRMED,
+    BROKER_BREAKS_MATRIX = BROKER_BREAK_UNCONFIRMED + 1,
 };
 
 /**
@@ -141,6 +146,11 @@
  * @clock_drift: an upstream's clock may be slower by this part, 0 to 1
  * @capacity: declared limits of this instance
  * @remote_factor: factor on the run time of a task away from its data
+ * @placement: how upstreams of different speeds are chosen; temporary, until
+ *             the variants are measured
+ * @stop_hopeless: runs whose progress shows that they can't end before their
+ *                 job's deadline are stopped, and the job fails; temporary,
+ *                 until this is measured
  * @breaks: deliberate faults, for tests; all false by default
  * @disabled: disabled features, for measurements; all false by default
  */
@@ -169,6 +179,8 @@
     double clock_drift;
     struct instance_capacity capacity;
     double remote_factor;
+    enum place_variant placement;
+    bool stop_hopeless;
     bool breaks[BROKER_BREAKS];
     bool disabled[BROKER_FEATURES];
 };
@@ -263,6 +275,11 @@
 #undef BROKER_COUNTER
 };
 
+/** broker_upstream_speed() - sets *@speed, 1 is usual, and the number of
+ * samples behind it; false if none of the current incarnation is known */
+bool broker_upstream_speed(const struct broker *b, struct name upstream,
+                           double *speed, uint32_t *samples);
+
 /** broker_counters() - a copy of all counters */
 struct broker_counters broker_counters(const struct broker *b);
 
@@ -280,6 +297,9 @@
     BROKER_GAUGE(holder_quota, "upstreams that are to be held here")          \
     BROKER_GAUGE(declared_cpu_milli, "declared processor share, in thousandths of a core") \
     BROKER_GAUGE(event_delay_us, "mean wait of an event in the last second, in us") \
+    BROKER_GAUGE(upstreams_measured, "held ones whose speed was sampled")     \
+    BROKER_GAUGE(slowest_permille, "speed of the slowest of these, 1000 is usual") \
+    BROKER_GAUGE(fastest_permille, "speed of the fastest of these, 1000 is usual") \
     BROKER_GAUGE(brokers_up, "other brokers connected")                       \
     BROKER_GAUGE(registries_up, "registries connected")                       \
     BROKER_GAUGE(evacuated_zones, "availability zones that are evacuated")    \
--- a/src/holder_plan.c
+++ b/src/holder_plan.c
@@ -12,7 +12,9 @@
      */
     UPSTREAM_KBPS = 240,
     /* With a single holder, the zone would serve nothing from its loss until
-     * another broker has taken its upstreams. */
+     * another broker has taken its upstreams.  A zone that has one holder with
+     * equal capacities keeps one: a queue for each half would leave more
+     * upstreams idle. */
     HOLDERS_MIN = 2,
 };
 
@@ -158,13 +160,15 @@
 count_fewest(const struct holder_candidate *candidates, size_t n,
              const struct holder_plan_options *o)
 {
+    size_t least = count_equal(o);
     double supported = 0;
     size_t wanted = 0;
 
     while (wanted < n && supported < (double)o->upstreams) {
         supported += candidates[wanted++].capacity * o->upstreams_per_holder;
     }
-    return wanted > HOLDERS_MIN ? wanted : HOLDERS_MIN;
+    least = least < HOLDERS_MIN ? least : HOLDERS_MIN;
+    return wanted > least ? wanted : least;
 }
 
 static size_t
--- a/src/replay.h
+++ b/src/replay.h
@@ -31,6 +31,8 @@
     REPLAY(crowd, "many brokers, long jobs, demand near the room")            \
     REPLAY(dark_many, "the same, many brokers, long jobs hold most of the room") \
     REPLAY(roll, "brokers are stopped and started in turn, a second apart")   \
+    REPLAY(speeds, "upstreams of three speeds, stragglers, 0.9 of what fits") \
+    REPLAY(speeds_over, "the same, demand 1.3 times what fits in a burst")    \
     REPLAY(mix, "small, wide and long jobs whose sizes fill badly, in a burst") \
     REPLAY(unlike, "brokers of unlike capacity, the largest of a zone is lost")
 /* clang-format on */
@@ -47,12 +49,18 @@
  * @bounded: with bounds
  * @without: parts that are left out
  * @callbacks: of the region
+ * @placement: how upstreams of different speeds are chosen
+ * @stop_hopeless: runs that can't end before their deadline are stopped
+ * @only: the only replay to print, or NULL
  */
 struct replay_options {
     uint32_t seeds;
     bool bounded;
     bool without[BROKER_FEATURES];
     struct vlease_callbacks callbacks;
+    enum place_variant placement;
+    bool stop_hopeless;
+    const char *only;
 };
 
 /** replay_run() - all seeds of one; false where a promise was broken */
