--- a/src/broker.h
+++ b/src/broker.h
@@ -73,7 +73,6 @@
     BROKER_FEATURE(FIT, "jobs wait at least until a task fits")               \
     BROKER_FEATURE(INSTANCE_CAPACITY, "holders are chosen by capacity")       \
     BROKER_FEATURE(UPSTREAM_SPEED, "the speed of each upstream is estimated") \
-    BROKER_FEATURE(RUN_PROGRESS, "remaining run times follow progress")       \
     BROKER_FEATURE(URGENT_RESERVE, "capacity is reserved for urgent jobs")    \
     BROKER_FEATURE(ZONE_SHARES, "zones share each queue's part in overload")
 /* clang-format on */
@@ -148,9 +147,6 @@
  * @remote_factor: factor on the run time of a task away from its data
  * @placement: how upstreams of different speeds are chosen; temporary, until
  *             the variants are measured
- * @stop_hopeless: runs whose progress shows that they can't end before their
- *                 job's deadline are stopped, and the job fails; temporary,
- *                 until this is measured
  * @breaks: deliberate faults, for tests; all false by default
  * @disabled: disabled features, for measurements; all false by default
  */
@@ -180,7 +176,6 @@
     struct instance_capacity capacity;
     double remote_factor;
     enum place_variant placement;
-    bool stop_hopeless;
     bool breaks[BROKER_BREAKS];
     bool disabled[BROKER_FEATURES];
 };
--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -154,12 +154,6 @@
         break;
     case LEASE_END_STOPPED:
         b->counters.tasks_stopped++;
-        if (t->hopeless) {
-            /* As if all attempts had failed, none by fault of the upstream. */
-            t->failures = job->attempts;
-            run_mark_failed(b, job, t);
-            break;
-        }
         run_mark_ready(b, job, t);
         break;
     default:
@@ -208,35 +202,6 @@
     }
 }
 
-/* Acts on the run time that the progress shows. */
-static void
-check_progress(struct broker *b, struct broker_upstream *u,
-               struct run_job *job, struct run_task *t)
-{
-    int64_t full_us = place_full_run_us(b, t);
-
-    if (b->opts.disabled[BROKER_FEATURE_RUN_PROGRESS] || t->expected_us <= 0) {
-        return;
-    }
-    /* Any straggler lasts that long, and chance and latency matter little by
-     * then. */
-    if (b->now.mono_us - t->start_sent_us >= t->expected_us) {
-        (void)speed_is_straggler(u, t,
-                                 (double)full_us / (double)t->expected_us);
-    }
-    if (b->opts.stop_hopeless && !job->closed &&
-        t->start_sent_us + full_us > job->deadline_us) {
-        broker_log(
-            b, LOG_INFO, BROKER_TOO_LATE, job->id, run_task_number(job, t),
-            u->name, "run %llu would end %lld ms after the deadline",
-            (unsigned long long)t->run,
-            (long long)((t->start_sent_us + full_us - job->deadline_us) /
-                        USEC_PER_MSEC));
-        t->hopeless = true;
-        lease_stop(b, u, job, t);
-    }
-}
-
 static void
 update_running(struct broker *b, struct broker_upstream *u,
                struct run_job *job, struct run_task *t, uint32_t percent)
@@ -254,7 +219,6 @@
     if (percent > t->percent) {
         t->percent = percent;
         t->progress_us = b->now.mono_us;
-        check_progress(b, u, job, t);
         if (!b->opts.disabled[BROKER_FEATURE_SLOW]) {
             sample_progress(b, u, job, t, b->now.mono_us - t->start_sent_us);
         }
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -261,8 +261,7 @@
         struct run_job *job;
         const struct run_task *t = run_find_task(b, &u->tasks[i], &job);
 
-        add_held(c, (double)job->groups[t->group].cpu_milli,
-                 place_full_run_us(b, t));
+        add_held(c, (double)job->groups[t->group].cpu_milli, t->expected_us);
     }
 }
 
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -7,7 +7,6 @@
 #include "broker_speed.h"
 #include "broker_state.h"
 #include "place_choice.h"
-#include "run_progress.h"
 
 /* An upstream slower than this gets one task at a time, to notice when it has
  * recovered. */
@@ -252,24 +251,11 @@
            u->quarantine_until_us <= b->now.mono_us;
 }
 
-int64_t
-place_full_run_us(const struct broker *b, const struct run_task *t)
-{
-    if (b->opts.disabled[BROKER_FEATURE_RUN_PROGRESS] ||
-        t->state != RUN_RUNNING) {
-        return t->expected_us;
-    }
-    return run_progress_full_us(t->expected_us,
-                                t->progress_us - t->start_sent_us,
-                                b->ack_mean_us, t->percent);
-}
-
 /* How long the task placed at the upstream is expected to run on. */
 static int64_t
 expected_rest_us(struct broker *b, const struct run_task *t)
 {
-    int64_t rest_us =
-        t->start_sent_us + place_full_run_us(b, t) - b->now.mono_us;
+    int64_t rest_us = t->start_sent_us + t->expected_us - b->now.mono_us;
 
     return rest_us > 0 ? rest_us : 0;
 }
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -632,7 +632,6 @@
     t->progress_us = b->now.mono_us;
     t->stop_confirmed_us = INT64_MAX;
     t->ran_unusual = false;
-    t->hopeless = false;
     t->start_resolved = false;
     job->n_unresolved++;
     if (!job->started) {
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -222,7 +222,6 @@
  *          data
  * @ran_on: upstream where it succeeded
  * @ran_born_ms: incarnation of that upstream
- * @hopeless: its run is stopped since it can't end before the job's deadline
  * @ran_unusual: its run time does not show the usual speed of its upstream
  */
 struct run_task {
@@ -246,7 +245,6 @@
     struct handle ran_on;
     uint64_t ran_born_ms;
     bool ran_unusual;
-    bool hopeless;
 };
 
 /** enum job_claim - claim of a job at its witness, see broker_owner.c */
@@ -1130,10 +1128,6 @@
 int64_t place_fits_after_us(struct broker *b, const struct run_job *job,
                             const struct rec_task_group *g);
 
-/** place_full_run_us() - run time from start to end that the progress of a
- * placed task shows, or the expected one */
-int64_t place_full_run_us(const struct broker *b, const struct run_task *t);
-
 /** place_remote_factor() - factor on the run time of a task of the group on
  * the upstream: 1 near its data, more elsewhere */
 double place_remote_factor(const struct broker *b,
--- a/src/replay.c
+++ b/src/replay.c
@@ -259,7 +259,6 @@
         declare_unlike(&region);
     }
     region.placement = o->placement;
-    region.stop_hopeless = o->stop_hopeless;
     if (p->kinds == ODD) {
         set_kinds(&region, odd, sizeof(odd) / sizeof(odd[0]));
     }
--- a/src/replay.h
+++ b/src/replay.h
@@ -50,7 +50,6 @@
  * @without: parts that are left out
  * @callbacks: of the region
  * @placement: how upstreams of different speeds are chosen
- * @stop_hopeless: runs that can't end before their deadline are stopped
  * @only: the only replay to print, or NULL
  */
 struct replay_options {
@@ -59,7 +58,6 @@
     bool without[BROKER_FEATURES];
     struct vlease_callbacks callbacks;
     enum place_variant placement;
-    bool stop_hopeless;
     const char *only;
 };
 
--- a/src/scheduling_settings.c
+++ b/src/scheduling_settings.c
@@ -11,8 +11,6 @@
         "holders of upstreams are chosen by declared capacity")               \
     KEY("upstream_speed", UPSTREAM_SPEED,                                     \
         "the speed of each upstream is estimated")                            \
-    KEY("run_progress", RUN_PROGRESS,                                         \
-        "remaining run times follow the reported progress")                   \
     KEY("urgent_reserve", URGENT_RESERVE,                                     \
         "capacity is reserved for the most urgent queue")                     \
     KEY("zone_shares", ZONE_SHARES,                                           \
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -90,7 +90,6 @@
  * @breaks: wrong decisions that all brokers make
  * @without: parts that all brokers leave out
  * @placement: of all brokers
- * @stop_hopeless: likewise
  * @leave: share of the callers that leave within half of their objective
  * @registry_lag_us: all registries but the first learn of an evacuation, or
  *                   its end, so much later
@@ -125,7 +124,6 @@
     bool breaks[BROKER_BREAKS];
     bool without[BROKER_FEATURES];
     enum place_variant placement;
-    bool stop_hopeless;
     double leave;
     int64_t registry_lag_us;
     int64_t evacuation_us;
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -88,7 +88,6 @@
     }
     p->declared = o.capacity;
     o.placement = v->opts.placement;
-    o.stop_hopeless = v->opts.stop_hopeless;
     memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
     memcpy(o.disabled, v->opts.without, sizeof(o.disabled));
     if (v->opts.callbacks.configure != NULL) {
