Report loads less often to brokers that send no jobs

Cause: with 300 instances a holder reports its load to some 120 brokers, 400 messages a second in all, and a broker receives some 160 reports a second; each wakes two of its threads.

Change: with more than 64 connected brokers, those that sent a holder no job for a second get one report a second at least, spread over the rounds; the others get each one, as before. A first report, an empty one and those during a stop go to all.

Result, by test: with 120 brokers of which 10 send jobs, at most 180 reports a second are sent in place of 400, and each broker gets at least one a second. The test fails when recent takers count as others, and when the same brokers are left out in each round.

--- a/src/broker.c
+++ b/src/broker.c
@@ -201,6 +201,7 @@
         peers_on_load(b, from, &m->u.broker_load);
         break;
     case MSG_JOB_OFFER:
+        peers_note_offer(b, from);
         run_on_offer(b, from, &m->u.job_offer);
         break;
     case MSG_JOB_DROP:
--- a/src/broker.h
+++ b/src/broker.h
@@ -130,6 +130,8 @@
  *                   configuration and a runner
  * @load_interval_us: shortest time between load reports to the other brokers
  * @load_reports_per_s: most messages with a load report in a second
+ * @idle_loads: where there are many brokers, those that sent no job lately get
+ *              fewer load reports, see load_round.h
  * @stop_timeout_us: a planned stop ends after this at the latest
  * @stop_accept_us: new jobs of callers are accepted for this long after a
  *                  planned stop began, since the platform may still route
@@ -161,6 +163,7 @@
     int64_t startup_wait_us;
     int64_t load_interval_us;
     uint32_t load_reports_per_s;
+    bool idle_loads;
     int64_t stop_timeout_us;
     int64_t stop_accept_us;
     int64_t evacuation_grace_us;
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -7,6 +7,7 @@
 
 #include "array.h"
 #include "broker_state.h"
+#include "load_round.h"
 
 /* A process that has been disconnected, and absent from all rosters, for this
  * time is removed and no longer dialed. */
@@ -126,6 +127,8 @@
     p->down_us = b->now.mono_us;
     renew_reset_peer(p);
     clear_loads(p);
+    p->last_offer_us = 0;
+    p->got_load = false;
     upstream_digest_clear(&p->listed);
     config_registry_lost(b, p);
     broker_log(b, LOG_NOTICE, BROKER_PEER_DOWN, 0, -1, p->name, "%s",
@@ -270,15 +273,65 @@
     renew_on_request(b, from, l->sent_us, false);
 }
 
-/* Returns the number of brokers that the load was sent to. */
-static uint32_t
+/* Time until the next load: short enough that other brokers can follow the
+ * queue, but no more than load_reports_per_s messages in a second. */
+static int64_t
+next_load_delay_us(const struct broker *b, size_t brokers)
+{
+    int64_t spread =
+        (int64_t)brokers * USEC_PER_SEC / b->opts.load_reports_per_s;
+
+    return spread > b->opts.load_interval_us ? spread
+                                             : b->opts.load_interval_us;
+}
+
+static size_t
+count_connected_brokers(const struct broker *b)
+{
+    size_t n = 0;
+
+    for (const struct broker_peer *p = b->peers; p != NULL; p = p->next) {
+        n += p->broker && p->up ? 1 : 0;
+    }
+    return n;
+}
+
+/* A change that decides whether jobs can be sent here at all goes to all
+ * brokers, as does the first report. */
+static bool
+load_wanted(const struct broker *b, const struct rec_broker_load *l,
+            const struct load_round *round, const struct broker_peer *p)
+{
+    int64_t since_us =
+        p->last_offer_us > 0 ? b->now.mono_us - p->last_offer_us : INT64_MAX;
+
+    return !b->opts.idle_loads || l->stopping != 0 || l->n_services == 0 ||
+           !b->load_reported || !p->got_load ||
+           load_round_includes(round, p->hash, since_us);
+}
+
+void
+peers_note_offer(struct broker *b, struct name from)
+{
+    struct broker_peer *p = peers_find(b, from);
+
+    if (p != NULL) {
+        p->last_offer_us = b->now.mono_us;
+    }
+}
+
+/* Returns the number of brokers that a load is reported to. */
+static size_t
 send_load(struct broker *b)
 {
     struct msg m = {.kind = MSG_BROKER_LOAD};
     struct rec_broker_load *l = &m.u.broker_load;
     size_t n = 0;
-    uint32_t sent = 0;
+    struct load_round round = {.number = b->load_rounds++,
+                               .brokers = count_connected_brokers(b)};
+    bool reported;
 
+    round.interval_us = next_load_delay_us(b, round.brokers);
     for (const struct broker_service *s = b->services; s != NULL;
          s = s->next) {
         n++;
@@ -298,30 +351,20 @@
             l->services[l->n_services++] = one;
         }
     }
+    reported = l->n_services > 0 || b->load_reported;
     for (struct broker_peer *p = b->peers; p != NULL; p = p->next) {
-        if (p->broker && p->up && (l->n_services > 0 || b->load_reported)) {
+        if (p->broker && p->up && reported && load_wanted(b, l, &round, p)) {
             struct msg copy = msg_copy(&m);
 
             broker_send(b, p->name, &copy);
             p->last_check_us = b->now.mono_us;
-            sent++;
+            p->got_load = true;
         }
     }
     b->load_reported = l->n_services > 0;
     peers_on_load(b, b->opts.self, l);
     msg_free(&m);
-    return sent;
-}
-
-/* Time until the next load: short enough that other brokers can follow the
- * queue, but no more than load_reports_per_s messages in a second. */
-static int64_t
-next_load_delay_us(const struct broker *b, uint32_t sent)
-{
-    int64_t spread = sent * USEC_PER_SEC / b->opts.load_reports_per_s;
-
-    return spread > b->opts.load_interval_us ? spread
-                                             : b->opts.load_interval_us;
+    return reported ? round.brokers : 0;
 }
 
 void
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -82,6 +82,8 @@
  *                  confirm jobs up to this time of the peer's clock
  * @wants_renewal: a renewal has to be sent to the peer
  * @last_check_us: when a load report or a check was last sent to the peer
+ * @last_offer_us: when it last offered a job on this connection; 0: none
+ * @got_load: a load report was sent on this connection
  * @listed: upstreams that this registry reported on this connection
  * @down_us: when the connection was lost, or a registry last listed the
  *           unconnected peer
@@ -112,6 +114,8 @@
     uint64_t confirmable_us;
     bool wants_renewal;
     int64_t last_check_us;
+    int64_t last_offer_us;
+    bool got_load;
     struct upstream_digest listed;
     int64_t down_us;
     struct broker_peer *next;
@@ -534,6 +538,7 @@
  *           peers_update_holders()
  * @next_load_us: when the next load report is due
  * @first_roster_us: when a registry first listed the brokers; 0: not yet
+ * @load_rounds: load reports so far
  * @load_reported: the last load report to the other brokers was not empty
  * @holds_reported: registries were notified that this broker holds upstreams
  * @patience: of the queues that were used here
@@ -596,6 +601,7 @@
     size_t holders_capacity;
     int64_t next_load_us;
     int64_t first_roster_us;
+    uint64_t load_rounds;
     bool load_reported;
     bool holds_reported;
 
@@ -721,6 +727,10 @@
  * holders */
 void peers_update_holders(struct broker *b);
 
+/** peers_note_offer() - a broker offered a job: it gets each load report for
+ * some time */
+void peers_note_offer(struct broker *b, struct name from);
+
 /** peers_have_successor() - whether another broker of this zone may be a
  * holder */
 bool peers_have_successor(const struct broker *b);
--- a/tests/broker_scale_test.c
+++ b/tests/broker_scale_test.c
@@ -45,6 +45,7 @@
  * @holds: whether it holds upstreams, by its last introduction
  * @poll: number of its last poll of an upstream
  * @jobs: offered jobs, by number of the peer; NULL: not counted
+ * @loads_of: load reports, by number of the peer; NULL: not counted
  * @last_age_us: of the last offered job
  */
 struct test_broker {
@@ -56,6 +57,7 @@
     bool holds;
     uint64_t poll;
     uint32_t *jobs;
+    uint32_t *loads_of;
     int64_t last_age_us;
 };
 
@@ -73,6 +75,9 @@
 {
     if (s->msg.kind == MSG_BROKER_LOAD) {
         o->loads++;
+        if (o->loads_of != NULL) {
+            o->loads_of[strtoul(s->to.s + strlen("b-"), NULL, 10)]++;
+        }
     }
     else if (s->msg.kind == MSG_UPSTREAM_HOLDS) {
         o->hold_messages++;
@@ -152,7 +157,7 @@
 /* Starts a broker with @others of its zone connected, of incarnation 2 and
  * up. */
 static struct test_broker
-start_broker(uint64_t incarnation, size_t others)
+start_broker_with(uint64_t incarnation, size_t others, bool idle_loads)
 {
     struct broker_options opts = broker_options_default();
     struct rec_instance registry = {.name = name_of("registry")};
@@ -161,6 +166,7 @@
     opts.self = name_of("self");
     opts.zone = name_of("zone");
     opts.incarnation = incarnation;
+    opts.idle_loads = idle_loads;
     opts.registries = &registry;
     opts.n_registries = 1;
     opts.read_config = read_one_queue;
@@ -179,6 +185,12 @@
     return o;
 }
 
+static struct test_broker
+start_broker(uint64_t incarnation, size_t others)
+{
+    return start_broker_with(incarnation, others, false);
+}
+
 /* The oldest broker of a zone becomes the first holder. */
 static struct test_broker
 start_oldest_broker(size_t others)
@@ -234,6 +246,36 @@
     broker_free(o.broker);
 }
 
+/* Guards against load reports that take as much processor time as the jobs,
+ * against a taker that works with old ones, and against a taker that sends no
+ * jobs for lack of any. */
+static void
+recent_takers_get_each_load_report(void)
+{
+    enum { OTHERS = 120, TAKERS = 10, SECONDS = 10 };
+    struct test_broker o = start_broker_with(1, OTHERS, true);
+    uint32_t loads_of[OTHERS] = {0};
+    uint32_t all = 0;
+
+    take_one_upstream(&o);
+    run_until(&o, 6 * SEC);
+    o.loads_of = loads_of;
+    for (int i = 0; i < 2 * SECONDS; i++) {
+        for (size_t taker = 0; taker < TAKERS; taker++) {
+            struct msg m = {.kind = MSG_JOB_OFFER};
+
+            receive(&o, peer_name(taker), &m);
+        }
+        run_until(&o, o.now_us + SEC / 2);
+    }
+    for (size_t i = 0; i < OTHERS; i++) {
+        all += loads_of[i];
+        CU_ASSERT_TRUE(loads_of[i] >= (i < TAKERS ? 3 * SECONDS : SECONDS));
+    }
+    CU_ASSERT_TRUE(all <= 180 * SECONDS); /* of 400 a second */
+    broker_free(o.broker);
+}
+
 /* With few other brokers the interval is the shortest one. */
 static void
 few_peers_get_frequent_load_reports(void)
@@ -571,6 +613,7 @@
 {
 #define TEST(name) check_add("broker_scale", #name, name)
     TEST(load_reports_are_limited_per_second);
+    TEST(recent_takers_get_each_load_report);
     TEST(few_peers_get_frequent_load_reports);
     TEST(registries_are_notified_of_holders);
     TEST(taken_upstreams_are_reported_together);
