Send early heartbeats on idle connections later

Cause: where the idle interval is short, frames that go along with others were sent after as little as a third of it.

The test of a receiver's rate depended on the phase of the idle heartbeats: it now waits for one, and also expects none in the next 500 ms.

--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -96,7 +96,7 @@
                    int64_t now_us)
 {
     return last_out_us + (sends_slowly(h, now_us)
-                              ? h->announced_us - h->usual_us
+                              ? h->announced_us - h->usual_us * 3 / 4
                               : h->usual_us / 2);
 }
 
--- a/tests/heartbeat_test.c
+++ b/tests/heartbeat_test.c
@@ -431,7 +431,11 @@
 {
     struct fixture *f = start_idle(true);
 
+    for (int i = 0; i < 20 && f->heartbeats != 1; i++) {
+        pass(f, STEP_US, 0);
+    }
     pass(f, 500 * USEC_PER_MSEC, 0);
+    CU_ASSERT_EQUAL(f->heartbeats, 0);
     put_claim(f, f->b);
     pass(f, STEP_US, 0);
     CU_ASSERT_EQUAL(f->heartbeats, 1);
