Add replays of urgent bursts and of a zone that presses

No replay had the load of insufficient capacity: tasks of about half an upstream (16 cores, every third 24), 8 x 60 ms of priority 0 beside 4 x 900 ms and 2 x 200 ms, four zones.

urgent: 1.25 times the usual load, with bursts of 1.7 times for the urgent queue and 2.6 times for the long one.

--- a/src/replay.c
+++ b/src/replay.c
@@ -14,17 +14,21 @@
 
 enum { ZONES = 3, UPSTREAMS = 48, NONE = 0, THIRD = 3, SIXTH = 6 };
 enum { MANY_BROKERS = 33, MANY_UPSTREAMS = 351 };
+enum { SCARCE_ZONES = 4, SCARCE_BROKERS = 8, SCARCE_UPSTREAMS = 128 };
 
 /* What a policy should earn of what was possible. */
 static const double AIM = 0.9;
 
-enum kinds { CUSTOMERS, ODD, LONG };
+enum kinds { CUSTOMERS, ODD, LONG, SCARCE };
 
 /**
  * struct pattern - a replay
  * @load: over the usual one, while it is at its worst
  * @leave: share of the callers that leaves
  * @shift: share of the first zone's callers that comes to the second
+ * @bursts: further multiples of the load of the first two queues; 0: none
+ * @press: the callers of the first zone send so many times as much; 0: as the
+ *         others
  * @kinds: of jobs
  * @trouble: of one in @one_in upstreams meanwhile
  * @poor: one zone has half of its upstreams dead and a third of the rest slow,
@@ -37,6 +41,8 @@
     double load;
     double leave;
     double shift;
+    double bursts[2];
+    double press;
     enum kinds kinds;
     enum vlease_trouble trouble;
     uint32_t one_in;
@@ -62,6 +68,8 @@
     [REPLAY_crowd] = {.load = 1.9, .kinds = LONG},
     [REPLAY_dark_many] = {.load = 1.0, .dark = true, .kinds = LONG},
     [REPLAY_roll] = {.load = 1.0, .roll = true},
+    [REPLAY_urgent] = {.load = 1.25, .kinds = SCARCE, .bursts = {1.7, 2.6}},
+    [REPLAY_one_zone_presses] = {.load = 0.6, .kinds = SCARCE, .press = 10.0},
     [REPLAY_mix] = {.kinds = ODD, .load = 1.6},
 };
 /* clang-format on */
@@ -142,6 +150,29 @@
      .timeout_us = 2500 * MSEC},
 };
 
+/* What callers ask for usually takes nearly all that fits: two tasks of more
+ * than 8 cores don't fit on the same upstream. */
+static const struct vlease_queue scarce[] = {
+    {.priority = 0,
+     .tasks = 8,
+     .cpu_milli = 8000,
+     .run_us = 60 * MSEC,
+     .per_s = 75,
+     .timeout_us = 1500 * MSEC},
+    {.priority = 2,
+     .tasks = 4,
+     .cpu_milli = 8000,
+     .run_us = 900 * MSEC,
+     .per_s = 13.7,
+     .timeout_us = 9 * SEC},
+    {.priority = 1,
+     .tasks = 2,
+     .cpu_milli = 8000,
+     .run_us = 200 * MSEC,
+     .per_s = 219,
+     .timeout_us = 2500 * MSEC},
+};
+
 enum broker_feature
 replay_part(const char *name)
 {
@@ -188,6 +219,14 @@
         set_kinds(&region, mostly_long,
                   sizeof(mostly_long) / sizeof(mostly_long[0]));
     }
+    else if (p->kinds == SCARCE) {
+        region.zones = SCARCE_ZONES;
+        region.brokers = SCARCE_BROKERS / SCARCE_ZONES;
+        region.upstreams = SCARCE_UPSTREAMS / SCARCE_ZONES;
+        region.cpu_milli = 16000;
+        region.cpu_large_milli = 24000;
+        set_kinds(&region, scarce, sizeof(scarce) / sizeof(scarce[0]));
+    }
     else {
         set_kinds(&region, customers,
                   sizeof(customers) / sizeof(customers[0]));
@@ -234,6 +273,19 @@
     }
 }
 
+static void
+set_bursts(struct vlease *v, const struct pattern *p, bool begins)
+{
+    for (uint32_t i = 0; i < sizeof(p->bursts) / sizeof(p->bursts[0]); i++) {
+        if (p->bursts[i] > 0) {
+            vlease_queue_load(v, i, begins ? p->bursts[i] : 1.0);
+        }
+    }
+    if (p->press > 0) {
+        vlease_press(v, 0, begins ? p->press : 1.0);
+    }
+}
+
 /* Whether all promises were kept. */
 static bool
 finish(struct vlease *v, bool bounded, struct vcredit *out)
@@ -263,6 +315,7 @@
     vlease_load(v, p->load);
     vlease_shift(v, 0, 1, p->shift);
     set_trouble(v, p, region->seed, true);
+    set_bursts(v, p, true);
     if (p->dark) {
         vlease_lose_power(v);
         vlease_run(v, WORST_US + DARK_US);
@@ -273,6 +326,7 @@
     }
     vlease_run(v, WORST_OVER_US);
     set_trouble(v, p, region->seed, false);
+    set_bursts(v, p, false);
     vlease_load(v, 1.0);
     vlease_run(v, LOAD_OVER_US);
     return finish(v, bounded, out);
--- a/src/replay.h
+++ b/src/replay.h
@@ -31,6 +31,8 @@
     REPLAY(crowd, "many brokers, long jobs, demand near the room")            \
     REPLAY(dark_many, "the same, many brokers, long jobs hold most of the room") \
     REPLAY(roll, "brokers are stopped and started in turn, a second apart")   \
+    REPLAY(urgent, "bursts of urgent wide jobs and of long ones at once")     \
+    REPLAY(one_zone_presses, "callers of one zone send ten times as much")    \
     REPLAY(mix, "small, wide and long jobs whose sizes fill badly, in a burst")
 /* clang-format on */
 
