Reserve capacity for urgent queues, and add shares by zone of origin

URGENT_RESERVE: the most urgent queue needs no credit while its part covers its whole demand, it is in regular use, and a usual job takes at most a sixth of the capacity. ZONE_SHARES: where a zone demands clearly more than its share of a runner's capacity, each zone of origin gets an equal share of each queue's part.

--- a/src/broker.c
+++ b/src/broker.c
@@ -480,6 +480,7 @@
         .evacuated_zones = b->evacuated.n_zones,
         .evacuation_revision = b->evacuated.revision,
         .config_rank = b->queues != NULL ? b->queues->rank : 0,
+        .reserved_milli = urgent_reserved_milli(b),
     };
     const struct run_job *job;
     struct handle h;
--- a/src/broker.h
+++ b/src/broker.h
@@ -42,7 +42,9 @@
     BROKER_BREAK(EVACUATED_RETRY, "restart tasks in evacuated zones")         \
     BROKER_BREAK(EVACUATION_OLDER, "replace the evacuated zones by older ones") \
     /* Detected only where callers may resubmit at any broker. */             \
-    BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")
+    BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")               \
+    /* Detected by the tests of its decision. */                              \
+    BROKER_BREAK(SHARE_KEPT, "a share never expires")
 /* clang-format on */
 
 /* Features of the scheduling that can be disabled to measure the effect of
@@ -86,6 +88,7 @@
 #undef BROKER_BREAK
         BROKER_BREAKS,
     BROKER_BREAKS_SAME_ZONE = BROKER_BREAK_UNCONFIRMED,
+    BROKER_BREAKS_LEASES = BROKER_BREAK_SHARE_KEPT,
 };
 
 /**
@@ -225,6 +228,10 @@
     BROKER_COUNTER(offers_taken, "jobs taken to run here")                    \
     BROKER_COUNTER(offers_refused, "jobs refused as a runner")                \
     BROKER_COUNTER(offers_evacuated, "of these, since the zone is evacuated") \
+    BROKER_COUNTER(offers_beyond_zone_share,                                  \
+                   "offers beyond the share of their zone of origin")         \
+    BROKER_COUNTER(offers_on_reserve,                                         \
+                   "urgent offers without credit, for which capacity is reserved")           \
     BROKER_COUNTER(offers_again, "offers while an earlier life was here")     \
     BROKER_COUNTER(tasks_started, "starts sent to upstreams")                 \
     BROKER_COUNTER(tasks_done, "runs that ended well")                        \
@@ -275,7 +282,8 @@
     BROKER_GAUGE(registries_up, "registries connected")                       \
     BROKER_GAUGE(evacuated_zones, "availability zones that are evacuated")    \
     BROKER_GAUGE(evacuation_revision, "revision of the evacuated zones")      \
-    BROKER_GAUGE(config_rank, "rank of the configuration in force")
+    BROKER_GAUGE(config_rank, "rank of the configuration in force")           \
+    BROKER_GAUGE(reserved_milli, "milli-cores reserved for urgent queues")
 /* clang-format on */
 
 struct broker_gauges {
@@ -284,6 +292,19 @@
 #undef BROKER_GAUGE
 };
 
+/** struct broker_zone_use - work admitted lately from a zone of origin, while
+ * shares by zone are in force for the queue: moving average, in milli-cores */
+struct broker_zone_use {
+    struct name queue;
+    struct name zone;
+    uint64_t used_milli;
+};
+
+/** broker_zone_uses() - fills at most @max; returns their number, 0 while the
+ * demand for each queue fits into its part of the capacity */
+size_t broker_zone_uses(const struct broker *b, struct broker_zone_use *out,
+                        size_t max);
+
 /* Histograms: BROKER_HISTOGRAM(name, help). */
 /* clang-format off */
 #define BROKER_HISTOGRAM_LIST(BROKER_HISTOGRAM)                               \
--- a/src/broker_effect.h
+++ b/src/broker_effect.h
@@ -122,7 +122,9 @@
                   "this zone is evacuated from now on")                       \
     BROKER_REASON(EVACUATION_ENDED, "evacuation-ended",                       \
                   "this zone takes work again")                               \
-    BROKER_REASON(STOP_BEGUN, "stop-begun", "a planned stop began")
+    BROKER_REASON(STOP_BEGUN, "stop-begun", "a planned stop began")           \
+    BROKER_REASON(ZONE_SHARE, "zone-share",                                   \
+                  "jobs of a zone are beyond its share of a queue's part")
 
 enum broker_reason {
 #define BROKER_REASON(NAME, text, help) BROKER_##NAME,
--- a/src/broker_share.c
+++ b/src/broker_share.c
@@ -86,6 +86,13 @@
     return low;
 }
 
+double
+share_granted(const struct broker_service *s, const struct queue_stats *q,
+              double capacity)
+{
+    return q->demand * fmin(1.0, queue_weight(q) * find_level(s, capacity));
+}
+
 void
 share_update(struct broker *b, struct broker_service *s, double capacity)
 {
@@ -119,17 +126,20 @@
 }
 
 double
-share_wait_factor(const struct broker_service *s, const struct queue_stats *q,
-                  double capacity)
+share_beyond_factor(const struct broker_service *s, double capacity)
 {
     double excess =
         capacity > 0 ? share_total_demand(s) / capacity - 1.0 : STRICT_EXCESS;
     double factor = 1.0 - excess / STRICT_EXCESS;
 
-    if (q->credit > 0 || factor > 1.0) {
-        return 1.0;
-    }
-    return factor > WAIT_FACTOR_MIN ? factor : WAIT_FACTOR_MIN;
+    return fmax(fmin(factor, 1.0), WAIT_FACTOR_MIN);
+}
+
+double
+share_wait_factor(const struct broker_service *s, const struct queue_stats *q,
+                  double capacity)
+{
+    return q->credit > 0 ? 1.0 : share_beyond_factor(s, capacity);
 }
 
 void
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -12,6 +12,8 @@
  * - broker_owner.c records which broker runs a job;
  * - broker_order.c admits jobs and orders the queue;
  * - broker_share.c divides the capacity between queues;
+ * - broker_urgent.c reserves capacity for the most urgent queue;
+ * - broker_zone.c divides a queue's part between the zones of origin;
  * - broker_place.c chooses the upstream of a task;
  * - broker_hold.c takes and releases upstreams;
  * - broker_fence.c chooses fences and has them recorded;
@@ -36,6 +38,7 @@
 #include "map.h"
 #include "table.h"
 #include "timers.h"
+#include "zone_share.h"
 
 enum { UPSTREAM_LABELS_MAX = 4 };
 
@@ -260,6 +263,7 @@
  *        jobs that still can meet theirs leave unused
  * @overdue: it was late by several objectives when it arrived; it only gets
  *           capacity that the other late jobs leave unused
+ * @zone_verdict: whether it was within the share of its zone of origin
  * @n_done: tasks that succeeded
  * @total_run_us: their total run time, scaled to upstreams near their data
  * @n_unfinished: tasks that have not succeeded
@@ -308,6 +312,7 @@
     uint32_t n_tasks;
     bool late;
     bool overdue;
+    enum zone_verdict zone_verdict;
     uint32_t n_done;
     int64_t total_run_us;
     uint32_t n_unfinished;
@@ -339,6 +344,10 @@
  * @demand: work submitted lately: moving average, in milli-cores
  * @credit: work that may be admitted from the queue's share, in milli-core
  *          microseconds
+ * @job_milli: milli-cores that a usual job needs at first
+ * @reserved_milli: capacity reserved for the queue, as of @reserved_us
+ * @reserved_us: when a job of the queue was last offered
+ * @zones: shares of the zones of origin
  */
 struct queue_stats {
     struct name queue;
@@ -346,6 +355,10 @@
     struct run_estimate run_estimate;
     double demand;
     double credit;
+    double job_milli;
+    double reserved_milli;
+    int64_t reserved_us;
+    struct zone_shares zones;
 };
 
 /**
@@ -357,6 +370,7 @@
  * @shares_updated_us: when the demands and credits of @stats were last updated
  * @stats: of its queues
  * @n_stats: number of @stats
+ * @zones: demand of the zones of origin, of all queues together
  * @placement_due: capacity or work was added; place tasks in this step
  * @next_placement_us: when to place tasks anyway
  */
@@ -368,6 +382,7 @@
     int64_t shares_updated_us;
     struct queue_stats *stats;
     size_t n_stats;
+    struct zone_shares zones;
     bool placement_due;
     int64_t next_placement_us;
     struct broker_service *next;
@@ -1040,6 +1055,46 @@
  * credit of its queue */
 void share_spend_credit(struct queue_stats *q, double work);
 
+/** share_granted() - the queue's part of the capacity, in milli-cores */
+double share_granted(const struct broker_service *s,
+                     const struct queue_stats *q, double capacity);
+
+/** share_beyond_factor() - share_wait_factor() of a queue without credit */
+double share_beyond_factor(const struct broker_service *s, double capacity);
+
+/* broker_urgent.c: @capacity as above */
+
+/* A reserve is reported for as long as the demand is measured. */
+#define URGENT_RESERVE_MEMORY_US (2 * USEC_PER_SEC)
+
+/** urgent_on_offer() - adds an offered job, admitted or not, and decides
+ * whether capacity is reserved for its queue */
+void urgent_on_offer(struct broker *b, struct queue_stats *q,
+                     const struct run_job *job, double capacity);
+
+/** urgent_has_reserve() - whether a job of the queue that was just offered
+ * needs no credit */
+bool urgent_has_reserve(struct broker *b, const struct queue_stats *q);
+
+/** urgent_reserved_milli() - of all queues, in milli-cores */
+uint64_t urgent_reserved_milli(const struct broker *b);
+
+/* broker_zone.c: shares by zone of origin; @capacity as above */
+
+/** zone_on_offer() - adds an offered job, admitted or not, and sets its
+ * @zone_verdict */
+void zone_on_offer(struct broker *b, struct queue_stats *q,
+                   struct run_job *job, double capacity);
+
+/** zone_wait_factor() - share_wait_factor() for a job: as a queue with credit
+ * within the share of its zone of origin, as one without beyond it */
+double zone_wait_factor(struct broker *b, const struct queue_stats *q,
+                        const struct run_job *job, double capacity);
+
+/** zone_on_admit() - subtracts the work of an admitted job */
+void zone_on_admit(struct broker *b, struct queue_stats *q,
+                   const struct run_job *job);
+
 /* broker_place.c */
 
 /** place_choose() - the upstream on which a task should start now, or NULL */
--- a/src/leasematrix.c
+++ b/src/leasematrix.c
@@ -541,7 +541,7 @@
 static void
 run_breaks(struct cells *cs, const struct leasematrix_options *o, bool *caught)
 {
-    int n = o->anywhere ? BROKER_BREAKS : BROKER_BREAKS_SAME_ZONE;
+    int n = o->anywhere ? BROKER_BREAKS_LEASES : BROKER_BREAKS_SAME_ZONE;
 
     for (int i = 0; i < n; i++) {
         caught[i] = caught[i] || run_all(cs, o->threads, i);
@@ -552,7 +552,7 @@
 count_caught(const struct leasematrix_options *o, const bool *caught,
              struct leasematrix_result *r, FILE *out)
 {
-    int n = o->anywhere ? BROKER_BREAKS : BROKER_BREAKS_SAME_ZONE;
+    int n = o->anywhere ? BROKER_BREAKS_LEASES : BROKER_BREAKS_SAME_ZONE;
 
     for (int i = 0; i < n; i++) {
         r->breaks++;
--- a/tests/matrix_test.c
+++ b/tests/matrix_test.c
@@ -78,7 +78,7 @@
                r.breaks, r.caught);
         CU_ASSERT_TRUE(r.cells >= LEASE_PAIRS);
         CU_ASSERT_EQUAL(r.failed, 0);
-        CU_ASSERT_EQUAL(r.breaks, BROKER_BREAKS);
+        CU_ASSERT_EQUAL(r.breaks, BROKER_BREAKS_LEASES);
         CU_ASSERT_EQUAL(r.caught, r.breaks);
     }
 }
