--- a/src/bm_bench.c
+++ b/src/bm_bench.c
@@ -36,6 +36,7 @@
     int seed;
     int replays;
     char *without;
+    char *only;
     char *decisions;
     int draws;
     int seeds;
@@ -46,18 +47,6 @@
 };
 
 /* What --replays plays. */
-static struct {
-    char *only;
-    int placement;
-} choice;
-
-static struct poptOption choice_table[] = {
-    {"replay", 0, POPT_ARG_STRING, &choice.only, 0,
-     "with --replays: only this one", "NAME"},
-    {"placement", 0, POPT_ARG_INT, &choice.placement, 0,
-     "with --replays: 0 slowest in time, 1 ends first, 2 reserve fast", "N"},
-    POPT_TABLEEND};
-
 /* struct work - runs spread over threads; their order does not matter, each
  * has its own random numbers and its own place for the figures */
 struct work {
@@ -250,9 +239,7 @@
 run_replays(const struct options *o)
 {
     struct replay_options r = {.seeds = (uint32_t)o->seeds,
-                               .placement =
-                                   (enum place_variant)choice.placement,
-                               .only = choice.only};
+                               .only = o->only};
     enum broker_feature part =
         o->without != NULL ? replay_part(o->without) : BROKER_FEATURES;
 
@@ -324,6 +311,7 @@
     free(o->policy);
     free(o->cell);
     free(o->without);
+    free(o->only);
     free(o->decisions);
     free(o->lease_cell);
     free(o->report);
@@ -375,7 +363,8 @@
         {"without", 0, POPT_ARG_STRING, &o.without, 0,
          "with --replays: leave a part of the decisions out, and the bounds",
          "PART"},
-        {NULL, 0, POPT_ARG_INCLUDE_TABLE, choice_table, 0, NULL, NULL},
+        {"replay", 0, POPT_ARG_STRING, &o.only, 0,
+         "with --replays: only this one", "NAME"},
         {"decisions", 0, POPT_ARG_STRING, &o.decisions, 0,
          "list the decisions of a replay without the features of the settings",
          "REPLAY"},
--- a/src/broker.c
+++ b/src/broker.c
@@ -39,7 +39,6 @@
         .upstreams_per_holder = 32,
         .clock_drift = 0.02,
         .remote_factor = 1.5,
-        .placement = PLACE_SLOWEST_IN_TIME,
     };
 }
 
@@ -511,6 +510,7 @@
         .holder_quota = b->capacity.quota,
         .declared_cpu_milli = b->opts.capacity.cpu_milli,
         .event_delay_us = (uint64_t)b->self->capacity.delay_us,
+        .reserved_milli = urgent_reserved_milli(b),
     };
     const struct run_job *job;
     struct handle h;
--- a/src/broker.h
+++ b/src/broker.h
@@ -18,7 +18,6 @@
 #include "broker_effect.h"
 #include "broker_event.h"
 #include "histogram.h"
-#include "place_choice.h"
 
 struct broker;
 
@@ -47,7 +46,8 @@
     BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")               \
     /* From here on: detected by the suite of their part, not by the fault    \
      * matrix, since no invariant is violated. */                             \
-    BROKER_BREAK(OLD_SPEED, "use the speed of an older incarnation")
+    BROKER_BREAK(OLD_SPEED, "use the speed of an older incarnation")               \
+    BROKER_BREAK(SHARE_KEPT, "a share never expires")
 /* clang-format on */
 
 /* Features of the scheduling that can be disabled to measure the effect of
@@ -147,8 +147,6 @@
  * @clock_drift: an upstream's clock may be slower by this part, 0 to 1
  * @capacity: declared limits of this instance
  * @remote_factor: factor on the run time of a task away from its data
- * @placement: how upstreams of different speeds are chosen; temporary, until
- *             the variants are measured
  * @breaks: deliberate faults, for tests; all false by default
  * @disabled: disabled features, for measurements; all false by default
  */
@@ -178,7 +176,6 @@
     double clock_drift;
     struct instance_capacity capacity;
     double remote_factor;
-    enum place_variant placement;
     bool breaks[BROKER_BREAKS];
     bool disabled[BROKER_FEATURES];
 };
@@ -241,6 +238,10 @@
     BROKER_COUNTER(offers_taken, "jobs taken to run here")                    \
     BROKER_COUNTER(offers_refused, "jobs refused as a runner")                \
     BROKER_COUNTER(offers_evacuated, "of these, since the zone is evacuated") \
+    BROKER_COUNTER(offers_beyond_zone_share,                                  \
+                   "offers beyond the share of their zone of origin")         \
+    BROKER_COUNTER(offers_on_reserve,                                         \
+                   "urgent offers without credit, for which capacity is reserved")           \
     BROKER_COUNTER(offers_again, "offers while an earlier life was here")     \
     BROKER_COUNTER(tasks_started, "starts sent to upstreams")                 \
     BROKER_COUNTER(tasks_done, "runs that ended well")                        \
@@ -302,7 +303,8 @@
     BROKER_GAUGE(registries_up, "registries connected")                       \
     BROKER_GAUGE(evacuated_zones, "availability zones that are evacuated")    \
     BROKER_GAUGE(evacuation_revision, "revision of the evacuated zones")      \
-    BROKER_GAUGE(config_rank, "rank of the configuration in force")
+    BROKER_GAUGE(config_rank, "rank of the configuration in force")           \
+    BROKER_GAUGE(reserved_milli, "milli-cores reserved for urgent queues")
 /* clang-format on */
 
 struct broker_gauges {
@@ -311,6 +313,19 @@
 #undef BROKER_GAUGE
 };
 
+/** struct broker_zone_use - work admitted lately from a zone of origin, while
+ * shares by zone are in force for the queue: moving average, in milli-cores */
+struct broker_zone_use {
+    struct name queue;
+    struct name zone;
+    uint64_t used_milli;
+};
+
+/** broker_zone_uses() - fills at most @max; returns their number, 0 while the
+ * demand for each queue fits into its part of the capacity */
+size_t broker_zone_uses(const struct broker *b, struct broker_zone_use *out,
+                        size_t max);
+
 /* Histograms: BROKER_HISTOGRAM(name, help). */
 /* clang-format off */
 #define BROKER_HISTOGRAM_LIST(BROKER_HISTOGRAM)                               \
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -94,32 +94,6 @@
                      (int64_t)g->declared_us, ran_us);
 }
 
-double
-order_run_tail(const struct run_job *job, const struct rec_task_group *g)
-{
-    const struct run_estimate *e =
-        &get_queue_stats(job->service, job->queue)->run_estimate;
-    int64_t mean_us = estimate_mean_us(e, (int64_t)g->declared_us);
-
-    return (double)estimate_p95_us(e, (int64_t)g->declared_us) /
-           (double)(mean_us > 0 ? mean_us : 1);
-}
-
-int64_t
-order_mean_run_us(const struct broker_service *s)
-{
-    double sum = 0;
-    size_t n = 0;
-
-    for (size_t i = 0; i < s->n_stats; i++) {
-        if (s->stats[i].run_estimate.samples > 0) {
-            sum += s->stats[i].run_estimate.mean_us;
-            n++;
-        }
-    }
-    return n > 0 ? (int64_t)(sum / (double)n) : 0;
-}
-
 /* Expected run time of the longest chain of dependent groups.  A group depends
  * only on earlier ones. */
 static int64_t
@@ -447,14 +421,15 @@
     wait = expected_wait_us(&c, queued_before(s, job->queue_key_us, &c),
                             ready_cpu(job));
     if (!b->opts.disabled[BROKER_FEATURE_SHARES]) {
-        spare =
-            (int64_t)((double)spare * share_wait_factor(s, q, free->usable));
+        spare = (int64_t)((double)spare *
+                          zone_wait_factor(b, q, job, free->usable));
     }
     if (wait > spare ||
         (!b->opts.disabled[BROKER_FEATURE_FIT] && fits_too_late(b, job))) {
         return false;
     }
     share_spend_credit(q, job->work);
+    zone_on_admit(b, q, job);
     return true;
 }
 
@@ -498,6 +473,8 @@
     *retry_us = 0;
     q->priority = job->priority;
     share_add_demand(b, s, q, job->work, c.usable);
+    urgent_on_offer(b, q, job, c.usable);
+    zone_on_offer(b, q, job, c.usable);
     if (try_admit_in_time(b, job, &c)) {
         return BROKER_NONE;
     }
--- a/src/peer.h
+++ b/src/peer.h
@@ -112,8 +112,8 @@
 /** peer_next_ms() - time until peer_run() is due, in ms */
 int64_t peer_next_ms(const struct peer *p);
 
-/** peer_run() - reads if peer_fd() is @readable, sends what was posted and runs
- * timers */
+/** peer_run() - reads if peer_fd() is @readable, sends what was posted and
+ * runs timers */
 void peer_run(struct peer *p, bool readable);
 
 /** peer_flush() - sends what was posted */
--- a/src/replay.h
+++ b/src/replay.h
@@ -33,6 +33,8 @@
     REPLAY(roll, "brokers are stopped and started in turn, a second apart")   \
     REPLAY(speeds, "upstreams of three speeds, stragglers, 0.9 of what fits") \
     REPLAY(speeds_over, "the same, demand 1.3 times what fits in a burst")    \
+    REPLAY(urgent, "bursts of urgent wide jobs and of long ones at once")     \
+    REPLAY(one_zone_presses, "callers of one zone send ten times as much")    \
     REPLAY(mix, "small, wide and long jobs whose sizes fill badly, in a burst") \
     REPLAY(unlike, "brokers of unlike capacity, the largest of a zone is lost")
 /* clang-format on */
@@ -49,7 +51,6 @@
  * @bounded: with bounds
  * @without: parts that are left out
  * @callbacks: of the region
- * @placement: how upstreams of different speeds are chosen
  * @only: the only replay to print, or NULL
  */
 struct replay_options {
@@ -57,7 +58,6 @@
     bool bounded;
     bool without[BROKER_FEATURES];
     struct vlease_callbacks callbacks;
-    enum place_variant placement;
     const char *only;
 };
 
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -36,7 +36,6 @@
         .late_us = LATE_DEFAULT_US,
         .seed = 1,
         .straggler_factor = 1.0,
-        .placement = PLACE_SLOWEST_IN_TIME,
         .evacuation_us = 3 * USEC_PER_SEC,
         .reborn_silent_us = USEC_PER_MSEC,
     };
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -89,7 +89,6 @@
  * @seed: of all that is drawn
  * @breaks: wrong decisions that all brokers make
  * @without: parts that all brokers leave out
- * @placement: of all brokers
  * @leave: share of the callers that leave within half of their objective
  * @registry_lag_us: all registries but the first learn of an evacuation, or
  *                   its end, so much later
@@ -123,7 +122,6 @@
     uint64_t seed;
     bool breaks[BROKER_BREAKS];
     bool without[BROKER_FEATURES];
-    enum place_variant placement;
     double leave;
     int64_t registry_lag_us;
     int64_t evacuation_us;
@@ -216,6 +214,14 @@
  * another zone */
 void vlease_shift(struct vlease *v, uint32_t from, uint32_t to, double share);
 
+/** vlease_queue_load() - callers of a queue come at that multiple of the load
+ * from now on */
+void vlease_queue_load(struct vlease *v, uint32_t queue, double factor);
+
+/** vlease_press() - callers of a zone send @factor times as much from now on;
+ * 1: as the others */
+void vlease_press(struct vlease *v, uint32_t zone, double factor);
+
 /** vlease_submit() - one job of a queue, at that broker; returns its number */
 uint64_t vlease_submit(struct vlease *v, uint32_t broker, uint32_t queue);
 
--- a/src/vleasefault.c
+++ b/src/vleasefault.c
@@ -87,7 +87,6 @@
         o.capacity.cpu_milli *= (uint32_t)p->life;
     }
     p->declared = o.capacity;
-    o.placement = v->opts.placement;
     memcpy(o.breaks, v->opts.breaks, sizeof(o.breaks));
     memcpy(o.disabled, v->opts.without, sizeof(o.disabled));
     if (v->opts.callbacks.configure != NULL) {
--- a/tests/upstream_speed_test.c
+++ b/tests/upstream_speed_test.c
@@ -5,7 +5,6 @@
 #include <string.h>
 
 #include "check.h"
-#include "place_choice.h"
 #include "replay.h"
 #include "upstream_speed.h"
 #include "vlease.h"
@@ -165,57 +164,6 @@
     CU_ASSERT_TRUE(a.log_speed > 0 && c.log_speed < 0);
 }
 
-/* The choice */
-
-static const struct place_candidate slow = {1270 * MSEC, 0.6, 0};
-static const struct place_candidate usual = {760 * MSEC, 1.0, 0};
-static const struct place_candidate fast = {475 * MSEC, 1.6, 0};
-
-static bool
-prefers(enum place_variant variant, bool scarce, bool long_task,
-        int64_t left_us, const struct place_candidate *c,
-        const struct place_candidate *best)
-{
-    struct place_need n = {variant, scarce, long_task, left_us, 1.2};
-
-    return place_is_better(&n, c, best);
-}
-
-/* Fast upstreams would be taken by tasks that don't need them. */
-static void
-scarce_fast_upstreams_are_kept(void)
-{
-    enum place_variant v = PLACE_SLOWEST_IN_TIME;
-
-    CU_ASSERT_TRUE(prefers(v, true, false, 2 * SEC, &slow, &fast));
-    CU_ASSERT_TRUE(prefers(v, true, false, SEC, &usual, &fast));
-    CU_ASSERT_TRUE(prefers(v, true, false, SEC, &usual, &slow));
-    CU_ASSERT_TRUE(prefers(v, true, false, SEC / 2, &fast, &usual));
-    CU_ASSERT_TRUE(prefers(v, false, false, 2 * SEC, &fast, &slow));
-    v = PLACE_RESERVE_FAST;
-    CU_ASSERT_TRUE(prefers(v, true, false, SEC, &slow, &fast));
-    CU_ASSERT_TRUE(prefers(v, true, true, SEC, &fast, &slow));
-    CU_ASSERT_TRUE(place_is_scarce(24, 100));
-    CU_ASSERT_FALSE(place_is_scarce(25, 100));
-}
-
-/* Where speeds are alike, all variants must place as before. */
-static void
-alike_upstreams_are_chosen_by_space(void)
-{
-    struct place_candidate roomy = {100 * MSEC, 1.0, 8000};
-    struct place_candidate full = {105 * MSEC, 1.0, 1000};
-
-    for (int v = 0; v < PLACE_VARIANTS; v++) {
-        for (int scarce = 0; scarce < 2; scarce++) {
-            CU_ASSERT_TRUE(prefers((enum place_variant)v, scarce != 0, false,
-                                   SEC, &full, &roomy));
-            CU_ASSERT_FALSE(prefers((enum place_variant)v, scarce != 0, false,
-                                    SEC, &roomy, &full));
-        }
-    }
-}
-
 /* In a region */
 
 /* One zone with a holder of all 12 upstreams, which has measured them. */
@@ -589,8 +537,6 @@
     TEST(speeds_do_not_drift);
     TEST(alike_upstreams_never_differ);
     TEST(only_other_upstreams_are_compared);
-    TEST(scarce_fast_upstreams_are_kept);
-    TEST(alike_upstreams_are_chosen_by_space);
     TEST(successor_has_reported_speeds);
     TEST(successor_without_reports_learns_anew);
     TEST(restarted_upstream_has_no_speed);
