Leave shares by zone of origin out

Change: the part leaves the code with its replay, its tests, its setting and its deliberate fault; the reserve for urgent queues stays.

--- a/src/broker.h
+++ b/src/broker.h
@@ -46,8 +46,7 @@
     BROKER_BREAK(UNCONFIRMED, "extend leases without renewals")               \
     /* From here on: detected by the suite of their part, not by the fault    \
      * matrix, since no invariant is violated. */                             \
-    BROKER_BREAK(OLD_SPEED, "use the speed of an older incarnation")               \
-    BROKER_BREAK(SHARE_KEPT, "a share never expires")
+    BROKER_BREAK(OLD_SPEED, "use the speed of an older incarnation")
 /* clang-format on */
 
 /* Features of the scheduling that can be disabled to measure the effect of
@@ -73,8 +72,7 @@
     BROKER_FEATURE(FIT, "jobs wait at least until a task fits")               \
     BROKER_FEATURE(INSTANCE_CAPACITY, "holders are chosen by capacity")       \
     BROKER_FEATURE(UPSTREAM_SPEED, "the speed of each upstream is estimated") \
-    BROKER_FEATURE(URGENT_RESERVE, "capacity is reserved for urgent jobs")    \
-    BROKER_FEATURE(ZONE_SHARES, "zones share each queue's part in overload")
+    BROKER_FEATURE(URGENT_RESERVE, "capacity is reserved for urgent jobs")
 /* clang-format on */
 
 enum broker_feature {
@@ -238,8 +236,6 @@
     BROKER_COUNTER(offers_taken, "jobs taken to run here")                    \
     BROKER_COUNTER(offers_refused, "jobs refused as a runner")                \
     BROKER_COUNTER(offers_evacuated, "of these, since the zone is evacuated") \
-    BROKER_COUNTER(offers_beyond_zone_share,                                  \
-                   "offers beyond the share of their zone of origin")         \
     BROKER_COUNTER(offers_on_reserve,                                         \
                    "urgent offers without credit, for which capacity is reserved")           \
     BROKER_COUNTER(offers_again, "offers while an earlier life was here")     \
@@ -313,19 +309,6 @@
 #undef BROKER_GAUGE
 };
 
-/** struct broker_zone_use - work admitted lately from a zone of origin, while
- * shares by zone are in force for the queue: moving average, in milli-cores */
-struct broker_zone_use {
-    struct name queue;
-    struct name zone;
-    uint64_t used_milli;
-};
-
-/** broker_zone_uses() - fills at most @max; returns their number, 0 while the
- * demand for each queue fits into its part of the capacity */
-size_t broker_zone_uses(const struct broker *b, struct broker_zone_use *out,
-                        size_t max);
-
 /* Histograms: BROKER_HISTOGRAM(name, help). */
 /* clang-format off */
 #define BROKER_HISTOGRAM_LIST(BROKER_HISTOGRAM)                               \
--- a/src/broker_dump.c
+++ b/src/broker_dump.c
@@ -266,7 +266,6 @@
     put_uint(o, "run_samples", q->run_estimate.samples);
     put_real(o, "run_mean_ms",
              q->run_estimate.mean_us / (double)USEC_PER_MSEC);
-    /* ZONE_SHARES: share given and used, by zone of origin. */
     return o;
 }
 
@@ -420,7 +419,7 @@
     {"queue_credit_milli_seconds", "work that its share still admits",
      queue_credit},
     {"queue_waiting_jobs", "jobs that wait for capacity", queue_waiting},
-    /* ZONE_SHARES: share given and used; URGENT_RESERVE: reserved capacity. */
+    /* URGENT_RESERVE: reserved capacity. */
 };
 
 static void
--- a/src/broker_effect.h
+++ b/src/broker_effect.h
@@ -124,9 +124,7 @@
                   "this zone takes work again")                               \
     BROKER_REASON(STOP_BEGUN, "stop-begun", "a planned stop began")           \
     BROKER_REASON(HOLDERS_PLANNED, "holders-planned",                         \
-                  "the capacity of brokers changed who holds upstreams")                  \
-    BROKER_REASON(ZONE_SHARE, "zone-share",                                   \
-                  "jobs of a zone are beyond its share of a queue's part")
+                  "the capacity of brokers changed who holds upstreams")
 
 enum broker_reason {
 #define BROKER_REASON(NAME, text, help) BROKER_##NAME,
--- a/src/broker_metrics.c
+++ b/src/broker_metrics.c
@@ -1,12 +1,8 @@
 #include "broker_metrics.h"
 
 #include "broker_dump.h"
-#include <inttypes.h>
-
 #include "stats.h"
 
-enum { ZONE_USES_MAX = 128 };
-
 static void
 print_requests(FILE *out, const struct broker_histograms *h)
 {
@@ -22,23 +18,6 @@
     }
 }
 
-static void
-print_zone_uses(FILE *out, const struct broker *b)
-{
-    const char *name = "boragemoor_broker_zone_share_used_milli";
-    struct broker_zone_use uses[ZONE_USES_MAX];
-    size_t n = broker_zone_uses(b, uses, ZONE_USES_MAX);
-
-    (void)fprintf(out,
-                  "# HELP %s milli-cores used by a zone of origin, while "
-                  "shares by zone bind\n# TYPE %s gauge\n",
-                  name, name);
-    for (size_t i = 0; i < n; i++) {
-        (void)fprintf(out, "%s{queue=\"%s\",zone=\"%s\"} %" PRIu64 "\n", name,
-                      uses[i].queue.s, uses[i].zone.s, uses[i].used_milli);
-    }
-}
-
 void
 broker_metrics_print(FILE *out, const struct broker *b)
 {
@@ -60,5 +39,4 @@
 #undef BROKER_HISTOGRAM
     print_requests(out, h);
     broker_dump_metrics(out, b);
-    print_zone_uses(out, b);
 }
--- a/src/broker_order.c
+++ b/src/broker_order.c
@@ -421,15 +421,15 @@
     wait = expected_wait_us(&c, queued_before(s, job->queue_key_us, &c),
                             ready_cpu(job));
     if (!b->opts.disabled[BROKER_FEATURE_SHARES]) {
-        spare = (int64_t)((double)spare *
-                          zone_wait_factor(b, q, job, free->usable));
+        spare =
+            (int64_t)((double)spare *
+                      urgent_wait_factor(b, q, job->service, free->usable));
     }
     if (wait > spare ||
         (!b->opts.disabled[BROKER_FEATURE_FIT] && fits_too_late(b, job))) {
         return false;
     }
     share_spend_credit(q, job->work);
-    zone_on_admit(b, q, job);
     return true;
 }
 
@@ -474,7 +474,6 @@
     q->priority = job->priority;
     share_add_demand(b, s, q, job->work, c.usable);
     urgent_on_offer(b, q, job, c.usable);
-    zone_on_offer(b, q, job, c.usable);
     if (try_admit_in_time(b, job, &c)) {
         return BROKER_NONE;
     }
--- a/src/broker_share.c
+++ b/src/broker_share.c
@@ -126,20 +126,17 @@
 }
 
 double
-share_beyond_factor(const struct broker_service *s, double capacity)
+share_wait_factor(const struct broker_service *s, const struct queue_stats *q,
+                  double capacity)
 {
     double excess =
         capacity > 0 ? share_total_demand(s) / capacity - 1.0 : STRICT_EXCESS;
     double factor = 1.0 - excess / STRICT_EXCESS;
 
-    return fmax(fmin(factor, 1.0), WAIT_FACTOR_MIN);
-}
-
-double
-share_wait_factor(const struct broker_service *s, const struct queue_stats *q,
-                  double capacity)
-{
-    return q->credit > 0 ? 1.0 : share_beyond_factor(s, capacity);
+    if (q->credit > 0 || factor > 1.0) {
+        return 1.0;
+    }
+    return factor > WAIT_FACTOR_MIN ? factor : WAIT_FACTOR_MIN;
 }
 
 void
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -15,7 +15,6 @@
  * - broker_order.c admits jobs and orders the queue;
  * - broker_share.c divides the capacity between queues;
  * - broker_urgent.c reserves capacity for the most urgent queue;
- * - broker_zone.c divides a queue's part between the zones of origin;
  * - broker_place.c chooses the upstream of a task;
  * - broker_hold.c takes and releases upstreams;
  * - broker_fence.c chooses fences and has them recorded;
@@ -45,7 +44,6 @@
 #include "timers.h"
 #include "upstream_digest.h"
 #include "upstream_speed.h"
-#include "zone_share.h"
 
 enum { UPSTREAM_LABELS_MAX = 4 };
 
@@ -287,7 +285,6 @@
  *        jobs that still can meet theirs leave unused
  * @overdue: it was late by several objectives when it arrived; it only gets
  *           capacity that the other late jobs leave unused
- * @zone_verdict: whether it was within the share of its zone of origin
  * @n_done: tasks that succeeded
  * @total_run_us: their total run time, scaled to upstreams near their data
  * @n_unfinished: tasks that have not succeeded
@@ -336,7 +333,6 @@
     uint32_t n_tasks;
     bool late;
     bool overdue;
-    enum zone_verdict zone_verdict;
     uint32_t n_done;
     int64_t total_run_us;
     uint32_t n_unfinished;
@@ -371,7 +367,6 @@
  * @job_milli: milli-cores that a usual job needs at first
  * @reserved_milli: capacity reserved for the queue, as of @reserved_us
  * @reserved_us: when a job of the queue was last offered
- * @zones: shares of the zones of origin
  */
 struct queue_stats {
     struct name queue;
@@ -382,7 +377,6 @@
     double job_milli;
     double reserved_milli;
     int64_t reserved_us;
-    struct zone_shares zones;
 };
 
 /**
@@ -396,7 +390,6 @@
  * @n_stats: number of @stats
  * @speeds_differ: an upstream held here differs from the usual speed by more
  *                 than 10 %; set by broker_speed.c
- * @zones: demand of the zones of origin, of all queues together
  * @placement_due: capacity or work was added; place tasks in this step
  * @next_placement_us: when to place tasks anyway
  */
@@ -409,7 +402,6 @@
     struct queue_stats *stats;
     size_t n_stats;
     bool speeds_differ;
-    struct zone_shares zones;
     bool placement_due;
     int64_t next_placement_us;
     struct broker_service *next;
@@ -1110,9 +1102,6 @@
 double share_granted(const struct broker_service *s,
                      const struct queue_stats *q, double capacity);
 
-/** share_beyond_factor() - share_wait_factor() of a queue without credit */
-double share_beyond_factor(const struct broker_service *s, double capacity);
-
 /* broker_urgent.c: @capacity as above */
 
 /* A reserve is reported for as long as the demand is measured. */
@@ -1123,29 +1112,14 @@
 void urgent_on_offer(struct broker *b, struct queue_stats *q,
                      const struct run_job *job, double capacity);
 
-/** urgent_has_reserve() - whether a job of the queue that was just offered
- * needs no credit */
-bool urgent_has_reserve(struct broker *b, const struct queue_stats *q);
+/** urgent_wait_factor() - share_wait_factor() for a job of the queue that was
+ * just offered: as with credit while capacity is reserved for the queue */
+double urgent_wait_factor(struct broker *b, const struct queue_stats *q,
+                          const struct broker_service *s, double capacity);
 
 /** urgent_reserved_milli() - of all queues, in milli-cores */
 uint64_t urgent_reserved_milli(const struct broker *b);
 
-/* broker_zone.c: shares by zone of origin; @capacity as above */
-
-/** zone_on_offer() - adds an offered job, admitted or not, and sets its
- * @zone_verdict */
-void zone_on_offer(struct broker *b, struct queue_stats *q,
-                   struct run_job *job, double capacity);
-
-/** zone_wait_factor() - share_wait_factor() for a job: as a queue with credit
- * within the share of its zone of origin, as one without beyond it */
-double zone_wait_factor(struct broker *b, const struct queue_stats *q,
-                        const struct run_job *job, double capacity);
-
-/** zone_on_admit() - subtracts the work of an admitted job */
-void zone_on_admit(struct broker *b, struct queue_stats *q,
-                   const struct run_job *job);
-
 /* broker_place.c */
 
 /** place_choose() - the upstream on which a task should start now, or NULL */
--- a/src/broker_urgent.c
+++ b/src/broker_urgent.c
@@ -69,14 +69,15 @@
     q->reserved_us = b->now.mono_us;
 }
 
-bool
-urgent_has_reserve(struct broker *b, const struct queue_stats *q)
+double
+urgent_wait_factor(struct broker *b, const struct queue_stats *q,
+                   const struct broker_service *s, double capacity)
 {
     if (q->reserved_milli <= 0) {
-        return false;
+        return share_wait_factor(s, q, capacity);
     }
     b->counters.offers_on_reserve += q->credit <= 0 ? 1 : 0;
-    return true;
+    return 1.0;
 }
 
 uint64_t
--- a/src/replay.c
+++ b/src/replay.c
@@ -34,8 +34,6 @@
  * @leave: share of the callers that leaves
  * @shift: share of the first zone's callers that comes to the second
  * @bursts: further multiples of the load of the first two queues; 0: none
- * @press: the callers of the first zone send so many times as much; 0: as the
- *         others
  * @kinds: of jobs
  * @trouble: of one in @one_in upstreams meanwhile
  * @poor: one zone has half of its upstreams dead and a third of the rest slow,
@@ -51,7 +49,6 @@
     double leave;
     double shift;
     double bursts[2];
-    double press;
     enum kinds kinds;
     enum vlease_trouble trouble;
     uint32_t one_in;
@@ -81,7 +78,6 @@
     [REPLAY_speeds] = {.load = 1.0, .kinds = SPEEDS},
     [REPLAY_speeds_over] = {.load = 1.3 / 0.9, .kinds = SPEEDS},
     [REPLAY_urgent] = {.load = 1.25, .kinds = SCARCE, .bursts = {1.7, 2.6}},
-    [REPLAY_one_zone_presses] = {.load = 0.6, .kinds = SCARCE, .press = 10.0},
     [REPLAY_mix] = {.kinds = ODD, .load = 1.6},
     [REPLAY_unlike] = {.load = 1.2, .unlike = true},
 };
@@ -363,9 +359,6 @@
             vlease_queue_load(v, i, begins ? p->bursts[i] : 1.0);
         }
     }
-    if (p->press > 0) {
-        vlease_press(v, 0, begins ? p->press : 1.0);
-    }
 }
 
 /* Whether all promises were kept. */
--- a/src/replay.h
+++ b/src/replay.h
@@ -34,7 +34,6 @@
     REPLAY(speeds, "upstreams of three speeds, stragglers, 0.9 of what fits") \
     REPLAY(speeds_over, "the same, demand 1.3 times what fits in a burst")    \
     REPLAY(urgent, "bursts of urgent wide jobs and of long ones at once")     \
-    REPLAY(one_zone_presses, "callers of one zone send ten times as much")    \
     REPLAY(mix, "small, wide and long jobs whose sizes fill badly, in a burst") \
     REPLAY(unlike, "brokers of unlike capacity, the largest of a zone is lost")
 /* clang-format on */
--- a/src/scheduling_settings.c
+++ b/src/scheduling_settings.c
@@ -12,9 +12,7 @@
     KEY("upstream_speed", UPSTREAM_SPEED,                                     \
         "the speed of each upstream is estimated")                            \
     KEY("urgent_reserve", URGENT_RESERVE,                                     \
-        "capacity is reserved for the most urgent queue")                     \
-    KEY("zone_shares", ZONE_SHARES,                                           \
-        "zones of origin share each queue's part in overload")
+        "capacity is reserved for the most urgent queue")
 /* clang-format on */
 
 enum { CHOICE_ON, CHOICE_OFF };
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -218,10 +218,6 @@
  * from now on */
 void vlease_queue_load(struct vlease *v, uint32_t queue, double factor);
 
-/** vlease_press() - callers of a zone send @factor times as much from now on;
- * 1: as the others */
-void vlease_press(struct vlease *v, uint32_t zone, double factor);
-
 /** vlease_submit() - one job of a queue, at that broker; returns its number */
 uint64_t vlease_submit(struct vlease *v, uint32_t broker, uint32_t queue);
 
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -185,8 +185,6 @@
     uint32_t shift_to;
     double shift_share;
     double queue_load[VLEASE_QUEUES_MAX]; /* added to the usual load of 1 */
-    uint32_t press_zone;
-    double press;    /* what its callers send in addition, likewise */
     int64_t dark_us; /* when all power was lost last; 0: never */
     struct vroom_change *changes;
     size_t n_changes;
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -312,9 +312,8 @@
 static void
 plan_arrival(struct vlease *v, uint32_t queue)
 {
-    double zones = v->opts.zones;
-    double per_s = v->opts.queues[queue].per_s * v->load *
-                   (1.0 + v->queue_load[queue]) * ((zones + v->press) / zones);
+    double per_s =
+        v->opts.queues[queue].per_s * v->load * (1.0 + v->queue_load[queue]);
     struct vevent *e;
 
     if (per_s <= 0) {
@@ -339,24 +338,12 @@
     v->queue_load[queue] = factor - 1.0;
 }
 
-void
-vlease_press(struct vlease *v, uint32_t zone, double factor)
-{
-    v->press_zone = zone;
-    v->press = factor - 1.0;
-}
-
 static uint32_t
 broker_called(struct vlease *v)
 {
     uint32_t broker = (uint32_t)vlease_random(v, v->n_brokers);
     uint32_t each = v->opts.brokers;
 
-    /* The additional callers make up press / (zones + press) of all. */
-    if (v->press > 0 && drawn(v) * (v->opts.zones + v->press) < v->press) {
-        return v->press_zone * each + broker % each;
-    }
-
     if (v->shift_share <= 0 || broker / each != v->shift_from ||
         drawn(v) >= v->shift_share) {
         return broker;
