--- a/src/broker_capacity.c
+++ b/src/broker_capacity.c
@@ -117,6 +117,10 @@
     struct peer_capacity *known = &p->capacity;
     const struct instance_capacity none = {0};
     bool older = known->introduced && i->incarnation < known->incarnation;
+    /* On a second connection of the same process, whose declaration was read
+     * and counted with the introduction on the first. */
+    bool again = known->introduced && !known->has_pending &&
+                 i->incarnation == known->incarnation;
 
     /* Later introductions on a connection follow no declaration. */
     if (i->again != 0) {
@@ -124,7 +128,7 @@
     }
     /* Messages of a process that has ended may be read after those of its
      * successor, which have arrived on another connection. */
-    if (!older) {
+    if (!older && !again) {
         put_in_force(b, p, known->has_pending ? &known->pending : &none);
         known->introduced = true;
         known->incarnation = i->incarnation;
--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -525,6 +525,7 @@
     while (httpapi_busy(r->callers) > 0 &&
            clock_now(r->opts.clock).mono_us < until_us) {
         httpapi_run(r->callers);
+        peer_run(r->peers, true);
         clock_sleep(USEC_PER_MSEC);
     }
 }
--- a/src/broker_speed.c
+++ b/src/broker_speed.c
@@ -16,6 +16,9 @@
  * job differ by 15 %, and expected run times by 40 %. */
 static const double STRAGGLER_RATIO = 3.0;
 enum { PERMILLE = 1000 };
+/* Reported speeds are limited to this, and to its inverse: one that is further
+ * off would shift the speeds of all others in the mean. */
+static const double SPEED_MAX = 10.0;
 
 static bool
 is_enabled(const struct broker *b)
@@ -165,6 +168,7 @@
     }
     if (u->speed.born_ms != u->born_ms) {
         u->speed = (struct upstream_speed){.born_ms = u->born_ms};
+        u->speed_reported = false;
     }
     return &u->speed;
 }
@@ -251,7 +255,7 @@
 is_known(const struct broker *b, const struct broker_upstream *u)
 {
     return u->service != NULL && is_held(u) && is_current(b, u) &&
-           u->service->speeds_differ;
+           (u->service->speeds_differ || u->speed_reported);
 }
 
 static struct rec_upstream_speed
@@ -369,7 +373,9 @@
 
         if (u != NULL && is_accepted(b, u, from, r)) {
             u->speed.born_ms = r->born_ms;
-            u->speed.log_speed = log((double)r->speed_permille / PERMILLE);
+            u->speed.log_speed = log(
+                fmin(SPEED_MAX, fmax(1.0 / SPEED_MAX,
+                                     (double)r->speed_permille / PERMILLE)));
             u->speed.samples =
                 (uint32_t)(r->samples < UINT32_MAX ? r->samples : UINT32_MAX);
             u->speed_reported = false;
--- a/src/conn.c
+++ b/src/conn.c
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 enum { BACKLOG = 128 };
@@ -104,6 +105,14 @@
     return n < 0 && later() ? 0 : -1;
 }
 
+bool
+conn_has_input(const struct conn *c)
+{
+    int n = 0;
+
+    return ioctl(c->fd, FIONREAD, &n) == 0 && n > 0;
+}
+
 ssize_t
 conn_write(struct conn *c)
 {
--- a/src/conn.h
+++ b/src/conn.h
@@ -65,6 +65,9 @@
  * reached, so that there may be more. */
 ssize_t conn_read(struct conn *c, bool *more);
 
+/** conn_has_input() - whether bytes wait to be read */
+bool conn_has_input(const struct conn *c);
+
 /** conn_write() - writes what the socket takes; bytes written, -1 when the
  * connection is over */
 ssize_t conn_write(struct conn *c);
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -35,6 +35,20 @@
     return h->announced_us > 0 && h->their_idle_us > 0;
 }
 
+/* Whether this process has so many connections that heartbeats are spread. */
+static bool
+is_crowded(const struct heartbeat *h)
+{
+    return h->announced_us > h->usual_us;
+}
+
+static bool
+sends_slowly(const struct heartbeat *h, int64_t now_us)
+{
+    return both_announced(h) && is_crowded(h) && now_us >= h->fast_until_us &&
+           now_us - h->used_us >= HEARTBEAT_USED_US + h->silence_us;
+}
+
 bool
 heartbeat_idle(const struct heartbeat *h, int64_t now_us)
 {
@@ -53,10 +67,22 @@
     return idle;
 }
 
+bool
+heartbeat_expect_message(struct heartbeat *h, int64_t now_us)
+{
+    bool slow = sends_slowly(h, now_us);
+
+    h->fast_until_us = now_us + HEARTBEAT_USED_US;
+    return slow;
+}
+
 void
 heartbeat_suspect(struct heartbeat *h, int64_t last_in_us, int64_t now_us)
 {
-    if (heartbeat_idle(h, now_us)) {
+    /* A frame may have come on it up to a heartbeat later than on the other
+     * one before the process stopped. */
+    if (heartbeat_idle(h, now_us) &&
+        now_us - last_in_us >= h->silence_us - h->usual_us) {
         h->used_us = now_us;
         h->expect_us = last_in_us;
     }
@@ -77,20 +103,6 @@
     return us;
 }
 
-/* Whether this process has so many connections that heartbeats are spread. */
-static bool
-is_crowded(const struct heartbeat *h)
-{
-    return h->announced_us > h->usual_us;
-}
-
-static bool
-sends_slowly(const struct heartbeat *h, int64_t now_us)
-{
-    return both_announced(h) && is_crowded(h) &&
-           now_us - h->used_us >= HEARTBEAT_USED_US + h->silence_us;
-}
-
 int64_t
 heartbeat_early_us(const struct heartbeat *h, int64_t last_out_us,
                    int64_t now_us)
--- a/src/heartbeat.h
+++ b/src/heartbeat.h
@@ -38,6 +38,8 @@
  * @announced_us: interval that this end announced here; 0: none
  * @their_idle_us: interval that the other end announced here; 0: none
  * @used_us: when a message that counts as use was last sent or received
+ * @fast_until_us: this end sends at the usual rate until then, though the
+ *                 connection is idle
  * @expect_us: when the connection came into use; the other end may have been
  *             idle until then, so the silence is counted from this time
  */
@@ -47,6 +49,7 @@
     int64_t announced_us;
     int64_t their_idle_us;
     int64_t used_us;
+    int64_t fast_until_us;
     int64_t expect_us;
 };
 
@@ -66,9 +69,13 @@
  * connection was idle, so that a frame may be due now */
 bool heartbeat_use(struct heartbeat *h, int64_t now_us);
 
+/** heartbeat_expect_message() - part of a message was read, whose sender
+ * expects frames before it is whole; returns whether a frame may be due now */
+bool heartbeat_expect_message(struct heartbeat *h, int64_t now_us);
+
 /** heartbeat_suspect() - another connection with the same process was silent
  * for too long: an idle one is closed too unless something came on it within
- * the limit for connections in use */
+ * the limit for connections in use, less a heartbeat */
 void heartbeat_suspect(struct heartbeat *h, int64_t last_in_us,
                        int64_t now_us);
 
--- a/src/holder_plan.c
+++ b/src/holder_plan.c
@@ -339,11 +339,31 @@
     return limited;
 }
 
+/* Brokers of a build that does not declare limits plan as if none were known;
+ * a plan by the links of the others would leave upstreams without a holder. */
+static void
+ignore_partial_limits(struct holder_candidate *candidates, size_t n)
+{
+    bool partial = false;
+
+    for (size_t i = 0; i < n; i++) {
+        partial = partial || (candidates[i].cpu_milli == 0 &&
+                              candidates[i].link_kbps == 0);
+    }
+    for (size_t i = 0; i < n && partial; i++) {
+        candidates[i].cpu_milli = 0;
+        candidates[i].link_kbps = 0;
+    }
+}
+
 struct holder_plan
 holder_plan_make(struct holder_candidate *candidates, size_t n,
                  const struct holder_plan_options *o)
 {
-    struct holder_plan plan = {.by_capacity = set_capacities(candidates, n)};
+    struct holder_plan plan = {0};
+
+    ignore_partial_limits(candidates, n);
+    plan.by_capacity = set_capacities(candidates, n);
 
     if (n > 1) {
         qsort(candidates, n, sizeof(*candidates), compare_candidates);
--- a/src/peer.c
+++ b/src/peer.c
@@ -549,6 +549,7 @@
     err = wire_decode(body, size, &m);
     if (err == WIRE_UNKNOWN && c->state == CONN_OPEN) {
         stats_add(&stats.peer_bad_frames, 1); /* of a newer version */
+        note_use(p, c);
         return;
     }
     if (err != WIRE_OK) {
@@ -618,8 +619,9 @@
     }
     /* A large message takes a while on a slow link, and its sender expects
      * frames before it is whole. */
-    if (c->state == CONN_OPEN && bytes_size(&c->in) > 0) {
-        note_use(p, c);
+    if (c->state == CONN_OPEN && bytes_size(&c->in) > 0 &&
+        heartbeat_expect_message(&c->beat, p->now_us)) {
+        look_by(p, p->now_us);
     }
 }
 
@@ -728,15 +730,11 @@
     }
 }
 
-/* All that was posted is queued first and then written with one call a
- * connection. */
-static void
-send_posted(struct peer *p)
+/* Returns whether there were any. */
+static bool
+carry_out_posted(struct peer *p)
 {
     struct mail *mail;
-    struct conn *c;
-    struct conn *next;
-
     bool any = false;
 
     while ((mail = mailbox_take(&p->mailbox)) != NULL) {
@@ -747,13 +745,24 @@
         free(o);
         any = true;
     }
-    if (!any) {
-        return;
-    }
-    for (c = TAILQ_FIRST(&p->conns); c != NULL; c = next) {
-        next = TAILQ_NEXT(c, link);
-        if (c->unsent) {
-            conn_flush(p, c);
+    return any;
+}
+
+/* All that was posted is queued first and then written with one call a
+ * connection.  A connection that fails meanwhile may cause further messages.
+ */
+static void
+send_posted(struct peer *p)
+{
+    struct conn *c;
+    struct conn *next;
+
+    while (carry_out_posted(p)) {
+        for (c = TAILQ_FIRST(&p->conns); c != NULL; c = next) {
+            next = TAILQ_NEXT(c, link);
+            if (c->unsent) {
+                conn_flush(p, c);
+            }
         }
     }
 }
@@ -798,6 +807,10 @@
         if (c->state == CONN_DIALING) {
             give_up_dial(p, c);
         }
+        else if (conn_has_input(c)) {
+            /* This process was slow, not the other end. */
+            look_by(p, p->now_us);
+        }
         else {
             close_silent(p, c);
         }
--- a/tests/holder_plan_test.c
+++ b/tests/holder_plan_test.c
@@ -126,7 +126,8 @@
             c[i] = candidate(1 + i * 7 % 13, SMALL, KBPS);
             if (round % 2 == 0) {
                 c[i].cpu_milli = i == silent ? 0 : SMALL + (uint32_t)i;
-                c[i].link_kbps = i == silent ? 0 : KBPS + (uint32_t)i;
+                c[i].link_kbps =
+                    i == silent ? 0 : KBPS / (round % 4 == 0 ? 31 : 1);
             }
         }
         wanted = wanted > 0 ? wanted : 1;
