Run old and new builds together on upstreams of unlike speed

The region sent no speeds and so did not show that the previous build serves beside them. Now each run must have lost messages of new kinds at brokers of the previous build, and speeds must have been reported once all are new. Suite mixed_builds passes.

--- a/tests/mixed_builds_test.c
+++ b/tests/mixed_builds_test.c
@@ -31,6 +31,8 @@
     struct vlease *v;
     bool previous[BROKERS];     /* of the next start of the broker */
     uint32_t new_from_previous; /* messages of new kinds that it sent */
+    uint32_t lost_at_previous;  /* messages of new kinds that it ignored */
+    bool speeds_reported;
     int64_t now_us;
 };
 
@@ -78,8 +80,14 @@
         vlease_broker(v, hop->from) != NULL) {
         r->new_from_previous++;
     }
-    return hop->to != VLEASE_NOBODY && r->previous[hop->to] ? VLEASE_LOSE
-                                                            : VLEASE_PASS;
+    r->speeds_reported =
+        r->speeds_reported ||
+        strcmp(hop->label, msg_name(MSG_UPSTREAM_SPEEDS)) == 0;
+    if (hop->to == VLEASE_NOBODY || !r->previous[hop->to]) {
+        return VLEASE_PASS;
+    }
+    r->lost_at_previous++;
+    return VLEASE_LOSE;
 }
 
 static void
@@ -112,6 +120,10 @@
                                         .per_s = 6,
                                         .timeout_us = 6 * SEC};
     o.n_queues = 2;
+    o.speeds[0] = 0.6;
+    o.speeds[1] = 1.0;
+    o.speeds[2] = 1.6;
+    o.n_speeds = 3;
     o.callbacks.configure = configure;
     o.callbacks.ctx = r;
     r->v = vlease_new(&o);
@@ -138,6 +150,7 @@
     }
     CU_ASSERT_EQUAL(vlease_running(r->v), 0);
     CU_ASSERT_EQUAL(r->new_from_previous, 0);
+    CU_ASSERT_TRUE(r->lost_at_previous > 0);
     for (uint32_t q = 0; q < 2; q++) {
         struct vlease_figures g = vlease_figures(r->v, q);
 
@@ -198,6 +211,7 @@
             replace(&r, i, false);
         }
         run_for(&r, 4 * SEC); /* all are of this build */
+        CU_ASSERT_TRUE(r.speeds_reported);
         for (uint32_t i = 0; i < BROKERS; i++) {
             replace(&r, i, true);
         }
