--- a/src/broker_speed.c
+++ b/src/broker_speed.c
@@ -137,8 +137,9 @@
     t->ran_unusual = t->ran_unusual || u->slowness > SLOW_FOR_A_WHILE;
 }
 
-/* Three in 100 runs take 7 times as long on any upstream.  Two such runs in a
- * row show that the upstream has turned slow. */
+/* A single run that lasts several times as long as expected is a straggler,
+ * which any upstream may get; two in a row show that the upstream has turned
+ * slow. */
 bool
 speed_is_straggler(struct broker_upstream *u, struct run_task *t, double ratio)
 {
--- a/src/holder_plan.h
+++ b/src/holder_plan.h
@@ -40,7 +40,8 @@
 /**
  * struct holder_plan_options - what to plan for
  * @upstreams: of the zone that have not ended; sets the number of holders
- * @listed: upstreams to divide, also those that have ended but are still known
+ * @listed: upstreams to divide among the holders: @upstreams, and those that
+ *          have ended but are still known
  * @upstreams_per_holder: that a broker of median capacity can hold, at least 1
  */
 struct holder_plan_options {
--- a/src/upstream_speed.c
+++ b/src/upstream_speed.c
@@ -14,9 +14,12 @@
 static const double FIRST_SAMPLE_MAX = 0.7;
 /* Speeds within this part of 1 are alike. */
 static const double ALIKE = 0.1;
-/* Deviation of a sample, times two, as a natural logarithm. */
+/* Two standard deviations of a sample, as a natural logarithm; the mean of n
+ * samples is off by less than this over the square root of n, nearly always.
+ */
 static const double SAMPLE_NOISE = 0.3;
-/* With fewer samples, a speed is not relied on. */
+/* With fewer samples, a speed alone does not show that upstreams differ, and
+ * samples are bounded less. */
 enum { RELIABLE_SAMPLES = 8 };
 static const double NEWS = 0.05;
 
--- a/src/urgent_reserve.h
+++ b/src/urgent_reserve.h
@@ -1,6 +1,8 @@
 /**
  * DOC: urgent_reserve - capacity reserved for urgent wide jobs in overload
  *
+ * Reserved is the right to be admitted: no upstream is kept free.
+ *
  * The load: the queue of priority 0 has jobs of 8 tasks of 60 ms and an
  * objective of about 150 ms, beside tasks of up to a second, and demand
  * exceeds the capacity.  Its part of the capacity is its whole demand then,
