--- a/src/urgent_reserve.c
+++ b/src/urgent_reserve.c
@@ -4,8 +4,7 @@
  * another queue within seconds don't compete with it. */
 static const double IN_USE_SHARE = 0.01;
 /* Jobs that need a larger share of the capacity at once get no reserve: each
- * displaces more callers than it serves (replays with a fifth and more lose
- * 0.010 to 0.016 of their callers' credit). */
+ * displaces more callers than it serves. */
 static const double JOB_SHARE_MAX = 1.0 / 6.0;
 /* Weight of a job in the mean of sizes, which vary threefold: the mean of
  * about the last 20. */
