Show tasks started on a worker of another kind after its rebirth

Cause: a review of the sources. A broker that learns of a worker's new incarnation from a look opens it with the labels and the room of the earlier one, until the registry's report of the new one arrives 30 ms later.

The stand-in of the worker lists no end of a run that was stopped before it came, as the bench's workers do.

--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -43,6 +43,7 @@
     long long whole;
     long long number; /* of its end; 0 while it runs */
     const char *how;
+    bool refused; /* stopped before it came: no end of it is listed */
 };
 
 static struct {
@@ -103,6 +104,12 @@
 
 /* Runs; called with the lock. */
 
+static bool
+is_running(const struct run *r)
+{
+    return r->number == 0 && !r->refused;
+}
+
 static void
 end_run(struct run *r, const char *how)
 {
@@ -120,7 +127,7 @@
     for (size_t i = 0; i < w.n; i++) {
         struct run *r = &w.runs[i];
 
-        if (r->number != 0) {
+        if (!is_running(r)) {
             continue;
         }
         if (r->stop != 0 && now >= r->stop) {
@@ -139,7 +146,7 @@
 find_run(const char *task, long long run)
 {
     for (size_t i = 0; i < w.n; i++) {
-        if (w.runs[i].number == 0 && w.runs[i].run == run &&
+        if (is_running(&w.runs[i]) && w.runs[i].run == run &&
             strcmp(w.runs[i].task, task) == 0) {
             return &w.runs[i];
         }
@@ -151,7 +158,7 @@
 is_old(const char *task, long long run)
 {
     for (size_t i = 0; i < w.n; i++) {
-        if (w.runs[i].number != 0 && w.runs[i].run >= run &&
+        if (!is_running(&w.runs[i]) && w.runs[i].run >= run &&
             strcmp(w.runs[i].task, task) == 0) {
             return true;
         }
@@ -165,7 +172,7 @@
     long long used = 0;
 
     for (size_t i = 0; i < w.n; i++) {
-        used += w.runs[i].number == 0 ? w.runs[i].cpu : 0;
+        used += is_running(&w.runs[i]) ? w.runs[i].cpu : 0;
     }
     return used;
 }
@@ -235,7 +242,8 @@
         r->stop = r->stop != 0 ? r->stop : clock_ms() + STOP_MS;
     }
     else if (!is_old(task, run)) {
-        end_run(add_run(task, run), "stopped");
+        r = add_run(task, run);
+        r->refused = true;
     }
 }
 
@@ -248,7 +256,7 @@
     for (size_t i = 0; i < w.n; i++) {
         const struct run *r = &w.runs[i];
 
-        if (r->number == 0) {
+        if (is_running(r)) {
             long long left = r->due - clock_ms();
             long long percent =
                 r->whole > 0 ? 100 * (r->whole - left) / r->whole : 0;
@@ -257,7 +265,7 @@
                 running, json_pack("[s,I,s,I]", r->task, (json_int_t)r->run,
                                    "", (json_int_t)percent));
         }
-        else if (r->number > w.seen) {
+        else if (!r->refused && r->number > w.seen) {
             (void)json_array_append_new(
                 finished, json_pack("[I,s,I,s,s]", (json_int_t)r->number,
                                     r->task, (json_int_t)r->run, r->how, ""));
