Show two runs of a task at one time after a late order

An unanswered start binds its task to its worker only until the deadline of the submission that sent it. A later submission runs elsewhere, and the worker's next life may carry the start out beside it.

--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -2,8 +2,13 @@
  * A worker of the users' platform, as PROTOCOL.md says: it runs tasks under a
  * lease on its own clock, with fences and run numbers, keeps its ends until
  * they are seen, and sends heartbeats.  It appends all that it is told and
- * does to a record.  It has no faults of its own: who wants it to crash kills
- * the process and starts another one, which is a new life.
+ * does to a record.  Who wants it to crash kills the process and starts another
+ * one, which is a new life.
+ *
+ * It has one fault, off by default.  With LEAVES=FILE in the environment, the
+ * first start that comes while FILE doesn't exist gets no answer and is kept
+ * there; a worker that begins with CARRIES=FILE carries it out then, as any
+ * order: it may be refused.
  *
  * Usage: worker ID IP:PORT ZONE SERVICE LABELS CPU CONTROLS RECORD
  *        [ROOM-CHECK]
@@ -31,7 +36,7 @@
     HEARTBEAT_MS = 1500,
     MEMORY_MB = 65536,
     SLOTS = 8,
-    PATH_SIZE = 128,
+    UNANSWERED_S = 60,
 };
 
 struct run {
@@ -338,13 +343,54 @@
     return 200;
 }
 
-/* HTTP */
+/* The fault */
 
 struct upload {
     char *data;
     size_t size;
 };
 
+static bool
+leaves_unanswered(const char *path, const struct upload *u)
+{
+    const char *name = getenv("LEAVES");
+    FILE *f;
+
+    if (name == NULL || u->data == NULL || strcmp(path, "/v1/run-start") != 0) {
+        return false;
+    }
+    f = fopen(name, "wx");
+    if (f == NULL) {
+        return false; /* one was left already */
+    }
+    (void)fwrite(u->data, 1, u->size, f);
+    (void)fclose(f);
+    (void)pthread_mutex_lock(&w.lock);
+    record("leaves unanswered %.*s", (int)u->size, u->data);
+    (void)pthread_mutex_unlock(&w.lock);
+    return true;
+}
+
+static void
+carry_out_kept(void)
+{
+    const char *name = getenv("CARRIES");
+    json_t *body = name != NULL ? json_load_file(name, 0, NULL) : NULL;
+    json_t *answer = json_object();
+    unsigned int status;
+
+    if (body != NULL) {
+        (void)pthread_mutex_lock(&w.lock);
+        status = carry_out("/v1/run-start", body, answer);
+        record("carried out a late order: %u", status);
+        (void)pthread_mutex_unlock(&w.lock);
+    }
+    json_decref(answer);
+    json_decref(body);
+}
+
+/* HTTP */
+
 static enum MHD_Result
 reply(struct MHD_Connection *c, unsigned int status, json_t *answer)
 {
@@ -385,6 +431,10 @@
         *size = 0;
         return MHD_YES;
     }
+    if (leaves_unanswered(url, u)) {
+        (void)sleep(UNANSWERED_S);
+        return MHD_NO;
+    }
     answer = json_object();
     body = json_loadb(u->data != NULL ? u->data : "", u->size, 0, NULL);
     expected = MHD_lookup_connection_value(c, MHD_HEADER_KIND,
@@ -581,6 +631,7 @@
         return 1;
     }
     record("begins");
+    carry_out_kept();
     (void)pthread_create(&thread, NULL, time_run, NULL);
     for (long long sequence = 1;; sequence++) {
         send_heartbeat(sequence);
