End scripts of the review without a verdict as not run

Cause: a command that failed under "set -e" ended a script with 1, which says that the rule was broken.

Added: verdict() in the cases' common part; whatever ends without it is 2.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -75,8 +75,7 @@
 # The check: no task starts on a worker without the label that its step
 # requires.
 if ! grep -q ' start ' "$RECORD"; then
-    note "nothing was started"
-    exit 2
+    verdict 2 "nothing was started"
 fi
 wrong=$(awk '$2 == "worker" && $8 == "start" {
         split($7, labels, ",")
@@ -85,8 +84,6 @@
     END { print n + 0 }' "$RECORD")
 all=$(grep -c ' start ' "$RECORD")
 if [ "$wrong" -gt 0 ]; then
-    note "ROUTE: $wrong of $all starts on a worker without the label"
-    exit 1
+    verdict 1 "ROUTE: $wrong of $all starts on a worker without the label"
 fi
-note "held: $all starts, each on a worker with the label"
-exit 0
+verdict 0 "held: $all starts, each on a worker with the label"
--- a/review/standin/region.sh
+++ b/review/standin/region.sh
@@ -2,23 +2,36 @@
 # the deploy file.  Sourced from the repository's root, with CASE set to the
 # case's folder.
 set -eu
-DIR=$(mktemp -d)
+DIR=
 PORT=$((20000 + $$ % 12000)) # below the ports of outgoing connections
 STANDIN=target/review
 RECORD=$CASE/record.txt
 PIDS=
-: >"$RECORD"
 
+# A script that ends without a verdict couldn't run, whatever its last command
+# returned.
+VERDICT=2
 clean_up() {
     trap - EXIT INT TERM HUP
     for pid in $PIDS; do
         kill -KILL "$pid" 2>/dev/null || true
     done
-    rm -rf "$DIR"
+    [ -z "$DIR" ] || rm -rf "$DIR"
+    exit "$VERDICT"
 }
 trap clean_up EXIT
 trap 'exit 2' INT TERM HUP
 
+DIR=$(mktemp -d)
+: >"$RECORD"
+
+verdict() { # CODE TEXT
+    VERDICT=$1
+    shift
+    note "$*"
+    exit "$VERDICT"
+}
+
 now_ms() {
     date +%s%3N
 }
@@ -112,8 +125,7 @@
         tries=$((tries + 1))
         sleep 0.2
     done
-    note "the configuration was not acknowledged"
-    exit 2
+    verdict 2 "the configuration was not acknowledged"
 }
 
 CONFIG='{"version":1,"routes":[{"name":"r-1","host":"camp.example","path-prefix":"/plots/","route-type":"unsafe","timeout-ms":1500,"target-latency-ms":60,"priority":0,"service":"camp","max-attempts":4,"stretch":1.6}],"services":[{"name":"camp","health-path":"/health","max-connections":64,"protocol":"h1","tls":false,"admission-check":true,"standby":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}'
