--- a/review/standin-2/case_again.c
+++ b/review/standin-2/case_again.c
@@ -13,8 +13,8 @@
 
 static const char id[] = "5c0e7a21d94b36f8";
 static const char job[] =
-    "{\"spec\":\"3000\",\"best-effort\":true,\"steps\":[{\"count\":2,"
-    "\"cpu\":14000,\"mem-mb\":64,\"estimated-ms\":3000}]}";
+    "{\"spec\":\"900\",\"best-effort\":true,\"steps\":[{\"count\":2,"
+    "\"cpu\":14000,\"mem-mb\":64,\"estimated-ms\":900}]}";
 
 int
 main(int argc, char **argv)
@@ -30,12 +30,12 @@
     lab_record = fopen(argv[2], "w");
     lab_trouble = strcmp(argv[3], "0") != 0;
     lab_start(argv[1], 4);
-    post = lab_post(1, id, job, 15000);
+    post = lab_post(1, id, job, 5000);
     lab_call_at(post)->reset_after_send = true;
     (void)lab_await(post, lab_now() + 1000);
     lab_run_for(LAB_RESEND_MS);
-    post = lab_post(2, id, job, 13500);
-    lab_run_for(800);
+    post = lab_post(2, id, job, 3500);
+    lab_run_for(400);
     call = lab_delete(2, id, false);
     (void)lab_await(call, lab_now() + 1000);
     (void)lab_await(post, lab_now() + 1000);
@@ -45,7 +45,7 @@
     acked = lab_call_at(call)->done;
     lab_run_until(acked + AGAIN_MS);
     if (lab_trouble) {
-        (void)lab_post(3, id, job, 10000);
+        (void)lab_post(3, id, job, 5000);
     }
     lab_run_for(5000);
     lab_write_runs();
--- a/review/standin-2/lab.c
+++ b/review/standin-2/lab.c
@@ -27,6 +27,7 @@
     READY_TRIES_MS = 15000,
     SLOTS = 8,
     WORKER_MILLI = 32000,
+    LATE_MAX = 2000,
 };
 
 /* A connection that a worker has accepted. */
@@ -43,6 +44,7 @@
     char ip[32];
     const char *program;
     bool again; /* start it again once it has ended */
+    int64_t again_after;
     int64_t again_at;
 };
 
@@ -52,6 +54,12 @@
 int lab_n_workers;
 struct lab_run lab_runs[LAB_RUNS_MAX];
 int lab_n_runs;
+int lab_task_milli = 14000;
+double lab_late_share;
+int lab_late_from = 2000;
+int lab_late_to = 12000;
+int lab_late_orders;
+int lab_orders;
 
 static struct server_conn conns[CONNS_MAX];
 static struct lab_call calls[LAB_CALLS_MAX];
@@ -235,7 +243,7 @@
                 lab_note("process %s ended by signal %d", p->name,
                          WTERMSIG(status));
             }
-            p->again_at = lab_now() + 300;
+            p->again_at = lab_now() + p->again_after;
         }
         if (p->pid == 0 && p->again && p->again_at > 0 &&
             lab_now() >= p->again_at) {
@@ -257,11 +265,12 @@
 }
 
 void
-lab_restart_broker_when_ended(int broker)
+lab_restart_broker_when_ended(int broker, int64_t after_ms)
 {
     struct process *p = &processes[LAB_CONTROLS + broker];
 
     p->again = true;
+    p->again_after = after_ms;
     write_settings(p, broker % 3, false, false);
 }
 
@@ -482,6 +491,15 @@
 static void
 answer(struct server_conn *c, int status, json_t *body)
 {
+    if (c->fd < 0) { /* an order that is carried out late */
+        lab_note("worker %s carries out a late order: %d %s",
+                 lab_workers[c->worker].id, status,
+                 json_string_value(json_object_get(body, "reason")) != NULL
+                     ? json_string_value(json_object_get(body, "reason"))
+                     : "");
+        json_decref(body);
+        return;
+    }
     struct lab_worker *w = &lab_workers[c->worker];
     char *text;
     char *whole;
@@ -616,7 +634,7 @@
         conflict(c, "late");
         return;
     }
-    if ((count_running(w) + 1) * LAB_TASK_MILLI > WORKER_MILLI) {
+    if ((count_running(w) + 1) * lab_task_milli > WORKER_MILLI) {
         conflict(c, "room");
         return;
     }
@@ -671,7 +689,7 @@
                 running,
                 json_pack("[s,I,s,I,i]", r->task, (json_int_t)r->run, "",
                           (json_int_t)(100 * ran / (r->whole + 1)),
-                          LAB_TASK_MILLI));
+                          lab_task_milli));
         }
         else if (r->number > w->noted && json_array_size(finished) < 500) {
             json_array_append_new(
@@ -705,6 +723,35 @@
     }
 }
 
+/* Orders without an answer. */
+struct late_order {
+    int worker;
+    char head[32];
+    char *text;
+    int64_t due;
+};
+
+static struct late_order late_orders[LATE_MAX];
+static int n_late;
+
+static void
+leave_unanswered(const struct server_conn *c, const char *head,
+                 const char *text, size_t size)
+{
+    struct late_order *o = &late_orders[n_late++];
+    int span = lab_late_to - lab_late_from;
+
+    o->worker = c->worker;
+    snprintf(o->head, sizeof(o->head), "%.*s ", (int)strcspn(head + 5, " ") + 5,
+             head);
+    o->text = strndup(text, size);
+    o->due = lab_now() + lab_late_from + (int64_t)(drand48() * span);
+    lab_late_orders++;
+    lab_note("worker %s leaves unanswered, until %.3f s: %s%s",
+             lab_workers[c->worker].id, (double)o->due / 1000.0, o->head,
+             o->text);
+}
+
 static void
 on_request(struct server_conn *c, const char *head, const char *text,
            size_t size)
@@ -733,6 +780,14 @@
     }
     else {
         w->fence = fence;
+        if (c->fd >= 0 && strncmp(head, "POST /v1/run-", 13) == 0) {
+            lab_orders++;
+            if (drand48() < lab_late_share && n_late < LATE_MAX) {
+                leave_unanswered(c, head, text, size);
+                json_decref(body);
+                return;
+            }
+        }
         if (strncmp(head, "POST /v1/run-start ", 19) == 0) {
             on_start(c, w, body);
         }
@@ -929,6 +984,26 @@
     w->next_beat = lab_now() + 20;
 }
 
+static void
+run_late_orders(void)
+{
+    static struct server_conn nobody = {.fd = -1};
+
+    for (int i = n_late - 1; i >= 0; i--) {
+        struct late_order o = late_orders[i];
+
+        if (lab_now() < o.due) {
+            continue;
+        }
+        late_orders[i] = late_orders[--n_late];
+        if (lab_workers[o.worker].up) {
+            nobody.worker = o.worker;
+            on_request(&nobody, o.head, o.text, strlen(o.text));
+        }
+        free(o.text);
+    }
+}
+
 static void
 poll_worker(struct lab_worker *w)
 {
@@ -1094,6 +1169,7 @@
         }
     }
     finish_calls();
+    run_late_orders();
     for (int i = 0; i < lab_n_workers; i++) {
         poll_worker(&lab_workers[i]);
     }
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -14,7 +14,7 @@
 
 enum {
     LAB_CONTROLS = 3,
-    LAB_BROKERS = 6, /* two in each of three zones */
+    LAB_BROKERS = 7, /* three in the first zone, two in each of the others */
     LAB_WORKERS_MAX = 48,
     LAB_RUNS_MAX = 20000,
     LAB_CALLS_MAX = 4000,
@@ -22,7 +22,6 @@
     LAB_MAX_HOLD_MS = 1000,
     LAB_STOP_MS = 30, /* at most 50 on the pages */
     LAB_RESEND_MS = 1300,
-    LAB_TASK_MILLI = 14000,
 };
 
 /* A run on a worker, from its start to its end. */
@@ -95,6 +94,16 @@
 extern struct lab_run lab_runs[LAB_RUNS_MAX];
 extern int lab_n_runs;
 
+/* Of one task, in thousandths of a core: 14000, if not set. */
+extern int lab_task_milli;
+/* Share of the starts and stops that get no answer, and are carried out
+ * lab_late_from to lab_late_to ms later, by whatever life is up then. */
+extern double lab_late_share;
+extern int lab_late_from;
+extern int lab_late_to;
+extern int lab_late_orders;
+extern int lab_orders;
+
 int64_t lab_now(void);
 void lab_note(const char *format, ...) __attribute__((format(printf, 1, 2)));
 /* Exits with 2: the case couldn't run. */
@@ -117,7 +126,7 @@
 
 void lab_signal_broker(int broker, int number);
 /* The platform starts a broker again once it has ended. */
-void lab_restart_broker_when_ended(int broker);
+void lab_restart_broker_when_ended(int broker, int64_t after_ms);
 bool lab_broker_running(int broker);
 
 /* A crash of a worker; it starts again under its id after @after_ms, as @kind.
