--- a/review/standin-2/case_power.c
+++ b/review/standin-2/case_power.c
@@ -42,15 +42,15 @@
 static void
 hand_in(struct client *c, int broker)
 {
-    c->call =
-        lab_post(broker, c->id, job, (int)(c->deadline - lab_now()));
+    c->call = lab_post(broker, c->id, job, (int)(c->deadline - lab_now()));
 }
 
 /* After no response, a broken connection, 502 or 504: again, at any node. */
 static void
 poll_client(struct client *c, int number)
 {
-    static const int alive[] = {1, 2, 4, 5}; /* the platform sees who is ready */
+    static const int alive[] = {1, 2, 4,
+                                5}; /* the platform sees who is ready */
     struct lab_call *call;
 
     if (c->over) {
@@ -120,8 +120,8 @@
             int64_t from = a->begun > b->begun ? a->begun : b->begun;
             int64_t to = a_end < b_end ? a_end : b_end;
 
-            /* Late orders may start two runs of a task at one worker: the pages
-             * don't say what it does then, so these are left out. */
+            /* Late orders may start two runs of a task at one worker: the
+             * pages don't say what it does then, so these are left out. */
             if (a->whole == 0 || b->whole == 0 || a->worker == b->worker ||
                 strcmp(a->task, b->task) != 0 || to - from <= TOLERANCE_MS) {
                 continue;
--- a/review/standin-2/lab.c
+++ b/review/standin-2/lab.c
@@ -274,12 +274,6 @@
     write_settings(p, broker % 3, false, false);
 }
 
-bool
-lab_broker_running(int broker)
-{
-    return processes[LAB_CONTROLS + broker].pid > 0;
-}
-
 /* Sockets */
 
 static struct sockaddr_in
@@ -369,8 +363,8 @@
 static void
 read_answer(struct lab_call *c)
 {
-    ssize_t n = recv(c->fd, c->in + c->in_size,
-                     sizeof(c->in) - 1 - c->in_size, 0);
+    ssize_t n =
+        recv(c->fd, c->in + c->in_size, sizeof(c->in) - 1 - c->in_size, 0);
     char *end;
     char *length;
     size_t size = 0;
@@ -459,18 +453,6 @@
     return call;
 }
 
-int
-lab_get(int broker, const char *id)
-{
-    char path[128];
-    char label[48];
-
-    snprintf(path, sizeof(path), "/jobs/%s", id);
-    snprintf(label, sizeof(label), "GET %s at broker%d", id, broker + 1);
-    return begin_call(label, broker_ip(broker), port + PORT_CALLERS, "GET",
-                      path, "", "");
-}
-
 bool
 lab_await(int call, int64_t at)
 {
@@ -693,9 +675,8 @@
         }
         else if (r->number > w->noted && json_array_size(finished) < 500) {
             json_array_append_new(
-                finished,
-                json_pack("[I,s,I,s,s]", (json_int_t)r->number, r->task,
-                          (json_int_t)r->run, r->how, ""));
+                finished, json_pack("[I,s,I,s,s]", (json_int_t)r->number,
+                                    r->task, (json_int_t)r->run, r->how, ""));
         }
     }
     answer(c, 200,
@@ -742,8 +723,8 @@
     int span = lab_late_to - lab_late_from;
 
     o->worker = c->worker;
-    snprintf(o->head, sizeof(o->head), "%.*s ", (int)strcspn(head + 5, " ") + 5,
-             head);
+    snprintf(o->head, sizeof(o->head), "%.*s ",
+             (int)strcspn(head + 5, " ") + 5, head);
     o->text = strndup(text, size);
     o->due = lab_now() + lab_late_from + (int64_t)(drand48() * span);
     lab_late_orders++;
@@ -819,8 +800,7 @@
 static void
 read_requests(struct server_conn *c)
 {
-    ssize_t n =
-        recv(c->fd, c->in + c->size, sizeof(c->in) - 1 - c->size, 0);
+    ssize_t n = recv(c->fd, c->in + c->size, sizeof(c->in) - 1 - c->size, 0);
     char *end;
 
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
@@ -893,8 +873,8 @@
     w->next_beat = lab_now();
 }
 
-/* What was sent to a worker that is down is lost, and its connections are reset
- * at the latest when it is back. */
+/* What was sent to a worker that is down is lost, and its connections are
+ * reset at the latest when it is back. */
 static void
 close_worker(int worker)
 {
@@ -1316,7 +1296,8 @@
 void
 lab_write_runs(void)
 {
-    fprintf(lab_record, "\nruns: worker, kind, life, task, run, begun, ended, how\n");
+    fprintf(lab_record,
+            "\nruns: worker, kind, life, task, run, begun, ended, how\n");
     for (int i = 0; i < lab_n_runs; i++) {
         const struct lab_run *r = &lab_runs[i];
 
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -30,9 +30,9 @@
     char task[80];
     char spec[64];
     long run;
-    int life;       /* of the worker */
-    char kind[8];   /* of the worker in that life */
-    int64_t begun;  /* milliseconds since the lab began */
+    int life;      /* of the worker */
+    char kind[8];  /* of the worker in that life */
+    int64_t begun; /* milliseconds since the lab began */
     int64_t due;
     int64_t whole;
     int64_t stop_at; /* 0: not being stopped */
@@ -79,11 +79,11 @@
     char in[8192];
     size_t in_size;
     int64_t sent;
-    int64_t done; /* 0: in progress */
+    int64_t done;    /* 0: in progress */
     int64_t timeout; /* 0: none */
-    int status;   /* 0: no answer */
+    int status;      /* 0: no answer */
     char *body;
-    int worker; /* whose heartbeat it is; -1: nobody's */
+    int worker;            /* whose heartbeat it is; -1: nobody's */
     bool reset_after_send; /* a proxy resets it once the request was sent */
 };
 
@@ -119,7 +119,6 @@
 /* Calls; @broker 0 to LAB_BROKERS - 1.  The index of the call is returned. */
 int lab_post(int broker, const char *id, const char *body, int timeout_ms);
 int lab_delete(int broker, const char *id, bool reset_after_send);
-int lab_get(int broker, const char *id);
 struct lab_call *lab_call_at(int call);
 /* Runs the loop until the call has ended, or until @at. */
 bool lab_await(int call, int64_t at);
@@ -127,7 +126,6 @@
 void lab_signal_broker(int broker, int number);
 /* The platform starts a broker again once it has ended. */
 void lab_restart_broker_when_ended(int broker, int64_t after_ms);
-bool lab_broker_running(int broker);
 
 /* A crash of a worker; it starts again under its id after @after_ms, as @kind.
  * A dark one is silent until then, as after a loss of power: nothing is read,
