Use a restarted upstream only once its incarnation is reported

Cause: an upstream's labels, capacity, service, zone and address were kept by its id alone. A poll that showed a later incarnation made the broker take the upstream again, and it was opened with what the earlier incarnation had announced, up to 30 ms before the registry's report, or until the next heartbeat.

Change: the incarnation of the last applied announcement is kept beside the one that polls show. The upstream opens when both are the same; tasks of the earlier incarnation are given up as before. A report of an incarnation that was only seen by a poll isn't compared with the sequence of the earlier one.

Checked on the same cause: bm-entry makes a new record of an incarnation, speeds carry theirs, registries and control's record hold whole announcements.

--- a/src/broker_fence.c
+++ b/src/broker_fence.c
@@ -95,7 +95,7 @@
         b->review_due = true;
     }
     b->fence_floor = max_fence(b->fence_floor, r->fence);
-    hold_open_recorded(b);
+    hold_open_confirmed(b);
 }
 
 /* Registries of earlier versions confirm nothing. */
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -23,6 +23,9 @@
 /* The same while an unanswered start may still reach the upstream's next
  * incarnation. */
 #define LOST_START_POLL_US (20 * USEC_PER_MSEC)
+/* Interval of polls of an upstream whose incarnation no registry has reported
+ * yet. */
+#define UNANNOUNCED_POLL_US (300 * USEC_PER_MSEC)
 /* Interval of polls of an idle upstream.  Its clock must be known to a
  * fraction of a lease; the allowed drift adds up to 0.2 s in this time. */
 #define IDLE_POLL_US (10 * USEC_PER_SEC)
@@ -199,7 +202,7 @@
     u->fence = fence_next(b, u);
     u->state = HOLD_TAKING;
     u->taken_us = b->now.mono_us;
-    u->awaits_record = false;
+    u->polled_clean = false;
     u->holder = b->opts.self;
     u->last_end = 0;
     u->ack_pending = false;
@@ -276,7 +279,6 @@
                (unsigned long long)born_ms, (unsigned long long)u->born_ms,
                u->n_tasks);
     u->born_ms = born_ms;
-    u->sequence = 0;
     u->leaving = false;
     u->gone = false;
     u->clock_ms = 0;
@@ -294,12 +296,8 @@
 static void
 open_upstream(struct broker *b, struct broker_upstream *u)
 {
-    /* A task placed before the poll whose run the answer does not list has
-     * ended; its start, if still on the way, is refused for its lower fence.
-     */
-    expire_tasks(b, u, BROKER_RUN_LAPSED);
     u->state = HOLD_OPEN;
-    u->awaits_record = false;
+    u->polled_clean = false;
     u->fence_retries = 0;
     /* The longest lease that an earlier holder may have granted. */
     u->granted_until_us = b->now.mono_us + b->opts.lease_us;
@@ -310,18 +308,39 @@
                (unsigned long long)u->born_ms);
 }
 
+/* A poll shows a new incarnation before it has announced itself.  Its labels,
+ * capacity and service may differ from those of the earlier one. */
+static bool
+is_announced(const struct broker_upstream *u)
+{
+    return u->announced_born_ms == u->born_ms;
+}
+
+static void
+open_if_confirmed(struct broker *b, struct broker_upstream *u)
+{
+    if (u->state != HOLD_TAKING || !u->polled_clean ||
+        !fence_is_recorded(b, u)) {
+        return;
+    }
+    /* A task placed before the poll whose run the answer does not list has
+     * ended; its start, if still on the way, is refused for its lower fence.
+     */
+    expire_tasks(b, u, BROKER_RUN_LAPSED);
+    if (is_announced(u)) {
+        open_upstream(b, u);
+    }
+}
+
 void
-hold_open_recorded(struct broker *b)
+hold_open_confirmed(struct broker *b)
 {
     struct broker_upstream *u;
     struct handle h;
     uint32_t at = 0;
 
     while ((u = table_next(&b->upstreams, &at, &h)) != NULL) {
-        if (u->state == HOLD_TAKING && u->awaits_record &&
-            fence_is_recorded(b, u)) {
-            open_upstream(b, u);
-        }
+        open_if_confirmed(b, u);
     }
 }
 
@@ -330,18 +349,19 @@
 {
     u->missed_polls = 0;
     u->unknown_runs = unknown;
-    u->awaits_record = u->state == HOLD_TAKING && !unknown;
-    if (u->awaits_record && fence_is_recorded(b, u)) {
-        open_upstream(b, u);
-    }
-    else if (u->state == HOLD_UNRESPONSIVE) {
+    u->polled_clean = u->state == HOLD_TAKING && !unknown;
+    open_if_confirmed(b, u);
+    if (u->state == HOLD_UNRESPONSIVE) {
         u->state = HOLD_OPEN;
         u->service->placement_due = true;
         broker_log(b, LOG_NOTICE, BROKER_UPSTREAM_BACK, 0, -1, u->name,
                    "%zu tasks placed", u->n_tasks);
     }
-    if (u->n_tasks > 0 || u->ack_pending || u->state == HOLD_TAKING ||
-        u->unknown_runs) {
+    if (u->polled_clean && !is_announced(u)) {
+        u->poll_us = b->now.mono_us + UNANNOUNCED_POLL_US;
+    }
+    else if (u->n_tasks > 0 || u->ack_pending || u->state == HOLD_TAKING ||
+             u->unknown_runs) {
         u->poll_us = b->now.mono_us;
     }
     else {
@@ -375,7 +395,7 @@
             const struct rec_leased_upstream *r)
 {
     return r->born_ms < u->born_ms ||
-           (r->born_ms == u->born_ms && r->sequence <= u->sequence);
+           (r->born_ms == u->announced_born_ms && r->sequence <= u->sequence);
 }
 
 static void
@@ -393,6 +413,7 @@
 {
     bool leaving = r->leaving != 0 || r->gone != 0;
 
+    u->announced_born_ms = r->born_ms;
     u->sequence = r->sequence;
     u->service = run_ensure_service(b, r->service);
     u->zone = r->zone;
@@ -440,6 +461,7 @@
         apply_report(b, u, one);
         b->review_due = true;
     }
+    hold_open_confirmed(b);
 }
 
 /* Assignment of upstreams to holders */
@@ -494,6 +516,7 @@
         u->fenced_view != b->view) {
         take_upstream(b, u);
         if (b->opts.breaks[BROKER_BREAK_OPEN_UNSEEN]) {
+            expire_tasks(b, u, BROKER_RUN_LAPSED);
             open_upstream(b, u);
         }
     }
--- a/src/broker_peer.c
+++ b/src/broker_peer.c
@@ -139,7 +139,7 @@
     caller_on_runner_lost(b, p->name);
     run_on_taker_lost(b, p->name);
     hold_broker_lost(b, p->name);
-    hold_open_recorded(b);
+    hold_open_confirmed(b);
     mark_view_changed(b);
 }
 
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -428,6 +428,8 @@
  * @name: key of broker.upstreams_by_name; must be the first member
  * @hash: of the name; all brokers order upstreams by it
  * @born_ms: its incarnation; 0: not announced yet
+ * @announced_born_ms: incarnation whose announcement @sequence to @labels are
+ *                     from; a poll may show a later one as @born_ms
  * @sequence: of its last announcement
  * @last_reported_us: when a registry last reported it
  * @leaving: the upstream announced that it accepts no new tasks
@@ -451,8 +453,8 @@
  * @lost_start_until_us: until then, an unresponsive upstream is polled more
  *                       often, since tasks wait for it after a lost start
  * @taken_us: when this broker took the upstream, under @fence
- * @awaits_record: while this broker takes the upstream: a poll listed no
- *                 unknown runs, but no registry has confirmed @fence
+ * @polled_clean: while this broker takes the upstream: the last poll listed no
+ *                unknown runs
  * @fence_retries: consecutive refusals of the fence while this broker takes
  *                 the upstream
  * @fenced_view: broker.view when the upstream was lost to a higher fence
@@ -479,6 +481,7 @@
     struct handle self;
     uint64_t hash;
     uint64_t born_ms;
+    uint64_t announced_born_ms;
     uint64_t sequence;
     int64_t last_reported_us;
     struct broker_service *service;
@@ -507,7 +510,7 @@
     uint32_t missed_polls;
     int64_t lost_start_until_us;
     int64_t taken_us;
-    bool awaits_record;
+    bool polled_clean;
     uint32_t fence_retries;
     uint64_t fenced_view;
 
@@ -1204,9 +1207,9 @@
  * releases those that it should not */
 void hold_reassign(struct broker *b);
 
-/** hold_open_recorded() - opens the upstreams that only waited for a registry
- * to confirm their fence */
-void hold_open_recorded(struct broker *b);
+/** hold_open_confirmed() - opens the upstreams that only waited for a registry
+ * to confirm their fence or to report their incarnation */
+void hold_open_confirmed(struct broker *b);
 
 /** hold_broker_lost() - the connection to a broker is lost: the upstreams it
  * held count as held by nobody */
--- a/tests/broker_scale_test.c
+++ b/tests/broker_scale_test.c
@@ -210,18 +210,16 @@
     return start_broker(1, others);
 }
 
-/* Announces an upstream, and answers the poll that the broker takes it with.
- */
+/* A registry reports an incarnation of the only upstream. */
 static void
-take_one_upstream(struct test_broker *o)
+report_upstream(struct test_broker *o, uint64_t born_ms)
 {
-    struct rec_leased_upstream u = {.born_ms = 1,
+    struct rec_leased_upstream u = {.born_ms = born_ms,
                                     .sequence = 1,
                                     .slots = 8,
                                     .cpu_milli = CPU_MILLI,
                                     .memory_mb = 1024};
     struct msg m = {.kind = MSG_UPSTREAM_REPORT};
-    struct broker_event ev = {.kind = BEV_CALLED};
 
     u.upstream = name_of("upstream");
     u.service = queue.service;
@@ -230,15 +228,51 @@
     m.u.upstream_report.upstreams = &u;
     m.u.upstream_report.n_upstreams = 1;
     receive(o, name_of("registry"), &m);
-    run_until(o, o->now_us + 10 * MSEC);
+}
+
+/* Waits for the next poll of the upstream, and answers it as that incarnation.
+ */
+static void
+answer_poll(struct test_broker *o, int64_t wait_us, uint64_t born_ms)
+{
+    struct broker_event ev = {.kind = BEV_CALLED};
+
+    run_until(o, o->now_us + wait_us);
     ev.u.called.call = o->poll;
     ev.u.called.answer.result = LEASE_OK;
     ev.u.called.answer.clock_ms = 1;
-    ev.u.called.answer.born_ms = 1;
+    ev.u.called.answer.born_ms = born_ms;
     step(o, &ev);
+}
+
+/* Reports an upstream, and answers the poll that the broker takes it with. */
+static void
+take_one_upstream(struct test_broker *o)
+{
+    report_upstream(o, 1);
+    answer_poll(o, 10 * MSEC, 1);
     CU_ASSERT_EQUAL(broker_gauges(o->broker).upstreams_open, 1);
 }
 
+/* Guards against starts by the labels and the capacity of an earlier
+ * incarnation, where a poll shows the new one before a registry reports it. */
+static void
+incarnation_shown_by_a_poll_is_not_used_before_its_report(void)
+{
+    struct test_broker o = start_oldest_broker(0);
+
+    take_one_upstream(&o);
+    answer_poll(&o, 11 * SEC, 2); /* the next poll of an idle upstream */
+    answer_poll(&o, 10 * MSEC, 2);
+    CU_ASSERT_EQUAL(broker_gauges(o.broker).upstreams_open, 0);
+    report_upstream(&o, 1); /* late, of the earlier incarnation */
+    answer_poll(&o, SEC, 2);
+    CU_ASSERT_EQUAL(broker_gauges(o.broker).upstreams_open, 0);
+    report_upstream(&o, 2);
+    CU_ASSERT_EQUAL(broker_gauges(o.broker).upstreams_open, 1);
+    broker_free(o.broker);
+}
+
 /* In a zone of 100 brokers each holder reports its load to all others, every
  * 50 ms if they are few.  At that rate the reports would take more processor
  * time of a small machine than the jobs, and delay the answers. */
@@ -701,6 +735,7 @@
 suite_broker_scale(void)
 {
 #define TEST(name) check_add("broker_scale", #name, name)
+    TEST(incarnation_shown_by_a_poll_is_not_used_before_its_report);
     TEST(load_reports_are_limited_per_second);
     TEST(recent_takers_get_each_load_report);
     TEST(few_peers_get_frequent_load_reports);
