Poll an upstream before a start that requires a label

Callers could see a task run on a worker without its label also where nothing had shown that the worker came back as another kind.

Cause: an idle upstream is polled every 10 s, and a poll that is under way when it restarts ends only with its timeout. Until the new incarnation announces itself, a start reaches it over a new connection. It knows no fence, and its id is that of before.

Change: a task that requires a label is started only within 20 ms of an answered poll; else the upstream is polled at once and the task waits for that. Tasks without a requirement are placed as before.

What remains: an upstream that restarts within 20 ms of its answer.

--- a/src/broker_answer.c
+++ b/src/broker_answer.c
@@ -538,6 +538,11 @@
     if (u->state == HOLD_NONE || u->state == HOLD_LOST) {
         return;
     }
+    if (a->result == LEASE_OK) {
+        u->confirmed_us = b->now.mono_us;
+        u->service->placement_due |= u->confirmation_due;
+    }
+    u->confirmation_due = false;
     if (quick) {
         on_quick_poll(b, u, a, c->sent_us);
     }
--- a/src/broker_hold.c
+++ b/src/broker_hold.c
@@ -203,6 +203,7 @@
     u->state = HOLD_TAKING;
     u->taken_us = b->now.mono_us;
     u->polled_clean = false;
+    u->confirmation_due = false;
     u->holder = b->opts.self;
     u->last_end = 0;
     u->ack_pending = false;
--- a/src/broker_lease.c
+++ b/src/broker_lease.c
@@ -265,3 +265,18 @@
     r->timeout_us = b->opts.call_timeout_us;
     b->counters.looks++;
 }
+
+void
+lease_confirm(struct broker *b, struct broker_upstream *u)
+{
+    if (u->confirmation_due) {
+        return;
+    }
+    u->confirmation_due = true;
+    if (u->poll == 0) {
+        lease_poll(b, u);
+    }
+    else if (u->quick_poll == 0) {
+        lease_quick_poll(b, u);
+    }
+}
--- a/src/broker_place.c
+++ b/src/broker_place.c
@@ -12,6 +12,9 @@
 /* Expected run times that differ by less than this part count as equal. */
 static const double RUN_TIME_TOLERANCE = 0.1;
 
+/* No upstream restarts within this time after the answer to a poll. */
+#define CONFIRMATION_MAX_US (20 * USEC_PER_MSEC)
+
 static bool
 has_label(const struct broker_upstream *u, struct name label)
 {
@@ -89,21 +92,37 @@
     return n;
 }
 
+/* A restarted upstream may be of another kind, and executes starts before it
+ * has announced itself.  Only polls show the incarnation, so a start that
+ * requires a label is sent only right after one. */
+static bool
+is_confirmed(struct broker *b, const struct rec_task_group *g,
+             struct broker_upstream *u)
+{
+    if (name_empty(g->requirement) ||
+        b->now.mono_us - u->confirmed_us <= CONFIRMATION_MAX_US) {
+        return true;
+    }
+    lease_confirm(b, u);
+    return false;
+}
+
 bool
 place_can_start(struct broker *b, const struct run_job *job,
-                const struct broker_upstream *u)
+                const struct run_task *t, struct broker_upstream *u)
 {
     bool leaving = u->leaving && !b->opts.breaks[BROKER_BREAK_START_LEAVING];
 
     /* Unknown runs use resources that are not counted in @used. */
     return u->state == HOLD_OPEN && !leaving && !u->gone && !u->unknown_runs &&
            u->full_until_us <= b->now.mono_us &&
-           evacuate_allows_start(b, job, u) && renew_allows_start(b, job, u);
+           evacuate_allows_start(b, job, u) && renew_allows_start(b, job, u) &&
+           is_confirmed(b, &job->groups[t->group], u);
 }
 
 static bool
 can_accept(struct broker *b, const struct run_job *job,
-           const struct run_task *t, const struct broker_upstream *u)
+           const struct run_task *t, struct broker_upstream *u)
 {
     const struct rec_task_group *g = &job->groups[t->group];
 
@@ -111,7 +130,7 @@
            resources_fit(required_resources(g), free_resources(u)) &&
            meets_requirement(g, u) && broker_health_allows(b, u) &&
            (g->spread == 0 || count_group_tasks(job, t, u) < g->spread) &&
-           place_can_start(b, job, u);
+           place_can_start(b, job, t, u);
 }
 
 /* Whether an upstream with expected run time @us and @left_milli milli-cores
--- a/src/broker_run.c
+++ b/src/broker_run.c
@@ -821,7 +821,7 @@
         if (t->state != RUN_RESERVED) {
             continue;
         }
-        if (!wait && u != NULL && place_can_start(b, job, u)) {
+        if (!wait && u != NULL && place_can_start(b, job, t, u)) {
             lease_start(b, u, job, t);
         }
         else {
--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -449,6 +449,9 @@
  * @poll_us: when the next poll is due; INT64_MAX: none
  * @quick_poll: number of the quick poll in progress; 0: none
  * @quick_poll_due: a quick poll is to be sent
+ * @confirmed_us: when a poll last showed the incarnation
+ * @confirmation_due: a poll was sent to confirm the incarnation, and tasks
+ *                    wait for its answer
  * @missed_polls: polls in a row without an answer
  * @lost_start_until_us: until then, an unresponsive upstream is polled more
  *                       often, since tasks wait for it after a lost start
@@ -507,6 +510,8 @@
     int64_t poll_us;
     uint64_t quick_poll;
     bool quick_poll_due;
+    int64_t confirmed_us;
+    bool confirmation_due;
     uint32_t missed_polls;
     int64_t lost_start_until_us;
     int64_t taken_us;
@@ -1130,10 +1135,11 @@
                                      const struct run_job *job,
                                      const struct run_task *t);
 
-/** place_can_start() - whether starts of the job may be sent to the upstream
- * now, apart from its capacity */
+/** place_can_start() - whether the start of a task may be sent to the upstream
+ * now, apart from its capacity; polls the upstream first if its incarnation
+ * has to be confirmed for that */
 bool place_can_start(struct broker *b, const struct run_job *job,
-                     const struct broker_upstream *u);
+                     const struct run_task *t, struct broker_upstream *u);
 
 /** place_bound_upstream() - the only upstream where the task may be placed,
  * since it may still execute an earlier start of the task; NULL for none */
@@ -1313,6 +1319,10 @@
  * another poll is in progress */
 void lease_quick_poll(struct broker *b, struct broker_upstream *u);
 
+/** lease_confirm() - sends a poll that is answered at once, for tasks that
+ * wait until the incarnation is confirmed; none while one is in progress */
+void lease_confirm(struct broker *b, struct broker_upstream *u);
+
 /** lease_remove_task() - removes a task from the list of its upstream */
 void lease_remove_task(struct broker *b, struct broker_upstream *u,
                        const struct run_job *job, const struct run_task *t);
--- a/src/vlease.c
+++ b/src/vlease.c
@@ -793,7 +793,7 @@
 vlease_broken(struct vlease_faults f)
 {
     return f.overlaps + f.over_room + f.false_refusals + f.leaving +
-           f.evacuated + f.answers_twice;
+           f.evacuated + f.answers_twice + f.wrong_label;
 }
 
 uint64_t
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -34,6 +34,7 @@
  * @uneven: of the run times within a job, likewise
  * @per_s: jobs in a second, in the whole region
  * @timeout_us: callers wait so long
+ * @requirement: label that an upstream must have; empty for none
  */
 struct vlease_queue {
     uint32_t priority;
@@ -47,6 +48,7 @@
     double uneven;
     double per_s;
     int64_t timeout_us;
+    struct name requirement;
 };
 
 /**
@@ -99,6 +101,8 @@
  *                  first, and so on
  * @reborn_silent_us: an upstream that starts anew announces itself so long
  *                    after its start
+ * @kinds: upstreams are of kind "a" and "b" in turn, and each restart changes
+ *         the kind; else all are of kind "a"
  * @callbacks: by default none
  */
 struct vlease_options {
@@ -128,6 +132,7 @@
     struct instance_capacity capacities[VLEASE_BROKERS_MAX];
     bool capacity_grows;
     int64_t reborn_silent_us;
+    bool kinds;
     struct vlease_callbacks callbacks;
 };
 
@@ -157,7 +162,8 @@
     uint32_t leaving;        /* started where it was leaving for 2 s */
     uint32_t evacuated;      /* started in an evacuated zone */
     uint32_t answers_twice;
-    uint32_t unnoted; /* ends that nobody took note of for a second */
+    uint32_t wrong_label; /* started without the required label */
+    uint32_t unnoted;     /* ends that nobody took note of for a second */
 };
 
 /** vlease_broken() - promises broken towards callers and upstreams; late notes
--- a/src/vlease_state.h
+++ b/src/vlease_state.h
@@ -111,6 +111,7 @@
     bool gone;
     int64_t leaving_us;
     int64_t born_us;
+    char kind;
     uint64_t fence;
     int64_t deadline_ms;
     struct vrun runs[16];
--- a/src/vleasecall.c
+++ b/src/vleasecall.c
@@ -84,6 +84,7 @@
     struct rec_task_group group = {.count = job->tasks,
                                    .cpu_milli = job->cpu_milli,
                                    .memory_mb = 64,
+                                   .requirement = q->requirement,
                                    .declared_us = (uint64_t)job->declared_us};
     struct broker_event ev = {.kind = BEV_SUBMIT};
 
--- a/src/vleaseup.c
+++ b/src/vleaseup.c
@@ -38,7 +38,7 @@
 static void
 announce(struct vlease *v, struct vupstream *u)
 {
-    struct rec_label labels[2] = {{{"kind-a"}}, {{{0}}}};
+    struct rec_label labels[2] = {{{{u->kind}}}, {{{0}}}};
     struct rec_leased_upstream info = {
         .upstream = u->name,
         .born_ms = u->born_ms,
@@ -89,6 +89,7 @@
         u->speed = v->opts.speeds[number % v->opts.n_speeds];
         vlease_room_changed(v, number, 0, u->speed);
     }
+    u->kind = v->opts.kinds && number % 2 == 1 ? 'b' : 'a';
     u->born_us = v->now_us;
     u->born_ms = 1000 + number;
     u->life = 1;
@@ -355,6 +356,17 @@
     }
 }
 
+static void
+judge_label(struct vlease *v, const struct vupstream *u, struct run_ref t,
+            const struct vjob *job)
+{
+    const struct name *label = &v->opts.queues[job->queue].requirement;
+
+    if (!name_empty(*label) && label->s[0] != u->kind) {
+        vlease_fault(v, &v->faults.wrong_label, u->name, t);
+    }
+}
+
 static int64_t
 run_us(const struct vlease *v, const struct vupstream *u, struct run_ref t)
 {
@@ -388,6 +400,7 @@
     }
     judge_overlap(v, r->task);
     judge_room(v, u, r->task, job->cpu_milli);
+    judge_label(v, u, r->task, job);
     vcall_started(v, r->task);
     v->starts++;
     run = &u->runs[u->n_runs++];
@@ -617,6 +630,9 @@
     u->trouble = VLEASE_SOUND;
     u->gone = false;
     u->leaving_us = 0;
+    if (v->opts.kinds) {
+        u->kind = u->kind == 'a' ? 'b' : 'a';
+    }
     u->fence = 0;
     u->deadline_ms = 0;
     u->last_ended = 0;
--- a/tests/reborn_test.c
+++ b/tests/reborn_test.c
@@ -11,7 +11,9 @@
 #define READY_US (6 * SEC) /* upstreams are known and held by then */
 /* Interval of upstreams' heartbeats. */
 #define HEARTBEAT_US (1500 * MSEC)
-enum { SEEDS = 20, LOAD_SEEDS = 200 };
+/* Time that an upstream of labelled_jobs() takes to restart. */
+#define DOWN_US (50 * MSEC)
+enum { SEEDS = 20, LOAD_SEEDS = 200, ZONE_UPSTREAMS = 8, RESTARTS = 16 };
 
 /* The first start, of job 1, is delayed by 3 s, see vlease_hook(). */
 struct late_start {
@@ -376,6 +378,75 @@
         count_overlaps(play_restart_new_incarnation, SEEDS, 8 * SEC), 0);
 }
 
+/* One zone of upstreams of two kinds; half of the jobs require each kind. */
+static struct vlease *
+labelled_jobs(uint64_t seed, int64_t silent_us, double per_s)
+{
+    struct vlease_options o = vlease_options_default();
+    struct vlease *v;
+
+    o.seed = seed;
+    o.zones = 1;
+    o.kinds = true;
+    o.reborn_silent_us = silent_us;
+    o.n_queues = 2;
+    o.queues[0].run_us = 200 * MSEC;
+    o.queues[0].per_s = per_s;
+    o.queues[0].requirement = name_of("a");
+    o.queues[1] = o.queues[0];
+    o.queues[1].requirement = name_of("b");
+    v = vlease_new(&o);
+    vlease_run(v, READY_US);
+    vlease_load(v, 1);
+    return v;
+}
+
+/* One upstream after the other restarts as one of the other kind.  Frees the
+ * region and returns the number of starts without the required label. */
+static uint32_t
+restart_in_turn(struct vlease *v)
+{
+    int64_t now_us = READY_US;
+    uint32_t n;
+
+    for (uint32_t i = 0; i < RESTARTS; i++) {
+        vlease_run(v, now_us += 700 * MSEC);
+        vlease_trouble(v, i * 5 % ZONE_UPSTREAMS, VLEASE_DEAD);
+        vlease_run(v, now_us += DOWN_US);
+        vlease_reborn(v, i * 5 % ZONE_UPSTREAMS);
+    }
+    vlease_run(v, now_us + 3 * SEC);
+    n = vlease_faults(v).wrong_label;
+    CU_ASSERT_TRUE(vlease_figures(v, 0).completed > 10);
+    CU_ASSERT_TRUE(vlease_figures(v, 1).completed > 10);
+    vlease_free(v);
+    return n;
+}
+
+/* Guards against tasks started by the labels of an upstream's earlier
+ * incarnation, where a poll shows the new one before a registry reports it. */
+static void
+restarted_upstream_gets_no_task_before_its_report(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease *v = labelled_jobs(seed, HEARTBEAT_US, 20);
+
+        CU_ASSERT_EQUAL(restart_in_turn(v), 0);
+    }
+}
+
+/* The same, where nothing has shown the new incarnation: the upstream was
+ * idle. */
+static void
+idle_upstream_is_polled_before_a_task_that_requires_a_label(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct vlease *v = labelled_jobs(seed, HEARTBEAT_US, 2);
+
+        CU_ASSERT_EQUAL(restart_in_turn(v), 0);
+    }
+}
+
 void
 suite_reborn(void)
 {
@@ -392,5 +463,7 @@
     TEST(job_of_lost_holder_is_answered_at_once);
     TEST(late_start_from_before_restart_meets_higher_fence);
     TEST(late_start_from_before_clock_set_back);
+    TEST(restarted_upstream_gets_no_task_before_its_report);
+    TEST(idle_upstream_is_polled_before_a_task_that_requires_a_label);
 #undef TEST
 }
