Add tests of clients that keep to no limit

Operators report that clients outside the limits ended a process: it ran out of memory. The tests start a member of control and a broker on loopback with 64 MB and 600 descriptors in their settings, and one crowd each: bodies over the limit, announced, sent and in chunks; unfinished bodies within it; short texts that are large once parsed; answers that are not read; silent connections and unfinished headers. Each process has to live within its settings and to answer an ordinary request while the crowd stays, and afterwards.

The bounds are those of the settings. The processes are started by the soak's procs.

--- a/Makefile
+++ b/Makefile
@@ -126,7 +126,7 @@
 $(BUILD)/bmctl $(BUILD)/bmlog: $(BUILD)/%: $(BUILD)/%.o $(BUILD)/libboragemoor.a
 	$(CC) $(ALL_CFLAGS) $^ $(LDLIBS) -o $@
 
-$(BUILD)/check: $(TEST_OBJ) $(BUILD)/soak/plan.o $(PLATFORM_OBJ) $(BUILD)/libboragemoor-mutant.a
+$(BUILD)/check: $(TEST_OBJ) $(BUILD)/soak/plan.o $(BUILD)/soak/procs.o $(PLATFORM_OBJ) $(BUILD)/libboragemoor-mutant.a
 	$(CC) $(ALL_CFLAGS) $^ -lcunit $(LDLIBS) -o $@
 
 format:
--- a/soak/procs.c
+++ b/soak/procs.c
@@ -112,8 +112,9 @@
     return end;
 }
 
-long
-proc_memory_kb(const struct proc *p)
+/* A line of its status in kB; 0 where it is down. */
+static long
+read_status(const struct proc *p, const char *key)
 {
     char path[PROC_PATH];
     char line[PROC_PATH];
@@ -126,14 +127,26 @@
         return 0;
     }
     while (fgets(line, sizeof(line), f) != NULL) {
-        if (strncmp(line, "VmRSS:", strlen("VmRSS:")) == 0) {
-            kb = strtol(line + strlen("VmRSS:"), NULL, 10);
+        if (strncmp(line, key, strlen(key)) == 0) {
+            kb = strtol(line + strlen(key), NULL, 10);
         }
     }
     (void)fclose(f);
     return kb;
 }
 
+long
+proc_memory_kb(const struct proc *p)
+{
+    return read_status(p, "VmRSS:");
+}
+
+long
+proc_peak_memory_kb(const struct proc *p)
+{
+    return read_status(p, "VmHWM:");
+}
+
 int
 proc_fds(const struct proc *p)
 {
--- a/soak/procs.h
+++ b/soak/procs.h
@@ -68,6 +68,9 @@
 /** proc_memory_kb() - resident; 0 where it is down */
 long proc_memory_kb(const struct proc *p);
 
+/** proc_peak_memory_kb() - largest resident size so far; 0 where it is down */
+long proc_peak_memory_kb(const struct proc *p);
+
 /** proc_fds() - open descriptors; 0 where it is down */
 int proc_fds(const struct proc *p);
 
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -55,4 +55,5 @@
 SUITE(soak)
 SUITE(broker_runtime)
 SUITE(matrix)
+SUITE(crowd)
 /* clang-format on */
