Bound the bodies and connections of HTTP clients

Operators saw a process run out of memory under clients that send bodies far over the limit, announced or just sent.

Cause: httpapi kept what it had read of a body until the body ended, also after it was too long; each body had a limit, their sum had none; the limit of a job's body in the configuration was not used; the number of connections was a constant, whatever the settings allow, and silent connections kept their places.

Change: a length that is announced over the limit is answered with 413 at the headers, a body that passes it is cut there. A broker takes the limit from its configuration. Bodies of handled requests are freed at once.

Tried first and not kept: the order of the last request in place of that of opening. A crowd that sends requests in a row then stays young, and the connection of the ordinary request was closed.

--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -202,7 +202,7 @@
     r->n_waiting_requests = 0;
 }
 
-static void
+static enum httpapi_handled
 on_caller_request(void *ctx, const struct httpapi_request *request)
 {
     struct broker_runtime *r = ctx;
@@ -216,11 +216,11 @@
         c.response.retry_after_us = USEC_PER_SEC;
         c.response.close = true;
         httpapi_reply(r->callers, request->number, &c.response);
-        return;
+        return HTTPAPI_TAKEN;
     }
     if (awaits_first_config(r)) {
         defer_request(r, request->number);
-        return;
+        return HTTPAPI_DEFERRED;
     }
     r->opts.codec->decode(request, broker_queues(r->broker), &c);
     switch (c.kind) {
@@ -244,6 +244,7 @@
         httpapi_reply(r->callers, request->number, &c.response);
         break;
     }
+    return HTTPAPI_TAKEN;
 }
 
 static void
@@ -255,7 +256,7 @@
     step(ctx, &ev);
 }
 
-static void
+static enum httpapi_handled
 on_ready(void *ctx, const struct httpapi_request *request)
 {
     struct broker_runtime *r = ctx;
@@ -265,6 +266,7 @@
         response.status = r->healthy ? 200 : 503;
     }
     httpapi_reply(r->ready, request->number, &response);
+    return HTTPAPI_TAKEN;
 }
 
 static void
@@ -274,7 +276,7 @@
     (void)number;
 }
 
-static void
+static enum httpapi_handled
 on_metrics(void *ctx, const struct httpapi_request *request)
 {
     struct broker_runtime *r = ctx;
@@ -290,6 +292,7 @@
     stats_print(out);
     (void)fclose(out);
     httpapi_reply(r->metrics, request->number, &response);
+    return HTTPAPI_TAKEN;
 }
 
 /* Upstreams */
@@ -480,6 +483,16 @@
     r->callers_polled_us = now_us;
 }
 
+/* Configurations carry the limit of a job's body. */
+static void
+limit_bodies(struct broker_runtime *r)
+{
+    const struct queueconf *queues = broker_queues(r->broker);
+
+    httpapi_set_body_max(r->callers,
+                         queues != NULL ? queues->body_max : r->opts.body_max);
+}
+
 /* The reducer compares the usage with the declared limits. */
 static void
 report_usage(struct broker_runtime *r)
@@ -504,6 +517,7 @@
     poll_callers(r);
     peer_run(r->peers, has_event(events, n, r->peers));
     handle_inbox(r);
+    limit_bodies(r);
     resume_requests(r);
     run_modules(r, events, n);
     if (clock_now(r->opts.clock).mono_us >= broker_due_us(r)) {
@@ -554,15 +568,17 @@
 
 static struct httpapi *
 start_server(struct broker_runtime *r, const char *listen,
-             unsigned int connections,
-             void (*handle)(void *ctx, const struct httpapi_request *request),
+             unsigned int connections, size_t body_max,
+             enum httpapi_handled (*handle)(
+                 void *ctx, const struct httpapi_request *request),
              void (*gone)(void *ctx, uint64_t number))
 {
     const struct httpapi_options o = {
         .listen = listen,
         .connections = connections,
         .idle_timeout_s = r->opts.idle_timeout_s,
-        .body_max = r->opts.body_max,
+        .body_max = body_max,
+        .body_bytes_max = r->opts.body_bytes_max,
         .external = true,
         .handle = handle,
         .gone = gone,
@@ -594,13 +610,14 @@
 {
     const struct broker_runtime_options *o = &r->opts;
 
-    r->callers = start_server(r, o->listen_callers.s, o->connections_max,
-                              on_caller_request, on_caller_disconnect);
+    r->callers =
+        start_server(r, o->listen_callers.s, o->connections_max, o->body_max,
+                     on_caller_request, on_caller_disconnect);
     if (r->callers == NULL) {
         return false;
     }
     if (o->listen_ready.s[0] != '\0') {
-        r->ready = start_server(r, o->listen_ready.s, METRICS_CONNECTIONS,
+        r->ready = start_server(r, o->listen_ready.s, METRICS_CONNECTIONS, 0,
                                 on_ready, ignore_disconnect);
         if (r->ready == NULL) {
             return false;
@@ -608,7 +625,7 @@
     }
     if (o->listen_metrics.s[0] != '\0') {
         r->metrics = start_server(r, o->listen_metrics.s, METRICS_CONNECTIONS,
-                                  on_metrics, ignore_disconnect);
+                                  0, on_metrics, ignore_disconnect);
         if (r->metrics == NULL) {
             return false;
         }
--- a/src/broker_runtime.h
+++ b/src/broker_runtime.h
@@ -69,7 +69,10 @@
  * @listen_metrics: IP:PORT of the metrics; empty for none
  * @connections_max: limit of callers' connections
  * @idle_timeout_s: after which an idle connection of a caller is closed
- * @body_max: limit of a request's body in bytes
+ * @body_max: limit of a request's body in bytes, until a configuration names
+ *            another one
+ * @body_bytes_max: limit of the memory of all bodies in bytes; no body is
+ *                  longer than half of it
  * @clock: used by the runtime and all its parts
  */
 struct broker_runtime_options {
@@ -83,6 +86,7 @@
     unsigned int connections_max;
     unsigned int idle_timeout_s;
     size_t body_max;
+    size_t body_bytes_max;
     const struct clock *clock;
 };
 
--- a/src/control_http.h
+++ b/src/control_http.h
@@ -26,6 +26,7 @@
  * @on_client_gone: called when the client of a pending request has
  * disconnected
  * @healthy: whether a leader is known and this member is not shutting down
+ * @body_bytes_max: memory of all bodies of a platform's API, bytes
  * @metrics: IP:PORT of a separate listener for metrics; empty for none
  * @ctx: argument of the callbacks
  */
@@ -39,6 +40,7 @@
     bool (*offer)(void *ctx, struct control_mail *m);
     void (*on_client_gone)(void *ctx, uint64_t request);
     bool (*healthy)(void *ctx);
+    size_t body_bytes_max;
     struct address metrics;
     void *ctx;
 };
--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -6,10 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base.h"
 #include "httpserver.h"
+#include "shed.h"
 #include "stats.h"
 
 enum {
@@ -19,18 +21,31 @@
     /* Headers, the path, and a read buffer: ours are short, and a thousand
      * idle connections must fit into a small machine. */
     CONNECTION_MEMORY = 12 * 1024,
+    /* Bytes that wait unread in the kernel, while a request is handled. */
+    RECEIVE_BUFFER = 32 * 1024,
+    /* Part of the connections that is left to accept others. */
+    SPARE_DIVISOR = 8,
+    STATUS_TOO_LARGE = 413,
+    STATUS_UNAVAILABLE = 503,
+};
+
+/* struct connection - a client's connection, with at most one request */
+struct connection {
+    struct shed_connection shed; /* must be the first member */
+    int fd;
+    struct request *request;
 };
 
 struct request {
     struct httpapi *api;
     struct MHD_Connection *connection;
+    struct connection *client;
     struct httpwait wait;
     char *path;
     char *body;
     size_t size;
     size_t room;
     int fd; /* watched for the client's leaving; -1 for not */
-    bool too_large;
     bool replied;
     struct httpapi_response reply;
 };
@@ -38,6 +53,7 @@
 struct httpapi {
     struct httpapi_options opts;
     struct httpserver server;
+    struct shed shed;
     int gone; /* epoll of the connections of waiting requests; -1 for none */
     atomic_bool closing;
     bool resumed; /* external: a connection has an answer to write */
@@ -76,23 +92,44 @@
     }
 }
 
+/* Takes the body of the reply over; NULL when memory is out. */
+static struct MHD_Response *
+make_response(struct httpapi_response *reply)
+{
+    struct MHD_Response *response;
+    char *body = reply->body;
+
+    if (body != NULL) {
+        response = MHD_create_response_from_buffer(strlen(body), body,
+                                                   MHD_RESPMEM_MUST_FREE);
+    }
+    else {
+        response =
+            MHD_create_response_from_buffer(0, "", MHD_RESPMEM_PERSISTENT);
+    }
+    if (response != NULL) {
+        reply->body = NULL;
+    }
+    return response;
+}
+
+static void
+clear_reply(struct httpapi_response *reply)
+{
+    free(reply->body);
+    reply->body = NULL;
+}
+
 static enum MHD_Result
 queue(struct httpapi *h, struct request *r)
 {
-    struct MHD_Response *response;
+    struct MHD_Response *response = make_response(&r->reply);
     enum MHD_Result queued;
-    char *body = r->reply.body;
-
-    r->reply.body = NULL;
-    response =
-        body != NULL
-            ? MHD_create_response_from_buffer(strlen(body), body,
-                                              MHD_RESPMEM_MUST_FREE)
-            : MHD_create_response_from_buffer(0, "", MHD_RESPMEM_PERSISTENT);
+
     if (response == NULL) {
-        free(body);
         return MHD_NO;
     }
+    r->client->shed.handled = false;
     add_headers(h, response, r);
     queued = MHD_queue_response(r->connection, (unsigned int)r->reply.status,
                                 response);
@@ -100,9 +137,137 @@
     return queued;
 }
 
+/* Connections */
+
+static struct connection *
+find_client(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+    return info != NULL ? info->socket_context : NULL;
+}
+
+static int
+find_fd(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+    return info != NULL ? info->connect_fd : -1;
+}
+
+static void
+free_body(struct httpapi *h, struct request *r)
+{
+    free(r->body);
+    r->body = NULL;
+    r->size = 0;
+    r->room = 0;
+    shed_set_body(&h->shed, &r->client->shed, 0);
+}
+
+/* libmicrohttpd takes no response while it reads a body, so the refusal is
+ * written past it. */
+static void
+refuse_unread(const struct connection *c, int status)
+{
+    char text[128];
+    int n = snprintf(text, sizeof(text),
+                     "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
+                     "Connection: close\r\n\r\n",
+                     status,
+                     status == STATUS_TOO_LARGE ? "Content Too Large"
+                                                : "Service Unavailable");
+
+    stats_add(&stats.http_refused, 1);
+    (void)!send(c->fd, text, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+/* libmicrohttpd finds the connection closed, and ends it. */
+static void
+close_client(struct httpapi *h, struct connection *c)
+{
+    stats_add(&stats.http_shed, 1);
+    if (c->request != NULL && !c->request->replied) {
+        refuse_unread(c, STATUS_UNAVAILABLE);
+        free_body(h, c->request);
+    }
+    (void)shutdown(c->fd, SHUT_RDWR);
+}
+
+static void
+limit_connections(struct httpapi *h)
+{
+    struct shed_connection *c;
+
+    while ((c = shed_oldest(&h->shed)) != NULL) {
+        close_client(h, (struct connection *)c);
+    }
+}
+
+static void
+begin_connection(struct httpapi *h, struct MHD_Connection *connection,
+                 void **context)
+{
+    struct connection *c = calloc(1, sizeof(*c));
+    const int bytes = RECEIVE_BUFFER;
+
+    if (c == NULL) {
+        abort();
+    }
+    *context = c;
+    c->fd = find_fd(connection);
+    (void)setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    shed_add(&h->shed, &c->shed);
+    limit_connections(h);
+}
+
+static void
+on_connection(void *cls, struct MHD_Connection *connection, void **context,
+              enum MHD_ConnectionNotificationCode code)
+{
+    struct httpapi *h = cls;
+    struct connection *c = *context;
+
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        begin_connection(h, connection, context);
+        return;
+    }
+    shed_remove(&h->shed, &c->shed);
+    free(c);
+    *context = NULL;
+}
+
+/* Requests */
+
+/* libmicrohttpd reads the bodies of other methods although they are answered.
+ */
+static enum MHD_Result
+refuse_length(struct httpapi *h, struct request *r, const char *method)
+{
+    stats_add(&stats.http_refused, 1);
+    if (strcmp(method, "POST") != 0 && strcmp(method, "PUT") != 0) {
+        return MHD_NO;
+    }
+    r->reply.status = STATUS_TOO_LARGE;
+    r->reply.close = true;
+    r->replied = true;
+    return queue(h, r);
+}
+
+static bool
+is_too_long(const struct httpapi *h, struct MHD_Connection *connection)
+{
+    const char *length = MHD_lookup_connection_value(
+        connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+    return length != NULL && strtoull(length, NULL, 10) > h->opts.body_max;
+}
+
 static enum MHD_Result
 begin(struct httpapi *h, struct MHD_Connection *connection, const char *url,
-      void **ctx)
+      const char *method, void **ctx)
 {
     struct request *r = calloc(1, sizeof(*r));
 
@@ -115,33 +280,63 @@
     r->api = h;
     r->connection = connection;
     r->fd = -1;
+    r->client = find_client(connection);
+    r->client->request = r;
     r->path = strdup(url);
-    return r->path != NULL ? MHD_YES : MHD_NO;
+    if (r->path == NULL) {
+        return MHD_NO;
+    }
+    return is_too_long(h, connection) ? refuse_length(h, r, method) : MHD_YES;
 }
 
-/* A body that is too long is read to its end and thrown away: the client would
- * not read an answer before. */
-static enum MHD_Result
-take_body(struct httpapi *h, struct request *r, const char *data, size_t *n)
+/* Makes room for a body of @size bytes and a terminator. */
+static bool
+grow_body(struct httpapi *h, struct request *r, size_t size)
 {
     size_t room = r->room > 0 ? r->room : BODY_START;
+    char *body;
 
-    if (r->too_large || r->size + *n > h->opts.body_max) {
-        r->too_large = true;
-        *n = 0;
-        return MHD_YES;
-    }
-    while (room < r->size + *n + 1) {
+    while (room < size + 1) {
         room *= 2;
     }
-    if (room != r->room) {
-        char *body = realloc(r->body, room);
+    room = room < h->opts.body_max + 1 ? room : h->opts.body_max + 1;
+    if (room <= r->room) {
+        return true;
+    }
+    body = realloc(r->body, room);
+    if (body == NULL) {
+        return false;
+    }
+    r->body = body;
+    r->room = room;
+    shed_set_body(&h->shed, &r->client->shed, room);
+    return true;
+}
 
-        if (body == NULL) {
-            return MHD_NO;
-        }
-        r->body = body;
-        r->room = room;
+/* Returns false if the request itself has to make room. */
+static bool
+limit_bodies(struct httpapi *h, const struct request *r)
+{
+    struct shed_connection *c;
+
+    while ((c = shed_largest(&h->shed)) != NULL) {
+        close_client(h, (struct connection *)c);
+    }
+    return !r->client->shed.dropped;
+}
+
+static enum MHD_Result
+take_body(struct httpapi *h, struct request *r, const char *data, size_t *n)
+{
+    if (r->client->shed.dropped) {
+        return MHD_NO;
+    }
+    if (r->size + *n > h->opts.body_max) {
+        refuse_unread(r->client, STATUS_TOO_LARGE);
+        return MHD_NO;
+    }
+    if (!grow_body(h, r, r->size + *n) || !limit_bodies(h, r)) {
+        return MHD_NO;
     }
     memcpy(r->body + r->size, data, *n);
     r->size += *n;
@@ -150,16 +345,6 @@
     return MHD_YES;
 }
 
-/* -1 where libmicrohttpd does not tell. */
-static int
-connection_fd(const struct request *r)
-{
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-    return info != NULL ? info->connect_fd : -1;
-}
-
 /* A suspended connection is not watched by libmicrohttpd: its client may leave
  * unseen, and the work for it would go on for nobody. */
 static void
@@ -167,7 +352,7 @@
 {
     struct epoll_event e = {.events = EPOLLRDHUP | EPOLLET,
                             .data.u64 = number};
-    int fd = connection_fd(r);
+    int fd = r->client->fd;
 
     if (h->gone >= 0 && fd >= 0 &&
         epoll_ctl(h->gone, EPOLL_CTL_ADD, fd, &e) == 0) {
@@ -188,7 +373,7 @@
 static bool
 client_left(const struct httpapi *h, const struct request *r)
 {
-    struct pollfd fd = {.fd = connection_fd(r), .events = POLLRDHUP};
+    struct pollfd fd = {.fd = r->client->fd, .events = POLLRDHUP};
 
     return h->gone >= 0 && fd.fd >= 0 && poll(&fd, 1, 0) > 0;
 }
@@ -202,18 +387,20 @@
         .path = r->path,
         .body = r->body != NULL ? r->body : "",
         .size = r->size,
-        .too_large = r->too_large,
         .connection = r->connection,
     };
 
     if (whole.number == 0) {
-        r->reply.status = 503;
+        r->reply.status = STATUS_UNAVAILABLE;
         r->reply.close = true;
         return queue(h, r);
     }
+    r->client->shed.handled = true;
     watch(h, r, whole.number);
     httpserver_suspend(&h->server, &r->wait, r->connection);
-    h->opts.handle(h->opts.ctx, &whole);
+    if (h->opts.handle(h->opts.ctx, &whole) == HTTPAPI_TAKEN) {
+        free_body(h, r);
+    }
     return MHD_YES;
 }
 
@@ -227,7 +414,7 @@
 
     (void)version;
     if (r == NULL) {
-        return begin(h, connection, url, ctx);
+        return begin(h, connection, url, method, ctx);
     }
     if (r->replied) {
         return queue(h, r);
@@ -235,7 +422,9 @@
     if (*upload_data_size > 0) {
         return take_body(h, r, upload_data, upload_data_size);
     }
-    return client_left(h, r) ? MHD_NO : hand_over(h, r, method);
+    return r->client->shed.dropped || client_left(h, r)
+               ? MHD_NO
+               : hand_over(h, r, method);
 }
 
 static void
@@ -252,9 +441,12 @@
     }
     *ctx = NULL;
     unwatch(h, r);
-    free(r->reply.body);
+    clear_reply(&r->reply);
     free(r->path);
-    free(r->body);
+    free_body(h, r);
+    r->client->request = NULL;
+    r->client->shed.handled = false;
+    limit_connections(h);
     free(r);
     (void)atomic_fetch_sub(&h->server.in_progress, 1);
 }
@@ -275,8 +467,7 @@
     struct request *r = httpserver_take(&h->server, number);
 
     if (r == NULL) {
-        free(response->body);
-        response->body = NULL;
+        clear_reply(response);
         return;
     }
     r->reply = *response;
@@ -295,6 +486,14 @@
     }
 }
 
+void
+httpapi_set_body_max(struct httpapi *h, size_t bytes)
+{
+    size_t most = h->opts.body_bytes_max / 2;
+
+    h->opts.body_max = bytes < most ? bytes : most;
+}
+
 void
 httpapi_closing(struct httpapi *h)
 {
@@ -320,6 +519,7 @@
         .memory = CONNECTION_MEMORY,
         .on_request = on_request,
         .on_completed = on_completed,
+        .on_connection = on_connection,
         .cls = h,
     };
 
@@ -327,6 +527,8 @@
         return NULL;
     }
     h->opts = *o;
+    shed_init(&h->shed, o->connections - o->connections / SPARE_DIVISOR,
+              o->body_bytes_max);
     h->gone = o->external ? epoll_create1(EPOLL_CLOEXEC) : -1;
     if (!httpserver_start(&h->server, &server)) {
         int err = errno;
@@ -364,7 +566,8 @@
     while (n == GONE_EVENTS) {
         n = epoll_wait(h->gone, events, GONE_EVENTS, 0);
         for (int i = 0; i < n; i++) {
-            struct httpapi_response nobody = {.status = 503, .close = true};
+            struct httpapi_response nobody = {.status = STATUS_UNAVAILABLE,
+                                              .close = true};
 
             h->opts.gone(h->opts.ctx, events[i].data.u64);
             httpapi_reply(h, events[i].data.u64, &nobody);
@@ -403,7 +606,8 @@
 static void
 refuse_one(void *cls, uint64_t number)
 {
-    struct httpapi_response stopping = {.status = 503, .close = true};
+    struct httpapi_response stopping = {.status = STATUS_UNAVAILABLE,
+                                        .close = true};
 
     httpapi_reply(cls, number, &stopping);
 }
--- a/src/httpapi.h
+++ b/src/httpapi.h
@@ -5,6 +5,11 @@
  * to a handler when its body is there, and waits, its connection suspended,
  * until it is answered.  With @external it has no thread: the owner polls it,
  * and learns when the client of a waiting request has left.
+ *
+ * A body that is announced as too long, or becomes it, is answered with 413,
+ * and its connection is closed.  Where connections or bodies exceed their
+ * bounds, others are closed (see shed.h); those whose request is not whole are
+ * answered with 503.
  */
 #ifndef BM_HTTPAPI_H
 #define BM_HTTPAPI_H
@@ -21,7 +26,6 @@
  * @path: of the URL, without its query
  * @body: followed by a terminator
  * @size: of @body
- * @too_large: the body was longer than allowed and is not here
  * @connection: for httpapi_header()
  */
 struct httpapi_request {
@@ -30,7 +34,6 @@
     const char *path;
     const char *body;
     size_t size;
-    bool too_large;
     void *connection;
 };
 
@@ -56,14 +59,21 @@
     bool close;
 };
 
+/** enum httpapi_handled - what a handler did with a request */
+enum httpapi_handled {
+    HTTPAPI_TAKEN,    /* it has been or will be answered */
+    HTTPAPI_DEFERRED, /* it waits, with its body, for httpapi_again() */
+};
+
 /**
  * struct httpapi_options - how to construct one
  * @listen: IP:PORT
- * @connections: at a time
+ * @connections: at a time; some less are kept open, to accept others
  * @idle_timeout_s: of a silent connection
- * @body_max: bytes
+ * @body_max: bytes of a body
+ * @body_bytes_max: bytes of memory of all bodies, at least twice @body_max
  * @external: see above
- * @handle: takes a request; answers it now or later
+ * @handle: takes a request; answers it now or later, or defers it
  * @gone: with @external: the client of a waiting request has left; it need not
  *        be answered any more
  * @ctx: for both
@@ -73,8 +83,9 @@
     unsigned int connections;
     unsigned int idle_timeout_s;
     size_t body_max;
+    size_t body_bytes_max;
     bool external;
-    void (*handle)(void *ctx, const struct httpapi_request *r);
+    enum httpapi_handled (*handle)(void *ctx, const struct httpapi_request *r);
     void (*gone)(void *ctx, uint64_t number);
     void *ctx;
 };
@@ -87,11 +98,15 @@
 void httpapi_reply(struct httpapi *h, uint64_t number,
                    struct httpapi_response *response);
 
-/** httpapi_again() - hands a request that waits to the handler once more,
- * under another number; one that is gone is no error.  With @external, from
- * the owner's thread. */
+/** httpapi_again() - hands a deferred request to the handler once more, under
+ * another number; one that is gone is no error.  With @external, from the
+ * owner's thread. */
 void httpapi_again(struct httpapi *h, uint64_t number);
 
+/** httpapi_set_body_max() - bytes of a body from now on; at most half of
+ * httpapi_options.body_bytes_max.  From the thread that reads requests. */
+void httpapi_set_body_max(struct httpapi *h, size_t bytes);
+
 /** httpapi_closing() - from now on every answer ends its connection */
 void httpapi_closing(struct httpapi *h);
 
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -49,6 +49,7 @@
         MHD_OPTION_ARRAY, memory, MHD_OPTION_CONNECTION_LIMIT, o->connections,
         MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
         MHD_OPTION_NOTIFY_COMPLETED, o->on_completed, o->cls,
+        MHD_OPTION_NOTIFY_CONNECTION, o->on_connection, o->cls,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     if (s->daemon == NULL) {
         table_clear(&s->waiting);
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -46,7 +46,8 @@
  * @memory: bytes a connection may take; 0 leaves it to libmicrohttpd
  * @on_request: see libmicrohttpd
  * @on_completed: the same
- * @cls: handed to both
+ * @on_connection: the same; NULL for none
+ * @cls: handed to all of them
  */
 struct httpserver_options {
     const char *listen;
@@ -57,6 +58,7 @@
     size_t memory;
     MHD_AccessHandlerCallback on_request;
     MHD_RequestCompletedCallback on_completed;
+    MHD_NotifyConnectionCallback on_connection;
     void *cls;
 };
 
--- a/src/stats.h
+++ b/src/stats.h
@@ -17,6 +17,7 @@
 #define STAT_LIST(STAT)                                                       \
     STAT(http_requests, "requests whose headers arrived")                     \
     STAT(http_refused, "requests refused by the shell")                       \
+    STAT(http_shed, "connections closed to make room for others")             \
     STAT(http_slow_bodies, "requests whose body came too slowly")             \
     STAT(submit_us, "from submissions' headers to answers, microseconds")     \
     STAT(submits_answered, "submissions answered, for submit_us")             \
--- a/tests/httpd_test.c
+++ b/tests/httpd_test.c
@@ -310,7 +310,7 @@
     unsigned int handled;
 };
 
-static void
+static enum httpapi_handled
 on_external(void *ctx, const struct httpapi_request *request)
 {
     struct external *e = ctx;
@@ -318,6 +318,7 @@
 
     e->handled++;
     httpapi_reply(e->api, request->number, &response);
+    return HTTPAPI_TAKEN;
 }
 
 static void
@@ -356,6 +357,7 @@
                                       .connections = 8,
                                       .idle_timeout_s = 15,
                                       .body_max = BODY_MAX,
+                                      .body_bytes_max = 2 * BODY_MAX,
                                       .external = true,
                                       .handle = on_external,
                                       .gone = on_external_gone,
