--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -92,14 +92,25 @@
     }
 }
 
+static void
+unref_text(void *text)
+{
+    blob_unref(text);
+}
+
 /* Takes the body of the reply over; NULL when memory is out. */
 static struct MHD_Response *
 make_response(struct httpapi_response *reply)
 {
     struct MHD_Response *response;
+    struct blob *text = reply->text;
     char *body = reply->body;
 
-    if (body != NULL) {
+    if (text != NULL) {
+        response = MHD_create_response_from_buffer_with_free_callback_cls(
+            text->size, text->data, unref_text, text);
+    }
+    else if (body != NULL) {
         response = MHD_create_response_from_buffer(strlen(body), body,
                                                    MHD_RESPMEM_MUST_FREE);
     }
@@ -108,6 +119,7 @@
             MHD_create_response_from_buffer(0, "", MHD_RESPMEM_PERSISTENT);
     }
     if (response != NULL) {
+        reply->text = NULL;
         reply->body = NULL;
     }
     return response;
@@ -116,7 +128,9 @@
 static void
 clear_reply(struct httpapi_response *reply)
 {
+    blob_unref(reply->text);
     free(reply->body);
+    reply->text = NULL;
     reply->body = NULL;
 }
 
@@ -472,6 +486,7 @@
     }
     r->reply = *response;
     response->body = NULL;
+    response->text = NULL;
     r->replied = true;
     resume(h, r);
 }
--- a/src/httpapi.h
+++ b/src/httpapi.h
@@ -15,6 +15,7 @@
 #define BM_HTTPAPI_H
 
 #include "base.h"
+#include "blob.h"
 
 struct httpapi;
 
@@ -44,6 +45,7 @@
  * struct httpapi_response - an answer
  * @status: of HTTP
  * @body: owned, from malloc(); NULL for none
+ * @text: the same as a shared reference, instead of @body; NULL for none
  * @type: of the body; NULL for application/json
  * @retry_after_us: told in whole seconds, rounded up; 0 for not
  * @redirect_to: address of the server that the request is redirected to, with
@@ -53,6 +55,7 @@
 struct httpapi_response {
     int status;
     char *body;
+    struct blob *text;
     const char *type;
     int64_t retry_after_us;
     struct address redirect_to;
