Take headers up to the platform's limit

A request whose headers have 16 kB, which the limits allow, got no answer.

Cause: a connection had 12 KiB for its headers and for reading. Change: 24 KiB.

--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -18,9 +18,9 @@
     BODY_START = 1024,
     GONE_EVENTS = 32,
     LOCATION_SIZE = 256,
-    /* Headers, the path, and a read buffer: ours are short, and a thousand
-     * idle connections must fit into a small machine. */
-    CONNECTION_MEMORY = 12 * 1024,
+    /* Headers of up to 16 KiB and what libmicrohttpd keeps of them; two
+     * thousand connections must fit into a small machine. */
+    CONNECTION_MEMORY = 24 * 1024,
     /* Bytes that wait unread in the kernel, while a request is handled. */
     RECEIVE_BUFFER = 32 * 1024,
     /* Part of the connections that is left to accept others. */
