--- a/src/netaddr.c
+++ b/src/netaddr.c
@@ -14,8 +14,8 @@
 
     errno = 0;
     n = strtoul(text, &end, 10);
-    if (errno != 0 || end == text || *end != '\0' || n > 65535 ||
-        text[0] == '-' || text[0] == '+') {
+    if (errno != 0 || text[0] < '0' || text[0] > '9' || *end != '\0' ||
+        n > 65535) {
         return false;
     }
     *port = (uint16_t)n;
--- a/tests/suite_list.h
+++ b/tests/suite_list.h
@@ -56,4 +56,5 @@
 SUITE(broker_runtime)
 SUITE(matrix)
 SUITE(crowd)
+SUITE(odd_worker)
 /* clang-format on */
