Bound bodies and connections in the servers of bm-entry and bm-control

The same cause as in the platform's programs: each body had a limit, their sum had none, silent connections kept their places, and control read a body that was too long to its end.

Change: the bounds move from httpapi into httpserver, under its lock, so that all three servers have them. The memory of bodies is a setting, bodies_max_mb, with 256 MiB in bm-entry and 64 MiB in bm-control. Control cuts a body where it passes the limit.

Both tests failed before: eight clients of 900 bytes with 5 KB for all, four of 512 KiB with 1 MiB, and no connection was closed.

--- a/src/broker_state.h
+++ b/src/broker_state.h
@@ -493,6 +493,7 @@
     uint32_t slots;
     bool leaving;
     bool gone;
+    bool polled_clean;
     struct resources capacity;
     struct name labels[UPSTREAM_LABELS_MAX];
     size_t n_labels;
@@ -510,12 +511,11 @@
     int64_t poll_us;
     uint64_t quick_poll;
     bool quick_poll_due;
-    int64_t confirmed_us;
     bool confirmation_due;
     uint32_t missed_polls;
+    int64_t confirmed_us;
     int64_t lost_start_until_us;
     int64_t taken_us;
-    bool polled_clean;
     uint32_t fence_retries;
     uint64_t fenced_view;
 
--- a/src/control_http.c
+++ b/src/control_http.c
@@ -18,11 +18,13 @@
     QUERY_SIZE = 160,
     LIMIT_DEFAULT = 100,
     NUMBER_DIGITS_MAX = 18,
+    STATUS_TOO_LARGE = 413,
 };
 
 /* State of an HTTP request. */
 struct request {
     struct MHD_Connection *connection;
+    struct httpserver_client *client;
     struct httpwait wait;
     enum control_route route;
     char path[PATH_MAX_SIZE];
@@ -42,7 +44,8 @@
 };
 
 static enum MHD_Result
-send_response(struct request *r, struct control_response *out)
+send_response(struct control_http *h, struct request *r,
+              struct control_response *out)
 {
     struct MHD_Response *response;
     enum MHD_Result queued;
@@ -63,6 +66,7 @@
     if (out->location[0] != '\0') {
         (void)MHD_add_response_header(response, "Location", out->location);
     }
+    httpserver_answer(&h->server, r->client);
     queued =
         MHD_queue_response(r->connection, (unsigned int)out->status, response);
     MHD_destroy_response(response);
@@ -70,8 +74,8 @@
 }
 
 static enum MHD_Result
-send_rejection(struct request *r, enum control_result result,
-               const char *detail)
+send_rejection(struct control_http *h, struct request *r,
+               enum control_result result, const char *detail)
 {
     struct control_rejection rejection = {.result = result};
     struct control_response out;
@@ -79,7 +83,7 @@
     (void)snprintf(rejection.detail, sizeof(rejection.detail), "%s", detail);
     stats_add(&stats.http_refused, 1);
     out = control_response_rejection(&rejection);
-    return send_response(r, &out);
+    return send_response(h, r, &out);
 }
 
 static bool
@@ -135,28 +139,36 @@
     (void)atomic_fetch_add(&h->server.in_progress, 1);
     stats_add(&stats.http_requests, 1);
     r->connection = connection;
+    r->client = httpserver_client(connection);
+    httpserver_begin_body(&h->server, r->client);
     r->route = control_route_find(method, url);
     r->query.limit = LIMIT_DEFAULT;
     (void)snprintf(r->path, sizeof(r->path), "%s", url);
     (void)MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
                                     on_argument, r);
     if (r->route == CONTROL_ROUTE_NONE) {
-        return send_rejection(r, CONTROL_NOT_FOUND, "");
+        return send_rejection(h, r, CONTROL_NOT_FOUND, "");
     }
     if (r->route == CONTROL_ROUTE_METHOD) {
-        return send_rejection(r, CONTROL_METHOD, "");
+        return send_rejection(h, r, CONTROL_METHOD, "");
     }
     return MHD_YES;
 }
 
 static enum MHD_Result
-append_body(struct request *r, const char *data, size_t *n)
+append_body(struct control_http *h, struct request *r, const char *data,
+            size_t *n)
 {
     size_t capacity = r->capacity > 0 ? r->capacity : BODY_START;
     char *body;
 
-    if (!control_route_is_write(r->route) || r->size + *n > BODY_MAX) {
-        r->too_large = true; /* discard the rest, reject at the end */
+    if (r->size + *n > BODY_MAX) {
+        httpserver_refuse_body(r->client, STATUS_TOO_LARGE);
+        return MHD_NO;
+    }
+    if (!control_route_is_write(r->route)) {
+        r->too_large = true; /* discard it, reject at the end */
+        r->size += *n;
         *n = 0;
         return MHD_YES;
     }
@@ -169,6 +181,9 @@
     }
     r->body = body;
     r->capacity = capacity;
+    if (!httpserver_set_body(&h->server, r->client, capacity)) {
+        return MHD_NO;
+    }
     memcpy(r->body + r->size, data, *n);
     r->size += *n;
     *n = 0;
@@ -231,7 +246,7 @@
                                : "{\"status\":\"unavailable\"}\n"),
     };
 
-    return send_response(r, &out);
+    return send_response(h, r, &out);
 }
 
 static enum MHD_Result
@@ -242,13 +257,14 @@
     struct control_mail *m;
 
     if (id == 0) {
-        return send_rejection(r, CONTROL_NO_LEADER, "this member is stopping");
+        return send_rejection(h, r, CONTROL_NO_LEADER,
+                              "this member is stopping");
     }
     m = control_request_parse(r->route, &r->query, publisher, r->body, r->size,
                               id, &rejection);
     if (m == NULL) {
         (void)httpserver_take(&h->server, id);
-        return send_rejection(r, rejection.result, rejection.detail);
+        return send_rejection(h, r, rejection.result, rejection.detail);
     }
     httpserver_suspend(&h->server, &r->wait, r->connection);
     if (!h->opts.offer(h->opts.ctx, m)) {
@@ -267,17 +283,20 @@
 {
     struct name publisher = {""};
 
+    if (!httpserver_end_body(&h->server, r->client)) {
+        return MHD_NO;
+    }
     if (r->too_large) {
-        return send_rejection(r, CONTROL_TOO_LARGE, "");
+        return send_rejection(h, r, CONTROL_TOO_LARGE, "");
     }
     if (r->route == CONTROL_ROUTE_HEALTH) {
         return reply_health(h, r);
     }
     switch (check_signature(h, r, method, &publisher)) {
     case OPAUTH_NOT_SIGNED:
-        return send_rejection(r, CONTROL_NOT_SIGNED, "");
+        return send_rejection(h, r, CONTROL_NOT_SIGNED, "");
     case OPAUTH_STALE:
-        return send_rejection(r, CONTROL_STALE, "");
+        return send_rejection(h, r, CONTROL_STALE, "");
     default:
         return offer(h, r, publisher);
     }
@@ -299,10 +318,10 @@
         struct control_response out = control_response_from_effect(
             r->route, &r->reply, r->path, r->query_text);
 
-        return send_response(r, &out);
+        return send_response(h, r, &out);
     }
     if (*upload_data_size > 0) {
-        return append_body(r, upload_data, upload_data_size);
+        return append_body(h, r, upload_data, upload_data_size);
     }
     return handle_request(h, r, method);
 }
@@ -342,6 +361,7 @@
     if (r->replied) {
         control_effect_clear(&r->reply);
     }
+    httpserver_end_request(&h->server, r->client);
     free(r->body);
     free(r);
     (void)atomic_fetch_sub(&h->server.in_progress, 1);
@@ -355,6 +375,7 @@
         .listen = o->listen.s,
         .threads = o->threads,
         .connections = o->connections,
+        .body_bytes_max = o->body_bytes_max,
         .idle_timeout_s = o->idle_timeout_s,
         .on_request = on_request,
         .on_completed = on_completed,
--- a/src/control_http.h
+++ b/src/control_http.h
@@ -26,7 +26,7 @@
  * @on_client_gone: called when the client of a pending request has
  * disconnected
  * @healthy: whether a leader is known and this member is not shutting down
- * @body_bytes_max: memory of all bodies of a platform's API, bytes
+ * @body_bytes_max: memory of all bodies that are being read, bytes
  * @metrics: IP:PORT of a separate listener for metrics; empty for none
  * @ctx: argument of the callbacks
  */
--- a/src/control_settings.c
+++ b/src/control_settings.c
@@ -37,6 +37,9 @@
         http.threads, 1, "threads of the HTTP server")                        \
     LIMIT("http_connections", "connections", 4, 65536, "256",                 \
         http.connections, 1, "open HTTP connections of operators")            \
+    LIMIT("bodies_max_mb", "MiB", 8, 65536, "64",                             \
+        http.body_bytes_max, 1 << 20,                                         \
+        "memory limit of request bodies that are being read")                 \
     LIMIT("idle_timeout_s", "s", 1, 3600, "30",                               \
         http.idle_timeout_s, 1, "time until an idle connection is closed")    \
     LIMIT("peer_buffer_mb", "MiB", 1, 1024, "32",                             \
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -54,6 +54,9 @@
         http.connections, 1, "limit of connections of callers")               \
     LIMIT("body_max_kb", "KiB", 1, 65536, "4096",                             \
         http.body_max, 1024, "maximum size of a request body")                \
+    LIMIT("bodies_max_mb", "MiB", 1, 65536, "256",                            \
+        http.body_bytes_max, 1 << 20,                                         \
+        "memory limit of request bodies that are being read")                 \
     LIMIT("body_timeout_ms", "ms", 10, HOUR_MS, "5000",                       \
         http.body_timeout_ms, 1, "time limit for receiving a request body")   \
     LIMIT("idle_timeout_s", "s", 1, 3600, "75",                               \
--- a/src/httpapi.c
+++ b/src/httpapi.c
@@ -6,12 +6,10 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base.h"
 #include "httpserver.h"
-#include "shed.h"
 #include "stats.h"
 
 enum {
@@ -21,25 +19,14 @@
     /* Headers of up to 16 KiB and what libmicrohttpd keeps of them; two
      * thousand connections must fit into a small machine. */
     CONNECTION_MEMORY = 24 * 1024,
-    /* Bytes that wait unread in the kernel, while a request is handled. */
-    RECEIVE_BUFFER = 32 * 1024,
-    /* Part of the connections that is left to accept others. */
-    SPARE_DIVISOR = 8,
     STATUS_TOO_LARGE = 413,
     STATUS_UNAVAILABLE = 503,
 };
 
-/* struct connection - a client's connection, with at most one request */
-struct connection {
-    struct shed_connection shed; /* must be the first member */
-    int fd;
-    struct request *request;
-};
-
 struct request {
     struct httpapi *api;
     struct MHD_Connection *connection;
-    struct connection *client;
+    struct httpserver_client *client;
     struct httpwait wait;
     char *path;
     char *body;
@@ -53,7 +40,6 @@
 struct httpapi {
     struct httpapi_options opts;
     struct httpserver server;
-    struct shed shed;
     int gone; /* epoll of the connections of waiting requests; -1 for none */
     atomic_bool closing;
     bool resumed; /* external: a connection has an answer to write */
@@ -143,7 +129,7 @@
     if (response == NULL) {
         return MHD_NO;
     }
-    r->client->shed.handled = false;
+    httpserver_answer(&h->server, r->client);
     add_headers(h, response, r);
     queued = MHD_queue_response(r->connection, (unsigned int)r->reply.status,
                                 response);
@@ -151,26 +137,6 @@
     return queued;
 }
 
-/* Connections */
-
-static struct connection *
-find_client(struct MHD_Connection *connection)
-{
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-
-    return info != NULL ? info->socket_context : NULL;
-}
-
-static int
-find_fd(struct MHD_Connection *connection)
-{
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-    return info != NULL ? info->connect_fd : -1;
-}
-
 static void
 free_body(struct httpapi *h, struct request *r)
 {
@@ -178,79 +144,7 @@
     r->body = NULL;
     r->size = 0;
     r->room = 0;
-    shed_set_body(&h->shed, &r->client->shed, 0);
-}
-
-/* libmicrohttpd takes no response while it reads a body, so the refusal is
- * written past it. */
-static void
-refuse_unread(const struct connection *c, int status)
-{
-    char text[128];
-    int n = snprintf(text, sizeof(text),
-                     "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
-                     "Connection: close\r\n\r\n",
-                     status,
-                     status == STATUS_TOO_LARGE ? "Content Too Large"
-                                                : "Service Unavailable");
-
-    stats_add(&stats.http_refused, 1);
-    (void)!send(c->fd, text, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL);
-}
-
-/* libmicrohttpd finds the connection closed, and ends it. */
-static void
-close_client(struct httpapi *h, struct connection *c)
-{
-    stats_add(&stats.http_shed, 1);
-    if (c->request != NULL && !c->request->replied) {
-        refuse_unread(c, STATUS_UNAVAILABLE);
-        free_body(h, c->request);
-    }
-    (void)shutdown(c->fd, SHUT_RDWR);
-}
-
-static void
-limit_connections(struct httpapi *h)
-{
-    struct shed_connection *c;
-
-    while ((c = shed_oldest(&h->shed)) != NULL) {
-        close_client(h, (struct connection *)c);
-    }
-}
-
-static void
-begin_connection(struct httpapi *h, struct MHD_Connection *connection,
-                 void **context)
-{
-    struct connection *c = calloc(1, sizeof(*c));
-    const int bytes = RECEIVE_BUFFER;
-
-    if (c == NULL) {
-        abort();
-    }
-    *context = c;
-    c->fd = find_fd(connection);
-    (void)setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-    shed_add(&h->shed, &c->shed);
-    limit_connections(h);
-}
-
-static void
-on_connection(void *cls, struct MHD_Connection *connection, void **context,
-              enum MHD_ConnectionNotificationCode code)
-{
-    struct httpapi *h = cls;
-    struct connection *c = *context;
-
-    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        begin_connection(h, connection, context);
-        return;
-    }
-    shed_remove(&h->shed, &c->shed);
-    free(c);
-    *context = NULL;
+    (void)httpserver_set_body(&h->server, r->client, 0);
 }
 
 /* Requests */
@@ -294,8 +188,8 @@
     r->api = h;
     r->connection = connection;
     r->fd = -1;
-    r->client = find_client(connection);
-    r->client->request = r;
+    r->client = httpserver_client(connection);
+    httpserver_begin_body(&h->server, r->client);
     r->path = strdup(url);
     if (r->path == NULL) {
         return MHD_NO;
@@ -303,7 +197,8 @@
     return is_too_long(h, connection) ? refuse_length(h, r, method) : MHD_YES;
 }
 
-/* Makes room for a body of @size bytes and a terminator. */
+/* Makes room for a body of @size bytes and a terminator.  Returns false if the
+ * request is over, for want of memory. */
 static bool
 grow_body(struct httpapi *h, struct request *r, size_t size)
 {
@@ -314,42 +209,25 @@
         room *= 2;
     }
     room = room < h->opts.body_max + 1 ? room : h->opts.body_max + 1;
-    if (room <= r->room) {
-        return true;
-    }
-    body = realloc(r->body, room);
-    if (body == NULL) {
-        return false;
-    }
-    r->body = body;
-    r->room = room;
-    shed_set_body(&h->shed, &r->client->shed, room);
-    return true;
-}
-
-/* Returns false if the request itself has to make room. */
-static bool
-limit_bodies(struct httpapi *h, const struct request *r)
-{
-    struct shed_connection *c;
-
-    while ((c = shed_largest(&h->shed)) != NULL) {
-        close_client(h, (struct connection *)c);
+    if (room > r->room) {
+        body = realloc(r->body, room);
+        if (body == NULL) {
+            return false;
+        }
+        r->body = body;
+        r->room = room;
     }
-    return !r->client->shed.dropped;
+    return httpserver_set_body(&h->server, r->client, r->room);
 }
 
 static enum MHD_Result
 take_body(struct httpapi *h, struct request *r, const char *data, size_t *n)
 {
-    if (r->client->shed.dropped) {
-        return MHD_NO;
-    }
     if (r->size + *n > h->opts.body_max) {
-        refuse_unread(r->client, STATUS_TOO_LARGE);
+        httpserver_refuse_body(r->client, STATUS_TOO_LARGE);
         return MHD_NO;
     }
-    if (!grow_body(h, r, r->size + *n) || !limit_bodies(h, r)) {
+    if (!grow_body(h, r, r->size + *n)) {
         return MHD_NO;
     }
     memcpy(r->body + r->size, data, *n);
@@ -409,7 +287,6 @@
         r->reply.close = true;
         return queue(h, r);
     }
-    r->client->shed.handled = true;
     watch(h, r, whole.number);
     httpserver_suspend(&h->server, &r->wait, r->connection);
     if (h->opts.handle(h->opts.ctx, &whole) == HTTPAPI_TAKEN) {
@@ -436,7 +313,7 @@
     if (*upload_data_size > 0) {
         return take_body(h, r, upload_data, upload_data_size);
     }
-    return r->client->shed.dropped || client_left(h, r)
+    return client_left(h, r) || !httpserver_end_body(&h->server, r->client)
                ? MHD_NO
                : hand_over(h, r, method);
 }
@@ -458,9 +335,7 @@
     clear_reply(&r->reply);
     free(r->path);
     free_body(h, r);
-    r->client->request = NULL;
-    r->client->shed.handled = false;
-    limit_connections(h);
+    httpserver_end_request(&h->server, r->client);
     free(r);
     (void)atomic_fetch_sub(&h->server.in_progress, 1);
 }
@@ -529,12 +404,12 @@
         .listen = o->listen,
         .threads = 1,
         .connections = o->connections,
+        .body_bytes_max = o->body_bytes_max,
         .idle_timeout_s = o->idle_timeout_s,
         .external = o->external,
         .memory = CONNECTION_MEMORY,
         .on_request = on_request,
         .on_completed = on_completed,
-        .on_connection = on_connection,
         .cls = h,
     };
 
@@ -542,8 +417,6 @@
         return NULL;
     }
     h->opts = *o;
-    shed_init(&h->shed, o->connections - o->connections / SPARE_DIVISOR,
-              o->body_bytes_max);
     h->gone = o->external ? epoll_create1(EPOLL_CLOEXEC) : -1;
     if (!httpserver_start(&h->server, &server)) {
         int err = errno;
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -34,6 +34,7 @@
         .threads = 4,
         .connections = 16384,
         .body_max = (size_t)4 << 20,
+        .body_bytes_max = (size_t)256 << 20,
         .body_timeout_ms = 5000,
         .idle_timeout_s = 75,
     };
@@ -70,6 +71,7 @@
     if (atomic_load(&h->stopping)) {
         (void)MHD_add_response_header(response, "Connection", "close");
     }
+    httpserver_answer(&h->server, r->client);
     queued = MHD_queue_response(r->connection, (unsigned int)reply->status,
                                 response);
     MHD_destroy_response(response);
@@ -119,19 +121,16 @@
                  reply.status, problem_title(problem), reply.type, reply.size,
                  reply.body);
     if (n > 0 && (size_t)n < sizeof(text)) {
-        (void)!send(r->fd, text, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL);
+        (void)!send(r->client->fd, text, (size_t)n,
+                    MSG_DONTWAIT | MSG_NOSIGNAL);
     }
-    (void)shutdown(r->fd, SHUT_RDWR);
+    (void)shutdown(r->client->fd, SHUT_RDWR);
     free(reply.body);
 }
 
 static void
 reading_begin(struct httpd *h, struct httprequest *r)
 {
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-    r->fd = info != NULL ? info->connect_fd : -1;
     r->body_due_us = r->begun_us + h->opts.body_timeout_ms * USEC_PER_MSEC;
     (void)pthread_mutex_lock(&h->lock);
     r->reading = true;
@@ -203,6 +202,8 @@
     (void)atomic_fetch_add(&h->server.in_progress, 1);
     stats_add(&stats.http_requests, 1);
     r->connection = connection;
+    r->client = httpserver_client(connection);
+    httpserver_begin_body(&h->server, r->client);
     r->begun_us = clock_now(h->opts.clock).mono_us;
     r->route = route_find(method, url);
     if (!httprequest_check(r, h->opts.body_max, &why)) {
@@ -221,7 +222,8 @@
         }
         return MHD_NO;
     }
-    if (!httprequest_append(r, data, *n)) {
+    if (!httprequest_append(r, data, *n) ||
+        !httpserver_set_body(&h->server, r->client, r->body_room)) {
         return MHD_NO;
     }
     *n = 0;
@@ -258,6 +260,7 @@
     }
     free(r->body);
     r->body = NULL;
+    (void)httpserver_set_body(&h->server, r->client, 0);
     httpserver_suspend(&h->server, &r->wait_for_reply, r->connection);
     if (!h->opts.offer(h->opts.ctx, e)) {
         struct effect full = {.kind = EF_PROBLEM};
@@ -291,7 +294,7 @@
     if (*upload_data_size > 0) {
         return take_body(h, r, upload_data, upload_data_size);
     }
-    if (!reading_end(h, r)) {
+    if (!reading_end(h, r) || !httpserver_end_body(&h->server, r->client)) {
         return MHD_NO;
     }
     if (r->route.kind == ROUTE_HEALTH) {
@@ -328,6 +331,7 @@
     }
     *ctx = NULL;
     (void)reading_end(h, r);
+    httpserver_end_request(&h->server, r->client);
     httprequest_free(r);
     (void)atomic_fetch_sub(&h->server.in_progress, 1);
 }
@@ -340,6 +344,7 @@
         .listen = o->listen.s,
         .threads = o->threads,
         .connections = o->connections,
+        .body_bytes_max = o->body_bytes_max,
         .idle_timeout_s = o->idle_timeout_s,
         .on_request = on_request,
         .on_completed = on_completed,
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -18,6 +18,7 @@
  * @threads: of the server
  * @connections: most at a time
  * @body_max: bytes of a request's body
+ * @body_bytes_max: memory of all bodies that are being read, bytes
  * @body_timeout_ms: from the headers to the end of the body
  * @idle_timeout_s: after which a connection without a request is closed
  * @clock: for the body's timeout
@@ -30,6 +31,7 @@
     unsigned int threads;
     unsigned int connections;
     size_t body_max;
+    size_t body_bytes_max;
     int64_t body_timeout_ms;
     unsigned int idle_timeout_s;
     const struct clock *clock;
--- a/src/httprequest.h
+++ b/src/httprequest.h
@@ -16,6 +16,7 @@
 
 /**
  * struct httprequest - a request
+ * @client: its connection
  * @route: what it asks for
  * @body: as far as it came
  * @begun_us: monotonic time when its headers were there
@@ -26,6 +27,7 @@
  */
 struct httprequest {
     struct MHD_Connection *connection;
+    struct httpserver_client *client;
     struct httpwait wait_for_reply;
     struct route_match route;
     char key[KEY_TEXT_SIZE]; /* of a submission */
@@ -36,7 +38,6 @@
     char *body;
     size_t body_size;
     size_t body_room;
-    int fd;
     int64_t begun_us;
     int64_t body_due_us;
     bool reading;
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -1,16 +1,166 @@
 #include "httpserver.h"
 
 #include <errno.h>
+#include <stdlib.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base.h"
 #include "netaddr.h"
+#include "stats.h"
 
 enum {
     LOOK_SUSPEND_US = 100, /* until a connection is suspended */
     LAST_MS = 200,         /* to write the last replies */
+    /* Bytes that wait unread in the kernel while a request is handled. */
+    RECEIVE_BUFFER = 32 * 1024,
+    /* Part of the connections that is left to accept others. */
+    SPARE_DIVISOR = 8,
+    STATUS_TOO_LARGE = 413,
+    STATUS_UNAVAILABLE = 503,
 };
 
+/* Clients */
+
+struct httpserver_client *
+httpserver_client(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+    return info != NULL ? info->socket_context : NULL;
+}
+
+void
+httpserver_refuse_body(const struct httpserver_client *c, int status)
+{
+    char text[128];
+    int n = snprintf(text, sizeof(text),
+                     "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
+                     "Connection: close\r\n\r\n",
+                     status,
+                     status == STATUS_TOO_LARGE ? "Content Too Large"
+                                                : "Service Unavailable");
+
+    stats_add(&stats.http_refused, 1);
+    (void)!send(c->fd, text, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+/* libmicrohttpd finds the connection closed, and ends its request. */
+static void
+close_client(struct shed_connection *shed)
+{
+    const struct httpserver_client *c = (struct httpserver_client *)shed;
+
+    stats_add(&stats.http_shed, 1);
+    if (c->reading) {
+        httpserver_refuse_body(c, STATUS_UNAVAILABLE);
+    }
+    (void)shutdown(c->fd, SHUT_RDWR);
+}
+
+/* Called with the lock: a client that is closed here can't end meanwhile, and
+ * its descriptor is still its own. */
+static void
+limit_clients(struct httpserver *s)
+{
+    struct shed_connection *c;
+
+    while ((c = shed_oldest(&s->shed)) != NULL ||
+           (c = shed_largest(&s->shed)) != NULL) {
+        close_client(c);
+    }
+}
+
+static void
+begin_client(struct httpserver *s, struct MHD_Connection *connection,
+             void **context)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct httpserver_client *c = calloc(1, sizeof(*c));
+    const int bytes = RECEIVE_BUFFER;
+
+    if (c == NULL) {
+        abort();
+    }
+    *context = c;
+    c->fd = info != NULL ? info->connect_fd : -1;
+    (void)setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    (void)pthread_mutex_lock(&s->lock);
+    shed_add(&s->shed, &c->shed);
+    limit_clients(s);
+    (void)pthread_mutex_unlock(&s->lock);
+}
+
+static void
+on_connection(void *cls, struct MHD_Connection *connection, void **context,
+              enum MHD_ConnectionNotificationCode code)
+{
+    struct httpserver *s = cls;
+    struct httpserver_client *c = *context;
+
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        begin_client(s, connection, context);
+        return;
+    }
+    (void)pthread_mutex_lock(&s->lock);
+    shed_remove(&s->shed, &c->shed);
+    (void)pthread_mutex_unlock(&s->lock);
+    free(c);
+    *context = NULL;
+}
+
+/* Returns false if the client is closed. */
+static bool
+update_client(struct httpserver *s, struct httpserver_client *c, bool reading,
+              bool handled, size_t body)
+{
+    bool open;
+
+    (void)pthread_mutex_lock(&s->lock);
+    c->reading = reading;
+    c->shed.handled = handled;
+    shed_set_body(&s->shed, &c->shed, body);
+    limit_clients(s);
+    open = !c->shed.dropped;
+    (void)pthread_mutex_unlock(&s->lock);
+    return open;
+}
+
+void
+httpserver_begin_body(struct httpserver *s, struct httpserver_client *c)
+{
+    (void)update_client(s, c, true, false, 0);
+}
+
+bool
+httpserver_set_body(struct httpserver *s, struct httpserver_client *c,
+                    size_t bytes)
+{
+    return update_client(s, c, c->reading, c->shed.handled, bytes);
+}
+
+bool
+httpserver_end_body(struct httpserver *s, struct httpserver_client *c)
+{
+    return update_client(s, c, false, true, c->shed.body);
+}
+
+void
+httpserver_answer(struct httpserver *s, struct httpserver_client *c)
+{
+    (void)update_client(s, c, false, false, c->shed.body);
+}
+
+void
+httpserver_end_request(struct httpserver *s, struct httpserver_client *c)
+{
+    (void)update_client(s, c, false, false, 0);
+}
+
+/* Start and stop */
+
 bool
 httpserver_start(struct httpserver *s, const struct httpserver_options *o)
 {
@@ -42,6 +192,8 @@
     }
     (void)pthread_mutex_init(&s->lock, NULL);
     table_init(&s->waiting, sizeof(struct httpwait *));
+    shed_init(&s->shed, o->connections - o->connections / SPARE_DIVISOR,
+              o->body_bytes_max);
     errno = 0;
     s->daemon = MHD_start_daemon(
         flags, 0, NULL, NULL, o->on_request, o->cls, MHD_OPTION_SOCK_ADDR,
@@ -49,7 +201,7 @@
         MHD_OPTION_ARRAY, memory, MHD_OPTION_CONNECTION_LIMIT, o->connections,
         MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
         MHD_OPTION_NOTIFY_COMPLETED, o->on_completed, o->cls,
-        MHD_OPTION_NOTIFY_CONNECTION, o->on_connection, o->cls,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, s,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     if (s->daemon == NULL) {
         table_clear(&s->waiting);
--- a/src/vlease.h
+++ b/src/vlease.h
@@ -131,8 +131,8 @@
     int64_t evacuation_us;
     struct instance_capacity capacities[VLEASE_BROKERS_MAX];
     bool capacity_grows;
-    int64_t reborn_silent_us;
     bool kinds;
+    int64_t reborn_silent_us;
     struct vlease_callbacks callbacks;
 };
 
--- a/tests/broker_runtime_test.c
+++ b/tests/broker_runtime_test.c
@@ -77,7 +77,7 @@
         .connections_max = CONNECTIONS,
         .idle_timeout_s = CONNECTIONS,
         .body_max = NET_TEXT_SIZE,
-        .body_bytes_max = 2 * NET_TEXT_SIZE,
+        .body_bytes_max = (size_t)2 * NET_TEXT_SIZE,
         .clock = clock,
     };
 
--- a/tests/control_http_test.c
+++ b/tests/control_http_test.c
@@ -7,6 +7,8 @@
 #include "check.h"
 #include "net.h"
 
+enum { BODIES_MAX = 1 << 20 };
+
 struct server {
     struct control_http *http;
     atomic_uint offered;
@@ -56,6 +58,7 @@
         .listen = address_of("127.0.0.1:0"),
         .threads = 1,
         .connections = 8,
+        .body_bytes_max = BODIES_MAX,
         .idle_timeout_s = 30,
         .clock = clock_real(),
         .offer = on_offer,
@@ -112,6 +115,33 @@
     control_http_free(s.http);
 }
 
+/* Guards against bodies that are kept until they end, however many. */
+static void
+sum_of_unfinished_bodies_is_bounded(void)
+{
+    enum { CLIENTS = 4, PART = BODIES_MAX / 2 };
+    static const char part[PART];
+    struct server s;
+    char out[NET_TEXT_SIZE];
+    int fds[CLIENTS];
+
+    server_start(&s);
+    for (int i = 0; i < CLIENTS; i++) {
+        fds[i] = net_connect(control_http_port(s.http));
+        CU_ASSERT(net_send_text(fds[i], "POST /v1/config HTTP/1.1\r\n"
+                                        "Host: x\r\n"
+                                        "Content-Length: 600000\r\n\r\n"));
+        (void)net_send(fds[i], part, sizeof(part));
+    }
+    CU_ASSERT(net_read_http(fds[0], out));
+    CU_ASSERT(strstr(out, " 503 ") != NULL);
+    CU_ASSERT(net_closed(fds[0]));
+    for (int i = 0; i < CLIENTS; i++) {
+        (void)close(fds[i]);
+    }
+    control_http_free(s.http);
+}
+
 #define ADD(test) check_add("control_http", #test, test)
 
 void
@@ -119,4 +149,5 @@
 {
     ADD(pending_requests_are_answered_at_shutdown);
     ADD(full_inbox_is_answered_with_503);
+    ADD(sum_of_unfinished_bodies_is_bounded);
 }
--- a/tests/crowd_test.c
+++ b/tests/crowd_test.c
@@ -117,13 +117,13 @@
 
 /* The same, of a length that is announced and never sent. */
 CROWD(broker_refuses_announced_lengths, REGION_BROKER, 150,
-      POST(JOB, 10000000000), "x", 2 * MIB)
+      POST(JOB, 10000000000), "x", (size_t)2 * MIB)
 CROWD(control_refuses_bodies_over_the_limit, REGION_CONTROL, 40,
-      POST(HEARTBEAT, 10000000000), "x", 6 * MIB)
+      POST(HEARTBEAT, 10000000000), "x", (size_t)6 * MIB)
 
 /* The same, of no announced length. */
 CROWD(broker_refuses_chunks_over_the_limit, REGION_BROKER, 150,
-      POST_CHUNKED(JOB), "x", 2 * MIB)
+      POST_CHUNKED(JOB), "x", (size_t)2 * MIB)
 
 /* Guards against a limit for each body and none for all of them. */
 CROWD(broker_bounds_the_sum_of_unfinished_jobs, REGION_BROKER, 300,
--- a/tests/httpd_test.c
+++ b/tests/httpd_test.c
@@ -11,7 +11,11 @@
 #include "mailbox.h"
 #include "net.h"
 
-enum { BODY_MAX = 1000, BODY_TIMEOUT_MS = 2000 };
+enum {
+    BODY_MAX = 1000,
+    BODIES_MAX = 5 * 1024,
+    BODY_TIMEOUT_MS = 2000,
+};
 
 struct server {
     struct httpd *httpd;
@@ -55,6 +59,7 @@
     o.threads = 2;
     o.connections = 64;
     o.body_max = BODY_MAX;
+    o.body_bytes_max = BODIES_MAX;
     o.body_timeout_ms = BODY_TIMEOUT_MS;
     o.clock = &s->clock.base;
     o.offer = on_offer;
@@ -207,6 +212,33 @@
     server_stop(&s);
 }
 
+/* Guards against a limit for each body and none for all of them. */
+static void
+httpd_bounds_the_sum_of_bodies(void)
+{
+    enum { CLIENTS = 8, PART = 900 };
+    struct server s;
+    char text[NET_TEXT_SIZE];
+    char part[PART] = {0};
+    int fds[CLIENTS];
+
+    server_start(&s);
+    for (int i = 0; i < CLIENTS; i++) {
+        fds[i] = net_connect(httpd_port(s.httpd));
+        (void)net_send_text(fds[i], "POST /v1/jobs HTTP/1.1\r\n" HOST KEY
+                                    "Content-Length: 950\r\n\r\n");
+        (void)net_send(fds[i], part, sizeof(part));
+    }
+    CU_ASSERT(net_read_http(fds[0], text));
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, " 503 "));
+    CU_ASSERT(net_closed(fds[0]));
+    CU_ASSERT(exchange(&s, "GET /v1/health HTTP/1.1\r\n" HOST "\r\n", text));
+    for (int i = 0; i < CLIENTS; i++) {
+        (void)close(fds[i]);
+    }
+    server_stop(&s);
+}
+
 #define SUBMIT                                                                \
     "POST /v1/jobs HTTP/1.1\r\n" HOST KEY "Content-Length: 40\r\n\r\n"        \
     "{\"service\":\"s\",\"tasks\":[{\"payload\":17}]}"
@@ -357,7 +389,7 @@
                                       .connections = 8,
                                       .idle_timeout_s = 15,
                                       .body_max = BODY_MAX,
-                                      .body_bytes_max = 2 * BODY_MAX,
+                                      .body_bytes_max = (size_t)2 * BODY_MAX,
                                       .external = true,
                                       .handle = on_external,
                                       .gone = on_external_gone,
@@ -386,6 +418,8 @@
     check_add("httpd", "httpd_refuses_endless_body",
               httpd_refuses_endless_body);
     check_add("httpd", "httpd_refuses_slow_body", httpd_refuses_slow_body);
+    check_add("httpd", "httpd_bounds_the_sum_of_bodies",
+              httpd_bounds_the_sum_of_bodies);
     check_add("httpd", "httpd_suspends_until_reply",
               httpd_suspends_until_reply);
     check_add("httpd", "httpd_refuses_when_inbox_is_full",
--- a/tests/odd_worker_test.c
+++ b/tests/odd_worker_test.c
@@ -113,7 +113,9 @@
     char *body = malloc(size);
     char *at = body;
 
-    CU_ASSERT_PTR_NOT_NULL_FATAL(body);
+    if (body == NULL) {
+        abort();
+    }
     at = stpcpy(at, head);
     for (int i = 0; i < n; i++) {
         at = stpcpy(at, middle);
