--- a/src/broker_runtime.c
+++ b/src/broker_runtime.c
@@ -488,9 +488,10 @@
 limit_bodies(struct broker_runtime *r)
 {
     const struct queueconf *queues = broker_queues(r->broker);
+    bool named = queues != NULL && queues->body_max > 0;
 
     httpapi_set_body_max(r->callers,
-                         queues != NULL ? queues->body_max : r->opts.body_max);
+                         named ? queues->body_max : r->opts.body_max);
 }
 
 /* The reducer compares the usage with the declared limits. */
--- a/src/shed.h
+++ b/src/shed.h
@@ -8,7 +8,7 @@
  * others are closed before it.  Connections whose request is being handled are
  * kept.
  *
- * Not locked: used by the thread that reads the connections.
+ * Not locked by itself.
  */
 #ifndef BM_SHED_H
 #define BM_SHED_H
