--- a/demo/fakeworker.c
+++ b/demo/fakeworker.c
@@ -271,7 +271,7 @@
     }
 }
 
-static void
+static enum httpapi_handled
 handle(void *ctx, const struct httpapi_request *r)
 {
     struct fakeworker *w = ctx;
@@ -282,7 +282,7 @@
 
     if (body == NULL) {
         httpapi_reply(w->api, r->number, &bad);
-        return;
+        return HTTPAPI_TAKEN;
     }
     if (fence < w->fence) {
         conflict(w, r->number, "fence");
@@ -304,6 +304,7 @@
         httpapi_reply(w->api, r->number, &bad);
     }
     json_decref(body);
+    return HTTPAPI_TAKEN;
 }
 
 static void
@@ -471,6 +472,7 @@
         .connections = CONNECTIONS,
         .idle_timeout_s = IDLE_S,
         .body_max = BODY_MAX,
+        .body_bytes_max = (size_t)CONNECTIONS * BODY_MAX,
         .external = true,
         .handle = handle,
         .gone = gone,
