--- a/tests/crowd_test.c
+++ b/tests/crowd_test.c
@@ -56,7 +56,8 @@
     }
 }
 
-/* The crowd sends, and stays while the region is checked and asked. */
+/* The clients send, and stay connected while the processes are checked and
+ * ordinary requests are sent. */
 static void
 play(struct region *r, const char *ip, const struct crowd *c, const char *test)
 {
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -392,6 +392,20 @@
     blob_unref(r.spec);
 }
 
+/* Guards against headers and requests that an id puts into calls, where it
+ * comes from a saved list or from another process. */
+static void
+odd_id_ends_no_header(void)
+{
+    struct lease_request r = {.kind = LEASE_POLL,
+                              .upstream = name_of("a\r\nX-Y: \xff")};
+    struct lease_http_request w = {0};
+
+    platform_worker_codec()->encode(&r, &w);
+    CU_ASSERT_STRING_EQUAL(w.headers[0], "Expected-Instance: a??X-Y:??");
+    free(w.body);
+}
+
 static const struct {
     enum lease_call call;
     int status;
@@ -554,6 +568,7 @@
     TEST(heartbeat_fields);
     TEST(workers_are_asked_to_come_back);
     TEST(calls_to_workers);
+    TEST(odd_id_ends_no_header);
     TEST(answers_of_workers);
     TEST(lists_of_workers);
     TEST(settings_of_the_platform);
